Lay the skeleton and the shared contracts

Cause: nothing exists yet; parts are to be built side by side and need one set of entities, verdicts, clocks and wire contracts to meet at. Ruled out: letting each part define its own messages, which would cost a mapping at every seam; a generic table class, as a dict keyed by identifier is one. Conclusion: parts can start.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Run the demo, the load tool and the measured comparisons."""
--- /dev/null
+++ b/src/galenapass/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers over HTTP."""
--- /dev/null
+++ b/src/galenapass/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange membership, load and settings with the other daemons."""
--- /dev/null
+++ b/src/galenapass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's object API, host list and weight store."""
--- /dev/null
+++ b/src/galenapass/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read and check the daemon's settings and the operators' file."""
--- /dev/null
+++ b/src/galenapass/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decide over the tables, without I/O: time and randomness are passed in."""
--- /dev/null
+++ b/src/galenapass/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the entities, one slotted class each, in tables keyed by their identifier."""
--- /dev/null
+++ b/src/galenapass/tables/requests.py
@@ -0,0 +1,49 @@
+"""Hold the requests that this daemon has accepted and not yet ended."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum, IntEnum
+
+__all__ = ["Request", "RequestState", "Urgency"]
+
+
+class Urgency(IntEnum):
+    """Rank the classes of requests; a lower number goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BULK = 2
+
+
+class RequestState(Enum):
+    """Name the step that a request has reached."""
+
+    WAITING = "waiting"
+    DISPATCHED = "dispatched"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one request; times are monotonic, sizes are tokens."""
+
+    id: str
+    caller: str
+    service: str
+    arrived: timedelta
+    deadline: timedelta
+    urgency: Urgency = Urgency.NORMAL
+    key: str | None = None
+    fingerprint: str = ""
+    idempotent: bool = True
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    blocks: tuple[int, ...] = ()
+    state: RequestState = RequestState.WAITING
+    target: str | None = None
+    prefill_target: str | None = None
+    delivered: int = 0
+    attempts: int = 0
+    tried: set[str] = field(default_factory=set)
+    first_token: timedelta | None = None
--- /dev/null
+++ b/src/galenapass/tables/targets.py
@@ -0,0 +1,81 @@
+"""Hold the targets, their reported load and what this daemon has in flight there."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+__all__ = ["Kind", "LoadReport", "Role", "Target", "TargetState"]
+
+
+class Kind(Enum):
+    """Tell a model engine from a plain service."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Role(Enum):
+    """Name the phases of a request that an engine runs."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class TargetState(Enum):
+    """Name the step of a target's life as this daemon knows it."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    CHANGING = "changing"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(slots=True, frozen=True)
+class LoadReport:
+    """Hold what an engine said of its load; it lags behind the engine.
+
+    Memory is counted in the engine's pieces; ``prefill_queued`` in tokens.
+    """
+
+    incarnation: str
+    sequence: int
+    running: int
+    waiting: int
+    prefill_queued: int
+    pieces_used: int
+    pieces_total: int
+    piece_tokens: int
+
+
+@dataclass(slots=True)
+class Target:
+    """Hold one target; times are monotonic.
+
+    ``own_*`` count what this daemon has in flight there, ``peer_*`` what the
+    peers announced since the last report.
+    """
+
+    id: str
+    address: str
+    domain: str
+    kind: Kind
+    service: str
+    role: Role = Role.MIXED
+    model: str = ""
+    checks_fencing: bool = True
+    state: TargetState = TargetState.SERVING
+    incarnation: str = ""
+    drain_epoch: int = 0
+    load: LoadReport | None = None
+    load_at: timedelta | None = None
+    own_requests: int = 0
+    own_prefill: int = 0
+    own_pieces: int = 0
+    peer_requests: int = 0
+    peer_prefill: int = 0
+    peer_pieces: int = 0
+    failures: int = 0
+    avoid_until: timedelta | None = None
+    cached_blocks: set[int] = field(default_factory=set)
--- /dev/null
+++ b/src/galenapass/tables/world.py
@@ -0,0 +1,22 @@
+"""Gather the tables that the systems run over."""
+
+from dataclasses import dataclass, field
+
+from galenapass.tables.configurations import Configuration
+from galenapass.tables.hosts import Host
+from galenapass.tables.requests import Request
+from galenapass.tables.targets import Target
+
+__all__ = ["World"]
+
+
+@dataclass(slots=True)
+class World:
+    """Hold every table of one daemon, each keyed by the entity's identifier."""
+
+    host: str
+    domain: str
+    configuration: Configuration = field(default_factory=Configuration)
+    requests: dict[str, Request] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+    hosts: dict[str, Host] = field(default_factory=dict)
--- /dev/null
+++ b/src/galenapass/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Reach engines and plain services over HTTP."""
--- /dev/null
+++ b/src/galenapass/verdicts.py
@@ -0,0 +1,55 @@
+"""Say whether a request may have run, why it ended, and when to come back."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+__all__ = ["Reason", "Run", "Verdict"]
+
+
+class Run(Enum):
+    """Tell whether a target ran a request."""
+
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    RAN = "ran"
+
+
+class Reason(Enum):
+    """Name the cause of a verdict."""
+
+    COMPLETED = "completed"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_MODEL = "unknown model"
+    OVERLOADED = "overloaded"
+    LIMIT_EXCEEDED = "limit exceeded"
+    NO_TARGET = "no target"
+    TARGET_REFUSED = "target refused"
+    TARGET_FAILED = "target failed"
+    TARGET_UNREACHABLE = "target unreachable"
+    CRASHES_TARGETS = "crashes targets"
+    DEADLINE_PASSED = "deadline passed"
+    PLATFORM_AWAY = "platform away"
+    KEY_IN_USE = "key in use"
+    KEY_REUSED = "key reused"
+    STOPPING = "stopping"
+    NOT_CONFIGURED = "not configured"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """Hold the outcome of a request as the caller is told it."""
+
+    run: Run
+    reason: Reason
+    detail: str = ""
+    retry_after: timedelta | None = None
+
+    @property
+    def may_retry(self) -> bool:
+        """Tell whether sending the request again cannot run it twice."""
+        return self.run is Run.NOT_RUN
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the daemon, the tool and the stand-ins."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,40 @@
+"""Set the hypothesis profiles and pass over the tests that KNOWN-RED.txt lists."""
+
+import os
+import pathlib
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=60, database=None
+)
+settings.register_profile(
+    "long",
+    deadline=None,
+    max_examples=1000,
+    print_blob=True,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile(os.environ.get("GALENAPASS_PROFILE", "ci"))
+
+
+def _read_known_red():
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    entries = [line for line in lines if line.strip() and not line.startswith("#")]
+    return {entry.split("|")[0].strip(): entry for entry in entries}
+
+
+def pytest_collection_modifyitems(items):
+    known = _read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=False))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for entry in _read_known_red().values():
+        terminalreporter.write_line(f"known red: {entry}")
