Serve callers over HTTP

Completions, models, plain services and health, on the Dispatcher and Claims protocols. A claim is kept while a call surely not run moves to another target: releasing it first, as planned, would leave a gap in which the same key could begin elsewhere while this call runs without a claim. Not tested yet.

--- /dev/null
+++ b/src/galenapass/callers/app.py
@@ -0,0 +1,126 @@
+"""Serve callers: completions, models, plain services and this host's health."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from galenapass.callers.calls import make_call_handler
+from galenapass.callers.completions import (
+    make_completion_handler,
+    make_models_handler,
+)
+from galenapass.callers.keys import Directory, make_caller_finder
+from galenapass.callers.limits import Limits
+from galenapass.callers.parts import Handler, Parts, UrgencyOf
+from galenapass.callers.problems import write_problem
+from galenapass.callers.streams import OpenStreams
+from galenapass.clocks import Clock
+from galenapass.dispatch import Claims, Dispatcher
+from galenapass.logs import make_log
+from galenapass.targets.engines import Engines
+from galenapass.targets.services import PlainServices
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["make_callers_app", "make_runner"]
+
+log = make_log("callers")
+
+REASONS_OF_STATUSES = {
+    408: Reason.DEADLINE_PASSED,
+    413: Reason.TOO_LARGE,
+}
+
+
+def make_callers_app(
+    dispatcher: Dispatcher,
+    claims: Claims,
+    directory: Directory,
+    clock: Clock,
+    limits: Limits,
+    *,
+    urgency_of: UrgencyOf,
+    engines: Engines,
+    services: PlainServices,
+    streams: OpenStreams,
+    show_metrics: Handler | None = None,
+) -> web.Application:
+    """Return the application that callers reach; run it by ``make_runner``."""
+    parts = Parts(
+        dispatcher=dispatcher,
+        claims=claims,
+        directory=directory,
+        clock=clock,
+        limits=limits,
+        engines=engines,
+        services=services,
+        streams=streams,
+        urgency_of=urgency_of,
+        find_caller=make_caller_finder(directory),
+    )
+    app = web.Application(
+        client_max_size=limits.body_bytes, middlewares=[_answer_faults]
+    )
+    app.cleanup_ctx.append(_make_sweeping(streams))
+    complete = make_completion_handler(parts)
+    call_service = make_call_handler(parts)
+    app.add_routes(
+        [
+            web.post("/v1/chat/completions", complete),
+            web.post("/v1/completions", complete),
+            web.get("/v1/models", make_models_handler(parts)),
+            web.route("*", "/v1/services/{name}", call_service),
+            web.route("*", "/v1/services/{name}/{path:.*}", call_service),
+            web.get("/healthz", _show_alive),
+            web.get("/readyz", _make_ready_handler(directory)),
+        ]
+    )
+    if show_metrics is not None:
+        app.router.add_get("/metrics", show_metrics)
+    return app
+
+
+def make_runner(app: web.Application) -> web.AppRunner:
+    """Return a runner that tells handlers at once when their caller went away."""
+    return web.AppRunner(app, handler_cancellation=True, access_log=None)
+
+
+def _make_ready_handler(directory: Directory) -> Handler:
+    async def show_ready(request: web.Request) -> web.StreamResponse:
+        ready = directory.ready() and directory.configuration().version > 0
+        return web.Response(
+            status=200 if ready else 503, text="ready\n" if ready else "not ready\n"
+        )
+
+    return show_ready
+
+
+async def _show_alive(request: web.Request) -> web.StreamResponse:
+    return web.Response(text="alive\n")
+
+
+def _make_sweeping(streams: OpenStreams):  # type: ignore[no-untyped-def]
+    async def sweep(app: web.Application) -> AsyncIterator[None]:
+        sweeping = asyncio.create_task(streams.sweep_forever())
+        yield
+        sweeping.cancel()
+
+    return sweep
+
+
+@web.middleware
+async def _answer_faults(request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except web.HTTPException as fault:
+        reason = REASONS_OF_STATUSES.get(fault.status, Reason.MALFORMED)
+        detail = fault.text or fault.reason
+        return write_problem(Verdict(Run.NOT_RUN, reason, detail), fault.status)
+    except web.RequestPayloadError as error:
+        return write_problem(Verdict(Run.NOT_RUN, Reason.MALFORMED, str(error)))
+    except ConnectionResetError:
+        raise
+    except Exception as error:
+        log("a handler failed", path=request.path, error=repr(error))
+        verdict = Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "internal error")
+        return write_problem(verdict, 500)
--- /dev/null
+++ b/src/galenapass/callers/bodies.py
@@ -0,0 +1,147 @@
+"""Read completion bodies and estimate what they ask of an engine."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+import xxhash
+from aiohttp import web
+from result import Err, Ok, Result
+
+from galenapass.callers.limits import Limits
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["Completion", "hash_blocks", "read_body", "read_completion", "sign_call"]
+
+BLOCK_BYTES = 256
+BLOCKS_MOST = 64
+BYTES_PER_TOKEN = 4
+OUTPUT_TOKENS = 256
+OUTPUT_TOKENS_MOST = 1_000_000
+LENGTH_FIELDS = ("max_completion_tokens", "max_tokens")
+STREAM_FIELDS = ("stream", "stream_options")
+
+
+@dataclass(slots=True, frozen=True)
+class Completion:
+    """Hold a checked completion body and its estimated sizes in tokens."""
+
+    model: str
+    stream: bool
+    fields: dict[str, Any]
+    prompt: bytes
+    output_tokens: int
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the estimated length of the prompt."""
+        return -(-len(self.prompt) // BYTES_PER_TOKEN)
+
+    def encode(self, model: str) -> bytes:
+        """Return the body for an engine, which is always asked for a stream."""
+        return orjson.dumps({**self.fields, "model": model, "stream": True})
+
+    def sign(self, caller: str, path: str) -> str:
+        """Return a fingerprint that a resend of the same body shares."""
+        kept = {k: v for k, v in self.fields.items() if k not in STREAM_FIELDS}
+        body = orjson.dumps(kept, option=orjson.OPT_SORT_KEYS)
+        return sign_call(caller, path, body)
+
+
+async def read_body(request: web.Request, limits: Limits) -> bytes:
+    """Return the whole body, or raise 408 or 413 when it keeps no bound."""
+    try:
+        async with asyncio.timeout(limits.body_timeout.total_seconds()):
+            return await request.read()
+    except TimeoutError:
+        detail = f"no whole body within {limits.body_timeout.total_seconds():g} s"
+        raise web.HTTPRequestTimeout(text=detail) from None
+
+
+def read_completion(path: str, body: bytes) -> Result[Completion, Verdict]:
+    """Check a completion body as far as routing needs it."""
+    try:
+        fields = orjson.loads(body)
+    except ValueError as error:
+        return _refuse(f"the body is not JSON: {error}")
+    if not isinstance(fields, dict):
+        return _refuse("the body is not a JSON object")
+    model = fields.get("model")
+    if not isinstance(model, str) or not model:
+        return _refuse(f"model is not a name: {model!r:.40}")
+    stream = fields.get("stream") or False
+    if not isinstance(stream, bool):
+        return _refuse(f"stream is not true or false: {stream!r:.40}")
+    output = _read_length(fields)
+    if output is None:
+        return _refuse(f"max_tokens is not between 1 and {OUTPUT_TOKENS_MOST}")
+    prompt = _PROMPTS[path](fields)
+    if prompt is None:
+        return _refuse("no usable prompt or messages")
+    return Ok(Completion(model, stream, fields, prompt, output))
+
+
+def hash_blocks(prompt: bytes) -> tuple[int, ...]:
+    """Return the chained hashes of the leading whole runs of a prompt."""
+    blocks: list[int] = []
+    previous = 0
+    end = min(len(prompt), BLOCKS_MOST * BLOCK_BYTES)
+    for start in range(0, end - BLOCK_BYTES + 1, BLOCK_BYTES):
+        run = prompt[start : start + BLOCK_BYTES]
+        previous = xxhash.xxh64_intdigest(previous.to_bytes(8, "big") + run)
+        blocks.append(previous)
+    return tuple(blocks)
+
+
+def sign_call(caller: str, path: str, body: bytes) -> str:
+    """Return a fingerprint of who asks for what."""
+    head = orjson.dumps([caller, path])
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def _refuse(detail: str) -> Err[Verdict]:
+    return Err(Verdict(Run.NOT_RUN, Reason.MALFORMED, detail))
+
+
+def _read_length(fields: dict[str, Any]) -> int | None:
+    given = [fields[name] for name in LENGTH_FIELDS if fields.get(name) is not None]
+    if not given:
+        return OUTPUT_TOKENS
+    length = given[0]
+    if type(length) is not int or not 1 <= length <= OUTPUT_TOKENS_MOST:
+        return None
+    return length
+
+
+def _read_messages(fields: dict[str, Any]) -> bytes | None:
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return None
+    texts = [_read_message(message) for message in messages]
+    return "\n".join(texts).encode() if all(texts) else None
+
+
+def _read_message(message: Any) -> str:
+    if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+        return ""
+    content = message.get("content")
+    if not isinstance(content, str):
+        content = orjson.dumps(content).decode()
+    return f"{message['role']}: {content}"
+
+
+def _read_prompt(fields: dict[str, Any]) -> bytes | None:
+    prompt = fields.get("prompt")
+    if isinstance(prompt, str):
+        return prompt.encode()
+    if isinstance(prompt, list) and prompt:
+        return orjson.dumps(prompt)
+    return None
+
+
+_PROMPTS = {
+    "/v1/chat/completions": _read_messages,
+    "/v1/completions": _read_prompt,
+}
--- /dev/null
+++ b/src/galenapass/callers/calls.py
@@ -0,0 +1,202 @@
+"""Handle calls to plain services, at most once where they need it."""
+
+import asyncio
+from urllib.parse import unquote
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from galenapass.callers.bodies import read_body, sign_call
+from galenapass.callers.keys import find_service
+from galenapass.callers.parts import Handler, Parts
+from galenapass.callers.problems import write_problem
+from galenapass.callers.relays import COMPLETED
+from galenapass.dispatch import Claim, StoredAnswer
+from galenapass.tables.configurations import Caller, Service
+from galenapass.tables.requests import Request
+from galenapass.tables.targets import Kind
+from galenapass.targets.services import Call
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["is_repeatable", "make_call_handler"]
+
+KEY_HEADER = "Idempotency-Key"
+KEY_LENGTH = 255  # characters
+PREFIX_END = "/*"
+# /v1/services/NAME come before the path that the target gets.
+SEGMENTS_BEFORE_PATH = 4
+KEEP_ANSWER_SECONDS = 2.0
+
+
+def make_call_handler(parts: Parts) -> Handler:
+    """Return the handler of all paths below /v1/services/NAME."""
+
+    async def call_service(request: web.Request) -> web.StreamResponse:
+        caller = parts.find_caller(request)
+        if isinstance(caller, Err):
+            return write_problem(caller.err_value)
+        service = find_service(
+            parts.directory.configuration(),
+            caller.ok_value,
+            Kind.SERVICE,
+            request.match_info["name"],
+        )
+        if isinstance(service, Err):
+            return write_problem(service.err_value)
+        body = await read_body(request, parts.limits)
+        call = _read_call(parts, request, service.ok_value, body)
+        if isinstance(call, Err):
+            return write_problem(call.err_value)
+        return await _carry(parts, caller.ok_value, service.ok_value, call.ok_value)
+
+    return call_service
+
+
+def is_repeatable(service: Service, method: str, path: str) -> bool:
+    """Tell whether a service lists a call, by its path or by a leading part."""
+    if f"{method} {path}" in service.repeatable:
+        return True
+    prefixes = [entry for entry in service.repeatable if entry.endswith(PREFIX_END)]
+    return any(f"{method} {path}".startswith(entry[:-1]) for entry in prefixes)
+
+
+def _read_call(
+    parts: Parts, request: web.Request, service: Service, body: bytes
+) -> Result[Call, Verdict]:
+    segments = request.rel_url.raw_path.split("/", SEGMENTS_BEFORE_PATH)
+    path = "/" + "".join(segments[SEGMENTS_BEFORE_PATH:])
+    # A target that resolves such a path would run another call than was checked.
+    if {".", ".."} & set(unquote(path).replace("\\", "/").split("/")):
+        return _refuse(f"the path has dot segments: {path[:80]!r}")
+    key = None
+    if not is_repeatable(service, request.method, path):
+        key = request.headers.get(KEY_HEADER, "")
+        if not 0 < len(key) <= KEY_LENGTH or not key.isprintable():
+            return _refuse(f"{request.method} {path[:80]} needs an {KEY_HEADER}")
+    query = request.rel_url.raw_query_string
+    return Ok(
+        Call(
+            id=parts.directory.new_id(),
+            method=request.method,
+            target=f"{path}?{query}" if query else path,
+            content_type=request.headers.get("Content-Type", request.content_type),
+            body=body,
+            key=key,
+        )
+    )
+
+
+async def _carry(
+    parts: Parts, caller: Caller, service: Service, call: Call
+) -> web.StreamResponse:
+    row = _make_row(parts, caller, service, call)
+    if call.key is None:
+        with parts.streams.count_request():
+            return _write_answer(await _run(parts, row, call))
+    # Once begun, the call goes on to its end even if the caller goes away, so
+    # that its answer is kept for the resend.
+    work = parts.streams.spawn(_run_once(parts, caller, service, row, call))
+    return await asyncio.shield(work)
+
+
+async def _run_once(
+    parts: Parts, caller: Caller, service: Service, row: Request, call: Call
+) -> web.StreamResponse:
+    begun = await parts.claims.begin(
+        caller.name, service.name, call.key or "", row.fingerprint
+    )
+    if isinstance(begun, Err):
+        return write_problem(begun.err_value)
+    if isinstance(begun.ok_value, StoredAnswer):
+        answer = _write_answer(Ok(begun.ok_value))
+        answer.headers["X-Replayed"] = "yes"
+        return answer
+    answered = await _run_claimed(parts, begun.ok_value, row, call)
+    return _write_answer(answered)
+
+
+async def _run_claimed(
+    parts: Parts, claim: Claim, row: Request, call: Call
+) -> Result[StoredAnswer, Verdict]:
+    answered: Result[StoredAnswer, Verdict] = Err(_UNKNOWN)
+    try:
+        answered = await _run(parts, row, call)
+    finally:
+        await _close_claim(parts, claim, answered)
+    return answered
+
+
+async def _close_claim(
+    parts: Parts, claim: Claim, answered: Result[StoredAnswer, Verdict]
+) -> None:
+    """Keep the outcome, but let no slow store hold the answer back."""
+    if isinstance(answered, Ok):
+        closing = parts.claims.finish(claim, answered.ok_value)
+    elif answered.err_value.run is Run.NOT_RUN:
+        closing = parts.claims.release(claim)
+    else:
+        closing = parts.claims.finish(claim, None)
+    await asyncio.wait({parts.streams.spawn(closing)}, timeout=KEEP_ANSWER_SECONDS)
+
+
+async def _run(parts: Parts, row: Request, call: Call) -> Result[StoredAnswer, Verdict]:
+    verdict = _UNKNOWN
+    try:
+        answered = await _try_targets(parts, row, call)
+        verdict = answered.err_value if isinstance(answered, Err) else COMPLETED
+        return answered
+    finally:
+        parts.dispatcher.end(row, verdict)
+
+
+async def _try_targets(
+    parts: Parts, row: Request, call: Call
+) -> Result[StoredAnswer, Verdict]:
+    routed = await parts.dispatcher.route(row)
+    while not isinstance(routed, Err):
+        left = (row.deadline - parts.clock.monotonic()).total_seconds()
+        answered = await parts.services.send(
+            routed.ok_value.address, call, max(left, 0.001)
+        )
+        if isinstance(answered, Ok):
+            return answered
+        verdict = answered.err_value
+        if verdict.run is not Run.NOT_RUN and not row.idempotent:
+            return answered
+        routed = await parts.dispatcher.reroute(row, verdict)
+    return Err(routed.err_value)
+
+
+def _make_row(parts: Parts, caller: Caller, service: Service, call: Call) -> Request:
+    zone = parts.directory.configuration().zone
+    urgency, patience = parts.urgency_of(caller, parts.clock.now(), zone)
+    arrived = parts.clock.monotonic()
+    return Request(
+        id=call.id,
+        caller=caller.name,
+        service=service.name,
+        arrived=arrived,
+        deadline=arrived + patience,
+        urgency=urgency,
+        key=call.key,
+        fingerprint=sign_call(caller.name, f"{call.method} {call.target}", call.body),
+        idempotent=call.key is None,
+    )
+
+
+def _write_answer(answered: Result[StoredAnswer, Verdict]) -> web.Response:
+    if isinstance(answered, Err):
+        return write_problem(answered.err_value)
+    answer = answered.ok_value
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers={"Content-Type": answer.content_type},
+    )
+
+
+def _refuse(detail: str) -> Err[Verdict]:
+    return Err(Verdict(Run.NOT_RUN, Reason.MALFORMED, detail))
+
+
+_UNKNOWN = Verdict(Run.MAY_HAVE_RUN, Reason.CANCELLED, "the call was broken off")
--- /dev/null
+++ b/src/galenapass/callers/keys.py
@@ -0,0 +1,93 @@
+"""Find callers by their keys and say what they may use."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Protocol
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from galenapass.tables.configurations import Caller, Configuration, Service
+from galenapass.tables.targets import Kind
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["Directory", "find_service", "list_models", "make_caller_finder"]
+
+SCHEME = "bearer"
+
+
+class Directory(Protocol):
+    """Tell what is in force on this daemon."""
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+
+    def ready(self) -> bool:
+        """Tell whether new work is taken."""
+
+    def new_id(self) -> str:
+        """Return an identifier that no other request in the fleet has."""
+
+
+def make_caller_finder(
+    directory: Directory,
+) -> Callable[[web.Request], Result[Caller, Verdict]]:
+    """Return a function that finds who sent a request."""
+    index: dict[str, Caller] = {}
+    indexed: Configuration | None = None
+
+    def find(request: web.Request) -> Result[Caller, Verdict]:
+        nonlocal index, indexed
+        configuration = directory.configuration()
+        refusal = _check_ready(directory, configuration)
+        if refusal is not None:
+            return Err(refusal)
+        if configuration is not indexed:
+            callers = configuration.callers.values()
+            index = {caller.key_hash: caller for caller in callers}
+            indexed = configuration
+        caller = index.get(_hash_key(request.headers.get("Authorization", "")))
+        if caller is None:
+            detail = "the key is missing or unknown"
+            return Err(Verdict(Run.NOT_RUN, Reason.UNAUTHENTICATED, detail))
+        return Ok(caller)
+
+    return find
+
+
+def find_service(
+    configuration: Configuration, caller: Caller, kind: Kind, name: str
+) -> Result[Service, Verdict]:
+    """Return the service that a model or a service name means to a caller."""
+    named = [s for s in configuration.services.values() if s.kind is kind]
+    fitting = [s for s in named if name == s.name or (name and name == s.model)]
+    if not fitting:
+        detail = f"no {kind.value} is called {name[:80]!r}"
+        return Err(Verdict(Run.NOT_RUN, Reason.UNKNOWN_MODEL, detail))
+    allowed = [s for s in fitting if s.name in caller.services]
+    if not allowed:
+        detail = f"{caller.name} may not use {name[:80]!r}"
+        return Err(Verdict(Run.NOT_RUN, Reason.FORBIDDEN, detail))
+    return Ok(allowed[0])
+
+
+def list_models(configuration: Configuration, caller: Caller) -> list[str]:
+    """Return the models that a caller may use."""
+    services = configuration.services.values()
+    mine = [s for s in services if s.kind is Kind.ENGINE and s.name in caller.services]
+    return sorted({service.model or service.name for service in mine})
+
+
+def _check_ready(directory: Directory, configuration: Configuration) -> Verdict | None:
+    if configuration.version == 0:
+        return Verdict(Run.NOT_RUN, Reason.NOT_CONFIGURED, "no configuration yet")
+    if not directory.ready():
+        return Verdict(Run.NOT_RUN, Reason.STOPPING, "this host takes no new work")
+    return None
+
+
+def _hash_key(authorization: str) -> str:
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != SCHEME:
+        return ""
+    return hashlib.sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -1,6 +1,5 @@
 """Open client sessions to targets and judge what went wrong on them."""
 
-import asyncio
 from collections.abc import Mapping
 
 import aiohttp
@@ -39,6 +38,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        headers={"Accept-Encoding": "identity"},
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
     )
@@ -49,7 +49,7 @@
     detail = f"{type(error).__name__}: {error}"
     if isinstance(error, _BEFORE_SENDING):
         return Verdict(Run.NOT_RUN, Reason.TARGET_UNREACHABLE, detail)
-    if isinstance(error, asyncio.TimeoutError):
+    if isinstance(error, TimeoutError):
         return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_UNREACHABLE, detail)
     return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
 
--- a/src/galenapass/targets/engines.py
+++ b/src/galenapass/targets/engines.py
@@ -1,8 +1,7 @@
 """Speak to model engines: streams, hand-overs, load, state and orders."""
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any, TypeVar
 
@@ -28,7 +27,7 @@
 READ_BUFFER_BYTES = 64 * 1024
 
 # What a client call can raise; anything else is a fault of this program.
-CLIENT_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+CLIENT_ERRORS = (aiohttp.ClientError, OSError)
 
 T = TypeVar("T")
 
@@ -95,12 +94,14 @@
         headers = _name_request(request)
         if resume_after:
             headers["Last-Event-ID"] = str(resume_after)
-        if route.prefill_address is not None:
-            source = await self._prefill(route.prefill_address, path, body, request)
-            if isinstance(source, Err):
-                return source
-            headers["X-KV-Source"] = source.ok_value
-        return await self._post(route.address, path, body, headers)
+        if route.prefill_address is None:
+            return await self._post(route.address, path, body, headers)
+        source = await self._prefill(route.prefill_address, path, body, request)
+        if isinstance(source, Err):
+            return source
+        headers["X-KV-Source"] = source.ok_value
+        opened = await self._post(route.address, path, body, headers)
+        return opened.map_err(_count_prefill)
 
     async def cancel(self, address: str, request_id: str) -> None:
         """Ask an engine to stop a request; an engine that is away needs none."""
@@ -202,6 +203,11 @@
     }
 
 
+def _count_prefill(verdict: Verdict) -> Verdict:
+    # The prompt was run, even when the decoding target refused.
+    return replace(verdict, run=Run.MAY_HAVE_RUN)
+
+
 def _judge_content(error: Exception) -> Verdict:
     detail = f"unreadable answer: {type(error).__name__}: {error}"
     return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -1,11 +1,11 @@
 """Send calls to plain services, each on a connection of its own."""
 
-import asyncio
 from dataclasses import dataclass
 
 import aiohttp
 from multidict import CIMultiDict
 from result import Err, Ok, Result
+from yarl import URL
 
 from galenapass.dispatch import StoredAnswer
 from galenapass.targets.connections import judge_answer, judge_error, open_session
@@ -48,7 +48,7 @@
         try:
             async with self._session.request(
                 call.method,
-                f"http://{address}{call.target}",
+                URL(f"http://{address}{call.target}", encoded=True),
                 data=call.body or None,
                 headers=_write_headers(call),
                 allow_redirects=False,
@@ -58,7 +58,7 @@
                 if refusal.run is Run.NOT_RUN:
                     return Err(refusal)
                 return await _read_answer(answer)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             return Err(judge_error(error))
 
 
