Test the data path and forbid the client library's own repeats

The client library sends PUT, DELETE and GET a second time when the connection is lost, on fresh connections too: a test saw 3 calls at the desk for 2 PUTs. A client middleware now turns the two errors that set it off into another class, and plain services are called exactly as often as the callers' side decides. The end of a body is read in the background, so that no caller waits for it.

--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from datetime import timedelta
 
 from aiohttp import web
 
@@ -80,9 +81,14 @@
     return app
 
 
-def make_runner(app: web.Application) -> web.AppRunner:
+def make_runner(app: web.Application, stop_within: timedelta) -> web.AppRunner:
     """Return a runner that tells handlers at once when their caller went away."""
-    return web.AppRunner(app, handler_cancellation=True, access_log=None)
+    return web.AppRunner(
+        app,
+        handler_cancellation=True,
+        access_log=None,
+        shutdown_timeout=stop_within.total_seconds(),
+    )
 
 
 def _make_ready_handler(directory: Directory) -> Handler:
--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -20,6 +20,8 @@
 
 __all__ = ["Relay", "relay_completion"]
 
+BODY_END_SECONDS = 1.0
+
 COMPLETED = Verdict(Run.RAN, Reason.COMPLETED)
 CANCELLED = Verdict(Run.MAY_HAVE_RUN, Reason.CANCELLED, "the caller went away")
 DEADLINE_PASSED = Verdict(
@@ -152,7 +154,7 @@
         detail = relay.tail.fault or "the stream broke off"
         verdict = Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
     finally:
-        _let_go(source, relay.tail)
+        _let_go(relay, source)
     if not relay.tail.complete:
         return verdict
     if not relay.tail.ended:
@@ -160,14 +162,25 @@
     return COMPLETED
 
 
-def _let_go(source: aiohttp.ClientResponse, tail: EventTail) -> None:
+def _let_go(relay: Relay, source: aiohttp.ClientResponse) -> None:
     """Keep the connection of a stream read to its end and close any other."""
-    if tail.ended and source.content.is_eof():
-        source.release()
+    if relay.tail.ended:
+        relay.streams.spawn(_read_end(source))
     else:
         source.close()
 
 
+async def _read_end(source: aiohttp.ClientResponse) -> None:
+    # The end of the body follows the last event; only then can others use the
+    # connection, but no caller has to wait for it.
+    try:
+        async with asyncio.timeout(BODY_END_SECONDS):
+            await source.content.readany()
+        source.release()
+    except (aiohttp.ClientError, OSError):
+        source.close()
+
+
 async def _pass_all(
     relay: Relay, content: aiohttp.StreamReader, stream: OpenStream
 ) -> None:
@@ -182,9 +195,6 @@
     write = await _open(relay.sink)
     await _write(write, first)
     await pass_events(content, relay.tail, write, relay.request)
-    if relay.tail.ended:
-        # The end of the body follows its last event and frees the connection.
-        await content.readany()
 
 
 async def _read_first(content: aiohttp.StreamReader, tail: EventTail) -> bytes:
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -3,10 +3,18 @@
 from collections.abc import Mapping
 
 import aiohttp
+from aiohttp import ClientHandlerType
+from aiohttp.client_middlewares import ClientMiddlewareType
 
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["judge_answer", "judge_error", "open_session"]
+__all__ = [
+    "LostConnectionError",
+    "judge_answer",
+    "judge_error",
+    "open_once_session",
+    "open_session",
+]
 
 CONNECT_SECONDS = 2.0
 KEEPALIVE_SECONDS = 15.0
@@ -24,26 +32,48 @@
 }
 
 
-def open_session(reuse: bool = True) -> aiohttp.ClientSession:
-    """Return a session without a total timeout; reused connections are optional.
+class LostConnectionError(aiohttp.ClientError):
+    """Say that a connection was lost after a request was sent on it."""
 
-    The client library sends some methods twice when a reused connection turns
-    out to be closed, so calls that must not run twice need fresh connections.
-    """
-    connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-        if reuse
-        else aiohttp.TCPConnector(limit=0, force_close=True)
-    )
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that keeps its connections and has no total timeout."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+    return _open_session(connector)
+
+
+def open_once_session() -> aiohttp.ClientSession:
+    """Return a session that sends every request on a connection of its own, once."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return _open_session(connector, _forbid_repeats)
+
+
+def _open_session(
+    connector: aiohttp.TCPConnector, *middlewares: ClientMiddlewareType
+) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
         headers={"Accept-Encoding": "identity"},
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        middlewares=middlewares,
     )
 
 
+async def _forbid_repeats(
+    request: aiohttp.ClientRequest, send: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # On these two errors the client library sends a PUT, DELETE or GET again by
+    # itself; under another class they come back here first.
+    try:
+        return await send(request)
+    except _BEFORE_SENDING:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise LostConnectionError(f"{type(error).__name__}: {error}") from error
+
+
 def judge_error(error: Exception) -> Verdict:
     """Tell from a client error whether the request may have run."""
     detail = f"{type(error).__name__}: {error}"
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -8,7 +8,7 @@
 from yarl import URL
 
 from galenapass.dispatch import StoredAnswer
-from galenapass.targets.connections import judge_answer, judge_error, open_session
+from galenapass.targets.connections import judge_answer, judge_error, open_once_session
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Call", "PlainServices"]
@@ -35,7 +35,7 @@
     __slots__ = ("_session",)
 
     def __init__(self) -> None:
-        self._session = open_session(reuse=False)
+        self._session = open_once_session()
 
     async def close(self) -> None:
         """Close every connection."""
--- /dev/null
+++ b/tests/test_callers_streams.py
@@ -0,0 +1,113 @@
+"""Check that a caller gets every token once, however the streams break."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from galenapass.callers.events import EventTail
+from tests.callers_fakes import (
+    BODY,
+    CHAT,
+    HEADERS,
+    NOT_RUN_503,
+    Bench,
+    FakeEngine,
+    event_of,
+    play_abort,
+    play_status,
+    play_stream,
+    route_to,
+    serve,
+    whole_stream,
+)
+
+TOKENS = 6
+POINTS = st.integers(0, TOKENS + 1)
+CUTS = st.sampled_from([0, 1, 7, 64])
+
+BREAKS = st.one_of(
+    st.just(NOT_RUN_503),
+    st.just(play_status(500)),
+    st.just(play_abort),
+    st.builds(
+        play_stream,
+        st.just(TOKENS),
+        back=POINTS,
+        until=POINTS,
+        skip=st.none() | POINTS,
+        end=st.sampled_from(["abort", "eof"]),
+        cut=CUTS,
+    ),
+)
+WHOLE = st.builds(play_stream, st.just(TOKENS), back=POINTS, cut=CUTS)
+
+
+async def ask(bench, stream=True, **headers):
+    body = {**BODY, "stream": stream}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(bench.url + CHAT, json=body, headers=HEADERS | headers) as answer,
+    ):
+        return answer.status, await answer.read(), answer.headers
+
+
+@contextlib.asynccontextmanager
+async def run_bench(*acts, **settings):
+    engine = FakeEngine(*acts)
+    async with serve(engine.app) as address:
+        bench = Bench([route_to(address)] * len(acts), **settings)
+        async with bench.run():
+            yield bench, engine
+
+
+class TestResume(TestCase):
+    @given(st.lists(BREAKS, max_size=4), WHOLE)
+    def test_every_token_comes_once(self, breaks, last):
+        async def check():
+            async with run_bench(*breaks, last) as (bench, engine):
+                status, body, _ = await ask(bench)
+                self.assertEqual((200, whole_stream(TOKENS)), (status, body))
+                self.assertEqual(
+                    ["ran"], [end.run.value for end in bench.dispatcher.ends]
+                )
+                self.assertEqual(1, bench.dispatcher.first_tokens)
+                self.assertEqual(0, bench.streams.requests)
+
+        asyncio.run(check())
+
+    @given(st.lists(BREAKS, max_size=2), WHOLE)
+    def test_one_answer_is_assembled(self, breaks, last):
+        async def check():
+            async with run_bench(*breaks, last) as (bench, _):
+                status, body, headers = await ask(bench, stream=False)
+                self.assertEqual(200, status)
+                self.assertEqual("application/json", headers["Content-Type"])
+                answer = orjson.loads(body)
+                text = "".join(f"t{number} " for number in range(1, TOKENS + 1))
+                self.assertEqual(text, answer["choices"][0]["message"]["content"])
+                self.assertEqual("stop", answer["choices"][0]["finish_reason"])
+                self.assertEqual(TOKENS, answer["usage"]["completion_tokens"])
+
+        asyncio.run(check())
+
+    @given(st.lists(st.integers(1, 120), max_size=30))
+    def test_parts_make_no_difference(self, sizes):
+        tail, data, out = EventTail(), whole_stream(TOKENS), b""
+        for size in [*sizes, len(data)]:
+            out += tail.take(data[:size]) if data and not tail.stopped else b""
+            data = data[size:]
+        self.assertEqual(whole_stream(TOKENS), out)
+        self.assertTrue(tail.ended)
+        self.assertEqual(TOKENS + 1, tail.delivered)
+
+    def test_an_early_end_is_no_end(self):
+        tail = EventTail()
+        self.assertEqual(event_of(1, 2), tail.take(event_of(1, 2)))
+        self.assertEqual(b"", tail.take(b"data: [DONE]\n\n"))
+        self.assertFalse(tail.ended)
+        self.assertIn("unfinished after event 1", tail.fault)
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,107 @@
+"""Check what engines answer to control calls, and the verdicts of failures."""
+
+import asyncio
+
+from aiohttp import web
+from result import Err, Ok
+from testtools import TestCase
+
+from galenapass.tables.targets import LoadReport
+from galenapass.targets.engines import (
+    Engines,
+    EngineState,
+    Order,
+    OrderAnswer,
+    OrderOutcome,
+)
+from galenapass.verdicts import Reason, Run
+from tests.callers_fakes import find_closed_port, play_abort, serve
+
+LOAD = {
+    "incarnation": "a1",
+    "sequence": 4,
+    "running": 2,
+    "waiting": 1,
+    "prefill_queued": 900,
+    "pieces_used": 70,
+    "pieces_total": 2000,
+    "piece_tokens": 16,
+}
+STATE = {
+    "incarnation": "a1",
+    "role": "mixed",
+    "model": "juniper-8b",
+    "adapters": ["tour"],
+    "phase": "serving",
+    "order": {"id": "o1", "fence": 3},
+    "running": 2,
+}
+ORDER = Order("o1", 3, "role", "decode")
+
+
+def play_json(status, value):
+    async def act(request):
+        return web.json_response(value, status=status)
+
+    return act
+
+
+async def ask_engine(act, ask):
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", act)
+    engines = Engines()
+    try:
+        async with serve(app) as address:
+            return await ask(engines, address)
+    finally:
+        await engines.close()
+
+
+class TestControl(TestCase):
+    def ask(self, act, ask):
+        return asyncio.run(ask_engine(act, ask))
+
+    def send(self, act):
+        return self.ask(act, lambda engines, at: engines.send_order(at, ORDER))
+
+    def test_load_is_read(self):
+        got = self.ask(play_json(200, LOAD), lambda e, at: e.fetch_load(at))
+        self.assertEqual(Ok(LoadReport("a1", 4, 2, 1, 900, 70, 2000, 16)), got)
+
+    def test_state_is_read(self):
+        got = self.ask(play_json(200, STATE), lambda e, at: e.fetch_state(at))
+        state = EngineState(
+            "a1", "mixed", "juniper-8b", ("tour",), "serving", "o1", 3, 2
+        )
+        self.assertEqual(Ok(state), got)
+
+    def test_a_fresh_engine_has_no_order(self):
+        fresh = play_json(200, STATE | {"order": None})
+        got = self.ask(fresh, lambda e, at: e.fetch_state(at))
+        self.assertEqual((None, None), (got.ok().order_id, got.ok().order_fence))
+
+    def test_order_answers_are_read(self):
+        stale = {"reason": "stale fence", "fence": 9}
+        cases = [
+            ((202, {}), OrderAnswer(OrderOutcome.ACCEPTED)),
+            ((409, stale), OrderAnswer(OrderOutcome.STALE_FENCE, 9)),
+            ((409, {"reason": "busy"}), OrderAnswer(OrderOutcome.BUSY)),
+        ]
+        for answer, expected in cases:
+            self.assertEqual(Ok(expected), self.send(play_json(*answer)))
+
+    def test_unreadable_answers_may_have_run(self):
+        for act in (play_json(409, []), play_json(500, {}), play_abort):
+            got = self.send(act)
+            self.assertIsInstance(got, Err)
+            self.assertEqual(Run.MAY_HAVE_RUN, got.err().run)
+
+    def test_a_refused_connection_is_not_run(self):
+        async def check():
+            engines = Engines()
+            got = await engines.send_order(find_closed_port(), ORDER)
+            await engines.close()
+            self.assertEqual(Run.NOT_RUN, got.err().run)
+            self.assertEqual(Reason.TARGET_UNREACHABLE, got.err().reason)
+
+        asyncio.run(check())
