--- /dev/null
+++ b/src/galenapass/core.py
@@ -0,0 +1,191 @@
+"""Run the deciding systems each tick and answer the callers' side."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.dispatch import Route
+from galenapass.logs import make_log
+from galenapass.metrics import Metrics
+from galenapass.systems import admission, estimates
+from galenapass.systems.admission import Dispatch, Effect, Preempt, Refuse
+from galenapass.systems.routing import Choice
+from galenapass.tables.requests import Request, RequestState
+from galenapass.tables.world import World
+from galenapass.ticks import Ticker
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["Core"]
+
+TICK_PERIOD = timedelta(milliseconds=100)
+STOPPING_RETRY = timedelta(seconds=1)
+MOST_ATTEMPTS = 4
+
+_log = make_log("routing")
+
+Decision = asyncio.Future[Result[Route, Verdict]]
+
+
+class Core:
+    """Admit, route and end requests over the tables of one daemon."""
+
+    __slots__ = (
+        "_clock",
+        "_decisions",
+        "_metrics",
+        "_random",
+        "_ticker",
+        "stopping",
+        "world",
+    )
+
+    def __init__(self, world: World, clock: Clock, random: Random, metrics: Metrics):
+        self.world = world
+        self.stopping = False
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._decisions: dict[str, Decision] = {}
+        self._ticker = Ticker(self._tick, TICK_PERIOD)
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """End all ticking."""
+        self._ticker.stop()
+
+    def wake(self) -> None:
+        """Bring the next tick on, as something in the tables has changed."""
+        self._ticker.wake()
+
+    async def route(self, request: Request) -> Result[Route, Verdict]:
+        """Wait for a target, or return the final verdict at once."""
+        if self.stopping:
+            detail = "this daemon is stopping"
+            return Err(Verdict(Run.NOT_RUN, Reason.STOPPING, detail, STOPPING_RETRY))
+        admitted = admission.admit(self.world, request, self._clock.monotonic())
+        if isinstance(admitted, admission.Refused):
+            self._log_refusal(request, admitted.verdict)
+            return Err(admitted.verdict)
+        self.world.requests[request.id] = request
+        self._metrics.in_flight.add(1)
+        return await self._decide(request)
+
+    async def reroute(
+        self, request: Request, failure: Verdict
+    ) -> Result[Route, Verdict]:
+        """Take a failed attempt back and return the next target or the end."""
+        self._end_attempt(request, failure)
+        if not _may_go_elsewhere(request, failure):
+            return Err(failure)
+        request.state = RequestState.WAITING
+        return await self._decide(request)
+
+    def note_first_token(self, request: Request) -> None:
+        """Take note that the prompt is processed and output has begun."""
+        now = self._clock.monotonic()
+        admission.first_token(self.world, request, now)
+        wait = (now - request.arrived).total_seconds()
+        self._metrics.first_token.record(wait, {"urgency": request.urgency.name})
+
+    def end(self, request: Request, verdict: Verdict) -> None:
+        """Forget a request and give back what it held."""
+        if self.world.requests.pop(request.id, None) is None:
+            return
+        self._end_attempt(request, verdict)
+        request.state = RequestState.ENDED
+        self._decisions.pop(request.id, None)
+        self._metrics.in_flight.add(-1)
+        labels = {"verdict": verdict.run.value, "reason": verdict.reason.value}
+        self._metrics.requests.add(1, labels)
+        self._metrics.tokens.add(request.delivered)
+        self.wake()
+
+    def _end_attempt(self, request: Request, verdict: Verdict) -> None:
+        now = self._clock.monotonic()
+        target = self.world.targets.get(request.target or "")
+        if target is not None and request.holds:
+            estimates.learn_end(target, request, verdict, now)
+        admission.give_back(self.world, request, now)
+
+    async def _decide(self, request: Request) -> Result[Route, Verdict]:
+        decision: Decision = asyncio.get_running_loop().create_future()
+        self._decisions[request.id] = decision
+        self.wake()
+        try:
+            return await decision
+        finally:
+            self._decisions.pop(request.id, None)
+
+    def _tick(self) -> None:
+        started = self._clock.monotonic()
+        effects = admission.next_dispatches(self.world, started, self._random)
+        for effect in effects:
+            HANDLERS[type(effect)](self, effect)
+        spent = self._clock.monotonic() - started
+        self._metrics.ticks.record(spent.total_seconds())
+
+    def _dispatch(self, effect: Dispatch) -> None:
+        request = self.world.requests[effect.request]
+        route = _make_route(self.world, effect.choice)
+        _log(
+            f"request goes to {route.target}",
+            request=request.id,
+            target=route.target,
+            prefill_target=route.prefill_target,
+            candidates=effect.choice.candidates,
+            why=route.why,
+        )
+        self._metrics.dispatches.add(1, {"target": route.target})
+        self._resolve(request.id, Ok(route))
+
+    def _refuse(self, effect: Refuse) -> None:
+        request = self.world.requests[effect.request]
+        self._log_refusal(request, effect.verdict)
+        self._resolve(request.id, Err(effect.verdict))
+
+    def _preempt(self, effect: Preempt) -> None:
+        _log("bulk stream gives way", request=effect.request, why=effect.why)
+
+    def _resolve(self, request_id: str, outcome: Result[Route, Verdict]) -> None:
+        decision = self._decisions.pop(request_id, None)
+        if decision is not None and not decision.done():
+            decision.set_result(outcome)
+
+    def _log_refusal(self, request: Request, verdict: Verdict) -> None:
+        _log(
+            f"request is refused, {verdict.reason.value}",
+            request=request.id,
+            caller=request.caller,
+            why=verdict.detail,
+        )
+
+
+def _may_go_elsewhere(request: Request, failure: Verdict) -> bool:
+    if request.attempts >= MOST_ATTEMPTS:
+        return False
+    return failure.run is Run.NOT_RUN or request.idempotent
+
+
+def _make_route(world: World, choice: Choice) -> Route:
+    prefill = world.targets.get(choice.prefill_target or "")
+    return Route(
+        target=choice.target,
+        address=world.targets[choice.target].address,
+        prefill_target=choice.prefill_target,
+        prefill_address=prefill.address if prefill else None,
+        why=choice.why,
+    )
+
+
+HANDLERS: dict[type[Effect], Callable[[Core, Effect], None]] = {
+    Dispatch: Core._dispatch,  # type: ignore[dict-item]
+    Refuse: Core._refuse,  # type: ignore[dict-item]
+    Preempt: Core._preempt,  # type: ignore[dict-item]
+}
--- /dev/null
+++ b/src/galenapass/systems/targets.py
@@ -0,0 +1,76 @@
+"""Bring the table of targets in line with the operators' file and the host list."""
+
+from collections.abc import Iterable
+
+from galenapass.tables.configurations import Configuration, TargetEntry
+from galenapass.tables.targets import Kind, Target, TargetState
+from galenapass.tables.world import World
+
+__all__ = ["apply_configuration", "apply_presence"]
+
+
+def apply_configuration(world: World, configuration: Configuration) -> None:
+    """Put a configuration in force; an older version changes nothing."""
+    if configuration.version <= world.configuration.version:
+        return
+    world.configuration = configuration
+    for name in set(world.targets) - set(configuration.targets):
+        world.targets[name].state = TargetState.LEAVING
+    for entry in configuration.targets.values():
+        _apply_entry(world, configuration, entry)
+    _forget_idle(world)
+
+
+def apply_presence(world: World, leaving: Iterable[str], live: Iterable[str]) -> None:
+    """Take in the platform's list; a target that it does not name keeps its state.
+
+    The list lags, so an absent target may be a new one; its failures tell.
+    """
+    for name in leaving:
+        if name in world.targets:
+            world.targets[name].state = TargetState.LEAVING
+    for name in live:
+        target = world.targets.get(name)
+        if target is not None and target.state is TargetState.LEAVING:
+            _return_to_service(world, target)
+
+
+def _apply_entry(
+    world: World, configuration: Configuration, entry: TargetEntry
+) -> None:
+    service = configuration.services[entry.service]
+    target = world.targets.get(entry.name)
+    if target is None or target.address != entry.address:
+        world.targets[entry.name] = _make_target(entry, service.kind, service.model)
+        return
+    target.domain = entry.domain
+    target.service = entry.service
+    target.checks_fencing = entry.checks_fencing
+
+
+def _make_target(entry: TargetEntry, kind: Kind, model: str) -> Target:
+    return Target(
+        id=entry.name,
+        address=entry.address,
+        domain=entry.domain,
+        kind=kind,
+        service=entry.service,
+        role=entry.role,
+        model=model,
+        checks_fencing=entry.checks_fencing,
+    )
+
+
+def _return_to_service(world: World, target: Target) -> None:
+    if target.id in world.configuration.targets:
+        target.state = TargetState.SERVING
+
+
+def _forget_idle(world: World) -> None:
+    gone = [
+        target.id
+        for target in world.targets.values()
+        if target.id not in world.configuration.targets and not target.own_requests
+    ]
+    for name in gone:
+        del world.targets[name]
