--- /dev/null
+++ b/src/galenapass/settings/daemon.py
@@ -0,0 +1,266 @@
+"""Read the settings of one daemon."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from galenapass.settings.ini import Reading, read_defaults, read_ini
+from galenapass.settings.schema import Fault, Key, Schema, Section
+from galenapass.settings.units import (
+    Address,
+    Stream,
+    parse_address,
+    parse_duration,
+    parse_list,
+    parse_listen,
+    parse_name,
+    parse_outlet,
+    parse_path,
+    parse_secret,
+    parse_size,
+    parse_speed,
+)
+
+__all__ = [
+    "DAEMON_SCHEMA",
+    "DaemonSettings",
+    "parse_daemon_settings",
+    "read_daemon_settings",
+]
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonSettings:
+    """Hold the settings of one daemon; sizes are bytes, budgets bytes a second."""
+
+    host: str
+    domain: str
+    callers_listen: Address
+    body_limit: int
+    body_timeout: timedelta
+    tls_certificate: Path | None
+    tls_key: Path | None
+    operators_listen: Address
+    operators_token: str
+    peers_listen: Address
+    peers_secret: str
+    peers_join: tuple[Address, ...]
+    peers_budget: int
+    platform_address: Address
+    platform_token: str | None
+    logs_outlet: Stream | Path
+    stop_within: timedelta
+
+
+DAEMON_SCHEMA = Schema(
+    "Settings of a daemon",
+    "One file a daemon, read once when it starts.",
+    (
+        Section(
+            "host",
+            "The host that the daemon runs on.",
+            (
+                Key("id", "host", parse_name, "Name of the host.", required=True),
+                Key(
+                    "domain",
+                    "domain",
+                    parse_name,
+                    "Failure domain of the host.",
+                    required=True,
+                ),
+            ),
+            required=True,
+        ),
+        Section(
+            "callers",
+            "The port that callers send their requests to.",
+            (
+                Key(
+                    "listen",
+                    "callers_listen",
+                    parse_listen,
+                    "Address to listen on; port 0 picks a free port.",
+                    required=True,
+                ),
+                Key(
+                    "body limit",
+                    "body_limit",
+                    parse_size,
+                    "Largest body of a request.",
+                    "4 MB",
+                ),
+                Key(
+                    "body timeout",
+                    "body_timeout",
+                    parse_duration,
+                    "Longest time that a body may take to arrive.",
+                    "10 s",
+                ),
+                Key(
+                    "tls certificate",
+                    "tls_certificate",
+                    parse_path,
+                    "PEM file of the certificate chain; needs `tls key`.",
+                ),
+                Key(
+                    "tls key",
+                    "tls_key",
+                    parse_path,
+                    "PEM file of the private key; needs `tls certificate`.",
+                ),
+            ),
+            required=True,
+        ),
+        Section(
+            "operators",
+            "The port that operators apply files at.",
+            (
+                Key(
+                    "listen",
+                    "operators_listen",
+                    parse_listen,
+                    "Address to listen on; port 0 picks a free port.",
+                    required=True,
+                ),
+                Key(
+                    "token",
+                    "operators_token",
+                    parse_secret,
+                    "Bearer token that operators show.",
+                    required=True,
+                    secret=True,
+                ),
+            ),
+            required=True,
+        ),
+        Section(
+            "peers",
+            "The port for the other daemons.",
+            (
+                Key(
+                    "listen",
+                    "peers_listen",
+                    parse_address,
+                    "Address to listen on, as the other daemons reach it.",
+                    required=True,
+                ),
+                Key(
+                    "secret",
+                    "peers_secret",
+                    parse_secret,
+                    "Secret that all daemons of the fleet share.",
+                    required=True,
+                    secret=True,
+                ),
+                Key(
+                    "join",
+                    "peers_join",
+                    parse_list(parse_address, may_be_empty=True),
+                    "Addresses of some daemons to learn the others from.",
+                    "",
+                ),
+                Key(
+                    "budget",
+                    "peers_budget",
+                    parse_speed,
+                    "Most data a second to send to the other daemons.",
+                    "11 KB/s",
+                ),
+            ),
+            required=True,
+        ),
+        Section(
+            "platform",
+            "The platform's service.",
+            (
+                Key(
+                    "address",
+                    "platform_address",
+                    parse_address,
+                    "Address of the object API and the host list.",
+                    required=True,
+                ),
+                Key(
+                    "token",
+                    "platform_token",
+                    parse_secret,
+                    "Bearer token shown to the platform.",
+                    secret=True,
+                ),
+            ),
+            required=True,
+        ),
+        Section(
+            "logs",
+            "Where the log lines go.",
+            (
+                Key(
+                    "outlet",
+                    "logs_outlet",
+                    parse_outlet,
+                    "`stderr`, `stdout` or the path of a file.",
+                    "stderr",
+                ),
+            ),
+        ),
+        Section(
+            "stop",
+            "The graceful shutdown.",
+            (
+                Key(
+                    "within",
+                    "stop_within",
+                    parse_duration,
+                    "Longest time that a shutdown waits for requests.",
+                    "30 s",
+                ),
+            ),
+        ),
+    ),
+)
+
+
+def read_daemon_settings(path: Path) -> Result[DaemonSettings, list[Fault]]:
+    """Read the settings file of a daemon."""
+    try:
+        text = Path(path).read_bytes().decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        return Err([Fault(str(path), "", "", "", f"UTF-8 text ({error})")])
+    except OSError as error:
+        return Err(
+            [Fault(str(path), "", "", "", f"a readable file ({error.strerror})")]
+        )
+    return parse_daemon_settings(text, str(path))
+
+
+def parse_daemon_settings(
+    text: str, source: str
+) -> Result[DaemonSettings, list[Fault]]:
+    """Parse the settings of a daemon or return every fault in them."""
+    reading = read_ini(text, source, DAEMON_SCHEMA)
+    _check_tls(reading)
+    if reading.faults:
+        return Err(reading.faults)
+    return Ok(DaemonSettings(**_gather_values(reading)))
+
+
+def _check_tls(reading: Reading) -> None:
+    pair = ("tls certificate", "tls key")
+    for block in reading.find_blocks("callers"):
+        missing = [key for key in pair if key not in block.given]
+        if len(missing) == 1:
+            reading.add_fault(
+                block,
+                missing[0],
+                "the key beside the other one of `tls certificate` and `tls key`",
+            )
+
+
+def _gather_values(reading: Reading) -> dict[str, Any]:
+    defaults = read_defaults(DAEMON_SCHEMA)
+    for block in reading.blocks:
+        defaults.update(block.values)
+    return defaults
--- /dev/null
+++ b/src/galenapass/settings/schema.py
@@ -0,0 +1,102 @@
+"""Describe the sections and keys of an INI file as tables."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from galenapass.settings.units import Parser
+
+__all__ = ["HIDDEN", "Fault", "Key", "Schema", "Section"]
+
+HIDDEN = "***"
+"""What stands in a message in place of a secret."""
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """Hold one fault of a file; parts that do not apply are empty or 0."""
+
+    source: str
+    section: str
+    key: str
+    value: str
+    expected: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        file = f"{self.source}:{self.line}" if self.line else self.source
+        section = f"[{self.section}]" if self.section else ""
+        value = f"`{self.value}`" if self.value else ""
+        equals = "=" if self.key and self.value else ""
+        place = " ".join(part for part in (section, self.key, equals, value) if part)
+        return ": ".join(part for part in (file, place, self._expect()) if part)
+
+    def _expect(self) -> str:
+        return f"expected {self.expected}"
+
+
+@dataclass(slots=True, frozen=True)
+class Key:
+    """Hold one key; ``default`` is written as in the file, None gives no value.
+
+    ``kind`` names the only kind of service, or of its targets, that takes the key.
+    """
+
+    name: str
+    field: str
+    parse: Parser[Any]
+    help: str
+    default: str | None = None
+    required: bool = False
+    secret: bool = False
+    kind: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Section:
+    """Hold one section, or a family of them whose headers end in a name."""
+
+    name: str
+    help: str
+    keys: tuple[Key, ...]
+    named: bool = False
+    required: bool = False
+
+    @property
+    def header(self) -> str:
+        """Return the header as it stands in the reference."""
+        return f"{self.name} NAME" if self.named else self.name
+
+    @property
+    def has_secrets(self) -> bool:
+        """Tell whether a key of the section holds a secret."""
+        return any(key.secret for key in self.keys)
+
+    def find(self, name: str) -> Key | None:
+        """Return the key of a name."""
+        return next((key for key in self.keys if key.name == name), None)
+
+
+@dataclass(slots=True, frozen=True)
+class Schema:
+    """Hold the sections of one kind of file."""
+
+    title: str
+    help: str
+    sections: tuple[Section, ...]
+
+    @property
+    def has_secrets(self) -> bool:
+        """Tell whether a key of the file holds a secret."""
+        return any(section.has_secrets for section in self.sections)
+
+    def find(self, header: str) -> Section | None:
+        """Return the section that a header belongs to."""
+        word, _, name = header.partition(" ")
+        return next(
+            (
+                section
+                for section in self.sections
+                if section.name == word and section.named == bool(name)
+            ),
+            None,
+        )
