Choose targets and admit requests, thin

Cause: the core needs its decisions before the shell can be joined. Target gains own_changes, peer_changes and rates; Request gains holds, dispatched, queued_ahead and may_have_run.

--- /dev/null
+++ b/src/galenapass/systems/admission.py
@@ -0,0 +1,262 @@
+"""Admit, queue and dispatch requests, and count what they hold at targets.
+
+The core calls ``admit`` once for a new request and puts an admitted one in
+``world.requests``; each tick it calls ``next_dispatches`` and acts on the effects:
+a ``Dispatch`` is already taken (counted, state DISPATCHED), a ``Refuse`` has
+ended, a ``Preempt`` asks to cancel a bulk stream and resume it later. It then calls
+``first_token`` when output begins and ``give_back`` when an attempt ends in any way.
+``take`` counts a choice that was made elsewhere, such as a retry. Call
+``estimates.learn_end`` before ``give_back``. All counts return to zero.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+import xxhash
+
+from galenapass.systems import estimates, routing
+from galenapass.systems.routing import Choice
+from galenapass.tables.hosts import HostState
+from galenapass.tables.requests import Hold, Request, RequestState
+from galenapass.tables.targets import Kind, LoadChange, Target
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = [
+    "Admitted",
+    "Dispatch",
+    "Effect",
+    "Preempt",
+    "Refuse",
+    "Refused",
+    "admit",
+    "first_token",
+    "give_back",
+    "next_dispatches",
+    "take",
+]
+
+LEAST_RETURN = 1.0  # seconds
+LONGEST_RETURN = 60.0  # seconds
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """Tell that a request may wait for a target; ``wait`` is the estimate."""
+
+    wait: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Tell why a request is not taken in."""
+
+    verdict: Verdict
+
+
+@dataclass(slots=True, frozen=True)
+class Dispatch:
+    """Ask the core to send a request; it is counted already."""
+
+    request: str
+    choice: Choice
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Ask the core to end a waiting request with a verdict."""
+
+    request: str
+    verdict: Verdict
+
+
+@dataclass(slots=True, frozen=True)
+class Preempt:
+    """Ask the core to cancel a bulk stream and queue its rest again."""
+
+    request: str
+    why: str
+
+
+Effect = Dispatch | Refuse | Preempt
+
+
+def admit(world: World, request: Request, now: timedelta) -> Admitted | Refused:
+    """Return whether a new request can be done in time behind those that wait."""
+    entries = [t for t in world.targets.values() if t.service == request.service]
+    if not entries:
+        detail = f"no target of {request.service} is known"
+        return Refused(Verdict(Run.NOT_RUN, Reason.NO_TARGET, detail))
+    too_large = _check_size(entries, request)
+    if too_large is not None:
+        return Refused(too_large)
+    ahead = [r for r in _queue(world, request.service) if _rank(r) <= _rank(request)]
+    work = sum(_work(world, r, now) for r in ahead)
+    return _judge(world, request, work, now)
+
+
+def next_dispatches(world: World, now: timedelta, random: Random) -> list[Effect]:
+    """Return what to send, refuse and preempt now, most pressing first."""
+    effects: list[Effect] = []
+    work: dict[str, float] = {}
+    for request in _queue(world):
+        effects += _step(world, request, work, now, random)
+    return effects
+
+
+def take(world: World, request: Request, choice: Choice, now: timedelta) -> None:
+    """Count a choice at its targets and mark the request dispatched."""
+    if request.holds:
+        raise ValueError(f"request {request.id} holds {request.holds} already")
+    target = world.targets[choice.target]
+    prefill = world.targets[choice.prefill_target or choice.target]
+    request.state = RequestState.DISPATCHED
+    request.target = choice.target
+    request.prefill_target = choice.prefill_target
+    request.dispatched = now
+    request.attempts += 1
+    request.queued_ahead = estimates.estimate_load(prefill, now).prefill
+    request.holds = _make_holds(target, prefill, request)
+    for hold in request.holds:
+        change = LoadChange(now, 1, hold.prefill, hold.pieces)
+        estimates.record(world.targets[hold.target], change)
+
+
+def first_token(world: World, request: Request, now: timedelta) -> None:
+    """Give the prefill back and learn from the time it took."""
+    if request.state is not RequestState.DISPATCHED:
+        return
+    request.state = RequestState.STREAMING
+    request.first_token = now
+    source = world.targets.get(request.prefill_target or request.target or "")
+    if source is not None and source.kind is Kind.ENGINE:
+        estimates.learn_first_token(source, request, now)
+    kept = [_drop_prefill(world, hold, now) for hold in request.holds]
+    request.holds = [hold for hold in kept if hold is not None]
+
+
+def give_back(world: World, request: Request, now: timedelta) -> None:
+    """Give back all that a request holds; a second call changes nothing."""
+    for hold in request.holds:
+        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+    request.holds = []
+
+
+def _make_holds(target: Target, prefill: Target, request: Request) -> list[Hold]:
+    tokens = request.prompt_tokens + request.output_tokens
+    if target.kind is Kind.SERVICE:
+        return [Hold(target.id, 0, 0)]
+    pieces = estimates.pieces_needed(target, tokens)
+    fresh = estimates.fresh_tokens(prefill, request)
+    if prefill is target:
+        return [Hold(target.id, fresh, pieces)]
+    prompt = estimates.pieces_needed(prefill, request.prompt_tokens)
+    return [Hold(prefill.id, fresh, prompt, True), Hold(target.id, 0, pieces)]
+
+
+def _drop_prefill(world: World, hold: Hold, now: timedelta) -> Hold | None:
+    if hold.until_first_token:
+        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+        return None
+    _release(world, hold, LoadChange(now, 0, -hold.prefill, 0))
+    return Hold(hold.target, 0, hold.pieces)
+
+
+def _release(world: World, hold: Hold, change: LoadChange) -> None:
+    target = world.targets.get(hold.target)
+    if target is not None:
+        estimates.record(target, change)
+
+
+def _rank(request: Request) -> tuple[int, timedelta, str]:
+    return (request.urgency, request.deadline, request.id)
+
+
+def _queue(world: World, service: str | None = None) -> list[Request]:
+    waiting = [
+        r
+        for r in world.requests.values()
+        if r.state is RequestState.WAITING and service in (None, r.service)
+    ]
+    return sorted(waiting, key=_rank)
+
+
+def _step(
+    world: World,
+    request: Request,
+    work: dict[str, float],
+    now: timedelta,
+    random: Random,
+) -> list[Effect]:
+    choice = routing.choose_target(world, request, now, random)
+    if choice is not None:
+        take(world, request, choice, now)
+        return [Dispatch(request.id, choice)]
+    ahead = work.get(request.service, 0.0)
+    verdict = _judge(world, request, ahead, now)
+    if isinstance(verdict, Refused):
+        request.state = RequestState.ENDED
+        return [Refuse(request.id, verdict.verdict)]
+    work[request.service] = ahead + _work(world, request, now)
+    return _preempt(world, request, now)
+
+
+def _preempt(world: World, request: Request, now: timedelta) -> list[Effect]:
+    return []
+
+
+def _check_size(targets: list[Target], request: Request) -> Verdict | None:
+    engines = [t for t in targets if t.kind is Kind.ENGINE]
+    if not engines:
+        return None
+    tokens = request.prompt_tokens + request.output_tokens
+    fill = routing.FILL[request.urgency]
+    for target in engines:
+        limit = fill * estimates.pieces_total(target)
+        if estimates.pieces_needed(target, tokens) <= limit:
+            return None
+    detail = f"{tokens} tokens fit into no engine of {request.service}"
+    return Verdict(Run.NOT_RUN, Reason.TOO_LARGE, detail)
+
+
+def _judge(
+    world: World, request: Request, work: float, now: timedelta
+) -> Admitted | Refused:
+    """Compare the time that the work ahead and the request take with its deadline."""
+    targets = estimates.usable(world, request.service, now)
+    if not targets:
+        if now < request.deadline:
+            return Admitted(request.deadline - now)
+        return Refused(_overloaded(request, LEAST_RETURN, "no target can be reached"))
+    wait = work / _share_of_fleet(world, targets)
+    shortest = min(estimates.service_time(t, request, now) for t in targets)
+    done = now + timedelta(seconds=wait + shortest)
+    if done <= request.deadline:
+        return Admitted(timedelta(seconds=wait))
+    left = (request.deadline - now).total_seconds()
+    detail = f"{wait + shortest:.1f} s are needed and {left:.1f} s are left"
+    return Refused(_overloaded(request, wait, detail))
+
+
+def _share_of_fleet(world: World, targets: list[Target]) -> float:
+    """Return the targets that this daemon's queue may count upon."""
+    daemons = max(1, sum(h.state is HostState.ALIVE for h in world.hosts.values()))
+    return max(1.0, len(targets) / daemons)
+
+
+def _work(world: World, request: Request, now: timedelta) -> float:
+    """Return the target-seconds that a request takes of the fleet."""
+    targets = estimates.usable(world, request.service, now)
+    if not targets:
+        return 0.0
+    target = targets[0]
+    share = request.output_tokens * estimates.token_step(target, now)
+    prefill = request.prompt_tokens / estimates.prefill_rate(target, now)
+    return prefill + share / estimates.sequences(target)
+
+
+def _overloaded(request: Request, wait: float, detail: str) -> Verdict:
+    spread = xxhash.xxh64_intdigest(request.id.encode()) % 1000 / 1000
+    seconds = min(LONGEST_RETURN, max(LEAST_RETURN, wait)) * (1.0 + spread)
+    return Verdict(Run.NOT_RUN, Reason.OVERLOADED, detail, timedelta(seconds=seconds))
--- a/src/galenapass/tables/requests.py
+++ b/src/galenapass/tables/requests.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from enum import Enum, IntEnum
 
-__all__ = ["Request", "RequestState", "Urgency"]
+__all__ = ["Hold", "Request", "RequestState", "Urgency"]
 
 
 class Urgency(IntEnum):
@@ -24,9 +24,23 @@
     ENDED = "ended"
 
 
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """Hold what a request occupies at one target until it is given back."""
+
+    target: str
+    prefill: int
+    pieces: int
+    until_first_token: bool = False
+
+
 @dataclass(slots=True)
 class Request:
-    """Hold one request; times are monotonic, sizes are tokens."""
+    """Hold one request; times are monotonic, sizes are tokens.
+
+    ``queued_ahead`` counts the prefill tokens before it when it was dispatched;
+    ``may_have_run`` is set once an attempt ended without proof that it did not run.
+    """
 
     id: str
     caller: str
@@ -47,3 +61,7 @@
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
     first_token: timedelta | None = None
+    dispatched: timedelta | None = None
+    queued_ahead: int = 0
+    holds: list[Hold] = field(default_factory=list)
+    may_have_run: bool = False
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -4,7 +4,19 @@
 from datetime import timedelta
 from enum import Enum
 
-__all__ = ["Kind", "LoadReport", "Role", "Target", "TargetState"]
+__all__ = [
+    "Kind",
+    "LoadChange",
+    "LoadReport",
+    "Rates",
+    "Role",
+    "Target",
+    "TargetState",
+]
+
+DEFAULT_PREFILL_RATE = 8000.0  # tokens a second
+DEFAULT_STEP = 0.03  # seconds between the tokens of one sequence
+DEFAULT_ROOM = 32.0  # sequences that decode at the same time
 
 
 class Kind(Enum):
@@ -49,12 +61,38 @@
     piece_tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class LoadChange:
+    """Hold work that started, or ended when negative, at a monotonic time."""
+
+    at: timedelta
+    requests: int = 0
+    prefill: int = 0
+    pieces: int = 0
+
+
+@dataclass(slots=True)
+class Rates:
+    """Hold what was learned of a target's speed from its results.
+
+    ``prefill`` is in tokens a second, ``step`` in seconds between two tokens of
+    one sequence, ``room`` in sequences.
+    """
+
+    prefill: float = DEFAULT_PREFILL_RATE
+    step: float = DEFAULT_STEP
+    room: float = DEFAULT_ROOM
+    prefill_at: timedelta | None = None
+    step_at: timedelta | None = None
+
+
 @dataclass(slots=True)
 class Target:
     """Hold one target; times are monotonic.
 
     ``own_*`` count what this daemon has in flight there, ``peer_*`` what the
-    peers announced since the last report.
+    peers announced since the last report. ``*_changes`` list the starts and
+    ends that the last report may not show yet.
     """
 
     id: str
@@ -79,3 +117,6 @@
     failures: int = 0
     avoid_until: timedelta | None = None
     cached_blocks: set[int] = field(default_factory=set)
+    own_changes: list[LoadChange] = field(default_factory=list)
+    peer_changes: list[LoadChange] = field(default_factory=list)
+    rates: Rates = field(default_factory=Rates)
