--- a/src/galenapass/platform/__init__.py
+++ b/src/galenapass/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reach the platform's object API, host list and weight store."""
+"""Speak with the platform's object API and host list."""
