--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -109,9 +109,7 @@
 
     def _end_attempt(self, request: Request, verdict: Verdict) -> None:
         now = self._clock.monotonic()
-        target = self.world.targets.get(request.target or "")
-        if target is not None and request.holds:
-            estimates.learn_end(target, request, verdict, now)
+        estimates.learn_end(self.world, request, verdict, now)
         admission.give_back(self.world, request, now)
 
     async def _decide(self, request: Request) -> Result[Route, Verdict]:
--- /dev/null
+++ b/src/galenapass/duties/observer.py
@@ -0,0 +1,80 @@
+"""Observe targets: read their load and whether they still take work."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.logs import make_log
+from galenapass.systems import estimates
+from galenapass.tables.targets import Kind, LoadReport, Target, TargetState
+from galenapass.tables.world import World
+from galenapass.verdicts import Verdict
+
+__all__ = ["Observer"]
+
+PERIOD = timedelta(milliseconds=500)
+
+_log = make_log("observer")
+
+FetchLoad = Callable[[str], Awaitable[Result[LoadReport, Verdict]]]
+FetchReady = Callable[[str], Awaitable[Result[bool, Verdict]]]
+
+
+class Observer:
+    """Read the observed targets once a period and take their news in."""
+
+    __slots__ = ("_clock", "_fetch_load", "_fetch_ready", "_select", "_tell", "_world")
+
+    def __init__(
+        self,
+        world: World,
+        clock: Clock,
+        fetch_load: FetchLoad,
+        fetch_ready: FetchReady,
+        select: Callable[[], Iterable[Target]],
+        tell: Callable[[Target], None],
+    ):
+        self._world = world
+        self._clock = clock
+        self._fetch_load = fetch_load
+        self._fetch_ready = fetch_ready
+        self._select = select
+        self._tell = tell
+
+    async def observe(self) -> bool:
+        """Read every observed target once; always go on at the same pace."""
+        chosen = list(self._select())
+        await asyncio.gather(*(self._observe_one(target) for target in chosen))
+        return True
+
+    async def _observe_one(self, target: Target) -> None:
+        ready = await self._fetch_ready(target.address)
+        if isinstance(ready, Ok):
+            self._note_readiness(target, ready.ok_value)
+        if target.kind is Kind.ENGINE:
+            await self._read_load(target)
+
+    def _note_readiness(self, target: Target, ready: bool) -> None:
+        if not ready and target.state is TargetState.SERVING:
+            _log("target is leaving by its own word", target=target.id)
+            target.state = TargetState.LEAVING
+            self._tell(target)
+
+    async def _read_load(self, target: Target) -> None:
+        report = await self._fetch_load(target.address)
+        if isinstance(report, Err):
+            return
+        known = target.load
+        if known is not None and _is_older(report.ok_value, known):
+            return
+        estimates.hear_load(target, report.ok_value, self._clock.monotonic())
+        self._tell(target)
+
+
+def _is_older(report: LoadReport, known: LoadReport) -> bool:
+    if report.incarnation != known.incarnation:
+        return False
+    return report.sequence <= known.sequence
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -1,6 +1,5 @@
 """Send calls to plain services, each on a connection of its own."""
 
-import asyncio
 from dataclasses import dataclass
 
 import aiohttp
@@ -58,7 +57,7 @@
                 if refusal.run is Run.NOT_RUN:
                     return Err(refusal)
                 return await _read_answer(answer)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Err(judge_error(error))
 
 
