--- /dev/null
+++ b/src/galenapass/settings/addresses.py
@@ -0,0 +1,62 @@
+"""Parse addresses: IP numbers with a port, never names."""
+
+import re
+from dataclasses import dataclass
+from ipaddress import IPv6Address, ip_address
+
+from result import Err, Ok, Result
+
+__all__ = ["Address", "parse_address", "parse_listen", "parse_target"]
+
+MAX_PORT = 65_535
+
+_ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9.]+):([0-9]{1,5})")
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """Hold an IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{host}:{self.port}"
+
+
+def parse_listen(text: str) -> Result[Address, str]:
+    """Parse an address to listen on; port 0 picks a free one."""
+    address = _parse_ip_and_port(text)
+    return Ok(address) if address else Err("IP:PORT such as `127.0.0.1:8080`")
+
+
+def parse_address(text: str) -> Result[Address, str]:
+    """Parse an address that others can connect to."""
+    address = _parse_ip_and_port(text)
+    if address is None or not address.port or not _is_reachable(address.ip):
+        return Err("IP:PORT of one host, such as `127.0.0.1:8080` or `[::1]:8080`")
+    return Ok(address)
+
+
+def parse_target(text: str) -> Result[str, str]:
+    """Parse an address into its canonical text."""
+    return parse_address(text).map(str)
+
+
+def _parse_ip_and_port(text: str) -> Address | None:
+    match = _ADDRESS.fullmatch(text)
+    if not match or int(match[2]) > MAX_PORT:
+        return None
+    try:
+        ip = ip_address(match[1].strip("[]"))
+    except ValueError:
+        return None
+    if isinstance(ip, IPv6Address) != match[1].startswith("["):
+        return None
+    return Address(str(ip), int(match[2]))
+
+
+def _is_reachable(ip: str) -> bool:
+    number = ip_address(ip)
+    return not number.is_unspecified and not number.is_multicast
--- a/src/galenapass/settings/daemon.py
+++ b/src/galenapass/settings/daemon.py
@@ -7,15 +7,13 @@
 
 from result import Err, Ok, Result
 
+from galenapass.settings.addresses import Address, parse_address, parse_listen
 from galenapass.settings.ini import Reading, read_defaults, read_ini
 from galenapass.settings.schema import Fault, Key, Schema, Section
 from galenapass.settings.units import (
-    Address,
     Stream,
-    parse_address,
     parse_duration,
     parse_list,
-    parse_listen,
     parse_name,
     parse_outlet,
     parse_path,
--- a/src/galenapass/settings/ini.py
+++ b/src/galenapass/settings/ini.py
@@ -2,6 +2,7 @@
 
 import configparser
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,7 +14,7 @@
 __all__ = ["MAX_SYNTAX_FAULTS", "Block", "Reading", "read_defaults", "read_ini"]
 
 MAX_SYNTAX_FAULTS = 100
-"""Faults of syntax after which the rest of a file is left unread."""
+"""Readings with a fault of syntax after which the rest of a file is left unread."""
 
 _IGNORED = "!ignored"
 
@@ -34,6 +35,7 @@
     """Hold the sections of a file and its faults so far."""
 
     source: str
+    schema: Schema
     blocks: list[Block] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
 
@@ -45,9 +47,21 @@
         """Take note of a fault in a key; its value is the one in the file."""
         found = block.section.find(key)
         value = block.given.get(key, "")
-        shown = HIDDEN if found and found.secret else value
+        shown = self._conceal(value, found is None or found.secret)
         self.faults.append(Fault(self.source, block.header, key, shown, expected))
 
+    def add_syntax_fault(
+        self, line: int, expected: str, section: str = "", key: str = "", text: str = ""
+    ) -> None:
+        """Take note of a fault of syntax and its line."""
+        shown = self._conceal(text, True)
+        self.faults.append(Fault(self.source, section, key, shown, expected, line))
+
+    def _conceal(self, value: str, is_suspect: bool) -> str:
+        # A line with a slip in it may end up in the value of the key before it.
+        is_suspect = is_suspect or any(mark in value for mark in "=\n")
+        return HIDDEN if value and is_suspect and self.schema.has_secrets else value
+
 
 class _Parser(configparser.ConfigParser):
     """Read INI text without interpolation, a default section or lenience."""
@@ -71,21 +85,21 @@
 
 def read_ini(text: str, source: str, schema: Schema) -> Reading:
     """Read a whole file; the values that are sound are there beside the faults."""
-    reading = Reading(source)
-    parser = _parse(text, reading, schema)
+    reading = Reading(source, schema)
+    parser = _parse(text, reading)
     for header in parser.sections():
         if not header.startswith(_IGNORED):
-            _read_section(header, dict(parser[header]), reading, schema)
-    _find_missing_sections(reading, schema)
+            _read_section(header, dict(parser[header]), reading)
+    _find_missing_sections(reading)
     return reading
 
 
 def read_defaults(schema: Schema) -> dict[str, Any]:
     """Return the values of the sections that a file may leave out."""
-    reading = Reading("")
+    reading = Reading("", schema)
     for section in schema.sections:
         if not section.required and not section.named:
-            _read_section(section.name, {}, reading, schema)
+            _read_section(section.name, {}, reading)
     return {
         field: value
         for block in reading.blocks
@@ -93,7 +107,7 @@
     }
 
 
-def _parse(text: str, reading: Reading, schema: Schema) -> _Parser:
+def _parse(text: str, reading: Reading) -> _Parser:
     lines = text.split("\n")
     for _ in range(MAX_SYNTAX_FAULTS):
         parser = _Parser()
@@ -101,44 +115,47 @@
             parser.read_string("\n".join(lines), reading.source)
             return parser
         except configparser.Error as error:
-            _mend(lines, error, reading, schema)
-    reading.faults.append(Fault(reading.source, "", "", "", "fewer faults of syntax"))
+            MENDERS[type(error)](lines, error, reading)
+    reading.add_syntax_fault(0, "fewer faults of syntax")
     return _Parser()
 
 
-def _mend(
-    lines: list[str], error: configparser.Error, reading: Reading, schema: Schema
-) -> None:
-    """Take note of a fault of syntax and take it out, so that reading goes on."""
-    if isinstance(error, configparser.DuplicateSectionError):
-        number = error.lineno or 1
-        fault = (error.section, "", "", "each section once", number)
-        lines[number - 1] = f"[{_IGNORED} {number}]"
-        reading.faults.append(Fault(reading.source, *fault))
-    elif isinstance(error, configparser.DuplicateOptionError):
-        number = error.lineno or 1
-        fault = (error.section, error.option, "", "each key once", number)
-        lines[number - 1] = ""
-        reading.faults.append(Fault(reading.source, *fault))
-    else:
-        for number in _find_bad_lines(error):
-            line = HIDDEN if schema.has_secrets else lines[number - 1].strip()
-            fault = ("", "", line, "`[section]` or `key = value`", number)
-            lines[number - 1] = ""
-            reading.faults.append(Fault(reading.source, *fault))
+def _mend_section(lines: list[str], error: Any, reading: Reading) -> None:
+    reading.add_syntax_fault(error.lineno, "each section once", error.section)
+    lines[error.lineno - 1] = f"[{_IGNORED} {error.lineno}]"
+
+
+def _mend_key(lines: list[str], error: Any, reading: Reading) -> None:
+    expected = "each key once"
+    reading.add_syntax_fault(error.lineno, expected, error.section, error.option)
+    lines[error.lineno - 1] = ""
+
+
+def _mend_place(lines: list[str], error: Any, reading: Reading) -> None:
+    _drop_line(lines, error.lineno, "a `[section]` before the first key", reading)
+
 
+def _mend_lines(lines: list[str], error: Any, reading: Reading) -> None:
+    for number, _ in error.errors:
+        _drop_line(lines, number, "`[section]` or `key = value`", reading)
 
-def _find_bad_lines(error: configparser.Error) -> list[int]:
-    if isinstance(error, configparser.MissingSectionHeaderError):
-        return [error.lineno]
-    if isinstance(error, configparser.ParsingError):
-        return [number for number, _ in error.errors]
-    raise error
 
+def _drop_line(lines: list[str], number: int, expected: str, reading: Reading) -> None:
+    reading.add_syntax_fault(number, expected, text=lines[number - 1].strip())
+    lines[number - 1] = ""
 
-def _read_section(
-    header: str, given: dict[str, str], reading: Reading, schema: Schema
-) -> None:
+
+MENDERS: dict[type[configparser.Error], Callable[[list[str], Any, Reading], None]] = {
+    configparser.DuplicateSectionError: _mend_section,
+    configparser.DuplicateOptionError: _mend_key,
+    configparser.MissingSectionHeaderError: _mend_place,
+    configparser.ParsingError: _mend_lines,
+}
+"""What takes each fault of syntax out of the lines, so that reading goes on."""
+
+
+def _read_section(header: str, given: dict[str, str], reading: Reading) -> None:
+    schema = reading.schema
     section = schema.find(header)
     if section is None:
         known = ", ".join(f"[{section.header}]" for section in schema.sections)
@@ -156,15 +173,10 @@
 
 
 def _find_unknown_keys(block: Block, reading: Reading) -> None:
-    section = block.section
-    known = ", ".join(f"`{key.name}`" for key in section.keys)
-    for name, value in block.given.items():
-        if section.find(name) is None:
-            shown = HIDDEN if section.has_secrets else value
-            fault = Fault(
-                reading.source, block.header, name, shown, f"a key out of {known}"
-            )
-            reading.faults.append(fault)
+    known = ", ".join(f"`{key.name}`" for key in block.section.keys)
+    for name in block.given:
+        if block.section.find(name) is None:
+            reading.add_fault(block, name, f"a key out of {known}")
 
 
 def _read_key(key: Key, block: Block, reading: Reading) -> None:
@@ -181,9 +193,9 @@
             block.values[key.field] = parsed.ok_value
 
 
-def _find_missing_sections(reading: Reading, schema: Schema) -> None:
+def _find_missing_sections(reading: Reading) -> None:
     present = {block.section.name for block in reading.blocks}
-    for section in schema.sections:
+    for section in reading.schema.sections:
         if section.required and section.name not in present:
             fault = Fault(
                 reading.source, section.header, "", "", "the section to be there"
--- a/src/galenapass/settings/units.py
+++ b/src/galenapass/settings/units.py
@@ -3,32 +3,24 @@
 import math
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
-from datetime import time, timedelta
+from datetime import timedelta
 from enum import Enum
-from ipaddress import IPv6Address, ip_address
 from pathlib import Path
 from typing import TypeVar
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
 from result import Err, Ok, Result
 
-from galenapass.tables.configurations import Hours
-
 __all__ = [
-    "Address",
     "Parser",
     "Stream",
-    "parse_address",
     "parse_call",
     "parse_choice",
     "parse_count",
     "parse_duration",
     "parse_flag",
-    "parse_hours",
     "parse_key_hash",
     "parse_list",
-    "parse_listen",
     "parse_name",
     "parse_outlet",
     "parse_path",
@@ -37,7 +29,6 @@
     "parse_secret",
     "parse_size",
     "parse_speed",
-    "parse_target",
     "parse_text",
     "parse_weight",
     "parse_zone",
@@ -55,23 +46,14 @@
 RATE_UNITS = {"req/s": 1.0, "req/min": 1 / 60}
 """Requests a second in each unit of rate."""
 
-DAYS = ("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun")
-WEEK = frozenset(range(len(DAYS)))
-MIDNIGHT = time(0, 0)
-
 MAX_NAME = 63
 """Longest name of a host, domain, service, target or caller, in characters."""
 
-MAX_PORT = 65_535
-
 _NUMBER = r"[0-9]{1,12}(?:\.[0-9]{1,9})?"
 _QUANTITY = re.compile(rf"({_NUMBER}) *([A-Za-z/]+)")
 _PLAIN_NUMBER = re.compile(_NUMBER)
 _COUNT = re.compile(r"[0-9]{1,9}")
 _NAME = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME - 1}}}")
-_ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9.]+):([0-9]{1,5})")
-_HOURS = re.compile(r"(?:([A-Z][a-z]{2})(?:-([A-Z][a-z]{2}))? +)?([0-9:]+)-([0-9:]+)")
-_TIME = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])")
 _HASH = re.compile(r"[0-9A-Fa-f]{64}")
 _CALL = re.compile(r"([A-Z]+) +(/[!-~]*)")
 
@@ -83,18 +65,6 @@
     STDOUT = "stdout"
 
 
-@dataclass(slots=True, frozen=True)
-class Address:
-    """Hold an IP number and a port."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        host = f"[{self.ip}]" if ":" in self.ip else self.ip
-        return f"{host}:{self.port}"
-
-
 def parse_duration(text: str) -> Result[timedelta, str]:
     """Parse a time longer than zero such as ``250 ms``."""
     expected = "a time above 0 such as `250 ms`, `5 s`, `2 min` or `1 h`"
@@ -182,25 +152,6 @@
     return Ok(text)
 
 
-def parse_listen(text: str) -> Result[Address, str]:
-    """Parse an address to listen on; port 0 picks a free one."""
-    address = _parse_ip_and_port(text)
-    return Ok(address) if address else Err("IP:PORT such as `127.0.0.1:8080`")
-
-
-def parse_address(text: str) -> Result[Address, str]:
-    """Parse an address that others can connect to."""
-    address = _parse_ip_and_port(text)
-    if address is None or not address.port or not _is_reachable(address.ip):
-        return Err("IP:PORT of one host, such as `127.0.0.1:8080` or `[::1]:8080`")
-    return Ok(address)
-
-
-def parse_target(text: str) -> Result[str, str]:
-    """Parse an address into its canonical text."""
-    return parse_address(text).map(str)
-
-
 def parse_list(parse: Parser[T], may_be_empty: bool = False) -> Parser[tuple[T, ...]]:
     """Return a parser of items that commas part, none of them twice."""
 
@@ -220,20 +171,6 @@
     return parse_items
 
 
-def parse_hours(text: str) -> Result[Hours, str]:
-    """Parse hours such as ``Mon-Sat 08:00-18:00``; they may pass midnight."""
-    expected = "hours such as `Mon-Sat 08:00-18:00` or `22:00-06:00`"
-    match = _HOURS.fullmatch(text)
-    if not match:
-        return Err(expected)
-    days = _parse_days(match[1], match[2])
-    start = _parse_time(match[3])
-    end = MIDNIGHT if match[4] == "24:00" else _parse_time(match[4])
-    if days is None or start is None or end is None or match[3] == match[4]:
-        return Err(expected)
-    return Ok(Hours(start=start, end=end, days=days))
-
-
 def parse_zone(text: str) -> Result[ZoneInfo, str]:
     """Parse the name of a time zone of the IANA database."""
     try:
@@ -278,37 +215,3 @@
         return None
     quantity = float(match[1]) * units[match[2]]
     return quantity if math.isfinite(quantity) else None
-
-
-def _parse_ip_and_port(text: str) -> Address | None:
-    match = _ADDRESS.fullmatch(text)
-    if not match or int(match[2]) > MAX_PORT:
-        return None
-    try:
-        ip = ip_address(match[1].strip("[]"))
-    except ValueError:
-        return None
-    if isinstance(ip, IPv6Address) != match[1].startswith("["):
-        return None
-    return Address(str(ip), int(match[2]))
-
-
-def _is_reachable(ip: str) -> bool:
-    number = ip_address(ip)
-    return not number.is_unspecified and not number.is_multicast
-
-
-def _parse_time(text: str) -> time | None:
-    match = _TIME.fullmatch(text)
-    return time(int(match[1]), int(match[2])) if match else None
-
-
-def _parse_days(first: str | None, last: str | None) -> frozenset[int] | None:
-    if first is None:
-        return WEEK
-    last = last or first
-    if first not in DAYS or last not in DAYS:
-        return None
-    start = DAYS.index(first)
-    length = (DAYS.index(last) - start) % len(DAYS) + 1
-    return frozenset((start + step) % len(DAYS) for step in range(length))
