--- /dev/null
+++ b/src/galenapass/systems/crashes.py
@@ -0,0 +1,192 @@
+"""Find the requests that crash targets, and keep them from a third target.
+
+The core calls ``note_crash`` when a target fails, before it gives the running
+requests back; ``note_completion`` when a request completes; ``check`` before it
+admits or retries one. Peers exchange ``suspects_to_tell`` by ``hear_suspects``.
+Every daemon derives the same target for a suspect from the same tables, so
+copies of it that run through several daemons meet at one target.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import xxhash
+
+from galenapass.tables.crashes import Crash, Suspect
+from galenapass.tables.requests import Request, RequestState
+from galenapass.tables.targets import Role, Target
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = [
+    "SuspectNews",
+    "check",
+    "forget_old",
+    "hear_suspects",
+    "limit_targets",
+    "note_completion",
+    "note_crash",
+    "suspects_to_tell",
+]
+
+CRASHES_TO_REFUSE = 2
+MEMORY = timedelta(hours=1)
+RUNNING = (RequestState.DISPATCHED, RequestState.STREAMING)
+
+
+@dataclass(slots=True, frozen=True)
+class SuspectNews:
+    """Hold what a peer is told of one fingerprint; ``age`` is since its change."""
+
+    fingerprint: str
+    crashes: frozenset[Crash]
+    cleared: frozenset[Crash]
+    age: timedelta
+
+
+def note_crash(world: World, target: str, now: timedelta) -> list[str]:
+    """Make suspects of the requests that run at a crashed target."""
+    crash = Crash(target, world.targets[target].incarnation)
+    running = {r.fingerprint for r in _running_at(world, target) if r.fingerprint}
+    for fingerprint in running:
+        suspect = _suspect(world, fingerprint)
+        if crash not in suspect.crashes:
+            suspect.crashes.add(crash)
+            suspect.changed = now
+    return sorted(running)
+
+
+def note_completion(world: World, request: Request, now: timedelta) -> bool:
+    """Clear a suspect that completed; return whether it was one."""
+    suspect = world.crashes.suspects.get(request.fingerprint)
+    if suspect is None or not suspect.open_crashes or _is_refused(suspect):
+        return False
+    suspect.cleared |= suspect.crashes
+    suspect.changed = now
+    return True
+
+
+def check(world: World, request: Request) -> Verdict | None:
+    """Return the final verdict on a request that crashes targets, else None."""
+    suspect = world.crashes.suspects.get(request.fingerprint)
+    if suspect is None or not _is_refused(suspect):
+        return None
+    targets = sorted({crash.target for crash in suspect.open_crashes})
+    detail = f"equal requests were running when {', '.join(targets)} crashed"
+    run = Run.MAY_HAVE_RUN if request.may_have_run else Run.NOT_RUN
+    return Verdict(run, Reason.CRASHES_TARGETS, detail)
+
+
+def limit_targets(
+    world: World, request: Request, targets: list[Target]
+) -> list[Target]:
+    """Return the targets that may run a request, given the suspects."""
+    if not request.fingerprint:
+        return targets
+    suspect = world.crashes.suspects.get(request.fingerprint)
+    if suspect is None or not suspect.open_crashes:
+        return targets
+    if _is_refused(suspect):
+        return []
+    names = _assign(world, request.service).get(request.fingerprint, ())
+    if any(_others_on_trial(world, request, name) for name in names):
+        return []
+    return [t for t in targets if t.id in names]
+
+
+def suspects_to_tell(world: World, now: timedelta) -> list[SuspectNews]:
+    """Return all that peers should know, most recent change first."""
+    suspects = sorted(
+        world.crashes.suspects.values(), key=lambda s: (-s.changed, s.fingerprint)
+    )
+    return [
+        SuspectNews(
+            s.fingerprint, frozenset(s.crashes), frozenset(s.cleared), now - s.changed
+        )
+        for s in suspects
+    ]
+
+
+def hear_suspects(world: World, news: list[SuspectNews], now: timedelta) -> None:
+    """Take in what a peer tells; repeats and any order do no harm."""
+    for item in news:
+        if item.age >= MEMORY:
+            continue
+        suspect = _suspect(world, item.fingerprint)
+        known = (len(suspect.crashes), len(suspect.cleared))
+        suspect.crashes |= item.crashes
+        suspect.cleared |= item.cleared
+        if known != (len(suspect.crashes), len(suspect.cleared)):
+            suspect.changed = max(suspect.changed, now - item.age)
+
+
+def forget_old(world: World, now: timedelta) -> None:
+    """Drop the suspects of which nothing was heard for long."""
+    old = [s for s in world.crashes.suspects.values() if now - s.changed >= MEMORY]
+    for suspect in old:
+        del world.crashes.suspects[suspect.fingerprint]
+
+
+def _suspect(world: World, fingerprint: str) -> Suspect:
+    return world.crashes.suspects.setdefault(fingerprint, Suspect(fingerprint))
+
+
+def _is_refused(suspect: Suspect) -> bool:
+    # Daemons may know different incarnations of one crash, so targets are counted.
+    return len({c.target for c in suspect.open_crashes}) >= CRASHES_TO_REFUSE
+
+
+def _running_at(world: World, target: str) -> list[Request]:
+    return [
+        r
+        for r in world.requests.values()
+        if r.state in RUNNING and target in (r.target, r.prefill_target)
+    ]
+
+
+def _others_on_trial(world: World, request: Request, target: str) -> bool:
+    """Tell whether another suspect runs at a target; two could not be told apart."""
+    others = {r.fingerprint for r in _running_at(world, target)}
+    others.discard(request.fingerprint)
+    suspects = world.crashes.suspects
+    return any(f in suspects and suspects[f].open_crashes for f in others)
+
+
+def _assign(world: World, service: str) -> dict[str, tuple[str, ...]]:
+    """Return the targets for each suspect: one, or one for each phase.
+
+    They differ between suspects as long as there are enough; the rest share
+    targets, one at a time.
+    """
+    targets = [t for t in world.targets.values() if t.service == service]
+    roles = {role: sorted(t.id for t in targets if t.role is role) for role in Role}
+    if roles[Role.MIXED]:
+        return _spread(world, roles[Role.MIXED], {})
+    return _spread(world, roles[Role.DECODE], _spread(world, roles[Role.PREFILL], {}))
+
+
+def _spread(
+    world: World, names: list[str], assigned: dict[str, tuple[str, ...]]
+) -> dict[str, tuple[str, ...]]:
+    free = set(names)
+    result = dict(assigned)
+    for fingerprint in _on_trial(world):
+        crashed = {c.target for c in world.crashes.suspects[fingerprint].open_crashes}
+        fit = (free - crashed) or (set(names) - crashed)
+        if not fit:
+            continue
+        name = max(fit, key=lambda n: (_score(n, fingerprint), n))
+        result[fingerprint] = (*assigned.get(fingerprint, ()), name)
+        free.discard(name)
+    return result
+
+
+def _on_trial(world: World) -> list[str]:
+    suspects = world.crashes.suspects.values()
+    return sorted(
+        s.fingerprint for s in suspects if s.open_crashes and not _is_refused(s)
+    )
+
+
+def _score(name: str, fingerprint: str) -> int:
+    return xxhash.xxh64_intdigest(f"{name}\n{fingerprint}".encode())
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from galenapass.systems import estimates
+from galenapass.systems import crashes, estimates
 from galenapass.tables.requests import Request, Urgency
 from galenapass.tables.targets import Kind, Role, Target
 from galenapass.tables.world import World
@@ -52,6 +52,7 @@
 ) -> Choice | None:
     """Return the cheapest target with room, or None when there is none."""
     targets = estimates.usable(world, request.service, now)
+    targets = crashes.limit_targets(world, request, targets)
     untried = [t for t in targets if t.id not in request.tried] or targets
     if not untried:
         return None
--- /dev/null
+++ b/src/galenapass/tables/limits.py
@@ -0,0 +1,49 @@
+"""Hold the token buckets of callers and of retries."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+__all__ = ["Limit", "LimitTable", "PeerUse", "RetryBudget"]
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Hold the retries that fresh work has paid for, in requests."""
+
+    tokens: float = 50.0
+    filled: timedelta = timedelta(0)
+
+
+@dataclass(slots=True, frozen=True)
+class PeerUse:
+    """Hold what a peer announced of one caller, in requests a second."""
+
+    used: float
+    held: float
+    at: timedelta
+
+
+@dataclass(slots=True)
+class Limit:
+    """Hold this daemon's part of one caller's limit, in requests a second.
+
+    ``held`` is the rate that this daemon may spend; None until it is first set.
+    ``used`` is the smoothed rate asked for, ``work`` the smoothed work served.
+    """
+
+    caller: str
+    held: float | None = None
+    tokens: float = 0.0
+    filled: timedelta = timedelta(0)
+    used: float = 0.0
+    used_at: timedelta = timedelta(0)
+    work: float = 0.0
+    work_at: timedelta = timedelta(0)
+    peers: dict[str, PeerUse] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class LimitTable:
+    """Hold the limits by caller."""
+
+    limits: dict[str, Limit] = field(default_factory=dict)
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -16,7 +16,7 @@
 
 DEFAULT_PREFILL_RATE = 8000.0  # tokens a second
 DEFAULT_STEP = 0.03  # seconds between the tokens of one sequence
-DEFAULT_ROOM = 32.0  # sequences that decode at the same time
+DEFAULT_ROOM = 256.0  # sequences that decode at the same time
 
 
 class Kind(Enum):
--- a/src/galenapass/tables/world.py
+++ b/src/galenapass/tables/world.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass, field
 
 from galenapass.tables.configurations import Configuration
+from galenapass.tables.crashes import CrashTable
+from galenapass.tables.demand import DemandTable
 from galenapass.tables.hosts import Host
+from galenapass.tables.limits import LimitTable, RetryBudget
 from galenapass.tables.requests import Request
 from galenapass.tables.targets import Target
 
@@ -20,3 +23,7 @@
     requests: dict[str, Request] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
+    crashes: CrashTable = field(default_factory=CrashTable)
+    limits: LimitTable = field(default_factory=LimitTable)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    demand: DemandTable = field(default_factory=DemandTable)
