--- /dev/null
+++ b/src/galenapass/systems/gossip.py
@@ -0,0 +1,159 @@
+"""Spread small rows over links within a budget of bytes, the most urgent first.
+
+A row that is newer than the known one is kept and queued for every other link, so
+it crosses each link about once. A queue holds keys, not copies: rows that change
+faster than a link carries them are merged, and a queue never outgrows the table.
+"""
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+
+from galenapass.systems.kinds import KINDS, Kind, Reach, order_host
+from galenapass.tables.gossip import GossipTable, Key, Queue, Rank, Row
+from galenapass.tables.peers import HostNews, Item, TargetReport
+
+__all__ = ["charge", "close_link", "expire", "open_link", "put", "take"]
+
+BURST_SECONDS = 4.0
+FAR_HEARTBEATS = 10
+DEBT_SHARES = {Rank.URGENT: 1.0, Rank.HEARTBEAT: 1.0}
+MAX_CHARGED_SHARE = 0.5
+
+
+def put(
+    table: GossipTable, item: Item, now: timedelta, source: str | None = None
+) -> Item | None:
+    """Merge an item and queue it; return the row when it changed, else None."""
+    kind = KINDS[type(item)]
+    if source is not None and kind.reach is Reach.LINK:
+        return item
+    rows = table.rows.setdefault(type(item), {})
+    key: Key = (type(item), *kind.key(item))
+    row = rows.get(key)
+    if source is None and isinstance(item, TargetReport) and row is not None:
+        item = _order_report(row.item, item)
+    merged = item if row is None else kind.merge(row.item, item)
+    if source in table.queues:
+        _note_known(table.queues[source], key, kind, item, merged)
+    if row is not None and merged is row.item:
+        return None
+    rows.pop(key, None)
+    rows[key] = Row(merged, now + kind.lifetime)
+    if len(rows) > kind.limit:
+        _drop(table, next(iter(rows)))
+    _queue_row(table, key, merged, source if merged == item else None)
+    return merged
+
+
+def open_link(
+    table: GossipTable, link: str, host: str, domain: str, now: timedelta
+) -> None:
+    """Queue every row that a new partner should hear."""
+    queue = table.queues[link] = Queue(host, domain, now)
+    for rows in table.rows.values():
+        for key, row in rows.items():
+            if _reaches(table, queue, row.item):
+                queue.pending[KINDS[key[0]].rank][key] = None
+
+
+def close_link(table: GossipTable, link: str) -> None:
+    """Forget what a link had yet to carry."""
+    table.queues.pop(link, None)
+
+
+def take(table: GossipTable, link: str, now: timedelta, rate: float) -> list[Item]:
+    """Take the most urgent rows that a rate in bytes a second allows by now.
+
+    The bytes taken in any t seconds stay below rate * (t + 2 * BURST_SECONDS) and
+    one row.
+    """
+    queue = table.queues[link]
+    _refill(queue, now, rate)
+    taken: list[Item] = []
+    for rank, pending in zip(Rank, queue.pending, strict=True):
+        floor = -DEBT_SHARES.get(rank, 0.0) * BURST_SECONDS * rate
+        while pending and queue.credit > floor:
+            item = _take_first(table, queue, rank)
+            queue.credit -= KINDS[type(item)].size(item)
+            taken.append(item)
+    return taken
+
+
+def charge(table: GossipTable, link: str, size: int, rate: float) -> None:
+    """Count bytes sent beside the rows; urgent rows keep some room."""
+    queue = table.queues[link]
+    floor = -MAX_CHARGED_SHARE * BURST_SECONDS * rate
+    queue.credit = min(queue.credit, max(queue.credit - size, floor))
+
+
+def expire(table: GossipTable, now: timedelta) -> None:
+    """Forget the rows whose lifetime has passed."""
+    for rows in table.rows.values():
+        for key in [key for key, row in rows.items() if row.expires <= now]:
+            _drop(table, key)
+
+
+def _refill(queue: Queue, now: timedelta, rate: float) -> None:
+    elapsed = (now - queue.refilled).total_seconds()
+    queue.credit = min(queue.credit + elapsed * rate, BURST_SECONDS * rate)
+    queue.refilled = now
+
+
+def _take_first(table: GossipTable, queue: Queue, rank: Rank) -> Any:
+    pending = queue.pending[rank]
+    key = next(iter(pending))
+    del pending[key]
+    item = table.rows[key[0]][key].item
+    _note_heartbeat(queue, item)
+    return item
+
+
+def _queue_row(table: GossipTable, key: Key, item: Item, source: str | None) -> None:
+    rank = KINDS[key[0]].rank
+    for link, queue in table.queues.items():
+        if link != source and _reaches(table, queue, item):
+            queue.pending[rank][key] = None
+
+
+def _drop(table: GossipTable, key: Key) -> None:
+    del table.rows[key[0]][key]
+    for queue in table.queues.values():
+        queue.pending[KINDS[key[0]].rank].pop(key, None)
+        if key[0] is HostNews:
+            queue.heartbeats.pop(key[1], None)
+
+
+def _note_known(queue: Queue, key: Key, kind: Kind, item: Item, merged: Item) -> None:
+    """Take back what the partner just showed that it has."""
+    if merged == item:
+        queue.pending[kind.rank].pop(key, None)
+    _note_heartbeat(queue, item)
+
+
+def _note_heartbeat(queue: Queue, item: Item) -> None:
+    if isinstance(item, HostNews):
+        queue.heartbeats[item.host] = order_host(item)
+
+
+def _order_report(known: Any, item: TargetReport) -> TargetReport:
+    """Place a report after those of the engine's earlier incarnations."""
+    same = known.incarnation == item.incarnation
+    return replace(item, generation=known.generation + (0 if same else 1))
+
+
+def _reaches(table: GossipTable, queue: Queue, item: Any) -> bool:
+    reach = KINDS[type(item)].reach
+    if reach is Reach.HEARTBEAT:
+        return _reaches_heartbeat(table, queue, item)
+    return reach is Reach.FLEET or queue.domain == table.domain
+
+
+def _reaches_heartbeat(table: GossipTable, queue: Queue, item: HostNews) -> bool:
+    """Carry a heartbeat on at once within its domain, more seldom beyond."""
+    near = item.domain == table.domain == queue.domain
+    known = queue.heartbeats.get(item.host)
+    order = order_host(item)
+    if near or known is None or known[:2] != order[:2]:
+        return True
+    return order[2] >= known[2] + FAR_HEARTBEATS
--- /dev/null
+++ b/src/galenapass/systems/kinds.py
@@ -0,0 +1,161 @@
+"""State for each kind of gossiped row its rank, reach, lifetime, merge and size."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from enum import Enum
+from typing import Any
+
+from galenapass.systems.levels import find_level
+from galenapass.tables.gossip import Rank
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import (
+    CrashSuspect,
+    Drain,
+    DrainAck,
+    HostNews,
+    Item,
+    LimitUse,
+    Orders,
+    TargetReport,
+    TargetUse,
+)
+
+__all__ = ["KINDS", "Kind", "Reach", "order_host"]
+
+MAX_SUSPECT_TARGETS = 8
+STATE_RANKS = {HostState.ALIVE: 0, HostState.LEAVING: 1, HostState.GONE: 2}
+
+
+class Reach(Enum):
+    """Name how far a kind of row is carried."""
+
+    LINK = "link"
+    DOMAIN = "domain"
+    FLEET = "fleet"
+    HEARTBEAT = "heartbeat"
+
+
+@dataclass(slots=True, frozen=True)
+class Kind:
+    """Hold how one kind of row is keyed, merged, sized and how far it goes.
+
+    ``merge`` returns the old item itself when the new one adds nothing; ``size``
+    is an upper bound in bytes without names; ``limit`` is a count of rows.
+    """
+
+    rank: Rank
+    reach: Reach
+    lifetime: timedelta
+    limit: int
+    key: Callable[[Any], tuple[str, str]]
+    merge: Callable[[Any, Any], Item]
+    size: Callable[[Any], int]
+
+
+def order_host(item: HostNews) -> tuple[int, int, int]:
+    """Return what makes one heartbeat of a host newer than another."""
+    return item.incarnation, STATE_RANKS[item.state], item.counter
+
+
+def _merge_latest(order: Callable[[Any], Any]) -> Callable[[Any, Any], Item]:
+    def merge(old: Any, new: Any) -> Item:
+        return new if order(new) > order(old) else old
+
+    return merge
+
+
+def _find_use_levels(item: TargetUse) -> tuple[int, int, int]:
+    return find_level(item.requests), find_level(item.prefill), find_level(item.pieces)
+
+
+def _merge_use(old: TargetUse, new: TargetUse) -> Item:
+    """Keep the old use while the levels are the same, so that nothing is sent."""
+    return old if _find_use_levels(old) == _find_use_levels(new) else new
+
+
+def _merge_suspect(old: CrashSuspect, new: CrashSuspect) -> Item:
+    if new.round != old.round:
+        return new if new.round > old.round else old
+    targets = frozenset(sorted(old.targets | new.targets)[:MAX_SUSPECT_TARGETS])
+    count = max(old.count, new.count, len(targets))
+    merged = replace(old, count=count, targets=targets)
+    return old if merged == old else merged
+
+
+KINDS: dict[type, Kind] = {
+    HostNews: Kind(
+        rank=Rank.HEARTBEAT,
+        reach=Reach.HEARTBEAT,
+        lifetime=timedelta(hours=1),
+        limit=4_000,
+        key=lambda item: (item.host, ""),
+        merge=_merge_latest(order_host),
+        size=lambda item: 12,
+    ),
+    Drain: Kind(
+        rank=Rank.URGENT,
+        reach=Reach.DOMAIN,
+        lifetime=timedelta(minutes=10),
+        limit=4_000,
+        key=lambda item: (item.target, ""),
+        merge=_merge_latest(lambda item: (item.epoch, item.ended)),
+        size=lambda item: 18,
+    ),
+    DrainAck: Kind(
+        rank=Rank.URGENT,
+        reach=Reach.DOMAIN,
+        lifetime=timedelta(minutes=10),
+        limit=4_000,
+        key=lambda item: (item.host, item.target),
+        merge=_merge_latest(
+            lambda item: (item.incarnation, item.epoch, -item.in_flight)
+        ),
+        size=lambda item: 38,
+    ),
+    CrashSuspect: Kind(
+        rank=Rank.URGENT,
+        reach=Reach.FLEET,
+        lifetime=timedelta(minutes=10),
+        limit=2_000,
+        key=lambda item: (item.fingerprint, ""),
+        merge=_merge_suspect,
+        size=lambda item: 20 + len(item.fingerprint.encode()) + 5 * len(item.targets),
+    ),
+    Orders: Kind(
+        rank=Rank.ORDERS,
+        reach=Reach.DOMAIN,
+        lifetime=timedelta(days=1),
+        limit=100,
+        key=lambda item: (item.domain, ""),
+        merge=_merge_latest(lambda item: item.version),
+        size=lambda item: 40 + len(item.text.encode()),
+    ),
+    TargetReport: Kind(
+        rank=Rank.LOAD,
+        reach=Reach.DOMAIN,
+        lifetime=timedelta(minutes=1),
+        limit=4_000,
+        key=lambda item: (item.target, ""),
+        merge=_merge_latest(lambda item: (item.generation, item.sequence)),
+        size=lambda item: 13,
+    ),
+    TargetUse: Kind(
+        rank=Rank.LOAD,
+        reach=Reach.LINK,
+        lifetime=timedelta(days=1),
+        limit=4_000,
+        key=lambda item: (item.target, ""),
+        merge=_merge_use,
+        size=lambda item: 6,
+    ),
+    LimitUse: Kind(
+        rank=Rank.LIMITS,
+        reach=Reach.FLEET,
+        lifetime=timedelta(minutes=2),
+        limit=10_000,
+        key=lambda item: (item.host, item.caller),
+        merge=_merge_latest(lambda item: item.sequence),
+        size=lambda item: 24,
+    ),
+}
--- /dev/null
+++ b/src/galenapass/tables/gossip.py
@@ -0,0 +1,57 @@
+"""Hold the rows that are being spread and what each link still has to carry."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import IntEnum
+
+from galenapass.tables.peers import Item
+
+__all__ = ["GossipTable", "Key", "Queue", "Rank", "Row"]
+
+Key = tuple[type, str, str]
+
+
+class Rank(IntEnum):
+    """Order the kinds of rows; a lower rank goes first."""
+
+    URGENT = 0
+    HEARTBEAT = 1
+    ORDERS = 2
+    LOAD = 3
+    LIMITS = 4
+
+
+@dataclass(slots=True)
+class Row:
+    """Hold one item with the monotonic time when it is forgotten."""
+
+    item: Item
+    expires: timedelta
+
+
+@dataclass(slots=True)
+class Queue:
+    """Hold the keys that one link has yet to carry, oldest first in each rank.
+
+    ``credit`` is in bytes and refilled since ``refilled``; ``heartbeats`` hold the
+    last one of each host that the partner has.
+    """
+
+    host: str
+    domain: str
+    refilled: timedelta
+    credit: float = 0.0
+    pending: tuple[dict[Key, None], ...] = field(
+        default_factory=lambda: tuple({} for _ in Rank)
+    )
+    heartbeats: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class GossipTable:
+    """Hold the rows of one daemon by kind, and a queue for each open link."""
+
+    host: str
+    domain: str
+    rows: dict[type, dict[Key, Row]] = field(default_factory=dict)
+    queues: dict[str, Queue] = field(default_factory=dict)
