Propose role changes from smoothed demand; preempt bulk for urgent work

Cause: the mix of prompt and output shifts within minutes. Ruled out: a plan for each domain by itself, three engines are too coarse a step. Change: demand (Holt), placement over all reachable engines of a service, where only the domain of the picked target acts; Preempt effects, at most one for each urgent request that waits and two for one bulk request.

--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -15,10 +15,10 @@
 
 import xxhash
 
-from galenapass.systems import estimates, routing
+from galenapass.systems import demand, estimates, routing
 from galenapass.systems.routing import Choice
 from galenapass.tables.hosts import HostState
-from galenapass.tables.requests import Hold, Request, RequestState
+from galenapass.tables.requests import Hold, Request, RequestState, Urgency
 from galenapass.tables.targets import Kind, LoadChange, Target
 from galenapass.tables.world import World
 from galenapass.verdicts import Reason, Run, Verdict
@@ -39,6 +39,7 @@
 
 LEAST_RETURN = 1.0  # seconds
 LONGEST_RETURN = 60.0  # seconds
+MOST_PREEMPTIONS = 2  # of one request
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,11 +117,15 @@
     request.prefill_target = choice.prefill_target
     request.dispatched = now
     request.attempts += 1
+    request.preempted = False
     request.queued_ahead = estimates.estimate_load(prefill, now).prefill
     request.holds = _make_holds(target, prefill, request)
     for hold in request.holds:
         change = LoadChange(now, 1, hold.prefill, hold.pieces)
         estimates.record(world.targets[hold.target], change)
+    if target.kind is Kind.ENGINE:
+        fresh = estimates.fresh_tokens(prefill, request)
+        demand.note_fresh_share(world, request, fresh)
 
 
 def first_token(world: World, request: Request, now: timedelta) -> None:
@@ -199,11 +204,37 @@
         request.state = RequestState.ENDED
         return [Refuse(request.id, verdict.verdict)]
     work[request.service] = ahead + _work(world, request, now)
-    return _preempt(world, request, now)
-
-
-def _preempt(world: World, request: Request, now: timedelta) -> list[Effect]:
-    return []
+    return _preempt(world, request)
+
+
+def _preempt(world: World, request: Request) -> list[Effect]:
+    """Ask for the room of a bulk stream once for each urgent request that waits."""
+    if request.urgency is not Urgency.URGENT:
+        return []
+    of_service = [r for r in world.requests.values() if r.service == request.service]
+    asked = sum(r.preempted and bool(r.holds) for r in of_service)
+    waiting = sum(
+        r.urgency is Urgency.URGENT and r.state is RequestState.WAITING
+        for r in of_service
+    )
+    victims = [r for r in of_service if _may_yield(r)]
+    if asked >= waiting or not victims:
+        return []
+    victim = max(victims, key=lambda r: (r.deadline, r.id))
+    victim.preempted = True
+    victim.preemptions += 1
+    why = f"{victim.id} at {victim.target} yields to {request.id}, which is urgent"
+    return [Preempt(victim.id, why)]
+
+
+def _may_yield(request: Request) -> bool:
+    return (
+        request.urgency is Urgency.BULK
+        and request.state is RequestState.STREAMING
+        and request.idempotent
+        and not request.preempted
+        and request.preemptions < MOST_PREEMPTIONS
+    )
 
 
 def _check_size(targets: list[Target], request: Request) -> Verdict | None:
--- a/src/galenapass/systems/estimates.py
+++ b/src/galenapass/systems/estimates.py
@@ -27,10 +27,12 @@
     "learn_first_token",
     "pieces_needed",
     "pieces_total",
+    "prefill_rate",
     "prefill_wait",
     "record",
     "sequences",
     "service_time",
+    "token_step",
     "usable",
 ]
 
@@ -42,6 +44,7 @@
 DEFAULT_PIECES = 2000
 DEFAULT_PIECE_TOKENS = 16
 LEARNING_SHARE = 0.2
+WORSENING_SHARE = 0.005
 LEAST_SAMPLE_TOKENS = 128
 FORGETTING_TIME = 30.0  # seconds
 FAILURES_TO_AVOID = 2
@@ -186,8 +189,12 @@
     elapsed = (now - request.dispatched).total_seconds()
     if elapsed <= 0.0:
         return
-    target.rates.prefill = _blend(prefill_rate(target, now), tokens / elapsed)
-    target.rates.prefill_at = now
+    rates = target.rates
+    sample = tokens / elapsed
+    rates.prefill = _blend(prefill_rate(target, now), sample)
+    rates.prefill_at = now
+    better = sample > rates.best_prefill
+    rates.best_prefill = _blend(rates.best_prefill, sample, _best_share(better))
 
 
 def learn_end(world: World, request: Request, verdict: Verdict, now: timedelta) -> None:
@@ -214,8 +221,11 @@
         return
     elapsed = (now - request.first_token).total_seconds()
     sample = elapsed / (request.delivered - 1)
-    target.rates.step = _blend(token_step(target, now), sample)
-    target.rates.step_at = now
+    rates = target.rates
+    rates.step = _blend(token_step(target, now), sample)
+    rates.step_at = now
+    better = sample < rates.best_step
+    rates.best_step = _blend(rates.best_step, sample, _best_share(better))
 
 
 def _learn_refusal(target: Target, request: Request, now: timedelta) -> None:
@@ -257,8 +267,12 @@
     return math.exp(-(now - at).total_seconds() / FORGETTING_TIME)
 
 
-def _blend(old: float, sample: float) -> float:
-    return old * (1.0 - LEARNING_SHARE) + sample * LEARNING_SHARE
+def _blend(old: float, sample: float, share: float = LEARNING_SHARE) -> float:
+    return old * (1.0 - share) + sample * share
+
+
+def _best_share(better: bool) -> float:
+    return LEARNING_SHARE if better else WORSENING_SHARE
 
 
 def _sum_peers(target: Target) -> None:
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -160,7 +160,7 @@
     decodes = [
         t
         for t in targets
-        if t.role is Role.DECODE and has_room(t, request, now, prefill=False)
+        if t.role is not Role.PREFILL and has_room(t, request, now, prefill=False)
     ]
     if not preferred or not decodes:
         return []
--- a/src/galenapass/tables/demand.py
+++ b/src/galenapass/tables/demand.py
@@ -1,26 +1,17 @@
-"""Hold the measured demand for prefill and decode by service and domain."""
+"""Hold the measured demand for prefill and decode by service."""
 
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-__all__ = ["Demand", "DemandTable", "PeerWork", "PhaseDemand", "RoleChange", "Work"]
+__all__ = ["Demand", "DemandTable", "PeerWork", "PhaseDemand"]
 
 
 @dataclass(slots=True)
 class PhaseDemand:
-    """Hold a smoothed level and its trend, in engine-equivalents (a second)."""
+    """Hold a smoothed level in engine-equivalents and its trend a second."""
 
     level: float = 0.0
     trend: float = 0.0
-    samples: int = 0
-
-
-@dataclass(slots=True)
-class Work:
-    """Hold engine-seconds of work; a sum over arrivals."""
-
-    prefill: float = 0.0
-    decode: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,32 +25,29 @@
 
 @dataclass(slots=True)
 class Demand:
-    """Hold the demand on one service in one domain.
+    """Hold the demand on one service.
 
-    ``arrived`` adds up since ``since``; ``own`` is the last whole sample.
+    ``prefill_arrived`` and ``decode_arrived`` add up engine-seconds since
+    ``since``; ``own_*`` are the engine-equivalents of the last whole sample.
+    ``fresh_share`` is the part of prompt tokens that no cache held.
     """
 
     service: str
-    domain: str
-    arrived: Work = field(default_factory=Work)
-    since: timedelta = timedelta(0)
-    own: Work = field(default_factory=Work)
+    prefill_arrived: float = 0.0
+    decode_arrived: float = 0.0
+    since: timedelta | None = None
+    own_prefill: float = 0.0
+    own_decode: float = 0.0
+    fresh_share: float = 1.0
     peers: dict[str, PeerWork] = field(default_factory=dict)
     prefill: PhaseDemand = field(default_factory=PhaseDemand)
     decode: PhaseDemand = field(default_factory=PhaseDemand)
-
-
-@dataclass(slots=True, frozen=True)
-class RoleChange:
-    """Hold when a target was last seen to change its role."""
-
-    target: str
-    at: timedelta
+    samples: int = 0
 
 
 @dataclass(slots=True)
 class DemandTable:
-    """Hold demands by service and domain, and the last role changes by target."""
+    """Hold demands by service, and when each target last changed its role."""
 
-    demands: dict[tuple[str, str], Demand] = field(default_factory=dict)
-    changes: dict[str, RoleChange] = field(default_factory=dict)
+    demands: dict[str, Demand] = field(default_factory=dict)
+    changed: dict[str, timedelta] = field(default_factory=dict)
--- a/src/galenapass/tables/requests.py
+++ b/src/galenapass/tables/requests.py
@@ -65,3 +65,5 @@
     queued_ahead: int = 0
     holds: list[Hold] = field(default_factory=list)
     may_have_run: bool = False
+    preempted: bool = False
+    preemptions: int = 0
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -14,8 +14,8 @@
     "TargetState",
 ]
 
-DEFAULT_PREFILL_RATE = 8000.0  # tokens a second
-DEFAULT_STEP = 0.03  # seconds between the tokens of one sequence
+DEFAULT_PREFILL_RATE = 10_000.0  # tokens a second
+DEFAULT_STEP = 0.02  # seconds between the tokens of one sequence
 DEFAULT_ROOM = 256.0  # sequences that decode at the same time
 
 
@@ -76,7 +76,8 @@
     """Hold what was learned of a target's speed from its results.
 
     ``prefill`` is in tokens a second, ``step`` in seconds between two tokens of
-    one sequence, ``room`` in sequences.
+    one sequence, ``room`` in sequences. ``best_*`` follow the fastest results: what
+    the target does when it has nothing else to do.
     """
 
     prefill: float = DEFAULT_PREFILL_RATE
@@ -84,6 +85,8 @@
     room: float = DEFAULT_ROOM
     prefill_at: timedelta | None = None
     step_at: timedelta | None = None
+    best_prefill: float = DEFAULT_PREFILL_RATE
+    best_step: float = DEFAULT_STEP
 
 
 @dataclass(slots=True)
