Assemble the daemon: clients, core, duties, start and graceful stop

Cause: the parts ran only in tests; the thin whole path needs one process. Ruled out: learning that a target leaves from the host list alone, which may lag longer than the few seconds allowed; each target now also says so at /readyz. Change: galenapassd with its settings, ports, duties and ordered stop; the core spends limits, decides retries, notes crashes and lets bulk give way.

--- /dev/null
+++ b/src/galenapass/assembly.py
@@ -0,0 +1,235 @@
+"""Put the parts of one daemon together, start them and stop them in order."""
+
+import asyncio
+import contextlib
+import secrets
+import sys
+import time
+from collections.abc import Coroutine
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+from typing import Any, TextIO
+
+from aiohttp import web
+from result import Err
+
+from galenapass.callers.app import make_callers_app, make_runner
+from galenapass.callers.limits import Limits
+from galenapass.callers.streams import OpenStreams
+from galenapass.clocks import SystemClock
+from galenapass.core import Core
+from galenapass.duties import observer, roster, watcher
+from galenapass.duties.loops import repeat
+from galenapass.logs import log_to, make_log
+from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
+from galenapass.platform.objects import Objects
+from galenapass.settings.addresses import Address
+from galenapass.settings.daemon import DaemonSettings
+from galenapass.settings.fleet import parse_configuration
+from galenapass.settings.hours import urgency_of
+from galenapass.settings.units import Stream
+from galenapass.systems.targets import apply_configuration
+from galenapass.tables.configurations import Configuration
+from galenapass.tables.targets import Target
+from galenapass.tables.world import World
+from galenapass.targets.engines import Engines
+from galenapass.targets.probes import Probes
+from galenapass.targets.services import PlainServices
+
+__all__ = ["Daemon"]
+
+ROSTER_PERIOD = timedelta(seconds=1)
+# Left for closing connections after the last stream has ended or was given up.
+CLOSING_TIME = timedelta(seconds=2)
+
+_log = make_log("daemon")
+
+
+class Daemon:
+    """Hold the parts of one daemon."""
+
+    def __init__(self, settings: DaemonSettings):
+        self.settings = settings
+        self.incarnation = time.time_ns() // 1_000_000
+        self.clock = SystemClock()
+        self.random = Random()
+        self.metrics = make_metrics()
+        self.world = World(settings.host, settings.domain)
+        self.is_ready = False
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Open every port and begin every duty."""
+        _open_log(self.settings.logs_outlet)
+        _log("daemon starts", host=self.settings.host, domain=self.settings.domain)
+        self._make_clients()
+        self.core = Core(
+            self.world,
+            self.clock,
+            self.random,
+            self.metrics,
+            self.probes.has_crashed,
+            self.streams.break_off,
+        )
+        self.core.start()
+        await watcher.fetch_configuration(self.objects, self.accept)
+        await self._listen(self._make_callers_app(), self.settings.callers_listen)
+        self._spawn(self._watch())
+        self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
+        self._spawn(repeat(self._make_observer().observe, observer.PERIOD, self.random))
+        self.is_ready = True
+        _log("daemon is ready", version=self.world.configuration.version)
+
+    async def stop(self) -> None:
+        """Take no new work, let what runs end, give back what is held."""
+        _log("daemon stops", open=self._count_open())
+        self.is_ready = False
+        if hasattr(self, "core"):
+            self.core.stopping = True
+            await self._finish_streams()
+            self.core.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._close_clients()
+        _log("daemon has stopped")
+
+    # What the callers' side asks
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.world.configuration
+
+    def ready(self) -> bool:
+        """Tell whether new work is taken."""
+        return self.is_ready
+
+    def new_id(self) -> str:
+        """Return an identifier that no other request in the fleet has."""
+        return f"{self.settings.host}-{secrets.token_hex(8)}"
+
+    # Settings
+
+    def accept(self, text: str, version: int) -> bool:
+        """Put a configuration in force unless it is old or has faults."""
+        if version <= self.world.configuration.version:
+            return False
+        parsed = parse_configuration(text, version, f"version {version}")
+        if isinstance(parsed, Err):
+            faults = [str(fault) for fault in parsed.err_value]
+            _log("a configuration has faults", version=version, faults=faults)
+            return False
+        apply_configuration(self.world, parsed.ok_value)
+        _log("a configuration is in force", version=version)
+        self.core.wake()
+        return True
+
+    # Parts
+
+    def _make_clients(self) -> None:
+        settings = self.settings
+        self.limits = Limits(settings.body_limit, settings.body_timeout)
+        self.streams = OpenStreams(self.limits)
+        self.engines = Engines()
+        self.services = PlainServices()
+        self.probes = Probes(self.engines)
+        self.objects = Objects(
+            str(settings.platform_address),
+            settings.host,
+            settings.domain,
+            self._count_call,
+            self.random,
+        )
+
+    async def _close_clients(self) -> None:
+        if not hasattr(self, "objects"):
+            return
+        await self.engines.close()
+        await self.services.close()
+        await self.probes.close()
+        await self.objects.close()
+
+    def _make_callers_app(self) -> web.Application:
+        return make_callers_app(
+            self.core,
+            self.claims,
+            self,
+            self.clock,
+            self.limits,
+            urgency_of=urgency_of,
+            engines=self.engines,
+            services=self.services,
+            streams=self.streams,
+            show_metrics=_show_metrics,
+        )
+
+    def _make_observer(self) -> observer.Observer:
+        return observer.Observer(
+            self.world,
+            self.clock,
+            self.engines.fetch_load,
+            self.probes.fetch_ready,
+            lambda: self.world.targets.values(),
+            self._tell_target,
+        )
+
+    # Duties
+
+    async def _watch(self) -> None:
+        version = lambda: self.world.configuration.version  # noqa: E731
+        await watcher.watch_configurations(self.objects, self.accept, version)
+
+    async def _read_roster(self) -> bool:
+        listed = await roster.fetch_list(self.objects)
+        if listed is None:
+            return False
+        roster.apply_list(self.world, listed)
+        return True
+
+    def _tell_target(self, target: Target) -> None:
+        self.core.wake()
+
+    def _count_call(self, call: str) -> None:
+        self.metrics.platform_calls.add(1, {"call": call})
+
+    # Starting and stopping
+
+    async def _listen(self, app: web.Application, address: Address) -> None:
+        runner = make_runner(app)
+        self._runners.append(runner)
+        await runner.setup()
+        site = web.TCPSite(runner, address.ip, address.port)
+        await site.start()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _count_open(self) -> int:
+        return self.streams.count if hasattr(self, "streams") else 0
+
+    async def _finish_streams(self) -> None:
+        bound = (self.settings.stop_within - CLOSING_TIME).total_seconds()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.streams.wait_idle(), max(bound, 0))
+        if self.streams.count:
+            _log("streams are cut at the bound", open=self.streams.count)
+
+
+async def _show_metrics(request: web.Request) -> web.StreamResponse:
+    body = render_metrics()
+    return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+def _open_log(outlet: Stream | Path) -> None:
+    streams: dict[Stream, TextIO] = {
+        Stream.STDERR: sys.stderr,
+        Stream.STDOUT: sys.stdout,
+    }
+    if isinstance(outlet, Path):
+        log_to(outlet.open("a", encoding="utf-8"))
+        return
+    log_to(streams[outlet])
--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -1,7 +1,7 @@
 """Run the deciding systems each tick and answer the callers' side."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from random import Random
 
@@ -11,10 +11,11 @@
 from galenapass.dispatch import Route
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
-from galenapass.systems import admission, estimates
+from galenapass.systems import admission, crashes, estimates, limits, retries
 from galenapass.systems.admission import Dispatch, Effect, Preempt, Refuse
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Request, RequestState
+from galenapass.tables.targets import Target
 from galenapass.tables.world import World
 from galenapass.ticks import Ticker
 from galenapass.verdicts import Reason, Run, Verdict
@@ -23,19 +24,28 @@
 
 TICK_PERIOD = timedelta(milliseconds=100)
 STOPPING_RETRY = timedelta(seconds=1)
-MOST_ATTEMPTS = 4
+PREEMPTED = Verdict(
+    Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
+)
+
+# A break without an answer; a crash is then looked for.
+CRASH_SIGNS = frozenset({Reason.TARGET_FAILED, Reason.TARGET_UNREACHABLE})
 
 _log = make_log("routing")
 
 Decision = asyncio.Future[Result[Route, Verdict]]
+HasCrashed = Callable[[Target], Awaitable[bool]]
+BreakOff = Callable[[str, Verdict], bool]
 
 
 class Core:
     """Admit, route and end requests over the tables of one daemon."""
 
     __slots__ = (
+        "_break_off",
         "_clock",
         "_decisions",
+        "_has_crashed",
         "_metrics",
         "_random",
         "_ticker",
@@ -43,8 +53,18 @@
         "world",
     )
 
-    def __init__(self, world: World, clock: Clock, random: Random, metrics: Metrics):
+    def __init__(
+        self,
+        world: World,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+        has_crashed: HasCrashed,
+        break_off: BreakOff,
+    ):
         self.world = world
+        self._has_crashed = has_crashed
+        self._break_off = break_off
         self.stopping = False
         self._clock = clock
         self._random = random
@@ -69,10 +89,11 @@
         if self.stopping:
             detail = "this daemon is stopping"
             return Err(Verdict(Run.NOT_RUN, Reason.STOPPING, detail, STOPPING_RETRY))
-        admitted = admission.admit(self.world, request, self._clock.monotonic())
-        if isinstance(admitted, admission.Refused):
-            self._log_refusal(request, admitted.verdict)
-            return Err(admitted.verdict)
+        refusal = self._refuse_new(request)
+        if refusal is not None:
+            self._log_refusal(request, refusal)
+            return Err(refusal)
+        retries.note_fresh(self.world)
         self.world.requests[request.id] = request
         self._metrics.in_flight.add(1)
         return await self._decide(request)
@@ -81,10 +102,14 @@
         self, request: Request, failure: Verdict
     ) -> Result[Route, Verdict]:
         """Take a failed attempt back and return the next target or the end."""
+        await self._note_crash(request, failure)
         self._end_attempt(request, failure)
-        if not _may_go_elsewhere(request, failure):
-            return Err(failure)
-        request.state = RequestState.WAITING
+        now = self._clock.monotonic()
+        decided = retries.decide(self.world, request, failure, now)
+        if isinstance(decided, Verdict):
+            self._log_refusal(request, decided)
+            return Err(decided)
+        _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
 
     def note_first_token(self, request: Request) -> None:
@@ -107,10 +132,32 @@
         self._metrics.tokens.add(request.delivered)
         self.wake()
 
+    def _refuse_new(self, request: Request) -> Verdict | None:
+        now = self._clock.monotonic()
+        condemned = crashes.check(self.world, request)
+        if condemned is not None:
+            return condemned
+        spent = limits.spend(self.world, request, now)
+        if spent is not None:
+            return spent
+        admitted = admission.admit(self.world, request, now)
+        return admitted.verdict if isinstance(admitted, admission.Refused) else None
+
+    async def _note_crash(self, request: Request, failure: Verdict) -> None:
+        target = self.world.targets.get(request.target or "")
+        if target is None or failure.reason not in CRASH_SIGNS:
+            return
+        if await self._has_crashed(target):
+            now = self._clock.monotonic()
+            suspects = crashes.note_crash(self.world, target.id, now)
+            _log("target crashed", target=target.id, suspects=len(suspects))
+
     def _end_attempt(self, request: Request, verdict: Verdict) -> None:
         now = self._clock.monotonic()
         estimates.learn_end(self.world, request, verdict, now)
         admission.give_back(self.world, request, now)
+        if verdict.reason is Reason.COMPLETED:
+            crashes.note_completion(self.world, request, now)
 
     async def _decide(self, request: Request) -> Result[Route, Verdict]:
         decision: Decision = asyncio.get_running_loop().create_future()
@@ -150,6 +197,7 @@
 
     def _preempt(self, effect: Preempt) -> None:
         _log("bulk stream gives way", request=effect.request, why=effect.why)
+        self._break_off(effect.request, PREEMPTED)
 
     def _resolve(self, request_id: str, outcome: Result[Route, Verdict]) -> None:
         decision = self._decisions.pop(request_id, None)
@@ -165,12 +213,6 @@
         )
 
 
-def _may_go_elsewhere(request: Request, failure: Verdict) -> bool:
-    if request.attempts >= MOST_ATTEMPTS:
-        return False
-    return failure.run is Run.NOT_RUN or request.idempotent
-
-
 def _make_route(world: World, choice: Choice) -> Route:
     prefill = world.targets.get(choice.prefill_target or "")
     return Route(
--- /dev/null
+++ b/src/galenapass/daemon.py
@@ -0,0 +1,64 @@
+"""Run galenapassd: read its settings, serve until SIGTERM, stop gracefully."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from types import FrameType
+
+import click
+
+__all__ = ["main"]
+
+EXIT_FAULTS = 2
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+_early: list[int] = []
+
+
+@click.command(name="galenapassd")
+@click.argument("file", type=click.Path(path_type=Path))
+def main(file: Path) -> None:
+    """Serve as one daemon with the settings in FILE (INI).
+
+    Exit status: 0 after a graceful stop, 2 when the settings have faults.
+    """
+    # The imports below take a while; a stop that comes during them must count.
+    for number in SIGNALS:
+        signal.signal(number, _note_early)
+    from galenapass.settings.daemon import read_daemon_settings
+
+    settings = read_daemon_settings(file)
+    if settings.is_err():
+        for fault in settings.unwrap_err():
+            click.echo(str(fault), err=True)
+        sys.exit(EXIT_FAULTS)
+    from galenapass.assembly import Daemon
+
+    sys.exit(asyncio.run(_serve(Daemon(settings.unwrap()))))
+
+
+async def _serve(daemon: "Daemon") -> int:  # type: ignore[name-defined] # noqa: F821
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in SIGNALS:
+        loop.add_signal_handler(number, stopping.set)
+    if _early:
+        stopping.set()
+    try:
+        await daemon.start()
+        await stopping.wait()
+    except OSError as error:
+        click.echo(f"galenapassd: cannot start: {error}", err=True)
+        return 1
+    finally:
+        await daemon.stop()
+    return 0
+
+
+def _note_early(number: int, frame: FrameType | None) -> None:
+    _early.append(number)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenapass/targets/probes.py
@@ -0,0 +1,45 @@
+"""Ask targets whether they take work and whether they have crashed."""
+
+import aiohttp
+from result import Err, Ok, Result
+
+from galenapass.tables.targets import Target
+from galenapass.targets.connections import judge_error, open_session
+from galenapass.targets.engines import Engines
+from galenapass.verdicts import Verdict
+
+__all__ = ["Probes"]
+
+PROBE_SECONDS = 1.0
+
+
+class Probes:
+    """Hold the client session for readiness probes."""
+
+    __slots__ = ("_engines", "_session")
+
+    def __init__(self, engines: Engines):
+        self._engines = engines
+        self._session = open_session()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def fetch_ready(self, address: str) -> Result[bool, Verdict]:
+        """Return whether a target says that it takes new work."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        url = f"http://{address}/readyz"
+        try:
+            async with self._session.get(url, timeout=timeout) as answer:
+                return Ok(answer.status != 503)
+        except (aiohttp.ClientError, OSError) as error:
+            return Err(judge_error(error))
+
+    async def has_crashed(self, target: Target) -> bool:
+        """Tell whether an engine is away or came back as another incarnation."""
+        state = await self._engines.fetch_state(target.address)
+        if isinstance(state, Err):
+            return True
+        known = target.incarnation
+        return bool(known) and state.ok_value.incarnation != known
--- a/src/galenapass/verdicts.py
+++ b/src/galenapass/verdicts.py
@@ -38,6 +38,7 @@
     STOPPING = "stopping"
     NOT_CONFIGURED = "not configured"
     CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
 
 
 @dataclass(slots=True, frozen=True)
