Add the stand-in for a model engine

Cause: the daemon and the policy simulator need an engine that batches, caches, resumes and takes orders, and whose own account can be trusted. Ruled out: a sleep for each token and stream, whose timers cost more than the tokens; a factor that favours disaggregation. Change: one model of the arithmetic stepped on a clock passed in, and an aiohttp program around it with the faults and the account of the contract.

--- /dev/null
+++ b/stand_ins/engine_controls.py
@@ -0,0 +1,98 @@
+"""Answer what is asked of an engine beside requests: reports, orders and faults."""
+
+import asyncio
+from dataclasses import asdict
+
+import orjson
+from aiohttp import web
+
+from stand_ins.engine_account import Faults, describe_account
+from stand_ins.engine_orders import Action, Order, Outcome
+from stand_ins.engine_reports import CacheBatch
+from stand_ins.engine_requests import ENGINE
+from stand_ins.serving import answer_json, read_faults
+
+__all__ = [
+    "follow_cache",
+    "give_account",
+    "give_load",
+    "give_state",
+    "put_faults",
+    "take_order",
+]
+
+
+async def give_load(request: web.Request) -> web.Response:
+    """Give the load report that the lag shows."""
+    return answer_json(asdict(request.app[ENGINE].read_report()))
+
+
+async def give_state(request: web.Request) -> web.Response:
+    """Give the present state."""
+    model = request.app[ENGINE].model
+    phase = "changing" if model.changing else "serving"
+    last = model.orders.last
+    state = {
+        "incarnation": model.incarnation,
+        "role": model.role.value,
+        "model": model.features.model,
+        "adapters": model.features.adapters,
+        "version": model.features.version,
+        "phase": phase,
+        "order": {"id": last.id, "fence": last.fence} if last else None,
+        "running": model.running,
+    }
+    return answer_json(state)
+
+
+async def follow_cache(request: web.Request) -> web.StreamResponse:
+    """Stream the cache events that are not lost."""
+    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+    await response.prepare(request)
+    batches: asyncio.Queue[CacheBatch] = asyncio.Queue()
+    subscription = request.app[ENGINE].cache_batches.subscribe(batches.put_nowait)
+    try:
+        while True:
+            data = orjson.dumps(await batches.get())
+            await response.write(b"data: %b\n\n" % data)
+    finally:
+        subscription.dispose()
+
+
+# Orders, faults and the account
+
+_STATUSES = {
+    Outcome.ACCEPTED: 202,
+    Outcome.REPEATED: 202,
+    Outcome.STALE: 409,
+    Outcome.BUSY: 409,
+}
+
+
+async def take_order(request: web.Request) -> web.Response:
+    """Accept or refuse an order."""
+    engine = request.app[ENGINE]
+    try:
+        body = orjson.loads(await request.read())
+        action = Action(body["action"])
+        order = Order(str(body["id"]), int(body["fence"]), action, str(body["value"]))
+        outcome = engine.order(order).outcome
+    except (ValueError, KeyError, TypeError) as error:
+        return answer_json({"reason": f"malformed: {error!r}"}, 400)
+    answer = {"reason": outcome.value, "fence": engine.model.orders.fence}
+    return answer_json(answer, _STATUSES[outcome])
+
+
+async def put_faults(request: web.Request) -> web.Response:
+    """Replace the faults in force."""
+    faults = read_faults(Faults, await request.read())
+    loop = asyncio.get_running_loop()
+    # The answer goes out first, as a crash drops this connection too.
+    loop.call_later(0.01, request.app[ENGINE].put_faults, faults)
+    return answer_json({})
+
+
+async def give_account(request: web.Request) -> web.Response:
+    """Give the engine's own record."""
+    engine = request.app[ENGINE]
+    return answer_json(describe_account(engine.account, engine.model.orders))
--- /dev/null
+++ b/stand_ins/engine_sizes.py
@@ -0,0 +1,119 @@
+"""Give the sizes and speeds of an engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from galenapass.tables.targets import Role
+from stand_ins.engine_text import BLOCK_BYTES, BYTES_PER_TOKEN
+
+__all__ = ["BLOCK_TOKENS", "Sizes", "choose_chunk", "speed_up"]
+
+BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+
+PIECES_TOTAL = 2000
+PIECE_TOKENS = 16
+MAX_RUNNING = 256
+MAX_WAITING = 64
+BASE_SECONDS = 0.015
+SECONDS_PER_SEQUENCE = 0.0001
+PREFILL_TOKENS_PER_SECOND = 10_000.0
+TOKEN_TARGET_SECONDS = 0.031
+LARGE_CHUNK_TOKENS = 2048
+SMALL_CHUNK_TOKENS = 16
+KV_BYTES_PER_TOKEN = 128 * 1024
+TRANSFER_BYTES_PER_SECOND = 2.5e9
+CHANGE_SECONDS = 3.0
+KEEP_SECONDS = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class Sizes:
+    """Hold an engine's sizes.
+
+    Memory is in pieces of ``piece_tokens`` tokens; ``*_seconds`` are seconds;
+    ``step_seconds`` is the shortest step, however little there is to do.
+    """
+
+    pieces_total: int = PIECES_TOTAL
+    piece_tokens: int = PIECE_TOKENS
+    max_running: int = MAX_RUNNING
+    max_waiting: int = MAX_WAITING
+    base_seconds: float = BASE_SECONDS
+    sequence_seconds: float = SECONDS_PER_SEQUENCE
+    prefill_rate: float = PREFILL_TOKENS_PER_SECOND
+    target_seconds: float = TOKEN_TARGET_SECONDS
+    step_seconds: float = 0.0
+    large_chunk: int = LARGE_CHUNK_TOKENS
+    small_chunk: int = SMALL_CHUNK_TOKENS
+    token_bytes: int = KV_BYTES_PER_TOKEN
+    transfer_rate: float = TRANSFER_BYTES_PER_SECOND
+    change: timedelta = timedelta(seconds=CHANGE_SECONDS)
+    keep: timedelta = timedelta(seconds=KEEP_SECONDS)
+
+    @property
+    def block_pieces(self) -> int:
+        """Return the pieces that one prompt block takes."""
+        return BLOCK_TOKENS // self.piece_tokens
+
+    def count_pieces(self, tokens: int) -> int:
+        """Return the pieces that hold some tokens."""
+        return -(-tokens // self.piece_tokens)
+
+    def take_step(self, prefill_tokens: int, decoding: int) -> float:
+        """Return the seconds of one step.
+
+        base + prefill tokens / prefill rate + seconds a sequence * sequences.
+        """
+        prefill = prefill_tokens / self.prefill_rate
+        decode = self.sequence_seconds * decoding
+        return max(self.step_seconds, self.base_seconds + prefill + decode)
+
+    def limit_chunk(self, decoding: int) -> int:
+        """Return the prefill tokens that keep a step within the token target."""
+        spare = self.target_seconds - self.base_seconds
+        spare -= self.sequence_seconds * decoding
+        return max(self.small_chunk, int(spare * self.prefill_rate))
+
+    def transfer(self, tokens: int) -> timedelta:
+        """Return the time that the KV cache of some tokens takes to arrive."""
+        return timedelta(seconds=tokens * self.token_bytes / self.transfer_rate)
+
+
+def speed_up(sizes: Sizes, factor: float) -> Sizes:
+    """Return sizes of an engine that takes each step in 1/factor of the time."""
+    return replace(
+        sizes,
+        base_seconds=sizes.base_seconds / factor,
+        sequence_seconds=sizes.sequence_seconds / factor,
+        target_seconds=sizes.target_seconds / factor,
+        step_seconds=sizes.step_seconds / factor,
+        prefill_rate=sizes.prefill_rate * factor,
+        transfer_rate=sizes.transfer_rate * factor,
+    )
+
+
+def choose_chunk(role: Role, sizes: Sizes, decoding: int) -> int:
+    """Return the most prefill tokens of one step beside some decoding sequences."""
+    return _CHUNKS[role](sizes, decoding)
+
+
+def _chunk_large(sizes: Sizes, decoding: int) -> int:
+    return sizes.large_chunk
+
+
+def _chunk_beside_decoding(sizes: Sizes, decoding: int) -> int:
+    if not decoding:
+        return sizes.large_chunk
+    return _chunk_small(sizes, decoding)
+
+
+def _chunk_small(sizes: Sizes, decoding: int) -> int:
+    return min(sizes.large_chunk, sizes.limit_chunk(decoding))
+
+
+_CHUNKS: dict[Role, Callable[[Sizes, int], int]] = {
+    Role.PREFILL: _chunk_large,
+    Role.MIXED: _chunk_beside_decoding,
+    Role.DECODE: _chunk_small,
+}
--- /dev/null
+++ b/stand_ins/engine_text.py
@@ -0,0 +1,92 @@
+"""Make an engine's text from the prompt alone, so that every engine gives the same."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import xxhash
+
+__all__ = [
+    "BLOCK_BYTES",
+    "BYTES_PER_TOKEN",
+    "count_output_tokens",
+    "count_prompt_tokens",
+    "expected_text",
+    "hash_blocks",
+    "make_seed",
+    "make_token",
+    "read_prompt",
+]
+
+BLOCK_BYTES = 256
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 128
+HASH_BYTES = 8
+TOKEN_BITS = 0xFFFFFF
+
+
+def read_prompt(body: Mapping[str, Any]) -> bytes:
+    """Return the prompt's bytes of a completion or chat completion body.
+
+    A chat prompt is ``role``, a newline, ``content`` and a newline for each message.
+    Raises ValueError where the body has neither form.
+    """
+    if "messages" in body:
+        return "".join(map(_join_message, body["messages"])).encode()
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        raise ValueError(f"no prompt and no messages: {sorted(body)}")
+    return prompt.encode()
+
+
+def _join_message(message: Mapping[str, Any]) -> str:
+    content = message["content"]
+    if not isinstance(content, str):
+        content = "".join(part["text"] for part in content)
+    return f"{message['role']}\n{content}\n"
+
+
+def hash_blocks(prompt: bytes) -> tuple[int, ...]:
+    """Return the chained hashes of a prompt's whole blocks; a rest has no hash."""
+    blocks = []
+    previous = 0
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        run = prompt[start : start + BLOCK_BYTES]
+        previous = xxhash.xxh64_intdigest(previous.to_bytes(HASH_BYTES, "big") + run)
+        blocks.append(previous)
+    return tuple(blocks)
+
+
+def count_prompt_tokens(prompt: bytes) -> int:
+    """Return the tokens of a prompt, at least one."""
+    return max(1, -(-len(prompt) // BYTES_PER_TOKEN))
+
+
+def count_output_tokens(body: Mapping[str, Any]) -> int:
+    """Return the tokens that a body asks for; the engine gives exactly these.
+
+    Raises ValueError unless it is a positive integer.
+    """
+    count = body.get("max_completion_tokens") or body.get("max_tokens")
+    if count is None:
+        return DEFAULT_OUTPUT_TOKENS
+    if not isinstance(count, int) or count < 1:
+        raise ValueError(f"max_tokens is no positive integer: {count!r}")
+    return count
+
+
+def make_seed(prompt: bytes) -> int:
+    """Return the number that all tokens of a prompt follow from."""
+    return xxhash.xxh64_intdigest(prompt)
+
+
+def make_token(seed: int, number: int) -> bytes:
+    """Return token ``number``, counted from 1, as ASCII that JSON need not escape."""
+    value = xxhash.xxh64_intdigest(number.to_bytes(HASH_BYTES, "big"), seed)
+    return b" %06x" % (value & TOKEN_BITS)
+
+
+def expected_text(body: Mapping[str, Any]) -> str:
+    """Return the whole text that any engine gives for a request's body."""
+    seed = make_seed(read_prompt(body))
+    numbers = range(1, count_output_tokens(body) + 1)
+    return b"".join(make_token(seed, number) for number in numbers).decode()
