Link the daemons over long-lived streams

Cause: heartbeats, drains, load and settings must reach every daemon of a domain without a call for each message. Ruled out: a timeout around each receive, which makes a task a message; the round watches for silent partners instead. Tests on loopback sockets: mesh from one address, each kind of news, wrong secret, restart, stale incarnation, cut and heal, failing check, failing subscriber.

--- /dev/null
+++ b/src/galenapass/peers/dialling.py
@@ -0,0 +1,95 @@
+"""Open links to addresses, one at a time each, with back-off and jitter."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from galenapass.clocks import Clock
+from galenapass.logs import make_log
+from galenapass.peers import peers_pb2 as wire
+from galenapass.peers.links import LINK_ERRORS, Link, Serve, dial
+
+__all__ = ["Dialler", "cancel"]
+
+MIN_BACK_OFF = 0.5
+MAX_BACK_OFF = 15.0
+MAX_DOUBLINGS = 8
+MAX_RETRIES = 1_000
+
+log = make_log("peers")
+
+
+class Dialler:
+    """Hold the links being opened or open from this side, by address."""
+
+    __slots__ = (
+        "_clock",
+        "_dials",
+        "_hello",
+        "_random",
+        "_retries",
+        "_secret",
+        "_serve",
+    )
+
+    def __init__(
+        self,
+        secret: str,
+        hello: Callable[[], wire.Hello],
+        serve: Serve,
+        clock: Clock,
+        random: Random,
+    ):
+        self._secret = secret
+        self._hello = hello
+        self._serve = serve
+        self._clock = clock
+        self._random = random
+        self._dials: dict[str, asyncio.Task[None]] = {}
+        self._retries: dict[str, tuple[int, timedelta]] = {}
+
+    def open(self, address: str) -> None:
+        """Begin to open a link unless one is under way or backing off."""
+        if address in self._dials:
+            return
+        if address in self._retries:
+            if self._clock.monotonic() < self._retries[address][1]:
+                return
+        task = asyncio.create_task(self._dial(address))
+        self._dials[address] = task
+        task.add_done_callback(lambda _: self._dials.pop(address, None))
+
+    async def stop(self) -> None:
+        """End every link that was opened from this side."""
+        for task in list(self._dials.values()):
+            await cancel(task)
+
+    async def _dial(self, address: str) -> None:
+        async def serve(link: Link) -> None:
+            self._retries.pop(address, None)
+            await self._serve(link)
+
+        self._back_off(address)
+        try:
+            await dial(address, self._secret, self._hello(), serve)
+        except LINK_ERRORS as error:
+            log("link failed", address=address, error=type(error).__name__)
+
+    def _back_off(self, address: str) -> None:
+        """Set the next try; a link that opens takes this back."""
+        failures = min(self._retries.pop(address, (0, None))[0] + 1, MAX_DOUBLINGS)
+        bound = min(MAX_BACK_OFF, MIN_BACK_OFF * 2**failures)
+        wait = timedelta(seconds=self._random.uniform(bound / 2, bound))
+        self._retries[address] = failures, self._clock.monotonic() + wait
+        if len(self._retries) > MAX_RETRIES:
+            del self._retries[next(iter(self._retries))]
+
+
+async def cancel(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait for its end; its failure is logged."""
+    task.cancel()
+    await asyncio.wait({task})
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        log("link broke", error=repr(error))
--- a/src/galenapass/systems/duties.py
+++ b/src/galenapass/systems/duties.py
@@ -37,8 +37,8 @@
 ) -> list[str]:
     """Return the holders of a duty, first choice first; subject names a target."""
     live = [h for h in hosts if h.domain == domain and h.state is HostState.ALIVE]
-    seed = f"{duty.value}\n{subject}\n"
-    live.sort(key=lambda h: (xxh64_intdigest(seed + h.id), h.id), reverse=True)
+    seed = f"{duty.value}\n{subject}\n".encode()
+    live.sort(key=lambda h: (xxh64_intdigest(seed + h.id.encode()), h.id), reverse=True)
     return [h.id for h in live[: HOLDERS[duty]]]
 
 
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -81,10 +81,14 @@
 
 
 def charge(table: GossipTable, link: str, size: int, rate: float) -> None:
-    """Count bytes sent beside the rows; urgent rows keep some room."""
+    """Count bytes sent beside the rows; urgent rows keep some room.
+
+    A negative size gives back what the rows took less than their bounds.
+    """
     queue = table.queues[link]
-    floor = -MAX_CHARGED_SHARE * BURST_SECONDS * rate
-    queue.credit = min(queue.credit, max(queue.credit - size, floor))
+    burst = BURST_SECONDS * rate
+    floor = min(queue.credit, -MAX_CHARGED_SHARE * burst)
+    queue.credit = min(burst, max(queue.credit - size, floor))
 
 
 def expire(table: GossipTable, now: timedelta) -> None:
--- a/src/galenapass/systems/membership.py
+++ b/src/galenapass/systems/membership.py
@@ -245,4 +245,6 @@
 
 def _pick(own: str, names: set[str]) -> str:
     """Return the rendezvous winner, which moves only when it leaves the set."""
-    return max(names, key=lambda name: (xxh64_intdigest(f"{own}\n{name}"), name))
+    return max(
+        names, key=lambda name: (xxh64_intdigest(f"{own}\n{name}".encode()), name)
+    )
--- a/src/galenapass/systems/spreading.py
+++ b/src/galenapass/systems/spreading.py
@@ -38,7 +38,7 @@
 
     current: Settings = field(default_factory=lambda: Settings(0, ""))
     earlier: list[Settings] = field(default_factory=list)
-    refused: set[int] = field(default_factory=set)
+    refused: int = 0
     asked: str | None = None
     asked_at: timedelta | None = None
 
@@ -48,11 +48,10 @@
     if settings.version <= spread.current.version:
         return False
     if not check(settings.text):
-        spread.refused = {*spread.refused, settings.version}
+        spread.refused = settings.version
         return False
     spread.earlier = [spread.current, *spread.earlier][:KEPT_VERSIONS]
     spread.current = settings
-    spread.refused = {v for v in spread.refused if v > settings.version}
     spread.asked = spread.asked_at = None
     return True
 
@@ -70,7 +69,7 @@
     wanted = {
         link: version
         for link, version in versions.items()
-        if version > spread.current.version and version not in spread.refused
+        if version > spread.current.version and version != spread.refused
     }
     if not wanted:
         return None
@@ -99,7 +98,7 @@
     lines = base.text.splitlines(keepends=True)
     tail = lines[len(lines) - patch.tail :] if patch.tail else []
     text = "".join([*lines[: patch.head], patch.text, *tail])
-    if xxh64_intdigest(text) != patch.checksum:
+    if xxh64_intdigest(text.encode()) != patch.checksum:
         return None
     return Settings(patch.version, text)
 
@@ -111,7 +110,7 @@
     head = _count_equal(old, new, shorter)
     tail = _count_equal(old[::-1], new[::-1], shorter - head)
     text = "".join(new[head : len(new) - tail])
-    checksum = xxh64_intdigest(settings.text)
+    checksum = xxh64_intdigest(settings.text.encode())
     return Patch(settings.version, base.version, head, tail, text, checksum)
 
 
--- /dev/null
+++ b/tests/test_peers_links.py
@@ -0,0 +1,231 @@
+"""Test links between daemons on real sockets of the loopback."""
+
+import asyncio
+import time
+from datetime import timedelta
+from random import Random
+
+from eliot.testing import MemoryLogger, swap_logger
+from testtools import TestCase
+
+from galenapass.clocks import SystemClock
+from galenapass.peers import Peers
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import (
+    CrashSuspect,
+    Drain,
+    DrainAck,
+    LimitUse,
+    LinkChange,
+    Orders,
+    Settings,
+    TargetReport,
+    TargetUse,
+)
+
+BOUND = 20.0
+PERIOD = timedelta(milliseconds=100)
+
+
+def make_peers(number, join=(), domain="north", secret="s3cret", **options):
+    options.setdefault("period", PERIOD)
+    peers = Peers(
+        f"entry-{number}",
+        domain,
+        options.pop("incarnation", 1),
+        options.pop("listen", f"127.0.0.{number}:0"),
+        secret,
+        join,
+        SystemClock(),
+        Random(number),
+        **options,
+    )
+    peers.news = []
+    peers.heard.subscribe(peers.news.append)
+    return peers
+
+
+async def wait_until(condition):
+    end = time.monotonic() + BOUND
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"not seen within {BOUND} s: {condition}")
+        await asyncio.sleep(0.02)
+
+
+async def start_group(count, **options):
+    first = make_peers(1, **options)
+    await first.start()
+    group = [first]
+    for number in range(2, count + 1):
+        peers = make_peers(number, [first.address], **options)
+        await peers.start()
+        group.append(peers)
+    return group
+
+
+async def stop_group(group):
+    for peers in group:
+        await peers.stop()
+
+
+def run(scenario):
+    return asyncio.run(asyncio.wait_for(scenario, 3 * BOUND))
+
+
+def count_alive(peers):
+    return sum(h.state is HostState.ALIVE for h in peers.hosts.values())
+
+
+class LinksTest(TestCase):
+    def test_every_daemon_learns_of_every_other_from_one_address(self):
+        async def scenario():
+            group = await start_group(5)
+            await wait_until(lambda: all(count_alive(p) == 5 for p in group))
+            await wait_until(lambda: all(len(p.links) == 4 for p in group))
+            await stop_group(group)
+
+        run(scenario())
+
+    def test_each_kind_of_news_arrives_as_it_was_told(self):
+        items = [
+            Drain("runner-1", 3),
+            DrainAck("entry-1", 1, "runner-1", 3, 2),
+            CrashSuspect("f00d", 0, 1, frozenset({"runner-1"})),
+            LimitUse("entry-1", "guides", 5, 40),
+            Orders("north", 9, "[order 1]\n" * 500),
+            TargetUse("entry-1", "runner-1", 3, 15, 0),
+            TargetReport("runner-1", "b", 7, 4, 1, 12, 9, 2000, 16),
+        ]
+
+        async def scenario():
+            group = await start_group(3)
+            await wait_until(lambda: all(len(p.links) == 2 for p in group))
+            for item in items:
+                group[0].tell(item)
+            for peers in group[1:]:
+                await wait_until(lambda news=peers.news: set(items) <= set(news))
+            await stop_group(group)
+            for peers in group[1:]:
+                counts = [peers.news.count(item) for item in items]
+                self.assertEqual([1] * len(items), counts)
+
+        run(scenario())
+
+    def test_a_wrong_secret_is_refused_and_not_logged(self):
+        logger = MemoryLogger()
+        previous = swap_logger(logger)
+        self.addCleanup(swap_logger, previous)
+
+        async def scenario():
+            first = make_peers(1)
+            await first.start()
+            second = make_peers(2, [first.address], secret="gu3ss")
+            await second.start()
+            await wait_until(lambda: any("refused" in m["text"] for m in texts()))
+            self.assertEqual(({}, {}), (first.links, second.links))
+            self.assertEqual(["entry-1"], list(first.hosts))
+            await stop_group([first, second])
+
+        def texts():
+            return [m for m in logger.messages if "text" in m]
+
+        run(scenario())
+        for secret in ("s3cret", "gu3ss"):
+            self.assertNotIn(secret, str(logger.messages))
+
+    def test_an_empty_secret_is_an_error(self):
+        self.assertRaises(ValueError, make_peers, 1, secret="")
+
+    def test_a_restarted_daemon_is_linked_again_as_a_new_incarnation(self):
+        async def scenario():
+            first, second = await start_group(2)
+            await wait_until(lambda: count_alive(first) == 2)
+            address = second.address
+            await second.stop()
+            await wait_until(lambda: "entry-2" not in first.hosts)
+            again = make_peers(2, [first.address], incarnation=2, listen=address)
+            await again.start()
+            await wait_until(
+                lambda: (
+                    first.hosts.get("entry-2")
+                    and first.hosts["entry-2"].incarnation == 2
+                )
+            )
+            await wait_until(lambda: "entry-2" in first.links)
+            await stop_group([first, again])
+
+        run(scenario())
+
+    def test_an_incarnation_that_is_not_new_is_raised(self):
+        async def scenario():
+            first, second = await start_group(2)
+            await wait_until(lambda: count_alive(first) == 2)
+            second.leave()
+            await wait_until(lambda: first.hosts["entry-2"].state is HostState.LEAVING)
+            crash(second)
+            again = make_peers(2, [first.address])
+            await again.start()
+            await wait_until(lambda: again.incarnation == 2)
+            await wait_until(lambda: first.hosts["entry-2"].incarnation == 2)
+            self.assertIs(HostState.ALIVE, first.hosts["entry-2"].state)
+            await stop_group([first, again])
+
+        run(scenario())
+
+    def test_a_cut_heals(self):
+        async def scenario():
+            first, second = await start_group(2)
+            await wait_until(lambda: first.links and second.links)
+            first.tell(Settings(4, "[fleet]\n"))
+            await wait_until(lambda: second.settings.version == 4)
+            address = first.address
+            crash(first)
+            await wait_until(lambda: LinkChange("entry-1", False) in second.news)
+            second.tell(Settings(5, "[fleet]\na = b\n"))
+            again = make_peers(1, incarnation=2, listen=address)
+            await again.start()
+            await wait_until(lambda: again.settings == Settings(5, "[fleet]\na = b\n"))
+            await stop_group([second, again])
+
+        run(scenario())
+
+    def test_settings_that_fail_the_check_are_not_adopted(self):
+        async def scenario():
+            group = await start_group(2, check=lambda text: "bad" not in text)
+            await wait_until(lambda: all(p.links for p in group))
+            group[0].tell(Settings(2, "good"))
+            group[0].tell(Settings(3, "bad"))
+            await wait_until(lambda: group[1].settings.version == 2)
+            self.assertEqual(2, group[0].settings.version)
+            await stop_group(group)
+
+        run(scenario())
+
+    def test_a_failing_subscriber_does_not_end_a_link(self):
+        def fail(item):
+            raise ValueError(item)
+
+        async def scenario():
+            group = await start_group(2)
+            group[1].heard.subscribe(fail)
+            await wait_until(lambda: all(p.links for p in group))
+            link = group[1].links["entry-1"]
+            group[0].tell(Drain("runner-1", 1))
+            await wait_until(lambda: Drain("runner-1", 1) in group[1].news)
+            group[0].tell(Drain("runner-1", 2))
+            await wait_until(lambda: Drain("runner-1", 2) in group[1].news)
+            self.assertIs(link, group[1].links["entry-1"])
+            await stop_group(group)
+
+        run(scenario())
+
+
+def crash(peers):
+    """End a daemon without its last word."""
+    peers._rounds.cancel()
+    for link in peers.links.values():
+        link.close()
+    peers._listener._server.close()
+    for task in peers._dialler._dials.values():
+        task.cancel()
