Let a target's role be declared or left to placement

Cause: operators drive the system only by the file, and a first role that placement changes at once says nothing about what they want kept. Ruled out: a separate pin key, which would allow two keys that disagree. Change: role = auto (the default) or a role that the planner keeps; the round trip test draws both.

--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -32,6 +32,7 @@
     domain: str
     service: str = "assistant"
     role: str = "mixed"
+    declared_role: str = "auto"
     checks_fencing: bool = True
     options: tuple[str, ...] = ()
 
@@ -179,7 +180,7 @@
             f"domain = {spec.domain}",
         ]
         if spec.is_engine:
-            lines.append(f"role = {spec.role}")
+            lines.append(f"role = {spec.declared_role}")
             fencing = "yes" if spec.checks_fencing else "no"
             lines.append(f"checks fencing = {fencing}")
         return "\n".join([*lines, ""])
--- a/src/galenapass/settings/fleet_schema.py
+++ b/src/galenapass/settings/fleet_schema.py
@@ -29,7 +29,7 @@
 PLAIN = "plain"
 KINDS = {ENGINE: Kind.ENGINE, PLAIN: Kind.SERVICE}
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
-ROLES = {role.value: role for role in Role}
+ROLES: dict[str, Role | None] = {"auto": None} | {role.value: role for role in Role}
 URGENCIES = {urgency.name.lower(): urgency for urgency in Urgency}
 
 
@@ -154,8 +154,8 @@
                     "role",
                     "role",
                     parse_choice(ROLES),
-                    "First role: `mixed`, `prefill` or `decode`.",
-                    "mixed",
+                    "`auto`, or `mixed`, `prefill` or `decode` to keep it so.",
+                    "auto",
                     kind=ENGINE,
                 ),
                 Key(
--- a/src/galenapass/systems/targets.py
+++ b/src/galenapass/systems/targets.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from galenapass.tables.configurations import Configuration, TargetEntry
-from galenapass.tables.targets import Kind, Target, TargetState
+from galenapass.tables.targets import Kind, Role, Target, TargetState
 from galenapass.tables.world import World
 
 __all__ = ["apply_configuration", "apply_presence"]
@@ -55,7 +55,7 @@
         domain=entry.domain,
         kind=kind,
         service=entry.service,
-        role=entry.role,
+        role=entry.role or Role.MIXED,
         model=model,
         checks_fencing=entry.checks_fencing,
     )
--- a/src/galenapass/tables/configurations.py
+++ b/src/galenapass/tables/configurations.py
@@ -49,13 +49,13 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetEntry:
-    """Hold one declared target with its first role."""
+    """Hold one declared target; without a role, placement chooses it."""
 
     name: str
     service: str
     address: str
     domain: str
-    role: Role = Role.MIXED
+    role: Role | None = None
     checks_fencing: bool = True
 
 
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -77,7 +77,7 @@
             service := draw(st.sampled_from(names)),
             f"127.0.0.1:{port}",
             draw(NAMES),
-            draw(st.sampled_from(Role)) if service in engines else Role.MIXED,
+            draw(st.sampled_from([None, *Role])) if service in engines else None,
             draw(st.booleans()) if service in engines else True,
         )
         for port in range(1, draw(st.integers(1, 6)))
@@ -128,7 +128,7 @@
         lines += [f"[target {target.name}]", f"service = {target.service}"]
         lines += [f"address = {target.address}", f"domain = {target.domain}"]
         if configuration.services[target.service].kind is Kind.ENGINE:
-            lines += [f"role = {target.role.value}"]
+            lines += [f"role = {target.role.value if target.role else 'auto'}"]
             lines += [f"checks fencing = {'yes' if target.checks_fencing else 'no'}"]
     for caller in configuration.callers.values():
         lines += [f"[caller {caller.name}]", f"key sha256 = {caller.key_hash}"]
