--- a/stand_ins/engine_controls.py
+++ b/stand_ins/engine_controls.py
@@ -85,10 +85,7 @@
 
 async def put_faults(request: web.Request) -> web.Response:
     """Replace the faults in force."""
-    faults = read_faults(Faults, await request.read())
-    loop = asyncio.get_running_loop()
-    # The answer goes out first, as a crash drops this connection too.
-    loop.call_later(0.01, request.app[ENGINE].put_faults, faults)
+    request.app[ENGINE].put_faults(read_faults(Faults, await request.read()))
     return answer_json({})
 
 
--- a/stand_ins/engine_runtime.py
+++ b/stand_ins/engine_runtime.py
@@ -23,6 +23,7 @@
 ORPHAN_SECONDS = 10.0
 REPLAY_SECONDS = 30.0
 REPORT_SECONDS = 0.1
+CRASH_DELAY_SECONDS = 0.01
 CACHE_EVENT_SECONDS = 0.5
 _PREFILL = "prefill "
 
@@ -292,4 +293,6 @@
             stream.duplicates = faults.duplicate_events
         if faults.crash:
             faults.crash = False
-            self.crash()
+            # The answer goes out first, as a crash drops its connection too.
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_DELAY_SECONDS, self.crash)
--- a/stand_ins/engine_streams.py
+++ b/stand_ins/engine_streams.py
@@ -140,7 +140,13 @@
         self.detach(end)
 
     def give(self, number: int) -> None:
-        """Add one token and send it on."""
+        """Add the next token and send it on; ignore any other.
+
+        A step that was under way when the request was ended and sent again tells of
+        tokens that this stream does not wait for.
+        """
+        if number != self.produced + 1:
+            return
         self.produced = number
         if self.reader is not None:
             self._catch_up(self.reader)
--- /dev/null
+++ b/stand_ins/service.py
@@ -0,0 +1,161 @@
+"""Serve a stand-in for a plain service that counts each run of each key."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import xxhash
+from aiohttp import web
+
+from stand_ins.serving import (
+    BODY_LIMIT_BYTES,
+    Server,
+    answer_json,
+    drop_connection,
+    not_run,
+    read_faults,
+    run_until_stopped,
+)
+
+__all__ = ["SERVICE", "Service", "build_app", "main"]
+
+RESTART_SECONDS = 2.0
+CRASH_DELAY_SECONDS = 0.01
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold the faults in force; ``delay`` is in seconds."""
+
+    delay: float = 0.0
+    lose_answers: int = 0
+    refuse: int = 0
+    down: bool = False
+    crash: bool = False
+    crash_on: str = ""
+
+
+@dataclass(slots=True)
+class Account:
+    """Hold what ran; ``runs`` by idempotency key, the others by request id.
+
+    A run is counted when it begins; it goes on when its caller leaves.
+    """
+
+    calls: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    requests: Counter[str] = field(default_factory=Counter)
+    runs_without_key: int = 0
+    refused: int = 0
+    lost_answers: int = 0
+    crashes: int = 0
+
+
+class Service:
+    """Hold the faults and the account."""
+
+    def __init__(self, restart: float = RESTART_SECONDS):
+        self.faults = Faults()
+        self.account = Account()
+        self.server: Server | None = None
+        self._restart = restart
+        self._returning: asyncio.Task[None] | None = None
+
+    def put_faults(self, faults: Faults) -> None:
+        """Replace the faults in force."""
+        self.faults = faults
+        if faults.crash:
+            faults.crash = False
+            # The answer goes out first, as a crash drops its connection too.
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_DELAY_SECONDS, self.crash)
+
+    def crash(self) -> None:
+        """Drop every connection and stay away for a while."""
+        self.account.crashes += 1
+        if self.server is not None:
+            self.server.drop_connections()
+            away = self.server.stay_away(self._restart)
+            self._returning = asyncio.create_task(away)
+
+
+SERVICE = web.AppKey("service", Service)
+
+
+async def _run(request: web.Request) -> web.StreamResponse:
+    service = request.app[SERVICE]
+    body = await request.read()
+    service.account.calls += 1
+    if service.faults.down:
+        return drop_connection(request)
+    if service.faults.refuse > 0:
+        service.faults.refuse -= 1
+        service.account.refused += 1
+        return not_run("refused")
+    answer = _count_run(request, body)
+    if service.faults.crash_on and service.faults.crash_on.encode() in body:
+        service.crash()
+        return drop_connection(request)
+    await asyncio.sleep(service.faults.delay)
+    if service.faults.lose_answers > 0:
+        service.faults.lose_answers -= 1
+        service.account.lost_answers += 1
+        return drop_connection(request)
+    return answer_json(answer)
+
+
+def _count_run(request: web.Request, body: bytes) -> dict[str, Any]:
+    account = request.app[SERVICE].account
+    key = request.headers.get("Idempotency-Key")
+    name = request.headers.get("X-Request-Id", "")
+    account.requests[name] += 1
+    if key is None:
+        account.runs_without_key += 1
+    else:
+        account.runs[key] += 1
+    return {
+        "method": request.method,
+        "path": request.path_qs,
+        "key": key,
+        "request": name,
+        "body": xxhash.xxh64_hexdigest(body),
+        "run": account.runs[key] if key is not None else 1,
+    }
+
+
+async def _put_faults(request: web.Request) -> web.Response:
+    request.app[SERVICE].put_faults(read_faults(Faults, await request.read()))
+    return answer_json({})
+
+
+async def _give_account(request: web.Request) -> web.Response:
+    return answer_json(request.app[SERVICE].account)
+
+
+def build_app(restart: float = RESTART_SECONDS) -> web.Application:
+    """Return the application; ``restart`` is the seconds away after a crash."""
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app[SERVICE] = Service(restart)
+    app.router.add_post("/stand-in/faults", _put_faults)
+    app.router.add_get("/stand-in/account", _give_account)
+    app.router.add_route("*", "/{path:.*}", _run)
+    return app
+
+
+def attach_server(app: web.Application, server: Server) -> None:
+    """Let a crash make the server stay away."""
+    app[SERVICE].server = server
+
+
+@click.command()
+@click.option("--listen", default="127.0.0.1:0", help="IP:PORT; port 0 picks one.")
+@click.option("--restart", default=RESTART_SECONDS, help="Seconds away in a crash.")
+def main(listen: str, restart: float) -> None:
+    """Serve a plain service on loopback until SIGTERM."""
+    run_until_stopped(lambda: build_app(restart), listen, attach_server)
+
+
+if __name__ == "__main__":
+    main()
