--- /dev/null
+++ b/src/galenapass/settings/fleet.py
@@ -0,0 +1,123 @@
+"""Read an operators' file into the configuration of the fleet."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from galenapass.settings.fleet_schema import ENGINE, FLEET_SCHEMA, KIND_NAMES
+from galenapass.settings.ini import Block, Reading, read_defaults, read_ini
+from galenapass.settings.schema import Fault
+from galenapass.tables.configurations import (
+    Caller,
+    Configuration,
+    Service,
+    TargetEntry,
+)
+
+__all__ = ["parse_configuration"]
+
+
+def parse_configuration(
+    text: str, version: int, source: str
+) -> Result[Configuration, list[Fault]]:
+    """Parse an operators' file or return every fault in it."""
+    reading = read_ini(text, source, FLEET_SCHEMA)
+    for check in CHECKS:
+        check(reading)
+    if reading.faults:
+        return Err(reading.faults)
+    return Ok(_build_configuration(reading, text, version))
+
+
+def _build_configuration(reading: Reading, text: str, version: int) -> Configuration:
+    values = read_defaults(FLEET_SCHEMA)
+    for block in reading.find_blocks("fleet"):
+        values.update(block.values)
+    return Configuration(
+        version=version,
+        text=text,
+        services=_build_table(Service, reading.find_blocks("service")),
+        targets=_build_table(TargetEntry, reading.find_blocks("target")),
+        callers=_build_table(Caller, reading.find_blocks("caller")),
+        **values,
+    )
+
+
+def _build_table(make: Any, blocks: Iterable[Block]) -> dict[str, Any]:
+    return {
+        block.name: make(name=block.name, **_drop_absent(block.values))
+        for block in blocks
+    }
+
+
+def _drop_absent(values: dict[str, Any]) -> dict[str, Any]:
+    return {field: value for field, value in values.items() if value is not None}
+
+
+def _check_kinds(reading: Reading) -> None:
+    kinds = _read_kinds(reading)
+    for block in reading.find_blocks("service"):
+        _check_keys(reading, block, kinds[block.name])
+        if kinds[block.name] == ENGINE and "model" not in block.given:
+            reading.add_fault(block, "model", "the model of an engine service")
+    for block in reading.find_blocks("target"):
+        _check_keys(reading, block, kinds.get(block.values.get("service", ""), ""))
+
+
+def _check_keys(reading: Reading, block: Block, kind: str) -> None:
+    for key in block.section.keys:
+        if kind and key.kind not in ("", kind) and key.name in block.given:
+            reading.add_fault(block, key.name, f"no such key with kind `{kind}`")
+
+
+def _check_names(reading: Reading) -> None:
+    known = {block.name for block in reading.find_blocks("service")}
+    expected = "a service of this file: " + ", ".join(sorted(known))
+    for block in reading.find_blocks("target"):
+        if block.values.get("service", "") not in known | {""}:
+            reading.add_fault(block, "service", expected)
+    for block in reading.find_blocks("caller"):
+        if block.values.get("services", known) - known:
+            reading.add_fault(block, "services", f"only {expected}")
+
+
+def _check_floors(reading: Reading) -> None:
+    targets = reading.find_blocks("target")
+    for block in reading.find_blocks("service"):
+        # A target whose service cannot be read may be one of this service.
+        count = sum(
+            target.values.get("service", block.name) == block.name for target in targets
+        )
+        for key in ("prefill floor", "decode floor"):
+            field = "floor_" + key.split()[0]
+            if block.values.get(field, 0) > count:
+                reading.add_fault(block, key, f"at most the {count} targets declared")
+
+
+def _check_shared(section: str, key: str, field: str, reading: Reading) -> None:
+    owners: dict[str, str] = {}
+    for block in reading.find_blocks(section):
+        value = block.values.get(field)
+        if value in owners:
+            reading.add_fault(block, key, f"another value than [{owners[value]}] has")
+        elif value is not None:
+            owners[value] = block.header
+
+
+def _check_addresses(reading: Reading) -> None:
+    _check_shared("target", "address", "address", reading)
+
+
+def _check_hashes(reading: Reading) -> None:
+    _check_shared("caller", "key sha256", "key_hash", reading)
+
+
+def _read_kinds(reading: Reading) -> dict[str, str]:
+    return {
+        block.name: KIND_NAMES.get(block.values.get("kind"), "")  # type: ignore
+        for block in reading.find_blocks("service")
+    }
+
+
+CHECKS = (_check_kinds, _check_names, _check_floors, _check_addresses, _check_hashes)
