Prove gossip and settings spread with stateful tests

Cause: rows and settings must converge after loss, cuts and restarts. Change: state machines over four daemons, a window property for the byte budget, patches, codec round trip and size bounds; ring of domains and pause detection in membership.

--- a/src/galenapass/peers/links.py
+++ b/src/galenapass/peers/links.py
@@ -50,6 +50,7 @@
     """Hold one open stream and what the partner said of itself."""
 
     __slots__ = (
+        "_sending",
         "_stream",
         "answered",
         "asking",
@@ -70,6 +71,7 @@
 
     def __init__(self, stream: Any, hello: wire.Hello, dialled: bool, name: str):
         self._stream: _Stream = stream
+        self._sending = asyncio.Lock()
         self.hello = hello
         self.dialled = dialled
         self.name = name
@@ -88,7 +90,8 @@
     async def send(self, batch: wire.Batch) -> int:
         """Send one batch and return its size in bytes."""
         size = batch.ByteSize()
-        await self._stream.send_message(batch)
+        async with self._sending:
+            await self._stream.send_message(batch)
         self.sent += size
         return size
 
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -37,6 +37,7 @@
 JOIN_CHANCE = 0.02
 SILENCE_TIMEOUT = timedelta(seconds=8)
 SURPLUS_LINK_AGE = timedelta(seconds=30)
+LAST_WORD_TIMEOUT = 1.0
 EXPIRE_ROUNDS = 10
 FRAME_BYTES = 14
 PROMPT_RANKS = (Rank.URGENT, Rank.ORDERS)
@@ -116,7 +117,7 @@
         self._note_self()
         for link in list(self.links.values()):
             with suppress(*LINK_ERRORS):
-                await self._send(link)
+                await asyncio.wait_for(self._send(link), LAST_WORD_TIMEOUT)
         await self._dialler.stop()
         await self._listener.stop()
 
@@ -174,6 +175,8 @@
                 incarnation=change.incarnation,
                 state=change.after.value,
             )
+            if change.after is HostState.GONE:
+                gossip.forget_host(self._table, change.host, change.incarnation)
             self._emit(change)
 
     def _emit(self, item: object) -> None:
@@ -190,7 +193,7 @@
     # Links
 
     def _choose_links(self, now: timedelta) -> None:
-        partners = membership.choose_partners(self._members, self._random)
+        partners = membership.choose_partners(self._members, now, self._random)
         for name in sorted(partners - self.links.keys()):
             self._dialler.open(self.hosts[name].address)
         if not self.links or self._random.random() < JOIN_CHANCE:
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -11,9 +11,10 @@
 
 from galenapass.systems.kinds import KINDS, Kind, Reach, order_host
 from galenapass.tables.gossip import GossipTable, Key, Queue, Rank, Row
+from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import HostNews, Item, TargetReport
 
-__all__ = ["charge", "close_link", "expire", "open_link", "put", "take"]
+__all__ = ["charge", "close_link", "expire", "forget_host", "open_link", "put", "take"]
 
 BURST_SECONDS = 4.0
 FAR_HEARTBEATS = 10
@@ -91,6 +92,17 @@
     queue.credit = min(burst, max(queue.credit - size, floor))
 
 
+def forget_host(table: GossipTable, host: str, incarnation: int) -> None:
+    """Stop spreading an ended incarnation, but for its own last word."""
+    rows = table.rows.get(HostNews, {})
+    key: Key = (HostNews, host, "")
+    row: Any = rows.get(key)
+    if row is None or row.item.state is HostState.GONE:
+        return
+    if row.item.incarnation <= incarnation:
+        _drop(table, key)
+
+
 def expire(table: GossipTable, now: timedelta) -> None:
     """Forget the rows whose lifetime has passed."""
     for rows in table.rows.values():
--- a/src/galenapass/systems/kinds.py
+++ b/src/galenapass/systems/kinds.py
@@ -116,7 +116,7 @@
     CrashSuspect: Kind(
         rank=Rank.URGENT,
         reach=Reach.FLEET,
-        lifetime=timedelta(minutes=10),
+        lifetime=timedelta(days=1),
         limit=2_000,
         key=lambda item: (item.fingerprint, ""),
         merge=_merge_suspect,
--- a/src/galenapass/systems/membership.py
+++ b/src/galenapass/systems/membership.py
@@ -27,9 +27,11 @@
 
 SUSPECT_AFTER = timedelta(seconds=5)
 FAR_SUSPECT_AFTER = timedelta(seconds=40)
+PAUSE = timedelta(seconds=2.5)
 UNLISTED_GRACE = timedelta(seconds=60)
 FORGET_AFTER = timedelta(hours=1)
 SMALL_DOMAIN = 8
+BRIDGES = 2
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,7 +51,8 @@
 
     ``counters`` hold the last heartbeat of each host, ``listed`` the incarnations
     in the platform's last list, ``seen`` when a host was first known, ``ended``
-    the incarnation that is gone for good and when that was learnt.
+    the incarnation that is gone for good and when that was learnt. ``resumed`` is
+    when this daemon last came back from a pause, during which it heard nobody.
     """
 
     host: str
@@ -59,6 +62,8 @@
     listed: dict[str, int]
     seen: dict[str, timedelta]
     ended: dict[str, tuple[int, timedelta]]
+    resumed: timedelta = timedelta(0)
+    swept: timedelta | None = None
 
     @classmethod
     def make(cls, host: str, domain: str, hosts: dict[str, Host]) -> "Membership":
@@ -91,6 +96,9 @@
 
 def sweep(members: Membership, now: timedelta) -> list[HostChange]:
     """Suspect the silent hosts and forget what ended long ago."""
+    if members.swept is not None and now - members.swept > PAUSE:
+        members.resumed = now
+    members.swept = now
     changes: list[HostChange] = []
     for host in list(members.hosts.values()):
         if host.state is HostState.ALIVE and _is_silent(members, host, now):
@@ -116,7 +124,7 @@
     return changes
 
 
-def choose_partners(members: Membership, random: Random) -> set[str]:
+def choose_partners(members: Membership, now: timedelta, random: Random) -> set[str]:
     """Choose which hosts this daemon opens links to.
 
     A small domain is meshed, the lower identifier dials. In a larger one each dials
@@ -124,19 +132,29 @@
     in another domain and one silent host, which heals a cut.
     """
     known = [h for h in members.hosts.values() if h.id != members.host]
-    live = [h for h in known if h.state in (HostState.ALIVE, HostState.LEAVING)]
+    silent = sorted(h.id for h in known if _is_silent(members, h, now))
+    live = [h for h in known if not _is_silent(members, h, now)]
     near = sorted(h.id for h in live if h.domain == members.domain)
-    far = [h for h in live if h.domain != members.domain]
-    silent = sorted(h.id for h in known if h.state is HostState.SUSPECT)
     partners = _choose_near(members.host, near)
-    if far:
-        domain = _pick(members.host, {h.domain for h in far})
-        partners.add(_pick(members.host, {h.id for h in far if h.domain == domain}))
+    partners |= _choose_far(members, near, live)
     if silent:
         partners.add(random.choice(silent))
     return partners
 
 
+def _choose_far(members: Membership, near: list[str], live: list[Host]) -> set[str]:
+    """Choose a host of another domain; the bridges close a ring of domains."""
+    domains = {h.domain for h in live} - {members.domain}
+    if not domains:
+        return set()
+    if members.host in sorted([*near, members.host])[:BRIDGES]:
+        later = [domain for domain in domains if domain > members.domain]
+        domain = min(later or domains)
+    else:
+        domain = _pick(members.host, domains)
+    return {_pick(members.host, {h.id for h in live if h.domain == domain})}
+
+
 def _begin_incarnation(
     members: Membership, host: Host | None, news: HostNews, now: timedelta
 ) -> list[HostChange]:
@@ -192,9 +210,13 @@
 def _is_silent(members: Membership, host: Host, now: timedelta) -> bool:
     if host.id == members.host:
         return False
-    since = host.heard if host.heard is not None else members.seen[host.id]
     bound = SUSPECT_AFTER if host.domain == members.domain else FAR_SUSPECT_AFTER
-    return now - since > bound
+    return now - _find_last_heard(members, host) > bound
+
+
+def _find_last_heard(members: Membership, host: Host) -> timedelta:
+    heard = host.heard if host.heard is not None else members.seen[host.id]
+    return max(heard, members.resumed)
 
 
 def _apply_listed(
@@ -231,8 +253,7 @@
         return False
     if before.get(host.id) == host.incarnation:
         return True
-    since = host.heard if host.heard is not None else members.seen[host.id]
-    return now - since > UNLISTED_GRACE
+    return now - _find_last_heard(members, host) > UNLISTED_GRACE
 
 
 def _choose_near(own: str, near: list[str]) -> set[str]:
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,320 @@
+"""Test that rows reach everyone, the urgent first, within a budget of bytes."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from galenapass.peers.codec import Decoder, Encoder
+from galenapass.systems import gossip
+from galenapass.systems.kinds import KINDS, Reach
+from galenapass.systems.levels import LEVELS, find_level
+from galenapass.tables.gossip import GossipTable
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import (
+    CrashSuspect,
+    Drain,
+    DrainAck,
+    HostNews,
+    LimitUse,
+    Orders,
+    TargetReport,
+    TargetUse,
+)
+
+ZERO = timedelta(0)
+NAMES = ["a", "b", "c"]
+name = st.sampled_from(NAMES)
+small = st.integers(0, 3)
+amount = st.integers(0, 10**9)
+
+ITEMS = {
+    HostNews: st.builds(
+        HostNews, name, name, st.just("north"), small, small, st.sampled_from(HostState)
+    ).filter(lambda news: news.state is not HostState.SUSPECT),
+    Drain: st.builds(Drain, name, small, st.booleans()),
+    DrainAck: st.builds(DrainAck, name, small, name, small, small),
+    CrashSuspect: st.builds(
+        CrashSuspect, name, small, small, st.frozensets(name, max_size=3)
+    ),
+    Orders: st.builds(Orders, name, small, st.just("")).map(
+        lambda orders: Orders(orders.domain, orders.version, "x" * orders.version)
+    ),
+    LimitUse: st.builds(LimitUse, name, name, small, st.just(1)),
+    TargetUse: st.builds(TargetUse, st.just("a"), name, amount, amount, amount),
+    TargetReport: st.builds(
+        TargetReport, name, name, small, amount, amount, amount, small, small, small
+    ),
+}
+any_item = st.one_of(*ITEMS.values())
+ORDERED = [kind for kind in ITEMS if kind not in (TargetUse, TargetReport, HostNews)]
+triples = st.sampled_from(ORDERED).flatmap(
+    lambda kind: st.tuples(ITEMS[kind], ITEMS[kind], ITEMS[kind])
+)
+
+
+def find_order(item):
+    fields = {LimitUse: ("sequence",), Orders: ("version",)}
+    return tuple(getattr(item, field) for field in fields.get(type(item), ()))
+
+
+class MergeTest(TestCase):
+    @given(triples)
+    def test_the_order_of_arrival_does_not_matter(self, items):
+        """Only what the version of a kind tells apart is compared."""
+        first, second, third = items
+        key = KINDS[type(first)].key
+        if not key(first) == key(second) == key(third):
+            return
+        merge = KINDS[type(first)].merge
+        one = merge(merge(first, second), third)
+        other = merge(merge(third, second), first)
+        if isinstance(one, CrashSuspect):
+            self.assertEqual(one, other)
+        self.assertEqual(find_order(one), find_order(other))
+        self.assertIs(one, merge(one, first))
+
+    @given(amount)
+    def test_a_level_is_never_below_its_amount_and_stays_itself(self, value):
+        level = LEVELS[find_level(value)]
+        self.assertGreaterEqual(level, min(value, LEVELS[-1]))
+        self.assertLessEqual(level, max(value * 1.1, value + 1))
+        self.assertEqual(level, LEVELS[find_level(level)])
+
+    def test_a_use_at_the_same_level_is_not_sent_again(self):
+        table = GossipTable("a", "north")
+        gossip.put(table, TargetUse("a", "t", 1000, 0, 0), ZERO)
+        gossip.open_link(table, "b", "b", "north", ZERO)
+        seconds = timedelta(seconds=10)
+        self.assertEqual(1, len(gossip.take(table, "b", seconds, 1000)))
+        self.assertIsNone(gossip.put(table, TargetUse("a", "t", 1001, 0, 0), ZERO))
+        self.assertEqual([], gossip.take(table, "b", seconds, 1000))
+
+    def test_a_report_of_a_new_incarnation_goes_before_the_old_ones(self):
+        table = GossipTable("a", "north")
+        old = TargetReport("t", "zz", 900, 1, 0, 0, 0, 10, 16)
+        new = TargetReport("t", "aa", 1, 0, 0, 0, 0, 10, 16)
+        gossip.put(table, old, ZERO)
+        put = gossip.put(table, new, ZERO)
+        self.assertEqual(("aa", 1, 1), (put.incarnation, put.sequence, put.generation))
+        self.assertIsNone(gossip.put(table, old, ZERO, source="b"))
+
+
+class BudgetTest(TestCase):
+    @given(
+        st.lists(st.tuples(st.integers(0, 5000), st.lists(any_item, max_size=30))),
+        st.integers(10, 2000),
+    )
+    def test_no_stretch_of_time_goes_over_the_rate(self, steps, rate):
+        table = GossipTable("a", "north")
+        gossip.open_link(table, "b", "b", "north", ZERO)
+        now, taken, largest = ZERO, [], 0
+        for wait, items in steps:
+            now += timedelta(milliseconds=wait)
+            for item in items:
+                gossip.put(table, item, now)
+            sizes = [KINDS[type(i)].size(i) for i in gossip.take(table, "b", now, rate)]
+            largest = max([largest, *sizes])
+            taken.append((now.total_seconds(), sum(sizes)))
+        for start in range(len(taken)):
+            total = 0
+            for end in range(start, len(taken)):
+                total += taken[end][1]
+                elapsed = taken[end][0] - taken[start][0]
+                bound = rate * (elapsed + 2 * gossip.BURST_SECONDS) + largest
+                self.assertLessEqual(total, bound)
+
+    @given(st.lists(any_item, max_size=40))
+    def test_the_most_urgent_rows_go_first_and_each_goes_once(self, items):
+        table = GossipTable("a", "north")
+        gossip.open_link(table, "b", "b", "north", ZERO)
+        for item in items:
+            gossip.put(table, item, ZERO)
+        taken = gossip.take(table, "b", timedelta(seconds=60), 100_000)
+        ranks = [KINDS[type(item)].rank for item in taken]
+        self.assertEqual(sorted(ranks), ranks)
+        rows = [row.item for rows in table.rows.values() for row in rows.values()]
+        self.assertEqual(sorted(map(repr, rows)), sorted(map(repr, taken)))
+        self.assertEqual([], gossip.take(table, "b", timedelta(seconds=70), 100_000))
+
+    def test_a_drain_goes_at_once_while_load_waits_for_its_turn(self):
+        table = GossipTable("a", "north")
+        gossip.open_link(table, "b", "b", "north", ZERO)
+        second = timedelta(seconds=1)
+        for number in range(1000):
+            gossip.put(table, TargetUse("a", f"t{number}", 1, 1, 1), ZERO)
+        self.assertLess(len(gossip.take(table, "b", second, 100)), 1000)
+        gossip.charge(table, "b", 10**6, 100)
+        gossip.put(table, Drain("t1", 1), ZERO)
+        self.assertEqual([Drain("t1", 1)], gossip.take(table, "b", second, 100))
+
+    def test_what_changes_faster_than_a_link_carries_is_merged(self):
+        table = GossipTable("a", "north")
+        gossip.open_link(table, "b", "b", "north", ZERO)
+        for turn in range(5000):
+            gossip.put(table, Drain("t1", turn), ZERO)
+            gossip.put(table, CrashSuspect(f"f{turn}", 0, 1, frozenset()), ZERO)
+        limit = KINDS[CrashSuspect].limit
+        self.assertEqual(limit, len(table.rows[CrashSuspect]))
+        pending = sum(len(p) for p in table.queues["b"].pending)
+        self.assertEqual(limit + 1, pending)
+        gossip.expire(table, timedelta(days=2))
+        self.assertEqual(0, sum(len(p) for p in table.queues["b"].pending))
+
+    @given(st.lists(any_item, max_size=40))
+    def test_sizes_bound_what_a_batch_takes_without_names(self, items):
+        encoder = Encoder()
+        encoder.encode(items, 7)
+        batch = encoder.encode(items, 7)
+        self.assertEqual(0, len(batch.names))
+        sizes = sum(KINDS[type(item)].size(item) for item in items)
+        self.assertLessEqual(batch.ByteSize(), sizes + 2 + 4 * len(ITEMS))
+
+    @given(st.lists(st.lists(any_item, max_size=20), max_size=4))
+    def test_a_partner_reads_what_was_written(self, batches):
+        encoder, decoder = Encoder(), Decoder("a")
+        for items in batches:
+            read = decoder.decode(encoder.encode(items, 7))
+            self.assertEqual(
+                sorted(repr(round_amounts(item)) for item in items),
+                sorted(map(repr, read)),
+            )
+
+
+def round_amounts(item):
+    if isinstance(item, TargetUse):
+        amounts = (item.requests, item.prefill, item.pieces)
+        levels = [LEVELS[find_level(value)] for value in amounts]
+        return TargetUse(item.host, item.target, *levels)
+    if isinstance(item, TargetReport):
+        return TargetReport(
+            item.target,
+            item.incarnation,
+            item.sequence,
+            *(
+                LEVELS[find_level(value)]
+                for value in (
+                    item.running,
+                    item.waiting,
+                    item.prefill_queued,
+                    item.pieces_used,
+                )
+            ),
+            item.pieces_total,
+            item.piece_tokens,
+            item.generation,
+        )
+    return item
+
+
+class GossipMachine(RuleBasedStateMachine):
+    """Four daemons on a chain; links break and lose what is under way."""
+
+    HOSTS = ("a", "b", "c", "d")
+    PAIRS = (("a", "b"), ("b", "c"), ("c", "d"))
+    SPREAD = (Drain, DrainAck, CrashSuspect, LimitUse, HostNews)
+
+    @initialize()
+    def begin(self):
+        self.now = ZERO
+        self.tables = {host: GossipTable(host, "north") for host in self.HOSTS}
+        self.wires = {}
+        for pair in self.PAIRS:
+            self.connect(pair)
+
+    def connect(self, pair):
+        for one, other in (pair, pair[::-1]):
+            gossip.open_link(self.tables[one], other, other, "north", self.now)
+            self.wires[one, other] = []
+
+    @rule(host=st.sampled_from(HOSTS), item=any_item)
+    def tell(self, host, item):
+        if type(item) in self.SPREAD:
+            gossip.put(self.tables[host], item, self.now)
+
+    @rule(pair=st.sampled_from(PAIRS))
+    def cut(self, pair):
+        for one, other in (pair, pair[::-1]):
+            gossip.close_link(self.tables[one], other)
+            self.wires.pop((one, other), None)
+
+    @rule(pair=st.sampled_from(PAIRS))
+    def heal(self, pair):
+        if pair not in self.wires:
+            self.connect(pair)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host):
+        for pair in self.PAIRS:
+            if host in pair:
+                self.cut(pair)
+        self.tables[host] = GossipTable(host, "north")
+
+    @rule(pair=st.sampled_from(PAIRS), back=st.booleans(), rate=st.integers(5, 200))
+    def send(self, pair, back, rate):
+        pair = pair[::-1] if back else pair
+        if pair not in self.wires:
+            return
+        self.now += timedelta(seconds=1)
+        self.wires[pair] += gossip.take(self.tables[pair[0]], pair[1], self.now, rate)
+
+    @rule(pair=st.sampled_from(PAIRS), back=st.booleans(), count=st.integers(1, 5))
+    def deliver(self, pair, back, count):
+        pair = pair[::-1] if back else pair
+        wire = self.wires.get(pair, [])
+        for item in wire[:count]:
+            gossip.put(self.tables[pair[1]], item, self.now, source=pair[0])
+        del wire[:count]
+
+    @invariant()
+    def queues_hold_only_rows(self):
+        for table in getattr(self, "tables", {}).values():
+            keys = {key for rows in table.rows.values() for key in rows}
+            for queue in table.queues.values():
+                assert all(set(pending) <= keys for pending in queue.pending)
+
+    def teardown(self):
+        """Heal every link: all daemons must come to the same rows."""
+        if not hasattr(self, "tables"):
+            return
+        for pair in self.PAIRS:
+            self.heal(pair)
+        for _ in range(3 * len(self.HOSTS)):
+            for one, other in list(self.wires):
+                self.send((one, other), False, 10**6)
+                self.deliver((one, other), False, 10**6)
+        views = [self.view(table) for table in self.tables.values()]
+        assert all(view == views[0] for view in views), views
+
+    def view(self, table):
+        rows = [row.item for rows in table.rows.values() for row in rows.values()]
+        return {
+            (type(item), KINDS[type(item)].key(item)): find_version(item)
+            for item in rows
+            if KINDS[type(item)].reach is not Reach.LINK
+        }
+
+
+def find_version(item):
+    """Return what tells two rows of one key apart for their kind's merge."""
+    versions = {
+        HostNews: lambda: (item.incarnation, item.state, item.counter),
+        Drain: lambda: (item.epoch, item.ended),
+        DrainAck: lambda: (item.incarnation, item.epoch, item.in_flight),
+        CrashSuspect: lambda: (item.round, item.count, item.targets),
+        LimitUse: lambda: item.sequence,
+    }
+    return versions[type(item)]()
+
+
+class ConvergenceTest(TestCase):
+    def test_all_daemons_come_to_the_same_rows(self):
+        run_state_machine_as_test(GossipMachine)
--- /dev/null
+++ b/tests/test_spreading.py
@@ -0,0 +1,171 @@
+"""Test that settings only go up and reach every daemon."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from galenapass.systems import spreading
+from galenapass.systems.spreading import Patch, Spread
+from galenapass.tables.peers import Settings
+
+DAEMONS = range(4)
+daemon = st.sampled_from(DAEMONS)
+line = st.sampled_from(["[caller a]\n", "rate = 1 req/s\n", "x = y\n", "\u2028", "z"])
+text = st.lists(line, max_size=8).map("".join)
+
+
+def accept(settings_text):
+    return "refused" not in settings_text
+
+
+class PatchTest(TestCase):
+    @given(text, text)
+    def test_a_patch_gives_exactly_the_new_text(self, old, new):
+        partner = Spread(Settings(4, old))
+        sender = Spread(Settings(4, old))
+        self.assertTrue(spreading.adopt(sender, Settings(9, new), accept))
+        patch = spreading.answer(sender, 4, False)
+        self.assertIsInstance(patch, Patch)
+        self.assertEqual(Settings(9, new), spreading.apply_patch(partner, patch))
+
+    def test_a_patch_on_another_text_is_not_taken(self):
+        sender = Spread(Settings(1, "a\nb\nc\n"))
+        spreading.adopt(sender, Settings(2, "a\nd\nc\n"), accept)
+        patch = spreading.answer(sender, 1, False)
+        for other in (Settings(1, "a\nb\ne\n"), Settings(0, "")):
+            self.assertIsNone(spreading.apply_patch(Spread(other), patch))
+
+    def test_one_changed_line_of_a_large_file_makes_a_small_patch(self):
+        lines = [f"[caller {n}]\nrate = 40 req/s\n" for n in range(1000)]
+        sender = Spread(Settings(1, "".join(lines)))
+        lines[500] = "[caller 500]\nrate = 50 req/s\n"
+        spreading.adopt(sender, Settings(2, "".join(lines)), accept)
+        self.assertEqual("rate = 50 req/s\n", spreading.answer(sender, 1, False).text)
+
+    def test_one_partner_at_a_time_is_asked_and_another_when_it_is_silent(self):
+        spread = Spread()
+        versions = {"a": 3, "b": 3}
+        first = spreading.choose_source(spread, versions, timedelta(0))
+        soon = spreading.choose_source(spread, versions, timedelta(seconds=1))
+        later = spreading.choose_source(spread, versions, timedelta(seconds=3))
+        self.assertIsNone(soon)
+        self.assertEqual({"a", "b"}, {first, later})
+
+    def test_settings_that_fail_the_check_are_asked_for_once(self):
+        spread = Spread(Settings(2, "kept"))
+        self.assertFalse(spreading.adopt(spread, Settings(3, "refused"), accept))
+        self.assertIsNone(spreading.choose_source(spread, {"a": 3}, timedelta(0)))
+        self.assertEqual("a", spreading.choose_source(spread, {"a": 4}, timedelta(0)))
+        self.assertEqual(2, spread.current.version)
+
+
+class SpreadingMachine(RuleBasedStateMachine):
+    """Four daemons, a platform that may be away, and messages in any order.
+
+    A message stays in the bag once delivered, so duplicates, loss and reordering
+    all happen.
+    """
+
+    @initialize(first=text)
+    def begin(self, first):
+        self.platform = [Settings(0, ""), Settings(3, first)]
+        self.away = False
+        self.daemons = {number: Spread() for number in DAEMONS}
+        self.highest = dict.fromkeys(DAEMONS, 0)
+        self.bag = []
+        self.now = timedelta(0)
+
+    @rule(new=text, step=st.integers(1, 5))
+    def write(self, new, step):
+        if not self.away:
+            self.platform.append(Settings(self.platform[-1].version + step, new))
+
+    @rule()
+    def lose_platform(self):
+        self.away = not self.away
+
+    @rule(number=daemon, stale=st.integers(0, 3))
+    def watch(self, number, stale):
+        """Deliver the platform's text, of now or as a late watch shows it."""
+        if not self.away:
+            place = max(0, len(self.platform) - 1 - stale)
+            spreading.adopt(self.daemons[number], self.platform[place], accept)
+
+    @rule(sender=daemon, number=daemon, wanted=st.booleans())
+    def send(self, sender, number, wanted):
+        """Answer a partner whose version was heard at any time."""
+        version = self.daemons[number].current.version
+        answer = spreading.answer(self.daemons[sender], version, wanted)
+        if answer is not None:
+            self.bag.append((number, answer))
+
+    @rule(place=st.integers(0, 200))
+    def deliver(self, place):
+        if self.bag:
+            self.take(*self.bag[place % len(self.bag)])
+
+    @rule(number=daemon)
+    def restart(self, number):
+        """Start anew with the platform away: only the peers know the settings."""
+        self.daemons[number] = Spread()
+        self.highest[number] = 0
+
+    @rule(place=st.integers(0, 200))
+    def corrupt(self, place):
+        """Deliver a patch to a daemon that it was not made for."""
+        if self.bag:
+            number, answer = self.bag[place % len(self.bag)]
+            self.take((number + 1) % len(DAEMONS), answer)
+
+    def take(self, number, answer):
+        spread = self.daemons[number]
+        if isinstance(answer, Patch):
+            answer = spreading.apply_patch(spread, answer)
+        if answer is not None:
+            spreading.adopt(spread, answer, accept)
+
+    @invariant()
+    def versions_never_revert_and_texts_are_the_platforms(self):
+        if not hasattr(self, "daemons"):
+            return
+        texts = {settings.version: settings.text for settings in self.platform}
+        for number, spread in self.daemons.items():
+            assert spread.current.version >= self.highest[number]
+            self.highest[number] = spread.current.version
+            assert spread.current.text == texts[spread.current.version]
+            assert len(spread.earlier) <= spreading.KEPT_VERSIONS
+
+    def teardown(self):
+        """Heal the links, the platform away: all move to the highest version."""
+        if not hasattr(self, "daemons"):
+            return
+        top = max(spread.current.version for spread in self.daemons.values())
+        for _ in DAEMONS:
+            self.now += timedelta(seconds=3)
+            for number in DAEMONS:
+                self.ask(number)
+        assert {s.current.version for s in self.daemons.values()} == {top}
+
+    def ask(self, number):
+        spread = self.daemons[number]
+        others = [n for n in DAEMONS if abs(n - number) == 1]
+        versions = {str(n): self.daemons[n].current.version for n in others}
+        source = spreading.choose_source(spread, versions, self.now)
+        if source is None:
+            return
+        sender = self.daemons[int(source)]
+        self.take(number, spreading.answer(sender, spread.current.version, True))
+
+
+class SpreadTest(TestCase):
+    def test_versions_never_revert_and_all_converge(self):
+        run_state_machine_as_test(SpreadingMachine)
