Prove membership and duties

Cause: a live host must recover from suspicion, a silent one be suspected within the bound, and an incarnation end only by the list or its own word. Change: a state machine over three views with cuts, kills, restarts, late copies and a lagging list; properties of partners (the links connect the fleet and each domain) and of duties.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,312 @@
+"""Test who is believed alive, suspected or gone."""
+
+from datetime import timedelta
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from galenapass.systems import membership
+from galenapass.systems.membership import Listed, Membership
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import HostChange, HostNews
+
+SECOND = timedelta(seconds=1)
+ZERO = timedelta(0)
+
+
+def make_news(host, counter, incarnation=1, state=HostState.ALIVE, domain="north"):
+    return HostNews(host, f"{host}:1", domain, incarnation, counter, state)
+
+
+class MembershipTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.members = Membership.make("a", "north", {})
+        membership.hear(self.members, make_news("a", 0), ZERO)
+
+    def hear(self, *args, at=0, **options):
+        news = make_news(*args, **options)
+        return membership.hear(self.members, news, at * SECOND)
+
+    def sweep(self, start, end):
+        changes = []
+        for second in range(start, end):
+            changes += membership.sweep(self.members, second * SECOND)
+        return changes
+
+    def list_hosts(self, *rows, at):
+        hosts = [Listed(name, f"{name}:1", "north", inc) for name, inc in rows]
+        return membership.apply_list(self.members, hosts, at * SECOND)
+
+    def state(self, host="b"):
+        return self.members.hosts[host].state
+
+    def test_a_silent_host_is_suspected_within_the_bound_and_never_gone(self):
+        self.hear("b", 1)
+        changes = self.sweep(0, 3600)
+        suspect = HostChange("b", 1, HostState.ALIVE, HostState.SUSPECT)
+        self.assertEqual([suspect], changes)
+        self.assertEqual([], self.sweep(3600, 3700))
+        self.hear("c", 1, at=3700)
+        self.sweep(3700, 3706)
+        self.assertIs(HostState.ALIVE, self.state("c"))
+        self.sweep(3706, 3707)
+        self.assertIs(HostState.SUSPECT, self.state("c"))
+
+    def test_only_a_newer_heartbeat_refutes_a_suspicion(self):
+        self.hear("b", 5)
+        self.sweep(0, 10)
+        self.hear("b", 5, at=10)
+        self.hear("b", 4, at=10)
+        self.assertIs(HostState.SUSPECT, self.state())
+        self.hear("b", 6, at=10)
+        self.assertIs(HostState.ALIVE, self.state())
+
+    def test_leaving_is_only_taken_back_by_a_new_incarnation(self):
+        self.hear("b", 5)
+        self.hear("b", 5, state=HostState.LEAVING)
+        self.hear("b", 9)
+        self.assertIs(HostState.LEAVING, self.state())
+        changes = self.hear("b", 0, incarnation=2)
+        gone = HostChange("b", 1, HostState.LEAVING, HostState.GONE)
+        fresh = HostChange("b", 2, None, HostState.ALIVE)
+        self.assertEqual([gone, fresh], changes)
+
+    def test_a_last_word_ends_an_incarnation_for_good(self):
+        self.hear("b", 5)
+        self.hear("b", 5, state=HostState.GONE)
+        self.assertNotIn("b", self.members.hosts)
+        self.assertEqual([], self.hear("b", 6))
+        self.assertEqual([], self.list_hosts(("a", 1), ("b", 1), at=1))
+        self.assertNotIn("b", self.members.hosts)
+        self.hear("b", 0, incarnation=2)
+        self.assertIs(HostState.ALIVE, self.state())
+
+    def test_a_host_that_left_the_list_is_gone_once_it_is_silent(self):
+        self.hear("b", 1)
+        self.list_hosts(("a", 1), ("b", 1), at=0)
+        self.assertEqual([], self.list_hosts(("a", 1), at=1))
+        self.assertIs(HostState.ALIVE, self.state())
+        self.list_hosts(("a", 1), ("b", 1), at=2)
+        self.sweep(0, 7)
+        gone = HostChange("b", 1, HostState.SUSPECT, HostState.GONE)
+        self.assertEqual([gone], self.list_hosts(("a", 1), at=7))
+
+    def test_a_host_that_the_list_does_not_show_yet_gets_a_grace(self):
+        self.hear("b", 1)
+        self.sweep(0, 20)
+        self.assertEqual([], self.list_hosts(("a", 1), at=20))
+        self.assertEqual([], self.list_hosts(("a", 1), at=59))
+        self.assertEqual(1, len(self.list_hosts(("a", 1), at=61)))
+
+    def test_the_list_brings_in_hosts_that_were_never_heard(self):
+        changes = self.list_hosts(("a", 1), ("b", 4), at=0)
+        self.assertEqual([HostChange("b", 4, None, HostState.ALIVE)], changes)
+        self.sweep(0, 7)
+        self.assertIs(HostState.SUSPECT, self.state())
+        self.hear("b", 0, incarnation=4, at=8)
+        self.assertIs(HostState.ALIVE, self.state())
+
+    def test_the_list_shows_a_later_incarnation_and_leaving(self):
+        self.hear("b", 5)
+        changes = self.list_hosts(("b", 2), at=0)
+        self.assertEqual(HostState.GONE, changes[0].after)
+        leaving = Listed("b", "b:1", "north", 2, leaving=True)
+        membership.apply_list(self.members, [leaving], ZERO)
+        self.assertIs(HostState.LEAVING, self.state())
+
+    def test_a_daemon_that_was_paused_suspects_nobody_at_once(self):
+        self.hear("b", 1)
+        self.sweep(0, 2)
+        self.assertEqual([], self.sweep(60, 65))
+        self.assertEqual(1, len(self.sweep(65, 68)))
+
+
+class PartnersTest(TestCase):
+    @given(st.lists(st.integers(1, 30), min_size=1, max_size=8), st.integers(0, 9))
+    def test_the_links_that_all_choose_connect_the_whole_fleet(self, sizes, seed):
+        names = {
+            f"d{domain}-{n}": f"d{domain}"
+            for domain, size in enumerate(sizes)
+            for n in range(size)
+        }
+        links = {name: set() for name in names}
+        for name, domain in names.items():
+            members = Membership.make(name, domain, {})
+            for other, other_domain in names.items():
+                news = make_news(other, 0, domain=other_domain)
+                membership.hear(members, news, ZERO)
+            partners = membership.choose_partners(members, ZERO, Random(seed))
+            self.assertLessEqual(len(partners), 8)
+            for partner in partners:
+                links[name].add(partner)
+                links[partner].add(name)
+        reached, edge = set(), {next(iter(names))}
+        while edge:
+            reached |= edge
+            edge = set().union(*(links[name] for name in edge)) - reached
+        self.assertEqual(set(names), reached)
+        for domain in set(names.values()):
+            inside = {n for n, d in names.items() if d == domain}
+            self.assertEqual(inside, reach_within(links, inside))
+
+    def test_silent_hosts_are_tried_so_that_a_cut_heals(self):
+        members = Membership.make("a", "north", {})
+        membership.hear(members, make_news("a", 0), ZERO)
+        membership.hear(members, make_news("b", 0), ZERO)
+        membership.hear(members, make_news("c", 0, domain="south"), ZERO)
+        later = timedelta(minutes=5)
+        tried = set()
+        for seed in range(20):
+            tried |= membership.choose_partners(members, later, Random(seed))
+        self.assertEqual({"b", "c"}, tried)
+
+
+def reach_within(links, inside):
+    reached, edge = set(), {min(inside)}
+    while edge:
+        reached |= edge
+        edge = set().union(*(links[name] & inside for name in edge)) - reached
+    return reached
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Three daemons that are cut, paused, restarted, and a list that lags."""
+
+    HOSTS = ("a", "b", "c")
+    host = st.sampled_from(HOSTS)
+
+    @initialize()
+    def begin(self):
+        self.now = ZERO
+        self.incarnations = dict.fromkeys(self.HOSTS, 1)
+        self.counters = dict.fromkeys(self.HOSTS, 0)
+        self.running = set(self.HOSTS)
+        self.cuts = set()
+        self.delivered = {}
+        self.ended = {}
+        self.lists = [self.show()]
+        self.views = {host: self.make_view(host) for host in self.HOSTS}
+
+    def make_view(self, host):
+        members = Membership.make(host, "north", {})
+        membership.hear(members, self.news(host), self.now)
+        return members
+
+    def news(self, host, state=HostState.ALIVE):
+        return make_news(host, self.counters[host], self.incarnations[host], state)
+
+    def show(self):
+        return {host: self.incarnations[host] for host in self.running}
+
+    @rule(seconds=st.integers(1, 8))
+    def run(self, seconds):
+        for _ in range(seconds):
+            self.step()
+
+    def step(self):
+        self.now += SECOND
+        for host in sorted(self.running):
+            self.counters[host] += 1
+            for other in sorted(self.running):
+                if frozenset((host, other)) not in self.cuts:
+                    self.deliver(other, self.news(host))
+        for host in sorted(self.running):
+            membership.sweep(self.views[host], self.now)
+
+    def deliver(self, to, news):
+        membership.hear(self.views[to], news, self.now)
+        self.delivered[to, news.host] = self.now
+
+    @rule(one=host, other=host)
+    def cut(self, one, other):
+        if one != other:
+            self.cuts ^= {frozenset((one, other))}
+
+    @rule(host=host)
+    def kill(self, host):
+        if len(self.running) > 1:
+            self.running.discard(host)
+
+    @rule(host=host)
+    def restart(self, host):
+        self.ended[host] = self.incarnations[host]
+        self.incarnations[host] += 1
+        self.counters[host] = 0
+        self.running.add(host)
+        self.views[host] = self.make_view(host)
+
+    @rule(to=host, host=host, age=st.integers(0, 3))
+    def deliver_late(self, to, host, age):
+        """Deliver a copy of an old heartbeat, of this or an earlier incarnation."""
+        if to == host or to not in self.running:
+            return
+        incarnation = max(1, self.incarnations[host] - age)
+        old = make_news(host, max(0, self.counters[host] - 20 * age), incarnation)
+        membership.hear(self.views[to], old, self.now)
+        self.delivered[to, host] = self.now
+
+    @rule(to=host, host=host)
+    def deliver_last_word(self, to, host):
+        """Deliver the last word of a process that has stopped."""
+        if host not in self.running and to in self.running:
+            self.ended[host] = self.incarnations[host]
+            self.deliver(to, self.news(host, HostState.GONE))
+
+    @rule()
+    def refresh_list(self):
+        """Take the platform's list anew; what has left it is gone for good."""
+        for host in self.HOSTS:
+            if host not in self.running:
+                self.ended[host] = self.incarnations[host]
+        self.lists.append(self.show())
+
+    @rule(to=host, lag=st.integers(0, 2))
+    def read_list(self, to, lag):
+        if to not in self.running:
+            return
+        shown = self.lists[max(0, len(self.lists) - 1 - lag)]
+        rows = [Listed(h, f"{h}:1", "north", inc) for h, inc in shown.items()]
+        membership.apply_list(self.views[to], rows, self.now)
+
+    @invariant()
+    def only_the_list_or_a_last_word_ends_an_incarnation(self):
+        for view in getattr(self, "views", {}).values():
+            for host, (incarnation, _) in view.ended.items():
+                assert incarnation <= self.ended.get(host, 0), (host, incarnation)
+
+    @invariant()
+    def the_silent_are_not_believed_alive(self):
+        for to in getattr(self, "running", ()):
+            view = self.views[to]
+            for host in view.hosts.values():
+                heard = self.delivered.get((to, host.id), ZERO)
+                silent = self.now - max(heard, view.seen[host.id])
+                if host.id != to and silent > membership.SUSPECT_AFTER + SECOND:
+                    assert host.state is not HostState.ALIVE, host
+
+    def teardown(self):
+        """Heal every cut: whoever runs is soon alive in every view."""
+        if not hasattr(self, "views"):
+            return
+        self.cuts = set()
+        self.step()
+        for to in self.running:
+            for host in self.running:
+                seen = self.views[to].hosts[host]
+                assert seen.state is HostState.ALIVE, (to, seen)
+                assert seen.incarnation == self.incarnations[host]
+
+
+class ViewsTest(TestCase):
+    def test_views_recover_and_nobody_ends_without_proof(self):
+        run_state_machine_as_test(MembershipMachine)
