Add the planner's lease of a failure domain

Orders need one holder of authority a domain, whose fencing number grows. The lease is a small state table over a conditional update; a lost answer is resolved by reading back the writer's own nonce, and the same write is sent again while the object stands at the old version, so that a late arrival can't undo a newer one. Ruled out: comparing wall clocks, and counting the term from the answer.

--- /dev/null
+++ b/src/galenapass/systems/leases.py
@@ -0,0 +1,302 @@
+"""Win, renew and give back a failure domain's planner lease.
+
+The holder counts its validity from before it sent the renewal; a challenger waits
+a full term after it saw the version change. Each uses its own monotonic clock, and
+the holder's margin covers the drift between two of them.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import orjson
+from result import Ok, Result
+
+from galenapass.platform.messages import Cause, Failure, Stored
+from galenapass.systems.updates import Finding, note_read, note_write
+from galenapass.tables.leases import Lease, LeasePhase, LeaseValue
+from galenapass.tables.updates import Attempt
+
+__all__ = [
+    "LeaseEffect",
+    "LeaseEvent",
+    "LeaseRead",
+    "LeaseWritten",
+    "ReadLease",
+    "StopLease",
+    "Tick",
+    "WriteLease",
+    "is_claimable",
+    "is_own",
+    "is_valid",
+    "next_fence",
+    "start_validity",
+    "step_lease",
+]
+
+# Shares of the lease's term.
+RENEW_SHARE = 1 / 3
+READ_SHARE = 1 / 4
+RETRY_SHARE = 1 / 12
+MARGIN_SHARE = 1 / 10
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Tell that time has passed."""
+
+
+@dataclass(slots=True, frozen=True)
+class StopLease:
+    """Tell that this daemon stops and has no order on its way."""
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseRead:
+    """Bring the answer to a read."""
+
+    answer: Result[Stored, Failure]
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseWritten:
+    """Bring the answer to a write."""
+
+    answer: Result[int, Failure]
+
+
+@dataclass(slots=True, frozen=True)
+class ReadLease:
+    """Ask for a read of the lease object."""
+
+
+@dataclass(slots=True, frozen=True)
+class WriteLease:
+    """Ask for a conditional update of the lease object."""
+
+    body: str
+    if_version: int | None
+
+
+LeaseEvent = Tick | StopLease | LeaseRead | LeaseWritten
+LeaseEffect = ReadLease | WriteLease
+
+
+def is_valid(lease: Lease, now: timedelta) -> bool:
+    """Tell whether this daemon holds authority, with a margin before the end."""
+    margin = lease.term * MARGIN_SHARE
+    return lease.valid_until is not None and now + margin < lease.valid_until
+
+
+def is_claimable(lease: Lease, now: timedelta) -> bool:
+    """Tell whether no holder can believe in the lease any more."""
+    if lease.value is None or lease.changed_at is None:
+        return lease.version is None
+    if lease.value.holder is None:
+        return True
+    return now >= lease.changed_at + max(lease.value.term, lease.term)
+
+
+def start_validity(attempt: Attempt, now: timedelta) -> timedelta:
+    """Return the moment that the holder counts its term from."""
+    return attempt.sent_at
+
+
+def next_fence(lease: Lease) -> int:
+    """Return the fencing number of the next holder."""
+    return 1 if lease.value is None else lease.value.fence + 1
+
+
+def is_own(lease: Lease) -> bool:
+    """Tell whether the object names this very process as its holder."""
+    value = lease.value
+    if value is None:
+        return False
+    return (value.holder, value.incarnation) == (lease.host, lease.incarnation)
+
+
+def step_lease(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
+    """Take one event in and return the call to make, if any."""
+    if isinstance(event, StopLease):
+        lease.stopping = True
+    step = _STEPS.get((lease.phase, type(event)))
+    return step(lease, event, now) if step else None
+
+
+def _decide(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
+    if lease.retry_at is not None and now < lease.retry_at:
+        return None
+    if is_own(lease):
+        return _keep(lease, now)
+    if lease.stopping or not _is_read_due(lease, now):
+        return None
+    return _read(lease, LeasePhase.READING, now)
+
+
+def _keep(lease: Lease, now: timedelta) -> LeaseEffect | None:
+    assert lease.value is not None
+    if lease.stopping:
+        # A challenger may act as soon as the release is written.
+        lease.valid_until = None
+        return _write(lease, None, lease.value.fence, now)
+    if not _is_renewal_due(lease, now):
+        return None
+    return _write(lease, lease.host, lease.value.fence, now)
+
+
+def _is_renewal_due(lease: Lease, now: timedelta) -> bool:
+    if lease.valid_until is None:
+        return True
+    return now >= lease.valid_until - lease.term * (1 - RENEW_SHARE)
+
+
+def _is_read_due(lease: Lease, now: timedelta) -> bool:
+    return lease.read_at is None or now >= lease.read_at + lease.term * READ_SHARE
+
+
+def _read(lease: Lease, phase: LeasePhase, now: timedelta) -> LeaseEffect:
+    lease.phase = phase
+    lease.read_at = now
+    return ReadLease()
+
+
+def _write(lease: Lease, holder: str | None, fence: int, now: timedelta) -> LeaseEffect:
+    lease.writes += 1
+    nonce = f"{lease.host}/{lease.incarnation}/{lease.writes}"
+    value = LeaseValue(holder, lease.incarnation, fence, lease.term, nonce)
+    lease.attempt = Attempt(_encode(value), nonce, lease.version, now)
+    return _send(lease)
+
+
+def _send(lease: Lease) -> LeaseEffect:
+    assert lease.attempt is not None
+    lease.phase = LeasePhase.WRITING
+    return WriteLease(lease.attempt.body, lease.attempt.if_version)
+
+
+def _take_read(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
+    assert isinstance(event, LeaseRead)
+    lease.phase = LeasePhase.IDLE
+    _note_object(lease, event.answer, now)
+    if lease.stopping or is_own(lease) or not _was_answered(event.answer):
+        return None
+    if not is_claimable(lease, now):
+        return None
+    return _write(lease, lease.host, next_fence(lease), now)
+
+
+def _take_written(
+    lease: Lease, event: LeaseEvent, now: timedelta
+) -> LeaseEffect | None:
+    assert isinstance(event, LeaseWritten) and lease.attempt is not None
+    finding = note_write(lease.attempt, event.answer)
+    if finding.settled:
+        _settle(lease, finding, now)
+        return None
+    return _read(lease, LeasePhase.RESOLVING, now)
+
+
+def _resolve(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
+    assert isinstance(event, LeaseRead) and lease.attempt is not None
+    finding = note_read(lease.attempt, event.answer, _read_nonce(event.answer))
+    if finding.settled:
+        if finding.failed:
+            _note_object(lease, event.answer, now)
+        _settle(lease, finding, now)
+        return None
+    if finding.resend:
+        return _send(lease)
+    lease.phase = LeasePhase.UNSURE
+    lease.retry_at = now + lease.term * RETRY_SHARE
+    return None
+
+
+def _read_again(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
+    if lease.retry_at is not None and now < lease.retry_at:
+        return None
+    return _read(lease, LeasePhase.RESOLVING, now)
+
+
+def _settle(lease: Lease, finding: Finding, now: timedelta) -> None:
+    attempt = lease.attempt
+    assert attempt is not None
+    lease.attempt = None
+    lease.phase = LeasePhase.IDLE
+    lease.retry_at = None
+    if finding.version is None:
+        lease.retry_at = now + lease.term * RETRY_SHARE
+        return
+    lease.version = finding.version
+    lease.value = _decode(attempt.body)
+    lease.changed_at = now
+    held = is_own(lease) and not lease.stopping
+    end = start_validity(attempt, now) + lease.term
+    lease.valid_until = end if held else None
+
+
+def _note_object(lease: Lease, answer: Result[Stored, Failure], now: timedelta) -> None:
+    if _is_absent(answer):
+        # The fencing number goes on from the one that is remembered.
+        lease.version = None
+        lease.valid_until = None
+        return
+    if not isinstance(answer, Ok) or answer.ok_value.version == lease.version:
+        return
+    lease.version = answer.ok_value.version
+    lease.value = _decode(answer.ok_value.body)
+    lease.changed_at = now
+    # Whoever wrote this version, it was not this daemon's last renewal.
+    lease.valid_until = None
+
+
+def _was_answered(answer: Result[Stored, Failure]) -> bool:
+    return answer.is_ok() or _is_absent(answer)
+
+
+def _is_absent(answer: Result[Stored, Failure]) -> bool:
+    return answer.is_err() and answer.unwrap_err().cause is Cause.NOT_FOUND
+
+
+def _read_nonce(answer: Result[Stored, Failure]) -> str | None:
+    if not isinstance(answer, Ok):
+        return None
+    value = _decode(answer.ok_value.body)
+    return value.nonce if value else None
+
+
+def _encode(value: LeaseValue) -> str:
+    return orjson.dumps(
+        {
+            "holder": value.holder,
+            "incarnation": value.incarnation,
+            "fence": value.fence,
+            "term_ms": value.term // timedelta(milliseconds=1),
+            "nonce": value.nonce,
+        }
+    ).decode()
+
+
+def _decode(body: str) -> LeaseValue | None:
+    try:
+        data = orjson.loads(body)
+        return LeaseValue(
+            data["holder"],
+            data["incarnation"],
+            data["fence"],
+            timedelta(milliseconds=data["term_ms"]),
+            data["nonce"],
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+_Step = Callable[[Lease, LeaseEvent, timedelta], LeaseEffect | None]
+
+_STEPS: dict[tuple[LeasePhase, type], _Step] = {
+    (LeasePhase.IDLE, Tick): _decide,
+    (LeasePhase.IDLE, StopLease): _decide,
+    (LeasePhase.READING, LeaseRead): _take_read,
+    (LeasePhase.WRITING, LeaseWritten): _take_written,
+    (LeasePhase.RESOLVING, LeaseRead): _resolve,
+    (LeasePhase.UNSURE, Tick): _read_again,
+}
--- /dev/null
+++ b/tests/fake_objects.py
@@ -0,0 +1,64 @@
+"""Keep objects as the platform does, with calls whose fate a test decides."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from result import Err, Ok
+
+from galenapass.platform.messages import Cause, Failure, Stored
+
+UNKNOWN = Err(Failure(Cause.UNKNOWN))
+AWAY = Err(Failure(Cause.AWAY))
+
+
+class Fate(Enum):
+    """Name what becomes of one call."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "took effect, answer lost"
+    REQUEST_LOST = "no effect, answer lost"
+    LATE = "answer lost, takes effect later"
+    AWAY = "not sent"
+
+
+FATES = list(Fate)
+
+
+@dataclass
+class FakeObjects:
+    """Hold objects by name under one counter of versions."""
+
+    objects: dict[str, Stored] = field(default_factory=dict)
+    version: int = 0
+    late: list[tuple[str, str, int | None]] = field(default_factory=list)
+    history: list[Stored] = field(default_factory=list)
+
+    def read(self, name, fate=Fate.ANSWERED):
+        if fate is not Fate.ANSWERED:
+            return AWAY if fate is Fate.AWAY else UNKNOWN
+        stored = self.objects.get(name)
+        return Ok(stored) if stored else Err(Failure(Cause.NOT_FOUND))
+
+    def write(self, name, body, if_version, fate=Fate.ANSWERED):
+        if fate is Fate.LATE:
+            self.late.append((name, body, if_version))
+        if fate is Fate.AWAY:
+            return AWAY
+        if fate in (Fate.REQUEST_LOST, Fate.LATE):
+            return UNKNOWN
+        answer = self._put(name, body, if_version)
+        return UNKNOWN if fate is Fate.ANSWER_LOST else answer
+
+    def arrive_late(self):
+        if self.late:
+            self._put(*self.late.pop(0))
+
+    def _put(self, name, body, if_version):
+        held = self.objects.get(name)
+        current = held.version if held else None
+        if current != if_version:
+            return Err(Failure(Cause.CONFLICT, current))
+        self.version += 1
+        self.objects[name] = Stored(name, self.version, body)
+        self.history.append(self.objects[name])
+        return Ok(self.version)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,232 @@
+"""Prove that one process at a time holds a failure domain's lease."""
+
+from datetime import timedelta
+from unittest import mock
+
+import orjson
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+
+from galenapass.systems import leases
+from galenapass.systems.leases import (
+    LeaseRead,
+    LeaseWritten,
+    ReadLease,
+    StopLease,
+    Tick,
+    step_lease,
+)
+from galenapass.tables.leases import Lease
+from tests.fake_objects import FATES, FakeObjects, Fate
+
+TERM = timedelta(seconds=8)
+HOSTS = 3
+SEARCH = settings(
+    max_examples=2000,
+    stateful_step_count=50,
+    phases=[Phase.generate],
+    print_blob=False,
+)
+
+
+class Process:
+    """Hold one daemon with a clock that starts elsewhere, and its pending call."""
+
+    def __init__(self, number, incarnation):
+        self.lease = Lease("north", f"h{number}", incarnation, TERM)
+        self.offset = timedelta(seconds=100 * number + incarnation)
+        self.call = None
+        self.answer = None
+
+    def take(self, event, now):
+        effect = step_lease(self.lease, event, now + self.offset)
+        self.call = effect if effect is not None else self.call
+
+    def send(self, objects, fate):
+        call, self.call = self.call, None
+        if isinstance(call, ReadLease):
+            self.answer = LeaseRead(objects.read("north", fate))
+        else:
+            answer = objects.write("north", call.body, call.if_version, fate)
+            self.answer = LeaseWritten(answer)
+
+    def receive(self, now):
+        answer, self.answer = self.answer, None
+        self.take(answer, now)
+
+    def make_call(self, objects, fate, now):
+        self.send(objects, fate)
+        self.receive(now)
+
+    def is_valid(self, now):
+        return leases.is_valid(self.lease, now + self.offset)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Kill, pause, cut off and stop processes that want one lease."""
+
+    numbers = st.integers(0, HOSTS - 1)
+
+    def __init__(self):
+        super().__init__()
+        self.now = timedelta(0)
+        self.objects = FakeObjects()
+        self.starts = 0
+        self.processes = [self._start(number) for number in range(HOSTS)]
+
+    def _start(self, number):
+        self.starts += 1
+        return Process(number, self.starts)
+
+    @rule(number=numbers)
+    def tick(self, number):
+        self.processes[number].take(Tick(), self.now)
+
+    @rule(number=numbers, fate=st.sampled_from([Fate.ANSWERED] * 5 + FATES))
+    def send(self, number, fate):
+        if self.processes[number].call is not None:
+            self.processes[number].send(self.objects, fate)
+
+    @rule(number=numbers)
+    def receive(self, number):
+        if self.processes[number].answer is not None:
+            self.processes[number].receive(self.now)
+
+    @rule(number=numbers)
+    def tick_and_call(self, number):
+        self.processes[number].take(Tick(), self.now)
+        while self.processes[number].call or self.processes[number].answer:
+            self.send(number, Fate.ANSWERED)
+            self.receive(number)
+
+    @rule(number=numbers, tenths=st.integers(1, 90))
+    def see_a_slow_answer(self, number, tenths):
+        self.tick(number)
+        self.send(number, Fate.ANSWERED)
+        for other in range(HOSTS):
+            if other != number:
+                self.tick_and_call(other)
+        self.advance(tenths)
+        self.receive(number)
+
+    @rule(tenths=st.integers(1, 90))
+    def advance(self, tenths):
+        self.now += timedelta(milliseconds=100 * tenths)
+
+    @rule(number=numbers)
+    def kill(self, number):
+        self.processes[number] = self._start(number)
+
+    @rule(number=numbers)
+    def stop(self, number):
+        self.processes[number].take(StopLease(), self.now)
+
+    @precondition(lambda self: self.objects.late)
+    @rule()
+    def arrive_late(self):
+        self.objects.arrive_late()
+
+    @invariant()
+    def one_holder_at_a_time(self):
+        valid = [p.lease.host for p in self.processes if p.is_valid(self.now)]
+        assert len(valid) <= 1, valid
+
+    @invariant()
+    def a_fence_names_one_holder(self):
+        holders = {}
+        for value in map(orjson.loads, (s.body for s in self.objects.history)):
+            holder = value["holder"], value["incarnation"]
+            if value["holder"]:
+                assert holders.setdefault(value["fence"], holder) == holder
+        assert list(holders) == sorted(holders)
+
+
+LeaseMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=50)
+
+
+class LeaseMachineTest(LeaseMachine.TestCase):
+    pass
+
+
+class LeaseTest(TestCase):
+    def _settle(self, process, objects, now):
+        process.take(Tick(), now)
+        while process.call is not None:
+            process.make_call(objects, Fate.ANSWERED, now)
+
+    def test_passes_on_at_once_after_a_release(self):
+        objects, now = FakeObjects(), timedelta(0)
+        first, second = Process(0, 1), Process(1, 1)
+        self._settle(first, objects, now)
+        first.take(StopLease(), now)
+        self.assertFalse(first.is_valid(now))
+        first.make_call(objects, Fate.ANSWERED, now)
+        self._settle(second, objects, now)
+        self.assertTrue(second.is_valid(now))
+        self.assertEqual(2, second.lease.value.fence)
+
+    def test_keeps_its_fence_through_renewals(self):
+        objects = FakeObjects()
+        process = Process(0, 1)
+        for second in range(30):
+            self._settle(process, objects, timedelta(seconds=second))
+            self.assertTrue(process.is_valid(timedelta(seconds=second)))
+        self.assertEqual(1, process.lease.value.fence)
+        self.assertLess(objects.version, 13)
+
+    def test_finds_its_own_write_when_the_answer_was_lost(self):
+        objects, now = FakeObjects(), timedelta(0)
+        process = Process(0, 1)
+        process.take(Tick(), now)
+        process.make_call(objects, Fate.ANSWERED, now)
+        process.make_call(objects, Fate.ANSWER_LOST, now)
+        self.assertFalse(process.is_valid(now))
+        process.make_call(objects, Fate.ANSWERED, now + TERM / 2)
+        self.assertTrue(process.is_valid(now + TERM / 2))
+        self.assertFalse(process.is_valid(now + TERM))
+
+    def test_goes_on_from_the_last_fence_when_the_object_is_deleted(self):
+        objects, now = FakeObjects(), timedelta(0)
+        holder, follower = Process(0, 1), Process(1, 1)
+        self._settle(holder, objects, now)
+        self._settle(follower, objects, now)
+        objects.objects.clear()
+        self._settle(follower, objects, now + TERM)
+        self.assertEqual(2, follower.lease.value.fence)
+
+
+class LeaseMutationTest(TestCase):
+    """Show that the machine fails once a mechanism is taken out."""
+
+    def _assert_needed(self, name, mutant):
+        with mock.patch.object(leases, name, mutant):
+            self.assertRaises(
+                AssertionError,
+                run_state_machine_as_test,
+                LeaseMachine,
+                settings=SEARCH,
+            )
+
+    def test_needs_the_end_of_validity(self):
+        self._assert_needed(
+            "is_valid", lambda lease, now: lease.valid_until is not None
+        )
+
+    def test_needs_the_wait_of_a_full_term(self):
+        self._assert_needed("is_claimable", lambda lease, now: True)
+
+    def test_needs_validity_to_start_before_the_send(self):
+        self._assert_needed("start_validity", lambda attempt, now: now)
+
+    def test_needs_a_fence_that_grows(self):
+        self._assert_needed(
+            "next_fence", lambda lease: lease.value.fence if lease.value else 1
+        )
