--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -27,6 +27,9 @@
 
 log = make_log("callers")
 
+# Streams are waited for by their count; this is for what is left after that.
+CLOSING_TIME = timedelta(seconds=1)
+
 REASONS_OF_STATUSES = {
     408: Reason.DEADLINE_PASSED,
     413: Reason.TOO_LARGE,
@@ -81,7 +84,9 @@
     return app
 
 
-def make_runner(app: web.Application, stop_within: timedelta) -> web.AppRunner:
+def make_runner(
+    app: web.Application, stop_within: timedelta = CLOSING_TIME
+) -> web.AppRunner:
     """Return a runner that tells handlers at once when their caller went away."""
     return web.AppRunner(
         app,
--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -40,6 +40,9 @@
     }
 )
 
+# After a break the same target may still hold the run, to be resumed there.
+BREAKS = frozenset({Reason.TARGET_FAILED, Reason.TARGET_UNREACHABLE})
+
 log = make_log("callers")
 
 
@@ -96,6 +99,8 @@
             reason=verdict.reason.value,
             detail=verdict.detail,
         )
+        if verdict.reason not in BREAKS:
+            await _free_target(relay)
         routed = await relay.dispatcher.reroute(relay.request, verdict)
     return _own_up(relay, routed.err_value)
 
@@ -241,6 +246,13 @@
         raise CallerGoneError from error
 
 
+async def _free_target(relay: Relay) -> None:
+    """Cancel a run that is to move, before its next target may be the same one."""
+    cancels = [relay.engines.cancel(at, relay.request.id) for at in relay.touched]
+    await asyncio.gather(*cancels)
+    relay.touched.clear()
+
+
 def _cancel_touched(relay: Relay, keep: set[str]) -> None:
     """Cancel the request wherever it may still run for nobody."""
     for address in relay.touched - keep:
