--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -56,6 +56,7 @@
         self.random = Random()
         self.metrics = make_metrics()
         self.world = World(settings.host, settings.domain)
+        self.claims: Any = None
         self.is_ready = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._runners: list[web.AppRunner] = []
