Measure the data path beside a bare pass-through

Streams are carried straight, through a bare aiohttp pass-through and through the daemon, turn by turn, with load generators and token sources as processes of their own. Not yet run on a quiet machine.

--- a/experiments/path_entry.py
+++ b/experiments/path_entry.py
@@ -1,33 +1,33 @@
 """Run the callers' side with a dispatcher that only takes targets in turn."""
 
 import asyncio
+import hashlib
 import itertools
 import secrets
-from datetime import timedelta
 
 import click
+from aiohttp import web
 from result import Err, Ok, Result
 
+from experiments.fleet import CALLER_KEY
 from experiments.path_process import serve_process
 from galenapass.callers.app import make_callers_app
 from galenapass.callers.limits import Limits
 from galenapass.callers.streams import OpenStreams
 from galenapass.clocks import SystemClock
-from galenapass.dispatch import Claim, Claims, Route, StoredAnswer
+from galenapass.dispatch import Claim, Route, StoredAnswer
 from galenapass.settings.hours import urgency_of
 from galenapass.tables.configurations import Caller, Configuration, Service
-from galenapass.tables.requests import Request, Urgency
+from galenapass.tables.requests import Request
 from galenapass.tables.targets import Kind
 from galenapass.targets.engines import Engines
 from galenapass.targets.services import PlainServices
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["KEY", "MODEL"]
+__all__ = ["make_entry"]
 
-KEY = "measure"
-# sha256 of the key.
-KEY_HASH = "e1d6b1b8a7a3c0a8f6a3a0c5a4d0e7d0"
 MODEL = "juniper-8b"
+RATE = 1000.0  # requests a second
 
 
 class TurnDispatcher:
@@ -52,3 +52,76 @@
 
     def end(self, request: Request, verdict: Verdict) -> None:
         """Forget nothing, as nothing is held."""
+
+
+class FixedDirectory:
+    """Tell of one caller and one service."""
+
+    def __init__(self) -> None:
+        service = Service("assistant", Kind.ENGINE, model=MODEL)
+        hashed = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
+        caller = Caller("guides", hashed, frozenset({"assistant"}), rate=RATE)
+        self._configuration = Configuration(
+            version=1,
+            services={"assistant": service},
+            callers={"guides": caller},
+        )
+
+    def configuration(self) -> Configuration:
+        """Return the fixed configuration."""
+        return self._configuration
+
+    def ready(self) -> bool:
+        """Return true."""
+        return True
+
+    def new_id(self) -> str:
+        """Return a fresh identifier."""
+        return secrets.token_hex(8)
+
+
+class NoClaims:
+    """Refuse every claim; completions need none."""
+
+    async def begin(
+        self, caller: str, service: str, key: str, fingerprint: str
+    ) -> Result[Claim | StoredAnswer, Verdict]:
+        """Refuse."""
+        return Err(Verdict(Run.NOT_RUN, Reason.PLATFORM_AWAY))
+
+    async def finish(self, claim: Claim, answer: StoredAnswer | None) -> None:
+        """Keep nothing."""
+
+    async def release(self, claim: Claim) -> None:
+        """Give nothing back."""
+
+
+async def make_entry(addresses: tuple[str, ...]) -> web.Application:
+    """Return the callers' application over fixed targets."""
+    limits = Limits()
+    return make_callers_app(
+        TurnDispatcher(addresses),
+        NoClaims(),
+        FixedDirectory(),
+        SystemClock(),
+        limits,
+        urgency_of=urgency_of,
+        engines=Engines(),
+        services=PlainServices(),
+        streams=OpenStreams(limits),
+    )
+
+
+async def _serve(addresses: tuple[str, ...]) -> None:
+    await serve_process(await make_entry(addresses))
+
+
+@click.command()
+@click.argument("addresses", nargs=-1)
+def main(addresses: tuple[str, ...]) -> None:
+    """Serve over the engines at ADDRESSES until killed."""
+    asyncio.run(_serve(addresses))
+
+
+if __name__ == "__main__":
+    main()
