Serve the operators' port

Cause: operators drive the system by applying files and reading back. Ruled out: a check of the file on the event loop, which a large file would hold for long; bare dicts between the port and the daemon.

--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,128 @@
+"""Serve the operators' port from a small fleet in memory."""
+
+import asyncio
+import contextlib
+import threading
+from datetime import timedelta
+
+from aiohttp import web
+from result import Err, Ok
+
+from galenapass.operators.views import (
+    Conflict,
+    HostStatus,
+    PlatformState,
+    Status,
+    TargetStatus,
+)
+from galenapass.tables.configurations import Configuration
+
+__all__ = ["TOKEN", "FakeDaemon", "serve_apps"]
+
+TOKEN = "operators-token"
+
+
+class FakeDaemon:
+    """Hold the files that were applied; ``failure`` answers the next apply."""
+
+    def __init__(self):
+        self.files = {}
+        self.failure = None
+        self.hangs = False
+
+    @property
+    def version(self):
+        return max(self.files, default=0)
+
+    def read_status(self):
+        hosts = (HostStatus("entry-1", "addis-1", "alive", self.version),)
+        return Status(
+            "entry-1",
+            "addis-1",
+            4,
+            True,
+            self.version,
+            PlatformState.REACHABLE,
+            ("planner",),
+            hosts,
+        )
+
+    def read_targets(self):
+        age = timedelta(milliseconds=250)
+        return [
+            TargetStatus(
+                "runner-1",
+                "assistant",
+                "addis-1",
+                "engine",
+                "prefill",
+                "serving",
+                3,
+                1,
+                40,
+                2000,
+                age,
+            ),
+            TargetStatus(
+                "runner-2",
+                "assistant",
+                "addis-1",
+                "engine",
+                "decode",
+                "draining",
+                3,
+                1,
+                40,
+                2000,
+                age,
+            ),
+            TargetStatus("desk-1", "booking", "addis-1", "service", "", "serving"),
+        ]
+
+    def read_configuration(self, version=None):
+        version = self.version if version is None else version
+        if version not in self.files:
+            return None
+        return Configuration(version, self.files[version])
+
+    async def apply(self, text, base_version):
+        if self.failure:
+            return Err(self.failure)
+        if base_version != self.version:
+            return Err(Conflict(base_version, self.version))
+        self.files[self.version + 3] = text
+        if self.hangs:
+            await asyncio.sleep(3600)
+        return Ok(self.version)
+
+
+@contextlib.contextmanager
+def serve_apps(*apps):
+    """Serve applications on loopback ports from a thread of their own."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    runners = [
+        web.AppRunner(app, shutdown_timeout=0, handler_cancellation=True)
+        for app in apps
+    ]
+
+    def run(work):
+        return asyncio.run_coroutine_threadsafe(work, loop).result(10)
+
+    try:
+        yield [run(_start(runner)) for runner in runners]
+    finally:
+        for runner in runners:
+            run(runner.cleanup())
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+async def _start(runner):
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,158 @@
+"""Check the operators' port over HTTP."""
+
+import asyncio
+import pathlib
+from datetime import timedelta
+
+from aiohttp.test_utils import TestClient, TestServer
+from eliot.testing import capture_logging
+from testtools import TestCase
+
+from galenapass.operators.app import MAX_FILE, make_operators_app
+from galenapass.verdicts import Reason, Run, Verdict
+from tests.operators import TOKEN, FakeDaemon
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+FLEET = (DOCS / "operators-file-example.ini").read_text(encoding="utf-8")
+OPERATOR = {"Authorization": f"Bearer {TOKEN}"}
+
+
+def call(daemon, *calls):
+    """Return status, headers and body of each call in turn."""
+
+    async def run():
+        server = TestServer(make_operators_app(daemon, TOKEN))
+        async with TestClient(server) as client:
+            return [await ask(client, *parts) for parts in calls]
+
+    async def ask(client, method, path, headers=OPERATOR, body=None):
+        async with client.request(method, path, headers=headers, data=body) as answer:
+            is_json = answer.content_type.endswith("json")
+            content = await (
+                answer.json(content_type=None) if is_json else answer.text()
+            )
+            return answer.status, answer.headers, content
+
+    return asyncio.run(run())
+
+
+def put(text, **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return "PUT", "/configuration", OPERATOR | named, text
+
+
+class OperatorsAppTest(TestCase):
+    @capture_logging(None)
+    def test_only_the_token_opens_the_port(self, logger):
+        wrong = [
+            {},
+            {"Authorization": "Bearer "},
+            {"Authorization": "Bearer guessed-secret"},
+            {"Authorization": f"Bearer {TOKEN}x"},
+            {"Authorization": f"Basic {TOKEN}"},
+            {"Authorization": f"Bearer {TOKEN[:-1]}\u00e9"},
+        ]
+        paths = ["/status", "/targets", "/configuration", "/nowhere"]
+        calls = [("GET", path, headers) for path in paths for headers in wrong]
+        calls += [("PUT", "/configuration", headers, FLEET) for headers in wrong]
+        daemon = FakeDaemon()
+        self.assertEqual({401}, {status for status, _, _ in call(daemon, *calls)})
+        self.assertEqual({}, daemon.files)
+        lines = [m for m in logger.messages if "wrong token" in m.get("text", "")]
+        self.assertEqual(len(calls), len(lines))
+        self.assertNotIn("guessed-secret", str(logger.messages))
+        self.assertNotIn(TOKEN, str(logger.messages))
+
+    def test_an_empty_token_is_refused(self):
+        self.assertRaises(ValueError, make_operators_app, FakeDaemon(), "")
+
+    def test_state_and_targets_keep_to_the_contract(self):
+        answers = call(FakeDaemon(), ("GET", "/status"), ("GET", "/targets"))
+        [(_, _, status), (_, _, targets)] = answers
+        self.assertEqual(
+            {
+                "host",
+                "domain",
+                "incarnation",
+                "ready",
+                "settings_version",
+                "platform",
+                "duties",
+                "hosts",
+            },
+            set(status),
+        )
+        self.assertEqual("reachable", status["platform"])
+        self.assertEqual(
+            {"id", "domain", "state", "settings_version"}, set(status["hosts"][0])
+        )
+        first, *_, last = targets["targets"]
+        self.assertEqual(
+            {
+                "id",
+                "service",
+                "domain",
+                "kind",
+                "role",
+                "state",
+                "running",
+                "waiting",
+                "pieces_used",
+                "pieces_total",
+                "report_age",
+            },
+            set(first),
+        )
+        self.assertEqual((0.25, None), (first["report_age"], last["report_age"]))
+
+    def test_a_file_is_applied_on_its_base_only(self):
+        daemon = FakeDaemon()
+        second = FLEET.replace("share = 3", "share = 4")
+        [none, first, again, stale, newer, current, old, gone] = call(
+            daemon,
+            ("GET", "/configuration"),
+            put(FLEET, If_None_Match="*"),
+            put(FLEET, If_None_Match="*"),
+            put(second, If_Match='"1"'),
+            put(second, If_Match='"3"'),
+            ("GET", "/configuration"),
+            ("GET", "/configuration?version=3"),
+            ("GET", "/configuration?version=4"),
+        )
+        statuses = [answer[0] for answer in (none, first, again, stale, newer, gone)]
+        self.assertEqual([404, 200, 409, 409, 200, 404], statuses)
+        self.assertEqual(
+            (1, 3), (stale[2]["base_version"], stale[2]["current_version"])
+        )
+        self.assertEqual('"3"', stale[1]["ETag"])
+        self.assertEqual(('"6"', second), (current[1]["ETag"], current[2]))
+        self.assertEqual(('"3"', FLEET), (old[1]["ETag"], old[2]))
+
+    def test_a_faulty_call_changes_nothing(self):
+        daemon = FakeDaemon()
+        answers = call(
+            daemon,
+            put(FLEET.replace("share = 3", "share = x\nfoo = 1"), If_None_Match="*"),
+            put(FLEET),
+            put(FLEET, If_Match="*"),
+            put(b"[fleet]\n# \xff\n", If_None_Match="*"),
+            put("#" * (MAX_FILE + 1), If_None_Match="*"),
+            ("GET", "/configuration?version=x"),
+            ("DELETE", "/configuration"),
+            ("GET", "/nowhere"),
+        )
+        statuses = [status for status, _, _ in answers]
+        self.assertEqual([400, 428, 428, 400, 413, 400, 405, 404], statuses)
+        faults = answers[0][2]["faults"]
+        self.assertEqual({"share", "foo"}, {fault["key"] for fault in faults})
+        self.assertEqual({"not run"}, {body["verdict"] for _, _, body in answers})
+        self.assertEqual({}, daemon.files)
+
+    def test_a_verdict_is_passed_on(self):
+        daemon = FakeDaemon()
+        daemon.failure = Verdict(
+            Run.MAY_HAVE_RUN, Reason.PLATFORM_AWAY, "lost", timedelta(seconds=2)
+        )
+        [(status, headers, body)] = call(daemon, put(FLEET, If_None_Match="*"))
+        self.assertEqual((503, "2"), (status, headers["Retry-After"]))
+        self.assertEqual("may have run", body["verdict"])
