--- a/src/galenapass/settings/daemon.py
+++ b/src/galenapass/settings/daemon.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from galenapass.settings.addresses import Address, parse_address, parse_listen
+from galenapass.settings.files import read_text
 from galenapass.settings.ini import Reading, read_defaults, read_ini
 from galenapass.settings.schema import Fault, Key, Schema, Section
 from galenapass.settings.units import (
@@ -223,15 +224,7 @@
 
 def read_daemon_settings(path: Path) -> Result[DaemonSettings, list[Fault]]:
     """Read the settings file of a daemon."""
-    try:
-        text = Path(path).read_bytes().decode("utf-8-sig")
-    except UnicodeDecodeError as error:
-        return Err([Fault(str(path), "", "", "", f"UTF-8 text ({error})")])
-    except OSError as error:
-        return Err(
-            [Fault(str(path), "", "", "", f"a readable file ({error.strerror})")]
-        )
-    return parse_daemon_settings(text, str(path))
+    return read_text(path).and_then(lambda text: parse_daemon_settings(text, str(path)))
 
 
 def parse_daemon_settings(
--- /dev/null
+++ b/src/galenapass/tool/__init__.py
@@ -0,0 +1,1 @@
+"""Implement the commands of the operators' tool."""
