Read chat prompts as the daemon does and mend two stand-in tests

Cause: cache events only help the daemon when both sides cut the same bytes. The program test relied on PYTHONPATH from the shell. Ruled out: fresh connections against the second PUT; a trial on the service stand-in still counted 2 runs for one PUT whose answer was lost. Change: the prompt form of the callers' part; a client middleware in the platform test; the program test passes its own path on. Conclusion: the tests assert what they did before, without the client's resend.

--- a/stand_ins/engine_text.py
+++ b/stand_ins/engine_text.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+import orjson
 import xxhash
 
 __all__ = [
@@ -27,22 +28,23 @@
 def read_prompt(body: Mapping[str, Any]) -> bytes:
     """Return the prompt's bytes of a completion or chat completion body.
 
-    A chat prompt is ``role``, a newline, ``content`` and a newline for each message.
-    Raises ValueError where the body has neither form.
+    A chat prompt is ``role: content`` of each message, joined by newlines; parts
+    that are no text stand as JSON. Raises ValueError where the body has neither form.
     """
     if "messages" in body:
-        return "".join(map(_join_message, body["messages"])).encode()
+        return "\n".join(map(_read_message, body["messages"])).encode()
     prompt = body.get("prompt")
-    if not isinstance(prompt, str):
+    if not isinstance(prompt, str | list) or not prompt:
         raise ValueError(f"no prompt and no messages: {sorted(body)}")
-    return prompt.encode()
+    return _write_text(prompt).encode()
 
 
-def _join_message(message: Mapping[str, Any]) -> str:
-    content = message["content"]
-    if not isinstance(content, str):
-        content = "".join(part["text"] for part in content)
-    return f"{message['role']}\n{content}\n"
+def _read_message(message: Mapping[str, Any]) -> str:
+    return f"{message['role']}: {_write_text(message['content'])}"
+
+
+def _write_text(value: Any) -> str:
+    return value if isinstance(value, str) else orjson.dumps(value).decode()
 
 
 def hash_blocks(prompt: bytes) -> tuple[int, ...]:
--- a/tests/test_stand_in_platform.py
+++ b/tests/test_stand_in_platform.py
@@ -28,16 +28,24 @@
     app = build_app(clock or ManualClock(), host_list_lag=2.0)
     server = Server(app, "127.0.0.1:0")
     address = await server.start()
-    # The client sends a PUT again by itself when a connection in reuse is dropped.
-    fresh = aiohttp.TCPConnector(force_close=True)
     base = f"http://{address}"
     try:
-        async with aiohttp.ClientSession(base, headers=ME, connector=fresh) as session:
+        async with aiohttp.ClientSession(
+            base, headers=ME, middlewares=(never_resend,)
+        ) as session:
             yield session
     finally:
         await server.stop()
 
 
+async def never_resend(request, handler):
+    """Keep the client from sending a PUT again by itself when it gets no answer."""
+    try:
+        return await handler(request)
+    except aiohttp.ServerDisconnectedError as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 async def write(session, path, body, **headers):
     """Return the status and the tag that a write is answered with."""
     named = {name.replace("_", "-"): text for name, text in headers.items()}
--- a/tests/test_stand_in_service.py
+++ b/tests/test_stand_in_service.py
@@ -1,6 +1,7 @@
 """Test the plain service stand-in, and that each program stops by signal."""
 
 import asyncio
+import os
 import signal
 import sys
 from contextlib import asynccontextmanager
@@ -109,7 +110,8 @@
     async def _start_and_stop(self, name):
         command = (sys.executable, "-m", f"stand_ins.{name}")
         pipe = asyncio.subprocess.PIPE
-        process = await asyncio.create_subprocess_exec(*command, stdout=pipe)
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+        process = await asyncio.create_subprocess_exec(*command, stdout=pipe, env=env)
         try:
             async with asyncio.timeout(BOUND_SECONDS):
                 line = (await process.stdout.readline()).decode()
