--- a/tests/test_stand_in_engine.py
+++ b/tests/test_stand_in_engine.py
@@ -9,11 +9,18 @@
 import orjson
 from testtools import TestCase
 
+from galenapass.callers.bodies import hash_blocks as daemon_blocks
+from galenapass.callers.bodies import read_completion
 from galenapass.clocks import SystemClock
 from galenapass.tables.targets import Role
 from stand_ins.engine import build_app, make_engine, start_engine
 from stand_ins.engine_sizes import Sizes, speed_up
-from stand_ins.engine_text import expected_text, hash_blocks
+from stand_ins.engine_text import (
+    count_output_tokens,
+    expected_text,
+    hash_blocks,
+    read_prompt,
+)
 from stand_ins.serving import Server
 
 FAST = speed_up(Sizes(change=timedelta(seconds=0.2)), 20)
@@ -200,6 +207,23 @@
         asyncio.run(run())
 
 
+class PromptTest(TestCase):
+    def test_daemon_and_engine_cut_the_same_blocks(self):
+        parts = [{"type": "text", "text": PROMPT}]
+        messages = [
+            {"role": "system", "content": PROMPT},
+            {"role": "user", "content": parts},
+        ]
+        for path, body in (
+            ("/v1/completions", BODY),
+            ("/v1/chat/completions", {"model": "m", "messages": messages}),
+        ):
+            read = read_completion(path, orjson.dumps(body)).unwrap()
+            self.assertEqual(read.prompt, read_prompt(body))
+            self.assertEqual(read.output_tokens, count_output_tokens(body))
+            self.assertEqual(daemon_blocks(read.prompt), hash_blocks(read.prompt))
+
+
 class CacheTest(TestCase):
     def test_prefill_here_and_decode_there(self):
         async def run():
