Keep an imported prompt alone instead of decoding it

Cause: the stateful test under the long profile (1000 examples) found that a prompt-only request with an imported KV cache gave a token. Change: such work is kept for export; a prompt alone refuses an offset, as no memory was counted for it.

--- a/stand_ins/engine_model.py
+++ b/stand_ins/engine_model.py
@@ -124,6 +124,8 @@
             raise ValueError(f"fewer prompt tokens than blocks hold: {work}")
         if not 0 <= work.offset < work.output_tokens:
             raise ValueError(f"offset outside of the output: {work}")
+        if work.offset and work.phase is Phase.PREFILL:
+            raise ValueError(f"a prompt alone has no offset: {work}")
         if not 0 <= work.imported <= work.prompt_tokens:
             raise ValueError(f"more imported than the prompt holds: {work}")
         if self._batch.holds(work.id):
@@ -196,7 +198,7 @@
             if sequence.arrives is None or sequence.arrives > now:
                 continue
             del self._batch.importing[request]
-            if sequence.left:
+            if sequence.left or sequence.work.phase is Phase.PREFILL:
                 self._batch.prefill(sequence)
             else:
                 self._store(sequence, step)
--- a/stand_ins/engine_runtime.py
+++ b/stand_ins/engine_runtime.py
@@ -134,7 +134,7 @@
         self, work: Work, fatal: bool
     ) -> Admission | asyncio.Future[Kept | End]:
         """Take a prompt; the future gives its KV cache or how it ended."""
-        work = replace(work, id=_PREFILL + work.id, phase=Phase.PREFILL)
+        work = replace(work, id=_PREFILL + work.id, phase=Phase.PREFILL, offset=0)
         answer = self._add(work, fatal)
         if answer is not Admission.ACCEPTED:
             return answer
