Wire the peers and the operators' port into the daemon

Cause: daemons did not hear each other, and operators had no port. Ruled out: a count and a round for crash suspects on the wire, which cannot say that two daemons saw the same crash; limit use as a count, which loses what a daemon holds; demand was missing. Change: crash suspects carry the sets of crashes, limit use carries rates, demand is told; reach = fleet pools the targets of all domains; News carries items between tables and peers; Overview answers the operators' port.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -23,14 +23,24 @@
 from galenapass.duties.loops import repeat
 from galenapass.logs import log_to, make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
+from galenapass.news import News
+from galenapass.operators.app import make_operators_app
+from galenapass.operators.overview import KEPT_CONFIGURATIONS, Overview
+from galenapass.peers import Peers
+from galenapass.platform.messages import ListedHost
 from galenapass.platform.objects import Objects
 from galenapass.settings.addresses import Address
 from galenapass.settings.daemon import DaemonSettings
 from galenapass.settings.fleet import parse_configuration
 from galenapass.settings.hours import urgency_of
 from galenapass.settings.units import Stream
+from galenapass.systems import crashes, demand, limits
+from galenapass.systems.duties import Duty, holds, list_duties
+from galenapass.systems.membership import Listed
 from galenapass.systems.targets import apply_configuration
 from galenapass.tables.configurations import Configuration
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import HostChange, Settings
 from galenapass.tables.targets import Target
 from galenapass.tables.world import World
 from galenapass.targets.engines import Engines
@@ -40,6 +50,9 @@
 __all__ = ["Daemon"]
 
 ROSTER_PERIOD = timedelta(seconds=1)
+NEWS_PERIOD = timedelta(milliseconds=250)
+UPKEEP_PERIOD = timedelta(seconds=1)
+DUTY_PERIOD = timedelta(seconds=1)
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
 
@@ -57,7 +70,10 @@
         self.metrics = make_metrics()
         self.world = World(settings.host, settings.domain)
         self.claims: Any = None
+        self.news = News(self.world, self.clock)
+        self.earlier: dict[int, Configuration] = {}
         self.is_ready = False
+        self.platform_answers = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._runners: list[web.AppRunner] = []
 
@@ -75,9 +91,16 @@
             self.streams.break_off,
         )
         self.core.start()
-        await watcher.fetch_configuration(self.objects, self.accept)
+        await self._start_peers()
+        await self._fetch_configuration()
         await self._listen(self._make_callers_app(), self.settings.callers_listen)
-        self._spawn(self._watch())
+        operators = make_operators_app(
+            self._make_overview(), self.settings.operators_token
+        )
+        await self._listen(operators, self.settings.operators_listen)
+        self._spawn(self._hold_watch())
+        self._spawn(repeat(self._tell_news, NEWS_PERIOD, self.random))
+        self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
         self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
         self._spawn(repeat(self._make_observer().observe, observer.PERIOD, self.random))
         self.is_ready = True
@@ -89,8 +112,10 @@
         self.is_ready = False
         if hasattr(self, "core"):
             self.core.stopping = True
+            self.peers.leave()
             await self._finish_streams()
             self.core.stop()
+            await self.peers.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -117,7 +142,8 @@
 
     def accept(self, text: str, version: int) -> bool:
         """Put a configuration in force unless it is old or has faults."""
-        if version <= self.world.configuration.version:
+        before = self.world.configuration
+        if version <= before.version:
             return False
         parsed = parse_configuration(text, version, f"version {version}")
         if isinstance(parsed, Err):
@@ -125,6 +151,10 @@
             _log("a configuration has faults", version=version, faults=faults)
             return False
         apply_configuration(self.world, parsed.ok_value)
+        self.earlier[before.version] = before
+        while len(self.earlier) > KEPT_CONFIGURATIONS:
+            del self.earlier[min(self.earlier)]
+        self.peers.tell(Settings(version, text))
         _log("a configuration is in force", version=version)
         self.core.wake()
         return True
@@ -146,6 +176,38 @@
             self.random,
         )
 
+    async def _start_peers(self) -> None:
+        settings = self.settings
+        self.peers = Peers(
+            settings.host,
+            settings.domain,
+            self.incarnation,
+            str(settings.peers_listen),
+            settings.peers_secret,
+            [str(address) for address in settings.peers_join],
+            self.clock,
+            self.random,
+            settings.peers_budget,
+            self.world.hosts,
+            _is_sound,
+            pooled=settings.pooled,
+        )
+        self.peers.heard.subscribe(self._hear)
+        await self.peers.start()
+
+    def _make_overview(self) -> Overview:
+        return Overview(
+            world=self.world,
+            clock=self.clock,
+            objects=self.objects,
+            accept=self.accept,
+            incarnation=lambda: self.peers.incarnation,
+            is_ready=self.ready,
+            is_platform_reachable=lambda: self.platform_answers,
+            list_duties=self._list_duties,
+            earlier=self.earlier,
+        )
+
     async def _close_clients(self) -> None:
         if not hasattr(self, "objects"):
             return
@@ -180,18 +242,72 @@
 
     # Duties
 
+    async def _fetch_configuration(self) -> None:
+        answered = await watcher.fetch_configuration(self.objects, self.accept)
+        self.platform_answers = answered
+
+    async def _hold_watch(self) -> None:
+        """Keep a watch open while this daemon holds the duty."""
+        watch: asyncio.Task[None] | None = None
+        try:
+            while True:
+                if self._holds(Duty.SETTINGS_WATCHER) and watch is None:
+                    watch = asyncio.create_task(self._watch())
+                elif watch is not None and not self._holds(Duty.SETTINGS_WATCHER):
+                    watch.cancel()
+                    watch = None
+                await asyncio.sleep(DUTY_PERIOD.total_seconds())
+        finally:
+            if watch is not None:
+                watch.cancel()
+
     async def _watch(self) -> None:
-        version = lambda: self.world.configuration.version  # noqa: E731
-        await watcher.watch_configurations(self.objects, self.accept, version)
+        await watcher.watch_configurations(self.objects, self.accept, self._get_version)
+
+    def _get_version(self) -> int:
+        return self.world.configuration.version
+
+    def _holds(self, duty: Duty) -> bool:
+        own = self.world.hosts.get(self.settings.host)
+        return own is not None and holds(self.world.hosts.values(), own, duty)
+
+    def _list_duties(self) -> list[str]:
+        own = self.world.hosts.get(self.settings.host)
+        return [] if own is None else list_duties(self.world.hosts.values(), own, [])
+
+    async def _tell_news(self) -> bool:
+        self.news.tell_loads(self.peers.tell)
+        self.news.tell_suspects(self.peers.tell)
+        return True
+
+    async def _keep_up(self) -> bool:
+        now = self.clock.monotonic()
+        demand.sample(self.world, now)
+        limits.rebalance(self.world, now)
+        crashes.forget_old(self.world, now)
+        self.news.tell_uses(self.peers.tell)
+        return True
+
+    def _hear(self, item: Any) -> None:
+        if isinstance(item, Settings):
+            self.accept(item.text, item.version)
+        elif isinstance(item, HostChange):
+            if item.after is HostState.GONE:
+                self.news.forget_host(item.host)
+        elif self.news.hear(item):
+            self.core.wake()
 
     async def _read_roster(self) -> bool:
         listed = await roster.fetch_list(self.objects)
+        self.platform_answers = listed is not None
         if listed is None:
             return False
+        self.peers.apply_list(_pick_daemons(listed))
         roster.apply_list(self.world, listed)
         return True
 
     def _tell_target(self, target: Target) -> None:
+        self.news.tell_report(target, self.peers.tell)
         self.core.wake()
 
     def _count_call(self, call: str) -> None:
@@ -225,6 +341,19 @@
     return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
 
+def _is_sound(text: str) -> bool:
+    return parse_configuration(text, 1, "a peer").is_ok()
+
+
+def _pick_daemons(listed: tuple[ListedHost, ...]) -> list[Listed]:
+    """Return the rows of daemons."""
+    return [
+        Listed(row.id, row.address, row.domain, int(row.incarnation), row.leaving)
+        for row in listed
+        if row.kind == roster.DAEMON
+    ]
+
+
 def _open_log(outlet: Stream | Path) -> None:
     streams: dict[Stream, TextIO] = {
         Stream.STDERR: sys.stderr,
--- a/src/galenapass/duties/observer.py
+++ b/src/galenapass/duties/observer.py
@@ -67,14 +67,7 @@
         report = await self._fetch_load(target.address)
         if isinstance(report, Err):
             return
-        known = target.load
-        if known is not None and _is_older(report.ok_value, known):
+        if not estimates.is_newer(target, report.ok_value):
             return
         estimates.hear_load(target, report.ok_value, self._clock.monotonic())
         self._tell(target)
-
-
-def _is_older(report: LoadReport, known: LoadReport) -> bool:
-    if report.incarnation != known.incarnation:
-        return False
-    return report.sequence <= known.sequence
--- a/src/galenapass/duties/roster.py
+++ b/src/galenapass/duties/roster.py
@@ -7,7 +7,7 @@
 from galenapass.systems.targets import apply_presence
 from galenapass.tables.world import World
 
-__all__ = ["apply_list", "fetch_list"]
+__all__ = ["DAEMON", "apply_list", "fetch_list"]
 
 DAEMON = "daemon"
 TARGET = "target"
--- /dev/null
+++ b/src/galenapass/operators/overview.py
@@ -0,0 +1,128 @@
+"""Answer the operators' port from the tables of this daemon."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.duties.watcher import CURRENT, KIND
+from galenapass.operators.views import (
+    Conflict,
+    HostStatus,
+    PlatformState,
+    Status,
+    TargetStatus,
+)
+from galenapass.platform.messages import Cause, Failure
+from galenapass.platform.objects import Objects
+from galenapass.tables.configurations import Configuration
+from galenapass.tables.targets import Target
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["Overview"]
+
+COME_BACK = timedelta(seconds=5)
+KEPT_CONFIGURATIONS = 16
+
+
+@dataclass(slots=True)
+class Overview:
+    """Hold what the operators' port needs of a daemon."""
+
+    world: World
+    clock: Clock
+    objects: Objects
+    accept: Callable[[str, int], bool]
+    incarnation: Callable[[], int]
+    is_ready: Callable[[], bool]
+    is_platform_reachable: Callable[[], bool]
+    list_duties: Callable[[], list[str]]
+    earlier: dict[int, Configuration]
+
+    def read_status(self) -> Status:
+        """Return the state of this daemon and its hosts."""
+        reachable = self.is_platform_reachable()
+        return Status(
+            host=self.world.host,
+            domain=self.world.domain,
+            incarnation=self.incarnation(),
+            ready=self.is_ready(),
+            settings_version=self.world.configuration.version,
+            platform=PlatformState.REACHABLE if reachable else PlatformState.AWAY,
+            duties=tuple(self.list_duties()),
+            hosts=tuple(self._read_hosts()),
+        )
+
+    def read_targets(self) -> list[TargetStatus]:
+        """Return the targets in the order of the operators' file."""
+        order = list(self.world.configuration.targets)
+        names = order + sorted(set(self.world.targets) - set(order))
+        rows = [self.world.targets[n] for n in names if n in self.world.targets]
+        return [self._read_target(target) for target in rows]
+
+    def read_configuration(self, version: int | None = None) -> Configuration | None:
+        """Return the one in force, or an older one if it is still held."""
+        if version in (None, self.world.configuration.version):
+            return self.world.configuration
+        return self.earlier.get(version) if version is not None else None
+
+    async def apply(
+        self, text: str, base_version: int
+    ) -> Result[int, Verdict | Conflict]:
+        """Write a checked file on condition that the base is still in force."""
+        condition = base_version or None
+        written = await self.objects.write(KIND, CURRENT, text, condition)
+        if isinstance(written, Err):
+            return await self._resolve(text, base_version, written.err_value)
+        self.accept(text, written.ok_value)
+        return Ok(written.ok_value)
+
+    async def _resolve(
+        self, text: str, base_version: int, failure: Failure
+    ) -> Result[int, Verdict | Conflict]:
+        """Read back what a failed write left; the same text is our own."""
+        if failure.cause is Cause.AWAY:
+            return Err(_judge_away(failure))
+        found = await self.objects.read(KIND, CURRENT)
+        if isinstance(found, Err):
+            return Err(_judge_away(failure))
+        stored = found.ok_value
+        if stored.body == text and failure.cause is Cause.UNKNOWN:
+            self.accept(text, stored.version)
+            return Ok(stored.version)
+        if failure.cause is Cause.UNKNOWN and stored.version == base_version:
+            return Err(Verdict(Run.NOT_RUN, Reason.PLATFORM_AWAY, "", COME_BACK))
+        return Err(Conflict(base_version, stored.version))
+
+    def _read_hosts(self) -> list[HostStatus]:
+        rows = sorted(self.world.hosts.values(), key=lambda host: host.id)
+        return [
+            HostStatus(h.id, h.domain, h.state.value, h.settings_version) for h in rows
+        ]
+
+    def _read_target(self, target: Target) -> TargetStatus:
+        load = target.load
+        age = None
+        if target.load_at is not None:
+            age = self.clock.monotonic() - target.load_at
+        return TargetStatus(
+            id=target.id,
+            service=target.service,
+            domain=target.domain,
+            kind=target.kind.value,
+            role=target.role.value,
+            state=target.state.value,
+            running=load.running if load else target.own_requests,
+            waiting=load.waiting if load else 0,
+            pieces_used=load.pieces_used if load else 0,
+            pieces_total=load.pieces_total if load else 0,
+            report_age=age,
+        )
+
+
+def _judge_away(failure: Failure) -> Verdict:
+    run = Run.NOT_RUN if failure.cause is Cause.AWAY else Run.MAY_HAVE_RUN
+    return Verdict(run, Reason.PLATFORM_AWAY, failure.detail, COME_BACK)
--- a/src/galenapass/peers/codec.py
+++ b/src/galenapass/peers/codec.py
@@ -7,9 +7,11 @@
 from galenapass.peers import peers_pb2 as wire
 from galenapass.systems.levels import LEVELS, find_level
 from galenapass.systems.spreading import Patch
+from galenapass.tables.crashes import Crash
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
     CrashSuspect,
+    DemandUse,
     Drain,
     DrainAck,
     HostNews,
@@ -27,6 +29,7 @@
 MAX_NAMES = 20_000
 USE_LEVELS = 3
 REPORT_LEVELS = 4
+THOUSANDTHS = 1000
 STATES = {
     HostState.ALIVE: wire.ALIVE,
     HostState.LEAVING: wire.LEAVING,
@@ -139,17 +142,36 @@
     def _encode_suspect(self, batch: wire.Batch, item: CrashSuspect) -> None:
         batch.crash_suspects.add(
             fingerprint=item.fingerprint,
-            round=item.round,
-            count=item.count,
-            targets=[self._name(batch, target) for target in sorted(item.targets)],
+            crashes=self._list_crashes(batch, item.crashes),
+            cleared=self._list_crashes(batch, item.cleared),
         )
 
+    def _list_crashes(
+        self, batch: wire.Batch, crashes: frozenset[Crash]
+    ) -> list[wire.Crash]:
+        return [
+            wire.Crash(
+                target=self._name(batch, crash.target), incarnation=crash.incarnation
+            )
+            for crash in sorted(crashes)
+        ]
+
     def _encode_limit(self, batch: wire.Batch, item: LimitUse) -> None:
         batch.limit_uses.add(
             host=self._name(batch, item.host),
             caller=self._name(batch, item.caller),
             sequence=item.sequence,
-            requests=item.requests,
+            used=round(item.used * THOUSANDTHS),
+            held=round(item.held * THOUSANDTHS),
+        )
+
+    def _encode_demand(self, batch: wire.Batch, item: DemandUse) -> None:
+        batch.demand_uses.add(
+            host=self._name(batch, item.host),
+            service=self._name(batch, item.service),
+            sequence=item.sequence,
+            prefill=round(item.prefill * THOUSANDTHS),
+            decode=round(item.decode * THOUSANDTHS),
         )
 
     def _encode_orders(self, batch: wire.Batch, item: Orders) -> None:
@@ -168,6 +190,7 @@
     DrainAck: Encoder._encode_ack,
     CrashSuspect: Encoder._encode_suspect,
     LimitUse: Encoder._encode_limit,
+    DemandUse: Encoder._encode_demand,
     Orders: Encoder._encode_orders,
 }
 
@@ -279,18 +302,36 @@
                 ack.in_flight,
             )
         for suspect in batch.crash_suspects:
-            targets = frozenset(names[index] for index in suspect.targets)
             yield CrashSuspect(
-                suspect.fingerprint, suspect.round, suspect.count, targets
+                suspect.fingerprint,
+                self._read_crashes(suspect.crashes),
+                self._read_crashes(suspect.cleared),
             )
         for use in batch.limit_uses:
             yield LimitUse(
-                names[use.host], names[use.caller], use.sequence, use.requests
+                names[use.host],
+                names[use.caller],
+                use.sequence,
+                use.used / THOUSANDTHS,
+                use.held / THOUSANDTHS,
+            )
+        for demand in batch.demand_uses:
+            yield DemandUse(
+                names[demand.host],
+                names[demand.service],
+                demand.sequence,
+                demand.prefill / THOUSANDTHS,
+                demand.decode / THOUSANDTHS,
             )
         for orders in batch.orders:
             text = _decompress(orders.text)
             yield Orders(names[orders.domain], orders.version, text)
 
+    def _read_crashes(self, parts: Iterable[wire.Crash]) -> frozenset[Crash]:
+        return frozenset(
+            Crash(self._names[part.target], part.incarnation) for part in parts
+        )
+
 
 def _check_names(count: int) -> None:
     """Refuse to grow without bound; a new link starts with none."""
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -66,6 +66,7 @@
         hosts: dict[str, Host] | None = None,
         check: Callable[[str], bool] = lambda text: True,
         period: timedelta = ROUND,
+        pooled: bool = False,
     ):
         if not secret:
             raise ValueError("the peers' secret is empty")
@@ -80,8 +81,8 @@
         self._rate = budget * SENT_SHARE
         self._check = check
         self._period = period
-        self._members = Membership.make(host, domain, self.hosts)
-        self._table = GossipTable(host, domain)
+        self._members = Membership.make(host, domain, self.hosts, pooled)
+        self._table = GossipTable(host, domain, pooled)
         self._listener = Listener(secret, self._say_hello, self._serve)
         self._dialler = Dialler(secret, self._say_hello, self._serve, clock, random)
         self._rounds: asyncio.Task[None] | None = None
--- a/src/galenapass/settings/daemon.py
+++ b/src/galenapass/settings/daemon.py
@@ -13,6 +13,7 @@
 from galenapass.settings.schema import Fault, Key, Schema, Section
 from galenapass.settings.units import (
     Stream,
+    parse_choice,
     parse_duration,
     parse_list,
     parse_name,
@@ -48,6 +49,7 @@
     peers_secret: str
     peers_join: tuple[Address, ...]
     peers_budget: int
+    pooled: bool
     platform_address: Address
     platform_token: str | None
     logs_outlet: Stream | Path
@@ -168,6 +170,14 @@
                     "Most data a second to send to the other daemons.",
                     "11 KB/s",
                 ),
+                Key(
+                    "reach",
+                    "pooled",
+                    parse_choice({"fleet": True, "domain": False}),
+                    "`fleet` routes to the targets of every failure domain, "
+                    "`domain` to those of the own one.",
+                    "fleet",
+                ),
             ),
             required=True,
         ),
--- a/src/galenapass/systems/estimates.py
+++ b/src/galenapass/systems/estimates.py
@@ -23,6 +23,7 @@
     "fresh_tokens",
     "hear_load",
     "hear_peer",
+    "is_newer",
     "learn_end",
     "learn_first_token",
     "pieces_needed",
@@ -95,6 +96,14 @@
     _sum_peers(target)
 
 
+def is_newer(target: Target, report: LoadReport) -> bool:
+    """Tell whether a report says more than the one already known."""
+    known = target.load
+    if known is None or known.incarnation != report.incarnation:
+        return True
+    return report.sequence > known.sequence
+
+
 def estimate_load(target: Target, now: timedelta) -> Load:
     """Return reported load, trusted less with age, with later changes added."""
     trust = _trust(target, now)
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -162,7 +162,7 @@
     reach = KINDS[type(item)].reach
     if reach is Reach.HEARTBEAT:
         return _reaches_heartbeat(table, queue, item)
-    return reach is Reach.FLEET or queue.domain == table.domain
+    return reach is Reach.FLEET or table.pooled or queue.domain == table.domain
 
 
 def _reaches_heartbeat(table: GossipTable, queue: Queue, item: HostNews) -> bool:
--- a/src/galenapass/systems/kinds.py
+++ b/src/galenapass/systems/kinds.py
@@ -1,16 +1,18 @@
 """State for each kind of gossiped row its rank, reach, lifetime, merge and size."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from typing import Any
 
 from galenapass.systems.levels import find_level
+from galenapass.tables.crashes import Crash
 from galenapass.tables.gossip import Rank
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
     CrashSuspect,
+    DemandUse,
     Drain,
     DrainAck,
     HostNews,
@@ -23,7 +25,7 @@
 
 __all__ = ["KINDS", "Kind", "Reach", "order_host"]
 
-MAX_SUSPECT_TARGETS = 8
+MAX_SUSPECT_CRASHES = 8
 STATE_RANKS = {HostState.ALIVE: 0, HostState.LEAVING: 1, HostState.GONE: 2}
 
 
@@ -75,14 +77,22 @@
 
 
 def _merge_suspect(old: CrashSuspect, new: CrashSuspect) -> Item:
-    if new.round != old.round:
-        return new if new.round > old.round else old
-    targets = frozenset(sorted(old.targets | new.targets)[:MAX_SUSPECT_TARGETS])
-    count = max(old.count, new.count, len(targets))
-    merged = replace(old, count=count, targets=targets)
+    crashes = _keep_first(old.crashes | new.crashes)
+    cleared = _keep_first(old.cleared | new.cleared)
+    merged = CrashSuspect(old.fingerprint, crashes, cleared)
     return old if merged == old else merged
 
 
+def _keep_first(crashes: frozenset[Crash]) -> frozenset[Crash]:
+    return frozenset(sorted(crashes)[:MAX_SUSPECT_CRASHES])
+
+
+def _size_suspect(item: CrashSuspect) -> int:
+    crashes = [*item.crashes, *item.cleared]
+    names = sum(len(crash.incarnation.encode()) for crash in crashes)
+    return 20 + len(item.fingerprint.encode()) + 12 * len(crashes) + names
+
+
 KINDS: dict[type, Kind] = {
     HostNews: Kind(
         rank=Rank.HEARTBEAT,
@@ -120,7 +130,7 @@
         limit=2_000,
         key=lambda item: (item.fingerprint, ""),
         merge=_merge_suspect,
-        size=lambda item: 20 + len(item.fingerprint.encode()) + 5 * len(item.targets),
+        size=_size_suspect,
     ),
     Orders: Kind(
         rank=Rank.ORDERS,
@@ -156,6 +166,15 @@
         limit=10_000,
         key=lambda item: (item.host, item.caller),
         merge=_merge_latest(lambda item: item.sequence),
-        size=lambda item: 24,
+        size=lambda item: 28,
+    ),
+    DemandUse: Kind(
+        rank=Rank.LIMITS,
+        reach=Reach.DOMAIN,
+        lifetime=timedelta(minutes=2),
+        limit=2_000,
+        key=lambda item: (item.host, item.service),
+        merge=_merge_latest(lambda item: item.sequence),
+        size=lambda item: 28,
     ),
 }
--- a/src/galenapass/systems/membership.py
+++ b/src/galenapass/systems/membership.py
@@ -62,13 +62,16 @@
     listed: dict[str, int]
     seen: dict[str, timedelta]
     ended: dict[str, tuple[int, timedelta]]
+    pooled: bool = False
     resumed: timedelta = timedelta(0)
     swept: timedelta | None = None
 
     @classmethod
-    def make(cls, host: str, domain: str, hosts: dict[str, Host]) -> "Membership":
+    def make(
+        cls, host: str, domain: str, hosts: dict[str, Host], pooled: bool = False
+    ) -> "Membership":
         """Return an empty membership over a table of hosts."""
-        return cls(host, domain, hosts, {}, {}, {}, {})
+        return cls(host, domain, hosts, {}, {}, {}, {}, pooled)
 
 
 def accepts(members: Membership, news: HostNews) -> bool:
@@ -134,7 +137,7 @@
     known = [h for h in members.hosts.values() if h.id != members.host]
     silent = sorted(h.id for h in known if _is_silent(members, h, now))
     live = [h for h in known if not _is_silent(members, h, now)]
-    near = sorted(h.id for h in live if h.domain == members.domain)
+    near = sorted(h.id for h in live if _is_near(members, h))
     partners = _choose_near(members.host, near)
     partners |= _choose_far(members, near, live)
     if silent:
@@ -142,6 +145,10 @@
     return partners
 
 
+def _is_near(members: Membership, host: Host) -> bool:
+    return members.pooled or host.domain == members.domain
+
+
 def _choose_far(members: Membership, near: list[str], live: list[Host]) -> set[str]:
     """Choose a host of another domain; the bridges close a ring of domains."""
     domains = {h.domain for h in live} - {members.domain}
--- a/src/galenapass/tables/gossip.py
+++ b/src/galenapass/tables/gossip.py
@@ -49,9 +49,13 @@
 
 @dataclass(slots=True)
 class GossipTable:
-    """Hold the rows of one daemon by kind, and a queue for each open link."""
+    """Hold the rows of one daemon by kind, and a queue for each open link.
+
+    ``pooled`` carries to every domain what otherwise stays in one.
+    """
 
     host: str
     domain: str
+    pooled: bool = False
     rows: dict[type, dict[Key, Row]] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
--- a/src/galenapass/tables/peers.py
+++ b/src/galenapass/tables/peers.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass
 
+from galenapass.tables.crashes import Crash
 from galenapass.tables.hosts import HostState
 
 __all__ = [
     "CrashSuspect",
+    "DemandUse",
     "Drain",
     "DrainAck",
     "HostChange",
@@ -85,22 +87,33 @@
 
 @dataclass(slots=True, frozen=True)
 class CrashSuspect:
-    """Hold a request suspected of crashing targets; a new round clears the count."""
+    """Hold the crashes that a request may have caused; both sets only grow."""
 
     fingerprint: str
-    round: int
-    count: int
-    targets: frozenset[str]
+    crashes: frozenset[Crash]
+    cleared: frozenset[Crash] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
 class LimitUse:
-    """Hold how many requests of a caller one daemon took in its last period."""
+    """Hold what one daemon uses and holds of a caller's limit, in requests a second."""
 
     host: str
     caller: str
     sequence: int
-    requests: int
+    used: float
+    held: float
+
+
+@dataclass(slots=True, frozen=True)
+class DemandUse:
+    """Hold the demand that one daemon sees for a service, in engines."""
+
+    host: str
+    service: str
+    sequence: int
+    prefill: float
+    decode: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -146,5 +159,6 @@
     | DrainAck
     | CrashSuspect
     | LimitUse
+    | DemandUse
     | Orders
 )
