Count demand on arrival and carry heartbeats at once in a pooled fleet

Cause: status showed a far daemon's settings version up to 10 heartbeats late, and placement saw no demand. Ruled out: a message of its own for versions, as the heartbeat carries them. Change: pooled heartbeats are near ones; the core notes each arrival.

--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -11,7 +11,14 @@
 from galenapass.dispatch import Route
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
-from galenapass.systems import admission, crashes, estimates, limits, retries
+from galenapass.systems import (
+    admission,
+    crashes,
+    demand,
+    estimates,
+    limits,
+    retries,
+)
 from galenapass.systems.admission import Dispatch, Effect, Preempt, Refuse
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Request, RequestState
@@ -134,6 +141,7 @@
 
     def _refuse_new(self, request: Request) -> Verdict | None:
         now = self._clock.monotonic()
+        demand.note_arrival(self.world, request, now)
         condemned = crashes.check(self.world, request)
         if condemned is not None:
             return condemned
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -167,7 +167,7 @@
 
 def _reaches_heartbeat(table: GossipTable, queue: Queue, item: HostNews) -> bool:
     """Carry a heartbeat on at once within its domain, more seldom beyond."""
-    near = item.domain == table.domain == queue.domain
+    near = table.pooled or item.domain == table.domain == queue.domain
     known = queue.heartbeats.get(item.host)
     order = order_host(item)
     if near or known is None or known[:2] != order[:2]:
