--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -240,16 +240,37 @@
         async with self.session.put(url, data=text, headers=condition) as answer:
             answer.raise_for_status()
 
+    async def apply_by_tool(self, text: str) -> None:
+        """Apply the operators' file through the tool, as an operator does."""
+        file = self.folder / "fleet.ini"
+        file.write_text(text, encoding="utf-8")
+        port = next(iter(self.daemons.values())).operator_port
+        arguments = ["apply", str(file), "--daemon", port, "--token", TOKEN]
+        log = self.folder / "tool.log"
+        tool = await start_process(
+            "tool", "galenapass.cli", arguments, log, ready=False
+        )
+        if await tool.wait():
+            raise RuntimeError(log.read_text(encoding="utf-8")[-2000:])
+
     # What is asked of the daemons
 
+    async def wait_alive(self) -> None:
+        """Wait until every daemon answers at all."""
+        for spec in self.daemons.values():
+            await self._wait_for(f"http://{spec.entry}/healthz", spec.name)
+
     async def wait_ready(self, names: Iterable[str] = ()) -> None:
         """Wait until daemons take work; raise TimeoutError when they do not."""
         for name in names or self.daemons:
             await self._wait_ready(name)
 
     async def _wait_ready(self, name: str) -> None:
+        await self._wait_for(f"http://{self.daemons[name].entry}/readyz", name)
+
+    async def _wait_for(self, url: str, name: str) -> None:
         for _ in range(READY_TRIES):
-            if await self.is_ready(name):
+            if await self._answers(url):
                 return
             await asyncio.sleep(READY_PAUSE)
         log = (self.folder / f"{name}.log").read_text(encoding="utf-8")
@@ -257,7 +278,9 @@
 
     async def is_ready(self, name: str) -> bool:
         """Tell whether a daemon says that it takes work."""
-        url = f"http://{self.daemons[name].entry}/readyz"
+        return await self._answers(f"http://{self.daemons[name].entry}/readyz")
+
+    async def _answers(self, url: str) -> bool:
         try:
             async with self.session.get(url) as answer:
                 return answer.status == 200
