--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -3,10 +3,10 @@
 The core calls ``admit`` once for a new request and puts an admitted one in
 ``world.requests``; each tick it calls ``next_dispatches`` and acts on the effects:
 a ``Dispatch`` is already taken (counted, state DISPATCHED), a ``Refuse`` has
-ended, a ``Preempt`` asks to cancel a bulk stream and resume it later. It then calls
-``first_token`` when output begins and ``give_back`` when an attempt ends in any way.
-``take`` counts a choice that was made elsewhere, such as a retry. Call
-``estimates.learn_end`` before ``give_back``. All counts return to zero.
+ended, a ``Preempt`` asks to cancel a stream, give it back and let it wait to resume.
+It then calls ``first_token`` when output begins and ``give_back`` when an attempt
+ends in any way, after ``estimates.learn_end``. ``take`` counts a choice that was made
+elsewhere. All counts return to zero.
 """
 
 from dataclasses import dataclass
@@ -15,11 +15,12 @@
 
 import xxhash
 
-from galenapass.systems import demand, estimates, routing
+from galenapass.systems import crashes, estimates, routing
+from galenapass.systems.holds import first_token, give_back, take
 from galenapass.systems.routing import Choice
 from galenapass.tables.hosts import HostState
-from galenapass.tables.requests import Hold, Request, RequestState, Urgency
-from galenapass.tables.targets import Kind, LoadChange, Target
+from galenapass.tables.requests import Request, RequestState, Urgency
+from galenapass.tables.targets import Kind, Target
 from galenapass.tables.world import World
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -99,81 +100,13 @@
 
 def next_dispatches(world: World, now: timedelta, random: Random) -> list[Effect]:
     """Return what to send, refuse and preempt now, most pressing first."""
-    effects: list[Effect] = []
+    effects: list[Effect] = _withdraw_strays(world, now)
     work: dict[str, float] = {}
     for request in _queue(world):
         effects += _step(world, request, work, now, random)
     return effects
 
 
-def take(world: World, request: Request, choice: Choice, now: timedelta) -> None:
-    """Count a choice at its targets and mark the request dispatched."""
-    if request.holds:
-        raise ValueError(f"request {request.id} holds {request.holds} already")
-    target = world.targets[choice.target]
-    prefill = world.targets[choice.prefill_target or choice.target]
-    request.state = RequestState.DISPATCHED
-    request.target = choice.target
-    request.prefill_target = choice.prefill_target
-    request.dispatched = now
-    request.attempts += 1
-    request.preempted = False
-    request.queued_ahead = estimates.estimate_load(prefill, now).prefill
-    request.holds = _make_holds(target, prefill, request)
-    for hold in request.holds:
-        change = LoadChange(now, 1, hold.prefill, hold.pieces)
-        estimates.record(world.targets[hold.target], change)
-    if target.kind is Kind.ENGINE:
-        fresh = estimates.fresh_tokens(prefill, request)
-        demand.note_fresh_share(world, request, fresh)
-
-
-def first_token(world: World, request: Request, now: timedelta) -> None:
-    """Give the prefill back and learn from the time it took."""
-    if request.state is not RequestState.DISPATCHED:
-        return
-    request.state = RequestState.STREAMING
-    request.first_token = now
-    source = world.targets.get(request.prefill_target or request.target or "")
-    if source is not None and source.kind is Kind.ENGINE:
-        estimates.learn_first_token(source, request, now)
-    kept = [_drop_prefill(world, hold, now) for hold in request.holds]
-    request.holds = [hold for hold in kept if hold is not None]
-
-
-def give_back(world: World, request: Request, now: timedelta) -> None:
-    """Give back all that a request holds; a second call changes nothing."""
-    for hold in request.holds:
-        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
-    request.holds = []
-
-
-def _make_holds(target: Target, prefill: Target, request: Request) -> list[Hold]:
-    tokens = request.prompt_tokens + request.output_tokens
-    if target.kind is Kind.SERVICE:
-        return [Hold(target.id, 0, 0)]
-    pieces = estimates.pieces_needed(target, tokens)
-    fresh = estimates.fresh_tokens(prefill, request)
-    if prefill is target:
-        return [Hold(target.id, fresh, pieces)]
-    prompt = estimates.pieces_needed(prefill, request.prompt_tokens)
-    return [Hold(prefill.id, fresh, prompt, True), Hold(target.id, 0, pieces)]
-
-
-def _drop_prefill(world: World, hold: Hold, now: timedelta) -> Hold | None:
-    if hold.until_first_token:
-        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
-        return None
-    _release(world, hold, LoadChange(now, 0, -hold.prefill, 0))
-    return Hold(hold.target, 0, hold.pieces)
-
-
-def _release(world: World, hold: Hold, change: LoadChange) -> None:
-    target = world.targets.get(hold.target)
-    if target is not None:
-        estimates.record(target, change)
-
-
 def _rank(request: Request) -> tuple[int, timedelta, str]:
     return (request.urgency, request.deadline, request.id)
 
@@ -207,6 +140,18 @@
     return _preempt(world, request)
 
 
+def _withdraw_strays(world: World, now: timedelta) -> list[Effect]:
+    """Ask for the end of copies of a suspect outside of the target of its trial."""
+    if not world.crashes.suspects:
+        return []
+    strays = crashes.find_strays(world, now)
+    fresh = [r for r in strays if r.idempotent and not r.preempted]
+    for request in fresh:
+        request.preempted = True
+    why = "ran beside a crash and is tried alone elsewhere"
+    return [Preempt(r.id, f"{r.id} at {r.target} {why}") for r in fresh]
+
+
 def _preempt(world: World, request: Request) -> list[Effect]:
     """Ask for the room of a bulk stream once for each urgent request that waits."""
     if request.urgency is not Urgency.URGENT:
--- a/src/galenapass/systems/crashes.py
+++ b/src/galenapass/systems/crashes.py
@@ -21,6 +21,7 @@
 __all__ = [
     "SuspectNews",
     "check",
+    "find_strays",
     "forget_old",
     "hear_suspects",
     "limit_targets",
@@ -31,6 +32,8 @@
 
 CRASHES_TO_REFUSE = 2
 MEMORY = timedelta(hours=1)
+TRIAL_TIME = timedelta(seconds=30)
+MOST_COMPLETED = 4096
 RUNNING = (RequestState.DISPATCHED, RequestState.STREAMING)
 
 
@@ -58,6 +61,7 @@
 
 def note_completion(world: World, request: Request, now: timedelta) -> bool:
     """Clear a suspect that completed; return whether it was one."""
+    _remember(world, request.fingerprint)
     suspect = world.crashes.suspects.get(request.fingerprint)
     if suspect is None or not suspect.open_crashes or _is_refused(suspect):
         return False
@@ -78,22 +82,27 @@
 
 
 def limit_targets(
-    world: World, request: Request, targets: list[Target]
+    world: World, request: Request, targets: list[Target], now: timedelta
 ) -> list[Target]:
     """Return the targets that may run a request, given the suspects."""
     if not request.fingerprint:
         return targets
     suspect = world.crashes.suspects.get(request.fingerprint)
     if suspect is None or not suspect.open_crashes:
-        return targets
+        return _join_twins(world, request, targets)
     if _is_refused(suspect):
         return []
-    names = _assign(world, request.service).get(request.fingerprint, ())
+    names = _assign(world, request.service, now).get(request.fingerprint, ())
     if any(_others_on_trial(world, request, name) for name in names):
         return []
     return [t for t in targets if t.id in names]
 
 
+def find_strays(world: World, now: timedelta) -> list[Request]:
+    """Return the running suspects that are not at the targets of their trial."""
+    return [r for r in world.requests.values() if _is_stray(world, r, now)]
+
+
 def suspects_to_tell(world: World, now: timedelta) -> list[SuspectNews]:
     """Return all that peers should know, most recent change first."""
     suspects = sorted(
@@ -131,6 +140,14 @@
     return world.crashes.suspects.setdefault(fingerprint, Suspect(fingerprint))
 
 
+def _remember(world: World, fingerprint: str) -> None:
+    completed = world.crashes.completed
+    completed.pop(fingerprint, None)
+    completed[fingerprint] = None
+    if len(completed) > MOST_COMPLETED:
+        del completed[next(iter(completed))]
+
+
 def _is_refused(suspect: Suspect) -> bool:
     # Daemons may know different incarnations of one crash, so targets are counted.
     return len({c.target for c in suspect.open_crashes}) >= CRASHES_TO_REFUSE
@@ -144,6 +161,27 @@
     ]
 
 
+def _is_stray(world: World, request: Request, now: timedelta) -> bool:
+    suspect = world.crashes.suspects.get(request.fingerprint)
+    if suspect is None or not suspect.open_crashes or request.state not in RUNNING:
+        return False
+    names = _assign(world, request.service, now).get(request.fingerprint, ())
+    return request.target not in names
+
+
+def _join_twins(world: World, request: Request, targets: list[Target]) -> list[Target]:
+    """Keep equal requests at one target until one of them has completed."""
+    if request.fingerprint in world.crashes.completed:
+        return targets
+    names = {
+        name
+        for r in world.requests.values()
+        if r.fingerprint == request.fingerprint and r.state in RUNNING
+        for name in (r.target, r.prefill_target)
+    }
+    return [t for t in targets if not names or t.id in names]
+
+
 def _others_on_trial(world: World, request: Request, target: str) -> bool:
     """Tell whether another suspect runs at a target; two could not be told apart."""
     others = {r.fingerprint for r in _running_at(world, target)}
@@ -152,40 +190,43 @@
     return any(f in suspects and suspects[f].open_crashes for f in others)
 
 
-def _assign(world: World, service: str) -> dict[str, tuple[str, ...]]:
-    """Return the targets for each suspect: one, or one for each phase.
+def _assign(world: World, service: str, now: timedelta) -> dict[str, tuple[str, ...]]:
+    """Return a different target for each suspect on trial, or one for each phase.
 
-    They differ between suspects as long as there are enough; the rest share
-    targets, one at a time.
+    The suspects beyond the number of targets wait, on every daemon alike.
     """
     targets = [t for t in world.targets.values() if t.service == service]
     roles = {role: sorted(t.id for t in targets if t.role is role) for role in Role}
+    on_trial = _list_trials(world, now)
     if roles[Role.MIXED]:
-        return _spread(world, roles[Role.MIXED], {})
-    return _spread(world, roles[Role.DECODE], _spread(world, roles[Role.PREFILL], {}))
+        return _spread(world, on_trial, roles[Role.MIXED])
+    prefill = _spread(world, on_trial, roles[Role.PREFILL])
+    decode = _spread(world, on_trial, roles[Role.DECODE])
+    return {f: prefill[f] + decode[f] for f in prefill if f in decode}
 
 
 def _spread(
-    world: World, names: list[str], assigned: dict[str, tuple[str, ...]]
+    world: World, on_trial: list[str], names: list[str]
 ) -> dict[str, tuple[str, ...]]:
     free = set(names)
-    result = dict(assigned)
-    for fingerprint in _on_trial(world):
+    assigned: dict[str, tuple[str, ...]] = {}
+    for fingerprint in on_trial:
         crashed = {c.target for c in world.crashes.suspects[fingerprint].open_crashes}
-        fit = (free - crashed) or (set(names) - crashed)
+        fit = free - crashed
         if not fit:
             continue
         name = max(fit, key=lambda n: (_score(n, fingerprint), n))
-        result[fingerprint] = (*assigned.get(fingerprint, ()), name)
+        assigned[fingerprint] = (name,)
         free.discard(name)
-    return result
+    return assigned
 
 
-def _on_trial(world: World) -> list[str]:
+def _list_trials(world: World, now: timedelta) -> list[str]:
+    """Return the suspects to run, those of long ago last."""
     suspects = world.crashes.suspects.values()
-    return sorted(
-        s.fingerprint for s in suspects if s.open_crashes and not _is_refused(s)
-    )
+    on_trial = [s for s in suspects if s.open_crashes and not _is_refused(s)]
+    on_trial.sort(key=lambda s: (now - s.changed > TRIAL_TIME, s.fingerprint))
+    return [s.fingerprint for s in on_trial]
 
 
 def _score(name: str, fingerprint: str) -> int:
--- /dev/null
+++ b/src/galenapass/systems/holds.py
@@ -0,0 +1,79 @@
+"""Count what requests hold at targets, from dispatch to the end of the attempt."""
+
+from datetime import timedelta
+
+from galenapass.systems import demand, estimates
+from galenapass.systems.routing import Choice
+from galenapass.tables.requests import Hold, Request, RequestState
+from galenapass.tables.targets import Kind, LoadChange, Target
+from galenapass.tables.world import World
+
+__all__ = ["first_token", "give_back", "take"]
+
+
+def take(world: World, request: Request, choice: Choice, now: timedelta) -> None:
+    """Count a choice at its targets and mark the request dispatched."""
+    if request.holds:
+        raise ValueError(f"request {request.id} holds {request.holds} already")
+    target = world.targets[choice.target]
+    prefill = world.targets[choice.prefill_target or choice.target]
+    request.state = RequestState.DISPATCHED
+    request.target = choice.target
+    request.prefill_target = choice.prefill_target
+    request.dispatched = now
+    request.attempts += 1
+    request.preempted = False
+    request.queued_ahead = estimates.estimate_load(prefill, now).prefill
+    request.holds = _make_holds(target, prefill, request)
+    for hold in request.holds:
+        change = LoadChange(now, 1, hold.prefill, hold.pieces)
+        estimates.record(world.targets[hold.target], change)
+    if target.kind is Kind.ENGINE:
+        fresh = estimates.fresh_tokens(prefill, request)
+        demand.note_fresh_share(world, request, fresh)
+
+
+def first_token(world: World, request: Request, now: timedelta) -> None:
+    """Give the prefill back and learn from the time it took."""
+    if request.state is not RequestState.DISPATCHED:
+        return
+    request.state = RequestState.STREAMING
+    request.first_token = now
+    source = world.targets.get(request.prefill_target or request.target or "")
+    if source is not None and source.kind is Kind.ENGINE:
+        estimates.learn_first_token(source, request, now)
+    kept = [_drop_prefill(world, hold, now) for hold in request.holds]
+    request.holds = [hold for hold in kept if hold is not None]
+
+
+def give_back(world: World, request: Request, now: timedelta) -> None:
+    """Give back all that a request holds; a second call changes nothing."""
+    for hold in request.holds:
+        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+    request.holds = []
+
+
+def _make_holds(target: Target, prefill: Target, request: Request) -> list[Hold]:
+    tokens = request.prompt_tokens + request.output_tokens
+    if target.kind is Kind.SERVICE:
+        return [Hold(target.id, 0, 0)]
+    pieces = estimates.pieces_needed(target, tokens)
+    fresh = estimates.fresh_tokens(prefill, request)
+    if prefill is target:
+        return [Hold(target.id, fresh, pieces)]
+    prompt = estimates.pieces_needed(prefill, request.prompt_tokens)
+    return [Hold(prefill.id, fresh, prompt, True), Hold(target.id, 0, pieces)]
+
+
+def _drop_prefill(world: World, hold: Hold, now: timedelta) -> Hold | None:
+    if hold.until_first_token:
+        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+        return None
+    _release(world, hold, LoadChange(now, 0, -hold.prefill, 0))
+    return Hold(hold.target, 0, hold.pieces)
+
+
+def _release(world: World, hold: Hold, change: LoadChange) -> None:
+    target = world.targets.get(hold.target)
+    if target is not None:
+        estimates.record(target, change)
--- a/src/galenapass/systems/limits.py
+++ b/src/galenapass/systems/limits.py
@@ -1,11 +1,12 @@
 """Hold callers to their rates and, under overload, to their shares.
 
 Each daemon holds a part of a caller's rate. ``rebalance`` gives up at once what
-others use more, and takes only from what all daemons announced as free, so the
-parts add up to the rate even when some cannot be heard: a silent daemon's last
-part stays counted until the host list drops it. Slack: daemons that raise at the
-same moment on different news may exceed the rate by ``SLACK`` of it, for one
-round of announcements.
+others use more; a rise is claimed first, from what all daemons announced as free,
+and spent once every peer was heard after the claim. So the parts add up to the rate
+when some cannot be heard: a silent daemon's last part stays counted until the host
+list drops it, and nobody rises meanwhile. Slack: where a peer is heard but does not
+hear, the parts may exceed the rate by ``SLACK`` of it; a daemon that joins adds its
+even part for one round.
 """
 
 import math
@@ -30,7 +31,6 @@
 
 SLACK = 0.1
 EVEN_PART = 0.3  # of the rate, divided evenly whatever the use
-RAISE_PART = 0.5  # of the free rate that one rebalance may take
 BURST = 1.0  # seconds of the rate held
 USE_WINDOW = 10.0  # seconds
 WORK_WINDOW = 30.0  # seconds
@@ -60,7 +60,7 @@
 def announce_use(world: World, now: timedelta) -> dict[str, PeerUse]:
     """Return what peers should know of this daemon's use and part, by caller."""
     return {
-        name: PeerUse(_faded_use(limit, now), limit.held or 0.0, now)
+        name: PeerUse(_faded_use(limit, now), _announced(limit), now)
         for name, limit in world.limits.limits.items()
     }
 
@@ -132,14 +132,36 @@
 
 def _move(world: World, limit: Limit, rate: float, now: timedelta) -> None:
     held = limit.held or 0.0
-    others = sum(use.held for use in limit.peers.values())
     wanted = _want(world, limit, rate, now)
-    free = max(0.0, rate - others - held)
-    if wanted < held:
+    free = max(0.0, rate - _held_by_others(world, limit, rate) - held)
+    if wanted <= held:
         limit.held = wanted
-    else:
-        share = wanted / rate if rate else 0.0
-        limit.held = min(wanted, held + RAISE_PART * free * min(1.0, share))
+        limit.claimed = None
+    elif limit.claimed is None:
+        limit.claimed = held + min(wanted - held, free)
+        limit.claimed_at = now
+    elif _all_heard_since(world, limit):
+        limit.held = min(limit.claimed, held + free)
+        limit.claimed = None
+
+
+def _announced(limit: Limit) -> float:
+    return max(limit.held or 0.0, limit.claimed or 0.0)
+
+
+def _all_heard_since(world: World, limit: Limit) -> bool:
+    return all(
+        name in limit.peers and limit.peers[name].at > limit.claimed_at
+        for name, host in world.hosts.items()
+        if name != world.host and host.state is not HostState.GONE
+    )
+
+
+def _held_by_others(world: World, limit: Limit, rate: float) -> float:
+    """Add up the parts announced, and the first part of a daemon never heard."""
+    heard = sum(use.held for use in limit.peers.values())
+    unheard = _count_daemons(world) - 1 - len(limit.peers)
+    return heard + max(0, unheard) * rate / _count_daemons(world)
 
 
 def _want(world: World, limit: Limit, rate: float, now: timedelta) -> float:
--- a/src/galenapass/systems/placement.py
+++ b/src/galenapass/systems/placement.py
@@ -30,7 +30,7 @@
 REST = timedelta(seconds=60)  # between two changes of one target
 FULL_LOAD = 0.85  # of its capacity, beyond which waits grow
 LEAST_SAMPLES = 3
-FORECAST_ERROR = 0.05  # of the demand, that a gain has to exceed
+HYSTERESIS = 0.1  # engine-equivalents that a gain has to exceed
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,7 +118,7 @@
         if old is not new and _keeps_floors(mix.move(old, new), service)
     ]
     gain, old, new = max(options, key=_prefer, default=(0.0, Role.MIXED, Role.MIXED))
-    gain -= FORECAST_ERROR * (prefill + decode)
+    gain -= HYSTERESIS
     gain *= HORIZON.total_seconds()
     cost = AWAY.total_seconds() * world.configuration.role_change_weight
     target = _pick(world, engines, old, now)
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -52,7 +52,7 @@
 ) -> Choice | None:
     """Return the cheapest target with room, or None when there is none."""
     targets = estimates.usable(world, request.service, now)
-    targets = crashes.limit_targets(world, request, targets)
+    targets = crashes.limit_targets(world, request, targets, now)
     untried = [t for t in targets if t.id not in request.tried] or targets
     if not untried:
         return None
--- a/src/galenapass/tables/crashes.py
+++ b/src/galenapass/tables/crashes.py
@@ -34,6 +34,7 @@
 
 @dataclass(slots=True)
 class CrashTable:
-    """Hold the suspects by fingerprint."""
+    """Hold the suspects by fingerprint, and what completed, the latest last."""
 
     suspects: dict[str, Suspect] = field(default_factory=dict)
+    completed: dict[str, None] = field(default_factory=dict)
--- a/src/galenapass/tables/limits.py
+++ b/src/galenapass/tables/limits.py
@@ -28,11 +28,15 @@
     """Hold this daemon's part of one caller's limit, in requests a second.
 
     ``held`` is the rate that this daemon may spend; None until it is first set.
+    ``claimed`` is the larger rate that it announced and may spend once all peers
+    were heard after ``claimed_at``.
     ``used`` is the smoothed rate asked for, ``work`` the smoothed work served.
     """
 
     caller: str
     held: float | None = None
+    claimed: float | None = None
+    claimed_at: timedelta = timedelta(0)
     tokens: float = 0.0
     filled: timedelta = timedelta(0)
     used: float = 0.0
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,55 @@
+"""Check that retries stay within their budget and never run work twice."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from galenapass.systems import retries
+from galenapass.tables.requests import RequestState
+from galenapass.verdicts import Reason, Run, Verdict
+from tests.test_routing import make_request, make_world, seconds
+
+failures = st.builds(
+    Verdict, st.sampled_from([Run.NOT_RUN, Run.MAY_HAVE_RUN]), st.sampled_from(Reason)
+)
+
+
+class TestRetries(TestCase):
+    @given(st.booleans(), st.lists(failures, min_size=1, max_size=8))
+    def test_work_that_may_have_run_is_repeated_only_if_idempotent(self, safe, ends):
+        world = make_world()
+        request = make_request(idempotent=safe)
+        may_have_run = False
+        for failure in ends:
+            request.attempts += 1
+            may_have_run |= failure.run is Run.MAY_HAVE_RUN
+            decision = retries.decide(world, request, failure, seconds(0))
+            if isinstance(decision, Verdict):
+                self.assertEqual(may_have_run, decision.run is Run.MAY_HAVE_RUN)
+                self.assertIs(RequestState.ENDED, request.state)
+                return
+            self.assertTrue(safe or not may_have_run)
+            self.assertIn(failure.reason, retries.RETRIED)
+
+    @given(st.integers(0, 400), st.integers(1, 400), st.floats(0, 60))
+    def test_retries_are_a_share_of_fresh_work(self, fresh, failed, elapsed):
+        world = make_world()
+        for _ in range(fresh):
+            retries.note_fresh(world)
+        failure = Verdict(Run.NOT_RUN, Reason.TARGET_UNREACHABLE)
+        granted = 0
+        for number in range(failed):
+            request = make_request(number, patience=999.0)
+            decision = retries.decide(world, request, failure, seconds(elapsed))
+            granted += isinstance(decision, retries.Retry)
+        limit = retries.LARGEST_BUDGET + retries.RETRY_SHARE * fresh
+        self.assertLessEqual(granted, limit + retries.LEAST_RATE * elapsed)
+
+    def test_a_passed_deadline_ends_it_with_a_time_to_return(self):
+        failure = Verdict(Run.NOT_RUN, Reason.TARGET_REFUSED)
+        request = make_request(patience=1.0)
+        decision = retries.decide(make_world(), request, failure, seconds(1))
+        self.assertIs(Run.NOT_RUN, decision.run)
+        self.assertGreater(decision.retry_after, timedelta(0))
