--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -20,6 +20,8 @@
 
 __all__ = ["Relay", "relay_completion"]
 
+BODY_END_SECONDS = 1.0
+
 COMPLETED = Verdict(Run.RAN, Reason.COMPLETED)
 CANCELLED = Verdict(Run.MAY_HAVE_RUN, Reason.CANCELLED, "the caller went away")
 DEADLINE_PASSED = Verdict(
@@ -38,6 +40,9 @@
     }
 )
 
+# After a break the same target may still hold the run, to be resumed there.
+BREAKS = frozenset({Reason.TARGET_FAILED, Reason.TARGET_UNREACHABLE})
+
 log = make_log("callers")
 
 
@@ -94,6 +99,8 @@
             reason=verdict.reason.value,
             detail=verdict.detail,
         )
+        if verdict.reason not in BREAKS:
+            await _free_target(relay)
         routed = await relay.dispatcher.reroute(relay.request, verdict)
     return _own_up(relay, routed.err_value)
 
@@ -152,7 +159,7 @@
         detail = relay.tail.fault or "the stream broke off"
         verdict = Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
     finally:
-        _let_go(source, relay.tail)
+        _let_go(relay, source)
     if not relay.tail.complete:
         return verdict
     if not relay.tail.ended:
@@ -160,14 +167,25 @@
     return COMPLETED
 
 
-def _let_go(source: aiohttp.ClientResponse, tail: EventTail) -> None:
+def _let_go(relay: Relay, source: aiohttp.ClientResponse) -> None:
     """Keep the connection of a stream read to its end and close any other."""
-    if tail.ended and source.content.is_eof():
-        source.release()
+    if relay.tail.ended:
+        relay.streams.spawn(_read_end(source))
     else:
         source.close()
 
 
+async def _read_end(source: aiohttp.ClientResponse) -> None:
+    # The end of the body follows the last event; only then can others use the
+    # connection, but no caller has to wait for it.
+    try:
+        async with asyncio.timeout(BODY_END_SECONDS):
+            await source.content.readany()
+        source.release()
+    except (aiohttp.ClientError, OSError):
+        source.close()
+
+
 async def _pass_all(
     relay: Relay, content: aiohttp.StreamReader, stream: OpenStream
 ) -> None:
@@ -182,9 +200,6 @@
     write = await _open(relay.sink)
     await _write(write, first)
     await pass_events(content, relay.tail, write, relay.request)
-    if relay.tail.ended:
-        # The end of the body follows its last event and frees the connection.
-        await content.readany()
 
 
 async def _read_first(content: aiohttp.StreamReader, tail: EventTail) -> bytes:
@@ -231,6 +246,13 @@
         raise CallerGoneError from error
 
 
+async def _free_target(relay: Relay) -> None:
+    """Cancel a run that is to move, before its next target may be the same one."""
+    cancels = [relay.engines.cancel(at, relay.request.id) for at in relay.touched]
+    await asyncio.gather(*cancels)
+    relay.touched.clear()
+
+
 def _cancel_touched(relay: Relay, keep: set[str]) -> None:
     """Cancel the request wherever it may still run for nobody."""
     for address in relay.touched - keep:
--- a/src/galenapass/settings/daemon.py
+++ b/src/galenapass/settings/daemon.py
@@ -8,10 +8,12 @@
 from result import Err, Ok, Result
 
 from galenapass.settings.addresses import Address, parse_address, parse_listen
+from galenapass.settings.files import read_text
 from galenapass.settings.ini import Reading, read_defaults, read_ini
 from galenapass.settings.schema import Fault, Key, Schema, Section
 from galenapass.settings.units import (
     Stream,
+    parse_choice,
     parse_duration,
     parse_list,
     parse_name,
@@ -47,6 +49,7 @@
     peers_secret: str
     peers_join: tuple[Address, ...]
     peers_budget: int
+    pooled: bool
     platform_address: Address
     platform_token: str | None
     logs_outlet: Stream | Path
@@ -167,6 +170,14 @@
                     "Most data a second to send to the other daemons.",
                     "11 KB/s",
                 ),
+                Key(
+                    "reach",
+                    "pooled",
+                    parse_choice({"fleet": True, "domain": False}),
+                    "`fleet` routes to the targets of every failure domain, "
+                    "`domain` to those of the own one.",
+                    "fleet",
+                ),
             ),
             required=True,
         ),
@@ -223,15 +234,7 @@
 
 def read_daemon_settings(path: Path) -> Result[DaemonSettings, list[Fault]]:
     """Read the settings file of a daemon."""
-    try:
-        text = Path(path).read_bytes().decode("utf-8-sig")
-    except UnicodeDecodeError as error:
-        return Err([Fault(str(path), "", "", "", f"UTF-8 text ({error})")])
-    except OSError as error:
-        return Err(
-            [Fault(str(path), "", "", "", f"a readable file ({error.strerror})")]
-        )
-    return parse_daemon_settings(text, str(path))
+    return read_text(path).and_then(lambda text: parse_daemon_settings(text, str(path)))
 
 
 def parse_daemon_settings(
