Count only what a request adds to cached blocks, and bound a tick's search

Cause: pieces of shared prefixes were counted for each request, five times too many for short questions over long notes; a long queue searched every target each tick. Ruled out: relying on cache events alone, only the watchers of a target see them. Conclusion: to be measured on traces.

--- a/experiments/path_entry.py
+++ b/experiments/path_entry.py
@@ -1,26 +1,12 @@
 """Run the callers' side with a dispatcher that only takes targets in turn."""
 
-import asyncio
 import itertools
-import secrets
-from datetime import timedelta
 
-import click
 from result import Err, Ok, Result
 
-from experiments.path_process import serve_process
-from galenapass.callers.app import make_callers_app
-from galenapass.callers.limits import Limits
-from galenapass.callers.streams import OpenStreams
-from galenapass.clocks import SystemClock
-from galenapass.dispatch import Claim, Claims, Route, StoredAnswer
-from galenapass.settings.hours import urgency_of
-from galenapass.tables.configurations import Caller, Configuration, Service
-from galenapass.tables.requests import Request, Urgency
-from galenapass.tables.targets import Kind
-from galenapass.targets.engines import Engines
-from galenapass.targets.services import PlainServices
-from galenapass.verdicts import Reason, Run, Verdict
+from galenapass.dispatch import Route
+from galenapass.tables.requests import Request
+from galenapass.verdicts import Verdict
 
 __all__ = ["KEY", "MODEL"]
 
--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -9,16 +9,15 @@
 elsewhere. All counts return to zero.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
 import xxhash
 
-from galenapass.systems import crashes, estimates, routing
+from galenapass.systems import crashes, demand, estimates, limits, routing
 from galenapass.systems.holds import first_token, give_back, take
 from galenapass.systems.routing import Choice
-from galenapass.tables.hosts import HostState
 from galenapass.tables.requests import Request, RequestState, Urgency
 from galenapass.tables.targets import Kind, Target
 from galenapass.tables.world import World
@@ -40,6 +39,7 @@
 
 LEAST_RETURN = 1.0  # seconds
 LONGEST_RETURN = 60.0  # seconds
+MOST_MISSES = 4  # of one class of a service in one tick
 MOST_PREEMPTIONS = 2  # of one request
 
 
@@ -84,8 +84,21 @@
 Effect = Dispatch | Refuse | Preempt
 
 
+@dataclass(slots=True)
+class _Tick:
+    """Hold what one tick has found out so far, by service or service and class."""
+
+    world: World
+    now: timedelta
+    random: Random
+    targets: dict[str, list[Target]] = field(default_factory=dict)
+    work: dict[str, float] = field(default_factory=dict)
+    misses: dict[tuple[str, Urgency], int] = field(default_factory=dict)
+
+
 def admit(world: World, request: Request, now: timedelta) -> Admitted | Refused:
     """Return whether a new request can be done in time behind those that wait."""
+    demand.note_arrival(world, request, now)
     entries = [t for t in world.targets.values() if t.service == request.service]
     if not entries:
         detail = f"no target of {request.service} is known"
@@ -93,17 +106,19 @@
     too_large = _check_size(entries, request)
     if too_large is not None:
         return Refused(too_large)
-    ahead = [r for r in _queue(world, request.service) if _rank(r) <= _rank(request)]
-    work = sum(_work(world, r, now) for r in ahead)
-    return _judge(world, request, work, now)
+    targets = estimates.usable(world, request.service, now)
+    rank = _rank(request)
+    ahead = [r for r in _waiting(world) if r.service == request.service]
+    work = sum(_work(targets, r, now) for r in ahead if _rank(r) <= rank)
+    return _judge(world, request, targets, work, now)
 
 
 def next_dispatches(world: World, now: timedelta, random: Random) -> list[Effect]:
     """Return what to send, refuse and preempt now, most pressing first."""
+    tick = _Tick(world, now, random)
     effects: list[Effect] = _withdraw_strays(world, now)
-    work: dict[str, float] = {}
-    for request in _queue(world):
-        effects += _step(world, request, work, now, random)
+    for request in _queue(world, now):
+        effects += _step(tick, request)
     return effects
 
 
@@ -111,35 +126,53 @@
     return (request.urgency, request.deadline, request.id)
 
 
-def _queue(world: World, service: str | None = None) -> list[Request]:
-    waiting = [
-        r
-        for r in world.requests.values()
-        if r.state is RequestState.WAITING and service in (None, r.service)
-    ]
-    return sorted(waiting, key=_rank)
+def _waiting(world: World) -> list[Request]:
+    return [r for r in world.requests.values() if r.state is RequestState.WAITING]
 
 
-def _step(
-    world: World,
-    request: Request,
-    work: dict[str, float],
-    now: timedelta,
-    random: Random,
-) -> list[Effect]:
-    choice = routing.choose_target(world, request, now, random)
+def _queue(world: World, now: timedelta) -> list[Request]:
+    """Return the waiting by class, callers beyond their share last, then deadline."""
+    waiting = _waiting(world)
+    over = limits.find_over_share(world, {r.caller for r in waiting}, now)
+    return sorted(
+        waiting, key=lambda r: (r.urgency, r.caller in over, r.deadline, r.id)
+    )
+
+
+def _step(tick: _Tick, request: Request) -> list[Effect]:
+    world, now = tick.world, tick.now
+    choice = _choose(tick, request)
     if choice is not None:
         take(world, request, choice, now)
         return [Dispatch(request.id, choice)]
-    ahead = work.get(request.service, 0.0)
-    verdict = _judge(world, request, ahead, now)
+    targets = _usable(tick, request.service)
+    ahead = tick.work.get(request.service, 0.0)
+    verdict = _judge(world, request, targets, ahead, now)
     if isinstance(verdict, Refused):
         request.state = RequestState.ENDED
         return [Refuse(request.id, verdict.verdict)]
-    work[request.service] = ahead + _work(world, request, now)
+    tick.work[request.service] = ahead + _work(targets, request, now)
     return _preempt(world, request)
 
 
+def _choose(tick: _Tick, request: Request) -> Choice | None:
+    """Look for a target unless several like requests have just found none."""
+    group = (request.service, request.urgency)
+    missed = tick.misses.get(group, 0)
+    if missed >= MOST_MISSES:
+        return None
+    choice = routing.choose_target(tick.world, request, tick.now, tick.random)
+    if choice is None:
+        tick.misses[group] = missed + 1
+    return choice
+
+
+def _usable(tick: _Tick, service: str) -> list[Target]:
+    if service not in tick.targets:
+        tick.targets[service] = estimates.usable(tick.world, service, tick.now)
+    return tick.targets[service]
+
+
 def _withdraw_strays(world: World, now: timedelta) -> list[Effect]:
     """Ask for the end of copies of a suspect outside of the target of its trial."""
     if not world.crashes.suspects:
@@ -197,15 +230,19 @@
 
 
 def _judge(
-    world: World, request: Request, work: float, now: timedelta
+    world: World,
+    request: Request,
+    targets: list[Target],
+    work: float,
+    now: timedelta,
 ) -> Admitted | Refused:
     """Compare the time that the work ahead and the request take with its deadline."""
-    targets = estimates.usable(world, request.service, now)
     if not targets:
         if now < request.deadline:
             return Admitted(request.deadline - now)
         return Refused(_overloaded(request, LEAST_RETURN, "no target can be reached"))
-    wait = work / _share_of_fleet(world, targets)
+    share = demand.own_share(world, request.service)
+    wait = work / (len(targets) * share)
     shortest = min(estimates.service_time(t, request, now) for t in targets)
     done = now + timedelta(seconds=wait + shortest)
     if done <= request.deadline:
@@ -215,21 +252,11 @@
     return Refused(_overloaded(request, wait, detail))
 
 
-def _share_of_fleet(world: World, targets: list[Target]) -> float:
-    """Return the targets that this daemon's queue may count upon."""
-    daemons = max(1, sum(h.state is HostState.ALIVE for h in world.hosts.values()))
-    return max(1.0, len(targets) / daemons)
-
-
-def _work(world: World, request: Request, now: timedelta) -> float:
+def _work(targets: list[Target], request: Request, now: timedelta) -> float:
     """Return the target-seconds that a request takes of the fleet."""
-    targets = estimates.usable(world, request.service, now)
     if not targets:
         return 0.0
-    target = targets[0]
-    share = request.output_tokens * estimates.token_step(target, now)
-    prefill = request.prompt_tokens / estimates.prefill_rate(target, now)
-    return prefill + share / estimates.sequences(target)
+    return estimates.work_seconds(targets[0], request, now)
 
 
 def _overloaded(request: Request, wait: float, detail: str) -> Verdict:
--- a/src/galenapass/systems/demand.py
+++ b/src/galenapass/systems/demand.py
@@ -20,6 +20,7 @@
     "hear_demand",
     "note_arrival",
     "note_fresh_share",
+    "own_share",
     "sample",
 ]
 
@@ -41,7 +42,7 @@
     rate = max(t.rates.best_prefill for t in engines)
     step = min(t.rates.best_step for t in engines)
     demand.prefill_arrived += request.prompt_tokens * demand.fresh_share / rate
-    share = _decode_share(engines[0], request)
+    share = estimates.memory_share(engines[0], request)
     demand.decode_arrived += request.output_tokens * step * share
 
 
@@ -79,6 +80,18 @@
     return max(0.0, phase.level + phase.trend * ahead.total_seconds())
 
 
+def own_share(world: World, service: str) -> float:
+    """Return the part of a service's demand that arrives at this daemon."""
+    demand = world.demand.demands.get(service)
+    if demand is None:
+        return 1.0
+    own = demand.own_prefill + demand.own_decode
+    others = sum(w.prefill + w.decode for w in demand.peers.values())
+    if not others:
+        return 1.0
+    return max(own / (own + others), 1.0 / (1 + len(demand.peers)))
+
+
 def demand_to_tell(world: World, now: timedelta) -> dict[str, PeerWork]:
     """Return this daemon's own demand by service."""
     return {
@@ -106,13 +119,6 @@
     return [t for t in targets if t.service == service and t.kind is Kind.ENGINE]
 
 
-def _decode_share(target: Target, request: Request) -> float:
-    """Return the part of an engine that a sequence takes, by memory or by room."""
-    tokens = request.prompt_tokens + request.output_tokens
-    memory = estimates.pieces_needed(target, tokens) / estimates.pieces_total(target)
-    return max(memory, 1.0 / estimates.sequences(target))
-
-
 def _smooth(phase: PhaseDemand, value: float, elapsed: float, first: bool) -> None:
     if first:
         phase.level = value
--- a/src/galenapass/systems/holds.py
+++ b/src/galenapass/systems/holds.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from galenapass.systems import demand, estimates
+from galenapass.systems import caches, demand, estimates, limits
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Hold, Request, RequestState
 from galenapass.tables.targets import Kind, LoadChange, Target
@@ -29,8 +29,9 @@
         change = LoadChange(now, 1, hold.prefill, hold.pieces)
         estimates.record(world.targets[hold.target], change)
     if target.kind is Kind.ENGINE:
-        fresh = estimates.fresh_tokens(prefill, request)
+        fresh = caches.fresh_tokens(prefill, request)
         demand.note_fresh_share(world, request, fresh)
+    limits.note_work(world, request, estimates.work_seconds(target, request, now), now)
 
 
 def first_token(world: World, request: Request, now: timedelta) -> None:
@@ -42,6 +43,7 @@
     source = world.targets.get(request.prefill_target or request.target or "")
     if source is not None and source.kind is Kind.ENGINE:
         estimates.learn_first_token(source, request, now)
+        caches.note_used(source, request.blocks)
     kept = [_drop_prefill(world, hold, now) for hold in request.holds]
     request.holds = [hold for hold in kept if hold is not None]
 
@@ -54,14 +56,13 @@
 
 
 def _make_holds(target: Target, prefill: Target, request: Request) -> list[Hold]:
-    tokens = request.prompt_tokens + request.output_tokens
     if target.kind is Kind.SERVICE:
         return [Hold(target.id, 0, 0)]
-    pieces = estimates.pieces_needed(target, tokens)
-    fresh = estimates.fresh_tokens(prefill, request)
+    pieces = estimates.own_pieces_needed(target, request)
+    fresh = caches.fresh_tokens(prefill, request)
     if prefill is target:
         return [Hold(target.id, fresh, pieces)]
-    prompt = estimates.pieces_needed(prefill, request.prompt_tokens)
+    prompt = estimates.pieces_needed(prefill, fresh)
     return [Hold(prefill.id, fresh, prompt, True), Hold(target.id, 0, pieces)]
 
 
--- /dev/null
+++ b/src/galenapass/systems/rates.py
@@ -0,0 +1,125 @@
+"""Learn the speed, room and health of targets from the results they give."""
+
+import math
+from datetime import timedelta
+
+from galenapass.systems.caches import fresh_tokens
+from galenapass.tables.requests import Request
+from galenapass.tables.targets import Rates, Target
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Verdict
+
+__all__ = [
+    "FAILURES_TO_AVOID",
+    "IMPORT_TIME",
+    "TRANSFER_RATE",
+    "learn_end",
+    "learn_first_token",
+    "prefill_rate",
+    "token_step",
+]
+
+DEFAULT_RATES = Rates()
+TRANSFER_RATE = 20_000.0  # tokens of KV cache a second
+IMPORT_TIME = 0.02  # seconds
+LEARNING_SHARE = 0.2
+WORSENING_SHARE = 0.005
+LEAST_SAMPLE_TOKENS = 128
+FORGETTING_TIME = 30.0  # seconds
+FAILURES_TO_AVOID = 2
+FIRST_AVOIDANCE = timedelta(seconds=1)
+LONGEST_AVOIDANCE = timedelta(seconds=60)
+REFUSAL_AVOIDANCE = timedelta(milliseconds=250)
+ROOM_STEP = 0.05  # sequences regained by each completion
+LARGEST_ROOM = 512.0
+
+
+def prefill_rate(target: Target, now: timedelta) -> float:
+    """Return the learned tokens a second, drifting to the default unused."""
+    learned = target.rates.prefill
+    fade = _fade(target.rates.prefill_at, now)
+    return learned * fade + DEFAULT_RATES.prefill * (1.0 - fade)
+
+
+def token_step(target: Target, now: timedelta) -> float:
+    """Return the learned seconds between tokens, drifting to the default unused."""
+    fade = _fade(target.rates.step_at, now)
+    return target.rates.step * fade + DEFAULT_RATES.step * (1.0 - fade)
+
+
+def learn_first_token(target: Target, request: Request, now: timedelta) -> None:
+    """Learn the prefill rate of a target from a request's first token."""
+    tokens = request.queued_ahead + fresh_tokens(target, request)
+    if request.dispatched is None or tokens < LEAST_SAMPLE_TOKENS:
+        return
+    elapsed = (now - request.dispatched).total_seconds()
+    if request.prefill_target:
+        elapsed -= IMPORT_TIME + request.prompt_tokens / TRANSFER_RATE
+    if elapsed <= 0.0:
+        return
+    rates = target.rates
+    sample = tokens / elapsed
+    rates.prefill = _blend(prefill_rate(target, now), sample)
+    rates.prefill_at = now
+    better = sample > rates.best_prefill
+    rates.best_prefill = _blend(rates.best_prefill, sample, _best_share(better))
+
+
+def learn_end(world: World, request: Request, verdict: Verdict, now: timedelta) -> None:
+    """Learn speed, room and health of a target from the end of an attempt."""
+    target = world.targets.get(request.target or "")
+    if target is None:
+        return
+    lessons = {
+        Reason.COMPLETED: _learn_completion,
+        Reason.TARGET_REFUSED: _learn_refusal,
+        Reason.TARGET_FAILED: _learn_failure,
+        Reason.TARGET_UNREACHABLE: _learn_failure,
+    }
+    lesson = lessons.get(verdict.reason)
+    if lesson is not None:
+        lesson(target, request, now)
+
+
+def _learn_completion(target: Target, request: Request, now: timedelta) -> None:
+    target.failures = 0
+    target.avoid_until = None
+    target.rates.room = min(LARGEST_ROOM, target.rates.room + ROOM_STEP)
+    if request.first_token is None or request.delivered < 2:
+        return
+    elapsed = (now - request.first_token).total_seconds()
+    sample = elapsed / (request.delivered - 1)
+    rates = target.rates
+    rates.step = _blend(token_step(target, now), sample)
+    rates.step_at = now
+    better = sample < rates.best_step
+    rates.best_step = _blend(rates.best_step, sample, _best_share(better))
+
+
+def _learn_refusal(target: Target, request: Request, now: timedelta) -> None:
+    target.avoid_until = now + REFUSAL_AVOIDANCE
+    if target.own_requests:
+        target.rates.room = max(1.0, min(target.rates.room, target.own_requests))
+
+
+def _learn_failure(target: Target, request: Request, now: timedelta) -> None:
+    target.failures += 1
+    beyond = target.failures - FAILURES_TO_AVOID
+    if beyond < 0:
+        return
+    span = FIRST_AVOIDANCE * 2 ** min(beyond, 10)
+    target.avoid_until = now + min(span, LONGEST_AVOIDANCE)
+
+
+def _fade(at: timedelta | None, now: timedelta) -> float:
+    if at is None:
+        return 1.0
+    return math.exp(-(now - at).total_seconds() / FORGETTING_TIME)
+
+
+def _blend(old: float, sample: float, share: float = LEARNING_SHARE) -> float:
+    return old * (1.0 - share) + sample * share
+
+
+def _best_share(better: bool) -> float:
+    return LEARNING_SHARE if better else WORSENING_SHARE
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -10,7 +10,8 @@
 
 import xxhash
 
-from galenapass.systems import crashes, estimates
+from galenapass.systems import caches, crashes, estimates
+from galenapass.systems.rates import IMPORT_TIME, TRANSFER_RATE
 from galenapass.tables.requests import Request, Urgency
 from galenapass.tables.targets import Kind, Role, Target
 from galenapass.tables.world import World
@@ -20,8 +21,6 @@
 AFFINITY_DEPTHS = (16, 4, 1)  # blocks
 CANDIDATES_A_DEPTH = 2
 LOAD_BOUND = 1.25  # times the mean load
-TRANSFER_RATE = 200_000.0  # tokens of KV cache a second
-IMPORT_TIME = 0.02  # seconds
 # Share of an engine's sequences and memory that each class may fill.
 FILL = {Urgency.URGENT: 1.0, Urgency.NORMAL: 0.9, Urgency.BULK: 0.75}
 # Seconds of prompts queued at an engine before each class is held back.
@@ -71,9 +70,7 @@
         return False
     if target.kind is Kind.SERVICE:
         return True
-    needed = estimates.pieces_needed(
-        target, request.prompt_tokens + request.output_tokens
-    )
+    needed = estimates.own_pieces_needed(target, request)
     if load.pieces + needed > fill * estimates.pieces_total(target):
         return False
     return not prefill or _backlog_fits(target, request, now)
@@ -126,7 +123,7 @@
 
 
 def _explain(plan: _Plan, request: Request, names: tuple[str, ...]) -> str:
-    cached = estimates.cached_tokens(plan.prefill or plan.target, request)
+    cached = caches.cached_tokens(plan.prefill or plan.target, request)
     split = f", prompt at {plan.prefill.id}" if plan.prefill else ""
     return (
         f"{plan.target.id}{split}: {plan.cost:.2f} s expected, "
@@ -176,7 +173,7 @@
 
 
 def _prompt_time(target: Target, request: Request, now: timedelta) -> float:
-    fresh = estimates.fresh_tokens(target, request)
+    fresh = caches.fresh_tokens(target, request)
     own = fresh / estimates.prefill_rate(target, now)
     return estimates.prefill_wait(target, now) + own
 
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -119,7 +119,7 @@
     peer_pieces: int = 0
     failures: int = 0
     avoid_until: timedelta | None = None
-    cached_blocks: set[int] = field(default_factory=set)
+    cached_blocks: dict[int, None] = field(default_factory=dict)
     own_changes: list[LoadChange] = field(default_factory=list)
     peer_changes: list[LoadChange] = field(default_factory=list)
     rates: Rates = field(default_factory=Rates)
