Put preempted work back at no cost and let a begun answer resume late

Cause: a bulk stream that gives way spent the retry budget and was refused, since its reason is no failure; and a stream that broke after its deadline was ended half-way, though every caller is owed the whole answer. Ruled out: a larger budget, which a failing target would then also have; no deadline for a begun answer, which could wait for ever. Change: PREEMPTED waits again without counting an attempt, if idempotent; a begun answer has 5 minutes to resume.

--- a/src/galenapass/systems/retries.py
+++ b/src/galenapass/systems/retries.py
@@ -20,6 +20,7 @@
 LEAST_RATE = 1.0  # retries a second that idle daemons regain
 LARGEST_BUDGET = 50.0  # retries
 MOST_ATTEMPTS = 4
+RESUME_TIME = timedelta(minutes=5)
 RETURN_AFTER = timedelta(seconds=1)
 RETRIED = frozenset(
     {Reason.TARGET_REFUSED, Reason.TARGET_FAILED, Reason.TARGET_UNREACHABLE}
@@ -43,6 +44,9 @@
     world: World, request: Request, failure: Verdict, now: timedelta
 ) -> Retry | Verdict:
     """Put a failed request back among the waiting, or return the final verdict."""
+    _extend(request, now)
+    if failure.reason is Reason.PREEMPTED and request.idempotent:
+        return _put_back(request)
     _note_attempt(request, failure)
     condemned = crashes.check(world, request)
     if condemned is not None:
@@ -56,6 +60,22 @@
     return Retry(f"attempt {request.attempts} {failure.reason.value}")
 
 
+def _extend(request: Request, now: timedelta) -> None:
+    """Give a begun answer time to resume, as half of it is worth nothing."""
+    if request.delivered:
+        request.deadline = max(request.deadline, now + RESUME_TIME)
+
+
+def _put_back(request: Request) -> Retry:
+    """Queue a request again that no failure of its own has stopped."""
+    request.attempts -= 1
+    request.may_have_run = True
+    request.target = None
+    request.prefill_target = None
+    request.state = RequestState.WAITING
+    return Retry(Reason.PREEMPTED.value)
+
+
 def _note_attempt(request: Request, failure: Verdict) -> None:
     if request.target is not None:
         request.tried.add(request.target)
