--- a/src/galenapass/systems/retries.py
+++ b/src/galenapass/systems/retries.py
@@ -46,7 +46,7 @@
     """Put a failed request back among the waiting, or return the final verdict."""
     _extend(request, now)
     if failure.reason is Reason.PREEMPTED and request.idempotent:
-        return _put_back(request)
+        return _put_back(request, failure)
     _note_attempt(request, failure)
     condemned = crashes.check(world, request)
     if condemned is not None:
@@ -66,10 +66,10 @@
         request.deadline = max(request.deadline, now + RESUME_TIME)
 
 
-def _put_back(request: Request) -> Retry:
+def _put_back(request: Request, failure: Verdict) -> Retry:
     """Queue a request again that no failure of its own has stopped."""
     request.attempts -= 1
-    request.may_have_run = True
+    request.may_have_run |= failure.run is not Run.NOT_RUN
     request.target = None
     request.prefill_target = None
     request.state = RequestState.WAITING
