Bound the last write to a caller and tell a passed deadline truly

A request whose deadline passed in the queue was told may have run though nothing was sent; it is told not run.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 test: setup
 	$(BIN)/python -m pytest
 
+measure-path: setup
+	$(BIN)/python -m experiments.measure_path
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/experiments/measure_path.py
+++ b/experiments/measure_path.py
@@ -19,7 +19,7 @@
 
 from experiments.fleet import DaemonSpec, Fleet, TargetSpec
 from experiments.path_load import Tally
-from experiments.path_process import read_processor_seconds
+from experiments.path_process import read_processor_seconds, read_stolen_seconds
 from experiments.processes import Process, start_process, stop_all
 
 __all__ = ["main"]
@@ -39,9 +39,13 @@
 
 @dataclass(slots=True)
 class Run:
-    """Hold one run; cores is processor time by wall time, waits in ms."""
+    """Hold one run; cores is processor time by wall time, waits in ms.
+
+    ``stolen`` is what other guests of the machine took meanwhile, in cores.
+    """
 
     cores: float
+    stolen: float
     tokens: float
     requests: float
     failures: int
@@ -131,11 +135,17 @@
     ]
     await asyncio.sleep(WARM_SECONDS)
     started = time.monotonic()
-    before = read_processor_seconds(subject.pid) if subject.pid else 0.0
+    before = _read_times(subject)
     await asyncio.sleep(WINDOW_SECONDS - 1)
-    after = read_processor_seconds(subject.pid) if subject.pid else 0.0
-    cores = (after - before) / (time.monotonic() - started)
-    return _summarise(cores, await asyncio.gather(*loaders))
+    after = _read_times(subject)
+    elapsed = time.monotonic() - started
+    cores, stolen = ((b - a) / elapsed for a, b in zip(before, after, strict=True))
+    return _summarise(cores, stolen, await asyncio.gather(*loaders))
+
+
+def _read_times(subject: Subject) -> tuple[float, float]:
+    own = read_processor_seconds(subject.pid) if subject.pid else 0.0
+    return own, read_stolen_seconds()
 
 
 async def _run_loader(arguments: Sequence[str], folder: Path) -> Tally:
@@ -152,11 +162,12 @@
     return Tally(**orjson.loads(output))
 
 
-def _summarise(cores: float, tallies: Sequence[Tally]) -> Run:
+def _summarise(cores: float, stolen: float, tallies: Sequence[Tally]) -> Run:
     waits = sorted(wait * 1000 for tally in tallies for wait in tally.first_tokens)
     cuts = statistics.quantiles(waits, n=100, method="inclusive")
     return Run(
         cores=cores,
+        stolen=stolen,
         tokens=sum(tally.tokens for tally in tallies) / WINDOW_SECONDS,
         requests=sum(tally.requests for tally in tallies) / WINDOW_SECONDS,
         failures=sum(tally.failures for tally in tallies),
@@ -169,7 +180,8 @@
     return (
         f"{run.cores:.3f} cores, {run.requests:.1f} requests/s, "
         f"{run.tokens:,.0f} tokens/s, first token p50 {run.p50:.2f} ms "
-        f"p99 {run.p99:.2f} ms, {run.failures} failures"
+        f"p99 {run.p99:.2f} ms, {run.failures} failures, "
+        f"{run.stolen:.2f} cores stolen"
     )
 
 
--- a/experiments/path_process.py
+++ b/experiments/path_process.py
@@ -8,7 +8,7 @@
 
 from galenapass.callers.app import make_runner
 
-__all__ = ["read_processor_seconds", "serve_process"]
+__all__ = ["read_processor_seconds", "read_stolen_seconds", "serve_process"]
 
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
@@ -22,6 +22,13 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
+def read_stolen_seconds() -> float:
+    """Return the time that the hypervisor gave to others, over all cores."""
+    line = Path("/proc/stat").read_text(encoding="ascii").partition("\n")[0]
+    # "cpu" and then user, nice, system, idle, iowait, irq, softirq, steal.
+    return int(line.split()[8]) / TICKS_PER_SECOND
+
+
 async def serve_process(app: web.Application) -> None:
     """Serve on a free port, say which one, and go on until killed."""
     runner = make_runner(app)
--- a/src/galenapass/callers/completions.py
+++ b/src/galenapass/callers/completions.py
@@ -75,7 +75,7 @@
 ) -> web.StreamResponse:
     row = _make_row(parts, request, caller, service, completion)
     sink: StreamingSink | GatheringSink = (
-        StreamingSink(request, row.id)
+        StreamingSink(request, row.id, parts.limits.write_timeout)
         if completion.stream
         else GatheringSink(request.path, row.id)
     )
--- a/src/galenapass/callers/problems.py
+++ b/src/galenapass/callers/problems.py
@@ -69,6 +69,9 @@
     if not verdict.may_retry:
         # Completion clients send a request again on most errors, unless told.
         answer.headers["X-Should-Retry"] = "false"
+    if verdict.reason is Reason.STOPPING:
+        # A caller that connects again reaches a host that stays.
+        answer.force_close()
     return answer
 
 
--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -89,7 +89,7 @@
         _cancel_touched(relay, keep={route.address})
         verdict = await _attempt(relay, route)
         if _is_final(relay, verdict):
-            return verdict
+            return _own_up(relay, verdict)
         log(
             "an attempt failed",
             request=relay.request.id,
@@ -112,18 +112,20 @@
 
 
 def _own_up(relay: Relay, verdict: Verdict) -> Verdict:
-    # The core speaks of its last attempt; an earlier one may have run.
+    # A verdict speaks of the last attempt; an earlier one may have run.
     if relay.ran and verdict.run is Run.NOT_RUN:
         return replace(verdict, run=Run.MAY_HAVE_RUN)
     return verdict
 
 
 async def _attempt(relay: Relay, route: Route) -> Verdict:
-    relay.touched |= {route.address, route.prefill_address or route.address}
     limit = _limit_attempt(relay).total_seconds()
+    if limit <= 0:
+        return replace(DEADLINE_PASSED, run=Run.NOT_RUN)
+    relay.touched |= {route.address, route.prefill_address or route.address}
     stream: OpenStream | None = None
     try:
-        async with asyncio.timeout(max(limit, 0)) as timeout:
+        async with asyncio.timeout(limit) as timeout:
             stream = OpenStream(relay.request, timeout, relay.sink.is_blocked)
             with relay.streams.watch_attempt(stream):
                 verdict = await _stream_from(relay, route, stream)
--- a/src/galenapass/callers/sinks.py
+++ b/src/galenapass/callers/sinks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 from aiohttp import web
 
@@ -22,10 +23,11 @@
 class StreamingSink:
     """Hold the answer to a caller that reads events as they come."""
 
-    __slots__ = ("_answer", "_request", "_request_id")
+    __slots__ = ("_answer", "_request", "_request_id", "_write_timeout")
 
-    def __init__(self, request: web.Request, request_id: str):
+    def __init__(self, request: web.Request, request_id: str, write_timeout: timedelta):
         self._request = request
+        self._write_timeout = write_timeout
         self._request_id = request_id
         self._answer: web.StreamResponse | None = None
 
@@ -49,9 +51,12 @@
         if verdict.reason is Reason.CANCELLED:
             self._abort()
             return self._answer
-        if verdict.run is not Run.RAN:
-            await self._answer.write(write_error_event(verdict))
-        await self._answer.write_eof()
+        last = b"" if verdict.run is Run.RAN else write_error_event(verdict)
+        try:
+            async with asyncio.timeout(self._write_timeout.total_seconds()):
+                await self._answer.write_eof(last)
+        except TimeoutError:
+            self._abort()
         return self._answer
 
     def _abort(self) -> None:
--- a/tests/test_callers_faults.py
+++ b/tests/test_callers_faults.py
@@ -118,6 +118,16 @@
 
         asyncio.run(check())
 
+    def test_a_deadline_that_passed_in_the_queue_is_not_run(self):
+        async def check():
+            async with run_bench(play_stream(3), patience=timedelta(0)) as (b, engine):
+                status, body, _ = await ask(b)
+                self.assertEqual(504, status)
+                self.assertEqual("not run", orjson.loads(body)["verdict"])
+                self.assertEqual([], engine.seen)
+
+        asyncio.run(check())
+
     def test_a_late_failure_is_an_event(self):
         async def check():
             async with run_bench(play_stream(5, until=2, end="abort")) as (bench, _):
