Test the cancelling of runs that a stream has left

Of 20 mutants 6 survived: no test saw that a moved stream's old run is cancelled before the next begins, that a broken one is cancelled elsewhere, that a gap stops a stream at once, that a hand-over counts as a run of the prompt, or that a request which may not repeat is never moved. Five tests now do.

--- a/tests/callers_fakes.py
+++ b/tests/callers_fakes.py
@@ -142,6 +142,7 @@
         self.acts = list(acts)
         self.seen = []
         self.cancelled = []
+        self.log = []
         self.was_cancelled = asyncio.Event()
         self.app = web.Application()
         self.app.router.add_post("/v1/chat/completions", self._play)
@@ -151,10 +152,12 @@
     async def _play(self, request):
         await request.read()
         self.seen.append(request)
+        self.log.append("run")
         return await self.acts.pop(0)(request)
 
     async def _cancel(self, request):
         self.cancelled.append(request.match_info["id"])
+        self.log.append("cancel")
         self.was_cancelled.set()
         return web.Response()
 
--- a/tests/test_callers_faults.py
+++ b/tests/test_callers_faults.py
@@ -39,6 +39,13 @@
 ONCE = {"X-Repeatable": "no"}
 
 
+PLANNED = Verdict(Run.MAY_HAVE_RUN, Reason.PREEMPTED, "urgent work comes first")
+
+
+async def play_prefill(request):
+    return aiohttp.web.json_response({"handle": "h1", "pieces": 1, "tokens": 4})
+
+
 async def wait_for(check):
     async with asyncio.timeout(5):
         while not check():
@@ -144,42 +151,60 @@
 class TestMoves(TestCase):
     def test_silence_in_a_stream_moves_it(self):
         async def check():
-            acts = [play_stream(5, until=2, end="hang"), play_stream(5)]
-            async with run_bench(*acts, limits=SHORT) as (bench, engine):
-                self.assertEqual(whole_stream(5), (await ask(bench))[1])
-                self.assertEqual("2", engine.seen[1].headers["Last-Event-ID"])
+            old = FakeEngine(play_stream(5, until=2, end="hang"))
+            new = FakeEngine(play_stream(5))
+            async with serve(old.app) as first, serve(new.app) as second:
+                routes = [route_to(first), route_to(second)]
+                async with Bench(routes, limits=SHORT).run() as bench:
+                    self.assertEqual(whole_stream(5), (await ask(bench))[1])
+                    self.assertEqual("2", new.seen[0].headers["Last-Event-ID"])
+                    await asyncio.wait_for(old.was_cancelled.wait(), 2)
+                    self.assertEqual([], new.cancelled)
 
         asyncio.run(check())
 
-    def test_a_planned_move_loses_nothing_and_cancels_the_old_run(self):
+    def test_a_planned_move_frees_the_target_and_loses_nothing(self):
         async def check():
-            old = FakeEngine(play_stream(5, until=3, end="hang"))
-            new = FakeEngine(play_stream(5, back=2))
-            async with serve(old.app) as first, serve(new.app) as second:
-                bench = Bench([route_to(first), route_to(second)])
-                async with bench.run():
-                    asking = asyncio.create_task(ask(bench))
-                    await wait_for(lambda: bench.dispatcher.first_tokens)
-                    cause = Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_REFUSED, "drain")
-                    self.assertTrue(bench.streams.break_off("r1", cause))
-                    self.assertEqual(whole_stream(5), (await asking)[1])
-                    await asyncio.wait_for(old.was_cancelled.wait(), 2)
-                    self.assertEqual([], new.cancelled)
+            acts = [play_stream(5, until=3, end="hang"), play_stream(5, back=2)]
+            async with run_bench(*acts) as (bench, engine):
+                asking = asyncio.create_task(ask(bench))
+                await wait_for(lambda: bench.dispatcher.first_tokens)
+                self.assertTrue(bench.streams.break_off("r1", PLANNED))
+                self.assertEqual(whole_stream(5), (await asking)[1])
+                self.assertEqual(["run", "cancel", "run"], engine.log)
 
         asyncio.run(check())
 
-    def test_a_hand_over_runs_the_prompt_elsewhere(self):
-        async def prefill(request):
-            self.assertEqual("prefill", request.headers["X-Phase"])
-            return aiohttp.web.json_response({"handle": "h1", "pieces": 1, "tokens": 4})
+    def test_what_may_not_repeat_is_never_moved(self):
+        async def check():
+            act = play_stream(3, until=1, end="hang")
+            async with run_bench(act, patience=timedelta(seconds=1)) as (bench, _):
+                asking = asyncio.create_task(ask(bench, **ONCE))
+                await wait_for(lambda: bench.dispatcher.first_tokens)
+                self.assertFalse(bench.streams.break_off("r1", PLANNED))
+                asking.cancel()
+
+        asyncio.run(check())
 
+    def test_a_hand_over_runs_the_prompt_elsewhere(self):
         async def check():
-            one, two = FakeEngine(prefill), FakeEngine(play_stream(3))
+            one, two = FakeEngine(play_prefill), FakeEngine(play_stream(3))
             async with serve(one.app) as first, serve(two.app) as second:
                 async with Bench([route_to(second, first)]).run() as bench:
                     self.assertEqual(whole_stream(3), (await ask(bench))[1])
                     source = two.seen[0].headers["X-KV-Source"]
                     self.assertEqual(f"http://{first}/kv/h1", source)
+                    self.assertEqual("prefill", one.seen[0].headers["X-Phase"])
+
+        asyncio.run(check())
+
+    def test_a_prompt_that_ran_elsewhere_may_have_run(self):
+        async def check():
+            one, two = FakeEngine(play_prefill), FakeEngine(NOT_RUN_503)
+            async with serve(one.app) as first, serve(two.app) as second:
+                async with Bench([route_to(second, first)]).run() as bench:
+                    _, body, _ = await ask(bench)
+                    self.assertEqual("may have run", orjson.loads(body)["verdict"])
 
         asyncio.run(check())
 
--- a/tests/test_callers_streams.py
+++ b/tests/test_callers_streams.py
@@ -111,3 +111,9 @@
         self.assertEqual(b"", tail.take(b"data: [DONE]\n\n"))
         self.assertFalse(tail.ended)
         self.assertIn("unfinished after event 1", tail.fault)
+
+    def test_a_gap_stops_at_once(self):
+        tail = EventTail()
+        self.assertEqual(event_of(1, 5), tail.take(event_of(1, 5) + event_of(3, 5)))
+        self.assertTrue(tail.stopped)
+        self.assertFalse(tail.ended)
