Sharpen the peers' tests by mutation

Change: tests for the survivors; a crash suspect with fewer crashes than targets is an early error, a fault that the sharper merge test found.

--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -43,7 +43,7 @@
     rows[key] = Row(merged, now + kind.lifetime)
     if len(rows) > kind.limit:
         _drop(table, next(iter(rows)))
-    _queue_row(table, key, merged, source if merged == item else None)
+    _queue_row(table, key, merged, source)
     return merged
 
 
--- a/src/galenapass/tables/peers.py
+++ b/src/galenapass/tables/peers.py
@@ -85,13 +85,20 @@
 
 @dataclass(slots=True, frozen=True)
 class CrashSuspect:
-    """Hold a request suspected of crashing targets; a new round clears the count."""
+    """Hold a request suspected of crashing targets; a new round clears the count.
+
+    Each target stands for one crash at least.
+    """
 
     fingerprint: str
     round: int
     count: int
     targets: frozenset[str]
 
+    def __post_init__(self) -> None:
+        if self.count < len(self.targets):
+            raise ValueError(f"fewer crashes than targets: {self}")
+
 
 @dataclass(slots=True, frozen=True)
 class LimitUse:
--- a/tests/test_peers_links.py
+++ b/tests/test_peers_links.py
@@ -6,15 +6,19 @@
 from random import Random
 
 from eliot.testing import MemoryLogger, swap_logger
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from testtools import TestCase
 
 from galenapass.clocks import SystemClock
 from galenapass.peers import Peers
+from galenapass.peers.links import dial
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
     CrashSuspect,
     Drain,
     DrainAck,
+    HostChange,
     LimitUse,
     LinkChange,
     Orders,
@@ -73,6 +77,14 @@
     return asyncio.run(asyncio.wait_for(scenario, 3 * BOUND))
 
 
+async def catch(awaitable):
+    try:
+        await awaitable
+    except GRPCError as error:
+        return error
+    raise AssertionError("no error")
+
+
 def count_alive(peers):
     return sum(h.state is HostState.ALIVE for h in peers.hosts.values())
 
@@ -83,6 +95,9 @@
             group = await start_group(5)
             await wait_until(lambda: all(count_alive(p) == 5 for p in group))
             await wait_until(lambda: all(len(p.links) == 4 for p in group))
+            for peers in group:
+                changes = [i for i in peers.news if isinstance(i, HostChange)]
+                self.assertEqual(5, len({change.host for change in changes}))
             await stop_group(group)
 
         run(scenario())
@@ -112,6 +127,25 @@
 
         run(scenario())
 
+    def test_urgent_news_is_passed_on_without_waiting_for_a_round(self):
+        async def scenario():
+            group = await start_group(3)
+            first, _, third = group
+            await wait_until(lambda: all(len(p.links) == 2 for p in group))
+            for peers in group:
+                peers._rounds.cancel()
+            first.links["entry-3"].close()
+            await wait_until(lambda: len(first.links) == len(third.links) == 1)
+            ack = DrainAck("entry-1", 1, "runner-1", 1, 0)
+            first.tell(ack)
+            await wait_until(lambda: ack in third.news)
+            first.tell(Settings(1, "[fleet]\n"))
+            first.tell(Settings(2, "[fleet]\na = b\n"))
+            await wait_until(lambda: third.settings.version == 2)
+            await stop_group(group)
+
+        run(scenario())
+
     def test_a_wrong_secret_is_refused_and_not_logged(self):
         logger = MemoryLogger()
         previous = swap_logger(logger)
@@ -123,6 +157,9 @@
             second = make_peers(2, [first.address], secret="gu3ss")
             await second.start()
             await wait_until(lambda: any("refused" in m["text"] for m in texts()))
+            hello, seen = second._say_hello(), []
+            error = await catch(dial(first.address, "gu3ss", hello, seen.append))
+            self.assertEqual((Status.UNAUTHENTICATED, []), (error.status, seen))
             self.assertEqual(({}, {}), (first.links, second.links))
             self.assertEqual(["entry-1"], list(first.hosts))
             await stop_group([first, second])
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -60,6 +60,13 @@
         self.assertIsNone(soon)
         self.assertEqual({"a", "b"}, {first, later})
 
+    def test_only_a_few_earlier_versions_are_kept(self):
+        spread = Spread()
+        for version in range(1, 10):
+            spreading.adopt(spread, Settings(version, "x"), accept)
+        kept = [settings.version for settings in spread.earlier]
+        self.assertEqual([8, 7, 6], kept)
+
     def test_settings_that_fail_the_check_are_asked_for_once(self):
         spread = Spread(Settings(2, "kept"))
         self.assertFalse(spreading.adopt(spread, Settings(3, "refused"), accept))
