Keep only keys and rows of unchanged sections

Ruled out: keeping the values for faults; a file with faults is read whole. Change: once its row is made, a kept section drops its values and shares its set of keys with like sections. Conclusion: tests/test_settings_files.py passes, also with 1000 examples.

--- a/src/galenapass/settings/fleet.py
+++ b/src/galenapass/settings/fleet.py
@@ -26,12 +26,30 @@
     ``sections`` are those of an earlier file; rows of sections that did not change
     are the same objects.
     """
+    reading = _read_checked(text, source, sections)
+    if reading.faults and sections:
+        # Faults show values, which kept sections no longer hold.
+        reading = _read_checked(text, source, None)
+    if reading.faults:
+        return Err(reading.faults)
+    configuration = _build_configuration(reading, text, version)
+    if sections is not None:
+        _slim_blocks(reading.blocks)
+    return Ok(configuration)
+
+
+def _read_checked(text: str, source: str, sections: Sections | None) -> Reading:
     reading = read_ini(text, source, FLEET_SCHEMA, sections)
     for check in CHECKS:
         check(reading)
-    if reading.faults:
-        return Err(reading.faults)
-    return Ok(_build_configuration(reading, text, version))
+    return reading
+
+
+def _slim_blocks(blocks: list[Block]) -> None:
+    shared: dict[tuple[str, ...], dict[str, str]] = {}
+    for block in blocks:
+        if block.row is not None:
+            block.slim(shared)
 
 
 def _build_configuration(reading: Reading, text: str, version: int) -> Configuration:
@@ -66,7 +84,7 @@
         if kinds[block.name] == ENGINE and "model" not in block.given:
             reading.add_fault(block, "model", "the model of an engine service")
     for block in reading.find_blocks("target"):
-        _check_keys(reading, block, kinds.get(block.values.get("service", ""), ""))
+        _check_keys(reading, block, kinds.get(block.find("service", ""), ""))
 
 
 def _check_keys(reading: Reading, block: Block, kind: str) -> None:
@@ -79,10 +97,10 @@
     known = {block.name for block in reading.find_blocks("service")}
     expected = "a service of this file: " + ", ".join(sorted(known))
     for block in reading.find_blocks("target"):
-        if block.values.get("service", "") not in known | {""}:
+        if block.find("service", "") not in known | {""}:
             reading.add_fault(block, "service", expected)
     for block in reading.find_blocks("caller"):
-        if block.values.get("services", known) - known:
+        if block.find("services", frozenset()) - known:
             reading.add_fault(block, "services", f"only {expected}")
 
 
@@ -91,18 +109,18 @@
     for block in reading.find_blocks("service"):
         # A target whose service cannot be read may be one of this service.
         count = sum(
-            target.values.get("service", block.name) == block.name for target in targets
+            target.find("service", block.name) == block.name for target in targets
         )
         for key in ("prefill floor", "decode floor"):
             field = "floor_" + key.split()[0]
-            if block.values.get(field, 0) > count:
+            if block.find(field, 0) > count:
                 reading.add_fault(block, key, f"at most the {count} targets declared")
 
 
 def _check_shared(section: str, key: str, field: str, reading: Reading) -> None:
     owners: dict[str, str] = {}
     for block in reading.find_blocks(section):
-        value = block.values.get(field)
+        value = block.find(field)
         if value in owners:
             reading.add_fault(block, key, f"another value than [{owners[value]}] has")
         elif value is not None:
@@ -119,7 +137,7 @@
 
 def _read_kinds(reading: Reading) -> dict[str, str]:
     return {
-        block.name: KIND_NAMES.get(block.values.get("kind"), "")  # type: ignore
+        block.name: KIND_NAMES.get(block.find("kind"), "")  # type: ignore
         for block in reading.find_blocks("service")
     }
 
--- a/src/galenapass/settings/ini.py
+++ b/src/galenapass/settings/ini.py
@@ -52,8 +52,6 @@
     reading = _read_changed(parts, source, schema, sections) if sections else None
     if reading is None:
         reading = _read_whole(text, source, schema)
-    # Faults found later are to name lines of the whole file.
-    reading.text = text
     is_sound = not reading.faults and len(reading.blocks) == len(parts) - 1
     if sections is not None and is_sound:
         sections.clear()
--- a/src/galenapass/settings/reading.py
+++ b/src/galenapass/settings/reading.py
@@ -19,7 +19,7 @@
 class Block:
     """Hold one section as read; a key with a fault has no value.
 
-    ``row`` is what was made of the values, kept beside them for a later file.
+    ``row`` is what was made of the values; a slim section has its keys and its row.
     """
 
     section: Section
@@ -29,6 +29,18 @@
     given: dict[str, str] = field(default_factory=dict)
     row: Any = None
 
+    def find(self, field: str, default: Any = None) -> Any:
+        """Return a value, also of a slim section."""
+        if self.row is not None:
+            return getattr(self.row, field)
+        return self.values.get(field, default)
+
+    def slim(self, shared: dict[tuple[str, ...], dict[str, str]]) -> None:
+        """Drop what the row tells, and share the keys with like sections."""
+        keys = tuple(self.given)
+        self.given = shared.setdefault(keys, dict.fromkeys(keys, ""))
+        self.values = {}
+
 
 @dataclass(slots=True)
 class Reading:
