Say so when no file is in force, and round ages

Cause: a run against a real daemon showed the whole first file as a difference to version 0, and ages with six decimals. Ruled out: hiding the difference altogether. Change: a sentence in its place; numbers with two decimals, a unit in the head. Conclusion: tests/test_cli.py passes.

--- a/src/galenapass/tool/applying.py
+++ b/src/galenapass/tool/applying.py
@@ -77,8 +77,7 @@
         return base
     earlier = base.ok_value
     if version is None:
-        click.echo(f"based on version {earlier.version}, now in force", err=True)
-        _show_difference(earlier, text, "the file")
+        _show_base(earlier, text)
     number = earlier.version if version is None else version
     written = await write_stored(connection, text, number)
     if isinstance(written, Ok):
@@ -91,6 +90,14 @@
     return await _read_back(connection, text, number, failure)
 
 
+def _show_base(earlier: Stored, text: str) -> None:
+    if not earlier.version:
+        click.echo("no file is in force yet", err=True)
+        return
+    click.echo(f"based on version {earlier.version}, now in force", err=True)
+    _show_difference(earlier, text, "the file")
+
+
 async def _explain_conflict(
     connection: Connection, failure: Failure, earlier: Stored
 ) -> Failure:
--- a/src/galenapass/tool/fleet.py
+++ b/src/galenapass/tool/fleet.py
@@ -29,6 +29,7 @@
     "pieces_total",
     "report_age",
 )
+HEADINGS = {"report_age": "REPORT AGE (S)"}
 ROLES = tuple(role.value for role in Role)
 AWAY = (TargetState.DRAINING.value, TargetState.CHANGING.value)
 """States of a target on its way to another role."""
@@ -97,7 +98,7 @@
 
 
 def _show_rows(keys: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
-    headings = [key.replace("_", " ").upper() for key in keys]
+    headings = [HEADINGS.get(key, key.replace("_", " ").upper()) for key in keys]
     show_table(headings, [[row[key] for key in keys] for row in rows])
 
 
--- a/src/galenapass/tool/outcomes.py
+++ b/src/galenapass/tool/outcomes.py
@@ -84,6 +84,8 @@
 
 
 def _write_cell(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.2f}"
     return "-" if value is None or value == "" else str(value)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -130,7 +130,9 @@
         )
 
     def test_apply_uses_the_version_in_force(self):
-        self.assertIn("accepted as version 3", self.apply(FLEET).stdout)
+        first = self.apply(FLEET)
+        self.assertEqual("no file is in force yet\n", first.stderr)
+        self.assertIn("accepted as version 3", first.stdout)
         second = self.apply(SECOND)
         self.assertIn("accepted as version 6", second.stdout)
         for part in ("based on version 3", "-share = 3", "+share = 4"):
