Split the peers' modules by job

Change: what a daemon knows, writing and reading of batches are modules of their own; no change of behaviour.

--- a/src/galenapass/peers/codec.py
+++ b/src/galenapass/peers/encoding.py
@@ -1,11 +1,12 @@
-"""Turn items into batches and back; each link has its own names and heartbeats."""
+"""Write items into batches; names and whole entries go once on a link."""
 
 import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from galenapass.peers import peers_pb2 as wire
-from galenapass.systems.levels import LEVELS, find_level
+from galenapass.peers.names import check_names
+from galenapass.systems.levels import find_level
 from galenapass.systems.spreading import Patch
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
@@ -21,18 +22,13 @@
     TargetUse,
 )
 
-__all__ = ["Decoder", "Encoder"]
+__all__ = ["Encoder"]
 
-MAX_TEXT_BYTES = 4 * 1024 * 1024
-MAX_NAMES = 20_000
-USE_LEVELS = 3
-REPORT_LEVELS = 4
 STATES = {
     HostState.ALIVE: wire.ALIVE,
     HostState.LEAVING: wire.LEAVING,
     HostState.GONE: wire.GONE,
 }
-STATE_NAMES = {number: state for state, number in STATES.items()}
 
 
 class Encoder:
@@ -66,7 +62,7 @@
         index = self._names.get(text)
         if index is None:
             index = self._names[text] = len(self._names)
-            _check_names(index)
+            check_names(index)
             batch.names.add(index=index, text=text)
         return index
 
@@ -81,7 +77,7 @@
         index = self._engines.get(key)
         if index is None:
             index = self._engines[key] = len(self._engines)
-            _check_names(index)
+            check_names(index)
             batch.engines.add(
                 index=index,
                 target=self._name(batch, report.target),
@@ -170,137 +166,3 @@
     LimitUse: Encoder._encode_limit,
     Orders: Encoder._encode_orders,
 }
-
-
-class Decoder:
-    """Read items from the batches of one link."""
-
-    __slots__ = ("_engines", "_hosts", "_names", "_partner")
-
-    def __init__(self, partner: str) -> None:
-        self._partner = partner
-        self._names: dict[int, str] = {}
-        self._engines: dict[int, wire.Engine] = {}
-        self._hosts: dict[int, HostNews] = {}
-
-    def decode(self, batch: wire.Batch) -> list[Item]:
-        """Return the items of a batch; raise ValueError when it is malformed."""
-        self._learn(batch)
-        try:
-            return [
-                *self._decode_hosts(batch),
-                *self._decode_loads(batch),
-                *self._decode_rows(batch),
-            ]
-        except (KeyError, IndexError, zlib.error, UnicodeDecodeError) as error:
-            raise ValueError(f"malformed batch of {self._partner}: {error!r}") from None
-
-    def decode_settings(self, batch: wire.Batch) -> Settings | Patch | None:
-        """Return the settings of a batch, if it has any."""
-        if not batch.HasField("settings"):
-            return None
-        part = batch.settings
-        text = _decompress(part.text)
-        if not part.base:
-            return Settings(part.version, text)
-        return Patch(part.version, part.base, part.head, part.tail, text, part.checksum)
-
-    def _learn(self, batch: wire.Batch) -> None:
-        for name in batch.names:
-            self._names[name.index] = name.text
-        for engine in batch.engines:
-            self._engines[engine.index] = engine
-        _check_names(max(len(self._names), len(self._engines)))
-
-    def _decode_hosts(self, batch: wire.Batch) -> Iterable[HostNews]:
-        for part in batch.hosts:
-            news = HostNews(
-                self._names[part.host],
-                part.address,
-                self._names[part.domain],
-                part.incarnation,
-                part.counter,
-                STATE_NAMES[part.state],
-                part.settings_version,
-            )
-            self._hosts[part.host] = news
-            yield news
-        beats = batch.beats
-        rows = zip(beats.hosts, beats.counters, beats.lags, strict=True)
-        for index, counter, lag in rows:
-            known = self._hosts[index]
-            yield HostNews(
-                known.host,
-                known.address,
-                known.domain,
-                known.incarnation,
-                counter,
-                known.state,
-                batch.settings_version - lag,
-            )
-
-    def _decode_loads(self, batch: wire.Batch) -> Iterable[Item]:
-        levels = batch.uses.levels
-        for place, target in enumerate(batch.uses.targets):
-            start = place * USE_LEVELS
-            amounts = [LEVELS[levels[start + i]] for i in range(USE_LEVELS)]
-            yield TargetUse(self._partner, self._names[target], *amounts)
-        levels = batch.reports.levels
-        rows = zip(batch.reports.engines, batch.reports.sequences, strict=True)
-        for place, (index, sequence) in enumerate(rows):
-            start = place * REPORT_LEVELS
-            running, waiting, prefill, pieces = (
-                LEVELS[levels[start + i]] for i in range(REPORT_LEVELS)
-            )
-            engine = self._engines[index]
-            yield TargetReport(
-                self._names[engine.target],
-                engine.incarnation,
-                sequence,
-                running,
-                waiting,
-                prefill,
-                pieces,
-                engine.pieces_total,
-                engine.piece_tokens,
-                engine.generation,
-            )
-
-    def _decode_rows(self, batch: wire.Batch) -> Iterable[Item]:
-        names = self._names
-        for drain in batch.drains:
-            yield Drain(names[drain.target], drain.epoch, drain.ended)
-        for ack in batch.drain_acks:
-            yield DrainAck(
-                names[ack.host],
-                ack.incarnation,
-                names[ack.target],
-                ack.epoch,
-                ack.in_flight,
-            )
-        for suspect in batch.crash_suspects:
-            targets = frozenset(names[index] for index in suspect.targets)
-            yield CrashSuspect(
-                suspect.fingerprint, suspect.round, suspect.count, targets
-            )
-        for use in batch.limit_uses:
-            yield LimitUse(
-                names[use.host], names[use.caller], use.sequence, use.requests
-            )
-        for orders in batch.orders:
-            text = _decompress(orders.text)
-            yield Orders(names[orders.domain], orders.version, text)
-
-
-def _check_names(count: int) -> None:
-    """Refuse to grow without bound; a new link starts with none."""
-    if count > MAX_NAMES:
-        raise ValueError(f"more than {MAX_NAMES} names on a link: {count}")
-
-
-def _decompress(data: bytes) -> str:
-    reader = zlib.decompressobj()
-    text = reader.decompress(data, MAX_TEXT_BYTES)
-    if reader.unconsumed_tail:
-        raise ValueError(f"a text of more than {MAX_TEXT_BYTES} bytes")
-    return text.decode()
--- /dev/null
+++ b/src/galenapass/peers/knowledge.py
@@ -0,0 +1,131 @@
+"""Keep what this daemon knows: the rows, the hosts, the settings and itself."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from reactivex.subject import Subject
+
+from galenapass.clocks import Clock
+from galenapass.logs import make_log
+from galenapass.systems import gossip, membership, spreading
+from galenapass.systems.kinds import KINDS, order_host
+from galenapass.systems.membership import Listed, Membership
+from galenapass.tables.gossip import GossipTable, Rank
+from galenapass.tables.hosts import Host, HostState
+from galenapass.tables.peers import HostChange, HostNews, Item, Settings
+
+__all__ = ["Knowledge"]
+
+PROMPT_RANKS = (Rank.URGENT, Rank.ORDERS)
+
+log = make_log("peers")
+
+
+class Knowledge:
+    """Hold the tables of the peers' systems and emit what changes in them."""
+
+    __slots__ = (
+        "_check",
+        "_clock",
+        "heard",
+        "hosts",
+        "members",
+        "own",
+        "spread",
+        "table",
+    )
+
+    def __init__(
+        self,
+        own: HostNews,
+        hosts: dict[str, Host],
+        clock: Clock,
+        check: Callable[[str], bool],
+    ):
+        self.own = own
+        self.hosts = hosts
+        self.heard: Subject = Subject()
+        self.members = Membership.make(own.host, own.domain, hosts)
+        self.table = GossipTable(own.host, own.domain)
+        self.spread = spreading.Spread()
+        self._clock = clock
+        self._check = check
+
+    def say(self, **changes: object) -> None:
+        """Change the own heartbeat and spread it."""
+        version = self.spread.current.version
+        self.own = replace(self.own, settings_version=version, **changes)  # type: ignore[arg-type]
+        now = self._clock.monotonic()
+        gossip.put(self.table, self.own, now)
+        self._announce(membership.hear(self.members, self.own, now))
+
+    def sweep(self) -> None:
+        """Suspect the silent hosts."""
+        self._announce(membership.sweep(self.members, self._clock.monotonic()))
+
+    def expire(self) -> None:
+        """Forget the rows whose lifetime has passed."""
+        gossip.expire(self.table, self._clock.monotonic())
+
+    def apply_list(self, hosts: Iterable[Listed]) -> None:
+        """Take in the platform's list of daemons."""
+        now = self._clock.monotonic()
+        self._announce(membership.apply_list(self.members, list(hosts), now))
+
+    def adopt(self, settings: Settings) -> bool:
+        """Move to settings of a higher version; return whether it moved."""
+        if not spreading.adopt(self.spread, settings, self._check):
+            return False
+        log("moved to settings", version=settings.version)
+        self.say()
+        self.emit(settings)
+        return True
+
+    def tell(self, item: Item) -> bool:
+        """Keep an own item; return whether it is to be sent at once."""
+        news = gossip.put(self.table, item, self._clock.monotonic())
+        return news is not None and KINDS[type(item)].rank in PROMPT_RANKS
+
+    def take(self, source: str, item: Item) -> bool:
+        """Take in a partner's item; return whether it is to be passed on at once."""
+        if isinstance(item, HostNews):
+            self._take_heartbeat(source, item)
+            return False
+        news = gossip.put(self.table, item, self._clock.monotonic(), source)
+        if news is None:
+            return False
+        self.emit(news)
+        return KINDS[type(item)].rank in PROMPT_RANKS
+
+    def emit(self, item: object) -> None:
+        """Hand an item on; a subscriber that fails must not end a link."""
+        try:
+            self.heard.on_next(item)
+        except Exception as error:
+            log("a subscriber failed", error=repr(error), item=type(item).__name__)
+
+    def _take_heartbeat(self, source: str, news: HostNews) -> None:
+        if news.host == self.own.host:
+            self._refute(news)
+        elif membership.accepts(self.members, news):
+            now = self._clock.monotonic()
+            gossip.put(self.table, news, now, source)
+            self._announce(membership.hear(self.members, news, now))
+
+    def _refute(self, news: HostNews) -> None:
+        """Outdo what an earlier process of this host left behind."""
+        if order_host(news) > order_host(self.own):
+            incarnation = news.incarnation + 1
+            self.say(incarnation=incarnation, counter=0)
+
+    def _announce(self, changes: Iterable[HostChange]) -> None:
+        for change in changes:
+            log(
+                "belief about a host changed",
+                host=change.host,
+                incarnation=change.incarnation,
+                state=change.after.value,
+            )
+            if change.after is HostState.GONE:
+                gossip.forget_host(self.table, change.host, change.incarnation)
+            self.emit(change)
--- a/src/galenapass/peers/links.py
+++ b/src/galenapass/peers/links.py
@@ -15,7 +15,8 @@
 
 from galenapass.logs import make_log
 from galenapass.peers import peers_pb2 as wire
-from galenapass.peers.codec import Decoder, Encoder
+from galenapass.peers.decoding import Decoder
+from galenapass.peers.encoding import Encoder
 from galenapass.peers.peers_grpc import ExchangeBase, ExchangeStub
 
 __all__ = ["LINK_ERRORS", "Link", "Listener", "dial", "split_address"]
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -13,19 +12,13 @@
 from galenapass.logs import make_log
 from galenapass.peers import peers_pb2 as wire
 from galenapass.peers.dialling import Dialler, cancel
+from galenapass.peers.knowledge import Knowledge
 from galenapass.peers.links import LINK_ERRORS, Link, Listener
 from galenapass.systems import gossip, membership, spreading
-from galenapass.systems.kinds import KINDS, order_host
-from galenapass.systems.membership import Listed, Membership
-from galenapass.tables.gossip import GossipTable, Rank
+from galenapass.systems.kinds import KINDS
+from galenapass.systems.membership import Listed
 from galenapass.tables.hosts import Host, HostState
-from galenapass.tables.peers import (
-    HostChange,
-    HostNews,
-    Item,
-    LinkChange,
-    Settings,
-)
+from galenapass.tables.peers import HostNews, Item, LinkChange, Settings
 
 __all__ = ["DEFAULT_BUDGET", "Peers"]
 
@@ -40,7 +33,6 @@
 LAST_WORD_TIMEOUT = 1.0
 EXPIRE_ROUNDS = 10
 FRAME_BYTES = 14
-PROMPT_RANKS = (Rank.URGENT, Rank.ORDERS)
 
 log = make_log("peers")
 
@@ -69,52 +61,55 @@
     ):
         if not secret:
             raise ValueError("the peers' secret is empty")
-        self.heard: Subject = Subject()
-        self.hosts = {} if hosts is None else hosts
-        self.spread = spreading.Spread()
         self.links: dict[str, Link] = {}
-        self._own = HostNews(host, listen, domain, incarnation, 0)
+        own = HostNews(host, listen, domain, incarnation, 0)
+        self._known = Knowledge(own, {} if hosts is None else hosts, clock, check)
         self._join = list(join)
         self._clock = clock
         self._random = random
         self._rate = budget * SENT_SHARE
-        self._check = check
         self._period = period
-        self._members = Membership.make(host, domain, self.hosts)
-        self._table = GossipTable(host, domain)
         self._listener = Listener(secret, self._say_hello, self._serve)
         self._dialler = Dialler(secret, self._say_hello, self._serve, clock, random)
         self._rounds: asyncio.Task[None] | None = None
         self._count = 0
 
+    @property
+    def heard(self) -> Subject:
+        """Return the stream of news."""
+        return self._known.heard
+
+    @property
+    def hosts(self) -> dict[str, Host]:
+        """Return the table of daemons, this one included."""
+        return self._known.hosts
+
     @property
     def address(self) -> str:
         """Return the address that this daemon listens on."""
-        return self._own.address
+        return self._known.own.address
 
     @property
     def incarnation(self) -> int:
         """Return the own incarnation, which grows when an older one was known."""
-        return self._own.incarnation
+        return self._known.own.incarnation
 
     @property
     def settings(self) -> Settings:
         """Return the settings of the highest version known."""
-        return self.spread.current
+        return self._known.spread.current
 
     async def start(self) -> None:
         """Listen and begin the rounds."""
-        await self._listener.start(self._own.address)
-        self._own = replace(self._own, address=self._listener.address)
-        self._note_self()
+        await self._listener.start(self.address)
+        self._known.say(address=self._listener.address)
         self._rounds = asyncio.create_task(self._run_rounds())
 
     async def stop(self) -> None:
         """Say the last word on the open links and close everything."""
         if self._rounds is not None:
             await cancel(self._rounds)
-        self._own = replace(self._own, state=HostState.GONE)
-        self._note_self()
+        self._known.say(state=HostState.GONE)
         for link in list(self.links.values()):
             with suppress(*LINK_ERRORS):
                 await asyncio.wait_for(self._send(link), LAST_WORD_TIMEOUT)
@@ -123,23 +118,19 @@
 
     def leave(self) -> None:
         """Tell the peers that this daemon takes no new work."""
-        self._own = replace(self._own, state=HostState.LEAVING)
-        self._note_self()
+        self._known.say(state=HostState.LEAVING)
         self._wake()
 
     def tell(self, item: Item | Settings) -> None:
         """Spread an item; what the peers already know is not sent again."""
         if isinstance(item, Settings):
             self._adopt(item)
-            return
-        news = gossip.put(self._table, item, self._clock.monotonic())
-        if news is not None and KINDS[type(item)].rank in PROMPT_RANKS:
+        elif self._known.tell(item):
             self._wake()
 
     def apply_list(self, hosts: Iterable[Listed]) -> None:
         """Take in the platform's list of daemons."""
-        now = self._clock.monotonic()
-        self._announce(membership.apply_list(self._members, list(hosts), now))
+        self._known.apply_list(hosts)
 
     # Rounds
 
@@ -152,40 +143,14 @@
     def _run_round(self) -> None:
         now = self._clock.monotonic()
         self._count += 1
-        self._own = replace(self._own, counter=self._own.counter + 1)
-        self._note_self()
-        self._announce(membership.sweep(self._members, now))
+        self._known.say(counter=self._known.own.counter + 1)
+        self._known.sweep()
         if self._count % EXPIRE_ROUNDS == 0:
-            gossip.expire(self._table, now)
+            self._known.expire()
         self._choose_links(now)
         self._ask_for_settings()
         self._wake()
 
-    def _note_self(self) -> None:
-        now = self._clock.monotonic()
-        self._own = replace(self._own, settings_version=self.spread.current.version)
-        gossip.put(self._table, self._own, now)
-        self._announce(membership.hear(self._members, self._own, now))
-
-    def _announce(self, changes: Iterable[HostChange]) -> None:
-        for change in changes:
-            log(
-                "belief about a host changed",
-                host=change.host,
-                incarnation=change.incarnation,
-                state=change.after.value,
-            )
-            if change.after is HostState.GONE:
-                gossip.forget_host(self._table, change.host, change.incarnation)
-            self._emit(change)
-
-    def _emit(self, item: object) -> None:
-        """Hand an item on; a subscriber that fails must not end a link."""
-        try:
-            self.heard.on_next(item)
-        except Exception as error:
-            log("a subscriber failed", error=repr(error), item=type(item).__name__)
-
     def _wake(self) -> None:
         for link in self.links.values():
             link.wake.set()
@@ -193,7 +158,7 @@
     # Links
 
     def _choose_links(self, now: timedelta) -> None:
-        partners = membership.choose_partners(self._members, now, self._random)
+        partners = membership.choose_partners(self._known.members, now, self._random)
         for name in sorted(partners - self.links.keys()):
             self._dialler.open(self.hosts[name].address)
         if not self.links or self._random.random() < JOIN_CHANCE:
@@ -212,7 +177,7 @@
             self._dialler.open(self._random.choice(others))
 
     def _say_hello(self) -> wire.Hello:
-        own = self._own
+        own = self._known.own
         return wire.Hello(
             host=own.host,
             address=own.address,
@@ -223,14 +188,14 @@
     async def _serve(self, link: Link) -> None:
         """Run a link until either end closes it or it breaks."""
         host = link.hello.host
-        if host == self._own.host or not self._takes(link):
+        if host == self._known.own.host or not self._takes(link):
             return
         now = self._clock.monotonic()
         link.opened = link.heard = now
         self.links[host] = link
-        gossip.open_link(self._table, host, host, link.hello.domain, now)
+        gossip.open_link(self._known.table, host, host, link.hello.domain, now)
         log("link opened", host=host, address=link.hello.address)
-        self._emit(LinkChange(host, True))
+        self._known.emit(LinkChange(host, True))
         sending = asyncio.create_task(self._run_sending(link))
         link.receiving = asyncio.create_task(self._run_receiving(link))
         link.wake.set()
@@ -250,7 +215,7 @@
             return True
         newer = link.hello.incarnation > present.hello.incarnation
         again = link.dialled == present.dialled
-        lower = link.dialled == (self._own.host < link.hello.host)
+        lower = link.dialled == (self._known.own.host < link.hello.host)
         if newer or again or lower:
             present.close()
             return True
@@ -260,9 +225,9 @@
         if self.links.get(link.hello.host) is not link:
             return
         del self.links[link.hello.host]
-        gossip.close_link(self._table, link.hello.host)
+        gossip.close_link(self._known.table, link.hello.host)
         log("link ended", host=link.hello.host)
-        self._emit(LinkChange(link.hello.host, False))
+        self._known.emit(LinkChange(link.hello.host, False))
 
     # Batches
 
@@ -276,22 +241,22 @@
     async def _send(self, link: Link) -> None:
         now = self._clock.monotonic()
         rate = self._rate / max(1, len(self.links))
-        items = gossip.take(self._table, link.hello.host, now, rate)
-        batch = link.encoder.encode(items, self.spread.current.version)
+        items = gossip.take(self._known.table, link.hello.host, now, rate)
+        batch = link.encoder.encode(items, self._known.spread.current.version)
         self._put_settings(link, batch)
         size = await link.send(batch)
         counted = sum(KINDS[type(item)].size(item) for item in items)
         surplus = size + FRAME_BYTES - counted
-        if link.hello.host in self._table.queues:
-            gossip.charge(self._table, link.hello.host, surplus, rate)
+        if link.hello.host in self._known.table.queues:
+            gossip.charge(self._known.table, link.hello.host, surplus, rate)
 
     def _put_settings(self, link: Link, batch: wire.Batch) -> None:
         batch.settings_wanted, link.asking = link.asking, False
         wanted, link.settings_wanted = link.settings_wanted, False
-        version = self.spread.current.version
+        version = self._known.spread.current.version
         if link.answered == version and not wanted:
             return
-        answer = spreading.answer(self.spread, link.settings_version, wanted)
+        answer = spreading.answer(self._known.spread, link.settings_version, wanted)
         if answer is not None:
             link.answered = version
             link.encoder.put_settings(batch, answer)
@@ -301,35 +266,10 @@
             link.heard = self._clock.monotonic()
             self._take_settings(link, batch)
             items = link.decoder.decode(batch)
-            if any([self._take_item(link, item) for item in items]):
+            host = link.hello.host
+            if any([self._known.take(host, item) for item in items]):
                 self._wake()
 
-    def _take_item(self, link: Link, item: Item) -> bool:
-        """Take in one item; return whether it is to be passed on at once."""
-        now = self._clock.monotonic()
-        if isinstance(item, HostNews):
-            self._take_heartbeat(link, item, now)
-            return False
-        news = gossip.put(self._table, item, now, link.hello.host)
-        if news is None:
-            return False
-        self._emit(news)
-        return KINDS[type(item)].rank in PROMPT_RANKS
-
-    def _take_heartbeat(self, link: Link, news: HostNews, now: timedelta) -> None:
-        if news.host == self._own.host:
-            self._refute(news)
-        elif membership.accepts(self._members, news):
-            gossip.put(self._table, news, now, link.hello.host)
-            self._announce(membership.hear(self._members, news, now))
-
-    def _refute(self, news: HostNews) -> None:
-        """Outdo what an earlier process of this host left behind."""
-        if order_host(news) > order_host(self._own):
-            incarnation = news.incarnation + 1
-            self._own = replace(self._own, incarnation=incarnation, counter=0)
-            self._note_self()
-
     # Settings
 
     def _take_settings(self, link: Link, batch: wire.Batch) -> None:
@@ -339,23 +279,20 @@
             link.wake.set()
         part = link.decoder.decode_settings(batch)
         if isinstance(part, spreading.Patch):
-            part = spreading.apply_patch(self.spread, part)
+            part = spreading.apply_patch(self._known.spread, part)
         if part is not None:
             self._adopt(part)
-        if self.spread.current.version == 0:
+        if self._known.spread.current.version == 0:
             self._ask_for_settings()
 
     def _adopt(self, settings: Settings) -> None:
-        if spreading.adopt(self.spread, settings, self._check):
-            log("moved to settings", version=settings.version)
-            self._note_self()
-            self._emit(settings)
+        if self._known.adopt(settings):
             self._wake()
 
     def _ask_for_settings(self) -> None:
         versions = {host: link.settings_version for host, link in self.links.items()}
         now = self._clock.monotonic()
-        source = spreading.choose_source(self.spread, versions, now)
+        source = spreading.choose_source(self._known.spread, versions, now)
         if source is not None:
             self.links[source].asking = True
             self.links[source].wake.set()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -13,7 +13,8 @@
 )
 from testtools import TestCase
 
-from galenapass.peers.codec import Decoder, Encoder
+from galenapass.peers.decoding import Decoder
+from galenapass.peers.encoding import Encoder
 from galenapass.systems import gossip
 from galenapass.systems.kinds import KINDS
 from galenapass.systems.levels import LEVELS, find_level
