--- a/src/galenapass/peers/decoding.py
+++ b/src/galenapass/peers/decoding.py
@@ -4,12 +4,14 @@
 from collections.abc import Iterable
 
 from galenapass.peers import peers_pb2 as wire
-from galenapass.peers.names import check_names
+from galenapass.peers.names import THOUSANDTHS, check_names
 from galenapass.systems.levels import LEVELS
 from galenapass.systems.spreading import Patch
+from galenapass.tables.crashes import Crash
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
     CrashSuspect,
+    DemandUse,
     Drain,
     DrainAck,
     HostNews,
@@ -140,18 +142,36 @@
                 ack.in_flight,
             )
         for suspect in batch.crash_suspects:
-            targets = frozenset(names[index] for index in suspect.targets)
             yield CrashSuspect(
-                suspect.fingerprint, suspect.round, suspect.count, targets
+                suspect.fingerprint,
+                self._read_crashes(suspect.crashes),
+                self._read_crashes(suspect.cleared),
             )
         for use in batch.limit_uses:
             yield LimitUse(
-                names[use.host], names[use.caller], use.sequence, use.requests
+                names[use.host],
+                names[use.caller],
+                use.sequence,
+                use.used / THOUSANDTHS,
+                use.held / THOUSANDTHS,
+            )
+        for demand in batch.demand_uses:
+            yield DemandUse(
+                names[demand.host],
+                names[demand.service],
+                demand.sequence,
+                demand.prefill / THOUSANDTHS,
+                demand.decode / THOUSANDTHS,
             )
         for orders in batch.orders:
             text = _decompress(orders.text)
             yield Orders(names[orders.domain], orders.version, text)
 
+    def _read_crashes(self, parts: Iterable[wire.Crash]) -> frozenset[Crash]:
+        return frozenset(
+            Crash(self._names[part.target], part.incarnation) for part in parts
+        )
+
 
 def _decompress(data: bytes) -> str:
     reader = zlib.decompressobj()
--- a/src/galenapass/peers/encoding.py
+++ b/src/galenapass/peers/encoding.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from galenapass.peers import peers_pb2 as wire
-from galenapass.peers.names import check_names
+from galenapass.peers.names import THOUSANDTHS, check_names
 from galenapass.systems.levels import find_level
 from galenapass.systems.spreading import Patch
+from galenapass.tables.crashes import Crash
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import (
     CrashSuspect,
+    DemandUse,
     Drain,
     DrainAck,
     HostNews,
@@ -135,17 +137,36 @@
     def _encode_suspect(self, batch: wire.Batch, item: CrashSuspect) -> None:
         batch.crash_suspects.add(
             fingerprint=item.fingerprint,
-            round=item.round,
-            count=item.count,
-            targets=[self._name(batch, target) for target in sorted(item.targets)],
+            crashes=self._list_crashes(batch, item.crashes),
+            cleared=self._list_crashes(batch, item.cleared),
         )
 
+    def _list_crashes(
+        self, batch: wire.Batch, crashes: frozenset[Crash]
+    ) -> list[wire.Crash]:
+        return [
+            wire.Crash(
+                target=self._name(batch, crash.target), incarnation=crash.incarnation
+            )
+            for crash in sorted(crashes)
+        ]
+
     def _encode_limit(self, batch: wire.Batch, item: LimitUse) -> None:
         batch.limit_uses.add(
             host=self._name(batch, item.host),
             caller=self._name(batch, item.caller),
             sequence=item.sequence,
-            requests=item.requests,
+            used=round(item.used * THOUSANDTHS),
+            held=round(item.held * THOUSANDTHS),
+        )
+
+    def _encode_demand(self, batch: wire.Batch, item: DemandUse) -> None:
+        batch.demand_uses.add(
+            host=self._name(batch, item.host),
+            service=self._name(batch, item.service),
+            sequence=item.sequence,
+            prefill=round(item.prefill * THOUSANDTHS),
+            decode=round(item.decode * THOUSANDTHS),
         )
 
     def _encode_orders(self, batch: wire.Batch, item: Orders) -> None:
@@ -164,5 +185,6 @@
     DrainAck: Encoder._encode_ack,
     CrashSuspect: Encoder._encode_suspect,
     LimitUse: Encoder._encode_limit,
+    DemandUse: Encoder._encode_demand,
     Orders: Encoder._encode_orders,
 }
--- a/src/galenapass/peers/knowledge.py
+++ b/src/galenapass/peers/knowledge.py
@@ -41,12 +41,13 @@
         hosts: dict[str, Host],
         clock: Clock,
         check: Callable[[str], bool],
+        pooled: bool = False,
     ):
         self.own = own
         self.hosts = hosts
         self.heard: Subject = Subject()
-        self.members = Membership.make(own.host, own.domain, hosts)
-        self.table = GossipTable(own.host, own.domain)
+        self.members = Membership.make(own.host, own.domain, hosts, pooled)
+        self.table = GossipTable(own.host, own.domain, pooled)
         self.spread = spreading.Spread()
         self._clock = clock
         self._check = check
--- a/src/galenapass/peers/names.py
+++ b/src/galenapass/peers/names.py
@@ -1,8 +1,9 @@
-"""Bound how many names a link gives an index to."""
+"""Hold what both ends of a link agree on: the bound of names, the unit of rates."""
 
-__all__ = ["MAX_NAMES", "check_names"]
+__all__ = ["MAX_NAMES", "THOUSANDTHS", "check_names"]
 
 MAX_NAMES = 20_000
+THOUSANDTHS = 1000
 
 
 def check_names(count: int) -> None:
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -58,12 +58,15 @@
         hosts: dict[str, Host] | None = None,
         check: Callable[[str], bool] = lambda text: True,
         period: timedelta = ROUND,
+        pooled: bool = False,
     ):
         if not secret:
             raise ValueError("the peers' secret is empty")
         self.links: dict[str, Link] = {}
         own = HostNews(host, listen, domain, incarnation, 0)
-        self._known = Knowledge(own, {} if hosts is None else hosts, clock, check)
+        self._known = Knowledge(
+            own, {} if hosts is None else hosts, clock, check, pooled
+        )
         self._join = list(join)
         self._clock = clock
         self._random = random
--- /dev/null
+++ b/src/galenapass/systems/estimates.py
@@ -0,0 +1,214 @@
+"""Estimate a target's load and speed from lagging reports and own results."""
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.systems.caches import fresh_tokens
+from galenapass.systems.rates import (
+    FAILURES_TO_AVOID,
+    learn_end,
+    learn_first_token,
+    prefill_rate,
+    token_step,
+)
+from galenapass.tables.requests import Request
+from galenapass.tables.targets import (
+    Kind,
+    LoadChange,
+    LoadReport,
+    Target,
+    TargetState,
+)
+from galenapass.tables.world import World
+
+__all__ = [
+    "Load",
+    "estimate_load",
+    "hear_load",
+    "hear_peer",
+    "is_newer",
+    "learn_end",
+    "learn_first_token",
+    "memory_share",
+    "own_pieces_needed",
+    "pieces_needed",
+    "pieces_total",
+    "prefill_rate",
+    "prefill_wait",
+    "record",
+    "sequences",
+    "service_time",
+    "token_step",
+    "usable",
+    "work_seconds",
+]
+
+REPORT_LAG = timedelta(seconds=1)
+TRUSTED_AGE = timedelta(seconds=5)
+DISTRUST_SPAN = timedelta(seconds=25)
+MOST_CHANGES = 256
+DEFAULT_PIECES = 2000
+DEFAULT_PIECE_TOKENS = 16
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """Hold the estimated work at a target now; prefill is in tokens."""
+
+    requests: int
+    prefill: int
+    pieces: int
+
+
+def record(target: Target, change: LoadChange) -> None:
+    """Count a start or an end of this daemon's own work at a target."""
+    target.own_requests += change.requests
+    target.own_prefill += change.prefill
+    target.own_pieces += change.pieces
+    target.own_changes.append(change)
+    _merge_oldest(target.own_changes)
+
+
+def hear_peer(target: Target, change: LoadChange) -> None:
+    """Count what a peer announced to have started or ended at a target."""
+    target.peer_changes.append(change)
+    _merge_oldest(target.peer_changes)
+    _sum_peers(target)
+
+
+def hear_load(target: Target, report: LoadReport, at: timedelta) -> None:
+    """Take a report in; drop the changes that it surely shows."""
+    if report.incarnation != target.incarnation and target.incarnation:
+        target.own_changes.clear()
+        target.peer_changes.clear()
+        target.cached_blocks.clear()
+    target.incarnation = report.incarnation
+    target.load = report
+    target.load_at = at
+    shown = at - REPORT_LAG
+    target.own_changes[:] = [c for c in target.own_changes if c.at > shown]
+    target.peer_changes[:] = [c for c in target.peer_changes if c.at > shown]
+    _sum_peers(target)
+
+
+def is_newer(target: Target, report: LoadReport) -> bool:
+    """Tell whether a report says more than the one already known."""
+    known = target.load
+    if known is None or known.incarnation != report.incarnation:
+        return True
+    return report.sequence > known.sequence
+
+
+def estimate_load(target: Target, now: timedelta) -> Load:
+    """Return reported load, trusted less with age, with later changes added."""
+    trust = _trust(target, now)
+    report = target.load
+    changes = target.own_changes
+    if report is None or trust == 0.0:
+        return Load(
+            target.own_requests + max(0, target.peer_requests),
+            target.own_prefill + max(0, target.peer_prefill),
+            target.own_pieces + max(0, target.peer_pieces),
+        )
+    requests = trust * (report.running + report.waiting) + target.peer_requests
+    prefill = trust * report.prefill_queued + target.peer_prefill
+    pieces = trust * report.pieces_used + target.peer_pieces
+    return Load(
+        max(target.own_requests, round(requests) + sum(c.requests for c in changes)),
+        max(target.own_prefill, round(prefill) + sum(c.prefill for c in changes)),
+        max(target.own_pieces, round(pieces) + sum(c.pieces for c in changes)),
+    )
+
+
+def pieces_total(target: Target) -> int:
+    """Return the memory of an engine in its pieces."""
+    return target.load.pieces_total if target.load else DEFAULT_PIECES
+
+
+def pieces_needed(target: Target, tokens: int) -> int:
+    """Return the pieces that hold a number of tokens at an engine."""
+    size = target.load.piece_tokens if target.load else DEFAULT_PIECE_TOKENS
+    return math.ceil(tokens / max(1, size))
+
+
+def own_pieces_needed(target: Target, request: Request) -> int:
+    """Return the pieces that a request adds to those of cached blocks."""
+    tokens = fresh_tokens(target, request) + request.output_tokens
+    return pieces_needed(target, tokens)
+
+
+def memory_share(target: Target, request: Request) -> float:
+    """Return the part of an engine that a sequence takes, by memory or by room."""
+    memory = own_pieces_needed(target, request) / max(1, pieces_total(target))
+    return max(memory, 1.0 / sequences(target))
+
+
+def work_seconds(target: Target, request: Request, now: timedelta) -> float:
+    """Return the seconds that a request takes of a whole target."""
+    if target.kind is Kind.SERVICE:
+        return token_step(target, now) / sequences(target)
+    prefill = fresh_tokens(target, request) / prefill_rate(target, now)
+    decode = request.output_tokens * token_step(target, now)
+    return prefill + decode * memory_share(target, request)
+
+
+def sequences(target: Target) -> int:
+    """Return how many requests a target is believed to run at once."""
+    return max(1, int(target.rates.room))
+
+
+def prefill_wait(target: Target, now: timedelta) -> float:
+    """Return the seconds until the prompts before a new one are processed."""
+    return estimate_load(target, now).prefill / prefill_rate(target, now)
+
+
+def service_time(target: Target, request: Request, now: timedelta) -> float:
+    """Return the seconds that a request takes once its prompt is next."""
+    if target.kind is Kind.SERVICE:
+        return token_step(target, now)
+    prefill = fresh_tokens(target, request) / prefill_rate(target, now)
+    return prefill + request.output_tokens * token_step(target, now)
+
+
+def usable(world: World, service: str, now: timedelta) -> list[Target]:
+    """Return the targets of a service that may get new work, by identifier."""
+    targets = [world.targets[name] for name in sorted(world.targets)]
+    return [t for t in targets if t.service == service and _may_get_work(t, now)]
+
+
+def _may_get_work(target: Target, now: timedelta) -> bool:
+    if target.state is not TargetState.SERVING:
+        return False
+    if target.avoid_until is not None and now < target.avoid_until:
+        return False
+    if target.failures >= FAILURES_TO_AVOID:
+        # One probe at a time tells whether the target has recovered.
+        return target.own_requests == 0
+    return True
+
+
+def _trust(target: Target, now: timedelta) -> float:
+    if target.load is None or target.load_at is None:
+        return 0.0
+    excess = now - target.load_at - TRUSTED_AGE
+    return min(1.0, max(0.0, 1.0 - excess / DISTRUST_SPAN))
+
+
+def _sum_peers(target: Target) -> None:
+    target.peer_requests = sum(c.requests for c in target.peer_changes)
+    target.peer_prefill = sum(c.prefill for c in target.peer_changes)
+    target.peer_pieces = sum(c.pieces for c in target.peer_changes)
+
+
+def _merge_oldest(changes: list[LoadChange]) -> None:
+    if len(changes) <= MOST_CHANGES:
+        return
+    oldest = changes[: MOST_CHANGES // 2]
+    merged = LoadChange(
+        oldest[-1].at,
+        sum(c.requests for c in oldest),
+        sum(c.prefill for c in oldest),
+        sum(c.pieces for c in oldest),
+    )
+    changes[: len(oldest)] = [merged]
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -162,12 +162,12 @@
     reach = KINDS[type(item)].reach
     if reach is Reach.HEARTBEAT:
         return _reaches_heartbeat(table, queue, item)
-    return reach is Reach.FLEET or queue.domain == table.domain
+    return reach is Reach.FLEET or table.pooled or queue.domain == table.domain
 
 
 def _reaches_heartbeat(table: GossipTable, queue: Queue, item: HostNews) -> bool:
     """Carry a heartbeat on at once within its domain, more seldom beyond."""
-    near = item.domain == table.domain == queue.domain
+    near = table.pooled or item.domain == table.domain == queue.domain
     known = queue.heartbeats.get(item.host)
     order = order_host(item)
     if near or known is None or known[:2] != order[:2]:
--- /dev/null
+++ b/src/galenapass/targets/connections.py
@@ -0,0 +1,92 @@
+"""Open client sessions to targets and judge what went wrong on them."""
+
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp import ClientHandlerType
+from aiohttp.client_middlewares import ClientMiddlewareType
+
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = [
+    "LostConnectionError",
+    "judge_answer",
+    "judge_error",
+    "open_once_session",
+    "open_session",
+]
+
+CONNECT_SECONDS = 2.0
+KEEPALIVE_SECONDS = 15.0
+NOT_RUN_HEADER = "X-Run"
+NOT_RUN_VALUE = "not-run"
+
+# Errors of the connect phase; the request was not sent. Timeouts of the connect
+# phase have their own class, so any other timeout came after the request.
+_BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+# A target answers these for what is wrong with the request itself.
+_CALLERS_FAULT = {
+    400: Reason.MALFORMED,
+    413: Reason.TOO_LARGE,
+    422: Reason.MALFORMED,
+}
+
+
+class LostConnectionError(aiohttp.ClientError):
+    """Say that a connection was lost after a request was sent on it."""
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that keeps its connections and has no total timeout."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+    return _open_session(connector)
+
+
+def open_once_session() -> aiohttp.ClientSession:
+    """Return a session that sends every request on a connection of its own, once."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return _open_session(connector, _forbid_repeats)
+
+
+def _open_session(
+    connector: aiohttp.TCPConnector, *middlewares: ClientMiddlewareType
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        headers={"Accept-Encoding": "identity"},
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        middlewares=middlewares,
+    )
+
+
+async def _forbid_repeats(
+    request: aiohttp.ClientRequest, send: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # On these two errors the client library sends a PUT, DELETE or GET again by
+    # itself; under another class they come back here first.
+    try:
+        return await send(request)
+    except _BEFORE_SENDING:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise LostConnectionError(f"{type(error).__name__}: {error}") from error
+
+
+def judge_error(error: Exception) -> Verdict:
+    """Tell from a client error whether the request may have run."""
+    detail = f"{type(error).__name__}: {error}"
+    if isinstance(error, _BEFORE_SENDING):
+        return Verdict(Run.NOT_RUN, Reason.TARGET_UNREACHABLE, detail)
+    if isinstance(error, TimeoutError):
+        return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_UNREACHABLE, detail)
+    return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
+
+
+def judge_answer(status: int, headers: Mapping[str, str]) -> Verdict:
+    """Tell from an error answer whether the request may have run."""
+    if status == 503 and headers.get(NOT_RUN_HEADER, "").lower() == NOT_RUN_VALUE:
+        return Verdict(Run.NOT_RUN, Reason.TARGET_REFUSED, "the target answered 503")
+    reason = _CALLERS_FAULT.get(status, Reason.TARGET_FAILED)
+    return Verdict(Run.MAY_HAVE_RUN, reason, f"the target answered {status}")
