Hold a target's listed and own leaving apart; name requests in refusals

Cause: the observer set LEAVING from a target's own 503, but the next read of the platform's lagging list, still 'live', put it back; a target that came back at its address could not return by its own word. The stand-ins had no readiness and counted a probe as a run of the service. A refused caller was not told under which name the targets would know its request, so 'not run' could not be checked against them.

Change: two facts a target (listed leaving, said leaving) from which the state follows, any sign of leaving outweighing; /readyz and a fault 'leaving' at both stand-ins; X-Request-Id on problems and on answers of services. Ruled out: one field with the latest word, as the list's lag has no bound.

--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -92,11 +92,11 @@
     row = _make_row(parts, caller, service, call)
     if call.key is None:
         with parts.streams.count_request():
-            return _write_answer(await _run(parts, row, call))
+            return _name_call(_write_answer(await _run(parts, row, call)), call)
     # Once begun, the call goes on to its end even if the caller goes away, so
     # that its answer is kept for the resend.
     work = parts.streams.spawn(_run_once(parts, caller, service, row, call))
-    return await asyncio.shield(work)
+    return _name_call(await asyncio.shield(work), call)
 
 
 async def _run_once(
@@ -195,6 +195,11 @@
     )
 
 
+def _name_call(answer: web.StreamResponse, call: Call) -> web.StreamResponse:
+    answer.headers["X-Request-Id"] = call.id
+    return answer
+
+
 def _refuse(detail: str) -> Err[Verdict]:
     return Err(Verdict(Run.NOT_RUN, Reason.MALFORMED, detail))
 
--- a/src/galenapass/callers/problems.py
+++ b/src/galenapass/callers/problems.py
@@ -55,7 +55,9 @@
     )
 
 
-def write_problem(verdict: Verdict, status: int | None = None) -> web.Response:
+def write_problem(
+    verdict: Verdict, status: int | None = None, request_id: str = ""
+) -> web.Response:
     """Return the answer for a request that got no bytes yet."""
     status = status or STATUSES.get(verdict.reason, DEFAULT_STATUS)
     answer = web.Response(
@@ -66,6 +68,8 @@
     if verdict.retry_after is not None:
         seconds = max(1, math.ceil(verdict.retry_after.total_seconds()))
         answer.headers["Retry-After"] = str(seconds)
+    if request_id:
+        answer.headers["X-Request-Id"] = request_id
     if not verdict.may_retry:
         # Completion clients send a request again on most errors, unless told.
         answer.headers["X-Should-Retry"] = "false"
--- a/src/galenapass/callers/sinks.py
+++ b/src/galenapass/callers/sinks.py
@@ -45,7 +45,7 @@
     async def finish(self, verdict: Verdict) -> web.StreamResponse:
         """End the answer, with the problem when it is not whole."""
         if self._answer is None:
-            return write_problem(verdict)
+            return write_problem(verdict, request_id=self._request_id)
         if verdict.reason is Reason.CANCELLED:
             self._abort()
             return self._answer
@@ -81,7 +81,7 @@
     async def finish(self, verdict: Verdict) -> web.StreamResponse:
         """Return the whole answer, or the problem."""
         if verdict.run is not Run.RAN:
-            return write_problem(verdict)
+            return write_problem(verdict, request_id=self._request_id)
         body = assemble_answer(self._path, b"".join(self._parts))
         return web.Response(
             body=body,
--- a/src/galenapass/duties/observer.py
+++ b/src/galenapass/duties/observer.py
@@ -8,8 +8,8 @@
 
 from galenapass.clocks import Clock
 from galenapass.logs import make_log
-from galenapass.systems import estimates
-from galenapass.tables.targets import Kind, LoadReport, Target, TargetState
+from galenapass.systems import estimates, targets
+from galenapass.tables.targets import Kind, LoadReport, Target
 from galenapass.tables.world import World
 from galenapass.verdicts import Verdict
 
@@ -58,9 +58,8 @@
             await self._read_load(target)
 
     def _note_readiness(self, target: Target, ready: bool) -> None:
-        if not ready and target.state is TargetState.SERVING:
-            _log("target is leaving by its own word", target=target.id)
-            target.state = TargetState.LEAVING
+        if targets.note_readiness(self._world, target, ready):
+            _log(f"target is {target.state.value} now", target=target.id)
             self._tell(target)
 
     async def _read_load(self, target: Target) -> None:
--- a/src/galenapass/systems/targets.py
+++ b/src/galenapass/systems/targets.py
@@ -6,7 +6,7 @@
 from galenapass.tables.targets import Kind, Role, Target, TargetState
 from galenapass.tables.world import World
 
-__all__ = ["apply_configuration", "apply_presence"]
+__all__ = ["apply_configuration", "apply_presence", "note_readiness"]
 
 
 def apply_configuration(world: World, configuration: Configuration) -> None:
@@ -14,10 +14,10 @@
     if configuration.version <= world.configuration.version:
         return
     world.configuration = configuration
-    for name in set(world.targets) - set(configuration.targets):
-        world.targets[name].state = TargetState.LEAVING
     for entry in configuration.targets.values():
         _apply_entry(world, configuration, entry)
+    for target in world.targets.values():
+        _settle(world, target)
     _forget_idle(world)
 
 
@@ -26,13 +26,19 @@
 
     The list lags, so an absent target may be a new one; its failures tell.
     """
-    for name in leaving:
-        if name in world.targets:
-            world.targets[name].state = TargetState.LEAVING
-    for name in live:
-        target = world.targets.get(name)
-        if target is not None and target.state is TargetState.LEAVING:
-            _return_to_service(world, target)
+    listed = dict.fromkeys(live, False) | dict.fromkeys(leaving, True)
+    for name in listed.keys() & world.targets.keys():
+        target = world.targets[name]
+        target.listed_leaving = listed[name]
+        _settle(world, target)
+
+
+def note_readiness(world: World, target: Target, ready: bool) -> bool:
+    """Take in a target's own word; return whether it changed its state."""
+    before = target.state
+    target.said_leaving = not ready
+    _settle(world, target)
+    return target.state is not before
 
 
 def _apply_entry(
@@ -61,8 +67,12 @@
     )
 
 
-def _return_to_service(world: World, target: Target) -> None:
-    if target.id in world.configuration.targets:
+def _settle(world: World, target: Target) -> None:
+    """Let any sign that a target leaves outweigh every sign that it stays."""
+    configured = target.id in world.configuration.targets
+    if target.listed_leaving or target.said_leaving or not configured:
+        target.state = TargetState.LEAVING
+    elif target.state is TargetState.LEAVING:
         target.state = TargetState.SERVING
 
 
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -95,7 +95,8 @@
 
     ``own_*`` count what this daemon has in flight there, ``peer_*`` what the
     peers announced since the last report. ``*_changes`` list the starts and
-    ends that the last report may not show yet.
+    ends that the last report may not show yet. ``listed_leaving`` is what the
+    platform's list says, ``said_leaving`` what the target says itself.
     """
 
     id: str
@@ -109,6 +110,8 @@
     state: TargetState = TargetState.SERVING
     incarnation: str = ""
     drain_epoch: int = 0
+    listed_leaving: bool = False
+    said_leaving: bool = False
     load: LoadReport | None = None
     load_at: timedelta | None = None
     own_requests: int = 0
--- a/stand_ins/engine_account.py
+++ b/stand_ins/engine_account.py
@@ -21,6 +21,7 @@
     duplicate_events: bool = False
     drop_stream_after: int = 0
     refuse: bool = False
+    leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/stand_ins/engine_controls.py
+++ b/stand_ins/engine_controls.py
@@ -16,6 +16,7 @@
     "follow_cache",
     "give_account",
     "give_load",
+    "give_readiness",
     "give_state",
     "put_faults",
     "take_order",
@@ -27,6 +28,12 @@
     return answer_json(asdict(request.app[ENGINE].read_report()))
 
 
+async def give_readiness(request: web.Request) -> web.Response:
+    """Tell whether the engine takes new work; one that leaves does not."""
+    leaving = request.app[ENGINE].faults.leaving
+    return answer_json({"leaving": leaving}, 503 if leaving else 200)
+
+
 async def give_state(request: web.Request) -> web.Response:
     """Give the present state."""
     model = request.app[ENGINE].model
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -35,6 +35,7 @@
     down: bool = False
     crash: bool = False
     crash_on: str = ""
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -125,6 +126,11 @@
     }
 
 
+async def _give_readiness(request: web.Request) -> web.Response:
+    leaving = request.app[SERVICE].faults.leaving
+    return answer_json({"leaving": leaving}, 503 if leaving else 200)
+
+
 async def _put_faults(request: web.Request) -> web.Response:
     request.app[SERVICE].put_faults(read_faults(Faults, await request.read()))
     return answer_json({})
@@ -140,6 +146,7 @@
     app[SERVICE] = Service(restart)
     app.router.add_post("/stand-in/faults", _put_faults)
     app.router.add_get("/stand-in/account", _give_account)
+    app.router.add_get("/readyz", _give_readiness)
     app.router.add_route("*", "/{path:.*}", _run)
     return app
 
