Move preempted requests on instead of ending them

Cause: PREEMPTED was not among the reasons that are tried again, so every stream that the daemon itself broke off (bulk for urgent, a suspect of a crash for its trial) ended with an error event; the abandoned suspects then kept the places of their trial and the others waited until their deadline. Ruled out: the engines (their accounts show no failure after the crash) and the retry budget (50 left). Change: a move is no failure: it costs no attempt, no retry and bars no target.

--- a/experiments/demo.py
+++ b/experiments/demo.py
@@ -6,17 +6,14 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import orjson
 
+from experiments.answers import CHAT_PATH, is_whole, make_chat
 from experiments.fleet import DaemonSpec, Fleet, TargetSpec
-from stand_ins.engine_text import expected_text
 
 __all__ = ["main"]
 
-MODEL = "juniper-8b"
-PATH = "/v1/chat/completions"
 STREAMS = 24
 TOKENS = 80
 ROLE_SECONDS = 40.0
@@ -168,25 +165,8 @@
 
 
 async def _ask_one(fleet: Fleet, name: str, subject: str) -> bool:
-    messages = [{"role": "user", "content": f"tasting {subject}"}]
-    body = {
-        "model": MODEL,
-        "messages": messages,
-        "max_tokens": TOKENS,
-        "stream": True,
-    }
-    status, answer = await fleet.ask(name, PATH, body)
-    return status == 200 and _join(answer) == expected_text(body)
-
-
-def _join(answer: bytes) -> str:
-    lines = [line for line in answer.split(b"\n") if line.startswith(b"data: {")]
-    chunks: list[Any] = [orjson.loads(line.removeprefix(b"data: ")) for line in lines]
-    return "".join(
-        choice["delta"].get("content", "")
-        for chunk in chunks
-        for choice in chunk.get("choices", ())
-    )
+    body = make_chat(f"tasting {subject}", TOKENS)
+    return is_whole(body, *await fleet.ask(name, CHAT_PATH, body))
 
 
 async def _wait_for_role(fleet: Fleet, target: str, role: str) -> float:
--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -14,7 +14,7 @@
 
 from experiments.processes import Process, find_free_port, start_process, stop_all
 
-__all__ = ["CALLER_KEY", "DaemonSpec", "Fleet", "TargetSpec", "TOKEN"]
+__all__ = ["CALLER_KEY", "Answer", "DaemonSpec", "Fleet", "TargetSpec", "TOKEN"]
 
 CALLER_KEY = "guide-key"
 TOKEN = "operators-token"
@@ -24,6 +24,15 @@
 JSON = {"Content-Type": "application/json"}
 
 
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Hold what a daemon answered a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 @dataclass(slots=True)
 class TargetSpec:
     """Describe one target to start; options go to its program."""
@@ -73,6 +82,7 @@
         self.processes: dict[str, Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="galenapass-"))
         self.platform = ""
+        self.stop_within = "20 s"
 
     async def __aenter__(self) -> "Fleet":
         self.session = aiohttp.ClientSession()
@@ -153,7 +163,7 @@
 address = {spec.platform or self.platform}
 
 [stop]
-within = 20 s
+within = {self.stop_within}
 """
 
     def write_file(self, weight: float = 1.0, extra: str = "") -> str:
@@ -291,12 +301,17 @@
         self, name: str, path: str, body: Any, **headers: str
     ) -> tuple[int, bytes]:
         """Send a caller's request to a daemon; return status and body."""
+        answer = await self.send(name, path, body, **headers)
+        return answer.status, answer.body
+
+    async def send(self, name: str, path: str, body: Any, **headers: str) -> Answer:
+        """Send a caller's request to a daemon; return its whole answer."""
         url = f"http://{self.daemons[name].entry}{path}"
         named = {key.replace("_", "-"): value for key, value in headers.items()}
         named = {"Authorization": f"Bearer {CALLER_KEY}", **JSON, **named}
         data = orjson.dumps(body)
         async with self.session.post(url, data=data, headers=named) as answer:
-            return answer.status, await answer.read()
+            return Answer(answer.status, dict(answer.headers), await answer.read())
 
     async def read_operators(self, name: str, path: str) -> dict[str, Any]:
         """Read the operators' port of a daemon."""
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -47,6 +47,18 @@
         limit = retries.LARGEST_BUDGET + retries.RETRY_SHARE * fresh
         self.assertLessEqual(granted, limit + retries.LEAST_RATE * elapsed)
 
+    def test_moves_cost_neither_attempts_nor_the_budget(self):
+        world = make_world()
+        world.retries.tokens = 0.0
+        request = make_request(patience=999.0)
+        moved = Verdict(Run.MAY_HAVE_RUN, Reason.PREEMPTED)
+        for _ in range(2 * retries.MOST_ATTEMPTS):
+            request.attempts += 1
+            request.target = "runner-1"
+            decision = retries.decide(world, request, moved, seconds(0))
+            self.assertIsInstance(decision, retries.Retry)
+        self.assertEqual((0, set()), (request.attempts, request.tried))
+
     def test_a_passed_deadline_ends_it_with_a_time_to_return(self):
         failure = Verdict(Run.NOT_RUN, Reason.TARGET_REFUSED)
         request = make_request(patience=1.0)
