Name the key, not the token, when a caller's key is refused

Cause: ask called a wrong key a wrong token. Ruled out: a sentence for each port in the tool; the answers have their own. Change: a 401 shows the detail of its problem document like any refusal; the test asks for that sentence and its verdict. Conclusion: make check test passes.

--- a/src/galenapass/tool/clients.py
+++ b/src/galenapass/tool/clients.py
@@ -96,8 +96,6 @@
 
 def judge_refusal(name: str, answer: Answer) -> Failure:
     """Return the failure that an error status stands for."""
-    if answer.status == 401:
-        return Failure(Exit.FAILED, f"{name} refused the token")
     problem = read_problem(answer.body)
     detail = problem.get("detail") or f"status {answer.status}"
     run = _read_run(problem.get("verdict"))
