Follow the engines' cache events

The routing takes in what engines say of their caches, but nothing read it. The reader yields each event with its sequence, so that whoever follows sees a gap; a broken or unreadable stream just ends, since events only correct an estimate. One test; not wired into the daemon yet.

--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from galenapass.tables.targets import LoadReport
+from galenapass.targets.cache_events import CacheEvent, CacheFollower
 from galenapass.targets.engines import (
     Engines,
     EngineState,
@@ -105,3 +106,21 @@
             self.assertEqual(Reason.TARGET_UNREACHABLE, got.err().reason)
 
         asyncio.run(check())
+
+
+class TestCacheEvents(TestCase):
+    def test_events_are_read_until_one_is_unreadable(self):
+        event = b'data: {"sequence":%d,"stored":[1,2],"evicted":[3]}\n\n'
+        stream = b": alive\n\n" + event % 1 + event % 4 + b"data: {}\n\n" + event % 5
+
+        async def act(request):
+            return web.Response(body=stream, content_type="text/event-stream")
+
+        async def follow(engines, address):
+            follower = CacheFollower()
+            got = [event async for event in follower.follow(address)]
+            await follower.close()
+            return got
+
+        got = asyncio.run(ask_engine(act, follow))
+        self.assertEqual([CacheEvent(n, (1, 2), (3,)) for n in (1, 4)], got)
