Ask with different beginnings in the path measurement

All requests shared one prompt, so prefix affinity sent up to 200 streams to a single source while three stood empty; the backlog then made the first run show 12,000 tokens/s and late first tokens. Loaders also check that every stream has every event. Figures taken before this change compare the daemon under a load it would not see.

--- a/experiments/path_load.py
+++ b/experiments/path_load.py
@@ -20,6 +20,9 @@
 PROMPT = "Describe the juniper of the upper terrace for a guest. " * 38
 
 
+GUESTS = 97
+
+
 @dataclass(slots=True)
 class Tally:
     """Hold what one process saw inside its window; times in seconds."""
@@ -44,7 +47,7 @@
         tasks = []
         for number in range(int((warm + window) * rate)):
             await asyncio.sleep(max(0, started + number / rate - time.monotonic()))
-            ask = _ask(session, next(turns), tokens, span, tally)
+            ask = _ask(session, next(turns), number, tokens, span, tally)
             tasks.append(asyncio.create_task(ask))
         await asyncio.sleep(max(0, span[1] - time.monotonic()))
         for task in tasks:
@@ -56,16 +59,19 @@
 async def _ask(
     session: aiohttp.ClientSession,
     address: str,
+    number: int,
     tokens: int,
     span: tuple[float, float],
     tally: Tally,
 ) -> None:
-    message = {"role": "user", "content": PROMPT}
+    # Different beginnings, so that prefix affinity spreads the requests.
+    content = f"Guest {number % GUESTS} asks. {PROMPT}"
+    message = {"role": "user", "content": content}
     body = {"model": "juniper-8b", "messages": [message]}
     data = orjson.dumps({**body, "stream": True, "max_tokens": tokens})
     headers = {"Authorization": f"Bearer {CALLER_KEY}"}
     sent = time.monotonic()
-    begun, rest = False, b""
+    begun, rest, events = False, b"", 0
     try:
         async with session.post(
             f"http://{address}{PATH}", data=data, headers=headers
@@ -77,11 +83,15 @@
                     tally.requests += 1
                     tally.first_tokens.append(now - sent)
                 begun = True
-                tally.tokens += chunk.count(EVENT_END) if inside else 0
+                # An end may be cut in two by the chunks.
+                ended = (rest[-1:] + chunk).count(EVENT_END)
+                events += ended
+                tally.tokens += ended if inside else 0
                 rest = chunk[-40:]
     except aiohttp.ClientError:
         rest = b""
-    if DONE not in rest:
+    # Every token once, and the mark of the end.
+    if DONE not in rest or events != tokens + 1:
         tally.failures += 1
 
 
