Run non-idempotent calls at most once, by claims in versioned slices

Cause: calls that may not be repeated had no claims; the demo's hold failed with 500. Ruled out: keys minted by a daemon and run from its memory, which work with the platform away but lose every key with their host, and hosts keep nothing; an owner for each slice that trusts a lease, as the object's version fences already; one object a key, which costs one write a call at any rate.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -20,6 +20,7 @@
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
+from galenapass.duties.journal import Journal
 from galenapass.duties.loops import repeat
 from galenapass.logs import log_to, make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
@@ -69,7 +70,6 @@
         self.random = Random()
         self.metrics = make_metrics()
         self.world = World(settings.host, settings.domain)
-        self.claims: Any = None
         self.news = News(self.world, self.clock)
         self.earlier: dict[int, Configuration] = {}
         self.is_ready = False
@@ -175,6 +175,7 @@
             self._count_call,
             self.random,
         )
+        self.claims = Journal(self.objects, settings.host, self.clock, self.random)
 
     async def _start_peers(self) -> None:
         settings = self.settings
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,276 @@
+"""Check that no key runs twice, whatever becomes of daemons, calls and writes."""
+
+import asyncio
+from random import Random
+from unittest import mock
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Err, Ok
+from testtools import TestCase
+
+from galenapass.clocks import ManualClock
+from galenapass.dispatch import Claim, StoredAnswer
+from galenapass.duties.journal import Journal
+from galenapass.systems import claims
+from galenapass.verdicts import Reason, Run
+from tests.fake_objects import FATES, FakeObjects, Fate
+
+KEYS = ("hold-1", "hold-2")
+DAEMONS = ("entry-1", "entry-2", "entry-3")
+CALM = 60  # turns of the loop that let everything under way come to rest
+TIMEOUT_SECONDS = 10.0
+
+
+class ManualLoop(asyncio.SelectorEventLoop):
+    """Give a time that only the test moves."""
+
+    now = 0.0
+
+    def time(self):
+        return self.now
+
+
+class Store:
+    """Give one daemon the objects; each call waits while the daemon is paused."""
+
+    def __init__(self, machine, name):
+        self.machine, self.name = machine, name
+
+    async def read(self, kind, name):
+        await self.machine.awake[self.name].wait()
+        return self.machine.objects.read(name, self.machine.draw_fate())
+
+    async def write(self, kind, name, body, if_version=None):
+        fate = self.machine.draw_fate()
+        answer = self.machine.objects.write(name, body, if_version, fate)
+        # A pause here stands for one between the write and its answer.
+        await self.machine.awake[self.name].wait()
+        return answer
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Send calls with few keys through daemons that are killed and paused."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = ManualLoop()
+        self.objects = FakeObjects()
+        self.fates = []
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.told = []
+        self.started = 0
+        self.awake = {name: asyncio.Event() for name in DAEMONS}
+        self.tasks = {name: [] for name in DAEMONS}
+        self.journals = {name: self.make_journal(name) for name in DAEMONS}
+        for event in self.awake.values():
+            event.set()
+
+    def make_journal(self, name):
+        self.started += 1
+        random = Random(self.started)
+        store = Store(self, name)
+        nothing = lambda seconds: asyncio.sleep(0)  # noqa: E731
+        return Journal(store, name, ManualClock(), random, nothing)
+
+    def draw_fate(self):
+        return self.fates.pop(0) if self.fates else Fate.ANSWERED
+
+    def settle(self):
+        self.loop.run_until_complete(self._turn())
+
+    async def _turn(self):
+        for _ in range(CALM):
+            await asyncio.sleep(0)
+
+    async def call(self, name, key, outcome):
+        journal = self.journals[name]
+        begun = await journal.begin("agents", "booking", key, "f" * 16)
+        if isinstance(begun, Err):
+            self.told.append((key, begun.err_value.run))
+            return
+        if isinstance(begun.ok_value, StoredAnswer):
+            assert begun.ok_value.body == key.encode(), begun
+            return
+        assert isinstance(begun.ok_value, Claim)
+        await self.awake[name].wait()
+        if outcome == "refused":
+            await journal.release(begun.ok_value)
+            return
+        self.runs[key] += 1
+        answer = StoredAnswer(200, "text/plain", key.encode())
+        await journal.finish(begun.ok_value, None if outcome == "lost" else answer)
+
+    @rule(
+        name=st.sampled_from(DAEMONS),
+        key=st.sampled_from(KEYS),
+        outcome=st.sampled_from(["ran", "lost", "refused"]),
+        settle=st.booleans(),
+    )
+    def send(self, name, key, outcome, settle):
+        task = self.loop.create_task(self.call(name, key, outcome))
+        self.tasks[name].append(task)
+        if settle:
+            self.settle()
+
+    @rule(fates=st.lists(st.sampled_from(FATES), min_size=1, max_size=4))
+    def disturb(self, fates):
+        self.fates += fates
+
+    @rule()
+    def arrive_late(self):
+        self.objects.arrive_late()
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def pause(self, name):
+        self.awake[name].clear()
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def resume(self, name):
+        self.awake[name].set()
+        self.settle()
+
+    @rule()
+    def pass_time(self):
+        self.loop.now += TIMEOUT_SECONDS
+        self.settle()
+
+    @rule(name=st.sampled_from(DAEMONS))
+    def kill(self, name):
+        queues = self.journals[name]._queues.values()
+        workers = [queue.worker for queue in queues if queue.worker]
+        for task in [*self.tasks[name], *workers]:
+            task.cancel()
+        self.settle()
+        self.tasks[name] = []
+        self.awake[name].set()
+        self.journals[name] = self.make_journal(name)
+
+    @invariant()
+    def no_key_ran_twice(self):
+        assert max(self.runs.values()) <= 1, self.runs
+
+    def teardown(self):
+        self.fates.clear()
+        for name in DAEMONS:
+            self.resume(name)
+        self.pass_time()
+        for tasks in self.tasks.values():
+            for task in tasks:
+                assert task.done(), task
+                if not task.cancelled():
+                    task.result()
+        self.no_key_ran_twice()
+        self.loop.close()
+
+
+class ClaimMachineTest(TestCase):
+    def test_no_key_runs_twice(self):
+        run_state_machine_as_test(ClaimMachine)
+
+    def test_fails_without_the_version_of_the_slice(self):
+        def write_anyway(self, name, body, if_version):
+            self.version += 1
+            self.objects[name] = mock.Mock(version=self.version, body=body)
+            return Ok(self.version)
+
+        with mock.patch.object(FakeObjects, "_put", write_anyway):
+            self.assert_fails()
+
+    def test_fails_without_the_refusal_of_a_claimed_key(self):
+        taken = lambda entry: claims.Begun()  # noqa: E731
+        repeats = dict.fromkeys(claims._REPEATS, taken)
+        with mock.patch.object(claims, "_REPEATS", repeats):
+            self.assert_fails()
+
+    def assert_fails(self):
+        thorough = settings(settings(), max_examples=300, phases=[Phase.generate])
+        try:
+            run_state_machine_as_test(ClaimMachine, settings=thorough)
+        except (AssertionError, ExceptionGroup):
+            return
+        self.fail("the machine holds without the mechanism")
+
+
+class JournalTest(TestCase):
+    def run_with(self, store, body):
+        journal = Journal(store, "entry-1", ManualClock(), Random(1))
+        return asyncio.run(body(journal))
+
+    def test_claims_that_wait_together_share_a_write(self):
+        objects = FakeObjects()
+        store = mock.Mock()
+        store.read = mock.AsyncMock(side_effect=lambda kind, name: objects.read(name))
+        store.write = mock.AsyncMock(
+            side_effect=lambda kind, *rest: objects.write(*rest)
+        )
+
+        async def begin_many(journal):
+            with mock.patch("galenapass.systems.claims.SLICES", 1):
+                begins = (journal.begin("c", "s", str(n), "f") for n in range(50))
+                return await asyncio.gather(*begins)
+
+        begun = self.run_with(store, begin_many)
+        self.assertTrue(all(isinstance(b.ok_value, Claim) for b in begun))
+        self.assertEqual(1, store.write.await_count)
+
+    def test_a_platform_that_is_away_means_not_run_at_once(self):
+        objects = FakeObjects()
+        store = mock.Mock()
+        store.read = mock.AsyncMock(return_value=objects.read("x", Fate.AWAY))
+
+        async def begin(journal):
+            refused = await journal.begin("c", "s", "k", "f")
+            return refused.err_value, journal.count_waiting(), len(journal._unsent)
+
+        verdict, waiting, unsent = self.run_with(store, begin)
+        self.assertEqual(
+            (Run.NOT_RUN, Reason.PLATFORM_AWAY), (verdict.run, verdict.reason)
+        )
+        self.assertIsNotNone(verdict.retry_after)
+        self.assertEqual((0, 0), (waiting, unsent))
+
+
+class SliceTest(TestCase):
+    def begin(self, entries, fingerprint="f", nonce="n1", at=0):
+        return claims.apply(entries, claims.Begin("k", nonce, fingerprint), at)
+
+    def test_another_call_under_the_key_is_not_run(self):
+        entries = {}
+        self.begin(entries)
+        verdict = self.begin(entries, "other", "n2")
+        self.assertEqual(
+            (Run.NOT_RUN, Reason.KEY_REUSED), (verdict.run, verdict.reason)
+        )
+
+    def test_the_key_outlives_its_answer(self):
+        entries = {}
+        self.begin(entries)
+        answer = StoredAnswer(200, "text/plain", b"seat 12")
+        claims.apply(entries, claims.Finish("k", "n1", answer), 0)
+        self.assertEqual(answer, self.begin(entries, nonce="n2"))
+        days = int(claims.ANSWER_LIFETIME.total_seconds()) * 3
+        body = claims.encode_slice(entries, days)
+        later = claims.decode_slice(1, body).entries
+        verdict = self.begin(later, nonce="n3", at=days)
+        self.assertIs(Run.RAN, verdict.run)
+
+    def test_a_full_slice_drops_answers_and_then_takes_no_more(self):
+        answer = StoredAnswer(200, "text/plain", b"x" * 60_000)
+        entries = {}
+        for number in range(20):
+            key = f"{number:032x}"
+            claims.apply(entries, claims.Begin(key, "n", "f"), 0)
+            claims.apply(entries, claims.Finish(key, "n", answer), 0)
+        kept = claims.decode_slice(1, claims.encode_slice(entries, 0)).entries
+        self.assertEqual(entries.keys(), kept.keys())
+        self.assertTrue(all(entry.answer is None for entry in kept.values()))
+        for number in range(20, 12_000):
+            claims.apply(entries, claims.Begin(f"{number:032x}", "n" * 40, "f"), 0)
+        self.assertIsNone(claims.encode_slice(entries, 0))
