Mend the verdict of a refused repeat; look at each target once a choice

Cause: the stateful test (long profile) found a request refused as not run after an attempt that may have run: an edit to the verdict had not been applied. Change: the refusal says may have run then; routing weighs one view a target; the unseen load is kept as sums.

--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -262,4 +262,5 @@
 def _overloaded(request: Request, wait: float, detail: str) -> Verdict:
     spread = xxhash.xxh64_intdigest(request.id.encode()) % 1000 / 1000
     seconds = min(LONGEST_RETURN, max(LEAST_RETURN, wait)) * (1.0 + spread)
-    return Verdict(Run.NOT_RUN, Reason.OVERLOADED, detail, timedelta(seconds=seconds))
+    run = Run.MAY_HAVE_RUN if request.may_have_run else Run.NOT_RUN
+    return Verdict(run, Reason.OVERLOADED, detail, timedelta(seconds=seconds))
--- a/src/galenapass/systems/estimates.py
+++ b/src/galenapass/systems/estimates.py
@@ -68,13 +68,18 @@
     target.own_pieces += change.pieces
     target.own_changes.append(change)
     _merge_oldest(target.own_changes)
+    target.unseen_requests += change.requests
+    target.unseen_prefill += change.prefill
+    target.unseen_pieces += change.pieces
 
 
 def hear_peer(target: Target, change: LoadChange) -> None:
     """Count what a peer announced to have started or ended at a target."""
     target.peer_changes.append(change)
     _merge_oldest(target.peer_changes)
-    _sum_peers(target)
+    target.peer_requests += change.requests
+    target.peer_prefill += change.prefill
+    target.peer_pieces += change.pieces
 
 
 def hear_load(target: Target, report: LoadReport, at: timedelta) -> None:
@@ -89,7 +94,7 @@
     shown = at - REPORT_LAG
     target.own_changes[:] = [c for c in target.own_changes if c.at > shown]
     target.peer_changes[:] = [c for c in target.peer_changes if c.at > shown]
-    _sum_peers(target)
+    _sum_changes(target)
 
 
 def is_newer(target: Target, report: LoadReport) -> bool:
@@ -104,7 +109,6 @@
     """Return reported load, trusted less with age, with later changes added."""
     trust = _trust(target, now)
     report = target.load
-    changes = target.own_changes
     if report is None or trust == 0.0:
         return Load(
             target.own_requests + max(0, target.peer_requests),
@@ -115,9 +119,9 @@
     prefill = trust * report.prefill_queued + target.peer_prefill
     pieces = trust * report.pieces_used + target.peer_pieces
     return Load(
-        max(target.own_requests, round(requests) + sum(c.requests for c in changes)),
-        max(target.own_prefill, round(prefill) + sum(c.prefill for c in changes)),
-        max(target.own_pieces, round(pieces) + sum(c.pieces for c in changes)),
+        max(target.own_requests, round(requests) + target.unseen_requests),
+        max(target.own_prefill, round(prefill) + target.unseen_prefill),
+        max(target.own_pieces, round(pieces) + target.unseen_pieces),
     )
 
 
@@ -195,7 +199,10 @@
     return min(1.0, max(0.0, 1.0 - excess / DISTRUST_SPAN))
 
 
-def _sum_peers(target: Target) -> None:
+def _sum_changes(target: Target) -> None:
+    target.unseen_requests = sum(c.requests for c in target.own_changes)
+    target.unseen_prefill = sum(c.prefill for c in target.own_changes)
+    target.unseen_pieces = sum(c.pieces for c in target.own_changes)
     target.peer_requests = sum(c.requests for c in target.peer_changes)
     target.peer_prefill = sum(c.prefill for c in target.peer_changes)
     target.peer_pieces = sum(c.pieces for c in target.peer_changes)
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -11,15 +11,16 @@
 import xxhash
 
 from galenapass.systems import caches, crashes, estimates
+from galenapass.systems.estimates import Load
 from galenapass.systems.rates import IMPORT_TIME, TRANSFER_RATE
 from galenapass.tables.requests import Request, Urgency
 from galenapass.tables.targets import Kind, Role, Target
 from galenapass.tables.world import World
 
-__all__ = ["Choice", "choose_target", "has_room"]
+__all__ = ["Choice", "choose_target"]
 
 AFFINITY_DEPTHS = (16, 4, 1)  # blocks
-CANDIDATES_A_DEPTH = 2
+CANDIDATES = 2
 LOAD_BOUND = 1.25  # times the mean load
 # Share of an engine's sequences and memory that each class may fill.
 FILL = {Urgency.URGENT: 1.0, Urgency.NORMAL: 0.9, Urgency.BULK: 0.75}
@@ -39,11 +40,23 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Plan:
+class _View:
+    """Hold a target as a request finds it; times are seconds."""
+
     target: Target
-    prefill: Target | None
-    cost: float
+    load: Load
     wait: float
+    prompt: float
+    output: float
+    open: bool
+    open_to_decode: bool
+
+
+@dataclass(slots=True, frozen=True)
+class _Plan:
+    target: _View
+    prefill: _View | None
+    cost: float
 
 
 def choose_target(
@@ -53,174 +66,123 @@
     targets = estimates.usable(world, request.service, now)
     targets = crashes.limit_targets(world, request, targets, now)
     untried = [t for t in targets if t.id not in request.tried] or targets
-    if not untried:
+    views = [_look(target, request, now) for target in untried]
+    if not views:
         return None
-    if untried[0].kind is Kind.SERVICE:
-        return _choose_service(world, request, untried, now, random)
-    return _choose_engine(request, untried, now, random)
+    if views[0].target.kind is Kind.SERVICE:
+        return _choose_service(world, views, random)
+    return _choose_engine(request, views, random)
 
 
-def has_room(
-    target: Target, request: Request, now: timedelta, *, prefill: bool = True
-) -> bool:
-    """Tell whether a target can take a request now without touching the reserve."""
-    fill = FILL[request.urgency]
+def _look(target: Target, request: Request, now: timedelta) -> _View:
     load = estimates.estimate_load(target, now)
-    if load.requests + 1 > max(1.0, fill * estimates.sequences(target)):
-        return False
+    step = estimates.token_step(target, now)
     if target.kind is Kind.SERVICE:
-        return True
-    needed = estimates.own_pieces_needed(target, request)
-    if load.pieces + needed > fill * estimates.pieces_total(target):
-        return False
-    return not prefill or _backlog_fits(target, request, now)
+        free = _has_sequence(target, load, request)
+        return _View(target, load, 0.0, 0.0, step, free, False)
+    rate = estimates.prefill_rate(target, now)
+    wait = load.prefill / rate
+    prompt = wait + caches.fresh_tokens(target, request) / rate
+    crowding = 1.0 + load.requests / estimates.sequences(target)
+    output = request.output_tokens * step * crowding
+    free = _has_sequence(target, load, request) and _has_memory(target, load, request)
+    quick = free and wait <= BACKLOG[request.urgency]
+    return _View(target, load, wait, prompt, output, quick, free)
 
 
-def _backlog_fits(target: Target, request: Request, now: timedelta) -> bool:
-    return estimates.prefill_wait(target, now) <= BACKLOG[request.urgency]
+def _has_sequence(target: Target, load: Load, request: Request) -> bool:
+    most = FILL[request.urgency] * estimates.sequences(target)
+    return load.requests + 1 <= max(1.0, most)
 
 
-def _choose_service(
-    world: World,
-    request: Request,
-    targets: list[Target],
-    now: timedelta,
-    random: Random,
-) -> Choice | None:
-    open_targets = [t for t in targets if has_room(t, request, now)]
-    if not open_targets:
-        return None
+def _has_memory(target: Target, load: Load, request: Request) -> bool:
+    most = FILL[request.urgency] * estimates.pieces_total(target)
+    return load.pieces + estimates.own_pieces_needed(target, request) <= most
+
+
+def _choose_service(world: World, views: list[_View], random: Random) -> Choice | None:
     ranked = sorted(
-        open_targets,
-        key=lambda t: (
-            estimates.estimate_load(t, now).requests * estimates.token_step(t, now),
-            t.domain != world.domain,
+        (view for view in views if view.open),
+        key=lambda v: (
+            v.load.requests * v.output,
+            v.target.domain != world.domain,
             random.random(),
         ),
     )
-    chosen = ranked[0]
-    names = tuple(t.id for t in ranked)
-    why = f"{chosen.id} is the least loaded of {len(names)}"
-    return Choice(chosen.id, None, names, timedelta(0), why)
+    if not ranked:
+        return None
+    chosen = ranked[0].target.id
+    names = tuple(view.target.id for view in ranked)
+    why = f"{chosen} is the least loaded of {len(names)}"
+    return Choice(chosen, None, names, timedelta(0), why)
 
 
 def _choose_engine(
-    request: Request, targets: list[Target], now: timedelta, random: Random
+    request: Request, views: list[_View], random: Random
 ) -> Choice | None:
-    plans = _plan_whole(request, targets, now, random)
-    plans += _plan_split(request, targets, now, random)
+    plans = _plan_whole(request, views) + _plan_split(request, views)
     if not plans:
         return None
-    best = min(plans, key=lambda plan: plan.cost)
-    names = tuple(dict.fromkeys(plan.target.id for plan in plans))
+    best = min(plans, key=lambda p: (round(p.cost, 3), random.random()))
+    names = tuple(dict.fromkeys(plan.target.target.id for plan in plans))
+    prefill = best.prefill or best.target
     return Choice(
-        best.target.id,
-        best.prefill.id if best.prefill else None,
+        best.target.target.id,
+        best.prefill.target.id if best.prefill else None,
         names,
-        timedelta(seconds=best.wait),
+        timedelta(seconds=prefill.wait),
         _explain(best, request, names),
     )
 
 
 def _explain(plan: _Plan, request: Request, names: tuple[str, ...]) -> str:
-    cached = caches.cached_tokens(plan.prefill or plan.target, request)
-    split = f", prompt at {plan.prefill.id}" if plan.prefill else ""
+    prefill = (plan.prefill or plan.target).target
+    cached = caches.cached_tokens(prefill, request)
+    split = f", prompt at {prefill.id}" if plan.prefill else ""
     return (
-        f"{plan.target.id}{split}: {plan.cost:.2f} s expected, "
+        f"{plan.target.target.id}{split}: {plan.cost:.2f} s expected, "
         f"{cached} of {request.prompt_tokens} tokens cached, "
         f"best of {len(names)}"
     )
 
 
-def _plan_whole(
-    request: Request, targets: list[Target], now: timedelta, random: Random
-) -> list[_Plan]:
-    mixed = [t for t in targets if t.role is Role.MIXED]
-    open_targets = [t for t in mixed if has_room(t, request, now)]
-    preferred = _prefer(request, mixed, open_targets, now)
-    chosen = _cheapest(preferred or open_targets, request, now, random)
-    return [_whole(target, request, now) for target in chosen]
+def _plan_whole(request: Request, views: list[_View]) -> list[_Plan]:
+    mixed = [v for v in views if v.target.role is Role.MIXED]
+    return [_Plan(v, None, v.prompt + v.output) for v in _prefer(request, mixed)]
 
 
-def _whole(target: Target, request: Request, now: timedelta) -> _Plan:
-    wait = estimates.prefill_wait(target, now)
-    cost = wait + estimates.service_time(target, request, now)
-    return _Plan(target, None, cost, wait)
-
-
-def _plan_split(
-    request: Request, targets: list[Target], now: timedelta, random: Random
-) -> list[_Plan]:
-    prefills = [t for t in targets if t.role is Role.PREFILL]
-    fitting = [t for t in prefills if has_room(t, request, now)]
-    preferred = _prefer(request, prefills, fitting, now) or fitting
+def _plan_split(request: Request, views: list[_View]) -> list[_Plan]:
+    prefills = [v for v in views if v.target.role is Role.PREFILL]
+    preferred = _prefer(request, prefills)
     decodes = [
-        t
-        for t in targets
-        if t.role is not Role.PREFILL and has_room(t, request, now, prefill=False)
+        v for v in views if v.target.role is not Role.PREFILL and v.open_to_decode
     ]
     if not preferred or not decodes:
         return []
-    prefill = min(
-        preferred, key=lambda t: (_prompt_time(t, request, now), random.random())
-    )
-    decode = min(decodes, key=lambda t: (_decode_time(t, request, now), t.id))
-    wait = estimates.prefill_wait(prefill, now)
+    prefill = min(preferred, key=lambda v: v.prompt)
+    decode = min(decodes, key=lambda v: (v.output, v.target.id))
     transfer = IMPORT_TIME + request.prompt_tokens / TRANSFER_RATE
-    cost = _prompt_time(prefill, request, now) + transfer
-    cost += _decode_time(decode, request, now)
-    return [_Plan(decode, prefill, cost, wait)]
-
-
-def _prompt_time(target: Target, request: Request, now: timedelta) -> float:
-    fresh = caches.fresh_tokens(target, request)
-    own = fresh / estimates.prefill_rate(target, now)
-    return estimates.prefill_wait(target, now) + own
-
-
-def _decode_time(target: Target, request: Request, now: timedelta) -> float:
-    busy = estimates.estimate_load(target, now).requests
-    crowding = 1.0 + busy / estimates.sequences(target)
-    return request.output_tokens * estimates.token_step(target, now) * crowding
+    return [_Plan(decode, prefill, prefill.prompt + transfer + decode.output)]
 
 
-def _cheapest(
-    targets: list[Target], request: Request, now: timedelta, random: Random
-) -> list[Target]:
-    return sorted(
-        targets,
-        key=lambda t: (
-            round(_prompt_time(t, request, now), 3) + _decode_time(t, request, now),
-            random.random(),
-        ),
-    )
-
-
-def _prefer(
-    request: Request, role: list[Target], fitting: list[Target], now: timedelta
-) -> list[Target]:
-    """Return the affinity candidates that have room and bear no more than others."""
+def _prefer(request: Request, views: list[_View]) -> list[_View]:
+    """Return the affinity candidates that bear no more than others, else all open."""
+    fitting = [view for view in views if view.open]
     if not request.blocks or not fitting:
-        return []
-    loads = {t.id: estimates.estimate_load(t, now).requests for t in role}
-    bound = LOAD_BOUND * (sum(loads.values()) + 1) / len(role)
-    bound = max(bound, 1.0)
-    names = {t.id for t in fitting if loads[t.id] <= bound}
-    by_id = {t.id: t for t in role}
-    return [by_id[n] for n in _candidates(request, sorted(by_id)) if n in names]
+        return fitting
+    mean = (sum(view.load.requests for view in views) + 1) / len(views)
+    bound = max(1.0, LOAD_BOUND * mean)
+    light = {v.target.id: v for v in fitting if v.load.requests <= bound}
+    names = sorted(view.target.id for view in views)
+    found = [light[n] for n in _candidates(request, names) if n in light]
+    return found or fitting
 
 
 def _candidates(request: Request, names: list[str]) -> list[str]:
-    """Return targets by rendezvous hash of the leading blocks, deepest first."""
-    found: dict[str, None] = {}
-    for depth in AFFINITY_DEPTHS:
-        if depth > len(request.blocks):
-            continue
-        block = request.blocks[depth - 1]
-        ranked = sorted(names, key=lambda n: _score(n, block))
-        found.update(dict.fromkeys(ranked[-CANDIDATES_A_DEPTH:]))
-        break
-    return list(found)
+    """Return targets by rendezvous hash of the deepest leading block that counts."""
+    depth = next(d for d in (*AFFINITY_DEPTHS, 1) if d <= len(request.blocks))
+    block = request.blocks[depth - 1]
+    return sorted(names, key=lambda n: _score(n, block))[-CANDIDATES:]
 
 
 def _score(name: str, block: int) -> int:
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -95,7 +95,7 @@
 
     ``own_*`` count what this daemon has in flight there, ``peer_*`` what the
     peers announced since the last report. ``*_changes`` list the starts and
-    ends that the last report may not show yet.
+    ends that the last report may not show yet, ``unseen_*`` add up this daemon's.
     """
 
     id: str
@@ -120,6 +120,9 @@
     failures: int = 0
     avoid_until: timedelta | None = None
     cached_blocks: dict[int, None] = field(default_factory=dict)
+    unseen_requests: int = 0
+    unseen_prefill: int = 0
+    unseen_pieces: int = 0
     own_changes: list[LoadChange] = field(default_factory=list)
     peer_changes: list[LoadChange] = field(default_factory=list)
     rates: Rates = field(default_factory=Rates)
