--- a/src/galenapass/operators/overview.py
+++ b/src/galenapass/operators/overview.py
@@ -25,7 +25,6 @@
 __all__ = ["Overview"]
 
 COME_BACK = timedelta(seconds=5)
-KEPT_CONFIGURATIONS = 16
 
 
 @dataclass(slots=True)
@@ -40,7 +39,7 @@
     is_ready: Callable[[], bool]
     is_platform_reachable: Callable[[], bool]
     list_duties: Callable[[], list[str]]
-    earlier: dict[int, Configuration]
+    find_configuration: Callable[[int | None], Configuration | None]
 
     def read_status(self) -> Status:
         """Return the state of this daemon and its hosts."""
@@ -65,9 +64,7 @@
 
     def read_configuration(self, version: int | None = None) -> Configuration | None:
         """Return the one in force, or an older one if it is still held."""
-        if version in (None, self.world.configuration.version):
-            return self.world.configuration
-        return self.earlier.get(version) if version is not None else None
+        return self.find_configuration(version)
 
     async def apply(
         self, text: str, base_version: int
