--- a/src/galenapass/peers/knowledge.py
+++ b/src/galenapass/peers/knowledge.py
@@ -98,6 +98,11 @@
         self.emit(news)
         return KINDS[type(item)].rank in PROMPT_RANKS
 
+    def note_partner(self, host: str, meshed: bool) -> None:
+        """Take note of whether a partner hears its whole domain at first hand."""
+        if host in self.table.queues:
+            self.table.queues[host].meshed = meshed
+
     def emit(self, item: object) -> None:
         """Hand an item on; a subscriber that fails must not end a link."""
         try:
--- a/src/galenapass/peers/links.py
+++ b/src/galenapass/peers/links.py
@@ -4,6 +4,7 @@
 import hmac
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -18,8 +19,9 @@
 from galenapass.peers.decoding import Decoder
 from galenapass.peers.encoding import Encoder
 from galenapass.peers.peers_grpc import ExchangeBase, ExchangeStub
+from galenapass.systems.spreading import Spread, answer
 
-__all__ = ["LINK_ERRORS", "Link", "Listener", "dial", "split_address"]
+__all__ = ["LINK_ERRORS", "Link", "Listener", "Traffic", "dial", "split_address"]
 
 SECRET_HEADER = "x-galenapass-secret"
 HELLO_TIMEOUT = 5.0
@@ -47,6 +49,15 @@
         """Receive one batch; None when the partner has ended the stream."""
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Count what went over the links in both directions, in bytes and batches."""
+
+    sent: int = 0
+    received: int = 0
+    batches: int = 0
+
+
 class Link:
     """Hold one open stream and what the partner said of itself."""
 
@@ -63,8 +74,6 @@
         "name",
         "opened",
         "receiving",
-        "received",
-        "sent",
         "settings_version",
         "settings_wanted",
         "wake",
@@ -85,23 +94,28 @@
         self.settings_wanted = False
         self.asking = False
         self.answered = 0
-        self.sent = 0
-        self.received = 0
 
     async def send(self, batch: wire.Batch) -> int:
         """Send one batch and return its size in bytes."""
         size = batch.ByteSize()
         async with self._sending:
             await self._stream.send_message(batch)
-        self.sent += size
         return size
 
+    def put_settings(self, batch: wire.Batch, spread: Spread) -> None:
+        """Add what the partner lacks of the settings, and ask for what it has."""
+        batch.settings_wanted, self.asking = self.asking, False
+        wanted, self.settings_wanted = self.settings_wanted, False
+        if self.answered == spread.current.version and not wanted:
+            return
+        part = answer(spread, self.settings_version, wanted)
+        if part is not None:
+            self.answered = spread.current.version
+            self.encoder.put_settings(batch, part)
+
     async def receive(self) -> wire.Batch | None:
         """Receive one batch; None when the partner has ended the link."""
-        batch = await self._stream.recv_message()
-        if batch is not None:
-            self.received += batch.ByteSize()
-        return batch
+        return await self._stream.recv_message()
 
     def close(self) -> None:
         """End the link from this side."""
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -13,7 +13,7 @@
 from galenapass.peers import peers_pb2 as wire
 from galenapass.peers.dialling import Dialler, cancel
 from galenapass.peers.knowledge import Knowledge
-from galenapass.peers.links import LINK_ERRORS, Link, Listener
+from galenapass.peers.links import LINK_ERRORS, Link, Listener, Traffic
 from galenapass.systems import gossip, membership, spreading
 from galenapass.systems.kinds import KINDS
 from galenapass.systems.membership import Listed
@@ -63,6 +63,7 @@
         if not secret:
             raise ValueError("the peers' secret is empty")
         self.links: dict[str, Link] = {}
+        self.traffic = Traffic()
         own = HostNews(host, listen, domain, incarnation, 0)
         self._known = Knowledge(
             own, {} if hosts is None else hosts, clock, check, pooled
@@ -76,6 +77,7 @@
         self._dialler = Dialler(secret, self._say_hello, self._serve, clock, random)
         self._rounds: asyncio.Task[None] | None = None
         self._count = 0
+        self._meshed = False
 
     @property
     def heard(self) -> Subject:
@@ -151,6 +153,7 @@
         if self._count % EXPIRE_ROUNDS == 0:
             self._known.expire()
         self._choose_links(now)
+        self._meshed = membership.is_meshed(self._known.members, self.links, now)
         self._ask_for_settings()
         self._wake()
 
@@ -246,27 +249,22 @@
         rate = self._rate / max(1, len(self.links))
         items = gossip.take(self._known.table, link.hello.host, now, rate)
         batch = link.encoder.encode(items, self._known.spread.current.version)
-        self._put_settings(link, batch)
+        link.put_settings(batch, self._known.spread)
+        batch.meshed = self._meshed
         size = await link.send(batch)
+        self.traffic.sent += size
+        self.traffic.batches += 1
         counted = sum(KINDS[type(item)].size(item) for item in items)
         surplus = size + FRAME_BYTES - counted
         if link.hello.host in self._known.table.queues:
             gossip.charge(self._known.table, link.hello.host, surplus, rate)
 
-    def _put_settings(self, link: Link, batch: wire.Batch) -> None:
-        batch.settings_wanted, link.asking = link.asking, False
-        wanted, link.settings_wanted = link.settings_wanted, False
-        version = self._known.spread.current.version
-        if link.answered == version and not wanted:
-            return
-        answer = spreading.answer(self._known.spread, link.settings_version, wanted)
-        if answer is not None:
-            link.answered = version
-            link.encoder.put_settings(batch, answer)
-
     async def _run_receiving(self, link: Link) -> None:
         while (batch := await link.receive()) is not None:
             link.heard = self._clock.monotonic()
+            self.traffic.received += batch.ByteSize()
+            self.traffic.batches += 1
+            self._known.note_partner(link.hello.host, batch.meshed)
             self._take_settings(link, batch)
             items = link.decoder.decode(batch)
             host = link.hello.host
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -127,8 +127,11 @@
 
 def _queue_row(table: GossipTable, key: Key, item: Item, source: str | None) -> None:
     rank = KINDS[key[0]].rank
+    relayed = source is not None and rank >= Rank.LOAD
     for link, queue in table.queues.items():
-        if link != source and _reaches(table, queue, item):
+        if link == source or (relayed and queue.meshed):
+            continue
+        if _reaches(table, queue, item):
             queue.pending[rank][key] = None
 
 
--- a/src/galenapass/systems/membership.py
+++ b/src/galenapass/systems/membership.py
@@ -21,6 +21,7 @@
     "accepts",
     "apply_list",
     "choose_partners",
+    "is_meshed",
     "hear",
     "sweep",
 ]
@@ -145,6 +146,13 @@
     return partners
 
 
+def is_meshed(members: Membership, linked: Collection[str], now: timedelta) -> bool:
+    """Tell whether a daemon has a link to every live host of its domain."""
+    others = (h for h in members.hosts.values() if h.id != members.host)
+    near = (h for h in others if _is_near(members, h))
+    return all(h.id in linked or _is_silent(members, h, now) for h in near)
+
+
 def _is_near(members: Membership, host: Host) -> bool:
     return members.pooled or host.domain == members.domain
 
--- a/src/galenapass/tables/gossip.py
+++ b/src/galenapass/tables/gossip.py
@@ -34,13 +34,15 @@
     """Hold the keys that one link has yet to carry, oldest first in each rank.
 
     ``credit`` is in bytes and refilled since ``refilled``; ``heartbeats`` hold the
-    last one of each host that the partner has.
+    last one of each host that the partner has. A ``meshed`` partner has links to its
+    whole domain and hears load at first hand.
     """
 
     host: str
     domain: str
     refilled: timedelta
     credit: float = 0.0
+    meshed: bool = False
     pending: tuple[dict[Key, None], ...] = field(
         default_factory=lambda: tuple({} for _ in Rank)
     )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -180,6 +180,19 @@
         gossip.put(table, Drain("t1", 1), ZERO)
         self.assertEqual([Drain("t1", 1)], gossip.take(table, "b", second, 100))
 
+    def test_load_is_not_relayed_to_a_partner_that_hears_it_at_first_hand(self):
+        table = GossipTable("a", "north")
+        for link in ("b", "c"):
+            gossip.open_link(table, link, link, "north", ZERO)
+        table.queues["c"].meshed = True
+        report = TargetReport("t", "i", 1, 1, 1, 1, 1, 1, 1)
+        second = timedelta(seconds=1)
+        gossip.put(table, report, ZERO, source="b")
+        gossip.put(table, Drain("t", 1), ZERO, source="b")
+        self.assertEqual([Drain("t", 1)], gossip.take(table, "c", second, 1000))
+        gossip.put(table, TargetReport("u", "i", 1, 1, 1, 1, 1, 1, 1), ZERO)
+        self.assertEqual(1, len(gossip.take(table, "c", second, 1000)))
+
     def test_what_changes_faster_than_a_link_carries_is_merged(self):
         table = GossipTable("a", "north")
         gossip.open_link(table, "b", "b", "north", ZERO)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -158,6 +158,15 @@
             links = choose_links(names)
             self.assertEqual(set(names), reach_within(links, set(names)))
 
+    def test_a_mesh_counts_live_hosts_of_the_domain_alone(self):
+        members = Membership.make("a", "north", {})
+        for host, domain in (("a", "north"), ("b", "north"), ("c", "south")):
+            membership.hear(members, make_news(host, 0, domain=domain), ZERO)
+        self.assertFalse(membership.is_meshed(members, {"c"}, ZERO))
+        self.assertTrue(membership.is_meshed(members, {"b"}, ZERO))
+        later = timedelta(minutes=1)
+        self.assertTrue(membership.is_meshed(members, set(), later))
+
     def test_silent_hosts_are_tried_so_that_a_cut_heals(self):
         members = Membership.make("a", "north", {})
         membership.hear(members, make_news("a", 0), ZERO)
