Add orders and drains of a failure domain (proof under way)

The intent is written first, then drained, ordered, read back and closed; a successor writes its own fence first and repeats the open order.

--- /dev/null
+++ b/src/galenapass/systems/orders_codec.py
@@ -0,0 +1,34 @@
+"""Write a failure domain's orders object as JSON and read it back."""
+
+from dataclasses import asdict
+from typing import Any
+
+import orjson
+
+from galenapass.tables.orders import Intent, IntentPhase, OrdersObject, Sender
+
+__all__ = ["decode_orders", "encode_orders"]
+
+
+def encode_orders(orders: OrdersObject) -> str:
+    """Return the object's text."""
+    return orjson.dumps(asdict(orders)).decode()
+
+
+def decode_orders(text: str) -> OrdersObject:
+    """Return the object; ValueError when the text is none."""
+    try:
+        data = orjson.loads(text)
+        return OrdersObject(
+            data["fence"],
+            data["sequence"],
+            data["epoch"],
+            tuple(_read_intent(row) for row in data["intents"]),
+            tuple(Sender(**row) for row in data["senders"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not an orders object: {text[:100]!r}") from error
+
+
+def _read_intent(row: dict[str, Any]) -> Intent:
+    return Intent(**{**row, "phase": IntentPhase(row["phase"])})
--- /dev/null
+++ b/src/galenapass/tables/orders.py
@@ -0,0 +1,105 @@
+"""Hold a failure domain's orders object and the planner's work on it."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+__all__ = [
+    "Intent",
+    "IntentPhase",
+    "OrdersBook",
+    "OrdersObject",
+    "OrdersView",
+    "PlannerCall",
+    "Sender",
+]
+
+
+class IntentPhase(Enum):
+    """Name the step that an intent has reached; no order precedes ORDERED."""
+
+    DRAINING = "draining"
+    ORDERED = "ordered"
+    CLOSED = "closed"
+
+
+class PlannerCall(Enum):
+    """Name the call that the planner has under way."""
+
+    NONE = "none"
+    READ = "read"
+    WRITE = "write"
+    STATE = "state"
+    ORDER = "order"
+
+
+@dataclass(slots=True, frozen=True)
+class Intent:
+    """Hold one change of one target; ``fence`` is the one that its order carries."""
+
+    id: str
+    target: str
+    action: str
+    value: str
+    fence: int
+    phase: IntentPhase
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class Sender:
+    """Name a process whose order may still arrive at a target without fencing."""
+
+    target: str
+    host: str
+    incarnation: int
+
+
+@dataclass(slots=True, frozen=True)
+class OrdersObject:
+    """Hold the object ``orders/DOMAIN``.
+
+    ``fence`` is that of the lease it was last written under, ``sequence`` counts
+    the orders under it, ``epoch`` the drains since ever. At most one intent is
+    open; the closed one of each target stays to tell its outcome.
+    """
+
+    fence: int = 0
+    sequence: int = 0
+    epoch: int = 0
+    intents: tuple[Intent, ...] = ()
+    senders: tuple[Sender, ...] = ()
+
+
+@dataclass(slots=True)
+class OrdersBook:
+    """Hold the planner's knowledge; times are monotonic.
+
+    ``known`` is false until the object was read under the lease's present fence.
+    ``accepted`` tells that the target took the open order from this process;
+    ``unsure`` holds when an order was sent to a target whose answer was lost,
+    ``noticed`` when this process first saw another one's entry as sender.
+    """
+
+    domain: str
+    host: str
+    incarnation: int
+    call: PlannerCall = PlannerCall.NONE
+    known: bool = False
+    fence: int | None = None
+    version: int | None = None
+    object: OrdersObject = field(default_factory=OrdersObject)
+    written: OrdersObject | None = None
+    next_at: timedelta | None = None
+    accepted: bool = False
+    done: bool = False
+    unsure: dict[str, timedelta] = field(default_factory=dict)
+    noticed: dict[Sender, timedelta] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class OrdersView:
+    """Hold the newest orders object that a daemon has heard of, by domain."""
+
+    versions: dict[str, int] = field(default_factory=dict)
+    objects: dict[str, OrdersObject] = field(default_factory=dict)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,349 @@
+"""Prove that no target gets conflicting orders or one of a deposed planner."""
+
+from datetime import timedelta
+from unittest import mock
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Err, Ok
+from testtools import TestCase
+
+from galenapass.systems import drains, leases, orders_rules
+from galenapass.systems.orders import step_orders
+from galenapass.systems.orders_codec import decode_orders
+from galenapass.systems.orders_events import (
+    FetchState,
+    ObjectRead,
+    ObjectWritten,
+    OrderSent,
+    OrdersTick,
+    ReadOrders,
+    SendOrder,
+    Situation,
+    StateFetched,
+    WriteOrders,
+)
+from galenapass.systems.placement import WantedChange
+from galenapass.tables.orders import IntentPhase, OrdersBook, OrdersView
+from galenapass.tables.peers import Orders
+from galenapass.tables.targets import Kind, Target, TargetState
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
+from tests.fake_engines import FakeEngine
+from tests.fake_objects import FATES, FakeObjects, Fate
+from tests.test_leases import TERM, Process
+
+QUARANTINE = timedelta(seconds=30)
+HOSTS = 2
+TARGETS = {"checks": True, "ignores": False}
+ROLES = ["mixed", "prefill", "decode"]
+UNSENT = Err(Verdict(Run.NOT_RUN, Reason.CANCELLED))
+LOST = Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_UNREACHABLE))
+
+
+class Daemon:
+    """Hold one daemon: planner by chance, and user of the targets."""
+
+    def __init__(self, number, incarnation):
+        self.process = Process(number, incarnation)
+        self.host = f"h{number}"
+        self.incarnation = incarnation
+        self.book = OrdersBook("north", self.host, incarnation)
+        self.view = OrdersView()
+        self.world = World(self.host, "north")
+        self.call = None
+        self.checked = None
+        for name, checks in TARGETS.items():
+            self.world.targets[name] = Target(
+                name, "", "north", Kind.ENGINE, "s", checks_fencing=checks
+            )
+
+    def is_valid(self, now):
+        return self.process.is_valid(now)
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Kill, pause and cut off planners whose orders may arrive late."""
+
+    numbers = st.integers(0, HOSTS - 1)
+    targets = st.sampled_from(sorted(TARGETS))
+    fates = st.sampled_from([Fate.ANSWERED] * 5 + FATES)
+
+    def __init__(self):
+        super().__init__()
+        self.now = timedelta(0)
+        self.objects = FakeObjects()
+        self.engines = {name: FakeEngine(checks) for name, checks in TARGETS.items()}
+        self.starts = 0
+        self.daemons = [self._start(number) for number in range(HOSTS)]
+        self.listed = {d.host: d.incarnation for d in self.daemons}
+        self.acks = {}
+        self.wanted = ()
+        self.late = []
+        self.changes = 0
+
+    def _start(self, number):
+        self.starts += 1
+        daemon = Daemon(number, self.starts)
+        if self.starts > HOSTS:
+            # A daemon takes work only once it has read the orders.
+            self._hear(daemon)
+        return daemon
+
+    # The planner
+
+    def _situation(self, daemon):
+        lease = daemon.process.lease
+        return Situation(
+            fence=lease.value.fence if daemon.is_valid(self.now) else None,
+            wanted=self.wanted,
+            daemons=dict(self.listed),
+            acks=tuple(self.acks.values()),
+            checks_fencing=TARGETS,
+            quarantine=QUARANTINE,
+        )
+
+    def _step(self, daemon, event):
+        effect = step_orders(daemon.book, event, self._situation(daemon), self.now)
+        daemon.call = effect if effect is not None else daemon.call
+
+    @rule(number=numbers)
+    def keep_lease(self, number):
+        process = self.daemons[number].process
+        process.take(leases.Tick(), self.now)
+        while process.call is not None:
+            process.make_call(self.objects, Fate.ANSWERED, self.now)
+
+    @rule(number=numbers)
+    def tick(self, number):
+        self._step(self.daemons[number], OrdersTick())
+
+    @rule(number=numbers, fate=fates)
+    def make_call(self, number, fate):
+        daemon = self.daemons[number]
+        if isinstance(daemon.call, SendOrder):
+            self._check(daemon)
+        elif daemon.call is not None:
+            call, daemon.call = daemon.call, None
+            self._step(daemon, self._answer(call, fate))
+
+    def _answer(self, call, fate):
+        if isinstance(call, ReadOrders):
+            return ObjectRead(self.objects.read("orders", fate))
+        if isinstance(call, WriteOrders):
+            return ObjectWritten(
+                self.objects.write("orders", call.body, call.if_version, fate)
+            )
+        assert isinstance(call, FetchState)
+        if fate is not Fate.ANSWERED:
+            return StateFetched(LOST)
+        running = sum(d.world.targets[call.target].own_requests for d in self.daemons)
+        return StateFetched(self.engines[call.target].state(running))
+
+    def _check(self, daemon):
+        call, daemon.call = daemon.call, None
+        clock = self.now + daemon.process.offset
+        if orders_rules.may_send(daemon.process.lease, call.lease_fence, clock):
+            daemon.checked = (call, self.now)
+        else:
+            self._step(daemon, OrderSent(UNSENT))
+
+    @rule(number=numbers, fate=fates)
+    def send(self, number, fate):
+        daemon = self.daemons[number]
+        if daemon.checked is None:
+            return
+        (call, at), daemon.checked = daemon.checked, None
+        if fate is Fate.LATE:
+            self.late.append((call, at))
+        answer = UNSENT if fate is Fate.AWAY else LOST
+        if fate in (Fate.ANSWERED, Fate.ANSWER_LOST):
+            taken = self._deliver(call)
+            answer = Ok(taken) if fate is Fate.ANSWERED else LOST
+        self._step(daemon, OrderSent(answer))
+
+    @rule()
+    def deliver_late(self):
+        if self.late:
+            self._deliver(self.late.pop(0)[0])
+
+    def _deliver(self, call):
+        return self.engines[call.target].offer(
+            call.order, lambda order: self._judge(call.target, order)
+        )
+
+    def _judge(self, target, order):
+        """Check, as an oracle, an order that has an effect now."""
+        self.changes += 1
+        stored = decode_orders(self.objects.objects["orders"].body)
+        intent = drains.open_intent(stored)
+        assert intent is not None, f"{order} after its end"
+        assert intent.phase is IntentPhase.ORDERED, f"{order} too early"
+        assert intent.id == order.id, f"{order} instead of {intent}"
+        running = [d.world.targets[target].own_requests for d in self.daemons]
+        assert not any(running), f"{order} cuts off {running}"
+
+    @rule(number=numbers)
+    def run_planner(self, number):
+        """Go on without faults until there is nothing to do."""
+        self.keep_lease(number)
+        for _ in range(8):
+            self.tick(number)
+            self.make_call(number, Fate.ANSWERED)
+            self.send(number, Fate.ANSWERED)
+
+    # The daemons
+
+    def _hear(self, daemon):
+        stored = self.objects.objects.get("orders")
+        if stored is not None:
+            news = Orders("north", stored.version, stored.body)
+            drains.apply_orders(daemon.world, daemon.view, news, self.now)
+
+    @rule(number=numbers)
+    def hear(self, number):
+        self._hear(self.daemons[number])
+
+    @rule(number=numbers)
+    def acknowledge(self, number):
+        daemon = self.daemons[number]
+        for ack in drains.list_acks(daemon.world, daemon.view, daemon.incarnation):
+            self.acks[ack.host, ack.target] = ack
+
+    @rule()
+    def hear_and_acknowledge(self):
+        for number in range(HOSTS):
+            self.hear(number)
+            self.acknowledge(number)
+
+    @rule(number=numbers, name=targets)
+    def start_request(self, number, name):
+        row = self.daemons[number].world.targets[name]
+        if row.state is TargetState.SERVING:
+            row.own_requests += 1
+
+    @rule(name=targets)
+    def end_requests(self, name):
+        for daemon in self.daemons:
+            daemon.world.targets[name].own_requests = 0
+
+    # The world around
+
+    @rule()
+    def want_nothing(self):
+        self.wanted = ()
+
+    @rule(name=targets, value=st.sampled_from(ROLES))
+    def want(self, name, value):
+        self.wanted = (WantedChange(name, "role", value, 1.0, 0.0, "test"),)
+
+    @rule(name=targets)
+    def finish_change(self, name):
+        self.engines[name].finish()
+
+    @rule(name=targets)
+    def crash(self, name):
+        """Restart a target; without fencing only while no late order is about."""
+        pending = [d.checked for d in self.daemons] + self.late
+        about = any(p is not None and p[0].target == name for p in pending)
+        if TARGETS[name] or not about:
+            self.engines[name].crash()
+
+    @rule(tenths=st.integers(1, 100))
+    def advance(self, tenths):
+        self.now += timedelta(milliseconds=100 * tenths)
+        self._end_sleep()
+
+    @rule()
+    def advance_past_quarantine(self):
+        self.now += QUARANTINE + TERM
+        self._end_sleep()
+
+    def _end_sleep(self):
+        """Hold no order to a target without fencing for longer than promised."""
+        for daemon in self.daemons:
+            if daemon.checked is not None and self._overslept(daemon.checked):
+                daemon.checked = None
+                self._step(daemon, OrderSent(LOST))
+        self.late = [late for late in self.late if not self._overslept(late)]
+
+    def _overslept(self, pending):
+        call, at = pending
+        return not TARGETS[call.target] and self.now >= at + QUARANTINE
+
+    @rule(number=numbers)
+    def kill(self, number):
+        self.daemons[number] = self._start(number)
+
+    @rule()
+    def refresh_list(self):
+        self.listed = {d.host: d.incarnation for d in self.daemons}
+
+    @rule()
+    def arrive_late(self):
+        self.objects.arrive_late()
+
+    @invariant()
+    def no_conflict(self):
+        for engine in self.engines.values():
+            assert not engine.conflicts, engine.conflicts
+
+
+OrdersMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=60)
+
+
+class OrdersMachineTest(OrdersMachine.TestCase):
+    pass
+
+
+SEARCH = settings(
+    max_examples=3000,
+    stateful_step_count=60,
+    phases=[Phase.generate],
+    print_blob=False,
+)
+
+
+class OrdersMutationTest(TestCase):
+    """Show that the machine fails once a mechanism is taken out."""
+
+    def _assert_needed(self, module, name, mutant):
+        with mock.patch.object(module, name, mutant):
+            self.assertRaises(
+                AssertionError,
+                run_state_machine_as_test,
+                OrdersMachine,
+                settings=SEARCH,
+            )
+
+    def test_needs_every_acknowledgement(self):
+        self._assert_needed(
+            orders_rules, "is_drained", lambda intent, daemons, acks: True
+        )
+
+    def test_needs_the_wait_for_earlier_senders(self):
+        self._assert_needed(
+            orders_rules, "await_senders", lambda book, target, situation, now: True
+        )
+
+    def test_needs_the_end_of_an_order_read_back(self):
+        self._assert_needed(orders_rules, "has_ended", lambda intent, state: True)
+
+    def test_needs_a_number_that_grows_with_each_order(self):
+        self._assert_needed(orders_rules, "number_order", lambda fence, sequence: fence)
+
+    def test_needs_a_number_that_grows_with_each_holder(self):
+        self._assert_needed(
+            orders_rules, "number_order", lambda fence, sequence: sequence
+        )
+
+    def test_needs_the_check_before_the_send(self):
+        self._assert_needed(
+            orders_rules, "may_send", lambda lease, lease_fence, now: True
+        )
