Number each send of an order, and prove orders against mutants

Cause: the stateful search found that a send whose answer was lost could take effect after the end of its order: the repeat carried the same number, and a target that restarted meanwhile no longer knew the order's id. Each send now has a number of its own (lease's fence * 2**24 + count of sends). What stays possible for targets that ignore numbers is stated in orders_rules.

--- a/src/galenapass/systems/orders.py
+++ b/src/galenapass/systems/orders.py
@@ -47,7 +47,6 @@
 
 POLL_PERIOD = timedelta(milliseconds=500)
 RETRY_PERIOD = timedelta(seconds=1)
-CHANGING = "changing"
 
 
 def step_orders(
@@ -89,8 +88,6 @@
     book.fence = fence
     book.known = False
     book.next_at = None
-    # Another holder may have sent since these were noticed.
-    book.noticed.clear()
 
 
 def _open(
@@ -148,7 +145,10 @@
         return FetchState(intent.target)
     assert book.fence is not None
     book.call = PlannerCall.ORDER
-    order = Order(intent.id, intent.fence, intent.action, intent.value)
+    # Each send has its own number, so that a late one is stale after the next.
+    book.sends += 1
+    number = rules.number_order(book.fence, book.sends)
+    order = Order(intent.id, number, intent.action, intent.value)
     return SendOrder(intent.target, order, book.fence)
 
 
@@ -217,6 +217,10 @@
     book.object = orders
     book.version = version
     book.known = True
+    if book.noticed_under != book.fence:
+        # Another holder may have let them send since these were noticed.
+        book.noticed.clear()
+        book.noticed_under = book.fence
     for sender in orders.senders:
         book.noticed.setdefault(sender, now)
 
@@ -241,8 +245,7 @@
     situation: Situation,
     now: timedelta,
 ) -> OrdersEffect | None:
-    idle = state.running == 0 and state.phase != CHANGING
-    if not idle or not rules.may_order(book, intent, situation, now):
+    if not rules.is_idle(state) or not rules.may_order(book, intent, situation, now):
         _wait(book, now, POLL_PERIOD)
         return None
     return _write(book, rules.order_due(book.object, intent, book, keep_senders=False))
@@ -258,7 +261,7 @@
     if rules.has_ended(intent, state):
         book.done = True
         return _pursue(book, intent, situation, now)
-    under_way = state.order_id == intent.id and state.phase == CHANGING
+    under_way = state.order_id == intent.id and state.phase == rules.CHANGING
     # A target that failed or restarted halfway gets the same order again.
     book.accepted = under_way
     _wait(book, now, POLL_PERIOD)
--- a/src/galenapass/systems/orders_codec.py
+++ b/src/galenapass/systems/orders_codec.py
@@ -21,7 +21,6 @@
         data = orjson.loads(text)
         return OrdersObject(
             data["fence"],
-            data["sequence"],
             data["epoch"],
             tuple(_read_intent(row) for row in data["intents"]),
             tuple(Sender(**row) for row in data["senders"]),
--- a/src/galenapass/systems/orders_rules.py
+++ b/src/galenapass/systems/orders_rules.py
@@ -1,7 +1,7 @@
 """Decide what keeps two different orders from meeting at one target.
 
-An order's number is the lease's fencing number followed by a count of the orders
-under it, so a delayed repeat of one order is stale after the next one.
+An order's number is the lease's fencing number followed by a count of the sends, so
+a delayed send is stale after the next one, be it of the same order or another.
 
 A process may sleep between its last check of the lease and its send. A target that
 checks numbers refuses that late order once it took a higher one. For a target that
@@ -32,6 +32,7 @@
     "adopt",
     "await_senders",
     "has_ended",
+    "is_idle",
     "is_past",
     "may_order",
     "may_send",
@@ -40,9 +41,11 @@
     "put_intent",
 ]
 
-# 2**24 orders under one lease; with 2**29 holders the number stays exact in JSON.
-ORDERS_A_FENCE = 2**24
+# 2**24 sends by one process; with 2**29 holders the number stays exact in JSON.
+SENDS_A_FENCE = 2**24
+# Phases that a target reports.
 SERVING = "serving"
+CHANGING = "changing"
 
 
 def may_send(lease: Lease, lease_fence: int, now: timedelta) -> bool:
@@ -76,10 +79,15 @@
     return state.order_id == intent.id and state.phase == SERVING
 
 
+def is_idle(state: EngineState) -> bool:
+    """Tell whether a target runs nothing, neither requests nor an order."""
+    return state.running == 0 and state.phase != CHANGING
+
+
 def adopt(orders: OrdersObject, book: OrdersBook) -> OrdersObject:
     """Return the object taken over: the same open order under a higher number."""
     assert book.fence is not None
-    taken = replace(orders, fence=book.fence, sequence=0)
+    taken = replace(orders, fence=book.fence)
     intent = open_intent(taken)
     if intent is None or intent.phase is not IntentPhase.ORDERED:
         return taken
@@ -105,23 +113,19 @@
 ) -> OrdersObject:
     """Return the object with an intent due for its order from this process."""
     assert book.fence is not None
-    sequence = orders.sequence + 1
-    number = number_order(book.fence, sequence)
-    ordered = replace(intent, phase=IntentPhase.ORDERED, fence=number)
+    ordered = replace(intent, phase=IntentPhase.ORDERED, fence=book.fence)
     sender = Sender(intent.target, book.host, book.incarnation)
     kept = tuple(
         s
         for s in orders.senders
         if s != sender and (keep_senders or s.target != intent.target)
     )
-    return replace(
-        put_intent(orders, ordered), sequence=sequence, senders=(*kept, sender)
-    )
+    return replace(put_intent(orders, ordered), senders=(*kept, sender))
 
 
-def number_order(fence: int, sequence: int) -> int:
-    """Return the fencing number of one order; it grows with each."""
-    return fence * ORDERS_A_FENCE + sequence
+def number_order(fence: int, sends: int) -> int:
+    """Return the fencing number of one send; it grows with each."""
+    return fence * SENDS_A_FENCE + sends
 
 
 def put_intent(orders: OrdersObject, intent: Intent) -> OrdersObject:
--- a/src/galenapass/tables/orders.py
+++ b/src/galenapass/tables/orders.py
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Intent:
-    """Hold one change of one target; ``fence`` is the one that its order carries."""
+    """Hold one change of one target; ``fence`` is the lease's that ordered it."""
 
     id: str
     target: str
@@ -59,13 +59,12 @@
 class OrdersObject:
     """Hold the object ``orders/DOMAIN``.
 
-    ``fence`` is that of the lease it was last written under, ``sequence`` counts
-    the orders under it, ``epoch`` the drains since ever. At most one intent is
-    open; the closed one of each target stays to tell its outcome.
+    ``fence`` is that of the lease it was last written under, ``epoch`` counts the
+    drains since ever. At most one intent is open; the closed one of each target
+    stays to tell its outcome.
     """
 
     fence: int = 0
-    sequence: int = 0
     epoch: int = 0
     intents: tuple[Intent, ...] = ()
     senders: tuple[Sender, ...] = ()
@@ -76,9 +75,9 @@
     """Hold the planner's knowledge; times are monotonic.
 
     ``known`` is false until the object was read under the lease's present fence.
-    ``accepted`` tells that the target took the open order from this process;
-    ``unsure`` holds when an order was sent to a target whose answer was lost,
-    ``noticed`` when this process first saw another one's entry as sender.
+    ``sends`` counts the orders sent; ``accepted`` tells that the target took the
+    open one from this process; ``unsure`` holds when an order was sent to a target
+    whose answer was lost, ``noticed`` when another's entry as sender was first seen.
     """
 
     domain: str
@@ -91,10 +90,12 @@
     object: OrdersObject = field(default_factory=OrdersObject)
     written: OrdersObject | None = None
     next_at: timedelta | None = None
+    sends: int = 0
     accepted: bool = False
     done: bool = False
     unsure: dict[str, timedelta] = field(default_factory=dict)
     noticed: dict[Sender, timedelta] = field(default_factory=dict)
+    noticed_under: int | None = None
 
 
 @dataclass(slots=True)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    initialize,
     invariant,
     rule,
     run_state_machine_as_test,
@@ -73,7 +74,6 @@
 
     numbers = st.integers(0, HOSTS - 1)
     targets = st.sampled_from(sorted(TARGETS))
-    fates = st.sampled_from([Fate.ANSWERED] * 5 + FATES)
 
     def __init__(self):
         super().__init__()
@@ -113,18 +113,16 @@
         effect = step_orders(daemon.book, event, self._situation(daemon), self.now)
         daemon.call = effect if effect is not None else daemon.call
 
-    @rule(number=numbers)
     def keep_lease(self, number):
         process = self.daemons[number].process
         process.take(leases.Tick(), self.now)
         while process.call is not None:
             process.make_call(self.objects, Fate.ANSWERED, self.now)
 
-    @rule(number=numbers)
     def tick(self, number):
         self._step(self.daemons[number], OrdersTick())
 
-    @rule(number=numbers, fate=fates)
+    @rule(number=numbers, fate=st.sampled_from(FATES))
     def make_call(self, number, fate):
         daemon = self.daemons[number]
         if isinstance(daemon.call, SendOrder):
@@ -154,7 +152,7 @@
         else:
             self._step(daemon, OrderSent(UNSENT))
 
-    @rule(number=numbers, fate=fates)
+    @rule(number=numbers, fate=st.sampled_from(FATES))
     def send(self, number, fate):
         daemon = self.daemons[number]
         if daemon.checked is None:
@@ -189,14 +187,71 @@
         running = [d.world.targets[target].own_requests for d in self.daemons]
         assert not any(running), f"{order} cuts off {running}"
 
-    @rule(number=numbers)
-    def run_planner(self, number):
-        """Go on without faults until there is nothing to do."""
-        self.keep_lease(number)
-        for _ in range(8):
-            self.tick(number)
+    @rule(
+        number=numbers,
+        calls=st.integers(1, 24),
+        load=st.sampled_from(["none", "busy", "quiet", "quiet"]),
+        finishes=st.booleans(),
+        fate=st.sampled_from([Fate.ANSWERED, Fate.ANSWERED, Fate.LATE]),
+    )
+    def work(self, number, calls, load, finishes, fate):
+        """Make some calls; the first order sent meets a fate, the last call hangs."""
+        daemon = self.daemons[number]
+        for _ in range(calls):
+            self.keep_lease(number)
+            if load != "none":
+                self._end_all()
+            if daemon.checked is not None:
+                self.send(number, fate)
+                fate = Fate.ANSWERED
+            elif daemon.call is not None:
+                self.make_call(number, Fate.ANSWERED)
+            else:
+                self._wait(timedelta(seconds=1))
+                self.tick(number)
+            if load == "busy":
+                self._start_all()
+            if load == "quiet":
+                self.hear_and_acknowledge()
+            if finishes:
+                self.finish_change("ignores")
+                self.finish_change("checks")
+
+    @rule(
+        number=numbers,
+        checked=st.booleans(),
+        sleep=st.sampled_from([TERM, QUARANTINE + TERM]),
+        crashes=st.booleans(),
+        wants_more=st.booleans(),
+    )
+    def sleep_before_the_send(self, number, checked, sleep, crashes, wants_more):
+        """Let another planner take over while one sleeps just before its send."""
+        daemon = self.daemons[number]
+        for _ in range(24):
+            if isinstance(daemon.call, SendOrder) or daemon.checked:
+                break
+            self.work(number, 1, "quiet", True, Fate.ANSWERED)
+        if checked:
             self.make_call(number, Fate.ANSWERED)
-            self.send(number, Fate.ANSWERED)
+        other = (number + 1) % HOSTS
+        self.keep_lease(other)
+        self.wanted = self.wanted if wants_more else ()
+        for _ in range(2):
+            self._wait(sleep)
+            self.work(other, 24, "quiet", True, Fate.ANSWERED)
+        if crashes:
+            self.crash("checks")
+        self.make_call(number, Fate.ANSWERED)
+        self.send(number, Fate.ANSWERED)
+
+    def _start_all(self):
+        for number in range(HOSTS):
+            for name in TARGETS:
+                self.start_request(number, name)
+
+    def _end_all(self):
+        for name in TARGETS:
+            self.end_requests(name)
 
     # The daemons
 
@@ -206,11 +261,9 @@
             news = Orders("north", stored.version, stored.body)
             drains.apply_orders(daemon.world, daemon.view, news, self.now)
 
-    @rule(number=numbers)
     def hear(self, number):
         self._hear(self.daemons[number])
 
-    @rule(number=numbers)
     def acknowledge(self, number):
         daemon = self.daemons[number]
         for ack in drains.list_acks(daemon.world, daemon.view, daemon.incarnation):
@@ -235,9 +288,9 @@
 
     # The world around
 
-    @rule()
-    def want_nothing(self):
-        self.wanted = ()
+    @initialize(name=targets, value=st.sampled_from(ROLES))
+    def want_at_first(self, name, value):
+        self.want(name, value)
 
     @rule(name=targets, value=st.sampled_from(ROLES))
     def want(self, name, value):
@@ -255,14 +308,12 @@
         if TARGETS[name] or not about:
             self.engines[name].crash()
 
-    @rule(tenths=st.integers(1, 100))
-    def advance(self, tenths):
-        self.now += timedelta(milliseconds=100 * tenths)
-        self._end_sleep()
+    @rule(step=st.sampled_from([timedelta(seconds=3), TERM, QUARANTINE + TERM]))
+    def advance(self, step):
+        self._wait(step)
 
-    @rule()
-    def advance_past_quarantine(self):
-        self.now += QUARANTINE + TERM
+    def _wait(self, step):
+        self.now += step
         self._end_sleep()
 
     def _end_sleep(self):
@@ -333,15 +384,14 @@
         )
 
     def test_needs_the_end_of_an_order_read_back(self):
-        self._assert_needed(orders_rules, "has_ended", lambda intent, state: True)
+        with mock.patch.object(orders_rules, "is_idle", lambda state: True):
+            self._assert_needed(orders_rules, "has_ended", lambda intent, state: True)
 
-    def test_needs_a_number_that_grows_with_each_order(self):
-        self._assert_needed(orders_rules, "number_order", lambda fence, sequence: fence)
+    def test_needs_a_number_that_grows_with_each_send(self):
+        self._assert_needed(orders_rules, "number_order", lambda fence, sends: fence)
 
     def test_needs_a_number_that_grows_with_each_holder(self):
-        self._assert_needed(
-            orders_rules, "number_order", lambda fence, sequence: sequence
-        )
+        self._assert_needed(orders_rules, "number_order", lambda fence, sends: sends)
 
     def test_needs_the_check_before_the_send(self):
         self._assert_needed(
