Plan role changes: lease, intents, drains and orders run in the daemon

Ruled out: acknowledgements from the platform's list alone, as a daemon too new for the lagging list may already send work; those heard of count too.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -19,9 +19,11 @@
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
+from galenapass.duties.follower import Follower
 from galenapass.duties.holding import work_while_held
 from galenapass.duties.journal import Journal
 from galenapass.duties.loops import repeat
+from galenapass.duties.planner import Planner
 from galenapass.intake import Intake
 from galenapass.logs import log_to, make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
@@ -40,7 +42,7 @@
 from galenapass.systems.membership import Listed
 from galenapass.tables.configurations import Configuration
 from galenapass.tables.hosts import HostState
-from galenapass.tables.peers import HostChange, Settings
+from galenapass.tables.peers import DrainAck, HostChange, Orders, Settings
 from galenapass.tables.targets import Target
 from galenapass.tables.world import World
 from galenapass.targets.engines import Engines
@@ -89,8 +91,12 @@
             self.streams.break_off,
         )
         self.core.start()
-        await self._start_peers()
+        self._make_peers()
+        self._make_planner()
+        self.peers.heard.subscribe(self._hear)
+        await self.peers.start()
         await self._fetch_configuration()
+        await self.follower.read_orders(self.objects)
         await self._listen(self._make_callers_app(), self.settings.callers_listen)
         operators = make_operators_app(
             self._make_overview(), self.settings.operators_token
@@ -103,6 +109,13 @@
                 self._watch,
             )
         )
+        self._spawn(
+            work_while_held(
+                Duty.PLANNER_CANDIDATE.value,
+                lambda: self._holds(Duty.PLANNER_CANDIDATE),
+                self.planner.run,
+            )
+        )
         self._spawn(repeat(self._tell_news, NEWS_PERIOD, self.random))
         self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
         self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
@@ -164,7 +177,7 @@
         )
         self.claims = Journal(self.objects, settings.host, self.clock, self.random)
 
-    async def _start_peers(self) -> None:
+    def _make_peers(self) -> None:
         settings = self.settings
         self.peers = Peers(
             settings.host,
@@ -180,8 +193,25 @@
             self.intake.is_sound,
             pooled=settings.pooled,
         )
-        self.peers.heard.subscribe(self._hear)
-        await self.peers.start()
+
+    def _make_planner(self) -> None:
+        self.follower = Follower(
+            self.world,
+            self.clock,
+            lambda: self.peers.incarnation,
+            self.peers.tell,
+            self.streams.break_off,
+        )
+        self.planner = Planner(
+            self.world,
+            self.incarnation,
+            self.clock,
+            self.objects,
+            self.engines,
+            self.metrics,
+            self.follower.list_acks,
+            self.follower.hear_orders,
+        )
 
     def _make_overview(self) -> Overview:
         return Overview(
@@ -250,6 +280,8 @@
     async def _tell_news(self) -> bool:
         self.news.tell_loads(self.peers.tell)
         self.news.tell_suspects(self.peers.tell)
+        self.follower.acknowledge()
+        self.follower.move_streams()
         return True
 
     async def _keep_up(self) -> bool:
@@ -263,9 +295,14 @@
     def _hear(self, item: Any) -> None:
         if isinstance(item, Settings):
             self.intake.accept(item.text, item.version)
+        elif isinstance(item, Orders):
+            self.follower.hear_orders(item)
+        elif isinstance(item, DrainAck):
+            self.follower.hear_ack(item)
         elif isinstance(item, HostChange):
             if item.after is HostState.GONE:
                 self.news.forget_host(item.host)
+                self.follower.forget_host(item.host)
         elif self.news.hear(item):
             self.core.wake()
 
@@ -274,7 +311,9 @@
         self.platform_answers = listed is not None
         if listed is None:
             return False
-        self.peers.apply_list(_pick_daemons(listed))
+        daemons = _pick_daemons(listed)
+        self.peers.apply_list(daemons)
+        self.planner.note_list({host.id: host.incarnation for host in daemons})
         roster.apply_list(self.world, listed)
         return True
 
--- /dev/null
+++ b/src/galenapass/duties/planner.py
@@ -0,0 +1,277 @@
+"""Run a failure domain's lease and orders against the platform and the engines."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+from result import Err
+
+from galenapass.clocks import Clock
+from galenapass.logs import make_log
+from galenapass.metrics import Metrics
+from galenapass.platform.objects import Objects
+from galenapass.systems import leases, orders_rules
+from galenapass.systems.leases import (
+    LeaseEffect,
+    LeaseRead,
+    LeaseWritten,
+    ReadLease,
+    StopLease,
+    Tick,
+    WriteLease,
+    step_lease,
+)
+from galenapass.systems.orders import step_orders
+from galenapass.systems.orders_events import (
+    FetchState,
+    ObjectRead,
+    ObjectWritten,
+    OrdersEffect,
+    OrderSent,
+    OrdersEvent,
+    OrdersTick,
+    ReadOrders,
+    SendOrder,
+    Situation,
+    StateFetched,
+    WriteOrders,
+)
+from galenapass.systems.placement import WantedChange
+from galenapass.systems.wants import list_wants
+from galenapass.tables.hosts import HostState
+from galenapass.tables.leases import Lease
+from galenapass.tables.orders import OrdersBook
+from galenapass.tables.peers import DrainAck, Orders
+from galenapass.tables.targets import Kind
+from galenapass.tables.world import World
+from galenapass.targets.engines import Engines
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["ORDERS_KIND", "Planner"]
+
+LEASES_KIND = "leases"
+ORDERS_KIND = "orders"
+TERM = timedelta(seconds=10)
+PERIOD = timedelta(milliseconds=200)
+RELEASE_SECONDS = 3.0
+
+_log = make_log("planner")
+
+NOT_SENT = Verdict(Run.NOT_RUN, Reason.STOPPING, "the lease is no longer valid")
+
+
+class Planner:
+    """Hold one daemon's part in planning its failure domain.
+
+    ``list_acks`` gives what every daemon has told, this one included; ``publish`` is
+    given each orders object that was written or read.
+    """
+
+    __slots__ = (
+        "_book",
+        "_clock",
+        "_engines",
+        "_lease",
+        "_list_acks",
+        "_listed",
+        "_metrics",
+        "_objects",
+        "_publish",
+        "_told",
+        "_world",
+    )
+
+    def __init__(
+        self,
+        world: World,
+        incarnation: int,
+        clock: Clock,
+        objects: Objects,
+        engines: Engines,
+        metrics: Metrics,
+        list_acks: Callable[[], Iterable[DrainAck]],
+        publish: Callable[[Orders], None],
+        term: timedelta = TERM,
+    ):
+        self._world = world
+        self._clock = clock
+        self._objects = objects
+        self._engines = engines
+        self._metrics = metrics
+        self._list_acks = list_acks
+        self._publish = publish
+        self._lease = Lease(world.domain, world.host, incarnation, term)
+        self._book = OrdersBook(world.domain, world.host, incarnation)
+        self._listed: dict[str, int] = {}
+        self._told: tuple[str, ...] = ()
+
+    def note_list(self, daemons: dict[str, int]) -> None:
+        """Take in which daemons the platform lists, with their incarnations."""
+        self._listed = daemons
+
+    def is_holder(self) -> bool:
+        """Tell whether this daemon holds a valid lease now."""
+        return leases.is_valid(self._lease, self._clock.monotonic())
+
+    async def run(self) -> None:
+        """Plan for as long as this daemon is a candidate, then release the lease."""
+        keeping = asyncio.create_task(self._repeat(self._step_lease))
+        ordering = asyncio.create_task(self._repeat(self._step_orders))
+        try:
+            await asyncio.gather(keeping, ordering)
+        finally:
+            for task in (ordering, keeping):
+                task.cancel()
+            await asyncio.gather(keeping, ordering, return_exceptions=True)
+            await self._release()
+
+    async def _repeat(self, step: Callable[[], Any]) -> None:
+        while True:
+            await step()
+            await asyncio.sleep(PERIOD.total_seconds())
+
+    # The lease
+
+    async def _step_lease(self) -> None:
+        held = self.is_holder()
+        effect = step_lease(self._lease, Tick(), self._clock.monotonic())
+        await self._follow_lease(effect)
+        if self.is_holder() != held:
+            fence = self._lease.value.fence if self._lease.value else None
+            _log("lease changes hands", domain=self._world.domain, fence=fence)
+
+    async def _follow_lease(self, effect: LeaseEffect | None) -> None:
+        while effect is not None:
+            event = await self._call_lease(effect)
+            effect = step_lease(self._lease, event, self._clock.monotonic())
+
+    async def _call_lease(self, effect: LeaseEffect) -> LeaseRead | LeaseWritten:
+        name = self._world.domain
+        if isinstance(effect, ReadLease):
+            return LeaseRead(await self._objects.read(LEASES_KIND, name))
+        assert isinstance(effect, WriteLease)
+        return LeaseWritten(
+            await self._objects.write(LEASES_KIND, name, effect.body, effect.if_version)
+        )
+
+    async def _release(self) -> None:
+        effect = step_lease(self._lease, StopLease(), self._clock.monotonic())
+        try:
+            async with asyncio.timeout(RELEASE_SECONDS):
+                await self._follow_lease(effect)
+        except TimeoutError:
+            _log("lease is left to lapse", domain=self._world.domain)
+        self._lease = Lease(
+            self._lease.domain,
+            self._lease.host,
+            self._lease.incarnation,
+            self._lease.term,
+            writes=self._lease.writes,
+        )
+
+    # Orders
+
+    async def _step_orders(self) -> None:
+        event: OrdersEvent = OrdersTick()
+        while True:
+            now = self._clock.monotonic()
+            situation = self._find_situation(now)
+            effect = step_orders(self._book, event, situation, now)
+            if effect is None:
+                return
+            event = await _CALLS[type(effect)](self, effect)
+
+    def _find_situation(self, now: timedelta) -> Situation:
+        configuration = self._world.configuration
+        valid = leases.is_valid(self._lease, now)
+        value = self._lease.value
+        return Situation(
+            fence=value.fence if valid and value is not None else None,
+            wanted=self._list_wants(now) if valid else (),
+            daemons=self._list_daemons(),
+            acks=tuple(self._list_acks()),
+            checks_fencing={
+                entry.name: entry.checks_fencing
+                for entry in configuration.targets.values()
+                if entry.domain == self._world.domain
+                and configuration.services[entry.service].kind is Kind.ENGINE
+            },
+            quarantine=configuration.quarantine,
+        )
+
+    def _list_wants(self, now: timedelta) -> tuple[WantedChange, ...]:
+        wants = list_wants(self._world, now)
+        sentences = tuple(change.why for change in wants)
+        if sentences != self._told:
+            self._told = sentences
+            for change in wants:
+                _log(
+                    f"{change.action} {change.value} is wanted for {change.target}",
+                    gain=change.gain,
+                    cost=change.cost,
+                    why=change.why,
+                )
+        return wants
+
+    def _list_daemons(self) -> dict[str, int]:
+        """Return who must acknowledge: the listed ones and those heard of.
+
+        A daemon that is too new for the list may already send work.
+        """
+        if not self._listed:
+            return {}
+        heard = {
+            host.id: host.incarnation
+            for host in self._world.hosts.values()
+            if host.state is not HostState.GONE
+        }
+        names = self._listed.keys() | heard.keys()
+        return {n: max(self._listed.get(n, 0), heard.get(n, 0)) for n in names}
+
+    async def _read(self, effect: ReadOrders) -> OrdersEvent:
+        found = await self._objects.read(ORDERS_KIND, self._world.domain)
+        if not isinstance(found, Err):
+            stored = found.ok_value
+            self._publish(Orders(self._world.domain, stored.version, stored.body))
+        return ObjectRead(found)
+
+    async def _write(self, effect: WriteOrders) -> OrdersEvent:
+        name = self._world.domain
+        written = await self._objects.write(
+            ORDERS_KIND, name, effect.body, effect.if_version
+        )
+        if not isinstance(written, Err):
+            self._publish(Orders(name, written.ok_value, effect.body))
+        return ObjectWritten(written)
+
+    async def _fetch(self, effect: FetchState) -> OrdersEvent:
+        target = self._world.targets.get(effect.target)
+        if target is None:
+            detail = f"{effect.target} is not in the file"
+            return StateFetched(Err(Verdict(Run.NOT_RUN, Reason.NO_TARGET, detail)))
+        return StateFetched(await self._engines.fetch_state(target.address))
+
+    async def _send(self, effect: SendOrder) -> OrdersEvent:
+        target = self._world.targets.get(effect.target)
+        if target is None:
+            return OrderSent(Err(NOT_SENT))
+        order = effect.order
+        _log(
+            f"{order.action} {order.value} is ordered from {target.id}",
+            order=order.id,
+            fence=order.fence,
+        )
+        self._metrics.orders.add(1, {"action": order.action})
+        now = self._clock.monotonic()
+        if not orders_rules.may_send(self._lease, effect.lease_fence, now):
+            return OrderSent(Err(NOT_SENT))
+        return OrderSent(await self._engines.send_order(target.address, order))
+
+
+_CALLS: dict[type[OrdersEffect], Callable[[Planner, Any], Any]] = {
+    ReadOrders: Planner._read,
+    WriteOrders: Planner._write,
+    FetchState: Planner._fetch,
+    SendOrder: Planner._send,
+}
--- a/src/galenapass/systems/placement.py
+++ b/src/galenapass/systems/placement.py
@@ -171,6 +171,11 @@
     return bool(mix.mixed) or bool(mix.prefill and mix.decode)
 
 
+def _is_declared(world: World, target: str) -> bool:
+    entry = world.configuration.targets.get(target)
+    return entry is not None and entry.role is not None
+
+
 def _pick(
     world: World, engines: list[Target], role: Role, now: timedelta
 ) -> Target | None:
@@ -180,6 +185,7 @@
         for t in engines
         if t.role is role
         and t.state is TargetState.SERVING
+        and not _is_declared(world, t.id)
         and _is_rested(world, t.id, now)
     ]
     return min(
--- /dev/null
+++ b/src/galenapass/systems/wants.py
@@ -0,0 +1,45 @@
+"""List the changes that the operators' file and the placement want in this domain."""
+
+from datetime import timedelta
+
+from galenapass.systems.placement import WantedChange, propose_changes
+from galenapass.tables.configurations import TargetEntry
+from galenapass.tables.targets import Kind, Target, TargetState
+from galenapass.tables.world import World
+
+__all__ = ["list_wants"]
+
+ROLE = "role"
+MODEL = "model"
+
+
+def list_wants(world: World, now: timedelta) -> tuple[WantedChange, ...]:
+    """Return what is declared first, then what placement proposes."""
+    declared = [
+        change
+        for entry in world.configuration.targets.values()
+        if (change := _find_declared(world, entry)) is not None
+    ]
+    return (*declared, *propose_changes(world, now))
+
+
+def _find_declared(world: World, entry: TargetEntry) -> WantedChange | None:
+    target = world.targets.get(entry.name)
+    if target is None or not _may_change(world, target):
+        return None
+    model = world.configuration.services[entry.service].model
+    if target.model and target.model != model:
+        why = f"the file declares model {model}, {target.id} has {target.model}"
+        return WantedChange(target.id, MODEL, model, 0.0, 0.0, why)
+    if entry.role is not None and entry.role is not target.role:
+        why = f"the file declares role {entry.role.value} for {target.id}"
+        return WantedChange(target.id, ROLE, entry.role.value, 0.0, 0.0, why)
+    return None
+
+
+def _may_change(world: World, target: Target) -> bool:
+    return (
+        target.kind is Kind.ENGINE
+        and target.domain == world.domain
+        and target.state is TargetState.SERVING
+    )
