Learn rates only from prompts that dominate their wait

Ruled out: replacing the prior by the first sample (2,500 tokens a second, demand 3 times too high). A daemon's own prefill as a floor of the estimate held ghosts of prompts that had long been processed, and is no floor any more. Change: samples from prompts of 512 tokens that found less than that queued, bounded to half and twice what is known; prefilled() gives a hand-over's prompt back early; the judge of the queue is one comparison a request.

--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -27,7 +27,7 @@
 from galenapass.verdicts import Reason, Run, Verdict
 from stand_ins.engine_model import EngineModel
 from stand_ins.engine_orders import Action, Order
-from stand_ins.engine_sizes import Sizes
+from stand_ins.engine_sizes import BLOCK_TOKENS, Sizes
 from stand_ins.engine_work import Admission, Phase, Step, Work
 
 __all__ = ["Outcome", "Policy", "Result", "run"]
@@ -244,7 +244,12 @@
             request.delivered if phase is Phase.WHOLE else 0,
             imported,
         )
-        if self.engines[engine].add(work) is Admission.ACCEPTED:
+        model = self.engines[engine]
+        if model.add(work) is Admission.ACCEPTED:
+            if not imported:
+                hits = model.memory.count_cached(work.blocks)
+                self.result.prompt_tokens += work.prompt_tokens
+                self.result.cached_tokens += BLOCK_TOKENS * hits
             self.kick(engine)
             return
         self.fail(request, REFUSED)
@@ -305,16 +310,11 @@
         kept = self.engines[name].fetch(handle)
         if kept is None or request_id not in self.requests:
             return
-        self.note_cached(kept.sequence.cached, request_id)
-        _, request = self.requests[request_id]
+        daemon, request = self.requests[request_id]
+        admission.prefilled(self.worlds[daemon], request, self.now)
         if request.target and request.state is RequestState.DISPATCHED:
             self.add(request, request.target, Phase.WHOLE, request.prompt_tokens)
 
-    def note_cached(self, blocks: int, request_id: str) -> None:
-        arrival = self.trace[int(request_id[1:])]
-        self.result.prompt_tokens += arrival.prompt_tokens
-        self.result.cached_tokens += 64 * blocks
-
     def give_token(self, request_id: str, number: int) -> None:
         if request_id not in self.requests:
             return
--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -6,7 +6,8 @@
 ended, a ``Preempt`` asks to cancel a stream, give it back and let it wait to resume.
 It then calls ``first_token`` when output begins and ``give_back`` when an attempt
 ends in any way, after ``estimates.learn_end``. ``take`` counts a choice that was made
-elsewhere. All counts return to zero.
+elsewhere; ``prefilled`` may be called when a hand-over's prompt is done. All counts
+return to zero.
 """
 
 from dataclasses import dataclass, field
@@ -16,7 +17,7 @@
 import xxhash
 
 from galenapass.systems import crashes, demand, estimates, limits, routing
-from galenapass.systems.holds import first_token, give_back, take
+from galenapass.systems.holds import first_token, give_back, prefilled, take
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Request, RequestState, Urgency
 from galenapass.tables.targets import Kind, Target
@@ -34,6 +35,7 @@
     "first_token",
     "give_back",
     "next_dispatches",
+    "prefilled",
     "take",
 ]
 
@@ -84,6 +86,20 @@
 Effect = Dispatch | Refuse | Preempt
 
 
+@dataclass(slots=True, frozen=True)
+class _Speed:
+    """Hold how many targets a service has and the fastest seconds between tokens."""
+
+    targets: int
+    step: float
+
+    @classmethod
+    def find(cls, targets: list[Target], now: timedelta) -> "_Speed":
+        """Return the speed of a service's usable targets."""
+        steps = (estimates.token_step(target, now) for target in targets)
+        return cls(len(targets), min(steps, default=0.0))
+
+
 @dataclass(slots=True)
 class _Tick:
     """Hold what one tick has found out so far, by service or service and class."""
@@ -91,7 +107,7 @@
     world: World
     now: timedelta
     random: Random
-    targets: dict[str, list[Target]] = field(default_factory=dict)
+    speeds: dict[str, _Speed] = field(default_factory=dict)
     work: dict[str, float] = field(default_factory=dict)
     misses: dict[tuple[str, Urgency], int] = field(default_factory=dict)
 
@@ -109,8 +125,10 @@
     targets = estimates.usable(world, request.service, now)
     rank = _rank(request)
     ahead = [r for r in _waiting(world) if r.service == request.service]
-    work = sum(_work(targets, r, now) for r in ahead if _rank(r) <= rank)
-    return _judge(world, request, targets, work, now)
+    work = sum(r.work for r in ahead if _rank(r) <= rank)
+    if targets:
+        request.work = estimates.work_seconds(targets[0], request, now)
+    return _judge(world, request, _Speed.find(targets, now), work, now)
 
 
 def next_dispatches(world: World, now: timedelta, random: Random) -> list[Effect]:
@@ -145,13 +163,12 @@
     if choice is not None:
         take(world, request, choice, now)
         return [Dispatch(request.id, choice)]
-    targets = _usable(tick, request.service)
     ahead = tick.work.get(request.service, 0.0)
-    verdict = _judge(world, request, targets, ahead, now)
+    verdict = _judge(world, request, _get_speed(tick, request.service), ahead, now)
     if isinstance(verdict, Refused):
         request.state = RequestState.ENDED
         return [Refuse(request.id, verdict.verdict)]
-    tick.work[request.service] = ahead + _work(targets, request, now)
+    tick.work[request.service] = ahead + request.work
     return _preempt(world, request)
 
 
@@ -167,10 +184,11 @@
     return choice
 
 
-def _usable(tick: _Tick, service: str) -> list[Target]:
-    if service not in tick.targets:
-        tick.targets[service] = estimates.usable(tick.world, service, tick.now)
-    return tick.targets[service]
+def _get_speed(tick: _Tick, service: str) -> _Speed:
+    if service not in tick.speeds:
+        targets = estimates.usable(tick.world, service, tick.now)
+        tick.speeds[service] = _Speed.find(targets, tick.now)
+    return tick.speeds[service]
 
 
 def _withdraw_strays(world: World, now: timedelta) -> list[Effect]:
@@ -230,20 +248,16 @@
 
 
 def _judge(
-    world: World,
-    request: Request,
-    targets: list[Target],
-    work: float,
-    now: timedelta,
+    world: World, request: Request, speed: _Speed, work: float, now: timedelta
 ) -> Admitted | Refused:
     """Compare the time that the work ahead and the request take with its deadline."""
-    if not targets:
+    if not speed.targets:
         if now < request.deadline:
             return Admitted(request.deadline - now)
         return Refused(_overloaded(request, LEAST_RETURN, "no target can be reached"))
     share = demand.own_share(world, request.service)
-    wait = work / (len(targets) * share)
-    shortest = min(estimates.service_time(t, request, now) for t in targets)
+    wait = work / (speed.targets * share)
+    shortest = max(1, request.output_tokens - request.delivered) * speed.step
     done = now + timedelta(seconds=wait + shortest)
     if done <= request.deadline:
         return Admitted(timedelta(seconds=wait))
@@ -252,13 +266,6 @@
     return Refused(_overloaded(request, wait, detail))
 
 
-def _work(targets: list[Target], request: Request, now: timedelta) -> float:
-    """Return the target-seconds that a request takes of the fleet."""
-    if not targets:
-        return 0.0
-    return estimates.work_seconds(targets[0], request, now)
-
-
 def _overloaded(request: Request, wait: float, detail: str) -> Verdict:
     spread = xxhash.xxh64_intdigest(request.id.encode()) % 1000 / 1000
     seconds = min(LONGEST_RETURN, max(LEAST_RETURN, wait)) * (1.0 + spread)
--- a/src/galenapass/systems/demand.py
+++ b/src/galenapass/systems/demand.py
@@ -6,6 +6,7 @@
 """
 
 from datetime import timedelta
+from statistics import median
 
 from galenapass.systems import estimates
 from galenapass.tables.demand import Demand, PeerWork, PhaseDemand
@@ -39,10 +40,10 @@
     demand = _demand(world, request.service)
     if demand.since is None:
         demand.since = now
-    rate = max(t.rates.best_prefill for t in engines)
-    step = min(t.rates.best_step for t in engines)
+    rate = median(t.rates.best_prefill for t in engines)
+    step = median(t.rates.best_step for t in engines)
     demand.prefill_arrived += request.prompt_tokens * demand.fresh_share / rate
-    share = estimates.memory_share(engines[0], request)
+    share = _decode_share(engines[0], request, demand.fresh_share)
     demand.decode_arrived += request.output_tokens * step * share
 
 
@@ -119,6 +120,14 @@
     return [t for t in targets if t.service == service and t.kind is Kind.ENGINE]
 
 
+def _decode_share(target: Target, request: Request, fresh_share: float) -> float:
+    """Return the part of an engine that a sequence takes, by memory or by room."""
+    tokens = request.prompt_tokens * fresh_share + request.output_tokens
+    pieces = estimates.pieces_needed(target, int(tokens))
+    memory = pieces / max(1, estimates.pieces_total(target))
+    return max(memory, 1.0 / estimates.sequences(target))
+
+
 def _smooth(phase: PhaseDemand, value: float, elapsed: float, first: bool) -> None:
     if first:
         phase.level = value
@@ -127,4 +136,4 @@
     level = LEVEL_SHARE * value + (1.0 - LEVEL_SHARE) * expected
     slope = (level - phase.level) / elapsed
     phase.trend = TREND_SHARE * slope + (1.0 - TREND_SHARE) * phase.trend
-    phase.level = level
+    phase.level = max(0.0, level)
--- a/src/galenapass/systems/estimates.py
+++ b/src/galenapass/systems/estimates.py
@@ -39,6 +39,7 @@
     "record",
     "sequences",
     "service_time",
+    "shows",
     "token_step",
     "usable",
     "work_seconds",
@@ -97,6 +98,13 @@
     _sum_changes(target)
 
 
+def shows(target: Target, at: timedelta | None) -> bool:
+    """Tell whether the last report shows what was started at a time."""
+    if at is None or target.load_at is None:
+        return False
+    return at <= target.load_at - REPORT_LAG
+
+
 def is_newer(target: Target, report: LoadReport) -> bool:
     """Tell whether a report says more than the one already known."""
     known = target.load
@@ -120,7 +128,7 @@
     pieces = trust * report.pieces_used + target.peer_pieces
     return Load(
         max(target.own_requests, round(requests) + target.unseen_requests),
-        max(target.own_prefill, round(prefill) + target.unseen_prefill),
+        max(0, round(prefill) + target.unseen_prefill),
         max(target.own_pieces, round(pieces) + target.unseen_pieces),
     )
 
--- a/src/galenapass/systems/holds.py
+++ b/src/galenapass/systems/holds.py
@@ -8,7 +8,7 @@
 from galenapass.tables.targets import Kind, LoadChange, Target
 from galenapass.tables.world import World
 
-__all__ = ["first_token", "give_back", "take"]
+__all__ = ["first_token", "give_back", "prefilled", "take"]
 
 
 def take(world: World, request: Request, choice: Choice, now: timedelta) -> None:
@@ -44,14 +44,23 @@
     if source is not None and source.kind is Kind.ENGINE:
         estimates.learn_first_token(source, request, now)
         caches.note_used(source, request.blocks)
-    kept = [_drop_prefill(world, hold, now) for hold in request.holds]
+    kept = [_drop_prefill(world, request, hold, now) for hold in request.holds]
     request.holds = [hold for hold in kept if hold is not None]
 
 
+def prefilled(world: World, request: Request, now: timedelta) -> None:
+    """Give back what a hand-over held at its prefill target, before first output."""
+    left = [hold for hold in request.holds if not hold.until_first_token]
+    for hold in request.holds:
+        if hold.until_first_token:
+            _release(world, request, hold, now)
+    request.holds = left
+
+
 def give_back(world: World, request: Request, now: timedelta) -> None:
     """Give back all that a request holds; a second call changes nothing."""
     for hold in request.holds:
-        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+        _release(world, request, hold, now)
     request.holds = []
 
 
@@ -66,15 +75,31 @@
     return [Hold(prefill.id, fresh, prompt, True), Hold(target.id, 0, pieces)]
 
 
-def _drop_prefill(world: World, hold: Hold, now: timedelta) -> Hold | None:
+def _drop_prefill(
+    world: World, request: Request, hold: Hold, now: timedelta
+) -> Hold | None:
     if hold.until_first_token:
-        _release(world, hold, LoadChange(now, -1, -hold.prefill, -hold.pieces))
+        _release(world, request, hold, now)
         return None
-    _release(world, hold, LoadChange(now, 0, -hold.prefill, 0))
+    _release_prefill(world, request, hold, now)
     return Hold(hold.target, 0, hold.pieces)
 
 
-def _release(world: World, hold: Hold, change: LoadChange) -> None:
+def _release(world: World, request: Request, hold: Hold, now: timedelta) -> None:
+    _release_prefill(world, request, hold, now)
     target = world.targets.get(hold.target)
     if target is not None:
-        estimates.record(target, change)
+        estimates.record(target, LoadChange(now, -1, 0, -hold.pieces))
+
+
+def _release_prefill(
+    world: World, request: Request, hold: Hold, now: timedelta
+) -> None:
+    target = world.targets.get(hold.target)
+    if target is None or not hold.prefill:
+        return
+    if estimates.shows(target, request.dispatched):
+        # The report's queue has shrunk with it already.
+        target.own_prefill -= hold.prefill
+    else:
+        estimates.record(target, LoadChange(now, 0, -hold.prefill, 0))
--- a/src/galenapass/systems/rates.py
+++ b/src/galenapass/systems/rates.py
@@ -23,8 +23,9 @@
 TRANSFER_RATE = 20_000.0  # tokens of KV cache a second
 IMPORT_TIME = 0.02  # seconds
 LEARNING_SHARE = 0.2
-WORSENING_SHARE = 0.005
-LEAST_SAMPLE_TOKENS = 128
+WORSENING_SHARE = 0.001
+LARGEST_SURPRISE = 2.0
+LEAST_SAMPLE_TOKENS = 512
 FORGETTING_TIME = 30.0  # seconds
 FAILURES_TO_AVOID = 2
 FIRST_AVOIDANCE = timedelta(seconds=1)
@@ -48,9 +49,14 @@
 
 
 def learn_first_token(target: Target, request: Request, now: timedelta) -> None:
-    """Learn the prefill rate of a target from a request's first token."""
-    tokens = request.queued_ahead + fresh_tokens(target, request)
-    if request.dispatched is None or tokens < LEAST_SAMPLE_TOKENS:
+    """Learn the prefill rate of a target from a request's first token.
+
+    Only a prompt that is most of the work until its first token tells the rate:
+    others may overtake it, or be overtaken.
+    """
+    fresh = fresh_tokens(target, request)
+    enough = fresh >= LEAST_SAMPLE_TOKENS and fresh >= request.queued_ahead
+    if request.dispatched is None or not enough:
         return
     elapsed = (now - request.dispatched).total_seconds()
     if request.prefill_target:
@@ -58,11 +64,14 @@
     if elapsed <= 0.0:
         return
     rates = target.rates
-    sample = tokens / elapsed
-    rates.prefill = _blend(prefill_rate(target, now), sample)
+    known = prefill_rate(target, now)
+    sample = fresh / elapsed
+    near = min(max(sample, known / LARGEST_SURPRISE), known * LARGEST_SURPRISE)
+    rates.prefill = _blend(known, near)
     rates.prefill_at = now
-    better = sample > rates.best_prefill
-    rates.best_prefill = _blend(rates.best_prefill, sample, _best_share(better))
+    rates.best_prefill = _follow_best(
+        rates.best_prefill, sample, sample > rates.best_prefill
+    )
 
 
 def learn_end(world: World, request: Request, verdict: Verdict, now: timedelta) -> None:
@@ -92,8 +101,7 @@
     rates = target.rates
     rates.step = _blend(token_step(target, now), sample)
     rates.step_at = now
-    better = sample < rates.best_step
-    rates.best_step = _blend(rates.best_step, sample, _best_share(better))
+    rates.best_step = _follow_best(rates.best_step, sample, sample < rates.best_step)
 
 
 def _learn_refusal(target: Target, request: Request, now: timedelta) -> None:
@@ -121,5 +129,6 @@
     return old * (1.0 - share) + sample * share
 
 
-def _best_share(better: bool) -> float:
-    return LEARNING_SHARE if better else WORSENING_SHARE
+def _follow_best(best: float, sample: float, better: bool) -> float:
+    """Follow better samples soon and worse ones slowly: busy targets seem slow."""
+    return _blend(best, sample, LEARNING_SHARE if better else WORSENING_SHARE)
--- a/src/galenapass/tables/requests.py
+++ b/src/galenapass/tables/requests.py
@@ -39,6 +39,7 @@
     """Hold one request; times are monotonic, sizes are tokens.
 
     ``queued_ahead`` counts the prefill tokens before it when it was dispatched;
+    ``work`` is the target-seconds it was judged to take when it was admitted;
     ``may_have_run`` is set once an attempt ended without proof that it did not run.
     """
 
@@ -67,3 +68,4 @@
     may_have_run: bool = False
     preempted: bool = False
     preemptions: int = 0
+    work: float = 0.0
