--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	$(BIN)/mypy src stand_ins experiments
 	$(BIN)/python -m tests.generated
 
+measure-capacity: setup
+	$(BIN)/python -m experiments.measure_capacity
+
 format: setup
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- /dev/null
+++ b/experiments/capacity_core.py
@@ -0,0 +1,244 @@
+"""Measure what the systems of one daemon cost as their tables grow."""
+
+import asyncio
+import io
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import orjson
+from result import Err
+
+from galenapass.clocks import SystemClock
+from galenapass.core import Core
+from galenapass.logs import log_to
+from galenapass.metrics import make_metrics
+from galenapass.peers.encoding import Encoder
+from galenapass.settings.fleet import parse_configuration
+from galenapass.systems import limits, membership, spreading
+from galenapass.systems.duties import Duty, find_holders
+from galenapass.systems.membership import Listed, Membership
+from galenapass.systems.targets import apply_configuration, apply_presence
+from galenapass.tables.configurations import Configuration
+from galenapass.tables.hosts import Host
+from galenapass.tables.limits import PeerUse
+from galenapass.tables.peers import Settings
+from galenapass.tables.requests import Request
+from galenapass.tables.targets import LoadReport
+from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = [
+    "measure_duties",
+    "measure_limits",
+    "measure_list",
+    "measure_parsing",
+    "measure_request",
+    "measure_spread",
+]
+
+REPEATS = 5
+REQUESTS = 300
+KEY = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8"
+COMPLETED = Verdict(Run.RAN, Reason.COMPLETED)
+ZERO = timedelta(0)
+
+
+def make_file(callers: int, targets: int, changed: int | None = None) -> str:
+    """Return an operators' file; the rate of one caller may be another."""
+    parts = [
+        "[fleet]\ntime zone = UTC\n",
+        "[service assistant]\nkind = engine\nmodel = m\n",
+    ]
+    parts += [
+        f"[caller caller-{number:04}]\nkey sha256 = {number:04}{KEY[4:]}\n"
+        f"services = assistant\nrate = {50 if number == changed else 40} req/s\n"
+        for number in range(callers)
+    ]
+    parts += [
+        f"[target runner-{number:04}]\nservice = assistant\n"
+        f"address = 10.0.{number // 250}.{number % 250}:9000\ndomain = d{number % 8}\n"
+        for number in range(targets)
+    ]
+    return "\n".join(parts)
+
+
+def measure_parsing(callers: int, targets: int) -> dict[str, float]:
+    """Return milliseconds to read a whole file, and one with one line changed."""
+    text = make_file(callers, targets)
+    sections: dict[Any, Any] = {}
+    whole = _time(lambda: parse_configuration(text, 1, "measured"))
+    first = _parse(text, sections)
+    texts = [make_file(callers, targets, number) for number in range(REPEATS)]
+    again = iter(texts)
+    part = _time(lambda: parse_configuration(next(again), 2, "measured", sections))
+    worlds = iter([World("entry-0", "d0") for _ in range(REPEATS)])
+    apply = _time(lambda: apply_configuration(next(worlds), first))
+    return {
+        "whole_ms": whole,
+        "changed_ms": part,
+        "apply_ms": apply,
+        "file_kb": len(text) / 1000,
+    }
+
+
+def measure_spread(callers: int, targets: int) -> dict[str, float]:
+    """Return the cost of a change of one line to a sender and to a receiver."""
+    old, new = make_file(callers, targets), make_file(callers, targets, callers // 2)
+    sender, receiver = spreading.Spread(), spreading.Spread()
+    for spread in (sender, receiver):
+        spreading.adopt(spread, Settings(1, old), bool)
+    spreading.adopt(sender, Settings(2, new), bool)
+    patch = spreading.answer(sender, 1, False)
+    if not isinstance(patch, spreading.Patch):
+        raise ValueError(f"not a patch: {patch}")
+    send = _time(lambda: spreading.answer(sender, 1, False))
+    receive = _time(lambda: spreading.apply_patch(receiver, patch))
+    return {
+        "send_ms": send,
+        "receive_ms": receive,
+        "patch_bytes": _size(patch),
+        "whole_bytes": _size(sender.current),
+    }
+
+
+def measure_list(daemons: int, targets: int) -> dict[str, float]:
+    """Return what one reading of the platform's list costs."""
+    rows = [
+        {
+            "id": f"entry-{number:03}",
+            "kind": "daemon" if number < daemons else "target",
+            "address": f"10.0.{number // 250}.{number % 250}:8082",
+            "domain": f"d{number % 8}",
+            "state": "live",
+            "incarnation": 1_790_000_000_000 + number,
+        }
+        for number in range(daemons + targets)
+    ]
+    body = orjson.dumps({"hosts": rows})
+    members = Membership.make("entry-000", "d0", {})
+    world = World("entry-000", "d0")
+
+    def take() -> None:
+        read = orjson.loads(body)["hosts"]
+        listed = [
+            Listed(row["id"], row["address"], row["domain"], row["incarnation"])
+            for row in read
+            if row["kind"] == "daemon"
+        ]
+        membership.apply_list(members, listed, ZERO)
+        live = [row["id"] for row in read if row["kind"] == "target"]
+        apply_presence(world, leaving=[], live=live)
+
+    return {"list_ms": _time(take), "list_kb": len(body) / 1000}
+
+
+def measure_limits(callers: int, daemons: int) -> dict[str, float]:
+    """Return one second's work on the callers' limits, and their memory."""
+    text = make_file(callers, 1)
+    world = World("entry-000", "d0")
+    world.configuration = _parse(text)
+    hosts = {f"entry-{n:03}": Host(f"entry-{n:03}", "", "d0") for n in range(daemons)}
+    world.hosts.update(hosts)
+    names = list(world.configuration.callers)
+    tracemalloc.start()
+    for host in hosts:
+        used = {name: PeerUse(0.1, 0.1, ZERO) for name in names}
+        limits.hear_use(world, host, used, ZERO)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    second = timedelta(seconds=1)
+
+    def keep_up() -> None:
+        limits.rebalance(world, second)
+        limits.announce_use(world, second)
+
+    return {"second_ms": _time(keep_up), "memory_mb": memory / 1e6}
+
+
+def measure_duties(daemons: int, targets: int) -> dict[str, float]:
+    """Return what finding the observers of all targets costs."""
+    hosts = [Host(f"entry-{n:03}", "", "d0") for n in range(daemons)]
+    names = [f"runner-{n:04}" for n in range(targets)]
+
+    def find() -> None:
+        for name in names:
+            find_holders(hosts, "d0", Duty.OBSERVER, name)
+
+    return {"find_ms": _time(find)}
+
+
+def measure_request(targets: int, running: int) -> dict[str, float]:
+    """Return what one request costs from its arrival to its end, logs included."""
+    return asyncio.run(_run_requests(targets, running))
+
+
+async def _run_requests(targets: int, running: int) -> dict[str, float]:
+    log_to(io.StringIO())
+    world = World("entry-000", "d0")
+    apply_configuration(world, _parse(make_file(1, targets)))
+    clock = SystemClock()
+    for target in world.targets.values():
+        target.load = LoadReport("i", 1, 4, 0, 1000, 400, 2000, 16)
+        target.load_at = clock.monotonic()
+
+    async def never(_: Any) -> bool:
+        return False
+
+    core = Core(world, clock, Random(1), make_metrics(), never, lambda *_: False)
+    core.start()
+    requests = [_make_request(n, clock) for n in range(running + REQUESTS)]
+    for request in requests[:running]:
+        await core.route(request)
+    spent = time.process_time()
+    refused = 0
+    for place, request in enumerate(requests[running:]):
+        refused += (await core.route(request)).is_err()
+        core.note_first_token(request)
+        core.end(requests[place], COMPLETED)
+    spent = time.process_time() - spent
+    core.stop()
+    return {"request_ms": 1000 * spent / REQUESTS, "refused": refused}
+
+
+def _make_request(number: int, clock: SystemClock) -> Request:
+    random = Random(number)
+    now = clock.monotonic()
+    return Request(
+        f"r-{number}",
+        "unlimited",
+        "assistant",
+        now,
+        now + timedelta(seconds=60),
+        fingerprint=f"f{number}",
+        prompt_tokens=800,
+        output_tokens=280,
+        blocks=tuple(random.getrandbits(64) for _ in range(12)),
+    )
+
+
+def _parse(text: str, sections: dict[Any, Any] | None = None) -> Configuration:
+    parsed = parse_configuration(text, 1, "measured", sections)
+    if isinstance(parsed, Err):
+        raise ValueError(f"the measured file has faults: {parsed.err_value}")
+    return parsed.ok_value
+
+
+def _time(work: Callable[[], Any]) -> float:
+    """Return the least milliseconds of processor time of some repeats."""
+    times = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        work()
+        times.append(time.process_time() - started)
+    return 1000 * min(times)
+
+
+def _size(settings: Settings | spreading.Patch) -> int:
+    encoder = Encoder()
+    batch = encoder.encode([], settings.version)
+    encoder.put_settings(batch, settings)
+    return batch.ByteSize()
--- a/src/galenapass/systems/gossip.py
+++ b/src/galenapass/systems/gossip.py
@@ -18,6 +18,7 @@
 
 BURST_SECONDS = 4.0
 FAR_HEARTBEATS = 10
+TYPICAL_ROW_BYTES = 10
 DEBT_SHARES = {Rank.URGENT: 1.0, Rank.HEARTBEAT: 1.0}
 MAX_CHARGED_SHARE = 0.5
 
@@ -66,11 +67,11 @@
 def take(table: GossipTable, link: str, now: timedelta, rate: float) -> list[Item]:
     """Take the most urgent rows that a rate in bytes a second allows by now.
 
-    The bytes taken in any t seconds stay below rate * (t + 2 * BURST_SECONDS) and
-    one row.
+    The rate is this link's share. The bytes that all links take in any t seconds
+    stay below the sum of their rates times t + 3 * BURST_SECONDS, and a row each.
     """
     queue = table.queues[link]
-    _refill(queue, now, rate)
+    _refill(table, queue, now, rate)
     taken: list[Item] = []
     for rank, pending in zip(Rank, queue.pending, strict=True):
         floor = -DEBT_SHARES.get(rank, 0.0) * BURST_SECONDS * rate
@@ -110,10 +111,17 @@
             _drop(table, key)
 
 
-def _refill(queue: Queue, now: timedelta, rate: float) -> None:
-    elapsed = (now - queue.refilled).total_seconds()
-    queue.credit = min(queue.credit + elapsed * rate, BURST_SECONDS * rate)
+def _refill(table: GossipTable, queue: Queue, now: timedelta, rate: float) -> None:
+    """Add what the time allows; what an idle link cannot hold goes to the others."""
+    burst = BURST_SECONDS * rate
+    credit = queue.credit + (now - queue.refilled).total_seconds() * rate
+    queue.credit = min(credit, burst)
     queue.refilled = now
+    table.spare = min(table.spare + credit - queue.credit, burst)
+    if len(queue.pending[Rank.LOAD]) * TYPICAL_ROW_BYTES > queue.credit:
+        loan = min(table.spare, rate)
+        table.spare -= loan
+        queue.credit += loan
 
 
 def _take_first(table: GossipTable, queue: Queue, rank: Rank) -> Any:
--- a/src/galenapass/tables/gossip.py
+++ b/src/galenapass/tables/gossip.py
@@ -53,11 +53,13 @@
 class GossipTable:
     """Hold the rows of one daemon by kind, and a queue for each open link.
 
-    ``pooled`` carries to every domain what otherwise stays in one.
+    ``pooled`` carries to every domain what otherwise stays in one. ``spare`` are
+    bytes that some links left unused and others may take.
     """
 
     host: str
     domain: str
     pooled: bool = False
+    spare: float = 0.0
     rows: dict[type, dict[Key, Row]] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
