--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -12,7 +12,6 @@
 from typing import Any, TextIO
 
 from aiohttp import web
-from result import Err
 
 from galenapass.callers.app import make_callers_app, make_runner
 from galenapass.callers.limits import Limits
@@ -20,25 +19,25 @@
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
+from galenapass.duties.holding import work_while_held
 from galenapass.duties.journal import Journal
 from galenapass.duties.loops import repeat
+from galenapass.intake import Intake
 from galenapass.logs import log_to, make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
 from galenapass.news import News
 from galenapass.operators.app import make_operators_app
-from galenapass.operators.overview import KEPT_CONFIGURATIONS, Overview
+from galenapass.operators.overview import Overview
 from galenapass.peers import Peers
 from galenapass.platform.messages import ListedHost
 from galenapass.platform.objects import Objects
 from galenapass.settings.addresses import Address
 from galenapass.settings.daemon import DaemonSettings
-from galenapass.settings.fleet import parse_configuration
 from galenapass.settings.hours import urgency_of
 from galenapass.settings.units import Stream
 from galenapass.systems import crashes, demand, limits
 from galenapass.systems.duties import Duty, holds, list_duties
 from galenapass.systems.membership import Listed
-from galenapass.systems.targets import apply_configuration
 from galenapass.tables.configurations import Configuration
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import HostChange, Settings
@@ -53,7 +52,6 @@
 ROSTER_PERIOD = timedelta(seconds=1)
 NEWS_PERIOD = timedelta(milliseconds=250)
 UPKEEP_PERIOD = timedelta(seconds=1)
-DUTY_PERIOD = timedelta(seconds=1)
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
 
@@ -71,7 +69,7 @@
         self.metrics = make_metrics()
         self.world = World(settings.host, settings.domain)
         self.news = News(self.world, self.clock)
-        self.earlier: dict[int, Configuration] = {}
+        self.intake = Intake(self.world, self._note_configuration)
         self.is_ready = False
         self.platform_answers = False
         self._tasks: list[asyncio.Task[Any]] = []
@@ -98,7 +96,13 @@
             self._make_overview(), self.settings.operators_token
         )
         await self._listen(operators, self.settings.operators_listen)
-        self._spawn(self._hold_watch())
+        self._spawn(
+            work_while_held(
+                Duty.SETTINGS_WATCHER.value,
+                lambda: self._holds(Duty.SETTINGS_WATCHER),
+                self._watch,
+            )
+        )
         self._spawn(repeat(self._tell_news, NEWS_PERIOD, self.random))
         self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
         self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
@@ -138,26 +142,9 @@
         """Return an identifier that no other request in the fleet has."""
         return f"{self.settings.host}-{secrets.token_hex(8)}"
 
-    # Settings
-
-    def accept(self, text: str, version: int) -> bool:
-        """Put a configuration in force unless it is old or has faults."""
-        before = self.world.configuration
-        if version <= before.version:
-            return False
-        parsed = parse_configuration(text, version, f"version {version}")
-        if isinstance(parsed, Err):
-            faults = [str(fault) for fault in parsed.err_value]
-            _log("a configuration has faults", version=version, faults=faults)
-            return False
-        apply_configuration(self.world, parsed.ok_value)
-        self.earlier[before.version] = before
-        while len(self.earlier) > KEPT_CONFIGURATIONS:
-            del self.earlier[min(self.earlier)]
-        self.peers.tell(Settings(version, text))
-        _log("a configuration is in force", version=version)
+    def _note_configuration(self, configuration: Configuration) -> None:
+        self.peers.tell(Settings(configuration.version, configuration.text))
         self.core.wake()
-        return True
 
     # Parts
 
@@ -190,7 +177,7 @@
             self.random,
             settings.peers_budget,
             self.world.hosts,
-            _is_sound,
+            self.intake.is_sound,
             pooled=settings.pooled,
         )
         self.peers.heard.subscribe(self._hear)
@@ -201,12 +188,12 @@
             world=self.world,
             clock=self.clock,
             objects=self.objects,
-            accept=self.accept,
+            accept=self.intake.accept,
             incarnation=lambda: self.peers.incarnation,
             is_ready=self.ready,
             is_platform_reachable=lambda: self.platform_answers,
             list_duties=self._list_duties,
-            earlier=self.earlier,
+            find_configuration=self.intake.find,
         )
 
     async def _close_clients(self) -> None:
@@ -244,29 +231,13 @@
     # Duties
 
     async def _fetch_configuration(self) -> None:
-        answered = await watcher.fetch_configuration(self.objects, self.accept)
+        answered = await watcher.fetch_configuration(self.objects, self.intake.accept)
         self.platform_answers = answered
 
-    async def _hold_watch(self) -> None:
-        """Keep a watch open while this daemon holds the duty."""
-        watch: asyncio.Task[None] | None = None
-        try:
-            while True:
-                if self._holds(Duty.SETTINGS_WATCHER) and watch is None:
-                    watch = asyncio.create_task(self._watch())
-                elif watch is not None and not self._holds(Duty.SETTINGS_WATCHER):
-                    watch.cancel()
-                    watch = None
-                await asyncio.sleep(DUTY_PERIOD.total_seconds())
-        finally:
-            if watch is not None:
-                watch.cancel()
-
     async def _watch(self) -> None:
-        await watcher.watch_configurations(self.objects, self.accept, self._get_version)
-
-    def _get_version(self) -> int:
-        return self.world.configuration.version
+        await watcher.watch_configurations(
+            self.objects, self.intake.accept, lambda: self.intake.version
+        )
 
     def _holds(self, duty: Duty) -> bool:
         own = self.world.hosts.get(self.settings.host)
@@ -291,7 +262,7 @@
 
     def _hear(self, item: Any) -> None:
         if isinstance(item, Settings):
-            self.accept(item.text, item.version)
+            self.intake.accept(item.text, item.version)
         elif isinstance(item, HostChange):
             if item.after is HostState.GONE:
                 self.news.forget_host(item.host)
@@ -342,10 +313,6 @@
     return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
 
-def _is_sound(text: str) -> bool:
-    return parse_configuration(text, 1, "a peer").is_ok()
-
-
 def _pick_daemons(listed: tuple[ListedHost, ...]) -> list[Listed]:
     """Return the rows of daemons."""
     return [
