--- a/experiments/capacity_core.py
+++ b/experiments/capacity_core.py
@@ -38,6 +38,7 @@
     "measure_parsing",
     "measure_request",
     "measure_spread",
+    "read_file",
 ]
 
 REPEATS = 5
@@ -71,7 +72,7 @@
     text = make_file(callers, targets)
     sections: dict[Any, Any] = {}
     whole = _time(lambda: parse_configuration(text, 1, "measured"))
-    first = _parse(text, sections)
+    first = read_file(text, sections)
     texts = [make_file(callers, targets, number) for number in range(REPEATS)]
     again = iter(texts)
     part = _time(lambda: parse_configuration(next(again), 2, "measured", sections))
@@ -140,7 +141,7 @@
     """Return one second's work on the callers' limits, and their memory."""
     text = make_file(callers, 1)
     world = World("entry-000", "d0")
-    world.configuration = _parse(text)
+    world.configuration = read_file(text)
     hosts = {f"entry-{n:03}": Host(f"entry-{n:03}", "", "d0") for n in range(daemons)}
     world.hosts.update(hosts)
     names = list(world.configuration.callers)
@@ -179,7 +180,7 @@
 async def _run_requests(targets: int, running: int) -> dict[str, float]:
     log_to(io.StringIO())
     world = World("entry-000", "d0")
-    apply_configuration(world, _parse(make_file(1, targets)))
+    apply_configuration(world, read_file(make_file(1, targets)))
     clock = SystemClock()
     for target in world.targets.values():
         target.load = LoadReport("i", 1, 4, 0, 1000, 400, 2000, 16)
@@ -220,7 +221,8 @@
     )
 
 
-def _parse(text: str, sections: dict[Any, Any] | None = None) -> Configuration:
+def read_file(text: str, sections: dict[Any, Any] | None = None) -> Configuration:
+    """Return the configuration that a measured file declares."""
     parsed = parse_configuration(text, 1, "measured", sections)
     if isinstance(parsed, Err):
         raise ValueError(f"the measured file has faults: {parsed.err_value}")
--- a/experiments/measure_capacity.py
+++ b/experiments/measure_capacity.py
@@ -10,6 +10,11 @@
 from typing import Any
 
 from experiments import capacity_core as core
+from experiments.capacity_duties import (
+    measure_claims,
+    measure_observing,
+    measure_placement,
+)
 from experiments.capacity_peers import Load, run
 
 __all__ = ["main"]
@@ -145,6 +150,14 @@
         vary_running,
         ("request_ms",),
     ),
+    Sweep("engines to place", (62, 125, 187, 250), measure_placement, ("propose_ms",)),
+    Sweep("targets read once", (2, 5, 10, 20), measure_observing, ("observe_ms",)),
+    Sweep(
+        "claims in a slice",
+        (500, 1000, 2000, 4000),
+        measure_claims,
+        ("write_ms", "read_ms", "slice_kb"),
+    ),
 )
 WHOLES = {
     "no bound": Load(DAEMONS, TARGETS, far_daemons=FAR_DAEMONS),
@@ -156,16 +169,21 @@
 }
 
 
-def main() -> int:
-    """Measure every sweep in processes of their own and print the tables."""
+def main(words: list[str]) -> int:
+    """Measure every sweep, or those with one of the words in their name."""
     context = get_context("spawn")
     with ProcessPoolExecutor(
         WORKERS, mp_context=context, max_tasks_per_child=1
     ) as pool:
-        wholes = {name: pool.submit(run, load) for name, load in WHOLES.items()}
+        wholes = {
+            name: pool.submit(run, load)
+            for name, load in WHOLES.items()
+            if _is_chosen("whole", words)
+        }
         points = [
             (sweep, [pool.submit(sweep.measure, point) for point in sweep.points])
             for sweep in SWEEPS
+            if _is_chosen(sweep.name, words)
         ]
         print(f"machine: {os.cpu_count()} processors, Python {sys.version.split()[0]}")
         _print_sweeps(points)
@@ -173,6 +191,10 @@
     return 0
 
 
+def _is_chosen(name: str, words: list[str]) -> bool:
+    return not words or any(word in name for word in words)
+
+
 def _print_sweeps(
     points: list[tuple[Sweep, list[Future[dict[str, float]]]]],
 ) -> None:
@@ -209,4 +231,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/src/galenapass/systems/duties.py
+++ b/src/galenapass/systems/duties.py
@@ -7,12 +7,13 @@
 
 from collections.abc import Iterable
 from enum import Enum
+from functools import lru_cache
 
 from xxhash import xxh64_intdigest
 
 from galenapass.tables.hosts import Host, HostState
 
-__all__ = ["Duty", "find_holders", "holds", "list_duties"]
+__all__ = ["Duty", "find_holders", "find_observed", "holds", "list_duties"]
 
 
 class Duty(Enum):
@@ -24,6 +25,7 @@
     SLICE_OWNER = "slice owner"
 
 
+CACHED_CHOICES = 1024
 HOLDERS = {
     Duty.SETTINGS_WATCHER: 2,
     Duty.PLANNER_CANDIDATE: 2,
@@ -36,10 +38,7 @@
     hosts: Iterable[Host], domain: str, duty: Duty, subject: str = ""
 ) -> list[str]:
     """Return the holders of a duty, first choice first; subject names a target."""
-    live = [h for h in hosts if h.domain == domain and h.state is HostState.ALIVE]
-    seed = f"{duty.value}\n{subject}\n".encode()
-    live.sort(key=lambda h: (xxh64_intdigest(seed + h.id.encode()), h.id), reverse=True)
-    return [h.id for h in live[: HOLDERS[duty]]]
+    return list(_choose(_list_live(hosts, domain), duty, subject))
 
 
 def holds(hosts: Iterable[Host], own: Host, duty: Duty, subject: str = "") -> bool:
@@ -47,10 +46,34 @@
     return own.id in find_holders(hosts, own.domain, duty, subject)
 
 
+def find_observed(
+    hosts: Iterable[Host], own: Host, targets: Iterable[str]
+) -> list[str]:
+    """Return the targets that a daemon observes."""
+    live = _list_live(hosts, own.domain)
+    return [name for name in targets if own.id in _choose(live, Duty.OBSERVER, name)]
+
+
 def list_duties(hosts: Iterable[Host], own: Host, targets: Iterable[str]) -> list[str]:
     """Return the duties that a daemon holds, as the operators' status shows them."""
     rows = list(hosts)
     whole = [Duty.SETTINGS_WATCHER, Duty.PLANNER_CANDIDATE]
     duties = [duty.value for duty in whole if holds(rows, own, duty)]
-    watched = [name for name in targets if holds(rows, own, Duty.OBSERVER, name)]
-    return duties + [f"{Duty.OBSERVER.value} {name}" for name in watched]
+    observed = find_observed(rows, own, targets)
+    return duties + [f"{Duty.OBSERVER.value} {name}" for name in observed]
+
+
+def _list_live(hosts: Iterable[Host], domain: str) -> tuple[str, ...]:
+    live = (h for h in hosts if h.domain == domain and h.state is HostState.ALIVE)
+    return tuple(sorted(host.id for host in live))
+
+
+@lru_cache(maxsize=CACHED_CHOICES)
+def _choose(live: tuple[str, ...], duty: Duty, subject: str) -> tuple[str, ...]:
+    """Return the rendezvous winners; the live hosts change far less than asked for."""
+    seed = f"{duty.value}\n{subject}\n".encode()
+
+    def score(host: str) -> tuple[int, str]:
+        return xxh64_intdigest(seed + host.encode()), host
+
+    return tuple(sorted(live, key=score, reverse=True)[: HOLDERS[duty]])
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -8,6 +8,7 @@
     HOLDERS,
     Duty,
     find_holders,
+    find_observed,
     holds,
     list_duties,
 )
@@ -59,6 +60,9 @@
             [d for d in list_duties(rows, host, targets) if d.startswith("observer")]
             for host in rows
         ]
+        for host, share in zip(rows, shares, strict=True):
+            observed = find_observed(rows, host, targets)
+            self.assertEqual(share, [f"observer {name}" for name in observed])
         self.assertEqual(250, len({name for share in shares for name in share}))
         self.assertEqual(250, sum(map(len, shares)))
         self.assertLess(max(map(len, shares)), 50)
