--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -41,8 +41,8 @@
 class Peers:
     """Tell the other daemons what this one knows and hear what they know.
 
-    ``budget`` is in bytes a second, sent and received, headers included; ``heard`` emits the
-    items of galenapass.tables.peers, each once and only while it is news.
+    ``budget`` is in bytes a second, sent and received, headers included; ``heard``
+    emits the items of galenapass.tables.peers, each once and only while it is news.
     """
 
     def __init__(
