End what is open at a stop's bound with a verdict; read targets apart

Causes: (1) at the bound the callers' connections were dropped without a word; (2) one target that never answers held the readings of all others back by up to 3 s, so that a target that left could be noticed after the 3 s it is promised; (3) refusals of a stopping or unconfigured daemon named no time to return. Change: (1) what streams ends with an error event 'may have run, stopping', what waits is refused as 'not run', then the close; (2) each target is read by a task of its own; (3) Retry-After 1 s.

--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -82,6 +82,7 @@
         self.processes: dict[str, Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="galenapass-"))
         self.platform = ""
+        self.patience = "20 s"
         self.stop_within = "20 s"
 
     async def __aenter__(self) -> "Fleet":
@@ -178,7 +179,8 @@
         parts.append(
             f"[caller guides]\nkey sha256 = {hashed}\n"
             "services = assistant, booking\nurgency = urgent\n"
-            "urgent patience = 20 s\npatience = 60 s\nrate = 200 req/s\n"
+            f"urgent patience = {self.patience}\n"
+            "patience = 60 s\nrate = 200 req/s\n"
         )
         return "\n".join([*parts, extra])
 
--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Coroutine
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 from random import Random
@@ -46,6 +47,7 @@
 from galenapass.targets.engines import Engines
 from galenapass.targets.probes import Probes
 from galenapass.targets.services import PlainServices
+from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Daemon"]
 
@@ -55,6 +57,8 @@
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
 
+_CUT = Verdict(Run.NOT_RUN, Reason.STOPPING, "this daemon stops and can wait no longer")
+
 _log = make_log("daemon")
 
 
@@ -106,7 +110,8 @@
         self._spawn(repeat(self._tell_news, NEWS_PERIOD, self.random))
         self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
         self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
-        self._spawn(repeat(self._make_observer().observe, observer.PERIOD, self.random))
+        self.observer = self._make_observer()
+        self._spawn(repeat(self.observer.observe, observer.PERIOD, self.random))
         self.is_ready = True
         _log("daemon is ready", version=self.world.configuration.version)
 
@@ -123,6 +128,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if hasattr(self, "observer"):
+            await self.observer.stop()
         for runner in self._runners:
             await runner.cleanup()
         await self._close_clients()
@@ -305,7 +312,16 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.streams.wait_idle(), max(bound, 0))
         if self.streams.count:
-            _log("streams are cut at the bound", open=self.streams.count)
+            await self._break_off_streams()
+
+    async def _break_off_streams(self) -> None:
+        """Tell the callers of what is still open that this daemon ends it."""
+        _log("streams are cut at the bound", open=self.streams.count)
+        self.streams.break_off_all(replace(_CUT, run=Run.MAY_HAVE_RUN))
+        self.core.refuse_waiting(_CUT)
+        with contextlib.suppress(TimeoutError):
+            seconds = CLOSING_TIME.total_seconds() / 2
+            await asyncio.wait_for(self.streams.wait_idle(), seconds)
 
 
 async def _show_metrics(request: web.Request) -> web.StreamResponse:
--- a/src/galenapass/callers/keys.py
+++ b/src/galenapass/callers/keys.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Protocol
 
 from aiohttp import web
@@ -14,6 +15,8 @@
 __all__ = ["Directory", "find_service", "list_models", "make_caller_finder"]
 
 SCHEME = "bearer"
+# Another host takes the work at once; this one may be ready again by then.
+RETURN_AFTER = timedelta(seconds=1)
 
 
 class Directory(Protocol):
@@ -80,9 +83,11 @@
 
 def _check_ready(directory: Directory, configuration: Configuration) -> Verdict | None:
     if configuration.version == 0:
-        return Verdict(Run.NOT_RUN, Reason.NOT_CONFIGURED, "no configuration yet")
+        detail = "no configuration yet"
+        return Verdict(Run.NOT_RUN, Reason.NOT_CONFIGURED, detail, RETURN_AFTER)
     if not directory.ready():
-        return Verdict(Run.NOT_RUN, Reason.STOPPING, "this host takes no new work")
+        detail = "this host takes no new work"
+        return Verdict(Run.NOT_RUN, Reason.STOPPING, detail, RETURN_AFTER)
     return None
 
 
--- a/src/galenapass/callers/streams.py
+++ b/src/galenapass/callers/streams.py
@@ -95,6 +95,11 @@
         stream.break_off(cause)
         return True
 
+    def break_off_all(self, cause: Verdict) -> None:
+        """Make every open attempt end with a cause at once."""
+        for stream in self._attempts.values():
+            stream.break_off(cause)
+
     async def sweep_forever(self) -> None:
         """Break off the streams that stand still, once a second."""
         loop = asyncio.get_running_loop()
--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -119,6 +119,11 @@
         _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
 
+    def refuse_waiting(self, verdict: Verdict) -> None:
+        """End every request that waits for a target."""
+        for request_id in list(self._decisions):
+            self._resolve(request_id, Err(verdict))
+
     def note_first_token(self, request: Request) -> None:
         """Take note that the prompt is processed and output has begun."""
         now = self._clock.monotonic()
--- a/src/galenapass/duties/observer.py
+++ b/src/galenapass/duties/observer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from datetime import timedelta
+from functools import partial
 
 from result import Err, Ok, Result
 
@@ -26,7 +27,15 @@
 class Observer:
     """Read the observed targets once a period and take their news in."""
 
-    __slots__ = ("_clock", "_fetch_load", "_fetch_ready", "_select", "_tell", "_world")
+    __slots__ = (
+        "_clock",
+        "_fetch_load",
+        "_fetch_ready",
+        "_open",
+        "_select",
+        "_tell",
+        "_world",
+    )
 
     def __init__(
         self,
@@ -43,13 +52,29 @@
         self._fetch_ready = fetch_ready
         self._select = select
         self._tell = tell
+        self._open: dict[str, asyncio.Task[None]] = {}
 
     async def observe(self) -> bool:
-        """Read every observed target once; always go on at the same pace."""
-        chosen = list(self._select())
-        await asyncio.gather(*(self._observe_one(target) for target in chosen))
+        """Begin to read every observed target, but for those still being read.
+
+        A target that answers late or never holds back no reading of another.
+        """
+        for target in list(self._select()):
+            if target.id not in self._open:
+                task = asyncio.create_task(self._observe_one(target))
+                self._open[target.id] = task
+                task.add_done_callback(partial(self._note_end, target.id))
         return True
 
+    async def stop(self) -> None:
+        """Give up what is being read."""
+        for task in self._open.values():
+            task.cancel()
+        await asyncio.gather(*self._open.values(), return_exceptions=True)
+
+    def _note_end(self, name: str, task: asyncio.Task[None]) -> None:
+        del self._open[name]
+
     async def _observe_one(self, target: Target) -> None:
         ready = await self._fetch_ready(target.address)
         if isinstance(ready, Ok):
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -24,14 +24,15 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(daemons, targets, extra="", stop_within="20 s"):
+async def run_fleet(daemons, targets, patience="20 s", stop_within="20 s"):
     """Run daemons, spread over two failure domains, with their file in force."""
     specs = [DaemonSpec(f"entry-{n + 1}", DOMAINS[n % 2]) for n in range(daemons)]
     async with Fleet(specs, targets) as fleet:
         fleet.stop_within = stop_within
         await fleet.start_platform("--host-list-lag", HOST_LIST_LAG)
         await fleet.start_targets()
-        await fleet.apply_file(fleet.write_file(extra=extra))
+        fleet.patience = patience
+        await fleet.apply_file(fleet.write_file())
         await fleet.start_daemons()
         await fleet.wait_ready()
         yield fleet
