Measure how fast a file spreads over 24 daemons

Cause: nothing showed with real processes that an accepted file is in force everywhere within 4 s, nor what an idle fleet costs the platform and the peers. The metric galenapass.peer_bytes existed, but nothing added to it.

Ruled out: a relay before each daemon to cut its peers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: demo test check setup format measure measure-path measure-capacity prove
+.PHONY: demo test check setup format measure measure-path measure-spread measure-capacity prove
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 measure-path: setup
 	$(BIN)/python -m experiments.measure_path
 
+measure-spread: setup
+	$(BIN)/python -m experiments.measure_spread
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -61,6 +61,7 @@
     operators: int = field(default_factory=find_free_port)
     peers: int = field(default_factory=find_free_port)
     platform: str = ""
+    reach: str = "fleet"
 
     @property
     def entry(self) -> str:
@@ -158,6 +159,7 @@
 listen = 127.0.0.1:{spec.peers}
 secret = {SECRET}
 join = {", ".join(others)}
+reach = {spec.reach}
 
 [platform]
 address = {spec.platform or self.platform}
--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -26,7 +26,12 @@
 from galenapass.duties.planner import Planner
 from galenapass.intake import Intake
 from galenapass.logs import log_to, make_log
-from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
+from galenapass.metrics import (
+    CONTENT_TYPE_LATEST,
+    make_metrics,
+    make_total_counter,
+    render_metrics,
+)
 from galenapass.news import News
 from galenapass.operators.app import make_operators_app
 from galenapass.operators.overview import Overview
@@ -193,6 +198,11 @@
             self.intake.is_sound,
             pooled=settings.pooled,
         )
+        traffic, counter = self.peers.traffic, self.metrics.peer_bytes
+        self._count_peer_bytes = (
+            make_total_counter(counter, lambda: traffic.sent, direction="sent"),
+            make_total_counter(counter, lambda: traffic.received, direction="received"),
+        )
 
     def _make_planner(self) -> None:
         self.follower = Follower(
@@ -290,6 +300,8 @@
         limits.rebalance(self.world, now)
         crashes.forget_old(self.world, now)
         self.news.tell_uses(self.peers.tell)
+        for count in self._count_peer_bytes:
+            count()
         return True
 
     def _hear(self, item: Any) -> None:
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -1,5 +1,6 @@
 """Count and time what the daemon does, through OpenTelemetry."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -8,7 +9,13 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-__all__ = ["CONTENT_TYPE_LATEST", "Metrics", "make_metrics", "render_metrics"]
+__all__ = [
+    "CONTENT_TYPE_LATEST",
+    "Metrics",
+    "make_metrics",
+    "make_total_counter",
+    "render_metrics",
+]
 
 # Seconds; the first token's target of 1 s lies between two bounds.
 LATENCY_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0)
@@ -50,6 +57,21 @@
     )
 
 
+def make_total_counter(
+    counter: Counter, read: Callable[[], int], **labels: str
+) -> Callable[[], None]:
+    """Return a call that adds what a running total has grown by since the last one."""
+    counted = 0
+
+    def count() -> None:
+        nonlocal counted
+        total = read()
+        counter.add(total - counted, labels)
+        counted = total
+
+    return count
+
+
 def render_metrics() -> bytes:
     """Return every metric in the Prometheus text format."""
     return generate_latest()
