--- a/src/galenapass/systems/orders.py
+++ b/src/galenapass/systems/orders.py
@@ -184,8 +184,8 @@
 ) -> OrdersEffect | None:
     assert isinstance(event, ObjectRead)
     match event.answer:
-        case Ok(stored):
-            _note_object(book, decode_orders(stored.body), stored.version, now)
+        case Ok(stored) if (read := _decode(stored.body)) is not None:
+            _note_object(book, read, stored.version, now)
         case Err(failure) if failure.cause is Cause.NOT_FOUND:
             # A deleted object is written anew from what is remembered.
             _note_object(book, book.object, None, now)
@@ -195,6 +195,14 @@
     return _tick(book, event, situation, now)
 
 
+def _decode(body: str) -> OrdersObject | None:
+    """Return the object; an unreadable one is never written over."""
+    try:
+        return decode_orders(body)
+    except ValueError:
+        return None
+
+
 def _take_written(
     book: OrdersBook, event: OrdersEvent, situation: Situation, now: timedelta
 ) -> OrdersEffect | None:
--- a/src/galenapass/systems/orders_rules.py
+++ b/src/galenapass/systems/orders_rules.py
@@ -26,7 +26,7 @@
     OrdersObject,
     Sender,
 )
-from galenapass.targets.engines import EngineState
+from galenapass.targets.engines import CONTROL_SECONDS, EngineState
 
 __all__ = [
     "adopt",
@@ -43,15 +43,19 @@
 
 # 2**24 sends by one process; with 2**29 holders the number stays exact in JSON.
 SENDS_A_FENCE = 2**24
+SEND_TIMEOUT = timedelta(seconds=CONTROL_SECONDS)
 # Phases that a target reports.
 SERVING = "serving"
 CHANGING = "changing"
 
 
 def may_send(lease: Lease, lease_fence: int, now: timedelta) -> bool:
-    """Tell whether an order may leave; ask with nothing between this and the send."""
+    """Tell whether an order may leave; ask with nothing between this and the send.
+
+    The lease has to outlast the whole time that the send may take.
+    """
     held = lease.value is not None and lease.value.fence == lease_fence
-    return held and is_valid(lease, now)
+    return held and is_valid(lease, now + SEND_TIMEOUT)
 
 
 def may_order(
--- /dev/null
+++ b/tests/test_orders_planner.py
@@ -0,0 +1,157 @@
+"""Test the planner over fakes of the platform's client and of a target."""
+
+import asyncio
+from datetime import timedelta
+from unittest import mock
+
+from result import Ok
+from testtools import TestCase
+
+from galenapass.clocks import ManualClock
+from galenapass.duties import planner
+from galenapass.duties.planner import Planner
+from galenapass.systems import drains
+from galenapass.systems.placement import WantedChange
+from galenapass.tables.configurations import Configuration, TargetEntry
+from galenapass.tables.orders import OrdersView
+from galenapass.tables.targets import Kind, Role, Target, TargetState
+from galenapass.tables.world import World
+from tests.fake_engines import FakeEngine
+from tests.fake_objects import AWAY, FakeObjects
+
+WANTED = WantedChange("e1", "role", "decode", 9.0, 1.0, "test")
+
+
+class _Client:
+    """Answer as the platform's client does."""
+
+    def __init__(self):
+        self.objects = FakeObjects()
+        self.away = False
+
+    async def read(self, kind, name):
+        return AWAY if self.away else self.objects.read(kind)
+
+    async def write(self, kind, name, body, if_version=None):
+        if self.away:
+            return AWAY
+        return self.objects.write(kind, body, if_version)
+
+
+class _Engines:
+    """Answer as the client of engines does, for one target."""
+
+    def __init__(self, world):
+        self.world = world
+        self.engine = FakeEngine(True)
+        self.orders = []
+
+    async def fetch_state(self, address):
+        return self.engine.state(self.world.targets["e1"].own_requests)
+
+    async def send_order(self, address, order):
+        self.orders.append(order)
+        return Ok(self.engine.offer(order, lambda order: None))
+
+
+class PlannerTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.client = _Client()
+        self.world = World("h1", "north")
+        self.world.targets["e1"] = Target("e1", "a:1", "north", Kind.ENGINE, "s")
+        entry = TargetEntry("e1", "s", "a:1", "north")
+        self.world.configuration = Configuration(1, targets={"e1": entry})
+        self.view = OrdersView()
+        self.engines = _Engines(self.world)
+        self.daemons = {"h1": 1}
+        self.told = []
+        self.wanted = [WANTED]
+        self.planner = Planner(
+            self.world,
+            self.view,
+            1,
+            self.client,
+            self.engines,
+            self.clock,
+            lambda: self.daemons,
+            lambda: drains.list_acks(self.world, self.view, 1),
+            self.told.append,
+        )
+
+    def _run(self, rounds):
+        async def inner():
+            for _ in range(rounds):
+                self.clock.advance(timedelta(seconds=1))
+                await self.planner.advance_lease()
+                await self.planner.advance_orders()
+
+        propose = mock.patch.object(
+            planner, "propose_changes", lambda world, now: self.wanted
+        )
+        with propose:
+            asyncio.run(inner())
+
+    def _finish_change(self):
+        self.wanted = []
+        self.engines.engine.finish()
+        self._run(3)
+
+    @property
+    def target(self):
+        return self.world.targets["e1"]
+
+    def test_drains_orders_and_returns_to_service(self):
+        self.target.own_requests = 1
+        self._run(4)
+        self.assertIs(TargetState.DRAINING, self.target.state)
+        self.assertEqual([], self.engines.orders)
+        self.target.own_requests = 0
+        self._run(3)
+        self.assertIs(TargetState.CHANGING, self.target.state)
+        self._finish_change()
+        self.assertIs(TargetState.SERVING, self.target.state)
+        self.assertIs(Role.DECODE, self.target.role)
+        self.assertEqual(1, len(self.engines.orders))
+        versions = [orders.version for orders in self.told]
+        self.assertEqual(sorted(set(versions)), versions)
+
+    def test_repeats_the_order_after_a_crash_halfway(self):
+        self._run(4)
+        self.engines.engine.crash()
+        self._run(4)
+        first, second = self.engines.orders
+        self.assertEqual(first.id, second.id)
+        self.assertLess(first.fence, second.fence)
+
+    def test_gives_no_order_when_cut_off_from_the_platform(self):
+        self.target.own_requests = 1
+        self._run(4)
+        self.client.away = True
+        self.target.own_requests = 0
+        self._run(20)
+        self.assertFalse(self.planner.holds_lease())
+        self.assertEqual([], self.engines.orders)
+
+    def test_waits_for_a_daemon_that_does_not_answer_and_then_serves_again(self):
+        self.daemons = {"h1": 1, "h2": 1}
+        self._run(10)
+        self.assertIs(TargetState.DRAINING, self.target.state)
+        self._run(60)
+        self.assertIs(TargetState.SERVING, self.target.state)
+        self.assertEqual([], self.engines.orders)
+        self._run(10)
+        self.assertIs(TargetState.SERVING, self.target.state)
+
+    def test_seeks_no_lease_before_its_host_is_listed(self):
+        self.daemons = {"h2": 1}
+        self._run(3)
+        self.assertFalse(self.planner.holds_lease())
+
+    def test_gives_the_lease_back_when_it_stops(self):
+        self._run(2)
+        self.assertTrue(self.planner.holds_lease())
+        asyncio.run(self.planner.stop(timedelta(seconds=1)))
+        self.assertFalse(self.planner.holds_lease())
+        self.assertIn('"holder":null', self.client.objects.objects["leases"].body)
