--- a/src/galenapass/duties/planner.py
+++ b/src/galenapass/duties/planner.py
@@ -1,34 +1,28 @@
-"""Hold a domain's lease, and carry its role changes from intent to outcome.
-
-Every daemon may run a planner; the lease lets one of them act. Whatever it writes
-to the orders object is put in force here at once and told to the peers.
-"""
+"""Run a failure domain's lease and orders against the platform and the engines."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import Any
 
-from result import Err, Ok, Result
+from result import Err
 
 from galenapass.clocks import Clock
 from galenapass.logs import make_log
+from galenapass.metrics import Metrics
 from galenapass.platform.objects import Objects
-from galenapass.systems import orders_rules as rules
-from galenapass.systems.drains import apply_orders, open_intent
+from galenapass.systems import leases, orders_rules
 from galenapass.systems.leases import (
     LeaseEffect,
-    LeaseEvent,
     LeaseRead,
     LeaseWritten,
     ReadLease,
     StopLease,
     Tick,
-    is_own,
-    is_valid,
+    WriteLease,
     step_lease,
 )
 from galenapass.systems.orders import step_orders
-from galenapass.systems.orders_codec import encode_orders
 from galenapass.systems.orders_events import (
     FetchState,
     ObjectRead,
@@ -43,260 +37,241 @@
     StateFetched,
     WriteOrders,
 )
-from galenapass.systems.placement import propose_changes
+from galenapass.systems.placement import WantedChange
+from galenapass.systems.wants import list_wants
+from galenapass.tables.hosts import HostState
 from galenapass.tables.leases import Lease
-from galenapass.tables.orders import IntentPhase, OrdersBook, OrdersView
+from galenapass.tables.orders import OrdersBook
 from galenapass.tables.peers import DrainAck, Orders
-from galenapass.tables.targets import TargetState
+from galenapass.tables.targets import Kind
 from galenapass.tables.world import World
-from galenapass.targets.engines import Engines, EngineState, OrderAnswer
+from galenapass.targets.engines import Engines
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["Planner", "fetch_orders"]
+__all__ = ["ORDERS_KIND", "Planner"]
 
-LEASES = "leases"
-ORDERS = "orders"
+LEASES_KIND = "leases"
+ORDERS_KIND = "orders"
 TERM = timedelta(seconds=10)
-PERIOD = timedelta(milliseconds=250)
-# A drain that lasts longer is taken back: its target serves again.
-DRAIN_TIMEOUT = timedelta(seconds=60)
-REST_AFTER_DRAIN = timedelta(seconds=60)
+PERIOD = timedelta(milliseconds=200)
+RELEASE_SECONDS = 3.0
 
 _log = make_log("planner")
 
-_UNSENT = Verdict(Run.NOT_RUN, Reason.CANCELLED, "the lease does not last for a send")
-_NO_TARGET = Verdict(Run.NOT_RUN, Reason.NO_TARGET, "the target is not known here")
+NOT_SENT = Verdict(Run.NOT_RUN, Reason.STOPPING, "the lease is no longer valid")
 
 
 class Planner:
-    """Hold the lease and the orders of one domain as this daemon knows them.
+    """Hold one daemon's part in planning its failure domain.
 
-    ``list_daemons`` gives the incarnation of each daemon of the domain on the
-    platform's list, nothing while the list is unknown; ``list_acks`` what they, and
-    this daemon itself, acknowledged; ``tell`` spreads the orders object.
+    ``list_acks`` gives what every daemon has told, this one included; ``publish`` is
+    given each orders object that was written or read.
     """
 
     __slots__ = (
+        "_book",
         "_clock",
-        "_drain",
         "_engines",
+        "_lease",
         "_list_acks",
-        "_list_daemons",
+        "_listed",
+        "_metrics",
         "_objects",
-        "_rest_until",
-        "_tell",
-        "_view",
+        "_publish",
+        "_told",
         "_world",
-        "book",
-        "lease",
     )
 
     def __init__(
         self,
         world: World,
-        view: OrdersView,
         incarnation: int,
+        clock: Clock,
         objects: Objects,
         engines: Engines,
-        clock: Clock,
-        list_daemons: Callable[[], Mapping[str, int]],
+        metrics: Metrics,
         list_acks: Callable[[], Iterable[DrainAck]],
-        tell: Callable[[Orders], None],
+        publish: Callable[[Orders], None],
         term: timedelta = TERM,
     ):
         self._world = world
-        self._view = view
+        self._clock = clock
         self._objects = objects
         self._engines = engines
-        self._clock = clock
-        self._list_daemons = list_daemons
+        self._metrics = metrics
         self._list_acks = list_acks
-        self._tell = tell
-        self._drain: tuple[str, timedelta] | None = None
-        self._rest_until = timedelta(0)
-        self.lease = Lease(world.domain, world.host, incarnation, term)
-        self.book = OrdersBook(world.domain, world.host, incarnation)
-
-    async def run(self) -> None:
-        """Seek and keep the lease, and act while it is held, for ever."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._repeat(self.advance_lease))
-            tasks.create_task(self._repeat(self.advance_orders))
+        self._publish = publish
+        self._lease = Lease(world.domain, world.host, incarnation, term)
+        self._book = OrdersBook(world.domain, world.host, incarnation)
+        self._listed: dict[str, int] = {}
+        self._told: tuple[str, ...] = ()
 
-    async def stop(self, within: timedelta) -> None:
-        """Give the lease back, once ``run`` has ended and with it every send."""
-        try:
-            async with asyncio.timeout(within.total_seconds()):
-                await self._pursue_lease(StopLease())
-                while is_own(self.lease):
-                    await self._pursue_lease(Tick())
-                    await asyncio.sleep(PERIOD.total_seconds())
-        except TimeoutError:
-            _log("lease is left to run out", domain=self.lease.domain)
+    def note_list(self, daemons: dict[str, int]) -> None:
+        """Take in which daemons the platform lists, with their incarnations."""
+        self._listed = daemons
 
-    def holds_lease(self) -> bool:
-        """Tell whether this daemon has authority over its domain's targets now."""
-        return is_valid(self.lease, self._clock.monotonic())
+    def is_holder(self) -> bool:
+        """Tell whether this daemon holds a valid lease now."""
+        return leases.is_valid(self._lease, self._clock.monotonic())
 
-    async def _repeat(self, advance: Callable[[], Awaitable[None]]) -> None:
+    async def run(self) -> None:
+        """Plan for as long as this daemon is a candidate, then release the lease."""
+        keeping = asyncio.create_task(self._repeat(self._step_lease))
+        ordering = asyncio.create_task(self._repeat(self._step_orders))
+        try:
+            await asyncio.gather(keeping, ordering)
+        finally:
+            for task in (ordering, keeping):
+                task.cancel()
+            await asyncio.gather(keeping, ordering, return_exceptions=True)
+            await self._release()
+
+    async def _repeat(self, step: Callable[[], Any]) -> None:
         while True:
-            await _complete(advance())
+            await step()
             await asyncio.sleep(PERIOD.total_seconds())
 
     # The lease
 
-    async def advance_lease(self) -> None:
-        """Seek the lease, or renew it when that is due."""
-        # A host that is not on the list yet would look gone to its successor.
-        if is_own(self.lease) or self._world.host in self._list_daemons():
-            await self._pursue_lease(Tick())
+    async def _step_lease(self) -> None:
+        held = self.is_holder()
+        effect = step_lease(self._lease, Tick(), self._clock.monotonic())
+        await self._follow_lease(effect)
+        if self.is_holder() != held:
+            fence = self._lease.value.fence if self._lease.value else None
+            _log("lease changes hands", domain=self._world.domain, fence=fence)
 
-    async def _pursue_lease(self, event: LeaseEvent) -> None:
-        before = self.holds_lease()
-        effect = step_lease(self.lease, event, self._clock.monotonic())
+    async def _follow_lease(self, effect: LeaseEffect | None) -> None:
         while effect is not None:
-            answer = await self._call_lease(effect)
-            effect = step_lease(self.lease, answer, self._clock.monotonic())
-        if self.holds_lease() is not before:
-            change = "lost" if before else "held"
-            fence = self.lease.value.fence if self.lease.value else None
-            _log(f"lease is {change}", domain=self.lease.domain, fence=fence)
-
-    async def _call_lease(self, effect: LeaseEffect) -> LeaseEvent:
-        name = self.lease.domain
+            event = await self._call_lease(effect)
+            effect = step_lease(self._lease, event, self._clock.monotonic())
+
+    async def _call_lease(self, effect: LeaseEffect) -> LeaseRead | LeaseWritten:
+        name = self._world.domain
         if isinstance(effect, ReadLease):
-            return LeaseRead(await self._objects.read(LEASES, name))
+            return LeaseRead(await self._objects.read(LEASES_KIND, name))
+        assert isinstance(effect, WriteLease)
         return LeaseWritten(
-            await self._objects.write(LEASES, name, effect.body, effect.if_version)
+            await self._objects.write(LEASES_KIND, name, effect.body, effect.if_version)
         )
 
-    # The orders
+    async def _release(self) -> None:
+        effect = step_lease(self._lease, StopLease(), self._clock.monotonic())
+        try:
+            async with asyncio.timeout(RELEASE_SECONDS):
+                await self._follow_lease(effect)
+        except TimeoutError:
+            _log("lease is left to lapse", domain=self._world.domain)
+        self._lease = Lease(
+            self._lease.domain,
+            self._lease.host,
+            self._lease.incarnation,
+            self._lease.term,
+            writes=self._lease.writes,
+        )
+
+    # Orders
 
-    async def advance_orders(self) -> None:
-        """Take the next steps of the open change, or open one."""
+    async def _step_orders(self) -> None:
         event: OrdersEvent = OrdersTick()
-        effect = self._step(event)
-        while effect is not None:
+        while True:
+            now = self._clock.monotonic()
+            situation = self._find_situation(now)
+            effect = step_orders(self._book, event, situation, now)
+            if effect is None:
+                return
             event = await _CALLS[type(effect)](self, effect)
-            effect = self._step(event)
 
-    def _step(self, event: OrdersEvent) -> OrdersEffect | None:
-        now = self._clock.monotonic()
-        effect = step_orders(self.book, event, self._describe(now), now)
-        self._spread(now)
-        return effect
-
-    def _describe(self, now: timedelta) -> Situation:
-        lease = self.lease
-        held = is_valid(lease, now) and lease.value is not None
-        wants_more = held and now >= self._rest_until
-        wanted = propose_changes(self._world, now) if wants_more else []
-        entries = self._world.configuration.targets.values()
-        own = [entry for entry in entries if entry.domain == self._world.domain]
+    def _find_situation(self, now: timedelta) -> Situation:
+        configuration = self._world.configuration
+        valid = leases.is_valid(self._lease, now)
+        value = self._lease.value
         return Situation(
-            fence=lease.value.fence if held and lease.value else None,
-            wanted=tuple(wanted),
-            still_wanted=self._list_wanted(now),
+            fence=value.fence if valid and value is not None else None,
+            wanted=self._list_wants(now) if valid else (),
             daemons=self._list_daemons(),
             acks=tuple(self._list_acks()),
-            checks_fencing={entry.name: entry.checks_fencing for entry in own},
-            quarantine=self._world.configuration.quarantine,
-        )
-
-    def _list_wanted(self, now: timedelta) -> frozenset[str]:
-        """Return the targets that stay and whose drain does not last too long."""
-        late = self._find_late_drain(now)
-        return frozenset(
-            target.id
-            for target in self._world.targets.values()
-            if target.state is not TargetState.LEAVING and target.id != late
+            checks_fencing={
+                entry.name: entry.checks_fencing
+                for entry in configuration.targets.values()
+                if entry.domain == self._world.domain
+                and configuration.services[entry.service].kind is Kind.ENGINE
+            },
+            quarantine=configuration.quarantine,
         )
 
-    def _find_late_drain(self, now: timedelta) -> str | None:
-        intent = open_intent(self.book.object)
-        if intent is None or intent.phase is not IntentPhase.DRAINING:
-            self._drain = None
-            return None
-        if self._drain is None or self._drain[0] != intent.id:
-            self._drain = (intent.id, now)
-        if now < self._drain[1] + DRAIN_TIMEOUT:
-            return None
-        if now >= self._rest_until:
-            _log("drain is taken back", target=intent.target, id=intent.id)
-        self._rest_until = now + REST_AFTER_DRAIN
-        return intent.target
-
-    def _spread(self, now: timedelta) -> None:
-        """Put what was read or written in force and tell the peers."""
-        book = self.book
-        if not book.known or book.version is None:
-            return
-        orders = Orders(book.domain, book.version, encode_orders(book.object))
-        if apply_orders(self._world, self._view, orders, now):
-            self._tell(orders)
-            _log(
-                "orders are in force", version=book.version, intents=book.object.intents
-            )
-
-    async def _read_object(self, effect: ReadOrders) -> OrdersEvent:
-        return ObjectRead(await self._objects.read(ORDERS, self.book.domain))
-
-    async def _write_object(self, effect: WriteOrders) -> OrdersEvent:
-        return ObjectWritten(
-            await self._objects.write(
-                ORDERS, self.book.domain, effect.body, effect.if_version
-            )
+    def _list_wants(self, now: timedelta) -> tuple[WantedChange, ...]:
+        wants = list_wants(self._world, now)
+        sentences = tuple(change.why for change in wants)
+        if sentences != self._told:
+            self._told = sentences
+            for change in wants:
+                _log(
+                    f"{change.action} {change.value} is wanted for {change.target}",
+                    gain=change.gain,
+                    cost=change.cost,
+                    why=change.why,
+                )
+        return wants
+
+    def _list_daemons(self) -> dict[str, int]:
+        """Return who must acknowledge: the listed ones and those heard of.
+
+        A daemon that is too new for the list may already send work.
+        """
+        if not self._listed:
+            return {}
+        heard = {
+            host.id: host.incarnation
+            for host in self._world.hosts.values()
+            if host.state is not HostState.GONE
+        }
+        names = self._listed.keys() | heard.keys()
+        return {n: max(self._listed.get(n, 0), heard.get(n, 0)) for n in names}
+
+    async def _read(self, effect: ReadOrders) -> OrdersEvent:
+        found = await self._objects.read(ORDERS_KIND, self._world.domain)
+        if not isinstance(found, Err):
+            stored = found.ok_value
+            self._publish(Orders(self._world.domain, stored.version, stored.body))
+        return ObjectRead(found)
+
+    async def _write(self, effect: WriteOrders) -> OrdersEvent:
+        name = self._world.domain
+        written = await self._objects.write(
+            ORDERS_KIND, name, effect.body, effect.if_version
         )
+        if not isinstance(written, Err):
+            self._publish(Orders(name, written.ok_value, effect.body))
+        return ObjectWritten(written)
 
-    async def _fetch_state(self, effect: FetchState) -> OrdersEvent:
+    async def _fetch(self, effect: FetchState) -> OrdersEvent:
         target = self._world.targets.get(effect.target)
         if target is None:
-            return StateFetched(Err(_NO_TARGET))
-        answer: Result[EngineState, Verdict]
-        answer = await self._engines.fetch_state(target.address)
-        return StateFetched(answer)
+            detail = f"{effect.target} is not in the file"
+            return StateFetched(Err(Verdict(Run.NOT_RUN, Reason.NO_TARGET, detail)))
+        return StateFetched(await self._engines.fetch_state(target.address))
 
-    async def _send_order(self, effect: SendOrder) -> OrdersEvent:
+    async def _send(self, effect: SendOrder) -> OrdersEvent:
         target = self._world.targets.get(effect.target)
         if target is None:
-            return OrderSent(Err(_NO_TARGET))
-        answer: Result[OrderAnswer, Verdict] = Err(_UNSENT)
-        if rules.may_send(self.lease, effect.lease_fence, self._clock.monotonic()):
-            answer = await self._engines.send_order(target.address, effect.order)
+            return OrderSent(Err(NOT_SENT))
+        order = effect.order
         _log(
-            f"order is sent to {target.id}",
-            id=effect.order.id,
-            fence=effect.order.fence,
-            action=effect.order.action,
-            value=effect.order.value,
-            answer=str(answer),
+            f"{order.action} {order.value} is ordered from {target.id}",
+            order=order.id,
+            fence=order.fence,
         )
-        return OrderSent(answer)
-
-
-async def fetch_orders(objects: Objects, domain: str) -> Orders | None:
-    """Return a domain's orders object as the platform holds it, if it answers."""
-    found = await objects.read(ORDERS, domain)
-    if not isinstance(found, Ok):
-        return None
-    return Orders(domain, found.ok_value.version, found.ok_value.body)
-
-
-async def _complete(work: Awaitable[None]) -> None:
-    """Await work to its end even when cancelled, so that no send is left behind."""
-    task = asyncio.ensure_future(work)
-    try:
-        await asyncio.shield(task)
-    except asyncio.CancelledError:
-        await asyncio.wait({task})
-        raise
-
+        self._metrics.orders.add(1, {"action": order.action})
+        now = self._clock.monotonic()
+        if not orders_rules.may_send(self._lease, effect.lease_fence, now):
+            return OrderSent(Err(NOT_SENT))
+        return OrderSent(await self._engines.send_order(target.address, order))
 
-_Call = Callable[[Planner, OrdersEffect], Awaitable[OrdersEvent]]
 
-_CALLS: dict[type, _Call] = {
-    ReadOrders: Planner._read_object,  # type: ignore[dict-item]
-    WriteOrders: Planner._write_object,  # type: ignore[dict-item]
-    FetchState: Planner._fetch_state,  # type: ignore[dict-item]
-    SendOrder: Planner._send_order,  # type: ignore[dict-item]
+_CALLS: dict[type[OrdersEffect], Callable[[Planner, Any], Any]] = {
+    ReadOrders: Planner._read,
+    WriteOrders: Planner._write,
+    FetchState: Planner._fetch,
+    SendOrder: Planner._send,
 }
