Build every part of a daemon before it starts; hand peers' items on by table

Cause: the assembly had grown to 420 lines, tested with hasattr which parts existed when a stop came early, and a chain of ifs handed on what peers tell. Ruled out: a container of optional parts, which moves the checks elsewhere. Change: the constructor makes every part; Clients and Exchange have modules of their own; the lease is released before the last word to the peers.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -17,6 +17,7 @@
 from galenapass.callers.app import make_callers_app, make_runner
 from galenapass.callers.limits import Limits
 from galenapass.callers.streams import OpenStreams
+from galenapass.clients import Clients
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
@@ -25,20 +26,14 @@
 from galenapass.duties.journal import Journal
 from galenapass.duties.loops import repeat
 from galenapass.duties.planner import Planner
-from galenapass.duties.roster import Roster
+from galenapass.exchange import Exchange
 from galenapass.intake import Intake
 from galenapass.logs import log_to, make_log
-from galenapass.metrics import (
-    CONTENT_TYPE_LATEST,
-    make_metrics,
-    make_total_counter,
-    render_metrics,
-)
+from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
 from galenapass.news import News
 from galenapass.operators.app import make_operators_app
 from galenapass.operators.overview import Overview
 from galenapass.peers import Peers
-from galenapass.platform.objects import Objects
 from galenapass.settings.addresses import Address
 from galenapass.settings.daemon import DaemonSettings
 from galenapass.settings.hours import urgency_of
@@ -47,13 +42,8 @@
 from galenapass.systems.duties import Duty, holds, list_duties
 from galenapass.systems.membership import Listed
 from galenapass.tables.configurations import Configuration
-from galenapass.tables.hosts import HostState
-from galenapass.tables.peers import Drain, DrainAck, HostChange, Orders, Settings
-from galenapass.tables.targets import Target
+from galenapass.tables.peers import Settings
 from galenapass.tables.world import World
-from galenapass.targets.engines import Engines
-from galenapass.targets.probes import Probes
-from galenapass.targets.services import PlainServices
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Daemon"]
@@ -62,6 +52,8 @@
 UPKEEP_PERIOD = timedelta(seconds=1)
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
+# Whoever holds one of these needs the newest list of hosts.
+LIST_DUTIES = (Duty.SETTINGS_WATCHER, Duty.PLANNER_CANDIDATE)
 
 _CUT = Verdict(Run.NOT_RUN, Reason.STOPPING, "this daemon stops and can wait no longer")
 
@@ -69,7 +61,7 @@
 
 
 class Daemon:
-    """Hold the parts of one daemon."""
+    """Hold the parts of one daemon; make it with the event loop running."""
 
     def __init__(self, settings: DaemonSettings):
         self.settings = settings
@@ -78,8 +70,28 @@
         self.random = Random()
         self.metrics = make_metrics()
         self.world = World(settings.host, settings.domain)
-        self.news = News(self.world, self.clock)
+        self.clients = Clients(settings, self.random, self.metrics)
+        self.limits = Limits(settings.body_limit, settings.body_timeout)
+        self.streams = OpenStreams(self.limits)
+        self.core = self._make_core()
+        self.claims = Journal(
+            self.clients.objects, settings.host, self.clock, self.random
+        )
         self.intake = Intake(self.world, self._note_configuration)
+        self.peers = self._make_peers()
+        self.follower = self._make_follower()
+        self.planner = self._make_planner()
+        self.roster = self._make_roster()
+        self.exchange = Exchange(
+            self.peers,
+            News(self.world, self.clock),
+            self.intake,
+            self.follower,
+            self.roster,
+            self.metrics,
+            self.core.wake,
+        )
+        self.observer = self._make_observer()
         self.is_ready = False
         self._tasks: list[asyncio.Task[Any]] = []
         self._runners: list[web.AppRunner] = []
@@ -88,68 +100,36 @@
         """Open every port and begin every duty."""
         _open_log(self.settings.logs_outlet)
         _log("daemon starts", host=self.settings.host, domain=self.settings.domain)
-        self._make_clients()
-        self.core = Core(
-            self.world,
-            self.clock,
-            self.random,
-            self.metrics,
-            self.probes.has_crashed,
-            self.streams.break_off,
-        )
         self.core.start()
-        self._make_peers()
-        self._make_planner()
-        self._make_roster()
-        self.peers.heard.subscribe(self._hear)
         await self.peers.start()
-        await self._fetch_configuration()
-        await self.follower.read_orders(self.objects)
+        await self._read_platform()
         await self._listen(self._make_callers_app(), self.settings.callers_listen)
-        operators = make_operators_app(
-            self._make_overview(), self.settings.operators_token
-        )
-        await self._listen(operators, self.settings.operators_listen)
-        self._spawn(
-            work_while_held(
-                Duty.SETTINGS_WATCHER.value,
-                lambda: self._holds(Duty.SETTINGS_WATCHER),
-                self._watch,
-            )
-        )
-        self._spawn(
-            work_while_held(
-                Duty.PLANNER_CANDIDATE.value,
-                lambda: self._holds(Duty.PLANNER_CANDIDATE),
-                self.planner.run,
-            )
-        )
-        self._spawn(repeat(self._tell_news, NEWS_PERIOD, self.random))
-        self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
-        self._spawn(repeat(self.roster.read, roster.PERIOD, self.random))
-        self.observer = self._make_observer()
-        self._spawn(repeat(self.observer.observe, observer.PERIOD, self.random))
+        await self._listen(self._make_operators_app(), self.settings.operators_listen)
+        self._hold(Duty.SETTINGS_WATCHER, self._watch)
+        self._hold(Duty.PLANNER_CANDIDATE, self.planner.run)
+        self._repeat(self.exchange.tell_loads, NEWS_PERIOD)
+        self._repeat(self._keep_up, UPKEEP_PERIOD)
+        self._repeat(self.roster.read, roster.PERIOD)
+        self._repeat(self.observer.observe, observer.PERIOD)
         self.is_ready = True
-        _log("daemon is ready", version=self.world.configuration.version)
+        _log("daemon is ready", version=self.intake.version)
 
     async def stop(self) -> None:
         """Take no new work, let what runs end, give back what is held."""
-        _log("daemon stops", open=self._count_open())
+        _log("daemon stops", open=self.streams.count)
         self.is_ready = False
-        if hasattr(self, "core"):
-            self.core.stopping = True
-            self.peers.leave()
-            await self._finish_streams()
-            self.core.stop()
-            await self.peers.stop()
+        self.core.stopping = True
+        self.peers.leave()
+        await self._finish_streams()
+        self.core.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if hasattr(self, "observer"):
-            await self.observer.stop()
+        await self.observer.stop()
+        await self.peers.stop()
         for runner in self._runners:
             await runner.cleanup()
-        await self._close_clients()
+        await self.clients.close()
         _log("daemon has stopped")
 
     # What the callers' side asks
@@ -166,31 +146,21 @@
         """Return an identifier that no other request in the fleet has."""
         return f"{self.settings.host}-{secrets.token_hex(8)}"
 
-    def _note_configuration(self, configuration: Configuration) -> None:
-        self.peers.tell(Settings(configuration.version, configuration.text))
-        self.core.wake()
-
     # Parts
 
-    def _make_clients(self) -> None:
-        settings = self.settings
-        self.limits = Limits(settings.body_limit, settings.body_timeout)
-        self.streams = OpenStreams(self.limits)
-        self.engines = Engines()
-        self.services = PlainServices()
-        self.probes = Probes(self.engines)
-        self.objects = Objects(
-            str(settings.platform_address),
-            settings.host,
-            settings.domain,
-            self._count_call,
+    def _make_core(self) -> Core:
+        return Core(
+            self.world,
+            self.clock,
             self.random,
+            self.metrics,
+            self.clients.probes.has_crashed,
+            self.streams.break_off,
         )
-        self.claims = Journal(self.objects, settings.host, self.clock, self.random)
 
-    def _make_peers(self) -> None:
+    def _make_peers(self) -> Peers:
         settings = self.settings
-        self.peers = Peers(
+        return Peers(
             settings.host,
             settings.domain,
             self.incarnation,
@@ -204,62 +174,48 @@
             self.intake.is_sound,
             pooled=settings.pooled,
         )
-        traffic, counter = self.peers.traffic, self.metrics.peer_bytes
-        self._count_peer_bytes = (
-            make_total_counter(counter, lambda: traffic.sent, direction="sent"),
-            make_total_counter(counter, lambda: traffic.received, direction="received"),
-        )
 
-    def _make_planner(self) -> None:
-        self.follower = Follower(
+    def _make_follower(self) -> Follower:
+        return Follower(
             self.world,
             self.clock,
             lambda: self.peers.incarnation,
             self.peers.tell,
             self.streams.break_off,
         )
-        self.planner = Planner(
+
+    def _make_planner(self) -> Planner:
+        return Planner(
             self.world,
             self.incarnation,
             self.clock,
-            self.objects,
-            self.engines,
+            self.clients.objects,
+            self.clients.engines,
             self.metrics,
             self.follower.list_acks,
             self.follower.hear_orders,
         )
 
-    def _make_roster(self) -> None:
-        self.roster = Roster(
+    def _make_roster(self) -> roster.Roster:
+        return roster.Roster(
             self.world,
             self.clock,
-            self.objects,
-            self._needs_list,
+            self.clients.objects,
+            lambda: any(self._holds(duty) for duty in LIST_DUTIES),
             self._note_daemons,
             self.peers.tell,
         )
 
-    def _make_overview(self) -> Overview:
-        return Overview(
-            world=self.world,
-            clock=self.clock,
-            objects=self.objects,
-            accept=self.intake.accept,
-            incarnation=lambda: self.peers.incarnation,
-            is_ready=self.ready,
-            is_platform_reachable=lambda: self.roster.answered,
-            list_duties=self._list_duties,
-            find_configuration=self.intake.find,
+    def _make_observer(self) -> observer.Observer:
+        return observer.Observer(
+            self.world,
+            self.clock,
+            self.clients.engines.fetch_load,
+            self.clients.probes.fetch_ready,
+            lambda: self.world.targets.values(),
+            self.exchange.tell_target,
         )
 
-    async def _close_clients(self) -> None:
-        if not hasattr(self, "objects"):
-            return
-        await self.engines.close()
-        await self.services.close()
-        await self.probes.close()
-        await self.objects.close()
-
     def _make_callers_app(self) -> web.Application:
         return make_callers_app(
             self.core,
@@ -268,105 +224,82 @@
             self.clock,
             self.limits,
             urgency_of=urgency_of,
-            engines=self.engines,
-            services=self.services,
+            engines=self.clients.engines,
+            services=self.clients.services,
             streams=self.streams,
             show_metrics=_show_metrics,
         )
 
-    def _make_observer(self) -> observer.Observer:
-        return observer.Observer(
-            self.world,
-            self.clock,
-            self.engines.fetch_load,
-            self.probes.fetch_ready,
-            lambda: self.world.targets.values(),
-            self._tell_target,
+    def _make_operators_app(self) -> web.Application:
+        overview = Overview(
+            world=self.world,
+            clock=self.clock,
+            objects=self.clients.objects,
+            accept=self.intake.accept,
+            incarnation=lambda: self.peers.incarnation,
+            is_ready=self.ready,
+            is_platform_reachable=lambda: self.roster.answered,
+            list_duties=self._list_duties,
+            find_configuration=self.intake.find,
         )
+        return make_operators_app(overview, self.settings.operators_token)
 
     # Duties
 
-    async def _fetch_configuration(self) -> None:
-        answered = await watcher.fetch_configuration(self.objects, self.intake.accept)
+    async def _read_platform(self) -> None:
+        """Read what is in force, so that nothing is served by older rules."""
+        objects = self.clients.objects
+        answered = await watcher.fetch_configuration(objects, self.intake.accept)
         self.roster.answered = answered
+        await self.follower.read_orders(objects)
 
     async def _watch(self) -> None:
         await watcher.watch_configurations(
-            self.objects, self.intake.accept, lambda: self.intake.version
+            self.clients.objects, self.intake.accept, lambda: self.intake.version
         )
 
+    async def _keep_up(self) -> bool:
+        now = self.clock.monotonic()
+        demand.sample(self.world, now)
+        limits.rebalance(self.world, now)
+        crashes.forget_old(self.world, now)
+        self.exchange.tell_uses()
+        return True
+
     def _holds(self, duty: Duty) -> bool:
         own = self.world.hosts.get(self.settings.host)
         return own is not None and holds(self.world.hosts.values(), own, duty)
 
-    def _needs_list(self) -> bool:
-        """Tell whether a duty held here needs the newest list of hosts."""
-        needing = (Duty.SETTINGS_WATCHER, Duty.PLANNER_CANDIDATE)
-        return any(self._holds(duty) for duty in needing)
-
     def _list_duties(self) -> list[str]:
         own = self.world.hosts.get(self.settings.host)
         return [] if own is None else list_duties(self.world.hosts.values(), own, [])
 
-    async def _tell_news(self) -> bool:
-        self.news.tell_loads(self.peers.tell)
-        self.news.tell_suspects(self.peers.tell)
-        self.follower.acknowledge()
-        self.follower.move_streams()
-        return True
-
-    async def _keep_up(self) -> bool:
-        now = self.clock.monotonic()
-        demand.sample(self.world, now)
-        limits.rebalance(self.world, now)
-        crashes.forget_old(self.world, now)
-        self.news.tell_uses(self.peers.tell)
-        for count in self._count_peer_bytes:
-            count()
-        return True
-
-    def _hear(self, item: Any) -> None:
-        if isinstance(item, Settings):
-            self.intake.accept(item.text, item.version)
-        elif isinstance(item, Orders):
-            self.follower.hear_orders(item)
-        elif isinstance(item, DrainAck):
-            self.follower.hear_ack(item)
-        elif isinstance(item, Drain):
-            self.roster.hear(item)
-        elif isinstance(item, HostChange):
-            if item.after is HostState.GONE:
-                self.news.forget_host(item.host)
-                self.follower.forget_host(item.host)
-        elif self.news.hear(item):
-            self.core.wake()
+    def _note_configuration(self, configuration: Configuration) -> None:
+        self.peers.tell(Settings(configuration.version, configuration.text))
+        self.core.wake()
 
     def _note_daemons(self, daemons: list[Listed]) -> None:
         self.peers.apply_list(daemons)
         self.planner.note_list({host.id: host.incarnation for host in daemons})
 
-    def _tell_target(self, target: Target) -> None:
-        self.news.tell_report(target, self.peers.tell)
-        self.core.wake()
-
-    def _count_call(self, call: str) -> None:
-        self.metrics.platform_calls.add(1, {"call": call})
-
     # Starting and stopping
 
     async def _listen(self, app: web.Application, address: Address) -> None:
         runner = make_runner(app)
         self._runners.append(runner)
         await runner.setup()
-        site = web.TCPSite(runner, address.ip, address.port)
-        await site.start()
+        await web.TCPSite(runner, address.ip, address.port).start()
+
+    def _hold(self, duty: Duty, start_work: Any) -> None:
+        is_held = lambda: self._holds(duty)  # noqa: E731
+        self._spawn(work_while_held(duty.value, is_held, start_work))
+
+    def _repeat(self, call: Any, period: timedelta) -> None:
+        self._spawn(repeat(call, period, self.random))
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    def _count_open(self) -> int:
-        return self.streams.count if hasattr(self, "streams") else 0
-
     async def _finish_streams(self) -> None:
         bound = (self.settings.stop_within - CLOSING_TIME).total_seconds()
         with contextlib.suppress(TimeoutError):
--- /dev/null
+++ b/src/galenapass/clients.py
@@ -0,0 +1,39 @@
+"""Hold the clients of what lies outside: targets and the platform."""
+
+from random import Random
+
+from galenapass.metrics import Metrics
+from galenapass.platform.objects import Objects
+from galenapass.settings.daemon import DaemonSettings
+from galenapass.targets.engines import Engines
+from galenapass.targets.probes import Probes
+from galenapass.targets.services import PlainServices
+
+__all__ = ["Clients"]
+
+
+class Clients:
+    """Hold one client for each kind of outside system."""
+
+    __slots__ = ("_metrics", "engines", "objects", "probes", "services")
+
+    def __init__(self, settings: DaemonSettings, random: Random, metrics: Metrics):
+        self._metrics = metrics
+        self.engines = Engines()
+        self.services = PlainServices()
+        self.probes = Probes(self.engines)
+        self.objects = Objects(
+            str(settings.platform_address),
+            settings.host,
+            settings.domain,
+            self._count_call,
+            random,
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for client in (self.engines, self.services, self.probes, self.objects):
+            await client.close()
+
+    def _count_call(self, call: str) -> None:
+        self._metrics.platform_calls.add(1, {"call": call})
--- a/src/galenapass/daemon.py
+++ b/src/galenapass/daemon.py
@@ -5,11 +5,16 @@
 import sys
 from pathlib import Path
 from types import FrameType
+from typing import TYPE_CHECKING
 
 import click
 
+if TYPE_CHECKING:
+    from galenapass.settings.daemon import DaemonSettings
+
 __all__ = ["main"]
 
+EXIT_CANNOT_START = 1
 EXIT_FAULTS = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -21,7 +26,8 @@
 def main(file: Path) -> None:
     """Serve as one daemon with the settings in FILE (INI).
 
-    Exit status: 0 after a graceful stop, 2 when the settings have faults.
+    Exit status: 0 after a graceful stop, 2 when the settings have faults,
+    1 when a port cannot be opened.
     """
     # The imports below take a while; a stop that comes during them must count.
     for number in SIGNALS:
@@ -33,24 +39,25 @@
         for fault in settings.unwrap_err():
             click.echo(str(fault), err=True)
         sys.exit(EXIT_FAULTS)
-    from galenapass.assembly import Daemon
+    sys.exit(asyncio.run(_serve(settings.unwrap())))
 
-    sys.exit(asyncio.run(_serve(Daemon(settings.unwrap()))))
 
+async def _serve(settings: "DaemonSettings") -> int:
+    from galenapass.assembly import Daemon
 
-async def _serve(daemon: "Daemon") -> int:  # type: ignore[name-defined] # noqa: F821
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     if _early:
         stopping.set()
+    daemon = Daemon(settings)
     try:
         await daemon.start()
         await stopping.wait()
     except OSError as error:
         click.echo(f"galenapassd: cannot start: {error}", err=True)
-        return 1
+        return EXIT_CANNOT_START
     finally:
         await daemon.stop()
     return 0
--- /dev/null
+++ b/src/galenapass/exchange.py
@@ -0,0 +1,77 @@
+"""Hand what peers tell to the parts it concerns, and tell them what is new here."""
+
+from collections.abc import Callable
+from typing import Any
+
+from galenapass.duties.follower import Follower
+from galenapass.duties.roster import Roster
+from galenapass.intake import Intake
+from galenapass.metrics import Metrics, make_total_counter
+from galenapass.news import News
+from galenapass.peers import Peers
+from galenapass.tables.hosts import HostState
+from galenapass.tables.peers import Drain, DrainAck, HostChange, Orders, Settings
+from galenapass.tables.targets import Target
+
+__all__ = ["Exchange"]
+
+
+class Exchange:
+    """Hold who takes which kind of item; ``wake`` is called when tables changed."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        news: News,
+        intake: Intake,
+        follower: Follower,
+        roster: Roster,
+        metrics: Metrics,
+        wake: Callable[[], None],
+    ):
+        self._peers = peers
+        self._news = news
+        self._follower = follower
+        self._wake = wake
+        self._handlers: dict[type, Callable[[Any], object]] = {
+            Settings: lambda item: intake.accept(item.text, item.version),
+            Orders: follower.hear_orders,
+            DrainAck: follower.hear_ack,
+            Drain: roster.hear,
+            HostChange: self._note_host,
+        }
+        traffic, counter = peers.traffic, metrics.peer_bytes
+        self._count_bytes = (
+            make_total_counter(counter, lambda: traffic.sent, direction="sent"),
+            make_total_counter(counter, lambda: traffic.received, direction="received"),
+        )
+        peers.heard.subscribe(self._hear)
+
+    async def tell_loads(self) -> bool:
+        """Tell what is in flight here and what is held of draining targets."""
+        self._news.tell_loads(self._peers.tell)
+        self._news.tell_suspects(self._peers.tell)
+        self._follower.acknowledge()
+        self._follower.move_streams()
+        return True
+
+    def tell_uses(self) -> None:
+        """Tell what is used of limits, and count the bytes exchanged."""
+        self._news.tell_uses(self._peers.tell)
+        for count in self._count_bytes:
+            count()
+
+    def tell_target(self, target: Target) -> None:
+        """Tell the newest report of a target that this daemon observes."""
+        self._news.tell_report(target, self._peers.tell)
+        self._wake()
+
+    def _hear(self, item: Any) -> None:
+        handler = self._handlers.get(type(item), self._news.hear)
+        if handler(item):
+            self._wake()
+
+    def _note_host(self, change: HostChange) -> None:
+        if change.after is HostState.GONE:
+            self._news.forget_host(change.host)
+            self._follower.forget_host(change.host)
