End with one sentence when a port is taken

Cause: a listener that never started was closed on the way out, which raised, and the sentence drowned in a traceback. Ruled out: the constructor order; the operators' port had the same exit and passed. Change: the server is kept only once it listens; tests/test_daemon.py. Figures: 3 tests pass; the peers one failed before with a traceback.

--- a/src/galenapass/peers/links.py
+++ b/src/galenapass/peers/links.py
@@ -138,9 +138,10 @@
     async def start(self, listen: str) -> None:
         """Listen on IP:PORT; port 0 picks a free one, see ``address``."""
         host, port = split_address(listen)
-        self._server = Server([self])
-        await self._server.start(host, port)
-        sockets = self._server._server.sockets  # type: ignore[union-attr]
+        server = Server([self])
+        await server.start(host, port)
+        self._server = server
+        sockets = server._server.sockets  # type: ignore[union-attr]
         self.address = f"{host}:{sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,69 @@
+"""Start the daemon's program with what keeps it from starting."""
+
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+
+from testtools import TestCase
+
+SECONDS = 30
+SETTINGS = """[host]
+id = entry-1
+domain = north
+
+[callers]
+listen = 127.0.0.1:0
+
+[operators]
+listen = 127.0.0.1:{operators}
+token = t
+
+[peers]
+listen = 127.0.0.1:{peers}
+secret = s
+
+[platform]
+address = 127.0.0.1:9
+"""
+
+
+def run_daemon(text):
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder, "entry-1.ini")
+        file.write_text(text, encoding="utf-8")
+        command = [sys.executable, "-m", "galenapass.daemon", str(file)]
+        ended = subprocess.run(command, capture_output=True, timeout=SECONDS)
+        return ended.returncode, ended.stderr.decode()
+
+
+class StartTest(TestCase):
+    def assert_port_is_named(self, taken):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            ports = {"operators": 0, "peers": 0, taken: port}
+            if taken != "peers":
+                ports["peers"] = self.find_port()
+            status, errors = run_daemon(SETTINGS.format(**ports))
+        self.assertEqual(1, status)
+        self.assertIn("cannot start: [Errno 98] error while attempting", errors)
+        self.assertIn(str(port), errors)
+        self.assertNotIn("Traceback", errors)
+
+    def find_port(self):
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            return probe.getsockname()[1]
+
+    def test_a_taken_peers_port_is_named(self):
+        self.assert_port_is_named("peers")
+
+    def test_a_taken_operators_port_is_named(self):
+        self.assert_port_is_named("operators")
+
+    def test_faults_of_the_settings_end_it_with_status_2(self):
+        text = SETTINGS.format(operators=0, peers=4).replace("domain =", "domian =")
+        status, errors = run_daemon(text)
+        self.assertEqual(2, status)
+        self.assertIn("domian", errors)
+        self.assertNotIn("Traceback", errors)
