Give a key back when its caller leaves before the claim is written

Cause: a begin that was cancelled (the caller hung up) left its claim standing, so every later attempt under the key was told "may have run" for ever, though the call was never sent.

--- a/src/galenapass/duties/journal.py
+++ b/src/galenapass/duties/journal.py
@@ -143,6 +143,10 @@
         except TimeoutError:
             self._withdraw(pending)
             outcome = AWAY
+        except asyncio.CancelledError:
+            # The caller has left, so its call is never sent.
+            self._withdraw(pending)
+            raise
         if isinstance(outcome, Begun):
             self._unsent.pop(hashed, None)
             return Ok(Claim(hashed, nonce))
