--- a/src/galenapass/duties/planner.py
+++ b/src/galenapass/duties/planner.py
@@ -1,7 +1,7 @@
 """Run a failure domain's lease and orders against the platform and the engines."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from datetime import timedelta
 from typing import Any
 
@@ -43,7 +43,7 @@
 from galenapass.tables.leases import Lease
 from galenapass.tables.orders import OrdersBook
 from galenapass.tables.peers import DrainAck, Orders
-from galenapass.tables.targets import Kind
+from galenapass.tables.targets import Kind, TargetState
 from galenapass.tables.world import World
 from galenapass.targets.engines import Engines
 from galenapass.verdicts import Reason, Run, Verdict
@@ -116,8 +116,8 @@
 
     async def run(self) -> None:
         """Plan for as long as this daemon is a candidate, then release the lease."""
-        keeping = asyncio.create_task(self._repeat(self._step_lease))
-        ordering = asyncio.create_task(self._repeat(self._step_orders))
+        keeping = asyncio.create_task(self._repeat(self.step_lease))
+        ordering = asyncio.create_task(self._repeat(self.step_orders))
         try:
             await asyncio.gather(keeping, ordering)
         finally:
@@ -126,14 +126,18 @@
             await asyncio.gather(keeping, ordering, return_exceptions=True)
             await self._release()
 
-    async def _repeat(self, step: Callable[[], Any]) -> None:
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
-            await step()
+            await _complete(step())
             await asyncio.sleep(PERIOD.total_seconds())
 
     # The lease
 
-    async def _step_lease(self) -> None:
+    async def step_lease(self) -> None:
+        """Seek the lease, or renew it when that is due."""
+        # A host that the platform does not list yet would look gone to a successor.
+        if not leases.is_own(self._lease) and self._world.host not in self._listed:
+            return
         held = self.is_holder()
         effect = step_lease(self._lease, Tick(), self._clock.monotonic())
         await self._follow_lease(effect)
@@ -172,7 +176,8 @@
 
     # Orders
 
-    async def _step_orders(self) -> None:
+    async def step_orders(self) -> None:
+        """Take the next steps of the open change, or open one."""
         event: OrdersEvent = OrdersTick()
         while True:
             now = self._clock.monotonic()
@@ -189,6 +194,11 @@
         return Situation(
             fence=value.fence if valid and value is not None else None,
             wanted=self._list_wants(now) if valid else (),
+            still_wanted=frozenset(
+                target.id
+                for target in self._world.targets.values()
+                if target.state is not TargetState.LEAVING
+            ),
             daemons=self._list_daemons(),
             acks=tuple(self._list_acks()),
             checks_fencing={
@@ -269,6 +279,16 @@
         return OrderSent(await self._engines.send_order(target.address, order))
 
 
+async def _complete(work: Awaitable[None]) -> None:
+    """Await a step to its end even when cancelled: no call is left under way."""
+    task = asyncio.ensure_future(work)
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await asyncio.wait({task})
+        raise
+
+
 _CALLS: dict[type[OrdersEffect], Callable[[Planner, Any], Any]] = {
     ReadOrders: Planner._read,
     WriteOrders: Planner._write,
--- a/src/galenapass/systems/orders.py
+++ b/src/galenapass/systems/orders.py
@@ -17,7 +17,7 @@
 from galenapass.platform.messages import Cause
 from galenapass.systems import orders_rules as rules
 from galenapass.systems.drains import open_intent
-from galenapass.systems.orders_codec import decode_orders, encode_orders
+from galenapass.systems.orders_codec import encode_orders, read_orders
 from galenapass.systems.orders_events import (
     FetchState,
     ObjectRead,
@@ -47,6 +47,7 @@
 
 POLL_PERIOD = timedelta(milliseconds=500)
 RETRY_PERIOD = timedelta(seconds=1)
+REST_AFTER_DRAIN = timedelta(seconds=60)
 
 
 def step_orders(
@@ -93,6 +94,8 @@
 def _open(
     book: OrdersBook, situation: Situation, now: timedelta
 ) -> OrdersEffect | None:
+    if book.rest_until is not None and now < book.rest_until:
+        return None
     ready = (w for w in situation.wanted if _may_open(book, w, situation, now))
     change = next(ready, None)
     if change is None:
@@ -123,8 +126,12 @@
 def _drain(
     book: OrdersBook, intent: Intent, situation: Situation, now: timedelta
 ) -> OrdersEffect | None:
-    if not _is_wanted(intent, situation):
-        return _write(book, _drop(book.object, intent))
+    if rules.is_late(book, now):
+        # A daemon that cannot be reached must not keep a target from serving.
+        book.rest_until = now + REST_AFTER_DRAIN
+        return _write(book, rules.drop_intent(book.object, intent))
+    if not rules.is_wanted(intent, situation):
+        return _write(book, rules.drop_intent(book.object, intent))
     if not rules.may_order(book, intent, situation, now):
         return None
     book.call = PlannerCall.STATE
@@ -137,9 +144,9 @@
     if book.done:
         closed = replace(intent, phase=IntentPhase.CLOSED)
         return _write(book, rules.put_intent(book.object, closed))
-    if _is_withdrawn(intent, situation):
+    if rules.is_withdrawn(intent, situation):
         book.unsure[intent.target] = now
-        return _write(book, _drop(book.object, intent))
+        return _write(book, rules.drop_intent(book.object, intent))
     if book.accepted:
         book.call = PlannerCall.STATE
         return FetchState(intent.target)
@@ -152,23 +159,6 @@
     return SendOrder(intent.target, order, book.fence)
 
 
-def _is_wanted(intent: Intent, situation: Situation) -> bool:
-    if _is_withdrawn(intent, situation):
-        return False
-    wanted = situation.still_wanted
-    return wanted is None or intent.target in wanted
-
-
-def _is_withdrawn(intent: Intent, situation: Situation) -> bool:
-    known = situation.checks_fencing
-    return bool(known) and intent.target not in known
-
-
-def _drop(orders: OrdersObject, intent: Intent) -> OrdersObject:
-    others = tuple(i for i in orders.intents if i.id != intent.id)
-    return replace(orders, intents=others)
-
-
 def _write(book: OrdersBook, orders: OrdersObject) -> OrdersEffect:
     book.call = PlannerCall.WRITE
     book.written = orders
@@ -184,7 +174,7 @@
 ) -> OrdersEffect | None:
     assert isinstance(event, ObjectRead)
     match event.answer:
-        case Ok(stored) if (read := _decode(stored.body)) is not None:
+        case Ok(stored) if (read := read_orders(stored.body)) is not None:
             _note_object(book, read, stored.version, now)
         case Err(failure) if failure.cause is Cause.NOT_FOUND:
             # A deleted object is written anew from what is remembered.
@@ -195,14 +185,6 @@
     return _tick(book, event, situation, now)
 
 
-def _decode(body: str) -> OrdersObject | None:
-    """Return the object; an unreadable one is never written over."""
-    try:
-        return decode_orders(body)
-    except ValueError:
-        return None
-
-
 def _take_written(
     book: OrdersBook, event: OrdersEvent, situation: Situation, now: timedelta
 ) -> OrdersEffect | None:
@@ -222,6 +204,7 @@
     if open_intent(orders) != open_intent(book.object):
         book.accepted = False
         book.done = False
+        book.opened_at = now
     book.object = orders
     book.version = version
     book.known = True
--- a/src/galenapass/systems/orders_codec.py
+++ b/src/galenapass/systems/orders_codec.py
@@ -7,7 +7,7 @@
 
 from galenapass.tables.orders import Intent, IntentPhase, OrdersObject, Sender
 
-__all__ = ["decode_orders", "encode_orders"]
+__all__ = ["decode_orders", "encode_orders", "read_orders"]
 
 
 def encode_orders(orders: OrdersObject) -> str:
@@ -29,5 +29,13 @@
         raise ValueError(f"not an orders object: {text[:100]!r}") from error
 
 
+def read_orders(text: str) -> OrdersObject | None:
+    """Return the object, or None for one that must not be written over."""
+    try:
+        return decode_orders(text)
+    except ValueError:
+        return None
+
+
 def _read_intent(row: dict[str, Any]) -> Intent:
     return Intent(**{**row, "phase": IntentPhase(row["phase"])})
--- a/src/galenapass/systems/orders_rules.py
+++ b/src/galenapass/systems/orders_rules.py
@@ -31,9 +31,13 @@
 __all__ = [
     "adopt",
     "await_senders",
+    "drop_intent",
     "has_ended",
     "is_idle",
+    "is_late",
     "is_past",
+    "is_wanted",
+    "is_withdrawn",
     "may_order",
     "may_send",
     "number_order",
@@ -44,6 +48,7 @@
 # 2**24 sends by one process; with 2**29 holders the number stays exact in JSON.
 SENDS_A_FENCE = 2**24
 SEND_TIMEOUT = timedelta(seconds=CONTROL_SECONDS)
+DRAIN_TIMEOUT = timedelta(seconds=60)
 # Phases that a target reports.
 SERVING = "serving"
 CHANGING = "changing"
@@ -70,6 +75,11 @@
     return await_senders(book, intent.target, situation, now)
 
 
+def is_late(book: OrdersBook, now: timedelta) -> bool:
+    """Tell whether a drain has lasted too long for a target to stay idle."""
+    return book.opened_at is not None and now >= book.opened_at + DRAIN_TIMEOUT
+
+
 def await_senders(
     book: OrdersBook, target: str, situation: Situation, now: timedelta
 ) -> bool:
@@ -136,3 +146,23 @@
     """Return the object with an intent in place of its target's former one."""
     others = tuple(i for i in orders.intents if i.target != intent.target)
     return replace(orders, intents=(*others, intent))
+
+
+def drop_intent(orders: OrdersObject, intent: Intent) -> OrdersObject:
+    """Return the object without an intent: its target serves as it was."""
+    others = tuple(i for i in orders.intents if i.id != intent.id)
+    return replace(orders, intents=others)
+
+
+def is_wanted(intent: Intent, situation: Situation) -> bool:
+    """Tell whether a drain is still of use."""
+    if is_withdrawn(intent, situation):
+        return False
+    wanted = situation.still_wanted
+    return wanted is None or intent.target in wanted
+
+
+def is_withdrawn(intent: Intent, situation: Situation) -> bool:
+    """Tell whether the operators' file no longer has the target."""
+    known = situation.checks_fencing
+    return bool(known) and intent.target not in known
--- a/src/galenapass/tables/orders.py
+++ b/src/galenapass/tables/orders.py
@@ -77,7 +77,8 @@
     ``known`` is false until the object was read under the lease's present fence.
     ``sends`` counts the orders sent; ``accepted`` tells that the target took the
     open one from this process; ``unsure`` holds when an order was sent to a target
-    whose answer was lost, ``noticed`` when another's entry as sender was first seen.
+    whose answer was lost, ``noticed`` when another's entry as sender was first seen,
+    ``opened_at`` when the open intent was; none is opened before ``rest_until``.
     """
 
     domain: str
@@ -96,6 +97,8 @@
     unsure: dict[str, timedelta] = field(default_factory=dict)
     noticed: dict[Sender, timedelta] = field(default_factory=dict)
     noticed_under: int | None = None
+    opened_at: timedelta | None = None
+    rest_until: timedelta | None = None
 
 
 @dataclass(slots=True)
