--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -242,8 +242,8 @@
         async with self.session.get(url) as answer:
             return orjson.loads(await answer.read())
 
-    async def apply_file(self, text: str) -> None:
-        """Write the operators' file straight to the platform."""
+    async def apply_file(self, text: str) -> int:
+        """Write the operators' file straight to the platform; return its version."""
         url = f"http://{self.platform}/objects/configurations/current"
         async with self.session.get(url) as found:
             condition = {"If-None-Match": "*"}
@@ -251,6 +251,7 @@
                 condition = {"If-Match": found.headers["ETag"]}
         async with self.session.put(url, data=text, headers=condition) as answer:
             answer.raise_for_status()
+            return int(answer.headers["ETag"].strip('"'))
 
     async def apply_by_tool(self, text: str) -> None:
         """Apply the operators' file through the tool, as an operator does."""
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -24,9 +24,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(daemons, targets, extra="", stop_within="20 s"):
-    """Run daemons, spread over two failure domains, with their file in force."""
-    specs = [DaemonSpec(f"entry-{n + 1}", DOMAINS[n % 2]) for n in range(daemons)]
+async def run_fleet(daemons, targets, extra="", stop_within="20 s", domains=DOMAINS):
+    """Run daemons, spread over failure domains, with their file in force."""
+    specs = [
+        DaemonSpec(f"entry-{n + 1}", domains[n % len(domains)]) for n in range(daemons)
+    ]
     async with Fleet(specs, targets) as fleet:
         fleet.stop_within = stop_within
         await fleet.start_platform("--host-list-lag", HOST_LIST_LAG)
