--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -24,7 +24,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(daemons, targets, extra="", stop_within="20 s", domains=DOMAINS):
+async def run_fleet(
+    daemons, targets, patience="20 s", stop_within="20 s", domains=DOMAINS
+):
     """Run daemons, spread over failure domains, with their file in force."""
     specs = [
         DaemonSpec(f"entry-{n + 1}", domains[n % len(domains)]) for n in range(daemons)
@@ -33,7 +35,8 @@
         fleet.stop_within = stop_within
         await fleet.start_platform("--host-list-lag", HOST_LIST_LAG)
         await fleet.start_targets()
-        await fleet.apply_file(fleet.write_file(extra=extra))
+        fleet.patience = patience
+        await fleet.apply_file(fleet.write_file())
         await fleet.start_daemons()
         await fleet.wait_ready()
         yield fleet
