Serve callers over TLS and show the platform its token

Cause: `tls certificate`, `tls key` and `[platform] token` were read and checked, but nothing used them: a daemon with a certificate served plain HTTP.

Ruled out: a test certificate in the repository, which would put a private key there.

Change: the callers' port takes the certificate, a faulty file ends the start with status 1 and names the files; the client of the platform sends the token.

Conclusion: a test shows the token.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+import ssl
 import sys
 import time
 from collections.abc import Coroutine
@@ -105,7 +106,8 @@
         await self.peers.start()
         await self._fetch_configuration()
         await self.follower.read_orders(self.objects)
-        await self._listen(self._make_callers_app(), self.settings.callers_listen)
+        callers, listen = self._make_callers_app(), self.settings.callers_listen
+        await self._listen(callers, listen, _load_tls(self.settings))
         operators = make_operators_app(
             self._make_overview(), self.settings.operators_token
         )
@@ -185,6 +187,7 @@
             settings.domain,
             self._count_call,
             self.random,
+            token=settings.platform_token,
         )
         self.claims = Journal(self.objects, settings.host, self.clock, self.random)
 
@@ -354,11 +357,16 @@
 
     # Starting and stopping
 
-    async def _listen(self, app: web.Application, address: Address) -> None:
+    async def _listen(
+        self,
+        app: web.Application,
+        address: Address,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         runner = make_runner(app)
         self._runners.append(runner)
         await runner.setup()
-        site = web.TCPSite(runner, address.ip, address.port)
+        site = web.TCPSite(runner, address.ip, address.port, ssl_context=tls)
         await site.start()
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
@@ -389,6 +397,19 @@
     return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
 
+def _load_tls(settings: DaemonSettings) -> ssl.SSLContext | None:
+    """Return what the callers' port shows of itself, or None for plain HTTP."""
+    if settings.tls_certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    except OSError as error:
+        files = f"{settings.tls_certificate}, {settings.tls_key}"
+        raise OSError(f"TLS files {files}: {error}") from error
+    return context
+
+
 def _open_log(outlet: Stream | Path) -> None:
     streams: dict[Stream, TextIO] = {
         Stream.STDERR: sys.stderr,
--- a/src/galenapass/platform/objects.py
+++ b/src/galenapass/platform/objects.py
@@ -78,9 +78,12 @@
         count: Count,
         chance: random.Random,
         timeout: timedelta = CALL_TIMEOUT,
+        token: str | None = None,
     ):
         self._base = f"http://{address}"
         self._headers = {"X-Host": host, "X-Failure-Domain": domain}
+        if token is not None:
+            self._headers["Authorization"] = f"Bearer {token}"
         self._count = count
         self._chance = chance
         self._timeout = _limit_time(timeout)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -77,9 +77,8 @@
         await site.start()
         port = runner.addresses[0][1]
         calls = []
-        objects = Objects(
-            f"127.0.0.1:{port}", "h1", "north", calls.append, random.Random(1)
-        )
+        address, chance = f"127.0.0.1:{port}", random.Random(1)
+        objects = Objects(address, "h1", "north", calls.append, chance, token="secret")
         try:
             await test(fake, objects, calls, site)
         finally:
@@ -99,6 +98,7 @@
             self.assertEqual(["write", "write", "read"], calls)
             self.assertEqual("north", fake.headers[0]["X-Failure-Domain"])
             self.assertEqual("h1", fake.headers[0]["X-Host"])
+            self.assertEqual("Bearer secret", fake.headers[0]["Authorization"])
 
         _run(test)
 
