Keep the platform's token out of the log

Cause: the repr of a refused watch's error holds the request's headers, and so the token that the client now shows.

Change: errors are logged by type and sentence. The test fails without the change.

Conclusion: no token in the line of a refused watch.

--- a/src/galenapass/platform/objects.py
+++ b/src/galenapass/platform/objects.py
@@ -137,7 +137,7 @@
                         after = max(after, change.version)
                         yield change
             except (*_NOT_ANSWERED, *_UNREADABLE) as error:
-                _log("watch broke", kind=kind, after=after, error=repr(error))
+                _log("watch broke", kind=kind, after=after, error=_describe(error))
             pause = wait_before_retry(attempt, self._chance)
             attempt += 1
             await asyncio.sleep(pause.total_seconds())
@@ -178,9 +178,9 @@
                 )
                 return Ok(parse(answer)) if answer.status == 200 else _judge(answer)
         except _NOT_SENT as error:
-            return Err(Failure(Cause.AWAY, detail=repr(error)))
+            return Err(Failure(Cause.AWAY, detail=_describe(error)))
         except (*_NOT_ANSWERED, *_UNREADABLE) as error:
-            return Err(Failure(Cause.UNKNOWN, detail=repr(error)))
+            return Err(Failure(Cause.UNKNOWN, detail=_describe(error)))
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -212,6 +212,11 @@
         raise AnswerLost(repr(error)) from error
 
 
+def _describe(error: Exception) -> str:
+    # The repr of some errors holds the request's headers, and so the token.
+    return f"{type(error).__name__}: {error}"
+
+
 def _limit_time(total: timedelta) -> aiohttp.ClientTimeout:
     seconds = total.total_seconds()
     connect = min(CONNECT_TIMEOUT.total_seconds(), seconds)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import random
 
 from aiohttp import web
+from eliot.testing import MemoryLogger, swap_logger
 from result import Err, Ok
 from testtools import TestCase
 
@@ -22,6 +23,7 @@
         self.lose = 0
         self.status = None
         self.watches = 0
+        self.refuse_watches = 0
         self.headers = []
 
     async def put(self, request):
@@ -50,6 +52,9 @@
 
     async def watch(self, request):
         self.watches += 1
+        if self.refuse_watches:
+            self.refuse_watches -= 1
+            raise web.HTTPServiceUnavailable()
         response = web.StreamResponse()
         await response.prepare(request)
         after = int(request.query["after"])
@@ -162,6 +167,19 @@
 
         _run(test)
 
+    def test_a_refused_watch_is_logged_without_the_token(self):
+        async def test(fake, objects, calls, site):
+            fake.refuse_watches = 1
+            async with contextlib.aclosing(objects.watch("leases", 4)) as watch:
+                await anext(watch)
+
+        logger = MemoryLogger()
+        before = swap_logger(logger)
+        self.addCleanup(swap_logger, before)
+        _run(test)
+        self.assertIn("watch broke", str(logger.messages))
+        self.assertNotIn("secret", str(logger.messages))
+
     def test_lists_hosts(self):
         async def test(fake, objects, calls, site):
             hosts = (await objects.list_hosts()).unwrap()
