--- a/src/galenapass/clients.py
+++ b/src/galenapass/clients.py
@@ -28,6 +28,7 @@
             settings.domain,
             self._count_call,
             random,
+            token=settings.platform_token,
         )
 
     async def close(self) -> None:
