--- a/src/galenapass/tables/gossip.py
+++ b/src/galenapass/tables/gossip.py
@@ -34,13 +34,15 @@
     """Hold the keys that one link has yet to carry, oldest first in each rank.
 
     ``credit`` is in bytes and refilled since ``refilled``; ``heartbeats`` hold the
-    last one of each host that the partner has.
+    last one of each host that the partner has. A ``meshed`` partner has links to its
+    whole domain and hears load at first hand.
     """
 
     host: str
     domain: str
     refilled: timedelta
     credit: float = 0.0
+    meshed: bool = False
     pending: tuple[dict[Key, None], ...] = field(
         default_factory=lambda: tuple({} for _ in Rank)
     )
@@ -51,11 +53,13 @@
 class GossipTable:
     """Hold the rows of one daemon by kind, and a queue for each open link.
 
-    ``pooled`` carries to every domain what otherwise stays in one.
+    ``pooled`` carries to every domain what otherwise stays in one. ``spare`` are
+    bytes that some links left unused and others may take.
     """
 
     host: str
     domain: str
     pooled: bool = False
+    spare: float = 0.0
     rows: dict[type, dict[Key, Row]] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
