--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -244,6 +244,14 @@
         self.make_call(number, Fate.ANSWERED)
         self.send(number, Fate.ANSWERED)
 
+    @rule(number=numbers, calls=st.integers(8, 24), crashes=st.booleans())
+    def see_an_order_late(self, number, calls, crashes):
+        """Lose the first send of an order, and let it arrive after a repeat."""
+        self.work(number, calls, "quiet", True, Fate.LATE)
+        if crashes:
+            self.crash("checks")
+        self.deliver_late()
+
     def _start_all(self):
         for number in range(HOSTS):
             for name in TARGETS:
