--- a/src/galenapass/duties/journal.py
+++ b/src/galenapass/duties/journal.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from random import Random
-from typing import Protocol
 
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
 from galenapass.dispatch import Claim, StoredAnswer
+from galenapass.duties.slices import Pending, Queue, SliceStore
 from galenapass.logs import make_log
-from galenapass.platform.messages import Cause, Failure, Stored
+from galenapass.platform.messages import Cause
 from galenapass.systems.claims import (
     Begin,
     Begun,
@@ -30,7 +29,7 @@
 from galenapass.tables.claims import ClaimSlice, Entry
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["KIND", "Journal", "SliceStore"]
+__all__ = ["KIND", "Journal"]
 
 KIND = "claims"
 NONCE_BITS = 96
@@ -40,7 +39,7 @@
 LONGEST_PAUSE = timedelta(seconds=5)
 COME_BACK = timedelta(seconds=5)
 MOST_WAITING = 10_000
-MOST_KEPT_SLICES = 256
+MOST_KEPT_ENTRIES = 20_000
 FINGERPRINT_LENGTH = 16
 
 AWAY = Verdict(
@@ -55,18 +54,6 @@
 Sleep = Callable[[float], Awaitable[None]]
 
 
-class SliceStore(Protocol):
-    """Read and write objects on condition of their versions."""
-
-    async def read(self, kind: str, name: str) -> Result[Stored, Failure]:
-        """Return one object."""
-
-    async def write(
-        self, kind: str, name: str, body: str, if_version: int | None = None
-    ) -> Result[int, Failure]:
-        """Replace the version named, or create when None."""
-
-
 class Failing(Enum):
     """Tell whether a failed update is worth another try before begins are refused."""
 
@@ -77,30 +64,6 @@
 _FAILINGS = {Cause.AWAY: Failing.NOW}
 
 
-@dataclass(slots=True, eq=False)
-class _Pending:
-    """Hold an operation and who waits for it.
-
-    ``attempted`` is set before a write that holds it; ``withdrawn`` keeps it out of
-    every later one.
-    """
-
-    operation: Operation
-    done: asyncio.Future[Outcome]
-    attempted: bool = False
-    withdrawn: bool = False
-
-
-@dataclass(slots=True)
-class _Queue:
-    """Hold what waits for one slice; ``known`` is the slice as last seen."""
-
-    name: str
-    waiting: list[_Pending] = field(default_factory=list)
-    known: ClaimSlice | None = None
-    worker: asyncio.Task[None] | None = None
-
-
 class Journal:
     """Let each idempotency key run at most once in the whole fleet.
 
@@ -123,7 +86,7 @@
         self._clock = clock
         self._random = random
         self._sleep = sleep
-        self._queues: dict[str, _Queue] = {}
+        self._queues: dict[str, Queue] = {}
         self._unsent: dict[str, str] = {}
 
     async def begin(
@@ -166,25 +129,38 @@
         """Return how many operations are not yet written."""
         return sum(len(queue.waiting) for queue in self._queues.values())
 
-    def _submit(self, operation: Operation) -> _Pending:
+    async def flush(self, within: timedelta) -> int:
+        """Wait until all is written, for a bounded time; return what is left."""
+        workers = [q.worker for q in self._queues.values() if q.worker is not None]
+        if workers:
+            await asyncio.wait(workers, timeout=within.total_seconds())
+        if left := self.count_waiting():
+            _log("claims are left unwritten", count=left)
+        return left
+
+    def _submit(self, operation: Operation) -> Pending:
         done = asyncio.get_running_loop().create_future()
-        pending = _Pending(operation, done)
+        pending = Pending(operation, done)
         queue = self._open_queue(name_slice(operation.key))
         queue.waiting.append(pending)
         if queue.worker is None:
             queue.worker = asyncio.create_task(self._work(queue))
         return pending
 
-    def _open_queue(self, name: str) -> _Queue:
-        queue = self._queues.pop(name, None) or _Queue(name)
+    def _open_queue(self, name: str) -> Queue:
+        queue = self._queues.pop(name, None) or Queue(name)
         self._queues[name] = queue
-        idle = [q.name for q in self._queues.values() if q.worker is None]
-        for old in idle[: max(0, len(self._queues) - MOST_KEPT_SLICES)]:
-            if old != name:
-                del self._queues[old]
         return queue
 
-    def _withdraw(self, pending: _Pending) -> None:
+    def _forget_idle(self) -> None:
+        """Drop the idle slices used longest ago that hold too many entries."""
+        kept = 0
+        for queue in reversed(list(self._queues.values())):
+            kept += len(queue.known.entries) + 1 if queue.known else 1
+            if kept > MOST_KEPT_ENTRIES and queue.worker is None:
+                del self._queues[queue.name]
+
+    def _withdraw(self, pending: Pending) -> None:
         """Give a begin up; its call is never sent.
 
         If its write may still take effect, a release writes the slice anew, so that
@@ -201,7 +177,7 @@
 
     # One slice
 
-    async def _work(self, queue: _Queue) -> None:
+    async def _work(self, queue: Queue) -> None:
         tries = 0
         while queue.waiting:
             failure = await self._commit(queue)
@@ -211,8 +187,9 @@
             if failure and queue.waiting:
                 await self._pause(tries)
         queue.worker = None
+        self._forget_idle()
 
-    async def _commit(self, queue: _Queue) -> Failing | None:
+    async def _commit(self, queue: Queue) -> Failing | None:
         """Write what waits in one update; return how it failed, if it did."""
         fresh = queue.known is None
         known = queue.known or await self._read(queue)
@@ -234,7 +211,7 @@
         self._settle(queue, batch, outcomes)
         return None
 
-    async def _read(self, queue: _Queue) -> ClaimSlice | None:
+    async def _read(self, queue: Queue) -> ClaimSlice | None:
         found = await self._store.read(KIND, queue.name)
         if isinstance(found, Err):
             absent = found.err_value.cause is Cause.NOT_FOUND
@@ -248,8 +225,8 @@
 
     async def _write(
         self,
-        queue: _Queue,
-        batch: list[_Pending],
+        queue: Queue,
+        batch: list[Pending],
         known: ClaimSlice,
         entries: dict[str, Entry],
         now: int,
@@ -269,7 +246,7 @@
         return _FAILINGS.get(written.err_value.cause, Failing.FOR_NOW)
 
     def _settle(
-        self, queue: _Queue, batch: list[_Pending], outcomes: list[Outcome]
+        self, queue: Queue, batch: list[Pending], outcomes: list[Outcome]
     ) -> None:
         settled = set(batch)
         queue.waiting = [p for p in queue.waiting if p not in settled]
@@ -283,7 +260,7 @@
             if self._unsent.get(operation.key) == operation.nonce:
                 del self._unsent[operation.key]
 
-    def _refuse_begins(self, queue: _Queue) -> None:
+    def _refuse_begins(self, queue: Queue) -> None:
         """Answer the begins at once; the rest is repeated."""
         begins = [p for p in queue.waiting if isinstance(p.operation, Begin)]
         queue.waiting = [p for p in queue.waiting if p not in begins]
@@ -301,5 +278,5 @@
     return all(outcome is None or isinstance(outcome, Begun) for outcome in outcomes)
 
 
-def _has_release(batch: list[_Pending]) -> bool:
+def _has_release(batch: list[Pending]) -> bool:
     return any(isinstance(pending.operation, Release) for pending in batch)
--- a/src/galenapass/systems/claims.py
+++ b/src/galenapass/systems/claims.py
@@ -167,6 +167,11 @@
 # The object
 
 
+# The first letter of a finished entry without an answer.
+_FINAL = {ClaimState.RAN: "r", ClaimState.MAY_HAVE_RUN: "m"}
+_STATES = {letter: state for state, letter in _FINAL.items()}
+
+
 def encode_slice(entries: dict[str, Entry], now: int) -> str | None:
     """Return the object's body, or None when it has no room for these entries."""
     oldest = now - int(ANSWER_LIFETIME.total_seconds())
@@ -198,7 +203,10 @@
     )
 
 
-def _write_entry(entry: Entry) -> list[Any]:
+def _write_entry(entry: Entry) -> list[Any] | str:
+    if entry.state in _FINAL and entry.answer is None:
+        # What stays for ever is kept short: the nonce has done its part.
+        return _FINAL[entry.state] + entry.fingerprint
     row: list[Any] = [entry.nonce, entry.fingerprint, entry.state.value, entry.at]
     if entry.answer is not None:
         body = base64.b64encode(entry.answer.body).decode()
@@ -206,7 +214,9 @@
     return row
 
 
-def _read_entry(row: list[Any]) -> Entry:
+def _read_entry(row: list[Any] | str) -> Entry:
+    if isinstance(row, str):
+        return Entry("", row[1:], _STATES[row[:1]], 0)
     nonce, fingerprint, state, at, *rest = row
     answer = None
     if rest:
--- /dev/null
+++ b/tests/test_claims_journal.py
@@ -0,0 +1,119 @@
+"""Test the journal on what callers leave behind, what it keeps and what it ends."""
+
+import asyncio
+from datetime import timedelta
+from random import Random
+from unittest import mock
+
+from testtools import TestCase
+
+from galenapass.clocks import SystemClock
+from galenapass.dispatch import Claim, StoredAnswer
+from galenapass.duties import journal
+from galenapass.duties.journal import Journal
+from galenapass.systems import claims
+from tests.fake_objects import FakeObjects, Fate
+
+ANSWER = StoredAnswer(200, "text/plain", b"held")
+
+
+class _Store:
+    """Hold writes back until the gate opens."""
+
+    def __init__(self):
+        self.objects = FakeObjects()
+        self.gate = asyncio.Event()
+        self.writes = 0
+        self.fates = []
+
+    async def read(self, kind, name):
+        return self.objects.read(name)
+
+    async def write(self, kind, name, body, if_version=None):
+        self.writes += 1
+        await self.gate.wait()
+        fate = self.fates.pop(0) if self.fates else Fate.ANSWERED
+        return self.objects.write(name, body, if_version, fate)
+
+
+class CancelledBeginTest(TestCase):
+    def _leave(self, *fates):
+        """Return what another daemon says to the key of a begin cut short."""
+
+        async def inner():
+            store = _Store()
+            store.fates = list(fates)
+            one, two = (
+                Journal(store, host, SystemClock(), Random(1)) for host in ("h1", "h2")
+            )
+            begin = asyncio.create_task(one.begin("c", "s", "k", "f"))
+            while not store.writes:
+                await asyncio.sleep(0)
+            begin.cancel()
+            await asyncio.gather(begin, return_exceptions=True)
+            store.gate.set()
+            while one.count_waiting():
+                await asyncio.sleep(0.001)
+            store.objects.arrive_late()
+            return await two.begin("c", "s", "k", "f")
+
+        return asyncio.run(inner())
+
+    def test_gives_the_key_back(self):
+        self.assertIsInstance(self._leave().unwrap(), Claim)
+
+    def test_gives_the_key_back_when_the_answer_is_lost(self):
+        self.assertIsInstance(self._leave(Fate.ANSWER_LOST).unwrap(), Claim)
+
+    def test_shuts_out_a_write_that_arrives_late(self):
+        self.assertIsInstance(self._leave(Fate.LATE).unwrap(), Claim)
+
+
+class KeptTest(TestCase):
+    def _run(self, test):
+        async def inner():
+            store = _Store()
+            store.gate.set()
+            one, two = (
+                Journal(store, host, SystemClock(), Random(1)) for host in ("h1", "h2")
+            )
+            await test(store, one, two)
+
+        asyncio.run(inner())
+
+    def test_keeps_few_entries_in_memory_and_all_in_the_platform(self):
+        async def test(store, one, two):
+            for number in range(30):
+                begun = await one.begin("c", "s", str(number), "f")
+                await one.finish(begun.unwrap(), ANSWER)
+            self.assertLessEqual(len(one._queues), 5)
+            for number in range(30):
+                stored = await one.begin("c", "s", str(number), "f")
+                self.assertEqual(ANSWER, stored.unwrap())
+
+        with mock.patch.object(journal, "MOST_KEPT_ENTRIES", 10):
+            self._run(test)
+
+    def test_writes_what_waits_before_it_stops(self):
+        async def test(store, one, two):
+            claim = (await one.begin("c", "s", "k", "f")).unwrap()
+            store.gate.clear()
+            finishing = asyncio.create_task(one.finish(claim, ANSWER))
+            await asyncio.sleep(0.001)
+            self.assertEqual(1, await one.flush(timedelta(milliseconds=1)))
+            store.gate.set()
+            self.assertEqual(0, await one.flush(timedelta(seconds=5)))
+            await finishing
+            self.assertEqual(ANSWER, (await two.begin("c", "s", "k", "f")).unwrap())
+
+        self._run(test)
+
+    def test_writes_finished_keys_short(self):
+        entries = {}
+        claims.apply(entries, claims.Begin("a" * 32, "n1", "f" * 16), 0)
+        claims.apply(entries, claims.Finish("a" * 32, "n1", None), 0)
+        body = claims.encode_slice(entries, 0)
+        self.assertEqual('{"claims":{"' + "a" * 32 + '":"m' + "f" * 16 + '"}}', body)
+        again = claims.decode_slice(1, body).entries
+        claims.apply(again, claims.Finish("a" * 32, "n1", ANSWER), 0)
+        self.assertEqual(body, claims.encode_slice(again, 0))
