Begin a drain only when every daemon that must acknowledge it is heard

Cause: with a daemon cut off but still listed, each drain could only end by its time-out, so a target idled for one minute in two.

--- a/src/galenapass/duties/planner.py
+++ b/src/galenapass/duties/planner.py
@@ -55,6 +55,7 @@
 TERM = timedelta(seconds=10)
 PERIOD = timedelta(milliseconds=200)
 RELEASE_SECONDS = 3.0
+HEARD = frozenset({HostState.ALIVE, HostState.LEAVING})
 
 _log = make_log("planner")
 
@@ -166,13 +167,9 @@
                 await self._follow_lease(effect)
         except TimeoutError:
             _log("lease is left to lapse", domain=self._world.domain)
-        self._lease = Lease(
-            self._lease.domain,
-            self._lease.host,
-            self._lease.incarnation,
-            self._lease.term,
-            writes=self._lease.writes,
-        )
+        old = self._lease
+        self._lease = Lease(old.domain, old.host, old.incarnation, old.term)
+        self._lease.writes = old.writes
 
     # Orders
 
@@ -193,7 +190,7 @@
         value = self._lease.value
         return Situation(
             fence=value.fence if valid and value is not None else None,
-            wanted=self._list_wants(now) if valid else (),
+            wanted=self._list_wants(now) if valid and self._hears_all() else (),
             still_wanted=frozenset(
                 target.id
                 for target in self._world.targets.values()
@@ -224,6 +221,12 @@
                 )
         return wants
 
+    def _hears_all(self) -> bool:
+        """Tell whether a drain could be acknowledged by all, before it begins."""
+        hosts = self._world.hosts
+        others = self._list_daemons().keys() - {self._world.host}
+        return all(n in hosts and hosts[n].state in HEARD for n in others)
+
     def _list_daemons(self) -> dict[str, int]:
         """Return who must acknowledge: the listed ones and those heard of.
 
--- a/tests/test_orders_planner.py
+++ b/tests/test_orders_planner.py
@@ -14,6 +14,7 @@
 from galenapass.systems import drains
 from galenapass.systems.placement import WantedChange
 from galenapass.tables.configurations import Configuration, Service, TargetEntry
+from galenapass.tables.hosts import Host, HostState
 from galenapass.tables.orders import OrdersView
 from galenapass.tables.targets import Kind, Role, Target, TargetState
 from galenapass.tables.world import World
@@ -142,6 +143,7 @@
 
     def test_waits_for_a_daemon_that_does_not_answer_and_then_serves_again(self):
         self.daemons = {"h1": 1, "h2": 1}
+        self.world.hosts["h2"] = Host("h2", "a:2", "north", 1)
         self._run(10)
         self.assertIs(TargetState.DRAINING, self.target.state)
         self._run(60)
@@ -150,6 +152,16 @@
         self._run(10)
         self.assertIs(TargetState.SERVING, self.target.state)
 
+    def test_begins_no_drain_that_a_daemon_cannot_acknowledge(self):
+        self.daemons = {"h1": 1, "h2": 1}
+        host = Host("h2", "a:2", "north", 1, HostState.SUSPECT)
+        self.world.hosts["h2"] = host
+        self._run(10)
+        self.assertIs(TargetState.SERVING, self.target.state)
+        host.state = HostState.ALIVE
+        self._run(2)
+        self.assertIs(TargetState.DRAINING, self.target.state)
+
     def test_seeks_no_lease_before_its_host_is_listed(self):
         self.daemons = {"h2": 1}
         self._run(3)
