Compare policies on the users' traces; make measure

Cause: each gap has to be seen before it is closed. Change: experiments.baselines runs the product's policy, five kinds of baseline and the capacity bound on deterministic traces, fails when a seed's decisions differ, and draws goodput and roles.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 format: setup
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
+
+measure: setup
+	$(BIN)/python -m experiments.baselines
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -45,7 +45,7 @@
 DRAIN_NEWS = 0.2  # seconds
 BULK_MOVES_AFTER = 2.0  # seconds
 PLAN_PERIOD = 1.0  # seconds
-AFTERMATH = 30.0  # seconds beyond the trace
+AFTERMATH = 300.0  # seconds beyond the trace, unless all has ended
 RUNNING = (RequestState.DISPATCHED, RequestState.STREAMING)
 COMPLETED = Verdict(Run.RAN, Reason.COMPLETED)
 REFUSED = Verdict(Run.NOT_RUN, Reason.TARGET_REFUSED)
@@ -168,7 +168,10 @@
         for n, name in enumerate(self.engines):
             self.every(REPORT_PERIOD, n / 10, partial(self.report, name))
         self.every(PLAN_PERIOD, PLAN_PERIOD, self.plan)
+        last = self.trace[-1].at
         while self.events and self.events[0][0] <= self.end:
+            if self.seconds > last and not self.requests:
+                break
             at, _, act = heapq.heappop(self.events)
             self.clock.advance(max(timedelta(0), timedelta(seconds=at) - self.now))
             act()
