--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 format: setup
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
+
+measure: setup
+	$(BIN)/python -m experiments.baselines
