--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -61,6 +61,7 @@
     operators: int = field(default_factory=find_free_port)
     peers: int = field(default_factory=find_free_port)
     platform: str = ""
+    reach: str = "fleet"
 
     @property
     def entry(self) -> str:
@@ -82,6 +83,7 @@
         self.processes: dict[str, Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="galenapass-"))
         self.platform = ""
+        self.patience = "20 s"
         self.stop_within = "20 s"
 
     async def __aenter__(self) -> "Fleet":
@@ -158,6 +160,7 @@
 listen = 127.0.0.1:{spec.peers}
 secret = {SECRET}
 join = {", ".join(others)}
+reach = {spec.reach}
 
 [platform]
 address = {spec.platform or self.platform}
@@ -178,7 +181,8 @@
         parts.append(
             f"[caller guides]\nkey sha256 = {hashed}\n"
             "services = assistant, booking\nurgency = urgent\n"
-            "urgent patience = 20 s\npatience = 60 s\nrate = 200 req/s\n"
+            f"urgent patience = {self.patience}\n"
+            "patience = 60 s\nrate = 200 req/s\n"
         )
         return "\n".join([*parts, extra])
 
@@ -240,8 +244,8 @@
         async with self.session.get(url) as answer:
             return orjson.loads(await answer.read())
 
-    async def apply_file(self, text: str) -> None:
-        """Write the operators' file straight to the platform."""
+    async def apply_file(self, text: str) -> int:
+        """Write the operators' file straight to the platform; return its version."""
         url = f"http://{self.platform}/objects/configurations/current"
         async with self.session.get(url) as found:
             condition = {"If-None-Match": "*"}
@@ -249,6 +253,7 @@
                 condition = {"If-Match": found.headers["ETag"]}
         async with self.session.put(url, data=text, headers=condition) as answer:
             answer.raise_for_status()
+            return int(answer.headers["ETag"].strip('"'))
 
     async def apply_by_tool(self, text: str) -> None:
         """Apply the operators' file through the tool, as an operator does."""
