--- a/stand_ins/engine_account.py
+++ b/stand_ins/engine_account.py
@@ -45,6 +45,7 @@
     imports: int = 0
     imports_failed: int = 0
     crashes: int = 0
+    refused: int = 0
 
 
 def describe_account(account: Account, orders: Orders) -> dict[str, Any]:
@@ -62,6 +63,7 @@
         "imports": account.imports,
         "imports_failed": account.imports_failed,
         "crashes": account.crashes,
+        "refused": account.refused,
         "orders": _describe_orders(orders),
         "conflicts": [
             {"under_way": one.under_way.id, "accepted": one.accepted.id}
--- a/stand_ins/engine_requests.py
+++ b/stand_ins/engine_requests.py
@@ -39,6 +39,7 @@
     """Stream a completion, or run its prompt only."""
     engine = request.app[ENGINE]
     if engine.faults.refuse or engine.model.changing:
+        engine.account.refused += 1
         return not_run("refused" if engine.faults.refuse else "changing")
     try:
         body = orjson.loads(await request.read())
--- /dev/null
+++ b/tests/test_process_crashes.py
@@ -0,0 +1,60 @@
+"""Prove with processes that a request which crashes targets stops at two of them."""
+
+import asyncio
+
+from testtools import TestCase
+
+from tests.process_fleet import ask_chat, count_whole, engines, in_fleet, until
+
+MARKER = "poison"
+TOKENS = 20
+INNOCENTS = 12
+AT_ONCE_SECONDS = 1.0
+PACED = ("--token-interval", "0.02", "--restart", "0.3")
+
+
+async def count_crashes(fleet):
+    accounts = [await fleet.read_account(name) for name in fleet.targets]
+    return [account["crashes"] for account in accounts]
+
+
+class CrashesTest(TestCase):
+    @in_fleet(3, engines(5, *PACED))
+    async def test_it_brings_down_two_targets_however_often_it_is_sent(self, fleet):
+        for name in fleet.targets:
+            await fleet.set_faults(name, crash_on=MARKER)
+        whole = asyncio.create_task(count_whole(fleet, INNOCENTS, "innocent", TOKENS))
+        names = [f"entry-{n}" for n in (1, 2, 3, 1)]
+        sent = [ask_chat(fleet, name, MARKER, TOKENS) for name in names]
+        refused = await asyncio.gather(*sent)
+        self.assertEqual([False] * 4, [done for _, done, _ in refused])
+        self.assertEqual(INNOCENTS, await whole)
+
+        async def all_know():
+            answers = [await ask_chat(fleet, n, MARKER, TOKENS) for n in fleet.daemons]
+            return all(a.status == 422 for a, _, _ in answers)
+
+        await until(all_know)
+        for name in names:
+            async with asyncio.timeout(AT_ONCE_SECONDS):
+                answer, _, problem = await ask_chat(fleet, name, MARKER, TOKENS)
+            self.assertEqual(422, answer.status)
+            self.assertEqual("crashes targets", problem["reason"])
+        self.assertEqual(2, sum(await count_crashes(fleet)))
+        self.assertEqual(
+            INNOCENTS, await count_whole(fleet, INNOCENTS, "after", TOKENS)
+        )
+
+    @in_fleet(1, engines(3, *PACED))
+    async def test_refusals_do_not_multiply_into_retries(self, fleet):
+        for name in fleet.targets:
+            await fleet.set_faults(name, refuse=True)
+        asked = [ask_chat(fleet, "entry-1", f"shed {n}", TOKENS) for n in range(90)]
+        answers = await asyncio.gather(*asked)
+        self.assertEqual(set(), {done for _, done, _ in answers} - {False})
+        self.assertEqual({"not run"}, {p["verdict"] for _, _, p in answers})
+        self.assertTrue(all("Retry-After" in a.headers for a, _, _ in answers))
+        accounts = [await fleet.read_account(name) for name in fleet.targets]
+        refused = sum(account["refused"] for account in accounts)
+        # Each request once, a tenth more, and the budget that idle daemons hold.
+        self.assertLessEqual(refused, 90 + 9 + 50 + 20)
