--- a/tests/test_process_spread.py
+++ b/tests/test_process_spread.py
@@ -38,6 +38,16 @@
     return check
 
 
+def is_target_state(fleet, names, state):
+    """Return a check that daemons show the only target in a state."""
+
+    async def check():
+        answers = [await fleet.read_operators(name, "/targets") for name in names]
+        return {row["state"] for one in answers for row in one["targets"]} == {state}
+
+    return check
+
+
 class SpreadTest(TestCase):
     @in_fleet(6, TARGETS, domains=DOMAINS)
     async def test_a_file_spreads_while_the_platform_answers_late(self, fleet):
@@ -54,6 +64,17 @@
         await until(is_in_force(fleet, cut, version))
         self.assertTrue(await is_platform_away(fleet, cut)())
 
+    @in_fleet(6, TARGETS, domains=DOMAINS)
+    async def test_a_domain_without_the_platform_hears_that_a_target_leaves(
+        self, fleet
+    ):
+        cut = [name for name, spec in fleet.daemons.items() if spec.domain == CUT]
+        await fleet.set_faults("platform", cut_domains=[CUT])
+        await until(is_platform_away(fleet, cut))
+        for leaving, state in (([], "serving"), (["runner-1"], "leaving")):
+            await fleet.list_hosts(leaving)
+            await until(is_target_state(fleet, cut, state))
+
     @in_fleet(6, TARGETS, domains=DOMAINS)
     async def test_a_new_daemon_without_the_platform_learns_from_its_peers(self, fleet):
         version = await apply_newer(fleet)
