Test that a faulty certificate ends the start with one sentence

Cause: only a try by hand showed it.

Change: the settings name a file that is no certificate; no private key is needed.

Conclusion: status 1, the file is named, no traceback.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -67,3 +67,13 @@
         self.assertEqual(2, status)
         self.assertIn("domian", errors)
         self.assertNotIn("Traceback", errors)
+
+    def test_a_faulty_certificate_is_named(self):
+        with tempfile.NamedTemporaryFile(suffix=".pem") as junk:
+            tls = f"tls certificate = {junk.name}\ntls key = {junk.name}\n"
+            text = SETTINGS.format(operators=0, peers=self.find_port())
+            text = text.replace("\n\n[operators]", f"\n{tls}\n[operators]")
+            status, errors = run_daemon(text)
+        self.assertEqual(1, status)
+        self.assertIn(f"cannot start: TLS files {junk.name}", errors)
+        self.assertNotIn("Traceback", errors)
