Play a trace against real daemons and engines and measure it

Cause: policies were compared on a virtual clock alone; nothing showed what callers get from the processes themselves. Change: experiments/load.py starts the fleet, three load processes play the same seeded trace, and the figures come from the callers' side and the engines' accounts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: demo test check setup format measure measure-path measure-capacity prove
+.PHONY: demo test check setup format measure measure-path measure-capacity measure-load prove
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 measure-path: setup
 	$(BIN)/python -m experiments.measure_path
 
+measure-load: setup
+	$(BIN)/python -m experiments.load
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/experiments/load.py
@@ -0,0 +1,337 @@
+"""Play a trace against real daemons and engines and measure what callers get."""
+
+import asyncio
+import hashlib
+import os
+import re
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+import aiohttp
+import click
+import orjson
+
+from experiments import policies
+from experiments.fleet import DaemonSpec, Fleet, TargetSpec
+from experiments.load_figures import (
+    Figures,
+    count_virtual,
+    draw,
+    find_bound,
+    make_figures,
+)
+from experiments.load_player import KEYS, PATIENCE, Row, make_trace
+from experiments.processes import start_process
+from experiments.traces import TRACES
+from galenapass.tables.targets import Role
+
+__all__ = ["FAULTS", "Plan", "main", "measure"]
+
+DOMAINS = ("north", "centre", "south")
+ENGINES = 9
+PLAYERS = 3
+LEAD_SECONDS = 4.0
+POLL_SECONDS = 0.5
+SETTLE_SECONDS = 4.0
+REST_SECONDS = 60.0  # between two changes of one target
+SCALE_LOAD = 1.0
+CACHED = re.compile(rb"(\d+) of (\d+) tokens cached")
+Roles = list[tuple[float, Counter[str]]]
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """Hold what one run does; ``load`` is a share of the capacity bound."""
+
+    form: str
+    seed: int
+    load: float
+    seconds: float
+    aftermath: float
+    fault: str = "none"
+    weight: float = 1.0
+    virtual: bool = True
+
+
+@dataclass(slots=True)
+class Watch:
+    """Hold what was seen of the engines while a trace was played."""
+
+    roles: Roles = field(default_factory=list)
+    changes: dict[str, list[float]] = field(default_factory=dict)
+    last: dict[str, str] = field(default_factory=dict)
+
+
+async def _crash(fleet: Fleet) -> None:
+    await fleet.set_faults("runner-1", crash=True)
+
+
+async def _cut(fleet: Fleet) -> None:
+    await fleet.set_faults("platform", cut_domains=[DOMAINS[2]])
+
+
+async def _kill(fleet: Fleet) -> None:
+    fleet.processes["entry-3"].send(signal.SIGKILL)
+
+
+async def _leave_alone(fleet: Fleet) -> None:
+    return
+
+
+FAULTS: dict[str, Callable[[Fleet], Awaitable[None]]] = {
+    "none": _leave_alone,
+    "lag": _leave_alone,
+    "crash": _crash,
+    "cut": _cut,
+    "kill": _kill,
+}
+
+
+def scale(plan: Plan) -> float:
+    """Return the factor on the trace's rates that offers the plan's load."""
+    trace = make_trace(plan.form, plan.seed, SCALE_LOAD, plan.seconds)
+    return plan.load / find_bound(trace, ENGINES, plan.seconds)
+
+
+async def measure(plan: Plan, out: Path) -> Figures:
+    """Start a fleet, play the trace, and return the figures."""
+    factor = scale(plan)
+    trace = make_trace(plan.form, plan.seed, factor, plan.seconds)
+    policy = policies.Policy("real", (Role.MIXED,) * ENGINES, True, plan.weight)
+    virtual: dict[str, float] = {}
+    if plan.virtual:
+        virtual = count_virtual(policies.run(policy, trace, plan.seed))
+    options = ("--report-lag", "5") if plan.fault == "lag" else ()
+    daemons = [DaemonSpec(f"entry-{n + 1}", DOMAINS[n]) for n in range(3)]
+    targets = [
+        TargetSpec(f"runner-{n + 1}", DOMAINS[n % 3], options=options)
+        for n in range(ENGINES)
+    ]
+    async with Fleet(daemons, targets) as fleet:
+        click.echo(f"logs are in {fleet.folder}")
+        await _start(fleet, plan)
+        return await _play(fleet, plan, factor, virtual, out)
+
+
+async def _start(fleet: Fleet, plan: Plan) -> None:
+    await fleet.start_platform()
+    await fleet.start_targets()
+    await fleet.start_daemons()
+    await fleet.wait_alive()
+    await fleet.apply_file(fleet.write_file(plan.weight, _write_callers()))
+    await fleet.wait_ready()
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+def _write_callers() -> str:
+    return "\n".join(
+        f"[caller {urgency.name.lower()}]\n"
+        f"key sha256 = {hashlib.sha256(KEYS[urgency].encode()).hexdigest()}\n"
+        f"services = assistant\nurgency = {urgency.name.lower()}\n"
+        f"urgent patience = {patience:g} s\npatience = {patience:g} s\n"
+        "rate = 500 req/s\n"
+        for urgency, patience in PATIENCE.items()
+    )
+
+
+async def _play(
+    fleet: Fleet, plan: Plan, factor: float, virtual: dict[str, float], out: Path
+) -> Figures:
+    begin = time.time() + LEAD_SECONDS
+    watch = Watch()
+    watching = asyncio.create_task(_watch(fleet, begin, watch))
+    disturbing = asyncio.create_task(_disturb(fleet, plan, begin))
+    used = _read_processor(fleet)
+    players = [
+        await start_process(
+            f"player-{n}",
+            "experiments.load_player",
+            _list_arguments(fleet, plan, factor, begin, n),
+            fleet.folder / f"player-{n}.log",
+            ready=False,
+        )
+        for n in range(PLAYERS)
+    ]
+    span = LEAD_SECONDS + plan.seconds + plan.aftermath
+    await asyncio.gather(*(player.wait(span + 60.0) for player in players))
+    await disturbing
+    watching.cancel()
+    rows = sorted(
+        (row for n in range(PLAYERS) for row in _read_rows(fleet, n)),
+        key=lambda row: row.number,
+    )
+    accounts = [await fleet.read_account(name) for name in fleet.targets]
+    runs = {i for a in accounts for part in ("runs", "prefills") for i in a[part]}
+    figures = make_figures(rows, runs, virtual)
+    figures.processor_seconds = {
+        name: round(after - used[name], 1)
+        for name, after in _read_processor(fleet).items()
+    }
+    figures.orders = [
+        f"{name} {order['value']} {order['outcome']}"
+        for name, account in zip(fleet.targets, accounts, strict=True)
+        for order in account["orders"]
+    ]
+    figures.cut_off = sum(len(a["cut_off"]) for a in accounts)
+    figures.changed_early = _find_early(watch)
+    figures.cached_share = _read_cached(fleet)
+    _write_out(plan, rows, figures, watch, out)
+    return figures
+
+
+def _list_arguments(
+    fleet: Fleet, plan: Plan, factor: float, begin: float, part: int
+) -> list[str]:
+    options = {
+        "--form": plan.form,
+        "--seed": plan.seed,
+        "--load": factor,
+        "--seconds": plan.seconds,
+        "--part": part,
+        "--parts": PLAYERS,
+        "--begin": begin,
+        "--aftermath": plan.aftermath,
+        "--out": fleet.folder / f"rows-{part}.jsonl",
+    }
+    flat = [str(word) for pair in options.items() for word in pair]
+    return [*(spec.entry for spec in fleet.daemons.values()), *flat]
+
+
+def _read_rows(fleet: Fleet, part: int) -> list[Row]:
+    text = (fleet.folder / f"rows-{part}.jsonl").read_bytes()
+    rows = [Row(**orjson.loads(line)) for line in text.splitlines()]
+    for row in rows:
+        row.gaps = Counter({int(gap): count for gap, count in row.gaps.items()})
+    return rows
+
+
+async def _disturb(fleet: Fleet, plan: Plan, begin: float) -> None:
+    await asyncio.sleep(max(0.0, begin + plan.seconds / 3 - time.time()))
+    await FAULTS[plan.fault](fleet)
+
+
+async def _watch(fleet: Fleet, begin: float, watch: Watch) -> None:
+    while True:
+        at = time.time() - begin
+        states = {name: await _read_role(fleet, name) for name in fleet.targets}
+        watch.roles.append((at, Counter(states.values())))
+        for name, role in states.items():
+            if role == "away":
+                continue
+            if watch.last.setdefault(name, role) != role:
+                watch.changes.setdefault(name, []).append(at)
+            watch.last[name] = role
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def _read_role(fleet: Fleet, name: str) -> str:
+    url = f"http://{fleet.processes[name].address}/state"
+    try:
+        async with fleet.session.get(url) as answer:
+            state = orjson.loads(await answer.read())
+    except (aiohttp.ClientError, ValueError):
+        return "away"
+    return str(state["role"]) if state["phase"] == "serving" else "away"
+
+
+def _find_early(watch: Watch) -> list[str]:
+    """Return the targets that changed role twice within the rest."""
+    return [
+        name
+        for name, times in watch.changes.items()
+        if any(b - a < REST_SECONDS for a, b in zip(times, times[1:], strict=False))
+    ]
+
+
+def _read_processor(fleet: Fleet) -> dict[str, float]:
+    """Return the processor seconds that each daemon has used."""
+    ticks = os.sysconf("SC_CLK_TCK")
+    used = {}
+    for name in fleet.daemons:
+        try:
+            text = Path(f"/proc/{fleet.processes[name].pid}/stat").read_text()
+        except OSError:
+            continue
+        fields = text.rpartition(")")[2].split()
+        used[name] = (int(fields[11]) + int(fields[12])) / ticks
+    return used
+
+
+def _read_cached(fleet: Fleet) -> float:
+    """Return the share of prompt tokens that daemons believed to be cached."""
+    found = [
+        match
+        for name in fleet.daemons
+        for match in CACHED.findall((fleet.folder / f"{name}.log").read_bytes())
+    ]
+    return sum(int(c) for c, _ in found) / max(1, sum(int(p) for _, p in found))
+
+
+def _write_out(
+    plan: Plan, rows: list[Row], figures: Figures, watch: Watch, out: Path
+) -> None:
+    out.mkdir(parents=True, exist_ok=True)
+    form = plan.form.replace(" ", "-")
+    name = f"{form}-{plan.load:g}-{plan.seed}-{plan.fault}"
+    with (out / "runs.jsonl").open("ab") as file:
+        value = {"plan": plan, "at": time.time(), "figures": figures}
+        file.write(orjson.dumps(value) + b"\n")
+    lines = [orjson.dumps(row, option=orjson.OPT_NON_STR_KEYS) for row in rows]
+    (out / f"{name}.jsonl").write_bytes(b"\n".join(lines) + b"\n")
+    draw(rows, watch.roles, out / f"{name}.svg")
+
+
+def _show(plan: Plan, figures: Figures) -> None:
+    click.echo(f"{plan}")
+    click.echo("class    offered  goodput  virtual  first token p50/p95/p99 ms")
+    for name, share in figures.goodput.items():
+        offered = figures.offered.get(name, sum(figures.offered.values()))
+        first = figures.first_ms.get(name, [])
+        virtual = figures.virtual.get(name, float("nan"))
+        click.echo(f"{name:8} {offered:7}  {share:.3f}    {virtual:.3f}    {first}")
+    click.echo(f"between tokens p50/p95/p99 ms: {figures.between_ms}")
+    click.echo(f"not met: {figures.refusals}")
+    click.echo(f"'not run' that ran: {len(figures.lies)}; cut off {figures.cut_off}")
+    click.echo(f"role orders: {figures.orders}; twice early: {figures.changed_early}")
+    click.echo(f"cached share believed: {figures.cached_share:.2f}")
+    click.echo(
+        f"processor seconds: {figures.processor_seconds}; "
+        f"latest send {figures.late_sends_ms:.0f} ms; load {os.getloadavg()}"
+    )
+
+
+@click.command()
+@click.option("--form", type=click.Choice(sorted(TRACES)), default="tena")
+@click.option("--seed", default=1)
+@click.option("--load", default=0.8, help="Share of the capacity bound.")
+@click.option("--seconds", default=60.0)
+@click.option("--aftermath", default=15.0, help="Seconds waited after the trace.")
+@click.option("--fault", type=click.Choice(sorted(FAULTS)), default="none")
+@click.option("--weight", default=1.0, help="Role change weight.")
+@click.option("--virtual/--no-virtual", default=True, help="Run the model too.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("build/load"))
+def main(
+    form: str,
+    seed: int,
+    load: float,
+    seconds: float,
+    aftermath: float,
+    fault: str,
+    weight: float,
+    virtual: bool,
+    out: Path,
+) -> None:
+    """Measure one run; append a JSON line and draw goodput and roles."""
+    plan = Plan(form, seed, load, seconds, aftermath, fault, weight, virtual)
+    run = partial(measure, plan, out)
+    _show(plan, asyncio.run(run()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
