Count a request's demand once

Cause: the core and admission both called note_arrival, so that each daemon measured and told its peers twice the demand; the virtual clock runs admission alone and never saw it. Placement then plans for a load that is not there. Ruled out: counting in the core only, as the virtual clock relies on admission; what a caller's limit refuses is no longer counted, and would not be served by more engines.

--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -14,7 +14,6 @@
 from galenapass.systems import (
     admission,
     crashes,
-    demand,
     estimates,
     limits,
     retries,
@@ -141,7 +140,6 @@
 
     def _refuse_new(self, request: Request) -> Verdict | None:
         now = self._clock.monotonic()
-        demand.note_arrival(self.world, request, now)
         condemned = crashes.check(self.world, request)
         if condemned is not None:
             return condemned
--- a/src/galenapass/systems/demand.py
+++ b/src/galenapass/systems/demand.py
@@ -1,7 +1,7 @@
 """Measure the demand for prefill and decode and smooth it with its trend.
 
-The core calls ``note_arrival`` for each request offered, refused ones too, and
-``sample`` once every ``SAMPLE_TIME``. Peers exchange ``demand_to_tell`` by
+Admission calls ``note_arrival`` for each request offered, refused ones too; the core
+calls ``sample`` once every ``SAMPLE_TIME``. Peers exchange ``demand_to_tell`` by
 ``hear_demand``. An engine-equivalent is what one engine does that does nothing else.
 """
 
