--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: demo test check setup format measure measure-path measure-spread measure-capacity prove
+.PHONY: demo test check setup format measure measure-path measure-spread \
+	measure-load measure-capacity prove
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +25,9 @@
 measure-spread: setup
 	$(BIN)/python -m experiments.measure_spread
 
+measure-load: setup
+	$(BIN)/python -m experiments.load
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
