--- /dev/null
+++ b/tests/test_orders_process.py
@@ -0,0 +1,92 @@
+"""Prove with processes that a declared role is ordered once and cuts nothing off."""
+
+import asyncio
+import signal
+
+import aiohttp
+import orjson
+from testtools import TestCase
+
+from tests.process_fleet import count_whole, engines, in_fleet, until
+
+TOKENS = 30
+SECONDS = 40.0
+
+
+async def declare(fleet, name, role):
+    fleet.targets[name].declared_role = role
+    await fleet.apply_file(fleet.write_file())
+
+
+async def read_roles(fleet):
+    """Return the role of each target as every daemon shows it."""
+    shown = [await fleet.read_operators(d, "/targets") for d in fleet.daemons]
+    return [{row["id"]: row["role"] for row in each["targets"]} for each in shown]
+
+
+async def wait_role(fleet, name, role):
+    async def is_shown():
+        return all(roles[name] == role for roles in await read_roles(fleet))
+
+    await until(is_shown, SECONDS)
+
+
+class RoleChangeTest(TestCase):
+    async def check_account(self, fleet, name):
+        account = await fleet.read_account(name)
+        self.assertEqual([], account["conflicts"])
+        self.assertEqual([], account["cut_off"] + account["cut_off_prefills"])
+        return account["orders"]
+
+    @in_fleet(2, engines(3, "--change-seconds", "0.5"), domains=("north",))
+    async def test_a_declared_role_comes_while_work_goes_on(self, fleet):
+        async def work():
+            return [await count_whole(fleet, 6, f"round {n}", TOKENS) for n in range(8)]
+
+        working = asyncio.create_task(work())
+        await declare(fleet, "runner-1", "prefill")
+        await wait_role(fleet, "runner-1", "prefill")
+        self.assertEqual([6] * 8, await working)
+        orders = await self.check_account(fleet, "runner-1")
+        self.assertEqual(["accepted"], [order["outcome"] for order in orders])
+
+    @in_fleet(2, engines(3, "--change-seconds", "0.5"), domains=("north",))
+    async def test_a_crash_halfway_repeats_the_same_order(self, fleet):
+        await fleet.set_faults("runner-1", crash_in_change=True)
+        await declare(fleet, "runner-1", "prefill")
+
+        async def has_restarted():
+            try:
+                return (await fleet.read_account("runner-1"))["crashes"] > 0
+            except aiohttp.ClientError:
+                return False
+
+        await until(has_restarted, SECONDS)
+        await fleet.set_faults("runner-1")
+        await wait_role(fleet, "runner-1", "prefill")
+        orders = await self.check_account(fleet, "runner-1")
+        self.assertEqual(1, len({order["id"] for order in orders}))
+        fences = [order["fence"] for order in orders]
+        self.assertEqual(sorted(set(fences)), fences)
+
+    @in_fleet(3, engines(2, "--change-seconds", "2"), domains=("north",))
+    async def test_a_successor_ends_what_a_killed_planner_began(self, fleet):
+        await declare(fleet, "runner-1", "prefill")
+
+        async def is_ordered():
+            return bool((await fleet.read_account("runner-1"))["orders"])
+
+        await until(is_ordered, SECONDS)
+        holder = await self.read_holder(fleet)
+        fleet.processes[holder].send(signal.SIGKILL)
+        del fleet.daemons[holder]
+        await fleet.list_hosts()
+        await wait_role(fleet, "runner-1", "prefill")
+        orders = await self.check_account(fleet, "runner-1")
+        self.assertEqual(1, len({order["id"] for order in orders}))
+        self.assertNotEqual(holder, await self.read_holder(fleet))
+
+    async def read_holder(self, fleet):
+        url = f"http://{fleet.platform}/objects/leases/north"
+        async with fleet.session.get(url) as answer:
+            return orjson.loads(await answer.read())["holder"]
