--- a/experiments/baselines.py
+++ b/experiments/baselines.py
@@ -1,8 +1,8 @@
 """Compare placement and routing with simpler policies on the users' traces.
 
-Writes one line a run to standard output, a summary with medians and ranges, and a
-figure to the directory named by ``--out``. Fails when two runs of one seed decide
-differently.
+A load of 1 offers the work that the engines can do by their arithmetic. Writes one
+line a run to standard output, a summary with medians and ranges, and a figure to the
+directory named by ``--out``. Fails when two runs of one seed decide differently.
 """
 
 import pathlib
@@ -92,6 +92,13 @@
     return min(1.0, capacity / offered)
 
 
+def make_trace(name: str, seed: int, load: float, seconds: float) -> list[Arrival]:
+    """Return a trace whose work is a share of what the engines can do."""
+    trial = TRACES[name](seed, 1.0, seconds)
+    natural = sum(sum(count_work(arrival)) for arrival in trial)
+    return TRACES[name](seed, load * ENGINES * seconds / natural, seconds)
+
+
 def find_shift(trace: list[Arrival]) -> float:
     """Return the engine-equivalents by which the prefill demand moved in all."""
     windows: dict[int, float] = {}
@@ -161,7 +168,7 @@
 def run_one(job: tuple[str, Policy, int, float, float]) -> tuple[Figures, Result]:
     """Run one policy on one seed's trace."""
     name, policy, seed, load, seconds = job
-    result = run(policy, TRACES[name](seed, load, seconds), seed)
+    result = run(policy, make_trace(name, seed, load, seconds), seed)
     return read_figures(result, seed), result
 
 
