Take the engines' cache events into the table of targets

Ruled out: every daemon following every engine, which grows with the square of the fleet; sending blocks between peers, which their budget does not hold. Change: each daemon follows the engines of its domain whose observer it is. The load tool's watching part has its own module.

--- a/experiments/load.py
+++ b/experiments/load.py
@@ -3,17 +3,15 @@
 import asyncio
 import hashlib
 import os
-import re
 import signal
 import sys
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
-import aiohttp
 import click
 import orjson
 
@@ -28,6 +26,13 @@
     make_figures,
 )
 from experiments.load_player import KEYS, PATIENCE, Row, make_trace
+from experiments.load_watch import (
+    Watch,
+    find_early,
+    read_cached,
+    read_processor,
+    watch_roles,
+)
 from experiments.processes import start_process
 from experiments.traces import TRACES
 from galenapass.tables.targets import Role
@@ -38,12 +43,8 @@
 ENGINES = 9
 PLAYERS = 3
 LEAD_SECONDS = 8.0
-POLL_SECONDS = 0.5
 SETTLE_SECONDS = 4.0
-REST_SECONDS = 60.0  # between two changes of one target
 SCALE_LOAD = 1.0
-CACHED = re.compile(rb"(\d+) of (\d+) tokens cached")
-Roles = list[tuple[float, Counter[str]]]
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,15 +61,6 @@
     virtual: bool = True
 
 
-@dataclass(slots=True)
-class Watch:
-    """Hold what was seen of the engines while a trace was played."""
-
-    roles: Roles = field(default_factory=list)
-    changes: dict[str, list[float]] = field(default_factory=dict)
-    last: dict[str, str] = field(default_factory=dict)
-
-
 async def _crash(fleet: Fleet) -> None:
     await fleet.set_faults("runner-1", crash=True)
 
@@ -146,9 +138,9 @@
 ) -> Figures:
     begin = time.time() + LEAD_SECONDS
     watch = Watch()
-    watching = asyncio.create_task(_watch(fleet, begin, watch))
+    watching = asyncio.create_task(watch_roles(fleet, begin, watch))
     disturbing = asyncio.create_task(_disturb(fleet, plan, begin))
-    used = _read_processor(fleet)
+    used = read_processor(fleet)
     players = [
         await start_process(
             f"player-{n}",
@@ -172,7 +164,7 @@
     figures = make_figures(rows, runs, virtual)
     figures.processor_seconds = {
         name: round(after - used[name], 1)
-        for name, after in _read_processor(fleet).items()
+        for name, after in read_processor(fleet).items()
     }
     figures.orders = [
         f"{name} {order['value']} {order['outcome']}"
@@ -180,8 +172,8 @@
         for order in account["orders"]
     ]
     figures.cut_off = sum(len(a["cut_off"]) for a in accounts)
-    figures.changed_early = _find_early(watch)
-    figures.cached_share = _read_cached(fleet)
+    figures.changed_early = find_early(watch)
+    figures.cached_share = read_cached(fleet)
     trace = make_trace(plan.form, plan.seed, factor, plan.seconds)
     met = [trace[row.number] for row in rows if is_met(row)]
     figures.work_offered = find_bound(trace, ENGINES, plan.seconds)
@@ -221,63 +213,6 @@
     await FAULTS[plan.fault](fleet)
 
 
-async def _watch(fleet: Fleet, begin: float, watch: Watch) -> None:
-    while True:
-        at = time.time() - begin
-        states = {name: await _read_role(fleet, name) for name in fleet.targets}
-        watch.roles.append((at, Counter(states.values())))
-        for name, role in states.items():
-            if role == "away":
-                continue
-            if watch.last.setdefault(name, role) != role:
-                watch.changes.setdefault(name, []).append(at)
-            watch.last[name] = role
-        await asyncio.sleep(POLL_SECONDS)
-
-
-async def _read_role(fleet: Fleet, name: str) -> str:
-    url = f"http://{fleet.processes[name].address}/state"
-    try:
-        async with fleet.session.get(url) as answer:
-            state = orjson.loads(await answer.read())
-    except (aiohttp.ClientError, ValueError):
-        return "away"
-    return str(state["role"]) if state["phase"] == "serving" else "away"
-
-
-def _find_early(watch: Watch) -> list[str]:
-    """Return the targets that changed role twice within the rest."""
-    return [
-        name
-        for name, times in watch.changes.items()
-        if any(b - a < REST_SECONDS for a, b in zip(times, times[1:], strict=False))
-    ]
-
-
-def _read_processor(fleet: Fleet) -> dict[str, float]:
-    """Return the processor seconds that each daemon has used."""
-    ticks = os.sysconf("SC_CLK_TCK")
-    used = {}
-    for name in fleet.daemons:
-        try:
-            text = Path(f"/proc/{fleet.processes[name].pid}/stat").read_text()
-        except OSError:
-            continue
-        fields = text.rpartition(")")[2].split()
-        used[name] = (int(fields[11]) + int(fields[12])) / ticks
-    return used
-
-
-def _read_cached(fleet: Fleet) -> float:
-    """Return the share of prompt tokens that daemons believed to be cached."""
-    found = [
-        match
-        for name in fleet.daemons
-        for match in CACHED.findall((fleet.folder / f"{name}.log").read_bytes())
-    ]
-    return sum(int(c) for c, _ in found) / max(1, sum(int(p) for _, p in found))
-
-
 def _write_out(
     plan: Plan, rows: list[Row], figures: Figures, watch: Watch, out: Path
 ) -> None:
--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -19,6 +19,7 @@
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
+from galenapass.duties.cache_watch import follow_caches
 from galenapass.duties.follower import Follower
 from galenapass.duties.holding import work_while_held
 from galenapass.duties.journal import Journal
@@ -43,8 +44,9 @@
 from galenapass.tables.configurations import Configuration
 from galenapass.tables.hosts import HostState
 from galenapass.tables.peers import DrainAck, HostChange, Orders, Settings
-from galenapass.tables.targets import Target
+from galenapass.tables.targets import Kind, Target
 from galenapass.tables.world import World
+from galenapass.targets.cache_events import CacheFollower
 from galenapass.targets.engines import Engines
 from galenapass.targets.probes import Probes
 from galenapass.targets.services import PlainServices
@@ -120,6 +122,9 @@
         self._spawn(repeat(self._keep_up, UPKEEP_PERIOD, self.random))
         self._spawn(repeat(self._read_roster, ROSTER_PERIOD, self.random))
         self._spawn(repeat(self._make_observer().observe, observer.PERIOD, self.random))
+        self._spawn(
+            follow_caches(self.world, self.cache_events.follow, self._list_observed)
+        )
         self.is_ready = True
         _log("daemon is ready", version=self.world.configuration.version)
 
@@ -167,6 +172,7 @@
         self.streams = OpenStreams(self.limits)
         self.engines = Engines()
         self.services = PlainServices()
+        self.cache_events = CacheFollower()
         self.probes = Probes(self.engines)
         self.objects = Objects(
             str(settings.platform_address),
@@ -231,6 +237,7 @@
             return
         await self.engines.close()
         await self.services.close()
+        await self.cache_events.close()
         await self.probes.close()
         await self.objects.close()
 
@@ -273,6 +280,20 @@
         own = self.world.hosts.get(self.settings.host)
         return own is not None and holds(self.world.hosts.values(), own, duty)
 
+    def _list_observed(self) -> list[Target]:
+        """Return the engines of this domain whose observer this daemon is."""
+        own = self.world.hosts.get(self.settings.host)
+        if own is None:
+            return []
+        hosts = list(self.world.hosts.values())
+        return [
+            target
+            for target in self.world.targets.values()
+            if target.kind is Kind.ENGINE
+            and target.domain == own.domain
+            and holds(hosts, own, Duty.OBSERVER, target.id)
+        ]
+
     def _list_duties(self) -> list[str]:
         own = self.world.hosts.get(self.settings.host)
         return [] if own is None else list_duties(self.world.hosts.values(), own, [])
