--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 format: setup
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
+
+measure: setup
+	$(BIN)/python -m experiments.baselines
