--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -22,6 +22,7 @@
 from galenapass.clocks import SystemClock
 from galenapass.core import Core
 from galenapass.duties import observer, roster, watcher
+from galenapass.duties.cache_watch import follow_caches
 from galenapass.duties.follower import Follower
 from galenapass.duties.holding import work_while_held
 from galenapass.duties.journal import Journal
@@ -40,10 +41,11 @@
 from galenapass.settings.hours import urgency_of
 from galenapass.settings.units import Stream
 from galenapass.systems import crashes, demand, limits
-from galenapass.systems.duties import Duty, holds, list_duties
+from galenapass.systems.duties import Duty, find_observed, holds, list_duties
 from galenapass.systems.membership import Listed
 from galenapass.tables.configurations import Configuration
 from galenapass.tables.peers import Settings
+from galenapass.tables.targets import Kind, Target
 from galenapass.tables.world import World
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -113,6 +115,8 @@
         self._repeat(self._keep_up, UPKEEP_PERIOD)
         self._repeat(self.roster.read, roster.PERIOD)
         self._repeat(self.observer.observe, observer.PERIOD)
+        follow = self.clients.cache_events.follow
+        self._spawn(follow_caches(self.world, follow, self._list_observed))
         self.is_ready = True
         _log("daemon is ready", version=self.intake.version)
 
@@ -272,6 +276,19 @@
         own = self.world.hosts.get(self.settings.host)
         return own is not None and holds(self.world.hosts.values(), own, duty)
 
+    def _list_observed(self) -> list[Target]:
+        """Return the engines of this domain that this daemon observes."""
+        own = self.world.hosts.get(self.settings.host)
+        if own is None:
+            return []
+        engines = {
+            target.id: target
+            for target in self.world.targets.values()
+            if target.kind is Kind.ENGINE and target.domain == own.domain
+        }
+        observed = find_observed(self.world.hosts.values(), own, engines)
+        return [engines[name] for name in observed]
+
     def _list_duties(self) -> list[str]:
         own = self.world.hosts.get(self.settings.host)
         return [] if own is None else list_duties(self.world.hosts.values(), own, [])
--- a/src/galenapass/clients.py
+++ b/src/galenapass/clients.py
@@ -5,6 +5,7 @@
 from galenapass.metrics import Metrics
 from galenapass.platform.objects import Objects
 from galenapass.settings.daemon import DaemonSettings
+from galenapass.targets.cache_events import CacheFollower
 from galenapass.targets.engines import Engines
 from galenapass.targets.probes import Probes
 from galenapass.targets.services import PlainServices
@@ -15,11 +16,12 @@
 class Clients:
     """Hold one client for each kind of outside system."""
 
-    __slots__ = ("_metrics", "engines", "objects", "probes", "services")
+    __slots__ = ("_metrics", "cache_events", "engines", "objects", "probes", "services")
 
     def __init__(self, settings: DaemonSettings, random: Random, metrics: Metrics):
         self._metrics = metrics
         self.engines = Engines()
+        self.cache_events = CacheFollower()
         self.services = PlainServices()
         self.probes = Probes(self.engines)
         self.objects = Objects(
@@ -33,7 +35,13 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        for client in (self.engines, self.services, self.probes, self.objects):
+        for client in (
+            self.engines,
+            self.cache_events,
+            self.services,
+            self.probes,
+            self.objects,
+        ):
             await client.close()
 
     def _count_call(self, call: str) -> None:
