Check several events of a chunk without cutting it up

On a busy machine chunks hold several events, and those took the slow way, which cuts each event out. The quick way now walks over them.

--- a/src/galenapass/callers/events.py
+++ b/src/galenapass/callers/events.py
@@ -39,15 +39,18 @@
 
     def take(self, chunk: bytes) -> bytes:
         """Return the new whole events of a chunk as they are to be passed on."""
-        # Nearly every chunk is one whole event, the next: pass it on untouched.
-        if (
-            chunk.startswith(self._next)
-            and not self._rest
-            and chunk.find(EVENT_END) == len(chunk) - 2
-        ):
-            self._count(chunk)
+        # Nearly every chunk is the next events and no more: pass it on untouched.
+        start = 0
+        while not self._rest and chunk.startswith(self._next, start):
+            end = chunk.find(EVENT_END, start)
+            if end < 0:
+                break
+            end += len(EVENT_END)
+            self._count(chunk[start:end])
+            start = end
+        if start == len(chunk):
             return chunk
-        return self._take_parts(chunk)
+        return chunk[:start] + self._take_parts(chunk[start:])
 
     def _count(self, event: bytes) -> None:
         self.delivered += 1
