Suspect only requests that reached the target; tell suspects at once

Causes: a request that a crashed target did not even let connect counted as running in its crash, so innocents were condemned after two such tries; suspects were told once in 250 ms, so a resend through another daemon right after the refusal ran a third time; a waiting request whose end was settled by news waited until its deadline. Found by tests/test_process_crashes.py. Ruled out: the engines' own accounts (one crash each, by the marker).

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -158,6 +158,8 @@
             self.metrics,
             self.clients.probes.has_crashed,
             self.streams.break_off,
+            # A resend may come through another daemon before the next news.
+            lambda: self.exchange.tell_suspects(),
         )
 
     def _make_peers(self) -> Peers:
--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -54,6 +54,7 @@
         "_has_crashed",
         "_metrics",
         "_random",
+        "_tell_suspects",
         "_ticker",
         "stopping",
         "world",
@@ -67,9 +68,11 @@
         metrics: Metrics,
         has_crashed: HasCrashed,
         break_off: BreakOff,
+        tell_suspects: Callable[[], None],
     ):
         self.world = world
         self._has_crashed = has_crashed
+        self._tell_suspects = tell_suspects
         self._break_off = break_off
         self.stopping = False
         self._clock = clock
@@ -158,10 +161,14 @@
         target = self.world.targets.get(request.target or "")
         if target is None or failure.reason not in CRASH_SIGNS:
             return
+        # What never reached a target that was down already cannot have crashed it.
+        if failure.run is Run.NOT_RUN:
+            return
         if await self._has_crashed(target):
             now = self._clock.monotonic()
             suspects = crashes.note_crash(self.world, target.id, now)
             _log("target crashed", target=target.id, suspects=len(suspects))
+            self._tell_suspects()
 
     def _end_attempt(self, request: Request, verdict: Verdict) -> None:
         now = self._clock.monotonic()
--- a/src/galenapass/exchange.py
+++ b/src/galenapass/exchange.py
@@ -47,6 +47,10 @@
         )
         peers.heard.subscribe(self._hear)
 
+    def tell_suspects(self) -> None:
+        """Tell which requests are suspected of crashing targets."""
+        self._news.tell_suspects(self._peers.tell)
+
     async def tell_loads(self) -> bool:
         """Tell what is in flight here and what is held of draining targets."""
         self._news.tell_loads(self._peers.tell)
--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -159,6 +159,11 @@
 
 def _step(tick: _Tick, request: Request) -> list[Effect]:
     world, now = tick.world, tick.now
+    # What was heard since it began to wait may have settled its end.
+    condemned = crashes.check(world, request)
+    if condemned is not None:
+        request.state = RequestState.ENDED
+        return [Refuse(request.id, condemned)]
     choice = _choose(tick, request)
     if choice is not None:
         take(world, request, choice, now)
