--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -29,6 +29,8 @@
 __all__ = ["Core"]
 
 TICK_PERIOD = timedelta(milliseconds=100)
+# A caller who is refused may resend through a peer, which must know by then.
+NEWS_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY = timedelta(seconds=1)
 PREEMPTED = Verdict(
     Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
@@ -117,6 +119,8 @@
         decided = retries.decide(self.world, request, failure, now)
         if isinstance(decided, Verdict):
             self._log_refusal(request, decided)
+            if decided.reason is Reason.CRASHES_TARGETS:
+                await asyncio.sleep(NEWS_TIME.total_seconds())
             return Err(decided)
         _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
