Hand a prompt over only when its transfer is shorter than what it spares

Cause: short questions whose prefix is cached at a mixed engine were handed over. Change: a split is weighed only if the prefill spared exceeds import and transfer.

--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -120,7 +120,9 @@
 def _choose_engine(
     request: Request, views: list[_View], random: Random
 ) -> Choice | None:
-    plans = _plan_whole(request, views) + _plan_split(request, views)
+    plans = _plan_whole(request, views)
+    if not plans or _saves(request, plans):
+        plans += _plan_split(request, views)
     if not plans:
         return None
     best = min(plans, key=lambda p: (round(p.cost, 3), random.random()))
@@ -151,6 +153,16 @@
     return [_Plan(v, None, v.prompt + v.output) for v in _prefer(request, mixed)]
 
 
+def _saves(request: Request, whole: list[_Plan]) -> bool:
+    """Tell whether a hand-over's transfer is shorter than the prefill it spares."""
+    spared = min(plan.target.prompt - plan.target.wait for plan in whole)
+    return spared > _transfer(request)
+
+
+def _transfer(request: Request) -> float:
+    return IMPORT_TIME + request.prompt_tokens / TRANSFER_RATE
+
+
 def _plan_split(request: Request, views: list[_View]) -> list[_Plan]:
     prefills = [v for v in views if v.target.role is Role.PREFILL]
     preferred = _prefer(request, prefills)
@@ -161,8 +173,8 @@
         return []
     prefill = min(preferred, key=lambda v: v.prompt)
     decode = min(decodes, key=lambda v: (v.output, v.target.id))
-    transfer = IMPORT_TIME + request.prompt_tokens / TRANSFER_RATE
-    return [_Plan(decode, prefill, prefill.prompt + transfer + decode.output)]
+    cost = prefill.prompt + _transfer(request) + decode.output
+    return [_Plan(decode, prefill, cost)]
 
 
 def _prefer(request: Request, views: list[_View]) -> list[_View]:
