--- a/src/galenapass/systems/demand.py
+++ b/src/galenapass/systems/demand.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from statistics import median
 
-from galenapass.systems import estimates
+from galenapass.systems import caches, estimates
 from galenapass.tables.demand import Demand, PeerWork, PhaseDemand
 from galenapass.tables.requests import Request
 from galenapass.tables.targets import Kind, Target
@@ -20,7 +20,6 @@
     "forecast",
     "hear_demand",
     "note_arrival",
-    "note_fresh_share",
     "own_share",
     "sample",
 ]
@@ -29,7 +28,6 @@
 HEARD_FOR = timedelta(seconds=10)
 LEVEL_SHARE = 0.3  # of a new sample in the level
 TREND_SHARE = 0.1  # of a new slope in the trend
-FRESH_LEARNING = 0.05
 
 
 def note_arrival(world: World, request: Request, now: timedelta) -> None:
@@ -42,20 +40,12 @@
         demand.since = now
     rate = median(t.rates.best_prefill for t in engines)
     step = median(t.rates.best_step for t in engines)
-    demand.prefill_arrived += request.prompt_tokens * demand.fresh_share / rate
-    share = _decode_share(engines[0], request, demand.fresh_share)
+    fresh = min(caches.fresh_tokens(t, request) for t in engines)
+    demand.prefill_arrived += fresh / rate
+    share = _decode_share(engines[0], fresh + request.output_tokens)
     demand.decode_arrived += request.output_tokens * step * share
 
 
-def note_fresh_share(world: World, request: Request, fresh: int) -> None:
-    """Learn how much of the prompts the caches spare, from a dispatch."""
-    demand = _demand(world, request.service)
-    if request.prompt_tokens <= 0:
-        return
-    share = fresh / request.prompt_tokens
-    demand.fresh_share += FRESH_LEARNING * (share - demand.fresh_share)
-
-
 def sample(world: World, now: timedelta) -> None:
     """End a sample of each service and smooth it by Holt's linear method."""
     for demand in world.demand.demands.values():
@@ -120,10 +110,9 @@
     return [t for t in targets if t.service == service and t.kind is Kind.ENGINE]
 
 
-def _decode_share(target: Target, request: Request, fresh_share: float) -> float:
+def _decode_share(target: Target, tokens: int) -> float:
     """Return the part of an engine that a sequence takes, by memory or by room."""
-    tokens = request.prompt_tokens * fresh_share + request.output_tokens
-    pieces = estimates.pieces_needed(target, int(tokens))
+    pieces = estimates.pieces_needed(target, tokens)
     memory = pieces / max(1, estimates.pieces_total(target))
     return max(memory, 1.0 / estimates.sequences(target))
 
--- a/src/galenapass/systems/holds.py
+++ b/src/galenapass/systems/holds.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from galenapass.systems import caches, demand, estimates, limits
+from galenapass.systems import caches, estimates, limits
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Hold, Request, RequestState
 from galenapass.tables.targets import Kind, LoadChange, Target
@@ -28,9 +28,6 @@
     for hold in request.holds:
         change = LoadChange(now, 1, hold.prefill, hold.pieces)
         estimates.record(world.targets[hold.target], change)
-    if target.kind is Kind.ENGINE:
-        fresh = caches.fresh_tokens(prefill, request)
-        demand.note_fresh_share(world, request, fresh)
     limits.note_work(world, request, estimates.work_seconds(target, request, now), now)
 
 
--- a/src/galenapass/tables/demand.py
+++ b/src/galenapass/tables/demand.py
@@ -29,7 +29,6 @@
 
     ``prefill_arrived`` and ``decode_arrived`` add up engine-seconds since
     ``since``; ``own_*`` are the engine-equivalents of the last whole sample.
-    ``fresh_share`` is the part of prompt tokens that no cache held.
     """
 
     service: str
@@ -38,7 +37,6 @@
     since: timedelta | None = None
     own_prefill: float = 0.0
     own_decode: float = 0.0
-    fresh_share: float = 1.0
     peers: dict[str, PeerWork] = field(default_factory=dict)
     prefill: PhaseDemand = field(default_factory=PhaseDemand)
     decode: PhaseDemand = field(default_factory=PhaseDemand)
