Give a resumed stream's prompt back once its output goes on

Cause: the relay told of the first token only where nothing had been delivered, so that a stream that was moved (preempted, drained, crashed engine) stayed 'dispatched' and held its prompt as queued prefill at the new target until its end: bulk's backlog bound of 0.25 s closed the target for that long, and the prefill target of a hand-over kept its request. The virtual clock notes it at each attempt. Ruled out: telling of a first token twice, which would record the caller's wait twice and is what an existing test forbids. Change: the relay tells of a resumed output, and the core gives the prompt back.

--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -196,14 +196,21 @@
         return
     if stream.cause is None:
         stream.timeout.reschedule(None)
-    if not relay.request.delivered:
-        relay.dispatcher.note_first_token(relay.request)
+    _note_output(relay)
     relay.request.delivered = relay.tail.delivered
     write = await _open(relay.sink)
     await _write(write, first)
     await pass_events(content, relay.tail, write, relay.request)
 
 
+def _note_output(relay: Relay) -> None:
+    """Tell the dispatcher that the prompt is processed, at each attempt."""
+    resumed = relay.request.delivered > 0
+    dispatcher = relay.dispatcher
+    note = dispatcher.note_resumed if resumed else dispatcher.note_first_token
+    note(relay.request)
+
+
 async def _read_first(content: aiohttp.StreamReader, tail: EventTail) -> bytes:
     part = b""
     while not part and not tail.stopped:
--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -125,6 +125,10 @@
         wait = (now - request.arrived).total_seconds()
         self._metrics.first_token.record(wait, {"urgency": request.urgency.name})
 
+    def note_resumed(self, request: Request) -> None:
+        """Take note that a moved request's output goes on at its new target."""
+        admission.first_token(self.world, request, self._clock.monotonic())
+
     def end(self, request: Request, verdict: Verdict) -> None:
         """Forget a request and give back what it held."""
         if self.world.requests.pop(request.id, None) is None:
--- a/src/galenapass/dispatch.py
+++ b/src/galenapass/dispatch.py
@@ -36,6 +36,9 @@
     def note_first_token(self, request: Request) -> None:
         """Take note that the prompt is processed and output has begun."""
 
+    def note_resumed(self, request: Request) -> None:
+        """Take note that a moved request's output goes on at its new target."""
+
     def end(self, request: Request, verdict: Verdict) -> None:
         """Forget a request and give back what it held."""
 
--- a/tests/callers_fakes.py
+++ b/tests/callers_fakes.py
@@ -74,6 +74,7 @@
         self.failures = []
         self.ends = []
         self.first_tokens = 0
+        self.resumes = 0
         self.requests = []
 
     async def route(self, request):
@@ -87,6 +88,9 @@
     def note_first_token(self, request):
         self.first_tokens += 1
 
+    def note_resumed(self, request):
+        self.resumes += 1
+
     def end(self, request, verdict):
         self.ends.append(verdict)
 
--- a/tests/test_callers_streams.py
+++ b/tests/test_callers_streams.py
@@ -80,6 +80,16 @@
 
         asyncio.run(check())
 
+    def test_each_resumed_attempt_is_told(self):
+        async def check():
+            broken = play_stream(TOKENS, until=3, end="abort")
+            async with run_bench(broken, play_stream(TOKENS)) as (bench, _):
+                await ask(bench)
+                dispatcher = bench.dispatcher
+                self.assertEqual((1, 1), (dispatcher.first_tokens, dispatcher.resumes))
+
+        asyncio.run(check())
+
     @given(st.lists(BREAKS, max_size=2), WHOLE)
     def test_one_answer_is_assembled(self, breaks, last):
         async def check():
