--- a/experiments/capacity_core.py
+++ b/experiments/capacity_core.py
@@ -189,7 +189,9 @@
     async def never(_: Any) -> bool:
         return False
 
-    core = Core(world, clock, Random(1), make_metrics(), never, lambda *_: False)
+    core = Core(
+        world, clock, Random(1), make_metrics(), never, lambda *_: False, lambda: None
+    )
     core.start()
     requests = [_make_request(n, clock) for n in range(running + REQUESTS)]
     for request in requests[:running]:
