--- a/src/galenapass/exchange.py
+++ b/src/galenapass/exchange.py
@@ -10,7 +10,14 @@
 from galenapass.news import News
 from galenapass.peers import Peers
 from galenapass.tables.hosts import HostState
-from galenapass.tables.peers import Drain, DrainAck, HostChange, Orders, Settings
+from galenapass.tables.peers import (
+    Drain,
+    DrainAck,
+    HostChange,
+    LinkChange,
+    Orders,
+    Settings,
+)
 from galenapass.tables.targets import Target
 
 __all__ = ["Exchange"]
@@ -39,6 +46,7 @@
             DrainAck: follower.hear_ack,
             Drain: roster.hear,
             HostChange: self._note_host,
+            LinkChange: self._note_link,
         }
         traffic, counter = peers.traffic, metrics.peer_bytes
         self._count_bytes = (
@@ -79,3 +87,8 @@
         if change.after is HostState.GONE:
             self._news.forget_host(change.host)
             self._follower.forget_host(change.host)
+
+    def _note_link(self, change: LinkChange) -> None:
+        # Without the link nobody tells any more what that daemon has in flight.
+        if not change.open:
+            self._news.forget_host(change.host)
