--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: demo test check setup format measure measure-path measure-capacity prove
+.PHONY: demo test check setup format measure measure-path measure-spread \
+	measure-load measure-capacity prove
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -18,12 +19,24 @@
 test: setup
 	$(BIN)/python -m pytest
 
+measure-path: setup
+	$(BIN)/python -m experiments.measure_path
+
+measure-spread: setup
+	$(BIN)/python -m experiments.measure_spread
+
+measure-load: setup
+	$(BIN)/python -m experiments.load
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy src stand_ins experiments
 	$(BIN)/python -m tests.generated
 
+measure-capacity: setup
+	$(BIN)/python -m experiments.measure_capacity
+
 format: setup
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- a/experiments/fleet.py
+++ b/experiments/fleet.py
@@ -14,7 +14,7 @@
 
 from experiments.processes import Process, find_free_port, start_process, stop_all
 
-__all__ = ["CALLER_KEY", "DaemonSpec", "Fleet", "TargetSpec", "TOKEN"]
+__all__ = ["CALLER_KEY", "Answer", "DaemonSpec", "Fleet", "TargetSpec", "TOKEN"]
 
 CALLER_KEY = "guide-key"
 TOKEN = "operators-token"
@@ -24,6 +24,15 @@
 JSON = {"Content-Type": "application/json"}
 
 
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Hold what a daemon answered a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 @dataclass(slots=True)
 class TargetSpec:
     """Describe one target to start; options go to its program."""
@@ -52,6 +61,7 @@
     operators: int = field(default_factory=find_free_port)
     peers: int = field(default_factory=find_free_port)
     platform: str = ""
+    reach: str = "fleet"
 
     @property
     def entry(self) -> str:
@@ -73,6 +83,8 @@
         self.processes: dict[str, Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="galenapass-"))
         self.platform = ""
+        self.patience = "20 s"
+        self.stop_within = "20 s"
 
     async def __aenter__(self) -> "Fleet":
         self.session = aiohttp.ClientSession()
@@ -148,12 +160,13 @@
 listen = 127.0.0.1:{spec.peers}
 secret = {SECRET}
 join = {", ".join(others)}
+reach = {spec.reach}
 
 [platform]
 address = {spec.platform or self.platform}
 
 [stop]
-within = 20 s
+within = {self.stop_within}
 """
 
     def write_file(self, weight: float = 1.0, extra: str = "") -> str:
@@ -168,7 +181,8 @@
         parts.append(
             f"[caller guides]\nkey sha256 = {hashed}\n"
             "services = assistant, booking\nurgency = urgent\n"
-            "urgent patience = 20 s\npatience = 60 s\nrate = 200 req/s\n"
+            f"urgent patience = {self.patience}\n"
+            "patience = 60 s\nrate = 200 req/s\n"
         )
         return "\n".join([*parts, extra])
 
@@ -230,8 +244,8 @@
         async with self.session.get(url) as answer:
             return orjson.loads(await answer.read())
 
-    async def apply_file(self, text: str) -> None:
-        """Write the operators' file straight to the platform."""
+    async def apply_file(self, text: str) -> int:
+        """Write the operators' file straight to the platform; return its version."""
         url = f"http://{self.platform}/objects/configurations/current"
         async with self.session.get(url) as found:
             condition = {"If-None-Match": "*"}
@@ -239,17 +253,39 @@
                 condition = {"If-Match": found.headers["ETag"]}
         async with self.session.put(url, data=text, headers=condition) as answer:
             answer.raise_for_status()
+            return int(answer.headers["ETag"].strip('"'))
+
+    async def apply_by_tool(self, text: str) -> None:
+        """Apply the operators' file through the tool, as an operator does."""
+        file = self.folder / "fleet.ini"
+        file.write_text(text, encoding="utf-8")
+        port = next(iter(self.daemons.values())).operator_port
+        arguments = ["apply", str(file), "--daemon", port, "--token", TOKEN]
+        log = self.folder / "tool.log"
+        tool = await start_process(
+            "tool", "galenapass.cli", arguments, log, ready=False
+        )
+        if await tool.wait():
+            raise RuntimeError(log.read_text(encoding="utf-8")[-2000:])
 
     # What is asked of the daemons
 
+    async def wait_alive(self) -> None:
+        """Wait until every daemon answers at all."""
+        for spec in self.daemons.values():
+            await self._wait_for(f"http://{spec.entry}/healthz", spec.name)
+
     async def wait_ready(self, names: Iterable[str] = ()) -> None:
         """Wait until daemons take work; raise TimeoutError when they do not."""
         for name in names or self.daemons:
             await self._wait_ready(name)
 
     async def _wait_ready(self, name: str) -> None:
+        await self._wait_for(f"http://{self.daemons[name].entry}/readyz", name)
+
+    async def _wait_for(self, url: str, name: str) -> None:
         for _ in range(READY_TRIES):
-            if await self.is_ready(name):
+            if await self._answers(url):
                 return
             await asyncio.sleep(READY_PAUSE)
         log = (self.folder / f"{name}.log").read_text(encoding="utf-8")
@@ -257,7 +293,9 @@
 
     async def is_ready(self, name: str) -> bool:
         """Tell whether a daemon says that it takes work."""
-        url = f"http://{self.daemons[name].entry}/readyz"
+        return await self._answers(f"http://{self.daemons[name].entry}/readyz")
+
+    async def _answers(self, url: str) -> bool:
         try:
             async with self.session.get(url) as answer:
                 return answer.status == 200
@@ -268,12 +306,17 @@
         self, name: str, path: str, body: Any, **headers: str
     ) -> tuple[int, bytes]:
         """Send a caller's request to a daemon; return status and body."""
+        answer = await self.send(name, path, body, **headers)
+        return answer.status, answer.body
+
+    async def send(self, name: str, path: str, body: Any, **headers: str) -> Answer:
+        """Send a caller's request to a daemon; return its whole answer."""
         url = f"http://{self.daemons[name].entry}{path}"
         named = {key.replace("_", "-"): value for key, value in headers.items()}
         named = {"Authorization": f"Bearer {CALLER_KEY}", **JSON, **named}
         data = orjson.dumps(body)
         async with self.session.post(url, data=data, headers=named) as answer:
-            return answer.status, await answer.read()
+            return Answer(answer.status, dict(answer.headers), await answer.read())
 
     async def read_operators(self, name: str, path: str) -> dict[str, Any]:
         """Read the operators' port of a daemon."""
--- a/tests/callers_fakes.py
+++ b/tests/callers_fakes.py
@@ -74,6 +74,7 @@
         self.failures = []
         self.ends = []
         self.first_tokens = 0
+        self.resumes = 0
         self.requests = []
 
     async def route(self, request):
@@ -87,6 +88,9 @@
     def note_first_token(self, request):
         self.first_tokens += 1
 
+    def note_resumed(self, request):
+        self.resumes += 1
+
     def end(self, request, verdict):
         self.ends.append(verdict)
 
@@ -142,6 +146,7 @@
         self.acts = list(acts)
         self.seen = []
         self.cancelled = []
+        self.log = []
         self.was_cancelled = asyncio.Event()
         self.app = web.Application()
         self.app.router.add_post("/v1/chat/completions", self._play)
@@ -151,10 +156,12 @@
     async def _play(self, request):
         await request.read()
         self.seen.append(request)
+        self.log.append("run")
         return await self.acts.pop(0)(request)
 
     async def _cancel(self, request):
         self.cancelled.append(request.match_info["id"])
+        self.log.append("cancel")
         self.was_cancelled.set()
         return web.Response()
 
--- a/tests/test_callers_streams.py
+++ b/tests/test_callers_streams.py
@@ -80,6 +80,16 @@
 
         asyncio.run(check())
 
+    def test_each_resumed_attempt_is_told(self):
+        async def check():
+            broken = play_stream(TOKENS, until=3, end="abort")
+            async with run_bench(broken, play_stream(TOKENS)) as (bench, _):
+                await ask(bench)
+                dispatcher = bench.dispatcher
+                self.assertEqual((1, 1), (dispatcher.first_tokens, dispatcher.resumes))
+
+        asyncio.run(check())
+
     @given(st.lists(BREAKS, max_size=2), WHOLE)
     def test_one_answer_is_assembled(self, breaks, last):
         async def check():
@@ -95,6 +105,22 @@
 
         asyncio.run(check())
 
+    def test_an_old_caller_gets_an_unchunked_stream(self):
+        async def check():
+            async with run_bench(play_stream(TOKENS)) as (bench, _):
+                host, port = bench.url.removeprefix("http://").split(":")
+                reader, writer = await asyncio.open_connection(host, port)
+                body = orjson.dumps({**BODY, "stream": True})
+                key = HEADERS["Authorization"]
+                head = f"POST {CHAT} HTTP/1.0\r\nAuthorization: {key}\r\n"
+                writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode())
+                writer.write(body)
+                _, _, answer = (await reader.read()).partition(b"\r\n\r\n")
+                writer.close()
+                self.assertEqual(whole_stream(TOKENS), answer)
+
+        asyncio.run(check())
+
     @given(st.lists(st.integers(1, 120), max_size=30))
     def test_parts_make_no_difference(self, sizes):
         tail, data, out = EventTail(), whole_stream(TOKENS), b""
@@ -111,3 +137,9 @@
         self.assertEqual(b"", tail.take(b"data: [DONE]\n\n"))
         self.assertFalse(tail.ended)
         self.assertIn("unfinished after event 1", tail.fault)
+
+    def test_a_gap_stops_at_once(self):
+        tail = EventTail()
+        self.assertEqual(event_of(1, 5), tail.take(event_of(1, 5) + event_of(3, 5)))
+        self.assertTrue(tail.stopped)
+        self.assertFalse(tail.ended)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -130,7 +130,9 @@
         )
 
     def test_apply_uses_the_version_in_force(self):
-        self.assertIn("accepted as version 3", self.apply(FLEET).stdout)
+        first = self.apply(FLEET)
+        self.assertEqual("no file is in force yet\n", first.stderr)
+        self.assertIn("accepted as version 3", first.stdout)
         second = self.apply(SECOND)
         self.assertIn("accepted as version 6", second.stdout)
         for part in ("based on version 3", "-share = 3", "+share = 4"):
@@ -204,18 +206,15 @@
         self.assertEqual(["assistant", "addis-1", "0", "1", "1", "1"], lines[1].split())
 
     def test_each_is_there_as_json(self):
-        for command, key in (
-            ("status", "hosts"),
-            ("targets", "targets"),
-            ("roles", "roles"),
-        ):
+        keys = {"status": "hosts", "targets": "targets", "roles": "roles"}
+        for command, key in keys.items():
             result = self.run_tool(command, "--json", *self.port)
             self.assertIn(key, json.loads(result.stdout))
 
     def test_a_wrong_token_is_one_sentence(self):
         for command in ("status", "targets", "roles", "show"):
             result = self.run_tool(command, *self.port, status=1, token="guessed")
-            self.assertIn("refused the token", result.stderr)
+            self.assertIn("wrong or missing token (not run)", result.stderr)
             self.assertNotIn("guessed", result.stderr)
 
     def test_an_unreachable_daemon_ends_with_4(self):
