Delay the run of a suspect, never its final answer

Cause: the final answer to a crashing request was held back for the time that news takes to reach the peers, which the users forbid; without that, suspects of one crash ran again before every daemon knew them all, so daemons assigned them differently. Ruled out: one second of holding, the same fault longer. Change: a suspect waits 250 ms before it runs again; a refusal goes out at once.

--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -29,7 +29,6 @@
 __all__ = ["Core"]
 
 TICK_PERIOD = timedelta(milliseconds=100)
-# A caller who is refused may resend through a peer, which must know by then.
 NEWS_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY = timedelta(seconds=1)
 PREEMPTED = Verdict(
@@ -115,12 +114,13 @@
         """Take a failed attempt back and return the next target or the end."""
         await self._note_crash(request, failure)
         self._end_attempt(request, failure)
+        if crashes.is_on_trial(self.world, request):
+            # Every daemon must know the suspects of a crash before one runs again.
+            await asyncio.sleep(NEWS_TIME.total_seconds())
         now = self._clock.monotonic()
         decided = retries.decide(self.world, request, failure, now)
         if isinstance(decided, Verdict):
             self._log_refusal(request, decided)
-            if decided.reason is Reason.CRASHES_TARGETS:
-                await asyncio.sleep(NEWS_TIME.total_seconds())
             return Err(decided)
         _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
--- a/src/galenapass/systems/crashes.py
+++ b/src/galenapass/systems/crashes.py
@@ -24,6 +24,7 @@
     "find_strays",
     "forget_old",
     "hear_suspects",
+    "is_on_trial",
     "limit_targets",
     "note_completion",
     "note_crash",
@@ -81,6 +82,14 @@
     return Verdict(run, Reason.CRASHES_TARGETS, detail)
 
 
+def is_on_trial(world: World, request: Request) -> bool:
+    """Tell whether a request is suspected and may still run."""
+    suspect = world.crashes.suspects.get(request.fingerprint)
+    if suspect is None or not suspect.open_crashes:
+        return False
+    return not _is_refused(suspect)
+
+
 def limit_targets(
     world: World, request: Request, targets: list[Target], now: timedelta
 ) -> list[Target]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -36,7 +36,9 @@
     def test_a_resumed_stream_gives_its_prompt_back(self):
         async def move():
             world = make_world((Role.MIXED, Role.MIXED))
-            core = Core(world, ManualClock(), Random(1), make_metrics(), None, None)
+            core = Core(
+                world, ManualClock(), Random(1), make_metrics(), None, None, None
+            )
             core.start()
             request = make_request()
             await core.route(request)
