--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -30,7 +30,7 @@
 
 TICK_PERIOD = timedelta(milliseconds=100)
 # A caller who is refused may resend through a peer, which must know by then.
-NEWS_TIME = timedelta(milliseconds=250)
+NEWS_TIME = timedelta(seconds=1)
 STOPPING_RETRY = timedelta(seconds=1)
 PREEMPTED = Verdict(
     Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
--- a/tests/test_process_orders.py
+++ b/tests/test_process_orders.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from tests.process_fleet import count_whole, engines, in_fleet, until
+from tests.process_fleet import count_whole, engines, in_fleet
 
 STREAMS = 12
 TOKENS = 40
