Take work only once a peer is reached, or 2.5 s have passed

And a deadline that passed gave no time to come back. Change: a daemon waits for its first link, beside reading the platform, before it opens its callers' port; DEADLINE_PASSED carries Retry-After. Daemons that are cut apart can still lose two targets each.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -53,6 +53,8 @@
 
 NEWS_PERIOD = timedelta(milliseconds=250)
 UPKEEP_PERIOD = timedelta(seconds=1)
+# Longest wait for a first peer before work is taken.
+JOIN_TIME = timedelta(seconds=2.5)
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
 # Whoever holds one of these needs the newest list of hosts.
@@ -105,7 +107,8 @@
         _log("daemon starts", host=self.settings.host, domain=self.settings.domain)
         self.core.start()
         await self.peers.start()
-        await self._read_platform()
+        # What the peers know, suspects and drains above all, counts from the start.
+        await asyncio.gather(self._read_platform(), self.peers.wait_joined(JOIN_TIME))
         callers, listen = self._make_callers_app(), self.settings.callers_listen
         await self._listen(callers, listen, _load_tls(self.settings))
         await self._listen(self._make_operators_app(), self.settings.operators_listen)
--- a/src/galenapass/callers/relays.py
+++ b/src/galenapass/callers/relays.py
@@ -22,10 +22,15 @@
 
 BODY_END_SECONDS = 1.0
 
+COME_BACK = timedelta(seconds=1)
+
 COMPLETED = Verdict(Run.RAN, Reason.COMPLETED)
 CANCELLED = Verdict(Run.MAY_HAVE_RUN, Reason.CANCELLED, "the caller went away")
 DEADLINE_PASSED = Verdict(
-    Run.MAY_HAVE_RUN, Reason.DEADLINE_PASSED, "no answer began in time"
+    Run.MAY_HAVE_RUN,
+    Reason.DEADLINE_PASSED,
+    "no answer began in time",
+    COME_BACK,
 )
 NOT_RESUMED = Verdict(
     Run.MAY_HAVE_RUN, Reason.TARGET_UNREACHABLE, "the stream did not go on in time"
--- a/src/galenapass/peers/network.py
+++ b/src/galenapass/peers/network.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from random import Random
 
+from reactivex import operators
 from reactivex.subject import Subject
 
 from galenapass.clocks import Clock
@@ -38,6 +39,10 @@
 log = make_log("peers")
 
 
+def _opens_link(item: object) -> bool:
+    return isinstance(item, LinkChange) and item.open
+
+
 class Peers:
     """Tell the other daemons what this one knows and hear what they know.
 
@@ -122,6 +127,21 @@
         await self._dialler.stop()
         await self._listener.stop()
 
+    async def wait_joined(self, timeout: timedelta) -> bool:
+        """Wait until a link is open; return False when none is by the timeout."""
+        if not self._join:
+            return True
+        joined = asyncio.Event()
+        links = self.heard.pipe(operators.filter(_opens_link))
+        heard = links.subscribe(lambda _: joined.set())
+        try:
+            await asyncio.wait_for(joined.wait(), timeout.total_seconds())
+        except TimeoutError:
+            return False
+        finally:
+            heard.dispose()
+        return True
+
     def leave(self) -> None:
         """Tell the peers that this daemon takes no new work."""
         self._known.say(state=HostState.LEAVING)
