--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3
 VENV ?= .venv
+SEED ?= $(shell date +%s)
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
@@ -28,6 +29,10 @@
 measure-load: setup
 	$(BIN)/python -m experiments.load
 
+prove: setup
+	@echo "seed $(SEED)"
+	GALENAPASS_PROFILE=long $(BIN)/python -m pytest --hypothesis-seed=$(SEED)
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/galenapass/systems/retries.py
+++ b/src/galenapass/systems/retries.py
@@ -22,13 +22,9 @@
 MOST_ATTEMPTS = 4
 RESUME_TIME = timedelta(minutes=5)
 RETURN_AFTER = timedelta(seconds=1)
-# Moved by this daemon's own decision, which is no failure of a target.
-MOVED = frozenset({Reason.PREEMPTED})
-RETRIED = MOVED | {
-    Reason.TARGET_REFUSED,
-    Reason.TARGET_FAILED,
-    Reason.TARGET_UNREACHABLE,
-}
+RETRIED = frozenset(
+    {Reason.TARGET_REFUSED, Reason.TARGET_FAILED, Reason.TARGET_UNREACHABLE}
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,7 +54,7 @@
     refusal = _refuse(request, failure, now)
     if refusal is not None:
         return _end(request, _final(request, failure, refusal))
-    if failure.reason not in MOVED and not _spend(world.retries, now):
+    if not _spend(world.retries, now):
         return _end(request, _final(request, failure, "the retry budget is spent"))
     request.state = RequestState.WAITING
     return Retry(f"attempt {request.attempts} {failure.reason.value}")
@@ -81,9 +77,7 @@
 
 
 def _note_attempt(request: Request, failure: Verdict) -> None:
-    if failure.reason in MOVED:
-        request.attempts -= 1
-    elif request.target is not None:
+    if request.target is not None:
         request.tried.add(request.target)
     if failure.run is not Run.NOT_RUN:
         request.may_have_run = True
--- a/tests/test_process_crashes.py
+++ b/tests/test_process_crashes.py
@@ -47,12 +47,11 @@
         asked = [ask_chat(fleet, "entry-1", f"shed {n}", TOKENS) for n in range(90)]
         answers = await asyncio.gather(*asked)
         self.assertEqual(set(), {done for _, done, _ in answers} - {False})
-        self.assertEqual({"not run"}, {p["verdict"] for _, _, p in answers})
-        told = {"Retry-After" in a.headers for a, _, _ in answers}
-        self.assertEqual(
-            {True}, told, [p for a, _, p in answers if "Retry-After" not in a.headers]
-        )
+        # Of what was on its way when its time ran out nobody can know more.
+        shed = [(a, p) for a, _, p in answers if p["reason"] != "deadline passed"]
+        self.assertGreater(len(shed), 60)
+        self.assertEqual({"not run"}, {p["verdict"] for _, p in shed})
+        self.assertEqual([], [p for a, p in shed if "Retry-After" not in a.headers])
         accounts = [await fleet.read_account(name) for name in fleet.targets]
         refused = sum(account["refused"] for account in accounts)
-        # Each request once, a tenth more, and the budget that idle daemons hold.
-        self.assertLessEqual(refused, 90 + 9 + 50 + 20)
+        self.assertLessEqual(refused, 90)
--- a/tests/test_process_leaving.py
+++ b/tests/test_process_leaving.py
@@ -33,9 +33,18 @@
 class LeavingTest(TestCase):
     async def check_rests(self, fleet, name):
         """Check that a target gets nothing new from the bound on; the rest serves."""
+
+        async def is_known():
+            state = await fleet.read_operators("entry-1", "/targets")
+            rows = {row["id"]: row["state"] for row in state["targets"]}
+            return rows[name] == "leaving"
+
+        # A daemon that is at rest may leave a target out for other reasons.
+        await until(is_known, BOUND_SECONDS)
         await ask_for(fleet, BOUND_SECONDS, "before the bound")
         before = await count_runs(fleet, name)
-        self.assertEqual(18, await count_whole(fleet, 18, "after", TOKENS))
+        whole = await count_whole(fleet, MANY, "after", LONG_TOKENS)
+        self.assertEqual(MANY, whole)
         self.assertEqual(before, await count_runs(fleet, name))
 
     async def check_returns(self, fleet, name):
@@ -65,19 +74,13 @@
         await asyncio.sleep(BOUND_SECONDS)
         fleet.processes["runner-3"].send(signal.SIGCONT)
         before = await count_runs(fleet, "runner-1")
-        self.assertEqual(12, await count_whole(fleet, 12, "cut off", TOKENS))
+        whole = await count_whole(fleet, MANY, "cut off", LONG_TOKENS)
+        self.assertEqual(MANY, whole)
         self.assertEqual(before, await count_runs(fleet, "runner-1"))
 
     @in_fleet(1, engines(3))
     async def test_the_list_counts_while_its_own_word_is_ready(self, fleet):
         await fleet.list_hosts(leaving=["runner-2"])
-
-        async def shows_it():
-            state = await fleet.read_operators("entry-1", "/targets")
-            rows = {row["id"]: row["state"] for row in state["targets"]}
-            return rows["runner-2"] == "leaving"
-
-        await until(shows_it, BOUND_SECONDS)
         await self.check_rests(fleet, "runner-2")
         await fleet.list_hosts()
         await self.check_returns(fleet, "runner-2")
--- a/tests/test_process_orders.py
+++ b/tests/test_process_orders.py
@@ -20,6 +20,19 @@
     return state["role"] == "decode" and state["phase"] == "serving"
 
 
+async def find_follower(fleet):
+    """Return a daemon that does not hold the lease, once another holds it."""
+    url = f"http://{fleet.platform}/objects/leases/north"
+    async with asyncio.timeout(10):
+        while True:
+            async with fleet.session.get(url) as answer:
+                text = await answer.text() if answer.status == 200 else ""
+            followers = [name for name in fleet.daemons if name not in text]
+            if len(followers) == 1:
+                return followers[0]
+            await asyncio.sleep(0.1)
+
+
 class OrdersTest(TestCase):
     async def order_change(self, fleet):
         fleet.targets["runner-3"].declared_role = "decode"
@@ -55,15 +68,16 @@
 
     @in_fleet(2, engines(3, *PACED), domains=("north",))
     async def test_a_daemon_that_has_not_heard_of_it_blocks_the_change(self, fleet):
-        fleet.processes["entry-2"].send(signal.SIGSTOP)
+        frozen = await find_follower(fleet)
+        fleet.processes[frozen].send(signal.SIGSTOP)
         await self.order_change(fleet)
-        fleet.daemons.pop("entry-2")
+        fleet.daemons.pop(frozen)
         # Longer than a lease's term and the quarantine; the serving goes on.
         async with asyncio.timeout(20):
             for n in range(8):
                 whole = await count_whole(fleet, STREAMS, f"frozen {n}", TOKENS)
                 self.assertEqual(STREAMS, whole)
         self.assertEqual([], (await fleet.read_account("runner-3"))["orders"])
-        fleet.processes["entry-2"].send(signal.SIGCONT)
+        fleet.processes[frozen].send(signal.SIGCONT)
         async with asyncio.timeout(30):
             await self.check_change(fleet)
