--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -29,8 +29,7 @@
 __all__ = ["Core"]
 
 TICK_PERIOD = timedelta(milliseconds=100)
-# A caller who is refused may resend through a peer, which must know by then.
-NEWS_TIME = timedelta(seconds=1)
+NEWS_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY = timedelta(seconds=1)
 PREEMPTED = Verdict(
     Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
@@ -115,12 +114,13 @@
         """Take a failed attempt back and return the next target or the end."""
         await self._note_crash(request, failure)
         self._end_attempt(request, failure)
+        if crashes.is_on_trial(self.world, request):
+            # Every daemon must know the suspects of a crash before one runs again.
+            await asyncio.sleep(NEWS_TIME.total_seconds())
         now = self._clock.monotonic()
         decided = retries.decide(self.world, request, failure, now)
         if isinstance(decided, Verdict):
             self._log_refusal(request, decided)
-            if decided.reason is Reason.CRASHES_TARGETS:
-                await asyncio.sleep(NEWS_TIME.total_seconds())
             return Err(decided)
         _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
@@ -137,6 +137,10 @@
         wait = (now - request.arrived).total_seconds()
         self._metrics.first_token.record(wait, {"urgency": request.urgency.name})
 
+    def note_resumed(self, request: Request) -> None:
+        """Take note that a moved request's output goes on at its new target."""
+        admission.first_token(self.world, request, self._clock.monotonic())
+
     def end(self, request: Request, verdict: Verdict) -> None:
         """Forget a request and give back what it held."""
         if self.world.requests.pop(request.id, None) is None:
