Refuse at dispatch what its target would answer too late

Change: a choice tells the time it expects without the penalty for crowding, and a first dispatch that would end beyond the deadline is refused as not run. The stand-in dispatcher of the path measurement takes note_resumed.

--- a/experiments/path_entry.py
+++ b/experiments/path_entry.py
@@ -50,6 +50,9 @@
     def note_first_token(self, request: Request) -> None:
         """Take no note."""
 
+    def note_resumed(self, request: Request) -> None:
+        """Take no note."""
+
     def end(self, request: Request, verdict: Verdict) -> None:
         """Forget nothing, as nothing is held."""
 
--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -161,8 +161,7 @@
     world, now = tick.world, tick.now
     choice = _choose(tick, request)
     if choice is not None:
-        take(world, request, choice, now)
-        return [Dispatch(request.id, choice)]
+        return [_send(world, request, choice, now)]
     ahead = tick.work.get(request.service, 0.0)
     verdict = _judge(world, request, _get_speed(tick, request.service), ahead, now)
     if isinstance(verdict, Refused):
@@ -172,6 +171,25 @@
     return _preempt(world, request)
 
 
+def _send(world: World, request: Request, choice: Choice, now: timedelta) -> Effect:
+    """Take a choice, or refuse a request that it would answer too late.
+
+    Urgent work overtakes the prompts that the choice expects to wait for, and a
+    request that was sent before is carried on.
+    """
+    late = now + choice.expected > request.deadline
+    if late and request.urgency is not Urgency.URGENT and not request.attempts:
+        request.state = RequestState.ENDED
+        needed = choice.expected.total_seconds()
+        left = (request.deadline - now).total_seconds()
+        detail = (
+            f"{needed:.1f} s are needed at {choice.target} and {left:.1f} s are left"
+        )
+        return Refuse(request.id, _overloaded(request, LEAST_RETURN, detail))
+    take(world, request, choice, now)
+    return Dispatch(request.id, choice)
+
+
 def _choose(tick: _Tick, request: Request) -> Choice | None:
     """Look for a target unless several like requests have just found none."""
     group = (request.service, request.urgency)
--- a/src/galenapass/systems/routing.py
+++ b/src/galenapass/systems/routing.py
@@ -36,6 +36,7 @@
     prefill_target: str | None
     candidates: tuple[str, ...]
     wait: timedelta
+    expected: timedelta
     why: str
 
 
@@ -48,6 +49,7 @@
     wait: float
     prompt: float
     output: float
+    least_output: float
     open: bool
     open_to_decode: bool
 
@@ -79,15 +81,15 @@
     step = estimates.token_step(target, now)
     if target.kind is Kind.SERVICE:
         free = _has_sequence(target, load, request)
-        return _View(target, load, 0.0, 0.0, step, free, False)
+        return _View(target, load, 0.0, 0.0, step, step, free, False)
     rate = estimates.prefill_rate(target, now)
     wait = load.prefill / rate
     prompt = wait + caches.fresh_tokens(target, request) / rate
     crowding = 1.0 + load.requests / estimates.sequences(target)
-    output = request.output_tokens * step * crowding
+    least = request.output_tokens * step
     free = _has_sequence(target, load, request) and _has_memory(target, load, request)
     quick = free and wait <= BACKLOG[request.urgency]
-    return _View(target, load, wait, prompt, output, quick, free)
+    return _View(target, load, wait, prompt, least * crowding, least, quick, free)
 
 
 def _has_sequence(target: Target, load: Load, request: Request) -> bool:
@@ -114,7 +116,7 @@
     chosen = ranked[0].target.id
     names = tuple(view.target.id for view in ranked)
     why = f"{chosen} is the least loaded of {len(names)}"
-    return Choice(chosen, None, names, timedelta(0), why)
+    return Choice(chosen, None, names, timedelta(0), timedelta(0), why)
 
 
 def _choose_engine(
@@ -131,6 +133,7 @@
         best.prefill.target.id if best.prefill else None,
         names,
         timedelta(seconds=prefill.wait),
+        timedelta(seconds=prefill.prompt + best.target.least_output),
         _explain(best, request, names),
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -174,3 +174,20 @@
         returns = {verdict.retry_after for verdict in verdicts}
         self.assertGreater(len(returns), 40)
         self.assertLessEqual(max(returns) - min(returns), timedelta(seconds=1))
+
+
+class TestLate(TestCase):
+    def dispatch(self, **fields):
+        world = make_world((Role.MIXED,))
+        request = make_request(patience=1.0, prompt_tokens=9000, **fields)
+        world.requests[request.id] = request
+        return admission.next_dispatches(world, seconds(0.5), Random(1))[0]
+
+    def test_what_would_end_too_late_is_refused_unsent(self):
+        effect = self.dispatch()
+        self.assertIsInstance(effect, admission.Refuse)
+        self.assertEqual(Run.NOT_RUN, effect.verdict.run)
+
+    def test_urgent_work_and_what_was_sent_before_go_on(self):
+        for fields in ({"urgency": Urgency.URGENT}, {"attempts": 1}):
+            self.assertIsInstance(self.dispatch(**fields), admission.Dispatch)
