--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -29,6 +29,8 @@
 __all__ = ["Core"]
 
 TICK_PERIOD = timedelta(milliseconds=100)
+# A caller who is refused may resend through a peer, which must know by then.
+NEWS_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY = timedelta(seconds=1)
 PREEMPTED = Verdict(
     Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
@@ -54,6 +56,7 @@
         "_has_crashed",
         "_metrics",
         "_random",
+        "_tell_suspects",
         "_ticker",
         "stopping",
         "world",
@@ -67,9 +70,11 @@
         metrics: Metrics,
         has_crashed: HasCrashed,
         break_off: BreakOff,
+        tell_suspects: Callable[[], None],
     ):
         self.world = world
         self._has_crashed = has_crashed
+        self._tell_suspects = tell_suspects
         self._break_off = break_off
         self.stopping = False
         self._clock = clock
@@ -114,10 +119,17 @@
         decided = retries.decide(self.world, request, failure, now)
         if isinstance(decided, Verdict):
             self._log_refusal(request, decided)
+            if decided.reason is Reason.CRASHES_TARGETS:
+                await asyncio.sleep(NEWS_TIME.total_seconds())
             return Err(decided)
         _log("request is tried again", request=request.id, why=decided.why)
         return await self._decide(request)
 
+    def refuse_waiting(self, verdict: Verdict) -> None:
+        """End every request that waits for a target."""
+        for request_id in list(self._decisions):
+            self._resolve(request_id, Err(verdict))
+
     def note_first_token(self, request: Request) -> None:
         """Take note that the prompt is processed and output has begun."""
         now = self._clock.monotonic()
@@ -157,10 +169,14 @@
         target = self.world.targets.get(request.target or "")
         if target is None or failure.reason not in CRASH_SIGNS:
             return
+        # What never reached a target that was down already cannot have crashed it.
+        if failure.run is Run.NOT_RUN:
+            return
         if await self._has_crashed(target):
             now = self._clock.monotonic()
             suspects = crashes.note_crash(self.world, target.id, now)
             _log("target crashed", target=target.id, suspects=len(suspects))
+            self._tell_suspects()
 
     def _end_attempt(self, request: Request, verdict: Verdict) -> None:
         now = self._clock.monotonic()
