--- a/experiments/capacity_duties.py
+++ b/experiments/capacity_duties.py
@@ -85,6 +85,7 @@
         world,
         SystemClock(),
         engines.fetch_load,
+        engines.fetch_state,
         probes.fetch_ready,
         world.targets.values,
         lambda target: None,
--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -57,6 +57,8 @@
 JOIN_TIME = timedelta(seconds=2.5)
 # Left for closing connections after the last stream has ended or was given up.
 CLOSING_TIME = timedelta(seconds=2)
+# Longest wait for outcomes of calls that are not yet written.
+FLUSH_TIME = timedelta(seconds=1)
 # Whoever holds one of these needs the newest list of hosts.
 LIST_DUTIES = (Duty.SETTINGS_WATCHER, Duty.PLANNER_CANDIDATE)
 
@@ -74,7 +76,7 @@
         self.clock = SystemClock()
         self.random = Random()
         self.metrics = make_metrics()
-        self.world = World(settings.host, settings.domain)
+        self.world = World(settings.host, settings.domain, pooled=settings.pooled)
         self.clients = Clients(settings, self.random, self.metrics)
         self.limits = Limits(settings.body_limit, settings.body_timeout)
         self.streams = OpenStreams(self.limits)
@@ -136,6 +138,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.observer.stop()
         await self.peers.stop()
+        await self.claims.flush(FLUSH_TIME)
         for runner in self._runners:
             await runner.cleanup()
         await self.clients.close()
@@ -222,6 +225,7 @@
             self.world,
             self.clock,
             self.clients.engines.fetch_load,
+            self.clients.engines.fetch_state,
             self.clients.probes.fetch_ready,
             lambda: self.world.targets.values(),
             self.exchange.tell_target,
@@ -304,7 +308,9 @@
 
     def _note_daemons(self, daemons: list[Listed]) -> None:
         self.peers.apply_list(daemons)
-        self.planner.note_list({host.id: host.incarnation for host in daemons})
+        self.planner.note_list(
+            {h.id: h.incarnation for h in daemons if self.world.reaches(h.domain)}
+        )
 
     # Starting and stopping
 
--- a/src/galenapass/duties/planner.py
+++ b/src/galenapass/duties/planner.py
@@ -237,7 +237,7 @@
         heard = {
             host.id: host.incarnation
             for host in self._world.hosts.values()
-            if host.state is not HostState.GONE
+            if host.state is not HostState.GONE and self._world.reaches(host.domain)
         }
         names = self._listed.keys() | heard.keys()
         return {n: max(self._listed.get(n, 0), heard.get(n, 0)) for n in names}
--- a/src/galenapass/systems/targets.py
+++ b/src/galenapass/systems/targets.py
@@ -14,7 +14,8 @@
     if configuration.version <= world.configuration.version:
         return
     world.configuration = configuration
-    for entry in configuration.targets.values():
+    reached = (e for e in configuration.targets.values() if world.reaches(e.domain))
+    for entry in reached:
         _apply_entry(world, configuration, entry)
     for target in world.targets.values():
         _settle(world, target)
--- a/src/galenapass/tables/world.py
+++ b/src/galenapass/tables/world.py
@@ -15,7 +15,10 @@
 
 @dataclass(slots=True)
 class World:
-    """Hold every table of one daemon, each keyed by the entity's identifier."""
+    """Hold every table of one daemon, each keyed by the entity's identifier.
+
+    ``pooled`` lets it route to the targets of every failure domain.
+    """
 
     host: str
     domain: str
@@ -27,3 +30,8 @@
     limits: LimitTable = field(default_factory=LimitTable)
     retries: RetryBudget = field(default_factory=RetryBudget)
     demand: DemandTable = field(default_factory=DemandTable)
+    pooled: bool = True
+
+    def reaches(self, domain: str) -> bool:
+        """Tell whether this daemon routes to the targets of a failure domain."""
+        return self.pooled or domain == self.domain
--- a/tests/test_observer.py
+++ b/tests/test_observer.py
@@ -9,9 +9,15 @@
 from testtools import TestCase
 
 from galenapass.duties.observer import Observer
-from galenapass.systems.targets import apply_presence, note_readiness
-from galenapass.tables.targets import Kind, Target, TargetState
+from galenapass.systems.targets import (
+    apply_configuration,
+    apply_presence,
+    note_readiness,
+)
+from galenapass.tables.configurations import Configuration, Service, TargetEntry
+from galenapass.tables.targets import Kind, LoadReport, Role, Target, TargetState
 from galenapass.tables.world import World
+from galenapass.targets.engines import EngineState
 from tests.test_routing import make_world
 
 signs = st.lists(st.tuples(st.booleans(), st.booleans()), min_size=1)
@@ -23,6 +29,47 @@
 
 
 class ObserverTest(TestCase):
+    def observe_role(self, phase, state):
+        engine = Target("e", "e", "north", Kind.ENGINE, "assistant", state=state)
+        entry = TargetEntry("e", "assistant", "127.0.0.1:1", "north")
+        declared = Configuration(version=1, targets={"e": entry})
+        world = World("entry-1", "north", declared, targets={"e": engine})
+
+        async def fetch_ready(address):
+            return Ok(True)
+
+        async def fetch_load(address):
+            return Ok(LoadReport("i1", 1, 0, 0, 0, 0, 2000, 16))
+
+        async def fetch_state(address):
+            return Ok(EngineState("i1", "decode", "m", (), phase, None, None, 0))
+
+        async def check():
+            observer = Observer(
+                world,
+                FixedClock(),
+                fetch_load,
+                fetch_state,
+                fetch_ready,
+                lambda: [engine],
+                lambda target: None,
+            )
+            await observer.observe()
+            await asyncio.gather(*observer._open.values())
+
+        asyncio.run(check())
+        return engine.role
+
+    def test_the_engine_itself_tells_its_role(self):
+        serving = TargetState.SERVING
+        self.assertEqual(Role.DECODE, self.observe_role("serving", serving))
+
+    def test_a_role_is_not_believed_while_it_changes(self):
+        changing = TargetState.CHANGING
+        self.assertEqual(Role.MIXED, self.observe_role("serving", changing))
+        serving = TargetState.SERVING
+        self.assertEqual(Role.MIXED, self.observe_role("changing", serving))
+
     def test_a_silent_target_holds_no_other_back(self):
         asked = []
 
@@ -40,7 +87,7 @@
         async def check():
             world = World("entry-1", "north")
             observer = Observer(
-                world, FixedClock(), None, fetch_ready, lambda: targets, print
+                world, FixedClock(), None, None, fetch_ready, lambda: targets, print
             )
             for _ in range(3):
                 await asyncio.wait_for(observer.observe(), 5)
@@ -71,3 +118,21 @@
                 note_readiness(world, target, not leaves)
             leaving = target.state is TargetState.LEAVING
             self.assertEqual(listed or said, leaving)
+
+
+class ReachTest(TestCase):
+    def test_a_daemon_of_a_domain_leaves_other_targets_out(self):
+        for pooled, names in ((True, {"near", "far"}), (False, {"near"})):
+            world = World("entry-1", "north", pooled=pooled)
+            apply_configuration(world, make_configuration())
+            self.assertEqual(names, set(world.targets))
+
+
+def make_configuration():
+    service = Service("booking", Kind.SERVICE)
+    entries = [
+        TargetEntry("near", "booking", "127.0.0.1:1", "north"),
+        TargetEntry("far", "booking", "127.0.0.1:2", "south"),
+    ]
+    targets = {entry.name: entry for entry in entries}
+    return Configuration(version=1, services={"booking": service}, targets=targets)
