Count streams that break together as one failure

Ruled out: forgetting failures at a new incarnation, as an engine that crashes again and again shows a new one each time. Change: a failure of what was sent before the last counted one adds nothing.

--- a/src/galenapass/systems/rates.py
+++ b/src/galenapass/systems/rates.py
@@ -111,6 +111,11 @@
 
 
 def _learn_failure(target: Target, request: Request, now: timedelta) -> None:
+    """Count a failure; what was sent before the last one failed with it."""
+    sent = request.dispatched
+    if target.failed_at is not None and sent is not None and sent <= target.failed_at:
+        return
+    target.failed_at = now
     target.failures += 1
     beyond = target.failures - FAILURES_TO_AVOID
     if beyond < 0:
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -122,6 +122,7 @@
     peer_prefill: int = 0
     peer_pieces: int = 0
     failures: int = 0
+    failed_at: timedelta | None = None
     avoid_until: timedelta | None = None
     cached_blocks: dict[int, None] = field(default_factory=dict)
     unseen_requests: int = 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -11,6 +11,7 @@
 from galenapass.tables.requests import Request, Urgency
 from galenapass.tables.targets import Kind, LoadChange, LoadReport, Role, Target
 from galenapass.tables.world import World
+from galenapass.verdicts import Reason, Run, Verdict
 
 
 def seconds(value):
@@ -79,3 +80,25 @@
         report = LoadReport("a", 2, 4, 0, 0, 60, 2000, 16)
         estimates.hear_load(target, report, seconds(13))
         self.assertEqual(4, estimates.estimate_load(target, seconds(13)).requests)
+
+
+class TestFailures(TestCase):
+    def fail(self, world, sent, now):
+        request = make_request(dispatched=seconds(sent))
+        request.target = "t0"
+        verdict = Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED)
+        estimates.learn_end(world, request, verdict, seconds(now))
+
+    def test_streams_that_break_together_are_one_failure(self):
+        world = make_world()
+        for number in range(20):
+            self.fail(world, sent=number / 20, now=1.0 + number / 1000)
+        self.assertIn(world.targets["t0"], estimates.usable(world, "notes", seconds(2)))
+
+    def test_each_later_failure_is_counted(self):
+        world = make_world()
+        for number in range(4):
+            self.fail(world, sent=number, now=number + 0.5)
+        self.assertEqual(4, world.targets["t0"].failures)
+        usable = estimates.usable(world, "notes", seconds(3.6))
+        self.assertNotIn(world.targets["t0"], usable)
