Preempt nothing for a suspect that waits for its trial

Cause: an urgent request that was at a crashed engine waits for a target of its own to be tried on; each tick took it for one that lacks room and had bulk streams give way, each of them twice. Ruled out: the engine itself, which was used by all daemons 3 s after its crash; the count of failures, without which fewer suspects came back to it and less was preempted. Change: only an urgent request that waits for room, and is on no trial, asks for it. Left: trials go by fingerprint and not by class, so that urgent suspects may wait behind bulk ones.

--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -228,14 +228,11 @@
 
 def _preempt(world: World, request: Request) -> list[Effect]:
     """Ask for the room of a bulk stream once for each urgent request that waits."""
-    if request.urgency is not Urgency.URGENT:
+    if not _wants_room(world, request):
         return []
     of_service = [r for r in world.requests.values() if r.service == request.service]
     asked = sum(r.preempted and bool(r.holds) for r in of_service)
-    waiting = sum(
-        r.urgency is Urgency.URGENT and r.state is RequestState.WAITING
-        for r in of_service
-    )
+    waiting = sum(_wants_room(world, r) for r in of_service)
     victims = [r for r in of_service if _may_yield(r)]
     if asked >= waiting or not victims:
         return []
@@ -246,6 +243,15 @@
     return [Preempt(victim.id, why)]
 
 
+def _wants_room(world: World, request: Request) -> bool:
+    """Tell whether an urgent request waits for room; a suspect waits for its trial."""
+    return (
+        request.urgency is Urgency.URGENT
+        and request.state is RequestState.WAITING
+        and not crashes.is_on_trial(world, request)
+    )
+
+
 def _may_yield(request: Request) -> bool:
     return (
         request.urgency is Urgency.BULK
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from testtools import TestCase
 
-from galenapass.systems import admission, estimates, routing
+from galenapass.systems import admission, crashes, estimates, routing
 from galenapass.tables.requests import Request, RequestState, Urgency
 from galenapass.tables.targets import LoadReport, Role
 from galenapass.verdicts import Reason, Run, Verdict
@@ -165,6 +165,21 @@
             asked += [e for e in effects if isinstance(e, admission.Preempt)]
         self.assertEqual(1, len(asked))
 
+    def test_a_suspect_that_waits_for_its_trial_preempts_nothing(self):
+        world = make_world((Role.MIXED,))
+        self.fill(world, Urgency.BULK, 4)
+        for request in world.requests.values():
+            if request.state is RequestState.DISPATCHED:
+                admission.first_token(world, request, seconds(1))
+        world.targets["t0"].rates.room = 1.0
+        urgent = make_request(9, Urgency.URGENT, fingerprint="suspect", target="t0")
+        urgent.state = RequestState.DISPATCHED
+        world.requests[urgent.id] = urgent
+        crashes.note_crash(world, "t0", seconds(1))
+        urgent.state = RequestState.WAITING
+        effects = admission.next_dispatches(world, seconds(1), Random(3))
+        self.assertEqual([], [e for e in effects if isinstance(e, admission.Preempt)])
+
     def test_refused_returns_are_spread(self):
         world = make_world((Role.MIXED,))
         verdicts = [
