--- /dev/null
+++ b/tests/test_process_operators.py
@@ -0,0 +1,40 @@
+"""Prove with processes that of two operators who apply at one moment one is told."""
+
+import asyncio
+
+from testtools import TestCase
+
+from experiments.fleet import TOKEN
+from tests.process_fleet import engines, in_fleet, until
+
+
+async def read_version(fleet, name):
+    return (await fleet.read_operators(name, "/status"))["settings_version"]
+
+
+async def apply(fleet, name, base, text):
+    url = f"http://{fleet.daemons[name].operator_port}/configuration"
+    headers = {"Authorization": f"Bearer {TOKEN}", "If-Match": f'"{base}"'}
+    async with fleet.session.put(url, data=text, headers=headers) as answer:
+        return answer.status, await answer.json(content_type=None)
+
+
+class OperatorsRaceTest(TestCase):
+    @in_fleet(2, engines(1))
+    async def test_the_second_gets_a_conflict_with_both_versions(self, fleet):
+        base = await read_version(fleet, "entry-1")
+        texts = [fleet.write_file(extra=f"# {name}\n") for name in fleet.daemons]
+        sent = [
+            apply(fleet, name, base, text)
+            for name, text in zip(fleet.daemons, texts, strict=True)
+        ]
+        (_, taken), (status, refused) = sorted(await asyncio.gather(*sent), key=str)
+        self.assertEqual(409, status)
+        version = taken["version"]
+        told = (refused["base_version"], refused["current_version"])
+        self.assertEqual((base, version), told)
+
+        async def is_in_force():
+            return {await read_version(fleet, n) for n in fleet.daemons} == {version}
+
+        await until(is_in_force, 4.0)
