Refuse at once what no target can take in time; move bulk off a drain after 1 s

Ruled out: refusing whenever no target is usable now, as a role change takes seconds and most callers wait longer. Change: admission compares the earliest return with the deadline; the time that a drain waits depends on the class. The time of a change under load was not measured again.

--- a/src/galenapass/duties/follower.py
+++ b/src/galenapass/duties/follower.py
@@ -12,13 +12,19 @@
 from galenapass.systems import drains
 from galenapass.tables.orders import OrdersView
 from galenapass.tables.peers import DrainAck, Item, Orders
+from galenapass.tables.requests import Urgency
 from galenapass.tables.targets import TargetState
 from galenapass.tables.world import World
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Follower"]
 
-MOVE_AFTER = timedelta(seconds=5)
+# How long a drain waits for the streams of each class before it moves them.
+MOVE_AFTER = {
+    Urgency.URGENT: timedelta(seconds=5),
+    Urgency.NORMAL: timedelta(seconds=5),
+    Urgency.BULK: timedelta(seconds=1),
+}
 MOVED = Verdict(Run.MAY_HAVE_RUN, Reason.PREEMPTED, "the target is being drained")
 
 _log = make_log("drains")
@@ -108,14 +114,15 @@
             if epoch != target.drain_epoch:
                 since = now
             self._since[target.id] = (target.drain_epoch, since)
-            if now - since >= MOVE_AFTER:
-                self._move_from(target.id)
-
-    def _move_from(self, target: str) -> None:
-        requests = list(self._world.requests.values())
-        for request in requests:
-            on_target = target in (request.target, request.prefill_target)
-            if on_target and self._break_off(request.id, MOVED):
+            self._move_from(target.id, now - since)
+
+    def _move_from(self, target: str, waited: timedelta) -> None:
+        for request in list(self._world.requests.values()):
+            if target not in (request.target, request.prefill_target):
+                continue
+            if waited < MOVE_AFTER[request.urgency]:
+                continue
+            if self._break_off(request.id, MOVED):
                 _log("stream is moved", request=request.id, target=target)
 
     def _list_own(self) -> list[DrainAck]:
--- a/src/galenapass/systems/admission.py
+++ b/src/galenapass/systems/admission.py
@@ -20,7 +20,7 @@
 from galenapass.systems.holds import first_token, give_back, prefilled, take
 from galenapass.systems.routing import Choice
 from galenapass.tables.requests import Request, RequestState, Urgency
-from galenapass.tables.targets import Kind, Target
+from galenapass.tables.targets import Kind, Target, TargetState
 from galenapass.tables.world import World
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -42,6 +42,7 @@
 LEAST_RETURN = 1.0  # seconds
 LONGEST_RETURN = 60.0  # seconds
 MOST_MISSES = 4  # of one class of a service in one tick
+ENDED_STATES = frozenset({TargetState.LEAVING, TargetState.GONE})
 MOST_PREEMPTIONS = 2  # of one request
 
 
@@ -281,9 +282,7 @@
 ) -> Admitted | Refused:
     """Compare the time that the work ahead and the request take with its deadline."""
     if not speed.targets:
-        if now < request.deadline:
-            return Admitted(request.deadline - now)
-        return Refused(_overloaded(request, LEAST_RETURN, "no target can be reached"))
+        return _judge_unserved(world, request, now)
     share = demand.own_share(world, request.service)
     wait = work / (speed.targets * share)
     shortest = max(1, request.output_tokens - request.delivered) * speed.step
@@ -295,6 +294,22 @@
     return Refused(_overloaded(request, wait, detail))
 
 
+def _judge_unserved(
+    world: World, request: Request, now: timedelta
+) -> Admitted | Refused:
+    """Refuse at once what no target can take before its deadline."""
+    staying = [
+        t
+        for t in world.targets.values()
+        if t.service == request.service and t.state not in ENDED_STATES
+    ]
+    back = min((t.avoid_until or now for t in staying), default=None)
+    if back is not None and max(back, now) < request.deadline:
+        return Admitted(max(back - now, timedelta(0)))
+    wait = LEAST_RETURN if back is None else (back - now).total_seconds()
+    return Refused(_overloaded(request, wait, "no target can be reached in time"))
+
+
 def _overloaded(request: Request, wait: float, detail: str) -> Verdict:
     spread = xxhash.xxh64_intdigest(request.id.encode()) % 1000 / 1000
     seconds = min(LONGEST_RETURN, max(LEAST_RETURN, wait)) * (1.0 + spread)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,7 +9,7 @@
 
 from galenapass.systems import admission, crashes, estimates, routing
 from galenapass.tables.requests import Request, RequestState, Urgency
-from galenapass.tables.targets import LoadReport, Role
+from galenapass.tables.targets import LoadReport, Role, TargetState
 from galenapass.verdicts import Reason, Run, Verdict
 from tests.test_routing import make_request, make_world, seconds
 
@@ -180,6 +180,26 @@
         effects = admission.next_dispatches(world, seconds(1), Random(3))
         self.assertEqual([], [e for e in effects if isinstance(e, admission.Preempt)])
 
+    def judge_unserved(self, state, avoid_until):
+        world = make_world((Role.MIXED, Role.MIXED))
+        for target in world.targets.values():
+            target.state = state
+            target.avoid_until = avoid_until
+        return admission.admit(world, make_request(patience=10.0), seconds(1))
+
+    def test_what_no_target_can_take_in_time_is_refused_at_once(self):
+        gone = self.judge_unserved(TargetState.LEAVING, None)
+        late = self.judge_unserved(TargetState.SERVING, seconds(30))
+        for refused in (gone, late):
+            self.assertIs(Run.NOT_RUN, refused.verdict.run)
+            self.assertGreater(refused.verdict.retry_after, timedelta(0))
+
+    def test_what_a_target_takes_again_in_time_may_wait(self):
+        soon = self.judge_unserved(TargetState.SERVING, seconds(3))
+        self.assertEqual(seconds(2), soon.wait)
+        changing = self.judge_unserved(TargetState.CHANGING, None)
+        self.assertEqual(seconds(0), changing.wait)
+
     def test_refused_returns_are_spread(self):
         world = make_world((Role.MIXED,))
         verdicts = [
