--- a/src/galenapass/exchange.py
+++ b/src/galenapass/exchange.py
@@ -62,7 +62,7 @@
     async def tell_loads(self) -> bool:
         """Tell what is in flight here and what is held of draining targets."""
         self._news.tell_loads(self._peers.tell)
-        self._news.tell_suspects(self._peers.tell)
+        self.tell_suspects()
         self._follower.acknowledge()
         self._follower.move_streams()
         return True
--- a/src/galenapass/systems/claims.py
+++ b/src/galenapass/systems/claims.py
@@ -42,7 +42,6 @@
 """Bytes of one object; the platform stores at most a megabyte."""
 
 COME_BACK = timedelta(seconds=1)
-COME_BACK_FULL = timedelta(minutes=5)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/systems/estimates.py
+++ b/src/galenapass/systems/estimates.py
@@ -35,10 +35,8 @@
     "pieces_needed",
     "pieces_total",
     "prefill_rate",
-    "prefill_wait",
     "record",
     "sequences",
-    "service_time",
     "shows",
     "token_step",
     "usable",
@@ -170,19 +168,6 @@
     return max(1, int(target.rates.room))
 
 
-def prefill_wait(target: Target, now: timedelta) -> float:
-    """Return the seconds until the prompts before a new one are processed."""
-    return estimate_load(target, now).prefill / prefill_rate(target, now)
-
-
-def service_time(target: Target, request: Request, now: timedelta) -> float:
-    """Return the seconds that a request takes once its prompt is next."""
-    if target.kind is Kind.SERVICE:
-        return token_step(target, now)
-    prefill = fresh_tokens(target, request) / prefill_rate(target, now)
-    return prefill + request.output_tokens * token_step(target, now)
-
-
 def usable(world: World, service: str, now: timedelta) -> list[Target]:
     """Return the targets of a service that may get new work, by identifier."""
     targets = [world.targets[name] for name in sorted(world.targets)]
