Ask an engine that refuses a request which role it has

Ruled out: a domain without an engine that decodes (it had this one). Change: a daemon whose request an engine refuses asks the engine for its role, at most once a second, and every 0.5 s while the role changes; nothing is sent to it meanwhile. The planner counts such an engine as before.

--- /dev/null
+++ b/src/galenapass/forwarding/engine_states.py
@@ -0,0 +1,104 @@
+"""Ask engines that refuse work which role they have by now."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import timedelta
+from typing import Protocol
+
+from result import Err, Result
+
+from galenapass.clocks import Clock
+from galenapass.forwarding.answers import EngineState
+from galenapass.forwarding.fleet import Fleet, apply_target
+from galenapass.logs import make_log
+from galenapass.tables.targets import Target, TargetState
+from galenapass.verdicts import Verdict
+
+__all__ = ["EngineStates", "StateCalls", "judge_state"]
+
+# A full engine refuses often, and each question is one more request that it answers.
+CHECK_PERIOD = timedelta(seconds=1)
+# An engine that changes its role is back after 3 to 4 s on the deployments' sheets.
+CHANGE_PERIOD = timedelta(milliseconds=500)
+MOST_CHECKS = 12
+
+_log = make_log("beliefs")
+
+
+class StateCalls(Protocol):
+    """Ask engines for their state."""
+
+    async def fetch_state(self, target: Target) -> Result[EngineState, Verdict]:
+        """Return what an engine says of itself."""
+
+
+def judge_state(known: Target, state: EngineState) -> Target | None:
+    """Return a target as its engine describes itself, or None if nothing differs.
+
+    Load pattern: a domain that is cut off from the store while an engine in it
+    changes its role, which no entry shows until the cut ends.
+    """
+    if state.incarnation != known.incarnation or known.state is TargetState.LEAVING:
+        return None
+    step = TargetState.CHANGING if state.changing else TargetState.SERVING
+    told = replace(known, role=state.role, state=step)
+    return told if told != known else None
+
+
+class EngineStates:
+    """Hold when each engine was last asked; ``on_change`` hears of new beliefs."""
+
+    __slots__ = ("_asked", "_calls", "_clock", "_fleet", "_on_change")
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        calls: StateCalls,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ):
+        self._fleet = fleet
+        self._calls = calls
+        self._clock = clock
+        self._on_change = on_change
+        self._asked: dict[str, timedelta] = {}
+
+    async def check(self, target: Target) -> None:
+        """Ask an engine that refused a request, until it has settled on a role."""
+        asked = self._asked.get(target.id)
+        now = self._clock.monotonic()
+        if asked is not None and now - asked < CHECK_PERIOD:
+            return
+        for _ in range(MOST_CHECKS):
+            self._asked[target.id] = self._clock.monotonic()
+            state = await self._calls.fetch_state(target)
+            if isinstance(state, Err):
+                why = str(state.err_value)
+                _log("engine does not tell its role", target=target.id, why=why)
+            else:
+                self._take(target.id, state.ok_value)
+            if not self._is_changing(target.id):
+                return
+            await asyncio.sleep(CHANGE_PERIOD.total_seconds())
+        self._end_change(target.id)
+
+    def _is_changing(self, name: str) -> bool:
+        known = self._fleet.targets.get(name)
+        return known is not None and known.state is TargetState.CHANGING
+
+    def _end_change(self, name: str) -> None:
+        """Count on an engine again that did not tell of the end of its change."""
+        known = self._fleet.targets[name]
+        self._fleet.targets[name] = replace(known, state=TargetState.SERVING)
+        _log("engine is taken to have changed its role", target=name)
+        self._on_change()
+
+    def _take(self, name: str, state: EngineState) -> None:
+        known = self._fleet.targets.get(name)
+        told = judge_state(known, state) if known is not None else None
+        if told is None:
+            return
+        effect = apply_target(self._fleet, told, self._clock.monotonic())
+        _log("engine tells its role", target=name, effect=effect, orders=state.orders)
+        self._on_change()
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -86,7 +86,7 @@
     target = fleet.targets.get(name)
     if target is None:
         return None
-    if now < fleet.grace_until and target.state is TargetState.SERVING:
+    if now < fleet.grace_until and target.state is not TargetState.LEAVING:
         fleet.missing.setdefault(name, fleet.grace_until)
         return "missing"
     return _drop(fleet, name)
--- a/src/galenapass/forwarding/interfaces.py
+++ b/src/galenapass/forwarding/interfaces.py
@@ -7,13 +7,14 @@
 from result import Result
 
 from galenapass.forwarding.answers import Answer, Message
+from galenapass.forwarding.engine_states import StateCalls
 from galenapass.tables.targets import Target
 from galenapass.verdicts import Verdict
 
 __all__ = ["Calls", "Sink"]
 
 
-class Calls(Protocol):
+class Calls(StateCalls, Protocol):
     """Send to targets in their own protocol."""
 
     async def prefill(
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -5,17 +5,17 @@
 from datetime import timedelta
 from typing import Protocol
 
-from result import Err, Result
+from result import Err
 
 from galenapass.clocks import Clock
 from galenapass.duties.lease_keeper import LeaseKeeper
 from galenapass.forwarding import roles
-from galenapass.forwarding.answers import EngineState, OrderOutcome
+from galenapass.forwarding.answers import OrderOutcome
+from galenapass.forwarding.engine_states import StateCalls
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.roles import Pressure, RoleChange
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
-from galenapass.verdicts import Verdict
 
 __all__ = ["Orders", "RolePlanner"]
 
@@ -34,12 +34,9 @@
 _log = make_log("planner")
 
 
-class Orders(Protocol):
+class Orders(StateCalls, Protocol):
     """Send orders to engines."""
 
-    async def fetch_state(self, target: Target) -> Result[EngineState, Verdict]:
-        """Return what an engine says of itself."""
-
     async def order_role(
         self, target: Target, role: Role, holder: str, fence: int, orders: int
     ) -> OrderOutcome:
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -10,6 +10,7 @@
 from galenapass.forwarding import admission, budgets, loads, placement, retries
 from galenapass.forwarding.answers import Message
 from galenapass.forwarding.budgets import Budget, BudgetTerms
+from galenapass.forwarding.engine_states import EngineStates
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.interfaces import Calls, Sink
 from galenapass.forwarding.requests import Forwarded
@@ -65,7 +66,8 @@
         self._queue = queue
         self._suspects = suspects
         self._clock = clock
-        self._sender = Sender(fleet, calls, suspects, clock)
+        states = EngineStates(fleet, calls, clock, queue.wake)
+        self._sender = Sender(fleet, calls, suspects, states, clock)
         self._budgets: dict[str, Budget] = {}
 
     async def serve(
--- a/src/galenapass/forwarding/roles.py
+++ b/src/galenapass/forwarding/roles.py
@@ -104,7 +104,7 @@
         for t in targets
         if t.service == service
         and t.role in (Role.PREFILL, Role.DECODE)
-        and t.state is TargetState.SERVING
+        and t.state in (TargetState.SERVING, TargetState.CHANGING)
     ]
     role_of = lambda target: ordered.get(target.id, target.role)  # noqa: E731
     prefill = [t for t in engines if role_of(t) is Role.PREFILL]
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -12,6 +12,7 @@
 from galenapass.clocks import Clock
 from galenapass.forwarding import loads, retries
 from galenapass.forwarding.answers import Answer, Message
+from galenapass.forwarding.engine_states import EngineStates
 from galenapass.forwarding.events import EventStream
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.interfaces import Calls, Sink
@@ -20,7 +21,7 @@
 from galenapass.forwarding.routes import Repeat
 from galenapass.forwarding.suspects import Suspects
 from galenapass.logs import make_log
-from galenapass.tables.targets import Target
+from galenapass.tables.targets import Kind, Target
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Send", "Sender"]
@@ -49,10 +50,18 @@
 class Sender:
     """Hold what every send needs."""
 
-    def __init__(self, fleet: Fleet, calls: Calls, suspects: Suspects, clock: Clock):
+    def __init__(
+        self,
+        fleet: Fleet,
+        calls: Calls,
+        suspects: Suspects,
+        states: EngineStates,
+        clock: Clock,
+    ):
         self._fleet = fleet
         self._calls = calls
         self._suspects = suspects
+        self._states = states
         self._clock = clock
         self._background: set[asyncio.Task[None]] = set()
 
@@ -232,6 +241,8 @@
         )
         if failure.reason is Reason.TARGET_FAILED and failure.run is not Run.NOT_RUN:
             self.spawn(self._suspects.look_for_crash(request, target))
+        if failure.reason is Reason.TARGET_REFUSED and target.kind is Kind.ENGINE:
+            self.spawn(self._states.check(target))
 
     def note_reached(self, target: Target, failed: bool, now: timedelta) -> None:
         """Learn from a target that answered, be it with a failure."""
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -33,6 +33,7 @@
     status: int = 200
     delay_seconds: float = 0.0
     lose_handles: bool = False
+    changing: bool = False
 
 
 @dataclass(slots=True)
@@ -102,7 +103,7 @@
             {
                 "stage": self.stage,
                 "models": [],
-                "busy": False,
+                "busy": self.faults.changing,
                 "seq": self.orders,
                 "num_waiting": 0,
                 "num_running": 0,
@@ -160,6 +161,11 @@
         if expected not in (None, self.id):
             return web.Response(status=421)
         source = request.headers.get("X-Galenapass-Kv-Source")
+        wanted = request.headers.get("X-Galenapass-Stage", "decode")
+        if self.stage and not self.faults.changing and wanted != self.stage:
+            return web.Response(status=421)
+        if self.faults.changing:
+            return web.Response(status=503, headers={"X-Galenapass-Not-Executed": "1"})
         if self.faults.shed or (source is not None and self.faults.lose_handles):
             return web.Response(status=503, headers={"X-Galenapass-Not-Executed": "1"})
         return None
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -11,6 +11,7 @@
 from galenapass.forwarding import loads
 from galenapass.forwarding.budgets import MARGIN, BudgetTerms
 from galenapass.forwarding.requests import Part, Prompt
+from galenapass.tables.targets import Role, TargetState
 from stand_ins.runner import EVENTS
 from tests.platform_fleet import CONFIGURATION, make_route, run_fleet
 
@@ -356,6 +357,36 @@
 
         run(play)
 
+    def test_an_engine_that_changed_its_role_unseen_is_asked(self):
+        # A domain that was cut off just after a change sent prompts to an engine
+        # that decoded by then, and had none to decode (tena-tours trouble-1).
+        async def play(fleet):
+            targets = fleet.daemon.fleet.targets
+            fleet.decode.stage, fleet.prefill.stage = "prefill", "decode"
+            await fleet.ask("/notes/1", "POST")
+            await fleet.wait_for(lambda: targets["e1"].role is Role.DECODE)
+            status, body, _ = await fleet.ask("/notes/2", "POST")
+            self.assertEqual((200, STREAM), (status, body))
+
+        run(play)
+
+    def test_an_engine_gets_nothing_while_its_role_changes(self):
+        async def play(fleet):
+            targets = fleet.daemon.fleet.targets
+            fleet.decode.faults.changing = True
+            async with asyncio.timeout(3.0):
+                while targets["d1"].state is not TargetState.CHANGING:
+                    await fleet.ask("/notes/1", "POST")
+            arrived = len(fleet.decode.seen)
+            for n in range(5):
+                status, body, _ = await fleet.ask(f"/notes/{n}", "POST")
+                self.assertEqual((200, STREAM), (status, body))
+            self.assertEqual(arrived, len(fleet.decode.seen))
+            fleet.decode.faults.changing = False
+            await fleet.wait_for(lambda: targets["d1"].state is TargetState.SERVING)
+
+        run(play)
+
 
 class TestStop(TestCase):
     def test_a_stop_finishes_what_is_open(self):
