Trust an entry of the store over an engine's state just after it

Ruled out: a lost order (the engine answered that it holds already). Change: a state within 0.5 s after the entry's change counts for nothing, and the engine is asked again after that.

--- a/src/galenapass/forwarding/beliefs.py
+++ b/src/galenapass/forwarding/beliefs.py
@@ -94,7 +94,7 @@
         if target is None:
             effect = tables.remove_target(self._fleet, change.name, now)
         else:
-            effect = tables.apply_target(self._fleet, target, now)
+            effect = tables.enter_target(self._fleet, target, now)
         if effect is None:
             return
         _log(
--- a/src/galenapass/forwarding/engine_states.py
+++ b/src/galenapass/forwarding/engine_states.py
@@ -22,7 +22,10 @@
 CHECK_PERIOD = timedelta(seconds=1)
 # An engine that changes its role is back after 3 to 4 s on the deployments' sheets.
 CHANGE_PERIOD = timedelta(milliseconds=500)
-MOST_CHECKS = 12
+MOST_CHECKS = 40
+# What an engine says of itself is up to 0.1 s old on the deployments' sheets; a new
+# entry in the store is newer than a state that comes so soon after it.
+ENTRY_LEAD = timedelta(milliseconds=500)
 # Engines that do not answer are asked one by one: a client that is refused comes
 # back about as soon.
 RETEST_TIME = timedelta(milliseconds=300)
@@ -75,7 +78,9 @@
         now = self._clock.monotonic()
         if asked is not None and now - asked < CHECK_PERIOD:
             return
+        self._asked[target.id] = now
         for _ in range(MOST_CHECKS):
+            await asyncio.sleep(self._lead_left(target.id).total_seconds())
             self._asked[target.id] = self._clock.monotonic()
             state = await self._calls.fetch_state(target)
             if isinstance(state, Err):
@@ -115,6 +120,14 @@
         known = self._fleet.targets.get(name)
         return known is not None and known.state is TargetState.CHANGING
 
+    def _lead_left(self, name: str) -> timedelta:
+        """Return how long an engine's entry is still newer than what it says."""
+        entered_at = self._fleet.entered_at.get(name)
+        if entered_at is None:
+            return timedelta(0)
+        left = entered_at + ENTRY_LEAD - self._clock.monotonic()
+        return max(left, timedelta(0))
+
     def _end_change(self, name: str) -> None:
         """Count on an engine again that did not tell of the end of its change."""
         known = self._fleet.targets[name]
@@ -123,10 +136,13 @@
         self._on_change()
 
     def _take(self, name: str, state: EngineState) -> None:
+        now = self._clock.monotonic()
+        if self._lead_left(name):
+            return
         known = self._fleet.targets.get(name)
         told = judge_state(known, state) if known is not None else None
         if told is None:
             return
-        effect = apply_target(self._fleet, told, self._clock.monotonic())
+        effect = apply_target(self._fleet, told, now)
         _log("engine tells its role", target=name, effect=effect, orders=state.orders)
         self._on_change()
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -14,6 +14,7 @@
     "apply_listing",
     "apply_target",
     "drop_overdue",
+    "enter_target",
     "note_parts",
     "note_store_back",
     "remove_target",
@@ -29,6 +30,7 @@
 
     ``missing`` maps targets whose entry is gone to when they are given up;
     ``grace_until`` ends the time in which a lost entry may still come back;
+    ``entered_at`` is when their entries last changed;
     ``first_joined`` and ``last_joined`` are when targets joined; ``cuts`` holds how
     often targets of a domain could not be reached.
     """
@@ -40,6 +42,7 @@
     loads: Loads = field(default_factory=dict)
     missing: dict[str, timedelta] = field(default_factory=dict)
     grace_until: timedelta = timedelta(0)
+    entered_at: dict[str, timedelta] = field(default_factory=dict)
     first_joined: timedelta | None = None
     last_joined: timedelta = timedelta(0)
     cuts: dict[str, Evidence] = field(default_factory=dict)
@@ -66,7 +69,7 @@
 
 
 def apply_target(fleet: Fleet, target: Target, now: timedelta) -> str | None:
-    """Take in a target's entry; return what changed for placement, if anything."""
+    """Put a target as it is now into the table; return what changed for placement."""
     known = fleet.targets.get(target.id)
     fleet.missing.pop(target.id, None)
     fleet.targets[target.id] = target
@@ -85,6 +88,12 @@
     return None
 
 
+def enter_target(fleet: Fleet, target: Target, now: timedelta) -> str | None:
+    """Take in a target's entry in the store; return what changed, if anything."""
+    fleet.entered_at[target.id] = now
+    return apply_target(fleet, target, now)
+
+
 def remove_target(fleet: Fleet, name: str, now: timedelta) -> str | None:
     """Take in that an entry is gone; return what changed, if anything."""
     target = fleet.targets.get(name)
@@ -100,7 +109,7 @@
     """Take in every entry that there is."""
     listed = {target.id for target in targets}
     for target in targets:
-        apply_target(fleet, target, now)
+        enter_target(fleet, target, now)
     for name in [name for name in fleet.targets if name not in listed]:
         remove_target(fleet, name, now)
 
@@ -129,5 +138,6 @@
 
 def _drop(fleet: Fleet, name: str) -> str:
     fleet.missing.pop(name, None)
+    fleet.entered_at.pop(name, None)
     del fleet.targets[name]
     return TargetState.GONE.value
--- a/tests/test_forwarding_states.py
+++ b/tests/test_forwarding_states.py
@@ -13,6 +13,7 @@
     EngineStates,
     judge_state,
 )
+from galenapass.forwarding.fleet import enter_target
 from galenapass.tables.targets import Role, TargetState
 from galenapass.verdicts import Reason, Run, Verdict
 from tests.forwarding_fakes import MS, make_fleet, make_target
@@ -33,6 +34,7 @@
         self.asked = []
         self.now = timedelta(seconds=10)
         self.woken = 0
+        self.on_fetch = lambda: None
         self.states = EngineStates(self.fleet, self, self, self._wake)
 
     def monotonic(self):
@@ -40,6 +42,7 @@
 
     async def fetch_state(self, target):
         self.asked.append(target.id)
+        self.on_fetch()
         return self.answers[target.id]
 
     def _wake(self):
@@ -77,6 +80,16 @@
         asyncio.run(engines.states.check(target))
         self.assertEqual(["d1", "d1"], engines.asked)
 
+    def test_an_entry_is_newer_than_what_an_engine_says_just_after(self):
+        # An engine's state was 0.1 s old and took its new role back for 15 s
+        # (khomsabai-post scale-2, 54.5 s).
+        target = make_target("d1", Role.PREFILL)
+        engines = Engines(target)
+        engines.answers["d1"] = Ok(make_state(changing=True))
+        engines.on_fetch = lambda: enter_target(engines.fleet, target, engines.now)
+        asyncio.run(engines.states.check(target))
+        self.assertEqual(target, engines.fleet.targets["d1"])
+
     def test_no_request_is_spent_on_engines_that_do_not_answer(self):
         # Domains that were cut off let a request through each 0.3 s and all that
         # came before its time-out: 100 prompts read in vain (tena-tours trouble-1).
