Test a settings file that breaks under a running daemon

A file with a wrong value, no TOML, nothing or no file at all leaves the last good settings in force with one line each that names the field and its value; the next whole file is applied, also without a signal. Fields of the file that no part of the daemon uses are no longer read.

--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 
 import click
@@ -12,9 +14,9 @@
 from galenapass.forwarding.roles import DEFAULT_PREFILL_SHARE
 from galenapass.logs import BoundedLog, make_log
 from galenapass.platform.assembly import PlatformDaemon
-from galenapass.platform.settings import read_host_settings
+from galenapass.platform.settings import HostSettings, read_host_settings
 
-__all__ = ["main"]
+__all__ = ["follow_settings", "main"]
 
 SETTINGS_VARIABLE = "GALENAPASS_CONFIG"
 # Named in deploy/system.toml too.
@@ -22,7 +24,7 @@
 EXIT_CANNOT_START = 1
 EXIT_FAULTS = 2
 # The file may change without a signal.
-FILE_PERIOD_SECONDS = 2.0
+FILE_PERIOD = timedelta(seconds=2)
 
 _log = make_log("daemon")
 
@@ -65,7 +67,9 @@
         _log("settings are unusable", fault=str(settings.unwrap_err()))
         return EXIT_FAULTS
     daemon = PlatformDaemon(settings.unwrap(), prefill_share, metrics_port)
-    following = asyncio.create_task(_follow_file(path, daemon, changed))
+    following = asyncio.create_task(
+        follow_settings(path, daemon.apply_settings, changed)
+    )
     try:
         await daemon.start()
         await stopping.wait()
@@ -78,13 +82,20 @@
     return 0
 
 
-async def _follow_file(
-    path: Path, daemon: PlatformDaemon, changed: asyncio.Event
+async def follow_settings(
+    path: Path,
+    apply: Callable[[HostSettings], None],
+    changed: asyncio.Event,
+    period: timedelta = FILE_PERIOD,
 ) -> None:
+    """Apply the settings whenever their file changes, but none with a fault.
+
+    ``changed`` asks for a look at once; ``period`` spaces the looks without it.
+    """
     last = _find_change_time(path)
     while True:
         try:
-            async with asyncio.timeout(FILE_PERIOD_SECONDS):
+            async with asyncio.timeout(period.total_seconds()):
                 await changed.wait()
         except TimeoutError:
             pass
@@ -97,7 +108,7 @@
         if settings.is_err():
             _log("settings stay as they are", fault=str(settings.unwrap_err()))
             continue
-        daemon.apply_settings(settings.unwrap())
+        apply(settings.unwrap())
 
 
 def _find_change_time(path: Path) -> int:
--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -34,11 +34,8 @@
     ready: tuple[str, int]
     peers: tuple[str, int]
     store: str
-    heartbeat: timedelta
     shutdown: timedelta
-    drain: timedelta
     lease: timedelta
-    contact: timedelta
     budget: BudgetTerms
 
 
@@ -75,11 +72,8 @@
         ready=_address(data, "listen", "ready"),
         peers=(_text(data, "ip"), _first_port(data)),
         store=_text(data, "platform", "address"),
-        heartbeat=_number(data, "heartbeat_ms") * _MILLISECOND,
         shutdown=_number(data, "bounds", "grace_s") * _SECOND,
-        drain=_number(data, "bounds", "drain_ms") * _MILLISECOND,
         lease=_number(data, "bounds", "lease_ms") * _MILLISECOND,
-        contact=_number(data, "bounds", "contact_ms") * _MILLISECOND,
         budget=budget,
     )
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -33,11 +33,8 @@
         ready=ready,
         peers=peers,
         store=store,
-        heartbeat=timedelta(seconds=1),
         shutdown=timedelta(seconds=1),
-        drain=timedelta(seconds=2),
         lease=timedelta(seconds=1),
-        contact=timedelta(seconds=3),
         budget=BudgetTerms(0.2, 50.0, timedelta(seconds=10)),
     )
 
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,88 @@
+"""Check that a daemon on the platform follows its settings file while it runs."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+from datetime import timedelta
+
+from eliot.testing import MemoryLogger, swap_logger
+from testtools import TestCase
+
+from galenapass.platform.daemon import follow_settings
+from tests.test_platform_decoders import SETTINGS
+
+PERIOD = timedelta(milliseconds=20)
+
+
+class TestFollowing(TestCase):
+    def follow(self, play, period=PERIOD):
+        """Give the settings that were applied and the log lines of a play."""
+        applied, changed = [], asyncio.Event()
+
+        async def main(path):
+            path.write_text(SETTINGS)
+            task = asyncio.create_task(
+                follow_settings(path, applied.append, changed, period)
+            )
+            await asyncio.sleep(0)
+            await play(path, applied, changed)
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+        logger = MemoryLogger()
+        previous = swap_logger(logger)
+        try:
+            with tempfile.TemporaryDirectory() as folder:
+                asyncio.run(main(pathlib.Path(folder) / "local.toml"))
+        finally:
+            swap_logger(previous)
+        return applied, [m for m in logger.messages if "text" in m]
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(5.0):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def test_a_file_that_breaks_changes_nothing_until_it_is_whole(self):
+        broken = (
+            SETTINGS.replace("retry_slack = 56", 'retry_slack = "many"'),
+            SETTINGS.replace("grace_s = 8", "grace_s = -1"),
+            "node_name = [",
+            "",
+        )
+
+        async def play(path, applied, changed):
+            for text in broken:
+                path.write_text(text)
+                changed.set()
+                await self.wait_for(lambda: not changed.is_set())
+            path.unlink()
+            changed.set()
+            await self.wait_for(lambda: not changed.is_set())
+            path.write_text(SETTINGS.replace("retry_slack = 56", "retry_slack = 57"))
+            await self.wait_for(lambda: applied)
+
+        applied, lines = self.follow(play)
+        self.assertEqual([57.0], [settings.budget.fixed for settings in applied])
+        faults = [m["fault"] for m in lines if m["text"].endswith("stay as they are")]
+        self.assertEqual(len(broken) + 1, len(faults))
+        self.assertIn("bounds.retry_slack", faults[0])
+        self.assertIn("many", faults[0])
+        self.assertIn("-1", faults[1])
+
+    def test_a_file_that_changes_without_a_signal_is_read(self):
+        async def play(path, applied, changed):
+            await asyncio.sleep(PERIOD.total_seconds() * 2)
+            path.write_text(SETTINGS.replace("retry_slack = 56", "retry_slack = 60"))
+            await self.wait_for(lambda: applied)
+
+        applied, _ = self.follow(play)
+        self.assertEqual(60.0, applied[0].budget.fixed)
+
+    def test_a_file_that_stays_the_same_is_not_read_again(self):
+        async def play(path, applied, changed):
+            await asyncio.sleep(PERIOD.total_seconds() * 5)
+
+        self.assertEqual(([], []), self.follow(play))
