Add a fault soak of daemons as processes; free applications between tests

The cause of the red entry: the cache of aiohttp keeps the last 1024 applications, and full garbage collections of a test process took 0.3 to 1.15 s at load 7 (a watchdog's traceback: Garbage-collecting); 24,000 examples of the test showed no example longer than that pause. Ruled out: a lost wake-up (no example hung). The cache is emptied after each test now.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import socket
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -46,9 +47,18 @@
 
 
 async def start_process(
-    name: str, module: str, arguments: Sequence[str], log: Path, *, ready: bool = True
+    name: str,
+    module: str,
+    arguments: Sequence[str],
+    log: Path,
+    *,
+    ready: bool = True,
+    variables: Mapping[str, str] | None = None,
 ) -> Process:
-    """Start a module; with ``ready`` wait for its line that names its address."""
+    """Start a module; with ``ready`` wait for its line that names its address.
+
+    ``variables`` are added to this process's environment.
+    """
     with log.open("ab") as errors:
         inner = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -58,6 +68,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE if ready else errors,
             stderr=errors,
+            env={**os.environ, **(variables or {})},
         )
     process = Process(name, inner)
     if ready:
--- /dev/null
+++ b/experiments/soak/faults.py
@@ -0,0 +1,91 @@
+"""Draw the faults of one soak from its seed; pure."""
+
+from dataclasses import dataclass
+from random import Random
+
+from experiments.soak.proxies import Disturbance
+
+__all__ = ["DAEMON_FAULTS", "Fault", "RUNNER_FAULTS", "STORE_FAULTS", "plan_faults"]
+
+# Every kind and its bounds in seconds; those that need no end last 0.
+DAEMON_FAULTS = {
+    "pause": (0.2, 3.0),
+    "kill": (0.1, 1.5),
+    "terminate": (0.0, 0.0),
+    "settings": (0.0, 0.0),
+}
+STORE_FAULTS = {
+    "garbage": (0.3, 3.0),
+    "unavailable": (0.3, 4.0),
+    "throttled": (0.3, 3.0),
+    "lost answers": (0.0, 0.0),
+    "compaction": (0.0, 0.0),
+    "configuration": (0.0, 0.0),
+}
+RUNNER_FAULTS = {
+    "shed": (0.3, 3.0),
+    "crash": (0.2, 1.5),
+    "break": (0.3, 3.0),
+    "slow": (0.5, 3.0),
+    "wrong id": (0.2, 1.5),
+    "unsigned": (0.2, 1.5),
+    "lost handles": (0.3, 3.0),
+    "changing": (0.5, 3.0),
+    "restart": (0.2, 1.5),
+    "leave": (1.0, 4.0),
+    "lapse": (0.5, 2.0),
+}
+LINK_SECONDS = (0.3, 4.0)
+LINK_FAULTS = tuple(d.value for d in Disturbance if d is not Disturbance.NONE)
+# Part of the faults that hit every thing of their kind, one after the other.
+SERIES_SHARE = 0.15
+SERIES_GAP_SECONDS = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """Hold one fault: seconds from the start, what is done and to whom."""
+
+    at: float
+    lasts: float
+    kind: str
+    place: str
+
+    @property
+    def end(self) -> float:
+        """Return when it ends, in seconds from the start."""
+        return self.at + self.lasts
+
+
+def plan_faults(
+    seed: int, seconds: float, count: int, daemons: list[str], runners: list[str]
+) -> list[Fault]:
+    """Return ``count`` faults or series of them, in the order of their times.
+
+    All of them end within the seconds given; they overlap as they fall.
+    """
+    random = Random(seed)
+    faults: list[Fault] = []
+    for _ in range(count):
+        kinds, places = _draw_group(random, daemons, runners)
+        kind = random.choice(sorted(kinds))
+        at, lasts = random.uniform(0, seconds), random.uniform(*kinds[kind])
+        if random.random() >= SERIES_SHARE:
+            places = [random.choice(places)]
+        for number, place in enumerate(places):
+            begin = min(at + number * SERIES_GAP_SECONDS, seconds)
+            faults.append(Fault(begin, min(lasts, seconds - begin), kind, place))
+    return sorted(faults, key=lambda fault: (fault.at, fault.place))
+
+
+def _draw_group(
+    random: Random, daemons: list[str], runners: list[str]
+) -> tuple[dict[str, tuple[float, float]], list[str]]:
+    links = dict.fromkeys(LINK_FAULTS, LINK_SECONDS)
+    groups = (
+        (DAEMON_FAULTS, daemons),
+        (STORE_FAULTS, ["store"]),
+        (RUNNER_FAULTS, runners),
+        (links, [f"link {name}" for name in [*daemons, *runners]]),
+    )
+    return random.choice(groups)
--- /dev/null
+++ b/experiments/soak/proxies.py
@@ -0,0 +1,105 @@
+"""Pass TCP connections on over the loopback and disturb them on demand."""
+
+import asyncio
+import contextlib
+from enum import Enum
+
+from stand_ins.serving import split_address
+
+__all__ = ["Disturbance", "Proxy"]
+
+CHUNK_BYTES = 65_536
+DELAY_SECONDS = 0.3
+
+
+class Disturbance(Enum):
+    """Name what a proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    CUT_REQUESTS = "cut requests"
+    CUT_ANSWERS = "cut answers"
+
+
+_DROPS_REQUESTS = frozenset({Disturbance.SILENCE, Disturbance.CUT_REQUESTS})
+_DROPS_ANSWERS = frozenset({Disturbance.SILENCE, Disturbance.CUT_ANSWERS})
+
+
+class Proxy:
+    """Hold one listening port and the connections that came through it.
+
+    What arrives while a direction is cut is lost, so such a connection stays
+    without an answer after the cut, as one over a lost route does.
+    """
+
+    def __init__(self, target: str):
+        self.disturbance = Disturbance.NONE
+        self.address = ""
+        self._target = split_address(target)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._server is not None:
+            self._server.close()
+        self._abort_all()
+
+    def disturb(self, disturbance: Disturbance) -> None:
+        """Treat all connections in this way from now on, open ones too."""
+        self.disturbance = disturbance
+        if disturbance is Disturbance.RESET:
+            self._abort_all()
+
+    def _abort_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            if self.disturbance is Disturbance.RESET:
+                return
+            source, sink = await asyncio.open_connection(*self._target)
+            self._writers.add(sink)
+            try:
+                await asyncio.gather(
+                    self._pass(reader, sink, _DROPS_REQUESTS),
+                    self._pass(source, writer, _DROPS_ANSWERS),
+                )
+            finally:
+                self._writers.discard(sink)
+                sink.transport.abort()
+        except OSError:
+            # Either side went away; the other one is closed below.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        drops: frozenset[Disturbance],
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            if self.disturbance is Disturbance.DELAY:
+                await asyncio.sleep(DELAY_SECONDS)
+            if self.disturbance in drops:
+                continue
+            writer.write(chunk)
+            await writer.drain()
+        with contextlib.suppress(OSError):
+            if writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/stand_ins/platform_routes.py
@@ -0,0 +1,39 @@
+"""Hold a configuration as the platform's operator writes it."""
+
+from typing import Any
+
+__all__ = ["CONFIGURATION", "HOST", "make_route"]
+
+HOST = "a.example"
+
+
+def make_route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the configuration; ``changes`` replace its fields."""
+    return {
+        "name": prefix.strip("/"),
+        "hostname": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "resumable": False,
+    } | changes
+
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 3,
+    "routes": [
+        make_route("/notes/", "streaming", "lm", resumable=True),
+        make_route("/once/", "streaming", "lm", attempts=1),
+        make_route("/hold/", "non_idempotent", "desk", attempts=1),
+        make_route("/seats/", "idempotent", "desk"),
+    ],
+    "services": [
+        {"name": "lm", "engine": {"kv_tokens": 500_000, "reconfig_s": 0.1}},
+        {"name": "desk"},
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+}
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -34,6 +34,7 @@
     delay_seconds: float = 0.0
     lose_handles: bool = False
     changing: bool = False
+    event_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -181,6 +182,7 @@
             if sent == self.faults.break_after:
                 await response.write(b"id: ")
                 return drop_connection(request)
+            await asyncio.sleep(self.faults.event_seconds)
             await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
         await response.write_eof()
         return response
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import pytest
+from aiohttp import web_app
 from hypothesis import HealthCheck, settings
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -22,6 +23,18 @@
 settings.load_profile(os.environ.get("GALENAPASS_PROFILE", "ci"))
 
 
+@pytest.fixture(autouse=True)
+def _free_applications():
+    """Let go of the applications that tests made.
+
+    aiohttp's cache keeps the last 1024 of them and all that they refer to; the
+    garbage collector took seconds for that on a busy machine, in which the requests
+    of a test passed their deadlines.
+    """
+    yield
+    web_app._cached_build_middleware.cache_clear()
+
+
 def _read_known_red():
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
     entries = [line for line in lines if line.strip() and not line.startswith("#")]
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,29 +2,22 @@
 
 import asyncio
 import contextlib
-import socket
 from datetime import timedelta
 
 import aiohttp
 from aiohttp import web
 
+from experiments.processes import find_free_port
 from galenapass.forwarding.budgets import BudgetTerms
 from galenapass.platform.assembly import PlatformDaemon
 from galenapass.platform.settings import HostSettings
 from stand_ins.metadata_store import MetadataStore
+from stand_ins.platform_routes import CONFIGURATION, HOST
 from stand_ins.runner import Runner
 
-HOST = "a.example"
-
-
-def find_port():
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return free.getsockname()[1]
-
 
 def make_settings(store, name="front-1"):
-    ports = [find_port() for _ in range(3)]
+    ports = [find_free_port() for _ in range(3)]
     front, ready, peers = (("127.0.0.1", port) for port in ports)
     return HostSettings(
         host=name,
@@ -39,37 +32,6 @@
     )
 
 
-def make_route(prefix, kind, service, **changes):
-    return {
-        "name": prefix.strip("/"),
-        "hostname": HOST,
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 3000,
-        "target_latency_ms": 500,
-        "priority": 1,
-        "service": service,
-        "attempts": 2,
-        "resumable": False,
-    } | changes
-
-
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        make_route("/notes/", "streaming", "lm", resumable=True),
-        make_route("/once/", "streaming", "lm", attempts=1),
-        make_route("/hold/", "non_idempotent", "desk", attempts=1),
-        make_route("/seats/", "idempotent", "desk"),
-    ],
-    "services": [
-        {"name": "lm", "engine": {"kv_tokens": 500_000, "reconfig_s": 0.1}},
-        {"name": "desk"},
-    ],
-    "limits": {"idle_timeout_ms": 15000},
-}
-
-
 class PlatformFleet:
     """Hold the store, the runners and a daemon."""
 
@@ -127,7 +89,7 @@
         fleet.store.make_app(), access_log=None, shutdown_timeout=0.1
     )
     await runner.setup()
-    port = find_port()
+    port = find_free_port()
     await web.TCPSite(runner, "127.0.0.1", port).start()
     for target in fleet.runners:
         await target.start()
