--- a/tests/test_forwarding_loads.py
+++ b/tests/test_forwarding_loads.py
@@ -72,15 +72,25 @@
         return placement.choose_reader(fit, request.prompt, request.reads, view, donors)
 
     def _start(self, now):
-        choose = lambda request: self._choose(request, now)  # noqa: E731
+        if not self.waiting:
+            return
+        # A choice holds until a prompt is started, which changes the tables.
+        chosen = {}
+
+        def choose(request):
+            if request.id not in chosen:
+                chosen[request.id] = self._choose(request, now)
+            return chosen[request.id]
+
         left = []
         for request in self.order(self.waiting, choose, now * MS):
-            choice = self._choose(request, now)
+            choice = choose(request)
             load = self.fleet.load_of(choice.target)
             hopeless = admission.is_hopeless(request, choice.finish_ms, now * MS)
             if hopeless or not admission.has_room(load):
                 left.append(request)
                 continue
+            chosen.clear()
             load.prompts += 1
             load.work_ms += choice.cost_ms
             self.played.tokens += choice.unread
