Ignore SIGHUP until the daemon handles it

Ruled out: the settings themselves (they are whole). Change: the daemon starts through a module that ignores the signal before it loads anything; the file is read after that.

--- a/experiments/soak/world.py
+++ b/experiments/soak/world.py
@@ -24,6 +24,8 @@
 EVENT_SECONDS = 0.02
 SLOW_SECONDS = 1.0
 LOST_ANSWERS = 3
+# A busy machine takes this long to start an interpreter.
+INTERPRETER_SECONDS = 0.3
 STARTED = b"daemon starts"
 SETTINGS = """\
 node_name = "{name}"
@@ -51,8 +53,8 @@
 class Daemon:
     """Hold one daemon's ports, files and process; ``exits`` lists bad ends.
 
-    ``paused_at`` is when it was last paused, in monotonic seconds, ``log_start`` the
-    length of its log before its last start.
+    ``paused_at`` and ``started_at`` are when it was last paused and started, in
+    monotonic seconds, ``log_start`` is the length of its log before its last start.
     """
 
     name: str
@@ -64,6 +66,7 @@
     slack: int = 50
     process: Process | None = None
     paused_at: float = 0.0
+    started_at: float = 0.0
     log_start: int = 0
     exits: list[str] = field(default_factory=list)
 
@@ -98,10 +101,11 @@
         if self.process is not None and self.process.status is None:
             return
         path = self.write_settings(store)
+        self.started_at = time.monotonic()
         self.log_start = self.log.stat().st_size if self.log.exists() else 0
         self.process = await start_process(
             self.name,
-            "galenapass.platform.daemon",
+            "galenapass.platform",
             ["--metrics-port", "0"],
             self.log,
             ready=False,
@@ -306,7 +310,9 @@
     def _change_settings(self, daemon: Daemon) -> None:
         daemon.slack += 1
         daemon.write_settings(self.links[daemon.name].address)
-        daemon.send(signal.SIGHUP)
+        # No program can handle a signal before its interpreter runs.
+        if time.monotonic() - daemon.started_at > INTERPRETER_SECONDS:
+            daemon.send(signal.SIGHUP)
 
     def _register(self, runner: Runner, **changes: Any) -> None:
         address = self.links[runner.id].address
--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -117,7 +117,3 @@
     except OSError:
         # It is being replaced; the next look finds it.
         return 0
-
-
-if __name__ == "__main__":
-    main()
