Ask any engine while none is known to decode, and follow one found changing

It had asked an engine that did not answer again, found it changing its role and never looked after that; the other engine had changed back, and no refused request could correct the belief. Ruled out: the entries of the store (the soak's targets did not write their new roles, as in a domain that is cut off; they do now). Change: an engine found changing is followed until it serves; while no engine is known to decode every engine of the service is asked in turn. Both tests failed before.

--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -76,7 +76,7 @@
     async with aiohttp.ClientSession() as session:
         while waiting and time.monotonic() < end:
             for name in sorted(waiting):
-                url = f"http://127.0.0.1:{world.daemons[name].ready}/readyz"
+                url = f"http://{world.daemons[name].ip}:{world.daemons[name].ready}/readyz"
                 if await _fetch_status(session, url) == 200:
                     waiting.discard(name)
             await asyncio.sleep(POLL_SECONDS)
--- a/experiments/soak/world.py
+++ b/experiments/soak/world.py
@@ -1,6 +1,7 @@
 """Run daemons as processes against stand-ins behind proxies, and disturb them."""
 
 import asyncio
+import os
 import signal
 import time
 from collections.abc import Callable
@@ -24,18 +25,19 @@
 EVENT_SECONDS = 0.02
 SLOW_SECONDS = 1.0
 LOST_ANSWERS = 3
+HEARTBEAT_SECONDS = 0.5
 # A busy machine takes this long to start an interpreter.
 INTERPRETER_SECONDS = 0.3
 STARTED = b"daemon starts"
 SETTINGS = """\
 node_name = "{name}"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "{domain}"
 heartbeat_ms = 500
 internal_port_range = [{peers}, {peers}]
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
 [bounds]
 budget_ratio = 0.2
 retry_slack = {slack}
@@ -49,6 +51,11 @@
 """
 
 
+def _choose_ip() -> str:
+    """Return an address of the loopback that no soak beside this one uses."""
+    return f"127.1.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
+
+
 @dataclass(slots=True)
 class Daemon:
     """Hold one daemon's ports, files and process; ``exits`` lists bad ends.
@@ -60,9 +67,10 @@
     name: str
     domain: str
     folder: Path
-    front: int = field(default_factory=find_free_port)
-    ready: int = field(default_factory=find_free_port)
-    peers: int = field(default_factory=find_free_port)
+    front: int = 0
+    ready: int = 0
+    peers: int = 0
+    ip: str = field(default_factory=_choose_ip)
     slack: int = 50
     process: Process | None = None
     paused_at: float = 0.0
@@ -70,10 +78,14 @@
     log_start: int = 0
     exits: list[str] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        ports = (find_free_port(self.ip) for _ in range(3))
+        self.front, self.ready, self.peers = ports
+
     @property
     def address(self) -> str:
         """Return where clients reach it."""
-        return f"127.0.0.1:{self.front}"
+        return f"{self.ip}:{self.front}"
 
     @property
     def log(self) -> Path:
@@ -85,6 +97,7 @@
         path = self.folder / f"{self.name}.toml"
         text = SETTINGS.format(
             name=self.name,
+            ip=self.ip,
             domain=self.domain,
             front=self.front,
             ready=self.ready,
@@ -170,6 +183,8 @@
         self.links: dict[str, Proxy] = {}
         self.version = 1
         self._web: web.AppRunner | None = None
+        self._states: dict[str, str] = {}
+        self._heartbeats: asyncio.Task[None] | None = None
         self._last: dict[tuple[str, str], Fault] = {}
 
     async def start(self) -> None:
@@ -186,6 +201,7 @@
             await runner.start()
             await self._link(runner.id, runner.address)
             self._register(runner)
+        self._heartbeats = asyncio.create_task(self._write_heartbeats())
         self.publish_configuration()
         for daemon in self.daemons.values():
             await self._link(daemon.name, f"{host}:{port}")
@@ -193,6 +209,8 @@
 
     async def stop(self) -> None:
         """End everything that was started."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         for daemon in self.daemons.values():
             daemon.send(signal.SIGCONT)
         await asyncio.gather(*(d.terminate() for d in self.daemons.values()))
@@ -298,7 +316,7 @@
             "changing": change("changing", True),
             "restart": (lambda: link.disturb(Disturbance.RESET), restart),
             "leave": (
-                lambda: self._register(runner, state="draining"),
+                lambda: self._register(runner, "draining"),
                 lambda: self._register(runner),
             ),
             "lapse": (
@@ -314,12 +332,20 @@
         if time.monotonic() - daemon.started_at > INTERPRETER_SECONDS:
             daemon.send(signal.SIGHUP)
 
-    def _register(self, runner: Runner, **changes: Any) -> None:
+    async def _write_heartbeats(self) -> None:
+        """Write the runners' entries anew, as their roles change by orders."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            for name, state in self._states.items():
+                self._register(self.runners[name], state)
+
+    def _register(self, runner: Runner, state: str = "ready") -> None:
+        self._states[runner.id] = state
         address = self.links[runner.id].address
-        self.store.put("servers", runner.id, runner.entry(address=address, **changes))
+        self.store.put("servers", runner.id, runner.entry(address=address, state=state))
 
     def _remove(self, runner: Runner) -> None:
-        if runner.id in self.store.objects["servers"]:
+        if self._states.pop(runner.id, None) is not None:
             self.store.remove("servers", runner.id)
 
     async def _link(self, name: str, target: str) -> None:
--- a/src/galenapass/forwarding/engine_states.py
+++ b/src/galenapass/forwarding/engine_states.py
@@ -79,6 +79,9 @@
         if asked is not None and now - asked < CHECK_PERIOD:
             return
         self._asked[target.id] = now
+        await self._follow(target)
+
+    async def _follow(self, target: Target) -> None:
         for _ in range(MOST_CHECKS):
             await asyncio.sleep(self._lead_left(target.id).total_seconds())
             self._asked[target.id] = self._clock.monotonic()
@@ -112,9 +115,12 @@
         loads.note_reach(self._fleet.load_of(target).failures, does_answer, now)
         loads.note_reach(self._fleet.cut_of(target), does_answer, now)
         _log("engine is asked again", target=target.id, does_answer=does_answer)
-        if not isinstance(state, Err):
-            self._take(target.id, state.ok_value)
-            self._on_change()
+        if isinstance(state, Err):
+            return
+        self._take(target.id, state.ok_value)
+        self._on_change()
+        if self._is_changing(target.id):
+            await self._follow(target)
 
     def _is_changing(self, name: str) -> bool:
         known = self._fleet.targets.get(name)
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding import admission, budgets, loads, placement, retries
+from galenapass.forwarding import admission, budgets, loads, placement, retries, roles
 from galenapass.forwarding.answers import Message
 from galenapass.forwarding.budgets import Budget, BudgetTerms
 from galenapass.forwarding.engine_states import EngineStates
@@ -153,7 +153,8 @@
         view = self._fleet.view(self._clock.monotonic())
         if placement.lacks_output(serving, view):
             decode = [t for t in serving if t.role is Role.DECODE]
-            self._sender.spawn(self._states.retest(decode))
+            engines = roles.list_engines(self._fleet.targets.values(), request.service)
+            self._sender.spawn(self._states.retest(decode or engines))
             return Err(_NO_DECODE)
         started = await self._queue.start(request)
         if isinstance(started, Err):
--- a/tests/test_forwarding_states.py
+++ b/tests/test_forwarding_states.py
@@ -106,6 +106,23 @@
         self.assertEqual(3000 * MS // RETEST_TIME, len(engines.asked))
         self.assertEqual(0, engines.woken)
 
+    def test_an_engine_found_changing_is_followed_until_it_serves(self):
+        # It was never asked again and got no work for good (soak seed 44).
+        engines = Engines(make_target("e1"), make_target("d1", Role.DECODE))
+        loads.note_reach(engines.fleet.cut_of(make_target("d1")), False, engines.now)
+        engines.answers["d1"] = Ok(make_state(changing=True))
+        told = []
+
+        def answer():
+            told.append(engines.fleet.targets["d1"].state)
+            if len(told) == 2:
+                engines.answers["d1"] = Ok(make_state())
+
+        engines.on_fetch = answer
+        engines.retest()
+        self.assertIs(TargetState.CHANGING, told[1])
+        self.assertIs(TargetState.SERVING, engines.fleet.targets["d1"].state)
+
     def test_one_answer_ends_the_refusals_of_a_domain(self):
         far = [make_target(f"d{n}", Role.DECODE, domain="b") for n in range(2)]
         engines = Engines(make_target("e1"), *far)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from datetime import timedelta
 
 import xxhash
@@ -10,10 +11,12 @@
 
 from galenapass.forwarding import loads
 from galenapass.forwarding.budgets import MARGIN, BudgetTerms
+from galenapass.forwarding.engine_states import ENTRY_LEAD
 from galenapass.forwarding.requests import Part, Prompt
 from galenapass.tables.targets import Role, TargetState
+from stand_ins.platform_routes import CONFIGURATION, make_route
 from stand_ins.runner import EVENTS
-from tests.platform_fleet import CONFIGURATION, make_route, run_fleet
+from tests.platform_fleet import run_fleet
 
 WINDOW = timedelta(seconds=10)
 STREAM = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, EVENTS + 1))
@@ -370,6 +373,20 @@
 
         run(play)
 
+    def test_engines_are_asked_while_none_is_known_to_decode(self):
+        # A daemon whose beliefs were old refused every prompt for good, as no
+        # refused request could correct them (soak seed 44).
+        async def play(fleet):
+            targets = fleet.daemon.fleet.targets
+            for name in ("d1", "d2"):
+                targets[name] = replace(targets[name], role=Role.PREFILL)
+            await asyncio.sleep(ENTRY_LEAD.total_seconds())
+            async with asyncio.timeout(5.0):
+                while (await fleet.ask("/notes/1", "POST"))[0] != 200:
+                    await asyncio.sleep(0.05)
+
+        run(play)
+
     def test_an_engine_gets_nothing_while_its_role_changes(self):
         async def play(fleet):
             targets = fleet.daemon.fleet.targets
