Say of a failed prefill that nothing ran; end a list whose pages repeat

Found by properties on every answer of the store and of engines (any bytes, any field missing or of another type): - A prefill that was answered with 500, or with another request's id, counted as a run that may have happened; a stream that may run once was then given up, though a prefill never runs the request. It is not run now. - A list whose pages began again was read for ever; it is a failure now. Also: when an engine was last asked is kept with its load, so that it is forgotten with the engine; an engine that is gone by the end of its change no longer ends the task that asked it.

--- a/src/galenapass/forwarding/engine_states.py
+++ b/src/galenapass/forwarding/engine_states.py
@@ -54,9 +54,9 @@
 
 
 class EngineStates:
-    """Hold when each engine was last asked; ``on_change`` hears of new beliefs."""
+    """Keep the table of targets true to its engines; ``on_change`` hears of changes."""
 
-    __slots__ = ("_asked", "_calls", "_clock", "_fleet", "_on_change", "_retested_at")
+    __slots__ = ("_calls", "_clock", "_fleet", "_on_change", "_retested_at")
 
     def __init__(
         self,
@@ -69,23 +69,22 @@
         self._calls = calls
         self._clock = clock
         self._on_change = on_change
-        self._asked: dict[str, timedelta] = {}
         self._retested_at: timedelta | None = None
 
     async def check(self, target: Target) -> None:
         """Ask an engine that refused a request, until it has settled on a role."""
-        asked = self._asked.get(target.id)
+        load = self._fleet.load_of(target)
         now = self._clock.monotonic()
-        if asked is not None and now - asked < CHECK_PERIOD:
+        if load.asked_at is not None and now - load.asked_at < CHECK_PERIOD:
             return
-        self._asked[target.id] = now
+        load.asked_at = now
         await self._follow(target)
 
     async def _follow(self, target: Target) -> None:
+        """Ask an engine now, and on as long as it changes its role."""
         for _ in range(MOST_CHECKS):
             await asyncio.sleep(self._lead_left(target.id).total_seconds())
-            self._asked[target.id] = self._clock.monotonic()
-            state = await self._calls.fetch_state(target)
+            state = await self._ask(target)
             if isinstance(state, Err):
                 why = str(state.err_value)
                 _log("engine does not tell its role", target=target.id, why=why)
@@ -106,10 +105,8 @@
         if not targets or (last is not None and now - last < RETEST_TIME):
             return
         self._retested_at = now
-        never = timedelta.min
-        target = min(targets, key=lambda t: self._asked.get(t.id, never))
-        self._asked[target.id] = now
-        state = await self._calls.fetch_state(target)
+        target = min(targets, key=self._find_asked)
+        state = await self._ask(target)
         now = self._clock.monotonic()
         does_answer = not isinstance(state, Err)
         loads.note_reach(self._fleet.load_of(target).failures, does_answer, now)
@@ -122,6 +119,15 @@
         if self._is_changing(target.id):
             await self._follow(target)
 
+    async def _ask(self, target: Target) -> Result[EngineState, Verdict]:
+        self._fleet.load_of(target).asked_at = self._clock.monotonic()
+        return await self._calls.fetch_state(target)
+
+    def _find_asked(self, target: Target) -> timedelta:
+        """Return when an engine was last asked, or the beginning of time."""
+        asked_at = self._fleet.load_of(target).asked_at
+        return timedelta.min if asked_at is None else asked_at
+
     def _is_changing(self, name: str) -> bool:
         known = self._fleet.targets.get(name)
         return known is not None and known.state is TargetState.CHANGING
@@ -136,7 +142,9 @@
 
     def _end_change(self, name: str) -> None:
         """Count on an engine again that did not tell of the end of its change."""
-        known = self._fleet.targets[name]
+        known = self._fleet.targets.get(name)
+        if known is None:
+            return
         self._fleet.targets[name] = replace(known, state=TargetState.SERVING)
         _log("engine is taken to have changed its role", target=name)
         self._on_change()
--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -75,6 +75,7 @@
     daemon's own, ``peer_*`` what the others announced. ``cached`` maps the digests
     of parts that the target keeps to their tokens, least recently used first, and
     ``known_at`` to when it was learned that the target begins to read them.
+    ``asked_at`` is when an engine was last asked for its state.
     """
 
     requests: int = 0
@@ -90,6 +91,7 @@
     cached: dict[int, int] = field(default_factory=dict)
     known_at: dict[int, timedelta] = field(default_factory=dict)
     cached_tokens: int = 0
+    asked_at: timedelta | None = None
 
 
 Loads = dict[str, Load]
--- a/src/galenapass/platform/runner_calls.py
+++ b/src/galenapass/platform/runner_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from datetime import timedelta
 
 import aiohttp
@@ -103,10 +104,10 @@
             ) as response:
                 body = await response.read()
                 refusal = _judge_identity(response, message)
+                if refusal is None and response.status != 200:
+                    refusal = _refuse(response)
                 if refusal is not None:
-                    return Err(refusal)
-                if response.status != 200:
-                    return Err(_refuse(response))
+                    return Err(replace(refusal, run=Run.NOT_RUN))
                 handle = orjson.loads(body)["kv_handle"]
                 return Ok(f"{target.address}/{handle}")
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/src/galenapass/platform/store.py
+++ b/src/galenapass/platform/store.py
@@ -103,6 +103,9 @@
             if isinstance(page, Err):
                 return page
             stored, current, has_more = page.ok_value
+            if items and stored and stored[0].name <= items[-1].name:
+                detail = f"a page begins again at {stored[0].name}"
+                return Err(Failure(Cause.UNKNOWN, detail=detail))
             items += stored
             # What changes between two pages is later than the first page.
             version = version or current
