--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: demo test check setup format measure measure-path measure-spread \
+.PHONY: demo test soak check setup format measure measure-path measure-spread \
 	measure-load measure-capacity prove
 
 $(VENV)/installed: requirements.txt
@@ -33,6 +33,9 @@
 	@echo "seed $(SEED)"
 	GALENAPASS_PROFILE=long $(BIN)/python -m pytest --hypothesis-seed=$(SEED)
 
+soak: setup
+	$(BIN)/python -m experiments.soak
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
