Choose once for each look at the queue; derive what was kept twice

Found on reading the change again; behaviour stays as it is. - The choice of a reader was computed up to four times for a waiting request in one look at the queue: to order, to start, to find the hopeless and to refuse. It is kept until a prompt is started, which is all that changes the tables. - The share of failures from which a target counts as gone was compared in three places; View.is_down is the one now. - Whether the number of engines is settled follows from its count.

--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -234,7 +234,7 @@
     prefill = [
         target
         for target in fit
-        if target.role is Role.PREFILL and view.expect_failures(target) < FAILING_SHARE
+        if target.role is Role.PREFILL and not view.is_down(target)
     ]
     return prefill or fit
 
@@ -246,7 +246,7 @@
     kept = [
         (count_kept(view.load_of(donor), reads, view.now), donor)
         for donor in donors
-        if view.expect_failures(donor) < FAILING_SHARE
+        if not view.is_down(donor)
     ]
     kept = [entry for entry in kept if entry[0] >= SMALLEST_FETCH_TOKENS]
     return sorted(kept, key=lambda entry: (-entry[0], entry[1].id))
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -70,7 +70,6 @@
         self._check = check
         self._checks: set[asyncio.Task[None]] = set()
         self._held_since: timedelta | None = None
-        self._settled: dict[str, bool] = {}
         self._counts: dict[str, EngineCount] = {}
         self._pressures: dict[str, Pressure] = {}
         self._open: dict[str, tuple[Role, timedelta]] = {}
@@ -117,8 +116,7 @@
         for service in self._fleet.routes.services.values():
             engines = roles.list_engines(self._fleet.targets.values(), service.name)
             count = self._counts.setdefault(service.name, EngineCount())
-            settled = roles.note_engines(count, len(engines), now)
-            self._settled[service.name] = settled
+            roles.note_engines(count, len(engines), now)
 
     async def _order_next(self) -> bool:
         """Give one order; return whether another one may follow at once."""
@@ -236,6 +234,7 @@
             )
             if change is None:
                 continue
-            if change.is_urgent or self._settled.get(service.name, True):
+            count = self._counts.setdefault(service.name, EngineCount())
+            if change.is_urgent or count.is_settled:
                 return change
         return None
--- a/src/galenapass/forwarding/roles.py
+++ b/src/galenapass/forwarding/roles.py
@@ -62,6 +62,11 @@
     since: timedelta = timedelta(0)
     unsettled_since: timedelta | None = None
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether to plan with this number."""
+        return self.unsettled_since is None
+
 
 @dataclass(slots=True, frozen=True)
 class RoleChange:
@@ -99,8 +104,8 @@
     return True
 
 
-def note_engines(count: EngineCount, engines: int, now: timedelta) -> bool:
-    """Follow the number of engines; return whether it is settled.
+def note_engines(count: EngineCount, engines: int, now: timedelta) -> None:
+    """Follow the number of engines.
 
     Load pattern: a domain that is cut off for seconds under steady load.
     """
@@ -110,11 +115,9 @@
         count.engines, count.since = engines, now
     start = count.unsettled_since
     if start is None:
-        return True
-    if now - count.since < SETTLE_TIME and now - start < LONGEST_SETTLE_TIME:
-        return False
-    count.unsettled_since = None
-    return True
+        return
+    if now - count.since >= SETTLE_TIME or now - start >= LONGEST_SETTLE_TIME:
+        count.unsettled_since = None
 
 
 def want_prefill(engines: int, domains: int, share: float, is_high: bool) -> int:
--- a/src/galenapass/forwarding/waiting.py
+++ b/src/galenapass/forwarding/waiting.py
@@ -118,15 +118,27 @@
         self._due = False
         now = self._clock.monotonic()
         waiting = [w.request for w in self._waiters.values() if not w.started.done()]
-        choose = lambda request: self._choose(request, now)  # noqa: E731
-        ordered = admission.order_waiting(waiting, choose, now)
-        left = [request for request in ordered if not self._try_start(request, now)]
+        # A choice holds until a prompt is started, which changes the tables.
+        chosen: dict[str, Choice | None] = {}
+
+        def choose(request: Forwarded) -> Choice | None:
+            if request.id not in chosen:
+                chosen[request.id] = self._choose(request, now)
+            return chosen[request.id]
+
+        left = []
+        for request in admission.order_waiting(waiting, choose, now):
+            if self._try_start(request, choose(request), now):
+                chosen.clear()
+            else:
+                left.append(request)
         for request in admission.find_hopeless(left, choose, now):
-            self._refuse(request, now)
+            self._refuse(request, choose(request), now)
         self._set_timer(bool(left))
 
-    def _try_start(self, request: Forwarded, now: timedelta) -> bool:
-        choice = self._choose(request, now)
+    def _try_start(
+        self, request: Forwarded, choice: Choice | None, now: timedelta
+    ) -> bool:
         if choice is None:
             self._settle(request, Err(_NO_ENGINE))
             return True
@@ -149,8 +161,9 @@
             fit, request.prompt, request.reads, self._fleet.view(now), donors
         )
 
-    def _refuse(self, request: Forwarded, now: timedelta) -> None:
-        choice = self._choose(request, now)
+    def _refuse(
+        self, request: Forwarded, choice: Choice | None, now: timedelta
+    ) -> None:
         backlog = choice.finish_ms if choice else 0.0
         after = admission.suggest_return(request, backlog, now, self._random)
         left = (request.deadline - now) // timedelta(milliseconds=1)
