--- a/experiments/soak/clients.py
+++ b/experiments/soak/clients.py
@@ -8,7 +8,8 @@
 import aiohttp
 
 from experiments.soak.promises import ROUTES, Outcome
-from stand_ins.platform_routes import HOST
+from stand_ins.platform_routes import make_headers
+from stand_ins.runner import SIGNATURE
 
 __all__ = ["Client"]
 
@@ -17,7 +18,6 @@
 LEAVE_SECONDS = 3.0
 THINK_SECONDS = (0.02, 0.15)
 RETURN_SECONDS = 0.2
-SIGNATURE = "X-Galenapass-Response-Signature"
 
 Clock = Callable[[], float]
 
@@ -54,13 +54,7 @@
         attempt = f"{self._name}-{len(self.outcomes)}-{self._random.getrandbits(32):x}"
         began = time.monotonic() - self._started
         outcome = Outcome(attempt, name, at, began, began + DEADLINE_SECONDS)
-        headers = {
-            "Host": HOST,
-            "X-Galenapass-Attempt-Id": attempt,
-            "X-Galenapass-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
-            "X-Galenapass-Token-Count": "1200,4",
-            "X-Galenapass-Prompt-Prefix": "aa:1000,bb:200",
-        }
+        headers = make_headers(attempt, int(DEADLINE_SECONDS * 1000))
         url = f"http://{self._daemons[at]}{route.prefix}{attempt}"
         try:
             async with (
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -14,7 +14,7 @@
 from experiments.soak.promises import ROUTES, SLACK_SECONDS, Outcome, find_violations
 from experiments.soak.world import World
 from stand_ins.platform_routes import HOST
-from stand_ins.runner import EVENTS
+from stand_ins.runner import STREAM
 
 __all__ = ["Report", "describe", "run_soak"]
 
@@ -24,7 +24,6 @@
 # Around a fault, in seconds.
 BEFORE, AFTER = 0.2, 1.0
 POLL_SECONDS = 0.05
-STREAM = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, EVENTS + 1))
 
 
 @dataclass(slots=True)
--- a/stand_ins/platform_routes.py
+++ b/stand_ins/platform_routes.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-__all__ = ["CONFIGURATION", "HOST", "make_route"]
+__all__ = ["CONFIGURATION", "HOST", "make_headers", "make_route"]
 
 HOST = "a.example"
 
@@ -37,3 +37,14 @@
     ],
     "limits": {"idle_timeout_ms": 15000},
 }
+
+
+def make_headers(attempt: str, deadline_ms: int) -> dict[str, str]:
+    """Return the headers with which a client sends one attempt."""
+    return {
+        "Host": HOST,
+        "X-Galenapass-Attempt-Id": attempt,
+        "X-Galenapass-Deadline-Ms": str(deadline_ms),
+        "X-Galenapass-Token-Count": "1200,4",
+        "X-Galenapass-Prompt-Prefix": "aa:1000,bb:200",
+    }
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -9,9 +9,11 @@
 
 from stand_ins.serving import answer_json, drop_connection
 
-__all__ = ["Runner", "RunnerFaults"]
+__all__ = ["EVENTS", "SIGNATURE", "STREAM", "Runner", "RunnerFaults"]
 
 EVENTS = 4
+# The whole body of a streamed answer.
+STREAM = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, EVENTS + 1))
 SIGNATURE = "X-Galenapass-Response-Signature"
 ATTEMPT = "X-Galenapass-Attempt-Id"
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -12,7 +12,7 @@
 from galenapass.platform.assembly import PlatformDaemon
 from galenapass.platform.settings import HostSettings
 from stand_ins.metadata_store import MetadataStore
-from stand_ins.platform_routes import CONFIGURATION, HOST
+from stand_ins.platform_routes import CONFIGURATION, make_headers
 from stand_ins.runner import Runner
 
 
@@ -32,6 +32,13 @@
     )
 
 
+async def wait_for(condition, seconds=5.0):
+    """Wait until a condition holds; raise TimeoutError when it does not."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 class PlatformFleet:
     """Hold the store, the runners and a daemon."""
 
@@ -56,13 +63,9 @@
 
     async def ask(self, path, method="GET", body=b"", **headers):
         self._number += 1
-        named = {
-            "Host": HOST,
-            "X-Galenapass-Attempt-Id": f"a{self._number}",
-            "X-Galenapass-Deadline-Ms": "2500",
-            "X-Galenapass-Token-Count": "1200,4",
-            "X-Galenapass-Prompt-Prefix": "aa:1000,bb:200",
-        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        named = make_headers(f"a{self._number}", 2500) | {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
         url = f"http://127.0.0.1:{self.settings.front[1]}{path}"
         async with self.client.request(
             method, url, headers=named, data=body or None
@@ -75,9 +78,7 @@
             return answer.status
 
     async def wait_for(self, condition, seconds=5.0):
-        async with asyncio.timeout(seconds):
-            while not condition():
-                await asyncio.sleep(0.01)
+        await wait_for(condition, seconds)
 
 
 @contextlib.asynccontextmanager
@@ -114,3 +115,13 @@
         for target in fleet.runners:
             await target.stop()
         await runner.cleanup()
+
+
+def run(play, **options):
+    """Run an async play with a fleet of its own."""
+
+    async def main():
+        async with run_fleet(**options) as fleet:
+            await play(fleet)
+
+    asyncio.run(main())
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-from dataclasses import replace
 from datetime import timedelta
 
 import xxhash
@@ -11,23 +10,12 @@
 
 from galenapass.forwarding import loads
 from galenapass.forwarding.budgets import MARGIN, BudgetTerms
-from galenapass.forwarding.engine_states import ENTRY_LEAD
 from galenapass.forwarding.requests import Part, Prompt
-from galenapass.tables.targets import Role, TargetState
 from stand_ins.platform_routes import CONFIGURATION, make_route
-from stand_ins.runner import EVENTS
-from tests.platform_fleet import run_fleet
+from stand_ins.runner import STREAM
+from tests.platform_fleet import run
 
 WINDOW = timedelta(seconds=10)
-STREAM = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, EVENTS + 1))
-
-
-def run(play, **options):
-    async def main():
-        async with run_fleet(**options) as fleet:
-            await play(fleet)
-
-    asyncio.run(main())
 
 
 def play_logged(play, **options):
@@ -324,87 +312,6 @@
         run(play, configuration=None, settle=False)
 
 
-class TestTargets(TestCase):
-    def test_a_leaving_target_gets_no_more_work(self):
-        async def play(fleet):
-            fleet.register(fleet.desk, state="draining")
-            await fleet.wait_for(
-                lambda: fleet.daemon.fleet.targets["s1"].state.value == "leaving"
-            )
-            for _ in range(4):
-                status, body, _ = await fleet.ask("/seats/1")
-                self.assertEqual((200, True), (status, body.startswith(b"s2")))
-
-        run(play)
-
-    def test_another_target_at_the_address_runs_nothing(self):
-        async def play(fleet):
-            fleet.store.remove("servers", "s2")
-            await fleet.wait_for(lambda: "s2" not in fleet.daemon.fleet.targets)
-            fleet.desk.id = "another"
-            status, _, _ = await fleet.ask("/hold/1", "POST")
-            self.assertEqual((503, []), (status, fleet.desk.ran))
-
-        run(play)
-
-    def test_roles_are_ordered_under_a_fence(self):
-        async def play(fleet):
-            fleet.store.remove("servers", "e1")
-            await fleet.wait_for(
-                lambda: fleet.decode.given or fleet.other.given, seconds=8.0
-            )
-            (order,) = (fleet.decode.given + fleet.other.given)[:1]
-            self.assertEqual("front-1", order["holder"])
-            self.assertGreaterEqual(order["fencing_token"], 1)
-            self.assertEqual(0, order["expected"])
-
-        run(play)
-
-    def test_an_engine_that_changed_its_role_unseen_is_asked(self):
-        # A domain that was cut off just after a change sent prompts to an engine
-        # that decoded by then, and had none to decode (tena-tours trouble-1).
-        async def play(fleet):
-            targets = fleet.daemon.fleet.targets
-            fleet.decode.stage, fleet.prefill.stage = "prefill", "decode"
-            await fleet.ask("/notes/1", "POST")
-            await fleet.wait_for(lambda: targets["e1"].role is Role.DECODE)
-            status, body, _ = await fleet.ask("/notes/2", "POST")
-            self.assertEqual((200, STREAM), (status, body))
-
-        run(play)
-
-    def test_engines_are_asked_while_none_is_known_to_decode(self):
-        # A daemon whose beliefs were old refused every prompt for good, as no
-        # refused request could correct them (soak seed 44).
-        async def play(fleet):
-            targets = fleet.daemon.fleet.targets
-            for name in ("d1", "d2"):
-                targets[name] = replace(targets[name], role=Role.PREFILL)
-            await asyncio.sleep(ENTRY_LEAD.total_seconds())
-            async with asyncio.timeout(5.0):
-                while (await fleet.ask("/notes/1", "POST"))[0] != 200:
-                    await asyncio.sleep(0.05)
-
-        run(play)
-
-    def test_an_engine_gets_nothing_while_its_role_changes(self):
-        async def play(fleet):
-            targets = fleet.daemon.fleet.targets
-            fleet.decode.faults.changing = True
-            async with asyncio.timeout(3.0):
-                while targets["d1"].state is not TargetState.CHANGING:
-                    await fleet.ask("/notes/1", "POST")
-            arrived = len(fleet.decode.seen)
-            for n in range(5):
-                status, body, _ = await fleet.ask(f"/notes/{n}", "POST")
-                self.assertEqual((200, STREAM), (status, body))
-            self.assertEqual(arrived, len(fleet.decode.seen))
-            fleet.decode.faults.changing = False
-            await fleet.wait_for(lambda: targets["d1"].state is TargetState.SERVING)
-
-        run(play)
-
-
 class TestStop(TestCase):
     def test_a_stop_finishes_what_is_open(self):
         async def play(fleet):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -13,17 +13,12 @@
 
 from experiments.processes import start_process, stop_all
 from galenapass.platform.daemon import EXIT_CANNOT_START, follow_settings
+from tests.platform_fleet import wait_for
 from tests.test_platform_decoders import SETTINGS
 
 PERIOD = timedelta(milliseconds=20)
 
 
-async def wait_for(condition):
-    async with asyncio.timeout(5.0):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 class TestFollowing(TestCase):
     def follow(self, play, period=PERIOD):
         """Give the settings that were applied and the log lines of a play."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,8 @@
 from experiments.soak.faults import plan_faults
 from experiments.soak.promises import Outcome, find_violations
 from experiments.soak.proxies import Disturbance, Proxy
-from experiments.soak.runs import STREAM, describe, run_soak
+from experiments.soak.runs import describe, run_soak
+from stand_ins.runner import STREAM
 
 SEED = 2026
 SECONDS = 8.0
