--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -234,9 +234,8 @@
 
 
 def _encode_work(work: Work) -> list[Any]:
-    sums = [getattr(work.model, field.name) for field in fields(work.model)]
     rates = (work.reading, work.runs, work.tokens)
-    return [work.service, *(round(value, 3) for value in (*rates, *sums))]
+    return [work.service, *(round(value, 3) for value in (*rates, *work.model))]
 
 
 def _decode_news(host: str, row: list[Any], now: timedelta) -> Announcement:
--- a/src/galenapass/forwarding/demand.py
+++ b/src/galenapass/forwarding/demand.py
@@ -4,9 +4,11 @@
 """
 
 import math
+import operator
 from collections.abc import Iterable
-from dataclasses import astuple, dataclass, field
+from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import NamedTuple
 
 __all__ = [
     "Rate",
@@ -42,15 +44,14 @@
     since: timedelta | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class RunModel:
+class RunModel(NamedTuple):
     """Hold sums over runs: the time to the first event, the events after it.
 
     ``gap`` sums the mean time between two events of a run and ``beside`` the
     sequences beside it; a line through both tells how sequences slow each other.
     """
 
-    count: float = 0.0
+    runs: float = 0.0
     first: float = 0.0
     events: float = 0.0
     gaps: float = 0.0
@@ -59,20 +60,19 @@
     beside_squared: float = 0.0
     beside_gap: float = 0.0
 
-    def __add__(self, other: "RunModel") -> "RunModel":
+    def join(self, other: "RunModel") -> "RunModel":
         """Return the sums over both."""
-        mine, others = astuple(self), astuple(other)
-        return RunModel(*(one + two for one, two in zip(mine, others, strict=True)))
+        return RunModel(*map(operator.add, self, other))
 
     def scale(self, factor: float) -> "RunModel":
         """Return the sums with less weight."""
-        return RunModel(*(each * factor for each in astuple(self)))
+        return RunModel(*(each * factor for each in self))
 
     def fit(self) -> tuple[float, float]:
         """Return a run's duration alone and its growth with each run beside it."""
-        if not self.count:
+        if not self.runs:
             return 0.0, 0.0
-        events, first = self.events / self.count, self.first / self.count
+        events, first = self.events / self.runs, self.first / self.runs
         if not self.gaps:
             return first, 0.0
         mean_beside, mean_gap = self.beside / self.gaps, self.gap / self.gaps
@@ -124,17 +124,17 @@
 ) -> None:
     """Learn from a run that was complete: its first event and those after it."""
     later = max(events - 1, 0)
-    sample = RunModel(count=1.0, first=first_ms, events=later)
+    sample = RunModel(runs=1.0, first=first_ms, events=later)
     if later:
         gap = after_ms / later
-        sample += RunModel(
+        sample = sample._replace(
             gaps=1.0,
             beside=beside,
             gap=gap,
             beside_squared=beside**2,
             beside_gap=beside * gap,
         )
-    demand.runs = demand.runs.scale(RUN_DECAY) + sample
+    demand.runs = demand.runs.scale(RUN_DECAY).join(sample)
 
 
 def read_rate(rate: Rate, now: timedelta) -> float:
@@ -167,7 +167,7 @@
             total.reading + part.reading,
             total.runs + part.runs,
             total.tokens + part.tokens,
-            total.model + part.model,
+            total.model.join(part.model),
         )
     return total
 
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -141,6 +141,7 @@
             for name in announcements.forget_silent(self._fleet, self._peers, now):
                 _log("peer is silent", peer=name)
             self._scheduler.peers = len(self._peers)
+            self._scheduler.expire()
 
     def tell_version(self) -> None:
         """Tell the hosts that this daemon schedules for of a new configuration."""
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -141,8 +141,8 @@
         self.wake()
 
     def wake(self) -> None:
-        """Look at the queue once this turn of the loop is over."""
-        if not self._due:
+        """Look at the queue once this turn of the loop is over, if any ask waits."""
+        if self._waiting and not self._due:
             self._due = True
             asyncio.get_running_loop().call_soon(self._step)
 
@@ -150,7 +150,6 @@
         self._due = False
         now = self._clock.monotonic()
         self._fits.clear()
-        self._expire(now)
         view = self._fleet.view(now)
         stages = {
             Stage.OUTPUT: self._grant_outputs,
@@ -399,7 +398,9 @@
 
     # Ends
 
-    def _expire(self, now: timedelta) -> None:
+    def expire(self) -> None:
+        """Take back the places of daemons that were lost while they used them."""
+        now = self._clock.monotonic()
         lost = [
             ticket
             for ticket, granted in self._granted.items()
@@ -413,9 +414,14 @@
                 request=granted.ask.request,
                 target=granted.grant.target.id,
             )
-        for waiter in list(self._waiting.values()):
-            if now > waiter.ask.deadline + RETURN_SLACK:
-                del self._waiting[waiter.ask.ticket]
+        late = [
+            ticket
+            for ticket, waiter in self._waiting.items()
+            if now > waiter.ask.deadline + RETURN_SLACK
+        ]
+        for ticket in late:
+            del self._waiting[ticket]
+        self.wake()
 
     def _end_reading(self, granted: _Granted) -> None:
         if not granted.is_reading:
--- a/src/galenapass/forwarding/splits.py
+++ b/src/galenapass/forwarding/splits.py
@@ -101,7 +101,7 @@
 
     Load pattern: bursts of a few seconds around a mix that moves within minutes.
     """
-    if engines < 2 or not work.runs or not work.model.count:
+    if engines < 2 or not work.runs or not work.model.runs:
         return None
     best, least = find_split(work, engines, size, domains)
     if aim.share is None:
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -195,8 +195,7 @@
             load = desk.fleet.loads["s1"]
             self.assertEqual(1, load.requests)
             desk.clock.advance(800 * MS + scheduling.RETURN_SLACK + MS)
-            desk.scheduler.wake()
-            await desk.turn()
+            desk.scheduler.expire()
             self.assertEqual(0, load.requests)
 
         play(work, make_desk_target())
