Split the engines at the first start; hold what requests share once

Change: two of three engines read at the first start until work was measured; only what a request holds alone counts for the room.

--- a/src/galenapass/forwarding/aims.py
+++ b/src/galenapass/forwarding/aims.py
@@ -18,10 +18,19 @@
 class Aims:
     """Hold the split that each service's engines are to have.
 
-    ``measure`` returns the work for a service that all schedulers see together.
+    ``measure`` returns the work for a service that all schedulers see together;
+    ``is_first_start`` tells that the engines are in the roles that they start in.
     """
 
-    def __init__(self, fleet: Fleet, measure: Callable[[str], Work], clock: Clock):
+    def __init__(
+        self,
+        fleet: Fleet,
+        measure: Callable[[str], Work],
+        clock: Clock,
+        *,
+        is_first_start: bool,
+    ):
+        self._is_first_start = is_first_start
         self._fleet = fleet
         self._measure = measure
         self._clock = clock
@@ -38,7 +47,7 @@
         self._aims.setdefault(service, Aim()).share = share
 
     def find_share(self, service: str) -> float | None:
-        """Return the part of the engines that is to read, None before any work."""
+        """Return the part of the engines that is to read, None if it is to stay."""
         aim = self._aims.setdefault(service, Aim())
         now = self._clock.monotonic()
         if self._followed_at.get(service) == now:
@@ -53,4 +62,6 @@
         why = splits.follow_aim(aim, work, len(engines), size, domains, now)
         if why is not None:
             _log("split is planned", service=service, share=aim.share, why=why)
+        if aim.share is None and self._is_first_start:
+            return splits.START_SHARE
         return aim.share
--- a/src/galenapass/forwarding/asks.py
+++ b/src/galenapass/forwarding/asks.py
@@ -59,7 +59,15 @@
 
     @property
     def tokens(self) -> int:
-        """Return the tokens that the request may take in an engine's memory."""
+        """Return the tokens of an engine's memory that only this request may take."""
+        if self.prompt is None:
+            return 0
+        own = self.parts[-1].tokens if self.parts else self.prompt.tokens
+        return own + self.prompt.output_tokens
+
+    @property
+    def all_tokens(self) -> int:
+        """Return the tokens that the request may take in an empty engine."""
         if self.prompt is None:
             return 0
         return self.prompt.tokens + self.prompt.output_tokens
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -187,7 +187,7 @@
     ) -> Verdict | None:
         """Return why a prompt is not to be read at all, if there is a reason."""
         service = self._fleet.routes.services.get(ask.service)
-        if service is not None and 0 < service.cache_tokens < ask.tokens:
+        if service is not None and 0 < service.cache_tokens < ask.all_tokens:
             return _TOO_LARGE
         if choice is None:
             return self._name_rest(_NO_ENGINE, ask.service, view.now)
--- a/src/galenapass/forwarding/splits.py
+++ b/src/galenapass/forwarding/splits.py
@@ -9,7 +9,14 @@
 
 from galenapass.forwarding.demand import Work
 
-__all__ = ["Aim", "EngineSize", "estimate_delay", "find_split", "follow_aim"]
+__all__ = [
+    "START_SHARE",
+    "Aim",
+    "EngineSize",
+    "estimate_delay",
+    "find_split",
+    "follow_aim",
+]
 
 # Beyond this utilisation a queue grows without bound, by so much for each further part.
 FULL = 0.95
@@ -27,6 +34,9 @@
 # Engines of each stage, of this many or more, so that one of them can be lost.
 SPARE_ENGINES = 2
 LEAST_TO_SPARE = 5
+# Share that reads at the first start until some work was seen: every prompt has to be
+# read then, as no engine keeps anything.
+START_SHARE = 2 / 3
 # A change takes engines away for seconds: it has to take this part of the delay off,
 # and this much of it, for as long as stands below.
 GAIN_SHARE = 0.25
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -124,7 +124,12 @@
             self._list_aims,
             self._note_news,
         )
-        self.aims = Aims(self.fleet, self.peering.measure_demand, self.clock)
+        self.aims = Aims(
+            self.fleet,
+            self.peering.measure_demand,
+            self.clock,
+            is_first_start=settings.is_first_start,
+        )
         self.relay = Relay(
             self.fleet,
             self.calls,
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -22,6 +22,7 @@
 
 def make_ask(name, stage=Stage.CALL, due=500, deadline=3000, **changes):
     prompt = None if stage is Stage.CALL else make_prompt(name=name)
+    prompt = changes.get("prompt", prompt)
     service = "desk" if stage is Stage.CALL else "lm"
     values = {
         "ticket": name,
@@ -161,6 +162,20 @@
 
         play(work, make_target("e1"), make_target("d1", Role.DECODE, places=64))
 
+    def test_what_requests_share_is_held_once(self):
+        # Counted for each, two engines took 56 sequences in place of 128, and output
+        # waited for a second (khomsabai-post scale-1).
+        async def work(desk):
+            for number in range(6):
+                prompt = make_prompt(shared=200_000, own=10_000, name="p")
+                desk.ask(
+                    make_ask(f"o{number}", Stage.OUTPUT, prompt=prompt, origin="e1")
+                )
+            await desk.turn()
+            self.assertEqual(6, len(desk.granted()))
+
+        play(work, make_target("e1"), make_target("d1", Role.DECODE, places=64))
+
     def test_a_request_larger_than_an_engine_is_refused_at_once(self):
         async def work(desk):
             prompt = make_prompt(own=600_000)
--- a/tests/test_forwarding_splits.py
+++ b/tests/test_forwarding_splits.py
@@ -13,10 +13,13 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from galenapass.clocks import ManualClock
 from galenapass.forwarding import demand, splits
+from galenapass.forwarding.aims import Aims
 from galenapass.forwarding.demand import ServiceDemand, Work
 from galenapass.forwarding.splits import Aim, EngineSize
-from tests.forwarding_fakes import MS
+from galenapass.tables.targets import Role
+from tests.forwarding_fakes import MS, make_fleet, make_target
 
 OBJECTIVE_MS = 600.0
 SIZE = EngineSize(places=48, tokens=589_479)
@@ -160,6 +163,24 @@
                 found, _ = splits.find_split(work, engines, SIZE, 3)
                 self.assertTrue(2 <= found <= engines - 2)
 
+    def test_work_replaces_the_split_of_the_first_start(self):
+        measured = [Work("lm")]
+        clock, fleet = (
+            ManualClock(),
+            make_fleet(
+                *(make_target(f"e{n}", Role.DECODE, f"d{n % 3}") for n in range(9))
+            ),
+        )
+        aims = Aims(fleet, lambda name: measured[0], clock, is_first_start=True)
+        self.assertEqual(splits.START_SHARE, aims.find_share("lm"))
+        clock.advance(timedelta(seconds=2))
+        measured[0] = Work("lm", 0.5, 700.0, 90_000.0, self.make_model())
+        self.assertAlmostEqual(3 / 9, aims.find_share("lm"))
+        later = Aims(fleet, lambda name: Work("lm"), clock, is_first_start=False)
+        self.assertIsNone(later.find_share("lm"))
+        later.hear("lm", 0.4)
+        self.assertEqual(0.4, later.find_share("lm"))
+
     def test_nothing_is_planned_before_any_work(self):
         aim = Aim()
         self.assertIsNone(
