Let the strongest hosts schedule, ask two at most, keep lone hosts quiet

Change: hosts register their processor, the strongest of a domain schedule. A silent scheduler is asked beside another one and left out after three silences; a host that schedules for itself announces nothing. A long queue works out its choices less often.

--- a/src/galenapass/forwarding/duties.py
+++ b/src/galenapass/forwarding/duties.py
@@ -4,14 +4,15 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from random import Random
 
 from galenapass.clocks import Clock
 from galenapass.forwarding import schedulers
-from galenapass.forwarding.schedulers import Address, Contacts, HostEntry
+from galenapass.forwarding.schedulers import Address, Contacts, Hosts
 from galenapass.logs import make_log
 
-__all__ = ["Duty", "DutyState", "judge_duty"]
+__all__ = ["Duty", "DutyReason", "DutyState", "judge_duty"]
 
 PING_PERIOD = timedelta(seconds=1)
 # Until a scheduler was heard.
@@ -31,6 +32,15 @@
 _log = make_log("duty")
 
 
+class DutyReason(Enum):
+    """Say why a host schedules."""
+
+    UNKNOWN = "no other host of the domain is known"
+    LISTED = "it is among the first of its domain"
+    ASKED = "others ask it"
+    ALONE = "no scheduler is of use"
+
+
 @dataclass(slots=True)
 class DutyState:
     """Hold what decides whether a host schedules; times are monotonic.
@@ -40,13 +50,15 @@
     schedules for itself.
     """
 
-    hosts: dict[str, HostEntry] | None = None
+    hosts: Hosts | None = None
     asked_at: timedelta | None = None
     fresh_at: timedelta | None = None
     alone_until: timedelta | None = None
 
 
-def judge_duty(state: DutyState, host: str, domain: str, now: timedelta) -> str | None:
+def judge_duty(
+    state: DutyState, host: str, domain: str, now: timedelta
+) -> DutyReason | None:
     """Return why a host schedules, or None when it leaves that to others."""
     if state.hosts is None:
         return None
@@ -57,11 +69,12 @@
     ]
     asked_at, alone_until = state.asked_at, state.alone_until
     listed = schedulers.list_schedulers(state.hosts).get(domain, [])
+    is_asked = asked_at is not None and now - asked_at < CLIENT_TIME
     reasons = (
-        (not others, "no other host of the domain is known"),
-        (host in listed, "it is among the first of its domain"),
-        (asked_at is not None and now - asked_at < CLIENT_TIME, "others ask it"),
-        (alone_until is not None and now < alone_until, "no scheduler is of use"),
+        (not others, DutyReason.UNKNOWN),
+        (host in listed, DutyReason.LISTED),
+        (is_asked, DutyReason.ASKED),
+        (alone_until is not None and now < alone_until, DutyReason.ALONE),
     )
     return next((why for holds, why in reasons if holds), None)
 
@@ -83,7 +96,7 @@
         on_stop: Callable[[], None],
         is_well: Callable[[], bool],
     ):
-        self.is_on = False
+        self.reason: DutyReason | None = None
         self.listed = asyncio.Event()
         self._host = host
         self._domain = domain
@@ -100,6 +113,20 @@
         self._stale_since: timedelta | None = None
         self._is_leaving = False
 
+    @property
+    def is_on(self) -> bool:
+        """Tell whether this host schedules."""
+        return self.reason is not None
+
+    @property
+    def is_shared(self) -> bool:
+        """Tell whether it schedules for others, which the other schedulers hear of.
+
+        Load pattern: schedulers that answer late under load. Hosts that begin to
+        schedule for themselves must not add to what these have to hear.
+        """
+        return self.reason not in (None, DutyReason.ALONE)
+
     @property
     def is_fresh(self) -> bool:
         """Tell whether this host goes on scheduling and hears from the store."""
@@ -117,7 +144,7 @@
         period = PING_PERIOD if is_known else FIRST_PING_PERIOD
         return period * self._random.uniform(0.8, 1.2)
 
-    def note_hosts(self, hosts: dict[str, HostEntry]) -> None:
+    def note_hosts(self, hosts: Hosts) -> None:
         """Take in which hosts there are."""
         self._state.hosts = hosts
         self._addresses |= {name: entry.address for name, entry in hosts.items()}
@@ -130,11 +157,11 @@
         """Begin or end the duty if its reason came or went."""
         now = self._clock.monotonic()
         why = judge_duty(self._state, self._host, self._domain, now)
-        if (why is not None) is self.is_on:
+        was_on, self.reason = self.is_on, why
+        if self.is_on is was_on:
             return
-        self.is_on = why is not None
         if why is not None:
-            _log("begins to schedule", why=why)
+            _log("begins to schedule", why=why.value)
             self._on_start()
             return
         _log("leaves scheduling to others", schedulers=self.list_schedulers()[:PINGED])
@@ -233,8 +260,7 @@
 
     def note_silent(self, host: str) -> None:
         """Take in that a host did not answer an ask."""
-        contact = self._contacts.of(host)
-        schedulers.note_silent(contact, schedulers.MOST_UNANSWERED)
+        schedulers.note_silent(self._contacts.of(host))
 
     def _is_stale(self, now: timedelta) -> bool:
         """Tell whether no scheduler of this host hears from the store for a while."""
--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -10,11 +10,11 @@
 from result import Err, Ok, Result
 
 from galenapass.forwarding import schedulers
-from galenapass.forwarding.schedulers import HostEntry
+from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.logs import make_log
 from galenapass.platform.messages import Failure, Listing
 
-__all__ = ["HostList", "HostObjects", "Hosts"]
+__all__ = ["HostList", "HostObjects"]
 
 HOSTS_KIND = "hosts"
 # Daemons that start together do not write at one moment.
@@ -30,8 +30,6 @@
 
 _log = make_log("hosts")
 
-Hosts = dict[str, HostEntry]
-
 
 class HostObjects(Protocol):
     """Write and list objects."""
@@ -92,7 +90,11 @@
 
     async def _register(self) -> None:
         ip, port = self._entry.address
-        own = {"domain": self._entry.domain, "peers": f"{ip}:{port}"}
+        own = {
+            "domain": self._entry.domain,
+            "peers": f"{ip}:{port}",
+            "power": self._entry.power,
+        }
         body = orjson.dumps(own).decode()
         written = await self._objects.write(HOSTS_KIND, self._host, body)
         if isinstance(written, Err):
@@ -122,7 +124,7 @@
     The first of each domain come before the second ones, as these schedule and know
     the load.
     """
-    ranked = schedulers.rank_hosts(hosts)
+    ranked = schedulers.rank_hosts(hosts, hosts)
     before: dict[str, int] = {}
     turns: dict[str, int] = {}
     for name in ranked:
@@ -137,6 +139,7 @@
         try:
             data = orjson.loads(stored.body)
             ip, _, port = data["peers"].rpartition(":")
-            yield stored.name, HostEntry(str(data["domain"]), (ip, int(port)))
+            power = float(data.get("power", 1.0))
+            yield stored.name, HostEntry(str(data["domain"]), (ip, int(port)), power)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             _log("host entry is unreadable", host=stored.name, error=repr(error))
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -136,7 +136,7 @@
             period = PERIOD + PERIOD_PER_PEER * len(addresses)
             await asyncio.sleep(period.total_seconds())
             now = self._clock.monotonic()
-            if self._duty.is_on:
+            if self._duty.is_shared:
                 self._announce(addresses, now)
             for name in announcements.forget_silent(self._fleet, self._peers, now):
                 _log("peer is silent", peer=name)
--- a/src/galenapass/forwarding/placing.py
+++ b/src/galenapass/forwarding/placing.py
@@ -23,8 +23,8 @@
 FIRST_ANSWER = timedelta(milliseconds=80)
 # An ask that waits is asked again this often, in case its answer was lost.
 REMINDER = timedelta(milliseconds=150)
-# Reminders without an answer after which a scheduler is given up.
-MOST_REMINDERS = 2
+# Asked schedulers none of which was heard for so long are given up.
+GIVE_UP = timedelta(milliseconds=400)
 # Schedulers that are asked before this daemon schedules for itself.
 MOST_ASKED = 2
 
@@ -50,10 +50,11 @@
 
 @dataclass(slots=True)
 class _Asked:
-    """Hold an ask that was sent to another host until its answer is here."""
+    """Hold an ask until its answer is here: who was asked, and heard at all."""
 
-    answer: asyncio.Future[Result[Grant, Verdict]]
-    heard: asyncio.Event = field(default_factory=asyncio.Event)
+    answer: asyncio.Future[tuple[str, Result[Grant, Verdict]]]
+    hosts: list[str] = field(default_factory=list)
+    heard: set[str] = field(default_factory=set)
 
 
 class Placing:
@@ -73,35 +74,32 @@
         self._duties = duties
         self._send = send
         self._clock = clock
-        self._asked: dict[tuple[str, str], _Asked] = {}
+        self._asked: dict[str, _Asked] = {}
 
     async def place(self, ask: Ask) -> Result[Place, Verdict]:
         """Return a place for a request, or why it gets none."""
-        if not self._duties.is_on:
-            for host in self._duties.list_schedulers()[:MOST_ASKED]:
-                answer = await self._ask_host(host, ask)
-                if answer is not None:
-                    return answer
-                self._duties.note_silent(host)
-                _log("scheduler does not answer", host=host, request=ask.request)
+        if self._duties.is_on:
+            return await self._ask_here(ask)
+        answer = await self._ask_others(ask)
+        if answer is not None:
+            return answer
+        if not self._duties.list_schedulers():
             await self._duties.take_over()
         return await self._ask_here(ask)
 
     def hear(self, host: str, message: Grant | Refusal | Waits) -> None:
         """Take in what a scheduler says to an ask of this daemon."""
-        asked = self._asked.get((host, message.ticket))
-        if asked is None:
+        asked = self._asked.get(message.ticket)
+        if asked is None or asked.answer.done():
             if isinstance(message, Grant):
-                # Its ask was given up; the place is not needed.
+                # Another one was faster, or its ask was given up.
                 self._send(host, End(message.ticket, Outcome.CANCELLED))
             return
-        asked.heard.set()
-        if isinstance(message, Waits) or asked.answer.done():
-            return
+        asked.heard.add(host)
         if isinstance(message, Refusal):
-            asked.answer.set_result(Err(message.verdict))
-        else:
-            asked.answer.set_result(Ok(message))
+            asked.answer.set_result((host, Err(message.verdict)))
+        elif isinstance(message, Grant):
+            asked.answer.set_result((host, Ok(message)))
 
     async def _ask_here(self, ask: Ask) -> Result[Place, Verdict]:
         answer: asyncio.Future[Result[Grant, Verdict]]
@@ -119,36 +117,73 @@
             raise
         return result.map(lambda grant: Place(grant, self._clock, self._scheduler.end))
 
-    async def _ask_host(self, host: str, ask: Ask) -> Result[Place, Verdict] | None:
-        """Return the answer of another host, or None if it does not answer."""
+    async def _ask_others(self, ask: Ask) -> Result[Place, Verdict] | None:
+        """Return the answer of another host, or None if none of them answers."""
         asked = _Asked(asyncio.get_running_loop().create_future())
-        self._asked[host, ask.ticket] = asked
+        self._asked[ask.ticket] = asked
+        answering: str | None = None
         try:
-            result = await self._await_answer(host, ask, asked)
-        except asyncio.CancelledError:
-            self._send(host, End(ask.ticket, Outcome.CANCELLED))
-            raise
+            answer = await self._await_answer(ask, asked)
+            if answer is None:
+                return None
+            answering, result = answer
         finally:
-            del self._asked[host, ask.ticket]
-        if result is None:
-            self._send(host, End(ask.ticket, Outcome.CANCELLED))
-            return None
+            del self._asked[ask.ticket]
+            for host in asked.hosts:
+                if host != answering:
+                    self._send(host, End(ask.ticket, Outcome.CANCELLED))
 
         def give_back(end: End) -> None:
-            self._send(host, end)
+            self._send(answering, end)
 
         return result.map(lambda grant: Place(grant, self._clock, give_back))
 
     async def _await_answer(
-        self, host: str, ask: Ask, asked: _Asked
-    ) -> Result[Grant, Verdict] | None:
-        wait, silent = FIRST_ANSWER, 0
-        while silent < MOST_REMINDERS:
+        self, ask: Ask, asked: _Asked
+    ) -> tuple[str, Result[Grant, Verdict]] | None:
+        """Ask one scheduler, then another one too if the first is silent.
+
+        Load pattern: schedulers that are late under load or just lost. Waiting for the
+        first alone would make a request late, and asking both always doubles the load.
+        """
+        silent = timedelta(0)
+        while silent < GIVE_UP:
+            for host in self._duties.list_schedulers()[:MOST_ASKED]:
+                if host not in asked.hosts:
+                    asked.hosts.append(host)
+                    break
+            if not asked.hosts:
+                return None
             asked.heard.clear()
-            self._send(host, ask)
-            done, _ = await asyncio.wait((asked.answer,), timeout=wait.total_seconds())
-            if done:
-                return asked.answer.result()
-            silent = 0 if asked.heard.is_set() else silent + 1
-            wait = REMINDER if asked.heard.is_set() else FIRST_ANSWER
+            for host in asked.hosts:
+                self._send(host, ask)
+            wait = REMINDER if len(asked.hosts) > 1 else FIRST_ANSWER
+            answer = await self._wait(asked, wait)
+            if answer is not None:
+                return answer
+            # One that tells to wait is waited for; the others need not.
+            while asked.heard:
+                self._drop_silent(ask, asked)
+                asked.heard.clear()
+                for host in asked.hosts:
+                    self._send(host, ask)
+                answer = await self._wait(asked, REMINDER)
+                if answer is not None:
+                    return answer
+            for host in asked.hosts:
+                self._duties.note_silent(host)
+                _log("scheduler does not answer", host=host, request=ask.request)
+            silent += wait
         return None
+
+    async def _wait(
+        self, asked: _Asked, wait: timedelta
+    ) -> tuple[str, Result[Grant, Verdict]] | None:
+        done, _ = await asyncio.wait((asked.answer,), timeout=wait.total_seconds())
+        return asked.answer.result() if done else None
+
+    def _drop_silent(self, ask: Ask, asked: _Asked) -> None:
+        """Take an ask back from the hosts that were not heard."""
+        for host in [host for host in asked.hosts if host not in asked.heard]:
+            asked.hosts.remove(host)
+            self._send(host, End(ask.ticket, Outcome.CANCELLED))
--- a/src/galenapass/forwarding/schedulers.py
+++ b/src/galenapass/forwarding/schedulers.py
@@ -15,6 +15,7 @@
     "Contact",
     "Contacts",
     "HostEntry",
+    "Hosts",
     "list_candidates",
     "list_schedulers",
     "note_heard",
@@ -24,22 +25,25 @@
 ]
 
 Address = tuple[str, int]
+Hosts = dict[str, "HostEntry"]
 
 # Schedulers tell each other what they granted, each to each; so many bear that on
 # half a core and a link of 5 Mbit/s, whatever the number of hosts.
 MOST_SCHEDULERS = 12
 # One that is lost leaves another in its domain.
 FEWEST_OF_DOMAIN = 2
-# Pings that may stay without an answer, as datagrams get lost.
-MOST_UNANSWERED = 2
+# Pings and asks in a row that may stay without an answer, as datagrams get lost and
+# processors stand still for a part of each tenth of a second.
+MOST_UNANSWERED = 3
 
 
 @dataclass(slots=True, frozen=True)
 class HostEntry:
-    """Hold where a host is and listens for other hosts."""
+    """Hold where a host is and listens for other hosts, and its ``power`` in cores."""
 
     domain: str
     address: Address
+    power: float = 1.0
 
 
 @dataclass(slots=True)
@@ -72,12 +76,20 @@
         return self.known.setdefault(name, Contact())
 
 
-def rank_hosts(names: Iterable[str]) -> list[str]:
-    """Return hosts in the order in which they take duties."""
-    return sorted(names, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
+def rank_hosts(hosts: Hosts, names: Iterable[str]) -> list[str]:
+    """Return hosts in the order in which they take duties, the strongest first.
+
+    Load pattern: hosts of very different size. A scheduler of half a core that
+    answers late makes the requests of its whole domain late.
+    """
+
+    def weigh(name: str) -> tuple[float, int]:
+        return -round(hosts[name].power, 1), xxhash.xxh64_intdigest(name.encode())
+
+    return sorted(names, key=weigh)
 
 
-def list_schedulers(hosts: dict[str, HostEntry]) -> dict[str, list[str]]:
+def list_schedulers(hosts: Hosts) -> dict[str, list[str]]:
     """Return the hosts that are to schedule, by failure domain.
 
     Load pattern: hundreds of hosts with one or two requests a second each. What a
@@ -90,7 +102,7 @@
     count = len(hosts)
     if count > MOST_SCHEDULERS:
         count = max(MOST_SCHEDULERS // len(domains), FEWEST_OF_DOMAIN)
-    return {domain: rank_hosts(names)[:count] for domain, names in domains.items()}
+    return {d: rank_hosts(hosts, names)[:count] for d, names in domains.items()}
 
 
 def list_candidates(hosts: dict[str, HostEntry], host: str, domain: str) -> list[str]:
@@ -98,9 +110,8 @@
 
     The hosts of a domain spread over its schedulers.
     """
-    ranked = rank_hosts(
-        name for name, entry in hosts.items() if entry.domain == domain and name != host
-    )
+    others = [n for n, entry in hosts.items() if entry.domain == domain and n != host]
+    ranked = rank_hosts(hosts, others)
     first = [n for n in list_schedulers(hosts).get(domain, []) if n != host]
     if first:
         turn = xxhash.xxh64_intdigest(host.encode()) % len(first)
@@ -132,6 +143,6 @@
     contact.heard_at, contact.unanswered = now, 0
 
 
-def note_silent(contact: Contact, count: int = 1) -> None:
+def note_silent(contact: Contact) -> None:
     """Take in that a host left something unanswered."""
-    contact.unanswered += count
+    contact.unanswered += 1
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -28,8 +28,12 @@
 
 # Deadlines pass without an event, so the queue is looked at this often.
 PERIOD = timedelta(milliseconds=50)
-# A choice is worked out anew after this time, or just before it is granted.
+# A choice is worked out anew after this time, or just before it is granted; more asks
+# than stand below wait for theirs in turn.
 CHOICE_AGE = timedelta(milliseconds=50)
+CHOICES = 20
+# With more of them waiting, the queue is looked at no more often than this.
+CROWDED_PAUSE = timedelta(milliseconds=5)
 # A daemon that was lost gives nothing back; its places are free this long after the
 # deadline of what they were for.
 RETURN_SLACK = timedelta(seconds=1)
@@ -142,9 +146,14 @@
 
     def wake(self) -> None:
         """Look at the queue once this turn of the loop is over, if any ask waits."""
-        if self._waiting and not self._due:
-            self._due = True
-            asyncio.get_running_loop().call_soon(self._step)
+        if not self._waiting or self._due:
+            return
+        self._due = True
+        loop = asyncio.get_running_loop()
+        if len(self._waiting) <= CHOICES:
+            loop.call_soon(self._step)
+        else:
+            loop.call_later(CROWDED_PAUSE.total_seconds(), self._step)
 
     def _step(self) -> None:
         self._due = False
@@ -299,7 +308,8 @@
         if waiter is None:
             return None
         at = waiter.chosen_at
-        if at is None or view.now - at >= CHOICE_AGE:
+        age = CHOICE_AGE * max(len(self._waiting) / CHOICES, 1.0)
+        if at is None or view.now - at >= age:
             return self._choose_fresh(ask, view, choose)
         return waiter.choice
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -24,12 +24,12 @@
 from galenapass.forwarding.entry import Entry, make_server
 from galenapass.forwarding.feeds import Feed
 from galenapass.forwarding.fleet import Fleet, note_parts
-from galenapass.forwarding.hosts import HostList, Hosts
+from galenapass.forwarding.hosts import HostList
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.planning import RolePlanner
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.routes import RouteTable
-from galenapass.forwarding.schedulers import HostEntry
+from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
 from galenapass.forwarding.suspects import Suspects
 from galenapass.logs import make_log
@@ -152,7 +152,7 @@
         )
         self.hosts = HostList(
             settings.host,
-            HostEntry(settings.domain, settings.peers),
+            HostEntry(settings.domain, settings.peers, settings.power),
             self.store,
             self.random,
             self._note_hosts,
--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -26,7 +26,7 @@
     datagrams of the other daemons. ``shutdown`` is how
     long a stop may take before the process is killed; ``lease`` bounds how long
     two holders may not give orders in turn. ``is_first_start`` tells that the whole
-    system starts for the first time.
+    system starts for the first time; ``power`` is the host's processor in cores.
     """
 
     host: str
@@ -39,6 +39,7 @@
     lease: timedelta
     budget: BudgetTerms
     is_first_start: bool = False
+    power: float = 1.0
 
 
 class _FieldError(ValueError):
@@ -78,9 +79,17 @@
         lease=_number(data, "bounds", "lease_ms") * _MILLISECOND,
         budget=budget,
         is_first_start=data.get("bootstrap") is True,
+        power=_find_power(data),
     )
 
 
+def _find_power(data: Mapping[str, Any]) -> float:
+    """Return the part of a core that a host has, times how fast the core is."""
+    if "limits" not in data:
+        return 1.0
+    return _number(data, "limits", "cpu_share") * _number(data, "limits", "cores")
+
+
 def _find(data: Mapping[str, Any], *path: str) -> Any:
     value: Any = data
     for name in path:
--- a/tests/test_forwarding_duties.py
+++ b/tests/test_forwarding_duties.py
@@ -18,6 +18,7 @@
     CLIENT_TIME,
     STALE_TIME,
     Duty,
+    DutyReason,
     DutyState,
     judge_duty,
 )
@@ -50,6 +51,16 @@
         if count <= schedulers.MOST_SCHEDULERS:
             self.assertEqual(count, total)
 
+    def test_the_strongest_hosts_of_a_domain_schedule(self):
+        # Of 77 hosts those of half a core answered late, 71 others began to schedule,
+        # and all of them told each other of it (cwpc-shared-grown trouble-1, 17 s).
+        hosts = {
+            name: HostEntry(entry.domain, entry.address, 2.15 if n % 4 else 0.516)
+            for n, (name, entry) in enumerate(make_hosts(77).items())
+        }
+        for names in schedulers.list_schedulers(hosts).values():
+            self.assertEqual({2.15}, {hosts[name].power for name in names})
+
     def test_a_host_that_goes_moves_few_duties(self):
         hosts = make_hosts(195, 5)
         before = schedulers.list_schedulers(hosts)
@@ -90,18 +101,18 @@
     def test_a_duty_has_a_reason(self):
         listed = schedulers.list_schedulers(make_hosts(40))["d0"]
         other = next(f"h{n}" for n in range(0, 40, 3) if f"h{n}" not in listed)
-        self.assertIsNotNone(self.judge(listed[0]))
+        self.assertIs(DutyReason.LISTED, self.judge(listed[0]))
         self.assertIsNone(self.judge(other))
-        self.assertIsNotNone(self.judge(other, asked_at=99 * SECOND))
+        self.assertIs(DutyReason.ASKED, self.judge(other, asked_at=99 * SECOND))
         self.assertIsNone(self.judge(other, asked_at=90 * SECOND))
-        self.assertIsNotNone(self.judge(other, alone_until=101 * SECOND))
+        self.assertIs(DutyReason.ALONE, self.judge(other, alone_until=101 * SECOND))
         self.assertIsNone(self.judge(other, alone_until=99 * SECOND))
 
     def test_a_host_that_knows_no_other_schedules(self):
         state = DutyState()
         self.assertIsNone(judge_duty(state, "h1", "d1", SECOND))
         state.hosts = {"h1": HostEntry("d1", ("10.0.0.1", 1))}
-        self.assertIsNotNone(judge_duty(state, "h1", "d1", SECOND))
+        self.assertIs(DutyReason.UNKNOWN, judge_duty(state, "h1", "d1", SECOND))
 
     def make_duty(self, is_well=True):
         clock, calls = ManualClock(), []
@@ -227,7 +238,7 @@
     def grant(self, network):
         return lambda host, ask: network.placing.hear(host, make_grant(ask.ticket))
 
-    def test_a_scheduler_that_is_silent_is_passed_over_and_told(self):
+    def test_another_scheduler_is_asked_when_the_first_is_silent(self):
         network = Network()
         network.react["s2"] = self.grant(network)
         place = self.place(network).unwrap()
@@ -239,14 +250,20 @@
         self.assertEqual("s2", network.ends()[-1][0])
         self.assertEqual(2, len(network.ends()))
 
-    def test_a_daemon_schedules_for_itself_when_nobody_answers(self):
+    def test_a_daemon_schedules_here_when_nobody_answers(self):
         network = Network()
         self.assertIsInstance(self.place(network), Ok)
-        self.assertEqual(["s1", "s2"], network.silent)
+        self.assertEqual({"s1", "s2"}, set(network.silent))
         self.assertEqual(["a1"], network.here)
+        # Others are still known: it does not take the duty over for good.
+        self.assertFalse(network.is_on)
+        network.hosts = []
+        self.place(network, "a2")
+        self.assertTrue(network.is_on)
 
     def test_a_lost_answer_is_asked_for_again(self):
         network, asked = Network(), []
+        network.hosts = ["s1"]
 
         def react(host, ask):
             asked.append(ask.ticket)
@@ -255,7 +272,22 @@
 
         network.react["s1"] = react
         self.assertIsInstance(self.place(network), Ok)
-        self.assertEqual((["a1", "a1"], []), (asked, network.silent))
+        self.assertEqual(["a1", "a1"], asked)
+
+    def test_the_slower_of_two_grants_is_given_back(self):
+        network = Network()
+
+        def react(host, ask):
+            # Both answer once the second one was asked as well.
+            if host == "s2":
+                network.placing.hear("s1", make_grant(ask.ticket))
+                network.placing.hear("s2", make_grant(ask.ticket))
+
+        network.react["s2"] = react
+        place = self.place(network).unwrap()
+        self.assertEqual({"s2"}, {host for host, _ in network.ends()})
+        place.end(Outcome.DONE)
+        self.assertEqual("s1", network.ends()[-1][0])
 
     def test_one_that_tells_to_wait_is_waited_for(self):
         network, asked = Network(), []
@@ -267,7 +299,12 @@
 
         network.react["s1"] = react
         self.assertIsInstance(self.place(network), Ok)
-        self.assertEqual([], network.silent)
+        self.assertEqual(
+            (["s1"], []), (sorted(set(self.asked(network))), network.silent)
+        )
+
+    def asked(self, network):
+        return [host for host, message in network.sent if not isinstance(message, End)]
 
     def test_a_refusal_is_final(self):
         network = Network()
@@ -309,6 +346,6 @@
             (True, False, 3), (first.only_read, last.only_read, last.events)
         )
 
-    def test_waiting_for_the_first_answer_takes_a_part_of_the_objective(self):
-        longest = placing.MOST_ASKED * placing.MOST_REMINDERS * placing.FIRST_ANSWER
-        self.assertLess(longest, 400 * MS)
+    def test_a_lost_scheduler_delays_a_request_by_a_part_of_its_objective(self):
+        self.assertLess(placing.FIRST_ANSWER, 100 * MS)
+        self.assertLessEqual(placing.GIVE_UP, 400 * MS)
