--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -21,6 +21,7 @@
     "estimate_attention",
     "estimate_delay",
     "estimate_failures",
+    "follow_base",
     "follow_rate",
     "forget_targets",
     "list_parts",
@@ -79,10 +80,15 @@
 
 @dataclass(slots=True)
 class Rate:
-    """Hold how fast engines read, in tokens a millisecond, by so many samples."""
+    """Hold how fast engines read, in tokens a millisecond, by so many samples.
+
+    ``base_ms`` is what a prefill takes beside its tokens; an engine reads other
+    prompts in that time.
+    """
 
     rate: float = PREFILL_RATE
     samples: int = 0
+    base_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -241,6 +247,21 @@
     return max(rate + weight * (sample - rate), SLOWEST_RATE), True
 
 
+def follow_base(known: Rate, tokens: int, took_ms: float) -> float | None:
+    """Return what a prefill takes beside its tokens, after a short one.
+
+    Load pattern: short prompts whose way is longer than their reading. Waiting only
+    ever adds to it, so the least counts most.
+    """
+    if tokens >= SMALLEST_SAMPLE_TOKENS:
+        return known.base_ms
+    sample = max(took_ms - tokens / known.rate, 0.0)
+    if known.base_ms is None:
+        return sample
+    weight = SAMPLE_WEIGHT if sample < known.base_ms else SAMPLE_WEIGHT / 20
+    return known.base_ms + weight * (sample - known.base_ms)
+
+
 def note_run(load: Load, first_ms: float, took_ms: float) -> None:
     """Learn from the time to a run's first bytes and to its end."""
     known = load.latency_ms or first_ms
