Revert: tell what a prefill takes beside its tokens from the rate of reading

The rate came out too high there, so the split left too few engines to read and prompts queued at engines. The rule that lets prefills at idle engines count in full goes with it.

--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -21,7 +21,6 @@
     "estimate_attention",
     "estimate_delay",
     "estimate_failures",
-    "follow_base",
     "follow_rate",
     "forget_targets",
     "list_parts",
@@ -54,8 +53,6 @@
 # A part counts as read this long after its prompt was sent: the work of a crowded
 # engine, 0.9 s, and twice the time of the longest prompts.
 READ_TIME = timedelta(seconds=2)
-# An engine with less known work than this counts as idle.
-IDLE_MS = 10.0
 # Samples after which an engine's own rate counts rather than that of its service.
 OWN_SAMPLES = 8
 # Samples below this size measure the path rather than the engine.
@@ -80,15 +77,10 @@
 
 @dataclass(slots=True)
 class Rate:
-    """Hold how fast engines read, in tokens a millisecond, by so many samples.
-
-    ``base_ms`` is what a prefill takes beside its tokens; an engine reads other
-    prompts in that time.
-    """
+    """Hold how fast engines read, in tokens a millisecond, by so many samples."""
 
     rate: float = PREFILL_RATE
     samples: int = 0
-    base_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -221,47 +213,27 @@
     sample = max(took_ms - expected, 0.0)
     load.delay_ms += SAMPLE_WEIGHT * 2 * (sample - load.delay_ms)
     load.delay_at = now
-    load.rate, is_sample = follow_rate(
-        load.rate, load.samples, tokens, took_ms, ahead_ms
-    )
+    load.rate, is_sample = follow_rate(load.rate, load.samples, tokens, took_ms)
     load.samples += is_sample
 
 
 def follow_rate(
-    rate: float, samples: int, tokens: int, took_ms: float, ahead_ms: float
+    rate: float, samples: int, tokens: int, took_ms: float
 ) -> tuple[float, bool]:
     """Return a rate of reading after a prefill, and whether that told anything.
 
     Load pattern: engines that are never idle. Work that was waited for unseen makes a
-    sample slower, so a faster one counts more, but for those that found the engine
-    idle.
+    sample slower, so a faster one counts more.
     """
     if tokens < SMALLEST_SAMPLE_TOKENS:
         return rate, False
     sample = min(tokens / max(took_ms, 1.0), FASTEST_RATE)
-    weight = SAMPLE_WEIGHT / 10
-    if sample > rate or ahead_ms < IDLE_MS:
-        weight = SAMPLE_WEIGHT
+    weight = SAMPLE_WEIGHT if sample > rate else SAMPLE_WEIGHT / 10
     if sample > rate and not samples:
         weight = FIRST_WEIGHT
     return max(rate + weight * (sample - rate), SLOWEST_RATE), True
 
 
-def follow_base(known: Rate, tokens: int, took_ms: float) -> float | None:
-    """Return what a prefill takes beside its tokens, after a short one.
-
-    Load pattern: short prompts whose way is longer than their reading. Waiting only
-    ever adds to it, so the least counts most.
-    """
-    if tokens >= SMALLEST_SAMPLE_TOKENS:
-        return known.base_ms
-    sample = max(took_ms - tokens / known.rate, 0.0)
-    if known.base_ms is None:
-        return sample
-    weight = SAMPLE_WEIGHT if sample < known.base_ms else SAMPLE_WEIGHT / 20
-    return known.base_ms + weight * (sample - known.base_ms)
-
-
 def note_run(load: Load, first_ms: float, took_ms: float) -> None:
     """Learn from the time to a run's first bytes and to its end."""
     known = load.latency_ms or first_ms
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -95,11 +95,6 @@
             return load.rate
         return known.rate
 
-    def base_of(self, target: Target) -> float:
-        """Return the milliseconds that a prefill takes beside its tokens."""
-        known = self.rates.get(target.service)
-        return known.base_ms or 0.0 if known is not None else 0.0
-
     def expect_failures(self, target: Target) -> float:
         """Return the share of sends to a target that are expected to fail."""
         own = estimate_failures(self.load_of(target).failures, self.now)
@@ -201,7 +196,7 @@
             fetch_ms *= OTHER_DOMAIN_FETCH
         rate, wait = view.rate_of(target), estimate_delay(load, view.now)
         if target.role is Role.PREFILL:
-            wait += HAND_OVER_MS + view.base_of(target)
+            wait += HAND_OVER_MS
         elif target.role is Role.DECODE:
             rate *= DECODE_READ_SPEED
         wait += view.weigh_failures(target) + view.weigh_way(target)
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -485,13 +485,11 @@
     def _note_use(self, granted: _Granted, end: End, now: timedelta) -> None:
         ask, grant, load = granted.ask, granted.grant, granted.load
         if ask.stage is Stage.READ and grant.target.role is Role.PREFILL:
-            known = self._fleet.rates.setdefault(ask.service, Rate())
             took = end.took_ms - grant.fixed_ms
-            known.base_ms = loads.follow_base(known, grant.unread, took)
-            took -= known.base_ms or 0.0
             loads.note_prefilled(load, grant.unread, took, granted.ahead_ms, now)
+            known = self._fleet.rates.setdefault(ask.service, Rate())
             known.rate, is_sample = loads.follow_rate(
-                known.rate, known.samples, grant.unread, took, granted.ahead_ms
+                known.rate, known.samples, grant.unread, took
             )
             known.samples += is_sample
             return
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -227,7 +227,7 @@
             unseen = random.choice((0.0, 0.0, 30.0, 90.0))
             took = 5000 / 112 + unseen
             service.rate, _ = loads.follow_rate(
-                service.rate, service.samples, 5000, took, 40.0
+                service.rate, service.samples, 5000, took
             )
             service.samples += 1
         self.assertGreater(service.rate, 90.0)
@@ -239,21 +239,6 @@
         rates = [view.rate_of(tables.targets[name]) for name in ("e1", "e2")]
         self.assertEqual([service.rate, 20.0], rates)
 
-    def test_what_a_prefill_takes_beside_its_tokens_is_no_part_of_the_rate(self):
-        # Every prefill took 31 ms more; engines seemed to read 45 tokens/ms in place
-        # of 112, and 18 of 23 were left to read (cwpc-shared-grown trouble-1).
-        random, known = Random(2), loads.Rate()
-        for _ in range(150):
-            tokens = random.choice((300, 300, 400, 2000, 5000))
-            took = 31.0 + tokens / 112 + random.choice((0.0, 5.0, 40.0))
-            known.base_ms = loads.follow_base(known, tokens, took)
-            known.rate, is_sample = loads.follow_rate(
-                known.rate, known.samples, tokens, took - known.base_ms, 40.0
-            )
-            known.samples += is_sample
-        self.assertAlmostEqual(31.0, known.base_ms, delta=8.0)
-        self.assertAlmostEqual(112.0, known.rate, delta=35.0)
-
     def test_failures_fade(self):
         evidence = loads.Evidence()
         loads.note_reach(evidence, False, NOW)
