--- /dev/null
+++ b/src/galenapass/forwarding/grants.py
@@ -0,0 +1,174 @@
+"""Hold the places at targets that are in use, and learn from how their use ended."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.clocks import Clock
+from galenapass.forwarding import demand, loads
+from galenapass.forwarding.asks import Ask, End, Grant, Outcome, Stage
+from galenapass.forwarding.demand import ServiceDemand
+from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.loads import Load, Rate
+from galenapass.logs import make_log
+from galenapass.tables.targets import Kind, Role, Target
+
+__all__ = ["RETURN_SLACK", "GrantTable", "Granted"]
+
+# A daemon that was lost gives nothing back; its places are free this long after the
+# deadline of what they were for.
+RETURN_SLACK = timedelta(seconds=1)
+
+_log = make_log("scheduler")
+
+
+@dataclass(slots=True)
+class Granted:
+    """Hold a place in use; ``ahead_ms`` and ``beside`` are what it found there."""
+
+    ask: Ask
+    grant: Grant
+    load: Load
+    is_reading: bool
+    is_running: bool
+    ahead_ms: float
+    beside: int
+
+
+class GrantTable:
+    """Hold each place in use by its ticket, and the demand measured on the way.
+
+    ``count`` grows with each grant; ``on_refused`` hears of engines that refused.
+    """
+
+    def __init__(
+        self, fleet: Fleet, clock: Clock, on_refused: Callable[[Target], None]
+    ):
+        self.count = 0
+        self.demand: dict[str, ServiceDemand] = {}
+        self._fleet = fleet
+        self._clock = clock
+        self._on_refused = on_refused
+        self._granted: dict[str, Granted] = {}
+
+    def find(self, ticket: str) -> Grant | None:
+        """Return the grant of a place in use."""
+        granted = self._granted.get(ticket)
+        return granted.grant if granted is not None else None
+
+    def add(self, ask: Ask, grant: Grant, *, reads: bool, runs: bool) -> None:
+        """Take a place: an engine's time for reading, a place to run, or both."""
+        load = self._fleet.load_of(grant.target)
+        ahead = load.work_ms + load.peer_ms
+        granted = Granted(ask, grant, load, reads, runs, ahead, load.sequences)
+        self._granted[ask.ticket] = granted
+        self.count += 1
+        if reads:
+            load.prompts += 1
+            load.work_ms += grant.cost_ms
+        if runs:
+            load.requests += 1
+            load.tokens += ask.tokens
+
+    def end(self, end: End) -> None:
+        """Give a place back and learn from its use; one not in use is left."""
+        granted = self._granted.get(end.ticket)
+        if granted is None:
+            return
+        if end.only_read:
+            self._end_reading(granted)
+            return
+        del self._granted[end.ticket]
+        self._release(granted)
+        self._learn(granted, end)
+
+    def expire(self, now: timedelta) -> None:
+        """Give back the places of daemons that were lost while they used them."""
+        lost = [
+            ticket
+            for ticket, granted in self._granted.items()
+            if now > granted.ask.deadline + RETURN_SLACK
+        ]
+        for ticket in lost:
+            granted = self._granted.pop(ticket)
+            self._release(granted)
+            _log(
+                "place was not given back",
+                request=granted.ask.request,
+                target=granted.grant.target.id,
+            )
+
+    def count_prompt(self, ask: Ask, cost_ms: float, now: timedelta) -> None:
+        """Count a prompt that came, whether it is read or refused."""
+        measured = self._demand_of(ask.service)
+        demand.note_prompt(measured, cost_ms, ask.tokens, now)
+
+    def _end_reading(self, granted: Granted) -> None:
+        if not granted.is_reading:
+            return
+        granted.is_reading = False
+        load = granted.load
+        load.prompts = max(load.prompts - 1, 0)
+        load.work_ms = max(load.work_ms - granted.grant.cost_ms, 0.0)
+        if not load.prompts:
+            load.work_ms = 0.0
+
+    def _release(self, granted: Granted) -> None:
+        self._end_reading(granted)
+        if granted.is_running:
+            granted.is_running = False
+            load = granted.load
+            load.requests = max(load.requests - 1, 0)
+            load.tokens = max(load.tokens - granted.ask.tokens, 0)
+
+    def _learn(self, granted: Granted, end: End) -> None:
+        if end.outcome is Outcome.CANCELLED:
+            return
+        now = self._clock.monotonic()
+        target, load = granted.grant.target, granted.load
+        cut = self._fleet.cut_of(target)
+        if end.outcome is Outcome.UNREACHED:
+            loads.note_reach(load.failures, False, now)
+            loads.note_reach(cut, False, now)
+            return
+        loads.note_outcome(load.refusals, end.outcome is Outcome.REFUSED, now)
+        if end.outcome is Outcome.REFUSED:
+            self._note_refusal(granted, now)
+            return
+        loads.note_outcome(load.failures, end.outcome is Outcome.FAILED, now)
+        loads.note_reach(cut, True, now)
+        if end.outcome is Outcome.DONE:
+            self._note_use(granted, end, now)
+
+    def _note_refusal(self, granted: Granted, now: timedelta) -> None:
+        if granted.grant.target.kind is Kind.ENGINE:
+            self._on_refused(granted.grant.target)
+        origin = self._fleet.targets.get(granted.ask.origin)
+        if origin is not None:
+            # Either end may have lost the memory; another pair does better.
+            loads.note_outcome(self._fleet.load_of(origin).refusals, True, now)
+
+    def _note_use(self, granted: Granted, end: End, now: timedelta) -> None:
+        ask, grant, load = granted.ask, granted.grant, granted.load
+        if ask.stage is Stage.READ and grant.target.role is Role.PREFILL:
+            took = end.took_ms - grant.fixed_ms
+            loads.note_prefilled(load, grant.unread, took, granted.ahead_ms, now)
+            known = self._fleet.rates.setdefault(ask.service, Rate())
+            known.rate, is_sample = loads.follow_rate(
+                known.rate, known.samples, grant.unread, took
+            )
+            known.samples += is_sample
+            return
+        loads.note_run(load, end.first_ms, end.took_ms)
+        if ask.stage is Stage.OUTPUT:
+            after_ms = end.took_ms - end.first_ms
+            demand.note_output(
+                self._demand_of(ask.service),
+                granted.beside,
+                end.first_ms,
+                after_ms,
+                end.events,
+            )
+
+    def _demand_of(self, service: str) -> ServiceDemand:
+        return self.demand.setdefault(service, ServiceDemand())
--- a/src/galenapass/forwarding/placing.py
+++ b/src/galenapass/forwarding/placing.py
@@ -11,12 +11,11 @@
 from galenapass.clocks import Clock
 from galenapass.forwarding.asks import Ask, End, Grant, Outcome
 from galenapass.forwarding.datagrams import Message, Refusal, Waits
-from galenapass.forwarding.places import Place
 from galenapass.forwarding.scheduling import Scheduler
 from galenapass.logs import make_log
 from galenapass.verdicts import Verdict
 
-__all__ = ["Duties", "Placing"]
+__all__ = ["Duties", "Place", "Placing"]
 
 # A scheduler of the same domain answers within a few milliseconds; hosts whose
 # processor is a quota stand still for a part of each tenth of a second.
@@ -28,9 +27,41 @@
 # Schedulers that are asked before this daemon schedules for itself.
 MOST_ASKED = 2
 
+MILLISECOND = timedelta(milliseconds=1)
+
 _log = make_log("placing")
 
 
+class Place:
+    """Hold a place until ``end`` gives it back through ``give_back``."""
+
+    __slots__ = ("_clock", "_first_at", "_give_back", "_is_ended", "_started", "grant")
+
+    def __init__(self, grant: Grant, clock: Clock, give_back: Callable[[End], None]):
+        self.grant = grant
+        self._clock = clock
+        self._give_back = give_back
+        self._started = clock.monotonic()
+        self._first_at: timedelta | None = None
+        self._is_ended = False
+
+    def note_output(self) -> None:
+        """Take note of output; the first one ends the reading of a prompt."""
+        if self._first_at is None and not self._is_ended:
+            self._first_at = self._clock.monotonic()
+            self._give_back(End(self.grant.ticket, Outcome.DONE, only_read=True))
+
+    def end(self, outcome: Outcome, events: int = 0) -> None:
+        """Give the place back after so many events; a second call does nothing."""
+        if self._is_ended:
+            return
+        self._is_ended = True
+        now = self._clock.monotonic()
+        took = (now - self._started) / MILLISECOND
+        first = ((self._first_at or now) - self._started) / MILLISECOND
+        self._give_back(End(self.grant.ticket, outcome, took, first, False, events))
+
+
 class Duties(Protocol):
     """Tell who schedules for this daemon."""
 
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -20,8 +20,7 @@
     note_rest,
 )
 from galenapass.forwarding.interfaces import Calls, Sink
-from galenapass.forwarding.places import Place
-from galenapass.forwarding.placing import Placing
+from galenapass.forwarding.placing import Place, Placing
 from galenapass.forwarding.progress import Patience
 from galenapass.forwarding.requests import Forwarded
 from galenapass.forwarding.routes import Repeat
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -13,15 +13,16 @@
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding import admission, demand, loads, placement
+from galenapass.forwarding import admission, placement
 from galenapass.forwarding.admission import Places, Returns
-from galenapass.forwarding.asks import Ask, End, Grant, Outcome, Stage
+from galenapass.forwarding.asks import Ask, End, Grant, Stage
 from galenapass.forwarding.demand import ServiceDemand
 from galenapass.forwarding.fleet import Fleet, find_rest, note_parts
-from galenapass.forwarding.loads import Load, Rate, Read
+from galenapass.forwarding.grants import RETURN_SLACK, GrantTable
+from galenapass.forwarding.loads import Read
 from galenapass.forwarding.placement import Choice, View
 from galenapass.logs import make_log
-from galenapass.tables.targets import Kind, Role, Target
+from galenapass.tables.targets import Role, Target
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Answer", "Hooks", "Scheduler"]
@@ -34,9 +35,6 @@
 CHOICES = 20
 # With more of them waiting, the queue is looked at no more often than this.
 CROWDED_PAUSE = timedelta(milliseconds=5)
-# A daemon that was lost gives nothing back; its places are free this long after the
-# deadline of what they were for.
-RETURN_SLACK = timedelta(seconds=1)
 # Part of its places that may wait at a plain service: its calls are shorter than the
 # time in which schedulers hear of each other.
 CALLS_AHEAD = 0.5
@@ -70,19 +68,6 @@
     grants: int = -1
 
 
-@dataclass(slots=True)
-class _Granted:
-    """Hold a place in use; ``ahead_ms`` and ``beside`` are what it found there."""
-
-    ask: Ask
-    grant: Grant
-    load: Load
-    is_reading: bool
-    is_running: bool
-    ahead_ms: float
-    beside: int
-
-
 class Scheduler:
     """Hold the places that were granted and the asks that wait for one.
 
@@ -91,24 +76,27 @@
 
     def __init__(self, fleet: Fleet, clock: Clock, random: Random, hooks: Hooks):
         self.peers = 0
-        self.demand: dict[str, ServiceDemand] = {}
         self._fleet = fleet
         self._clock = clock
         self._random = random
         self._hooks = hooks
         self._waiting: dict[str, _Waiter] = {}
-        self._granted: dict[str, _Granted] = {}
-        self._grants = 0
+        self._grants = GrantTable(fleet, clock, hooks.on_refused)
         self._due = False
         self._timer: asyncio.TimerHandle | None = None
         self._returns: dict[tuple[str, Stage], Returns] = {}
         self._fits: dict[tuple[object, ...], list[Target]] = {}
 
+    @property
+    def demand(self) -> dict[str, ServiceDemand]:
+        """Return the demand that this scheduler has measured, by service."""
+        return self._grants.demand
+
     def ask(self, ask: Ask, answer: Answer) -> None:
         """Answer an ask, now or later; the same ask again gets the same answer."""
-        granted = self._granted.get(ask.ticket)
+        granted = self._grants.find(ask.ticket)
         if granted is not None:
-            answer(Ok(granted.grant))
+            answer(Ok(granted))
             return
         refusal = self._hooks.check(ask.fingerprint)
         if refusal is not None:
@@ -131,15 +119,7 @@
         if waiter is not None:
             self.wake()
             return
-        granted = self._granted.get(end.ticket)
-        if granted is None:
-            return
-        if end.only_read:
-            self._end_reading(granted)
-        else:
-            del self._granted[end.ticket]
-            self._release(granted)
-            self._learn(granted, end)
+        self._grants.end(end)
         self.wake()
 
     def wake(self) -> None:
@@ -220,7 +200,7 @@
             return False
         if admission.is_hopeless(ask, choice.finish_ms, view.now):
             return False
-        self._count_prompt(ask, choice, view.now)
+        self._grants.count_prompt(ask, choice.cost_ms, view.now)
         # A second prompt with the same parts waits for the first read.
         self._note_parts(choice.target, ask.parts, view.now)
         self._grant(
@@ -316,9 +296,9 @@
     ) -> Choice | None:
         """Return a choice from the tables as they are."""
         waiter = self._waiting[ask.ticket]
-        if waiter.grants != self._grants or waiter.chosen_at != view.now:
+        if waiter.grants != self._grants.count or waiter.chosen_at != view.now:
             waiter.choice = choose(ask, view)
-            waiter.chosen_at, waiter.grants = view.now, self._grants
+            waiter.chosen_at, waiter.grants = view.now, self._grants.count
         return waiter.choice
 
     def _list_fit(
@@ -355,11 +335,9 @@
     # Answers
 
     def _grant(self, ask: Ask, choice: Choice, *, reads: bool, runs: bool) -> None:
-        target = choice.target
-        load = self._fleet.load_of(target)
         grant = Grant(
             ask.ticket,
-            target,
+            choice.target,
             choice.cost_ms,
             choice.wait_ms,
             choice.unread,
@@ -367,16 +345,7 @@
             choice.why,
             choice.donor.address if choice.donor is not None else None,
         )
-        ahead = load.work_ms + load.peer_ms
-        granted = _Granted(ask, grant, load, reads, runs, ahead, load.sequences)
-        self._granted[ask.ticket] = granted
-        self._grants += 1
-        if reads:
-            load.prompts += 1
-            load.work_ms += choice.cost_ms
-        if runs:
-            load.requests += 1
-            load.tokens += ask.tokens
+        self._grants.add(ask, grant, reads=reads, runs=runs)
         self._waiting.pop(ask.ticket).answer(Ok(grant))
 
     def _refuse(self, ask: Ask, verdict: Verdict) -> None:
@@ -395,7 +364,7 @@
         if choice is not None and ask.stage is Stage.READ:
             backlog += before * choice.cost_ms / max(self._count_readers(ask), 1)
         if choice is not None and ask.stage is Stage.READ:
-            self._count_prompt(ask, choice, now)
+            self._grants.count_prompt(ask, choice.cost_ms, now)
         after = admission.suggest_return(ask, backlog, now, self._random)
         returning.note(now + after)
         left = (ask.deadline - now) // timedelta(milliseconds=1)
@@ -415,19 +384,7 @@
     def expire(self) -> None:
         """Take back the places of daemons that were lost while they used them."""
         now = self._clock.monotonic()
-        lost = [
-            ticket
-            for ticket, granted in self._granted.items()
-            if now > granted.ask.deadline + RETURN_SLACK
-        ]
-        for ticket in lost:
-            granted = self._granted.pop(ticket)
-            self._release(granted)
-            _log(
-                "place was not given back",
-                request=granted.ask.request,
-                target=granted.grant.target.id,
-            )
+        self._grants.expire(now)
         late = [
             ticket
             for ticket, waiter in self._waiting.items()
@@ -437,80 +394,6 @@
             del self._waiting[ticket]
         self.wake()
 
-    def _end_reading(self, granted: _Granted) -> None:
-        if not granted.is_reading:
-            return
-        granted.is_reading = False
-        load = granted.load
-        load.prompts = max(load.prompts - 1, 0)
-        load.work_ms = max(load.work_ms - granted.grant.cost_ms, 0.0)
-        if not load.prompts:
-            load.work_ms = 0.0
-
-    def _release(self, granted: _Granted) -> None:
-        self._end_reading(granted)
-        if granted.is_running:
-            granted.is_running = False
-            load = granted.load
-            load.requests = max(load.requests - 1, 0)
-            load.tokens = max(load.tokens - granted.ask.tokens, 0)
-
-    def _learn(self, granted: _Granted, end: End) -> None:
-        if end.outcome is Outcome.CANCELLED:
-            return
-        now = self._clock.monotonic()
-        target, load = granted.grant.target, granted.load
-        cut = self._fleet.cut_of(target)
-        if end.outcome is Outcome.UNREACHED:
-            loads.note_reach(load.failures, False, now)
-            loads.note_reach(cut, False, now)
-            return
-        loads.note_outcome(load.refusals, end.outcome is Outcome.REFUSED, now)
-        if end.outcome is Outcome.REFUSED:
-            self._note_refusal(granted, now)
-            return
-        loads.note_outcome(load.failures, end.outcome is Outcome.FAILED, now)
-        loads.note_reach(cut, True, now)
-        if end.outcome is Outcome.DONE:
-            self._note_use(granted, end, now)
-
-    def _note_refusal(self, granted: _Granted, now: timedelta) -> None:
-        if granted.grant.target.kind is Kind.ENGINE:
-            self._hooks.on_refused(granted.grant.target)
-        origin = self._fleet.targets.get(granted.ask.origin)
-        if origin is not None:
-            # Either end may have lost the memory; another pair does better.
-            loads.note_outcome(self._fleet.load_of(origin).refusals, True, now)
-
-    def _note_use(self, granted: _Granted, end: End, now: timedelta) -> None:
-        ask, grant, load = granted.ask, granted.grant, granted.load
-        if ask.stage is Stage.READ and grant.target.role is Role.PREFILL:
-            took = end.took_ms - grant.fixed_ms
-            loads.note_prefilled(load, grant.unread, took, granted.ahead_ms, now)
-            known = self._fleet.rates.setdefault(ask.service, Rate())
-            known.rate, is_sample = loads.follow_rate(
-                known.rate, known.samples, grant.unread, took
-            )
-            known.samples += is_sample
-            return
-        loads.note_run(load, end.first_ms, end.took_ms)
-        if ask.stage is Stage.OUTPUT:
-            after_ms = end.took_ms - end.first_ms
-            demand.note_output(
-                self._demand_of(ask.service),
-                granted.beside,
-                end.first_ms,
-                after_ms,
-                end.events,
-            )
-
-    def _count_prompt(self, ask: Ask, choice: Choice, now: timedelta) -> None:
-        measured = self._demand_of(ask.service)
-        demand.note_prompt(measured, choice.cost_ms, ask.tokens, now)
-
-    def _demand_of(self, service: str) -> ServiceDemand:
-        return self.demand.setdefault(service, ServiceDemand())
-
     def _note_parts(
         self, target: Target, parts: tuple[Read, ...], now: timedelta
     ) -> None:
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -16,7 +16,7 @@
 from galenapass.forwarding.background import Background
 from galenapass.forwarding.events import EventStream
 from galenapass.forwarding.interfaces import Calls, Sink
-from galenapass.forwarding.places import Place
+from galenapass.forwarding.placing import Place
 from galenapass.forwarding.progress import Patience, Progress
 from galenapass.forwarding.requests import Forwarded
 from galenapass.forwarding.routes import Repeat
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
-from galenapass.forwarding import admission, loads, placement, scheduling
+from galenapass.forwarding import admission, grants, loads, placement
 from galenapass.forwarding.admission import Places
 from galenapass.forwarding.asks import Ask, End, Outcome, Stage
 from galenapass.forwarding.loads import list_parts
@@ -209,7 +209,7 @@
             await desk.turn()
             load = desk.fleet.loads["s1"]
             self.assertEqual(1, load.requests)
-            desk.clock.advance(800 * MS + scheduling.RETURN_SLACK + MS)
+            desk.clock.advance(800 * MS + grants.RETURN_SLACK + MS)
             desk.scheduler.expire()
             self.assertEqual(0, load.requests)
 
