Log and count what targets with a rate limit are sent

Responses' rate limits are decoded and recorded per incarnation: a lower limit at once, a higher one or none only from the answer to a request that was sent after the limit was last named, as a suspended host reads old answers. Placement does not use them yet. 'forwarding: target limit changed' tells hosts that read the limit from those that do not, galenapass_limited_sends_total by host, target and stage tells a limit that each host keeps by itself, and sends that pass it by, from the rest.

--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -12,6 +12,7 @@
     record_parts,
 )
 from galenapass.forwarding.placement import View
+from galenapass.forwarding.rate_limits import RateLimits
 from galenapass.forwarding.routes import RouteTable
 from galenapass.tables.targets import Target, TargetState
 
@@ -48,7 +49,7 @@
     holds how often targets of a domain were unreachable, ``rates`` the prefill rate of
     each service's engines. ``leaving`` maps targets that reported that they leave to
     their incarnation, and ``backing_off`` those that accept no work from this daemon
-    to when that ends.
+    to when that ends; ``rate_limits`` holds the rate limits that targets named.
     """
 
     host: str
@@ -65,6 +66,7 @@
     rates: dict[str, PrefillRate] = field(default_factory=dict)
     leaving: dict[str, str] = field(default_factory=dict)
     backing_off: dict[str, timedelta] = field(default_factory=dict)
+    rate_limits: RateLimits = field(default_factory=dict)
 
     def load_of(self, target: Target) -> Load:
         """Return the load of a target, an empty one on first use."""
--- /dev/null
+++ b/src/galenapass/forwarding/rate_limits.py
@@ -0,0 +1,81 @@
+"""Track the rate limits that targets name in their responses.
+
+A limit applies to all hosts together, and holds until a later response names another
+one or none.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.tables.targets import Target
+
+__all__ = [
+    "Incarnation",
+    "RateLimit",
+    "RateLimits",
+    "find_rate_limit",
+    "merge_rate_limit",
+    "record_rate_limit",
+]
+
+# Incarnations that are remembered; far more than a deployment has targets.
+MAX_RATE_LIMITS = 4096
+
+# A target's id and incarnation.
+Incarnation = tuple[str, str]
+
+
+@dataclass(slots=True, frozen=True)
+class RateLimit:
+    """Requests a second that a target takes from all hosts, None if unlimited.
+
+    ``named_at`` is the monotonic time up to which this is known to hold.
+    """
+
+    rate: float | None
+    named_at: timedelta
+
+
+RateLimits = dict[Incarnation, RateLimit]
+
+
+def find_rate_limit(limits: RateLimits, target: Target) -> float | None:
+    """Return a target's limit in requests a second, None if it has none."""
+    limit = limits.get((target.id, target.incarnation))
+    return limit.rate if limit is not None else None
+
+
+def record_rate_limit(
+    limits: RateLimits,
+    incarnation: Incarnation,
+    rate: float | None,
+    sent_at: timedelta,
+    received_at: timedelta,
+) -> bool:
+    """Record what a response names; return whether the limit changed.
+
+    ``sent_at`` is when its request was sent. A response may be read long after it was
+    written, so it lifts or raises a limit only if its request was sent after the limit
+    was last named.
+    """
+    known = limits.get(incarnation)
+    current = known.rate if known is not None else None
+    if rate is None and current is None:
+        return False
+    is_raised = rate is None or (current is not None and rate > current)
+    named_at = sent_at if is_raised else received_at
+    return merge_rate_limit(limits, incarnation, RateLimit(rate, named_at))
+
+
+def merge_rate_limit(
+    limits: RateLimits, incarnation: Incarnation, limit: RateLimit
+) -> bool:
+    """Apply a limit unless a later one is known; return whether the rate changed."""
+    known = limits.pop(incarnation, None)
+    if known is not None and known.named_at >= limit.named_at:
+        limits[incarnation] = known
+        return False
+    limits[incarnation] = limit
+    while len(limits) > MAX_RATE_LIMITS:
+        del limits[next(iter(limits))]
+    return (known.rate if known is not None else None) != limit.rate
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -18,6 +18,7 @@
 )
 from galenapass.forwarding.interfaces import Sink, TargetClient
 from galenapass.forwarding.progress import ProgressTimeouts
+from galenapass.forwarding.rate_limits import find_rate_limit, record_rate_limit
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
 from galenapass.forwarding.routes import Repeat
@@ -65,7 +66,8 @@
 class Relay:
     """Dispatcher of requests to targets, with retries.
 
-    ``on_left`` is called with a target that reports that it is leaving.
+    ``on_left`` is called with a target that reports that it is leaving,
+    ``on_limited_send`` before each send to a target that limits its rate.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         clock: Clock,
         terms: RetryBudgetTerms,
         on_left: Callable[[Target], None],
+        on_limited_send: Callable[[Target, Stage], None],
     ):
         self.terms = terms
         self.daemons = DEFAULT_DAEMON_COUNT
@@ -86,6 +89,7 @@
         self._suspects = suspects
         self._clock = clock
         self._on_left = on_left
+        self._on_limited_send = on_limited_send
         self._sender = Sender(target_client, suspects, clock)
         self._budgets: dict[str, Budget] = {}
         self._ticket_numbers = itertools.count()
@@ -303,6 +307,8 @@
                 return acquired
             target = acquired.ok_value.grant.target
             if target.id not in list_excluded(self._fleet, self._clock.monotonic()):
+                if find_rate_limit(self._fleet.rate_limits, target) is not None:
+                    self._on_limited_send(target, stage)
                 return acquired
             # The target was excluded while the slot request was in progress.
             acquired.ok_value.end(Outcome.CANCELLED)
@@ -328,7 +334,7 @@
         )
 
     def apply_notice(self, target: Target, notice: TargetNotice) -> None:
-        """Apply the back-off or leaving notice of a target's response."""
+        """Apply what a target's response says of the target."""
         now = self._clock.monotonic()
         if notice.back_off is not None:
             record_back_off(self._fleet, target.id, now + notice.back_off)
@@ -339,6 +345,17 @@
         ):
             _log("target reports that it is leaving", target=target.id)
             self._on_left(target)
+        if notice.rate_limit is not None or notice.lifts_limit:
+            self._apply_rate_limit(target, notice, now)
+
+    def _apply_rate_limit(
+        self, target: Target, notice: TargetNotice, now: timedelta
+    ) -> None:
+        limits = self._fleet.rate_limits
+        rate, before = notice.rate_limit, find_rate_limit(limits, target)
+        incarnation = (target.id, target.incarnation)
+        if record_rate_limit(limits, incarnation, rate, notice.sent_at, now):
+            _log("target limit changed", target=target.id, rate=rate, before=before)
 
 
 _NO_TARGET = Verdict(
--- a/src/galenapass/forwarding/target_messages.py
+++ b/src/galenapass/forwarding/target_messages.py
@@ -48,11 +48,17 @@
     """State of a target that one of its responses carries.
 
     ``leaving`` is set if the target accepts no new work; ``back_off`` is how long this
-    daemon is to send it none.
+    daemon is to send it none. ``rate_limit`` is the number of requests a second that
+    the target takes from all hosts, None if it names no limit; ``lifts_limit`` is set
+    if a limit that is not named has ended. ``sent_at`` is the monotonic time at which
+    the request was sent.
     """
 
+    sent_at: timedelta
     leaving: bool = False
     back_off: timedelta | None = None
+    rate_limit: float | None = None
+    lifts_limit: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -88,6 +88,7 @@
     peer_bytes: Counter
     ticks: Histogram
     failures: Counter
+    limited_sends: Counter
 
 
 def make_metrics() -> Metrics:
@@ -105,6 +106,7 @@
         peer_bytes=Counter(registry, "galenapass_peer_bytes", "direction"),
         ticks=Histogram(registry, "galenapass_tick_seconds"),
         failures=Counter(registry, "galenapass_failures", "duty"),
+        limited_sends=Counter(registry, "galenapass_limited_sends", "target", "stage"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -27,6 +27,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
+from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_updates import StoreUpdates
@@ -99,7 +100,7 @@
         self.store = StoreClient(
             settings.store, self._count_call, self.store_availability
         )
-        self.runner_client = RunnerClient(self._apply_notice)
+        self.runner_client = RunnerClient(self.clock, self._apply_notice)
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
             World(settings.host, settings.domain), self.clock, self._publish_crashes
@@ -143,6 +144,7 @@
             self.clock,
             settings.budget,
             self._handle_target_leaving,
+            self._count_limited_send,
         )
         self.request_handler = RequestHandler(
             self.fleet,
@@ -494,6 +496,10 @@
     def _count_failure(self, duty: str) -> None:
         self.metrics.failures.add(1, {"duty": duty})
 
+    def _count_limited_send(self, target: Target, stage: Stage) -> None:
+        labels = {"target": target.id, "stage": stage.value}
+        self.metrics.limited_sends.add(1, labels)
+
     def _count_call(self, call: str) -> None:
         self.metrics.platform_calls.add(1, {"call": call})
 
--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -1,5 +1,6 @@
 """Convert the platform's request and response headers to and from own types."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -41,6 +42,8 @@
 _CACHE_SOURCE = "Kv-Fetch"
 _NOT_EXECUTED = "X-Galenapass-Not-Executed"
 _LEAVING = "Server-Leaving"
+# Requests a second from all hosts together, a decimal number.
+_RATE_LIMIT = "Server-Limit"
 _UNAVAILABLE = 503
 # One day: above any deployment's limit, and larger numbers overflow a timedelta.
 _MAX_SECONDS = 86_400.0
@@ -142,13 +145,27 @@
     return status in NOT_RUN_STATUSES or _NOT_EXECUTED in headers
 
 
-def decode_notice(status: int, headers: Mapping[str, str]) -> TargetNotice:
-    """Return whether a response's target is leaving, and its back-off time."""
+def decode_notice(
+    status: int, headers: Mapping[str, str], sent_at: timedelta, attempt: str | None
+) -> TargetNotice:
+    """Return what the response to a request sent at ``sent_at`` says of its target.
+
+    ``attempt`` is the id of the client's attempt, None for a call of the system's own.
+    """
     leaving = headers.get(_LEAVING, "").strip() == "1"
     back_off = (
         parse_seconds(headers.get(RETRY_AFTER)) if status == _UNAVAILABLE else None
     )
-    return TargetNotice(leaving, back_off)
+    if status in NOT_RUN_STATUSES:
+        # Another target may have the address, and names its own limit.
+        return TargetNotice(sent_at, leaving, back_off)
+    rate_limit = _parse_rate(headers.get(_RATE_LIMIT))
+    # Not every response to a prefill carries the attempt's id.
+    answers_attempt = (
+        attempt is not None and headers.get(ATTEMPT_ID, attempt) == attempt
+    )
+    lifts_limit = rate_limit is None and answers_attempt and 200 <= status < 300
+    return TargetNotice(sent_at, leaving, back_off, rate_limit, lifts_limit)
 
 
 def parse_seconds(text: str | None) -> timedelta | None:
@@ -160,6 +177,15 @@
     return timedelta(seconds=seconds) if 0 <= seconds <= _MAX_SECONDS else None
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return a finite rate of 0 or more, or None if it is invalid."""
+    try:
+        rate = float(text or "")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _clamp_priority(rank: int | None) -> int | None:
     return None if rank is None else max(0, min(rank, _LOWEST_PRIORITY))
 
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from galenapass.clocks import Clock
 from galenapass.forwarding.requests import Part
 from galenapass.forwarding.target_messages import (
     ClientRequest,
@@ -68,16 +69,18 @@
     """Client sessions to runners, with and without reuse of connections.
 
     A request that may run only once uses a new connection, as the runner may close a
-    reused one at that moment. ``on_notice`` receives each notice that a target is
-    leaving or backing off.
+    reused one at that moment. ``on_notice`` receives what a target's response says of
+    the target.
     """
 
-    __slots__ = ("_on_notice", "_pool", "_unpooled")
+    __slots__ = ("_clock", "_on_notice", "_pool", "_unpooled")
 
     def __init__(
         self,
+        clock: Clock,
         on_notice: Callable[[Target, TargetNotice], None] = lambda target, notice: None,
     ) -> None:
+        self._clock = clock
         self._on_notice = on_notice
         self._pool = open_keepalive_session(
             once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_SECONDS
@@ -108,6 +111,7 @@
             prefill=True,
             cache_source=cache_source,
         )
+        sent_at = self._clock.monotonic()
         try:
             async with self._pool.request(
                 message.method,
@@ -119,7 +123,7 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 timeout=_limit(time_left.total_seconds()),
             ) as response:
-                self._report_notice(target, response)
+                self._report_notice(target, response, sent_at, message.attempt)
                 body = await read_body(response)
                 refusal = _check_attempt_id(response, message)
                 if refusal is None and response.status != 200:
@@ -151,6 +155,7 @@
             target.id, time_left, priority, source=source, last_event=last_event
         )
         session = self._unpooled if once else self._pool
+        sent_at = self._clock.monotonic()
         try:
             response = await session.request(
                 message.method,
@@ -166,7 +171,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             yield Err(classify_error(error))
             return
-        self._report_notice(target, response)
+        self._report_notice(target, response, sent_at, message.attempt)
         try:
             refusal = _check_attempt_id(response, message)
             if refusal is None and is_not_run(response.status, response.headers):
@@ -194,9 +199,10 @@
     async def fetch_state(self, target: Target) -> Result[EngineState, Verdict]:
         """Return an engine's own state, a few hundred milliseconds old."""
         url = f"http://{target.address}/report"
+        sent_at = self._clock.monotonic()
         try:
             async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
-                self._report_notice(target, response)
+                self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response))
                 return Ok(
                     EngineState(
@@ -218,9 +224,10 @@
     async def fetch_parts(self, target: Target) -> Result[tuple[Part, ...], Verdict]:
         """Return the prompt parts that an engine caches; the call delays its work."""
         url = f"http://{target.address}/kv-list"
+        sent_at = self._clock.monotonic()
         try:
             async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
-                self._report_notice(target, response)
+                self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response))
                 # Each row has an empty string, part, token count and model.
                 return Ok(tuple(Part(str(r[1]), int(r[2])) for r in data["held"]))
@@ -229,10 +236,15 @@
         except (*_DECODE_ERRORS, IndexError) as error:
             return Err(Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, repr(error)))
 
-    def _report_notice(self, target: Target, response: aiohttp.ClientResponse) -> None:
-        notice = decode_notice(response.status, response.headers)
-        if notice.leaving or notice.back_off is not None:
-            self._on_notice(target, notice)
+    def _report_notice(
+        self,
+        target: Target,
+        response: aiohttp.ClientResponse,
+        sent_at: timedelta,
+        attempt: str | None = None,
+    ) -> None:
+        notice = decode_notice(response.status, response.headers, sent_at, attempt)
+        self._on_notice(target, notice)
 
     async def order_role(
         self, target: Target, role: Role, holder: str, fence: int, orders: int
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -12,7 +12,7 @@
 from result import Err
 from testtools import TestCase
 
-from galenapass.clocks import ManualClock
+from galenapass.clocks import ManualClock, SystemClock
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.target_messages import ClientRequest, OrderOutcome
 from galenapass.platform.runner_client import RunnerClient
@@ -113,7 +113,7 @@
 
 
 async def call_runner(address, call):
-    client = RunnerClient()
+    client = RunnerClient(SystemClock())
     try:
         return await call(client, make_engine(address))
     finally:
--- a/tests/test_platform_malformed_responses.py
+++ b/tests/test_platform_malformed_responses.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from galenapass.clocks import ManualClock
+from galenapass.clocks import ManualClock, SystemClock
 from galenapass.forwarding.requests import Part
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.target_messages import (
@@ -113,7 +113,7 @@
             async with asyncio.timeout(5), serve(status, body) as address:
                 target = make_target("e1")
                 target.address = address
-                client = RunnerClient()
+                client = RunnerClient(SystemClock())
                 try:
                     state = await client.fetch_state(target)
                     cached = await client.fetch_parts(target)
