--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -26,8 +26,8 @@
 
     ``break_after`` closes a stream after that number of events, ``crash`` the
     connection of each request, ``close_port`` also the port. ``wrong_id`` responds
-    with another attempt's id. ``leaving`` adds a header to each response,
-    ``retry_after_seconds`` one to each refusal.
+    with another attempt's id. ``leaving`` and ``rate_limit``, in requests a second, add
+    a header to each response, ``retry_after_seconds`` one to each refusal.
     """
 
     shed: bool = False
@@ -42,6 +42,7 @@
     changing: bool = False
     event_seconds: float = 0.0
     leaving: bool = False
+    rate_limit: float | None = None
     retry_after_seconds: float | None = None
 
 
@@ -49,7 +50,8 @@
 class Runner:
     """Runner of the platform; ``stage`` is empty for a plain service.
 
-    ``received`` lists all requests that arrived, ``ran`` the attempts that were run.
+    ``received`` lists all requests that arrived, ``received_at`` their times in seconds
+    of the event loop, ``ran`` the attempts that were run.
     """
 
     id: str
@@ -61,6 +63,7 @@
     orders: int = 0
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[web.Request] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     handles: set[str] = field(default_factory=set)
     cached_prompts: dict[str, int] = field(default_factory=dict)
@@ -88,7 +91,7 @@
     async def start(self) -> None:
         """Listen on a free loopback port and set ``address``."""
         app = web.Application(client_max_size=2**23)
-        app.on_response_prepare.append(self._announce_leaving)
+        app.on_response_prepare.append(self._add_notices)
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._apply_order)
         app.router.add_delete("/kv-handle/{id}", self._drop_handle)
@@ -108,11 +111,13 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _announce_leaving(
+    async def _add_notices(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         if self.faults.leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.faults.rate_limit is not None:
+            response.headers["Server-Limit"] = str(self.faults.rate_limit)
 
     async def _report(self, request: web.Request) -> web.Response:
         return make_json_response(
@@ -148,6 +153,7 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         self.received.append(request)
+        self.received_at.append(asyncio.get_running_loop().time())
         await request.read()
         refusal = self._refuse(request)
         if refusal is not None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -16,12 +16,12 @@
 from stand_ins.runner import Runner
 
 
-def make_settings(store, name="front-1"):
+def make_settings(store, name="front-1", domain="zone-a"):
     ports = [find_free_port() for _ in range(3)]
     front, ready, peers = (("127.0.0.1", port) for port in ports)
     return HostSettings(
         host=name,
-        domain="zone-a",
+        domain=domain,
         front=front,
         ready=ready,
         peers=peers,
@@ -40,7 +40,7 @@
 
 
 class PlatformFleet:
-    """A metadata store, runners and a daemon."""
+    """A metadata store, runners and daemons; ``daemon`` is the first of them."""
 
     def __init__(self):
         self.store = MetadataStore()
@@ -49,11 +49,15 @@
         self.second_decode = Runner("d2", "lm", stage="decode")
         self.plain = Runner("s1", "desk")
         self.second_plain = Runner("s2", "desk")
-        self.daemon = None
+        self.daemons = []
         self.settings = None
         self.client = None
         self._number = 0
 
+    @property
+    def daemon(self):
+        return self.daemons[0]
+
     @property
     def runners(self):
         return [
@@ -67,12 +71,12 @@
     def register(self, runner, **changes):
         self.store.put("servers", runner.id, runner.entry(**changes))
 
-    async def send(self, path, method="GET", body=b"", **headers):
+    async def send(self, path, method="GET", body=b"", host=0, **headers):
         self._number += 1
         all_headers = make_headers(f"a{self._number}", 2500) | {
             name.replace("_", "-"): value for name, value in headers.items()
         }
-        url = f"http://127.0.0.1:{self.settings.front[1]}{path}"
+        url = f"http://127.0.0.1:{self.daemons[host].settings.front[1]}{path}"
         async with self.client.request(
             method, url, headers=all_headers, data=body or None
         ) as response:
@@ -88,8 +92,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(configuration=CONFIGURATION, settle=True, cached_prompts=None):
-    """Yield a fleet whose daemon has loaded its routes and targets."""
+async def run_fleet(
+    configuration=CONFIGURATION, settle=True, cached_prompts=None, domains=("zone-a",)
+):
+    """Yield a fleet with a daemon per domain, which have loaded routes and targets."""
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
     runner = web.AppRunner(
@@ -103,21 +109,28 @@
         fleet.register(target)
     if configuration is not None:
         fleet.store.put("config", "main", configuration)
-    fleet.settings = make_settings(f"127.0.0.1:{port}")
-    fleet.daemon = PlatformDaemon(fleet.settings, 0)
+    fleet.daemons = [
+        PlatformDaemon(make_settings(f"127.0.0.1:{port}", f"front-{n}", domain), 0)
+        for n, domain in enumerate(domains, start=1)
+    ]
+    fleet.settings = fleet.daemon.settings
     fleet.client = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(force_close=True)
     )
     try:
-        await fleet.daemon.start()
+        for daemon in fleet.daemons:
+            await daemon.start()
         if settle:
-            tables = fleet.daemon.fleet
-            await fleet.wait_for(lambda: tables.routes.version and tables.targets)
+            tables = [daemon.fleet for daemon in fleet.daemons]
+            await fleet.wait_for(
+                lambda: all(table.routes.version and table.targets for table in tables)
+            )
         yield fleet
     finally:
         await fleet.client.close()
-        await fleet.daemon.stop()
-        await fleet.daemon.close()
+        await asyncio.gather(*(daemon.stop() for daemon in fleet.daemons))
+        for daemon in fleet.daemons:
+            await daemon.close()
         for target in fleet.runners:
             await target.stop()
         await runner.cleanup()
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -275,7 +275,7 @@
             await fleet.daemon.stop()
             await fleet.daemon.close()
             again = fleet.daemon.__class__(fleet.settings, 0)
-            fleet.daemon = again
+            fleet.daemons[0] = again
             await again.start()
             await fleet.wait_for(lambda: again.fleet.targets)
             for _ in range(4):
