Keep the rate limit that a target names, over all hosts together

Callers saw nothing; a target in need got three times what it had asked for.

Cause: nothing read the limit. Hosts know of a target's load what schedulers granted, and each scheduler decides for itself; a bound on what all of them together may send had no place in the design. Even a host that kept the limit for itself would have let six times the limit through.

Now hosts read the limit from every answer and tell each other. One scheduler a target, chosen by rendezvous hashing among those that hear each other, issues permits at the target's rate, in turn to the schedulers that request them; each grant at such a target uses one up, whether it is for a prompt, for handed-over output, for a repeat or for a call. An issuer issues only the share of the schedulers that it hears, so the sides of a cut keep the limit together.

What a limited target cannot take is capacity that the fleet does not have: it counts with the slots that its rate fills, it is no home for shared parts, requests go elsewhere at once while it has no permit, and if every target limits its rate, what cannot be served before its deadline is refused at once. Prompts that wait for a decode slot now count against the free ones: while an engine's slots were free but its permits missing, more and more prompts would have been prefilled for it.

Messages: limits are appended to pings and pongs, whose later elements earlier builds ignore; the new kinds go only to hosts whose messages carried limits.

--- a/src/galenapass/forwarding/admission.py
+++ b/src/galenapass/forwarding/admission.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -94,24 +95,29 @@
     """Slots for which requests wait, and the mean time for which a slot is held.
 
     ``free`` is negative while more prompts are prefilled than there are slots;
-    ``schedulers`` is the number of schedulers that grant these slots.
+    ``schedulers`` is the number of schedulers that grant these slots. ``start_rate`` is
+    the number of requests a second that all targets together take, infinite unless
+    each of them limits its rate.
     """
 
     free: int
     total: int
     holding_ms: float
     schedulers: int = 1
+    start_rate: float = math.inf
 
     def wait_ms(self, ahead: int) -> float:
         """Return the expected wait behind ``ahead`` requests of the same queue.
 
-        Load pattern: many schedulers at the same full targets. They share both the
-        slots that become free and the lack of slots.
+        Load patterns: many schedulers at the same full targets. They share both the
+        slots that become free and the lack of slots. Targets all of which limit their
+        rate; their slots are free, and requests wait all the same.
         """
+        started_ms = 1000 * (ahead * self.schedulers + 1) / self.start_rate
         missing = ahead * self.schedulers - self.free + 1
         if missing <= 0 or not self.total:
-            return 0.0
-        return missing * self.holding_ms / self.total
+            return started_ms
+        return max(missing * self.holding_ms / self.total, started_ms)
 
 
 def has_capacity(load: Load) -> bool:
--- a/src/galenapass/forwarding/capacity.py
+++ b/src/galenapass/forwarding/capacity.py
@@ -1,9 +1,13 @@
 """Find the eligible targets of a slot request and count their free slots."""
 
+import math
+
 from galenapass.forwarding import admission, placement
 from galenapass.forwarding.admission import SlotCounts
 from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.permits import MIN_RATE, Permits
 from galenapass.forwarding.placement import Choice, View
+from galenapass.forwarding.rate_limits import list_limited
 from galenapass.forwarding.slot_requests import SlotRequest, Stage
 from galenapass.tables.targets import Role, Target
 
@@ -20,9 +24,10 @@
     ``peers`` is the number of other schedulers that grant slots at the same targets.
     """
 
-    def __init__(self, fleet: Fleet):
+    def __init__(self, fleet: Fleet, permits: Permits):
         self.peers = 0
         self._fleet = fleet
+        self._permits = permits
         self._eligible: dict[tuple[object, ...], list[Target]] = {}
 
     def clear(self) -> None:
@@ -37,6 +42,16 @@
             slot_request.service, role, slot_request.tried, slot_request.excluded
         )
 
+    def list_permitted(self, slot_request: SlotRequest) -> list[Target]:
+        """Return the eligible targets whose rate limit allows a request now.
+
+        Return all eligible targets if none does: the first permit may be for any.
+        """
+        eligible = self.list_eligible(slot_request)
+        if not self._fleet.rate_limits:
+            return eligible
+        return [t for t in eligible if self._permits.is_available(t)] or eligible
+
     def list_serving(self, service: str, role: Role | None = None) -> list[Target]:
         """Return all serving targets of a service, in a role if given."""
         return self._list(service, role, frozenset(), frozenset())
@@ -54,6 +69,8 @@
         """Return whether a prompt may be prefilled now, given the decode ``slots``."""
         if not admission.has_capacity(self._fleet.load_of(choice.target)):
             return False
+        if not self._permits.is_available(choice.target):
+            return False
         if choice.target.role is Role.PREFILL:
             return slots is None or slots.free > 0
         return self._has_slot(slot_request, choice.target)
@@ -62,17 +79,26 @@
         """Return the decode slots of a service, None if unknown."""
         serving = self.list_serving(service)
         counted = placement.count_decode_slots(serving, view)
-        if counted is None:
-            return None
-        free, total = counted
         decode = [t for t in serving if t.role is Role.DECODE]
-        return SlotCounts(free, total, self._mean_holding_ms(decode), self.peers + 1)
+        start_rate = min(self._find_start_rate(serving), self._find_start_rate(decode))
+        if counted is None and math.isinf(start_rate):
+            return None
+        free, total = counted if counted is not None else (1, 0)
+        return SlotCounts(
+            free, total, self._mean_holding_ms(decode), self.peers + 1, start_rate
+        )
 
     def count_call_slots(self, service: str) -> SlotCounts:
         """Return the slots of a plain service that has none free."""
         serving = self.list_serving(service)
         total = sum(target.slots for target in serving)
-        return SlotCounts(0, total, self._mean_holding_ms(serving), self.peers + 1)
+        return SlotCounts(
+            0,
+            total,
+            self._mean_holding_ms(serving),
+            self.peers + 1,
+            self._find_start_rate(serving),
+        )
 
     def count_prefill_engines(self, service: str) -> int:
         """Return this scheduler's share of the prefill engines, at least 1."""
@@ -95,6 +121,8 @@
         return self._eligible[key]
 
     def _has_slot(self, slot_request: SlotRequest, target: Target) -> bool:
+        if not self._permits.is_available(target):
+            return False
         load = self._fleet.load_of(target)
         if slot_request.stage is Stage.CALL:
             queue_slots = int(target.slots * QUEUED_CALLS_SHARE)
@@ -103,6 +131,16 @@
         cache_tokens = service.cache_tokens if service is not None else 0
         return placement.has_slot(target, load, slot_request.tokens, cache_tokens)
 
+    def _find_start_rate(self, targets: list[Target]) -> float:
+        """Return the requests a second that targets take, infinite if one is unlimited.
+
+        Return infinity also without any target.
+        """
+        limited = list_limited(self._fleet.rate_limits, targets)
+        if not limited or len(limited) < len(targets):
+            return math.inf
+        return max(sum(rate for _, rate in limited), MIN_RATE)
+
     def _mean_holding_ms(self, targets: list[Target]) -> float:
         """Return the mean milliseconds for which a slot is held, 0 if unknown."""
         holding = [self._fleet.load_of(target).holding_ms for target in targets]
--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -13,7 +13,10 @@
 from result import Err, Ok, Result
 
 from galenapass.forwarding.announcements import Announcement, TargetWork
+from galenapass.forwarding.limit_sharing import LimitNotice
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.permits import Permit, PermitRequest
+from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
 from galenapass.forwarding.slot_requests import (
     Grant,
@@ -43,17 +46,25 @@
 
 @dataclass(slots=True, frozen=True)
 class Ping:
-    """Request for the state of a scheduler; carries the known configuration version."""
+    """Request for the state of a scheduler; carries the known configuration version.
+
+    ``limits`` is None if the sender's build does not know rate limits.
+    """
 
     version: int
+    limits: tuple[LimitNotice, ...] | None = ()
 
 
 @dataclass(slots=True, frozen=True)
 class Pong:
-    """Answer to a ping; ``is_fresh`` if the sender receives updates from the store."""
+    """Answer to a ping; ``is_fresh`` if the sender receives updates from the store.
+
+    ``limits`` is None if the sender's build does not know rate limits.
+    """
 
     version: int
     is_fresh: bool
+    limits: tuple[LimitNotice, ...] | None = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,6 +100,8 @@
     | Pong
     | TargetLeaving
     | Announcement
+    | PermitRequest
+    | Permit
 )
 
 
@@ -305,6 +318,39 @@
     )
 
 
+def _encode_limits(
+    limits: tuple[LimitNotice, ...] | None, now: timedelta
+) -> list[Any] | None:
+    if limits is None:
+        return None
+    return [
+        [*notice.incarnation, limit.rate, (now - limit.named_at) // MILLISECOND]
+        for notice in limits
+        for limit in (notice.limit,)
+    ]
+
+
+def _decode_limits(row: list[Any], now: timedelta) -> tuple[LimitNotice, ...] | None:
+    """Decode the limits that end a message; messages of earlier builds lack them."""
+    if not row or row[0] is None:
+        return None
+    return tuple(
+        LimitNotice(
+            (str(target), str(incarnation)),
+            RateLimit(
+                None if rate is None else max(float(rate), 0.0),
+                now - max(int(age), 0) * MILLISECOND,
+            ),
+        )
+        for target, incarnation, rate, age in row[0]
+    )
+
+
+def _decode_permit_request(host: str, row: list[Any], now: timedelta) -> PermitRequest:
+    target, incarnation, count = row
+    return PermitRequest((str(target), str(incarnation)), int(count))
+
+
 Encode = Callable[[Any, timedelta], list[Any]]
 Decode = Callable[[str, list[Any], timedelta], PeerMessage]
 
@@ -321,13 +367,19 @@
     SlotRelease: ("end", _encode_release, _decode_release),
     Ping: (
         "ping",
-        lambda ping, now: [ping.version],
-        lambda host, row, now: Ping(int(row[0])),
+        lambda ping, now: [ping.version, _encode_limits(ping.limits, now)],
+        lambda host, row, now: Ping(int(row[0]), _decode_limits(row[1:], now)),
     ),
     Pong: (
         "pong",
-        lambda pong, now: [pong.version, pong.is_fresh],
-        lambda host, row, now: Pong(int(row[0]), bool(row[1])),
+        lambda pong, now: [
+            pong.version,
+            pong.is_fresh,
+            _encode_limits(pong.limits, now),
+        ],
+        lambda host, row, now: Pong(
+            int(row[0]), bool(row[1]), _decode_limits(row[2:], now)
+        ),
     ),
     TargetLeaving: (
         "left",
@@ -335,5 +387,15 @@
         lambda host, row, now: TargetLeaving(str(row[0]), str(row[1])),
     ),
     Announcement: ("news", _encode_announcement, _decode_announcement),
+    PermitRequest: (
+        "want",
+        lambda request, now: [*request.incarnation, request.count],
+        _decode_permit_request,
+    ),
+    Permit: (
+        "permit",
+        lambda permit, now: [*permit.incarnation],
+        lambda host, row, now: Permit((str(row[0]), str(row[1]))),
+    ),
 }
 _DECODERS = {kind: decode for kind, _, decode in _CODECS.values()}
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -85,7 +85,14 @@
 
     def view(self, now: timedelta) -> View:
         """Return the state from which a target is chosen."""
-        return View(self.loads, self.domain_failures, self.domain, now, self.rates)
+        return View(
+            self.loads,
+            self.domain_failures,
+            self.domain,
+            now,
+            self.rates,
+            self.rate_limits,
+        )
 
 
 def accept_routes(fleet: Fleet, table: RouteTable) -> bool:
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -21,7 +21,9 @@
     TargetLeaving,
 )
 from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.limit_sharing import LimitNotice, LimitSharing
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.permits import Permit, PermitRequest, Permits
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import Address
 from galenapass.forwarding.scheduling import Scheduler
@@ -72,6 +74,7 @@
         on_version: Callable[[int], None],
         list_split_goals: Callable[[], Iterable[tuple[str, float]]],
         on_announcement: Callable[[Announcement], None],
+        permits: Permits,
     ):
         self.endpoint = DatagramEndpoint(tables.host, clock, self._receive)
         self.slot_client = SlotClient(scheduler, scheduler_selection, self._send, clock)
@@ -84,6 +87,9 @@
         self._list_split_goals = list_split_goals
         self._on_announcement = on_announcement
         self._peers: Peers = {}
+        self._limit_sharing = LimitSharing(tables.rate_limits, clock)
+        self._permits = permits
+        permits.connect(self, self._send, scheduler.wake)
         self._unannounced_parts: deque[tuple[str, PartDigest]] = deque(maxlen=4000)
         self._leaving: dict[tuple[str, str], timedelta] = {}
         self._orders: dict[str, tuple[Role, timedelta]] = {}
@@ -100,6 +106,10 @@
             Pong: self._apply_pong,
             TargetLeaving: self._apply_leaving,
             Announcement: self._apply_announcement,
+            PermitRequest: lambda host, address, request: self._permits.apply_request(
+                host, request
+            ),
+            Permit: lambda host, address, permit: self._permits.apply_permit(permit),
         }
 
     def announce_parts(self, target: Target, parts: tuple[PartDigest, ...]) -> None:
@@ -118,6 +128,29 @@
         """Announce that an engine accepted an order of a role."""
         self._orders[target.id] = (role, self._clock.monotonic())
 
+    def announce_limits(self) -> None:
+        """Tell the schedulers at once what targets' responses named."""
+        if self._scheduler_selection.is_scheduler:
+            self._share_limits(self._scheduler_selection.list_peers(self._peers))
+            return
+        for host in self._scheduler_selection.list_schedulers()[:1]:
+            self._send(host, self._make_ping())
+
+    def list_issuers(self) -> list[str]:
+        """Return the schedulers that may issue permits, this host included.
+
+        A host that schedules for itself only hears no other scheduler.
+        """
+        if not self._scheduler_selection.serves_other_hosts:
+            return [self._fleet.host]
+        return [self._fleet.host, *(self._limit_sharing.aware & set(self._peers))]
+
+    def find_issued_share(self) -> float:
+        """Return the share of a limit that belongs to the schedulers heard."""
+        issuers = len(self.list_issuers())
+        known = self._scheduler_selection.count_schedulers(self._peers)
+        return issuers / max(issuers, known)
+
     def measure_demand(self, service: str) -> MeasuredDemand:
         """Return the demand for a service over all schedulers."""
         own = self._measure_own(service)
@@ -129,7 +162,7 @@
         """Ping the schedulers of this daemon until cancelled."""
         while True:
             for host in self._scheduler_selection.list_due_pings():
-                self._send(host, Ping(self._find_newest_version()))
+                self._send(host, self._make_ping())
             await asyncio.sleep(self._scheduler_selection.ping_interval.total_seconds())
 
     async def run_announcements(self) -> None:
@@ -141,6 +174,8 @@
             now = self._clock.monotonic()
             if self._scheduler_selection.serves_other_hosts:
                 self._announce(addresses, now)
+                if self._limit_sharing.is_due():
+                    self._share_limits(addresses)
             for name in announcements.forget_silent(self._peers, now):
                 _log("peer is silent", peer=name)
             self._scheduler.set_peer_count(len(self._peers))
@@ -186,6 +221,12 @@
         for address in addresses:
             self.endpoint.send(address, announcement)
 
+    def _share_limits(self, addresses: list[Address]) -> None:
+        self._limit_sharing.record_share()
+        pong = self._make_pong()
+        for address in addresses:
+            self.endpoint.send(address, pong)
+
     def _measure_own(self, service: str) -> list[MeasuredDemand]:
         measured = self._scheduler.demand.get(service)
         if measured is None:
@@ -235,11 +276,13 @@
 
     def _apply_ping(self, host: str, address: Address, ping: Ping) -> None:
         self._scheduler_selection.record_client(host, address)
+        self._apply_limits(host, ping.limits)
         self._apply_version(ping.version)
         self.endpoint.send(address, self._make_pong())
 
     def _apply_pong(self, host: str, address: Address, pong: Pong) -> None:
         self._scheduler_selection.record_pong(host, pong.is_fresh)
+        self._apply_limits(host, pong.limits)
         self._apply_version(pong.version)
 
     def _apply_leaving(
@@ -260,6 +303,10 @@
             self._on_announcement(announcement)
             self._scheduler.wake()
 
+    def _apply_limits(self, host: str, limits: tuple[LimitNotice, ...] | None) -> None:
+        if self._limit_sharing.apply(host, limits):
+            self._scheduler.wake()
+
     def _apply_version(self, version: int) -> None:
         """Report a newer configuration to clients, even if it cannot be read here.
 
@@ -274,4 +321,10 @@
         return max(self._newest_version, self._fleet.routes.version)
 
     def _make_pong(self) -> Pong:
-        return Pong(self._find_newest_version(), self._scheduler_selection.is_fresh)
+        notices = self._limit_sharing.next_notices()
+        is_fresh = self._scheduler_selection.is_fresh
+        return Pong(self._find_newest_version(), is_fresh, notices)
+
+    def _make_ping(self) -> Ping:
+        notices = self._limit_sharing.next_notices()
+        return Ping(self._find_newest_version(), notices)
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -3,6 +3,7 @@
 Pure functions: tables, time and failure domain of the daemon are passed in.
 """
 
+import math
 from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -22,6 +23,7 @@
     estimate_failures,
     estimate_queue_delay,
 )
+from galenapass.forwarding.rate_limits import RateLimits, find_rate_limit
 from galenapass.forwarding.requests import Prompt
 from galenapass.tables.targets import Role, Target, TargetState
 
@@ -32,9 +34,11 @@
     "choose_plain",
     "choose_prefill",
     "count_decode_slots",
+    "count_usable_slots",
     "has_slot",
     "lacks_decode_engine",
     "list_eligible",
+    "list_unlimited",
     "list_up",
 ]
 
@@ -66,6 +70,8 @@
 DECODE_ENGINE_PREFILL_SPEED = 0.5
 # A target with at least this share of failing sends is considered down.
 DOWN_FAILURE_SHARE = 0.4
+# Time for which a request holds its slot, until one was measured.
+DEFAULT_HOLDING_MS = 1000.0
 # Bonus of the preferred engine of a prefix, so that daemons which place the same new
 # prefix at the same time choose the same engine.
 PREFERRED_BONUS_MS = 15.0
@@ -75,7 +81,8 @@
 class View:
     """Input of a choice: loads, failures between domains, own domain and time.
 
-    ``rates`` holds the prefill rate of each service's engines.
+    ``rates`` holds the prefill rate of each service's engines, ``limits`` the requests
+    a second that targets take from all hosts.
     """
 
     loads: Loads
@@ -83,6 +90,7 @@
     domain: str
     now: timedelta
     rates: dict[str, PrefillRate] = field(default_factory=dict)
+    limits: RateLimits = field(default_factory=dict)
 
     def load_of(self, target: Target) -> Load:
         """Return the load of a target, empty if unknown."""
@@ -176,6 +184,32 @@
     return [target for target in eligible if not view.is_down(target)] or eligible
 
 
+def list_unlimited(eligible: list[Target], view: View) -> list[Target]:
+    """Return the targets that do not limit their rate, or all if all do.
+
+    Load pattern: a target that takes fewer requests than its share of the load. It is
+    no home for prompt parts that many requests share.
+    """
+    if not view.limits:
+        return eligible
+    return [
+        target for target in eligible if find_rate_limit(view.limits, target) is None
+    ] or eligible
+
+
+def count_usable_slots(target: Target, view: View) -> int:
+    """Return how many slots a target's rate limit allows to be used.
+
+    Load pattern: an engine with dozens of slots that takes two requests a second;
+    prompts prefilled for its free slots would wait for it.
+    """
+    rate = find_rate_limit(view.limits, target) if view.limits else None
+    if rate is None:
+        return target.slots
+    holding_ms = view.load_of(target).holding_ms or DEFAULT_HOLDING_MS
+    return min(target.slots, math.ceil(rate * holding_ms / 1000))
+
+
 def choose_prefill(
     eligible: list[Target],
     prompt: Prompt,
@@ -191,7 +225,7 @@
     has to prefill the prefix again or to fetch it from one of ``cache_sources``.
     """
     eligible = _list_prefill_engines(eligible, view)
-    preferred = _find_preferred(eligible, parts)
+    preferred = _find_preferred(list_unlimited(eligible, view), parts)
     sources = _list_cache_sources(cache_sources or [], parts, view)
 
     def score(target: Target) -> Choice:
@@ -273,8 +307,8 @@
     decode = [t for t in serving if t.role is Role.DECODE and not view.is_down(t)]
     if not decode or not all(target.slots for target in decode):
         return None
-    total = sum(target.slots for target in decode)
-    decoding = sum(view.load_of(target).sequences for target in decode)
+    total = sum(count_usable_slots(target, view) for target in decode)
+    decoding = sum(_count_sequences(target, view) for target in decode)
     prefilling = sum(
         load.prompts + load.peer_prompts
         for target in serving
@@ -284,6 +318,16 @@
     return total - decoding - prefilling, total
 
 
+def _count_sequences(target: Target, view: View) -> int:
+    """Return how many of a target's usable slots are in use.
+
+    Sequences that began before a target named its limit may be more than these.
+    """
+    sequences = view.load_of(target).sequences
+    usable = count_usable_slots(target, view)
+    return min(sequences, usable) if usable < target.slots else sequences
+
+
 def choose_decode(
     eligible: list[Target], source: Target | None, view: View
 ) -> Choice | None:
--- a/src/galenapass/forwarding/rate_limits.py
+++ b/src/galenapass/forwarding/rate_limits.py
@@ -4,6 +4,7 @@
 one or none.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -14,12 +15,16 @@
     "RateLimit",
     "RateLimits",
     "find_rate_limit",
+    "forget_rate_limits",
+    "list_limited",
     "merge_rate_limit",
     "record_rate_limit",
 ]
 
 # Incarnations that are remembered; far more than a deployment has targets.
 MAX_RATE_LIMITS = 4096
+# Messages of other hosts may be this old.
+FORGET_DELAY = timedelta(seconds=30)
 
 # A target's id and incarnation.
 Incarnation = tuple[str, str]
@@ -79,3 +84,26 @@
     while len(limits) > MAX_RATE_LIMITS:
         del limits[next(iter(limits))]
     return (known.rate if known is not None else None) != limit.rate
+
+
+def list_limited(
+    limits: RateLimits, targets: Iterable[Target]
+) -> list[tuple[Target, float]]:
+    """Return the targets that limit their rate, each with its limit."""
+    if not limits:
+        return []
+    found = ((target, find_rate_limit(limits, target)) for target in targets)
+    return [(target, rate) for target, rate in found if rate is not None]
+
+
+def forget_rate_limits(
+    limits: RateLimits, targets: dict[str, Target], now: timedelta
+) -> None:
+    """Drop the limits that have ended, and those of targets that are gone."""
+    for incarnation, limit in list(limits.items()):
+        name, start = incarnation
+        is_current = name in targets and targets[name].incarnation == start
+        if limit.rate is not None and is_current:
+            continue
+        if now - limit.named_at > FORGET_DELAY:
+            del limits[incarnation]
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -67,6 +67,7 @@
     """Dispatcher of requests to targets, with retries.
 
     ``on_left`` is called with a target that reports that it is leaving,
+    ``on_limit_change`` when a target names another rate limit or none,
     ``on_limited_send`` before each send to a target that limits its rate.
     """
 
@@ -79,6 +80,7 @@
         clock: Clock,
         terms: RetryBudgetTerms,
         on_left: Callable[[Target], None],
+        on_limit_change: Callable[[], None],
         on_limited_send: Callable[[Target, Stage], None],
     ):
         self.terms = terms
@@ -89,6 +91,7 @@
         self._suspects = suspects
         self._clock = clock
         self._on_left = on_left
+        self._on_limit_change = on_limit_change
         self._on_limited_send = on_limited_send
         self._sender = Sender(target_client, suspects, clock)
         self._budgets: dict[str, Budget] = {}
@@ -356,6 +359,7 @@
         incarnation = (target.id, target.incarnation)
         if record_rate_limit(limits, incarnation, rate, notice.sent_at, now):
             _log("target limit changed", target=target.id, rate=rate, before=before)
+            self._on_limit_change()
 
 
 _NO_TARGET = Verdict(
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -231,6 +231,16 @@
         names.discard(self._host)
         return [self._addresses[name] for name in sorted(names & set(self._addresses))]
 
+    def count_schedulers(self, active: Iterable[str]) -> int:
+        """Return how many hosts may schedule at the same time as this one.
+
+        A host that schedules for itself only does so when it reaches no scheduler, so
+        each of the other hosts may do the same.
+        """
+        if not self.serves_other_hosts:
+            return len(self._state.hosts or {})
+        return len({self._host, *active}.union(*self._state.designated.values()))
+
     def list_clients(self) -> list[Address]:
         """Return the addresses of the hosts that use this one as their scheduler."""
         now = self._clock.monotonic()
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -19,6 +20,7 @@
 from galenapass.forwarding.fleet import Fleet, find_back_off, record_target_parts
 from galenapass.forwarding.grants import RELEASE_SLACK, GrantTable
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.placement import Choice, View
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest, Stage
 from galenapass.forwarding.workload import ServiceDemand
@@ -77,7 +79,14 @@
 class Scheduler:
     """Granted slots and waiting slot requests of one scheduler."""
 
-    def __init__(self, fleet: Fleet, clock: Clock, random: Random, hooks: Hooks):
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        random: Random,
+        hooks: Hooks,
+        permits: Permits,
+    ):
         self._fleet = fleet
         self._clock = clock
         self._random = random
@@ -87,7 +96,8 @@
         self._is_pass_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._retry_times: dict[tuple[str, Stage], RetryTimes] = {}
-        self._capacity = Capacity(fleet)
+        self._permits = permits
+        self._capacity = Capacity(fleet, permits)
 
     @property
     def demand(self) -> dict[str, ServiceDemand]:
@@ -140,6 +150,7 @@
         self._is_pass_scheduled = False
         now = self._clock.monotonic()
         self._capacity.clear()
+        self._request_permits()
         view = self._fleet.view(now)
         stages = {
             Stage.DECODE: self._grant_decodes,
@@ -162,15 +173,35 @@
                         self._refuse(slot_request, _FAILED)
         self._set_timer(bool(self._waiting))
 
+    def _request_permits(self) -> None:
+        """Request permits for the targets that limit their rate and could serve."""
+        if not self._fleet.rate_limits:
+            return
+        services = Counter(w.slot_request.service for w in self._waiting.values())
+        for service, count in services.items():
+            self._permits.request(self._capacity.list_serving(service), count)
+
     # Prefill
 
     def _grant_prefills(self, slot_requests: list[SlotRequest], view: View) -> None:
         def choose(slot_request: SlotRequest) -> Choice | None:
             return self._choose_recent(slot_request, view)
 
-        count_decode_slots = self._capacity.count_decode_slots
+        # Prefilled prompts that wait for a decode slot come first.
+        prefilled = Counter(
+            waiter.slot_request.service
+            for waiter in self._waiting.values()
+            if waiter.slot_request.stage is Stage.DECODE
+        )
+
+        def count_decode_slots(service: str) -> SlotCounts | None:
+            slots = self._capacity.count_decode_slots(service, view)
+            if slots is None:
+                return None
+            return replace(slots, free=slots.free - prefilled[service])
+
         services = {slot_request.service for slot_request in slot_requests}
-        free = {name: count_decode_slots(name, view) for name in services}
+        free = {name: count_decode_slots(name) for name in services}
         left: dict[str, list[SlotRequest]] = {}
         for slot_request in admission.order_waiting(slot_requests, choose, view.now):
             refusal = self._check_prompt(slot_request, choose(slot_request), view)
@@ -179,9 +210,7 @@
             elif not self._try_prefill(slot_request, view, free[slot_request.service]):
                 left.setdefault(slot_request.service, []).append(slot_request)
             else:
-                free[slot_request.service] = count_decode_slots(
-                    slot_request.service, view
-                )
+                free[slot_request.service] = count_decode_slots(slot_request.service)
         for name, waiting in left.items():
             for slot_request in admission.find_unservable(
                 waiting, choose, view.now, free[name]
@@ -291,7 +320,7 @@
 
     def _choose_prefill(self, slot_request: SlotRequest, view: View) -> Choice | None:
         assert slot_request.prompt is not None
-        eligible = self._capacity.list_eligible(slot_request)
+        eligible = self._capacity.list_permitted(slot_request)
         cache_sources = self._capacity.list_serving(slot_request.service)
         return placement.choose_prefill(
             eligible,
@@ -314,6 +343,7 @@
             choice.why,
             choice.cache_source.address if choice.cache_source is not None else None,
         )
+        self._permits.spend(choice.target)
         self._grants.add(slot_request, grant)
         self._waiting.pop(slot_request.ticket).answer(Ok(grant))
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -20,7 +20,9 @@
 from galenapass.forwarding.fleet import Fleet, record_target_parts
 from galenapass.forwarding.hosts import HostRegistry
 from galenapass.forwarding.peering import Peering
+from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.planning import RolePlanner
+from galenapass.forwarding.rate_limits import forget_rate_limits
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.request_handler import RequestHandler, make_server
 from galenapass.forwarding.routes import RouteTable
@@ -105,8 +107,9 @@
         self.suspects = CrashSuspects(
             World(settings.host, settings.domain), self.clock, self._publish_crashes
         )
+        permits = Permits(settings.host, self.fleet.rate_limits, self.clock)
         self.scheduler = Scheduler(
-            self.fleet, self.clock, self.random, self._make_hooks()
+            self.fleet, self.clock, self.random, self._make_hooks(), permits
         )
         self.states = EngineStateTracker(
             self.fleet, self.runner_client, self.clock, self.scheduler.wake
@@ -129,6 +132,7 @@
             lambda version: self.poller.handle_peer_version(version),
             self._list_split_goals,
             self._apply_announcement,
+            permits,
         )
         self.split_goals = SplitGoals(
             self.fleet,
@@ -144,6 +148,7 @@
             self.clock,
             settings.budget,
             self._handle_target_leaving,
+            self.peering.announce_limits,
             self._count_limited_send,
         )
         self.request_handler = RequestHandler(
@@ -423,6 +428,9 @@
             await asyncio.sleep(UPKEEP_PERIOD.total_seconds())
             self.store_updates.drop_overdue()
             loads.forget_targets(self.fleet.loads, self.fleet.targets)
+            forget_rate_limits(
+                self.fleet.rate_limits, self.fleet.targets, self.clock.monotonic()
+            )
 
     # Crashes
 
--- a/tests/test_forwarding_datagrams.py
+++ b/tests/test_forwarding_datagrams.py
@@ -17,7 +17,10 @@
     SlotRefusal,
     TargetLeaving,
 )
+from galenapass.forwarding.limit_sharing import LimitNotice
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.permits import Permit, PermitRequest
+from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
 from galenapass.forwarding.slot_requests import (
     Grant,
@@ -107,6 +110,19 @@
     names,
     st.none() | st.integers(0, 9000).map(lambda ms: ms * MS),
 )
+incarnations = st.tuples(names, names)
+limit_notices = st.none() | st.lists(
+    st.builds(
+        LimitNotice,
+        incarnations,
+        st.builds(
+            RateLimit,
+            st.none() | amounts,
+            st.integers(-(10**8), -(10**7)).map(lambda n: n * MS),
+        ),
+    ),
+    max_size=3,
+).map(tuple)
 messages = (
     announcement_values
     | slot_requests
@@ -122,8 +138,10 @@
         st.booleans(),
         counts,
     )
-    | st.builds(Ping, counts)
-    | st.builds(Pong, counts, st.booleans())
+    | st.builds(Ping, counts, limit_notices)
+    | st.builds(Pong, counts, st.booleans(), limit_notices)
+    | st.builds(PermitRequest, incarnations, counts)
+    | st.builds(Permit, incarnations)
     | st.builds(TargetLeaving, names, names)
 )
 rows = st.recursive(
@@ -142,6 +160,22 @@
         data = datagrams.encode_datagram(host, [row])
         self.assertEqual(Ok((host, [message])), datagrams.decode_datagram(data, now))
 
+    def test_messages_of_a_build_without_rate_limits_are_read(self):
+        # As 840d00a wrote them.
+        data = b'["h2",[["ping",7],["pong",7,true]]]'
+        expected = [Ping(7, None), Pong(7, True, None)]
+        self.assertEqual(Ok(("h2", expected)), datagrams.decode_datagram(data, 0 * MS))
+
+    def test_a_build_without_rate_limits_reads_pings_and_pongs(self):
+        # It reads these elements and ignores the rest.
+        notice = LimitNotice(("e1", "7"), RateLimit(2.5, 0 * MS))
+        for message, read in (
+            (Ping(7, (notice,)), ["ping", 7]),
+            (Pong(7, True, (notice,)), ["pong", 7, True]),
+        ):
+            row = datagrams.encode_message(message, 9 * MS)
+            self.assertEqual(read, row[: len(read)])
+
     @given(st.binary(max_size=200))
     def test_no_bytes_raise(self, data):
         datagrams.decode_datagram(data, 0 * MS)
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -10,6 +10,7 @@
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
+from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.platform.messages import ObjectChange
 from galenapass.tables.targets import Role, TargetState
@@ -34,6 +35,7 @@
             self.versions.append,
             lambda: (),
             lambda announcement: None,
+            Permits("h1", self.fleet.rate_limits, self.clock),
         )
         self.peering.endpoint = self
 
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -12,6 +12,7 @@
 from galenapass.clocks import ManualClock
 from galenapass.forwarding import grants, loads
 from galenapass.forwarding.loads import digest_parts
+from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.scheduling import Hooks, Scheduler
 from galenapass.forwarding.slot_requests import Outcome, SlotRelease, SlotRequest, Stage
 from galenapass.tables.targets import Role
@@ -45,7 +46,10 @@
     def __init__(self, *targets, **hooks):
         self.clock = ManualClock()
         self.fleet = make_fleet(*targets)
-        self.scheduler = Scheduler(self.fleet, self.clock, Random(1), Hooks(**hooks))
+        self.permits = Permits("host-1", self.fleet.rate_limits, self.clock)
+        self.scheduler = Scheduler(
+            self.fleet, self.clock, Random(1), Hooks(**hooks), self.permits
+        )
         self.answers = {}
 
     def submit(self, slot_request):
