Bear a store that returns to an older copy of itself

Callers and operators would have seen, after such a drill: targets that had left in use again, two hosts that order roles under one fence, changes of targets that no host ever hears of.

Cause: what the store acknowledged was taken to hold for ever, and a revision to name one content. Now the store's epoch (header Store-Era) is read from every answer and told to peers. A later one means: give the lease up, list every kind anew, register again, publish crash suspects again. Fences hold the epoch above FENCES_PER_EPOCH, so they rise without knowing the last holder; nobody acquires a lease that the store may have lost within a term of the restore. Targets that were draining or removed stay out (the latter for 5 s, when their entries have expired), earlier incarnations and older configurations do not come back, missing entries have their 2 s.

RestoreMachine in test_leases.py is a state machine with restores from copies of any age; it fails without the epoch and without the rule that an object of an earlier epoch is nobody's own.

The soak restores the store (--restores); these faults are drawn apart, so the plan of every seed stays.

The claims of the product's own interface are not covered: its object API names no epoch (docs/DESIGN.md).

--- a/experiments/soak/__main__.py
+++ b/experiments/soak/__main__.py
@@ -26,6 +26,12 @@
 )
 @click.option("--daemons", default=3, show_default=True, help="Number of daemons.")
 @click.option("--clients", default=12, show_default=True, help="Concurrent clients.")
+@click.option(
+    "--restores",
+    default=1,
+    show_default=True,
+    help="Number of times the store returns to an older copy.",
+)
 @click.option(
     "--folder",
     type=click.Path(path_type=Path, file_okay=False),
@@ -38,6 +44,7 @@
     faults: int,
     daemons: int,
     clients: int,
+    restores: int,
     folder: Path | None,
     regressions: bool,
 ) -> None:
@@ -45,13 +52,22 @@
     seeds = [time.time_ns() % 10**9 if seed is None else seed]
     if regressions:
         seeds = [int(section) for section in read_regressions()]
+        restores = 0
     violation_count = 0
     for current_seed in seeds:
         click.echo(f"seed {current_seed}")
         log_folder = folder or Path(tempfile.mkdtemp(prefix=f"soak-{current_seed}-"))
         log_folder.mkdir(parents=True, exist_ok=True)
         report = asyncio.run(
-            run_soak(current_seed, seconds, faults, daemons, clients, log_folder)
+            run_soak(
+                current_seed,
+                seconds,
+                faults,
+                daemons,
+                clients,
+                log_folder,
+                restores,
+            )
         )
         click.echo(describe(report))
         click.echo(f"logs in {log_folder}")
--- a/experiments/soak/faults.py
+++ b/experiments/soak/faults.py
@@ -5,7 +5,14 @@
 
 from experiments.soak.proxies import Disturbance
 
-__all__ = ["DAEMON_FAULTS", "Fault", "RUNNER_FAULTS", "STORE_FAULTS", "plan_faults"]
+__all__ = [
+    "DAEMON_FAULTS",
+    "RUNNER_FAULTS",
+    "STORE_FAULTS",
+    "Fault",
+    "plan_faults",
+    "plan_restores",
+]
 
 # Shortest and longest duration of each kind in seconds; 0 for faults without an end.
 DAEMON_FAULTS = {
@@ -37,6 +44,8 @@
 }
 LINK_SECONDS = (0.3, 4.0)
 LINK_FAULTS = tuple(d.value for d in Disturbance if d is not Disturbance.NONE)
+# Duration of the outage with which the store returns to an older copy.
+RESTORE_SECONDS = (0.2, 1.0)
 # Share of the faults that are applied to each component of a group in turn.
 SERIES_SHARE = 0.15
 SERIES_GAP_SECONDS = 0.3
@@ -82,6 +91,20 @@
     return sorted(faults, key=lambda fault: (fault.at, fault.component))
 
 
+def plan_restores(seed: int, seconds: float, count: int) -> list[Fault]:
+    """Return ``count`` restores of the store from an older copy.
+
+    They are drawn apart from the other faults, whose plan does not depend on them.
+    """
+    random = Random(f"{seed}-restores")
+    faults = []
+    for _ in range(count):
+        duration = random.uniform(*RESTORE_SECONDS)
+        at = random.uniform(0, seconds - duration)
+        faults.append(Fault(at, duration, "restore", "store"))
+    return faults
+
+
 def _draw_group(
     random: Random, daemons: list[str], runners: list[str]
 ) -> tuple[dict[str, tuple[float, float]], list[str]]:
--- a/src/galenapass/duties/lease_keeper.py
+++ b/src/galenapass/duties/lease_keeper.py
@@ -1,6 +1,7 @@
 """Acquire, renew and release a lease that the platform stores."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from result import Result
@@ -45,14 +46,24 @@
 
 
 class LeaseKeeper:
-    """One daemon's lease, with the calls that acquire, renew and release it."""
+    """One daemon's lease, with the calls that acquire, renew and release it.
 
-    __slots__ = ("_clock", "_objects", "lease")
+    ``find_epoch`` returns the store's epoch, 0 while it is unknown.
+    """
 
-    def __init__(self, lease: Lease, clock: Clock, objects: LeaseObjects):
+    __slots__ = ("_clock", "_find_epoch", "_objects", "lease")
+
+    def __init__(
+        self,
+        lease: Lease,
+        clock: Clock,
+        objects: LeaseObjects,
+        find_epoch: Callable[[], int] = lambda: 0,
+    ):
         self.lease = lease
         self._clock = clock
         self._objects = objects
+        self._find_epoch = find_epoch
 
     @property
     def fence(self) -> int | None:
@@ -65,9 +76,14 @@
         """Return whether this daemon holds a valid lease now."""
         return leases.is_valid(self.lease, self._clock.monotonic())
 
+    def apply_epoch(self) -> None:
+        """Give the lease up if the store was restored."""
+        leases.apply_epoch(self.lease, self._find_epoch(), self._clock.monotonic())
+
     async def step(self) -> None:
         """Try to acquire the lease, or renew it when that is due."""
         was_holder = self.is_holder
+        self.apply_epoch()
         await self._perform_effects(
             step_lease(self.lease, LeaseTick(), self._clock.monotonic())
         )
@@ -88,10 +104,13 @@
             previous.domain, previous.host, previous.incarnation, previous.term
         )
         self.lease.writes = previous.writes
+        self.lease.epoch = previous.epoch
+        self.lease.unknown_until = previous.unknown_until
 
     async def _perform_effects(self, effect: LeaseEffect | None) -> None:
         while effect is not None:
             event: Any = await self._perform(effect)
+            self.apply_epoch()
             effect = step_lease(self.lease, event, self._clock.monotonic())
 
     async def _perform(self, effect: LeaseEffect) -> LeaseRead | LeaseWritten:
--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -48,23 +48,27 @@
 class Ping:
     """Request for the state of a scheduler; carries the known configuration version.
 
-    ``limits`` is None if the sender's build does not know rate limits.
+    ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
+    the store's epoch, None if unknown.
     """
 
     version: int
     limits: tuple[LimitNotice, ...] | None = ()
+    epoch: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class Pong:
     """Answer to a ping; ``is_fresh`` if the sender receives updates from the store.
 
-    ``limits`` is None if the sender's build does not know rate limits.
+    ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
+    the store's epoch, None if unknown.
     """
 
     version: int
     is_fresh: bool
     limits: tuple[LimitNotice, ...] | None = ()
+    epoch: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -346,6 +350,11 @@
     )
 
 
+def _decode_epoch(row: list[Any]) -> int | None:
+    """Decode the epoch that ends a message; messages of earlier builds lack it."""
+    return int(row[0]) if row and row[0] is not None else None
+
+
 def _decode_permit_request(host: str, row: list[Any], now: timedelta) -> PermitRequest:
     target, incarnation, count = row
     return PermitRequest((str(target), str(incarnation)), int(count))
@@ -367,8 +376,14 @@
     SlotRelease: ("end", _encode_release, _decode_release),
     Ping: (
         "ping",
-        lambda ping, now: [ping.version, _encode_limits(ping.limits, now)],
-        lambda host, row, now: Ping(int(row[0]), _decode_limits(row[1:], now)),
+        lambda ping, now: [
+            ping.version,
+            _encode_limits(ping.limits, now),
+            ping.epoch,
+        ],
+        lambda host, row, now: Ping(
+            int(row[0]), _decode_limits(row[1:], now), _decode_epoch(row[2:])
+        ),
     ),
     Pong: (
         "pong",
@@ -376,9 +391,13 @@
             pong.version,
             pong.is_fresh,
             _encode_limits(pong.limits, now),
+            pong.epoch,
         ],
         lambda host, row, now: Pong(
-            int(row[0]), bool(row[1]), _decode_limits(row[2:], now)
+            int(row[0]),
+            bool(row[1]),
+            _decode_limits(row[2:], now),
+            _decode_epoch(row[3:]),
         ),
     ),
     TargetLeaving: (
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -22,7 +22,9 @@
     "apply_listing",
     "apply_target",
     "apply_target_entry",
+    "begin_restore",
     "drop_overdue",
+    "end_restore",
     "find_back_off",
     "list_excluded",
     "record_back_off",
@@ -34,7 +36,13 @@
 
 # Entries that expired during an outage of the store are back about 2 s after it.
 RETURN_GRACE = timedelta(seconds=2)
-# Leaving targets that are remembered; far more than a deployment replaces at once.
+# Oldest copy from which the store is restored.
+MAX_COPY_AGE = timedelta(seconds=120)
+# An entry that nobody writes again after a restore has expired by then: the store
+# removes it after three heartbeats, and a busy one a little later.
+STALE_ENTRY_TIME = timedelta(seconds=5)
+# Leaving and removed targets that are remembered; far more than a deployment replaces
+# at once.
 MAX_LEAVING = 4096
 
 
@@ -50,6 +58,10 @@
     each service's engines. ``leaving`` maps targets that reported that they leave to
     their incarnation, and ``backing_off`` those that accept no work from this daemon
     to when that ends; ``rate_limits`` holds the rate limits that targets named.
+
+    ``removed`` maps targets whose entries were removed to their incarnation and the
+    time. After a restore of the store, until ``restored_until``, such targets are
+    ``withheld`` if an entry names them again.
     """
 
     host: str
@@ -67,6 +79,9 @@
     leaving: dict[str, str] = field(default_factory=dict)
     backing_off: dict[str, timedelta] = field(default_factory=dict)
     rate_limits: RateLimits = field(default_factory=dict)
+    removed: dict[str, tuple[str, timedelta]] = field(default_factory=dict)
+    withheld: dict[str, Target] = field(default_factory=dict)
+    restored_until: timedelta | None = None
 
     def load_of(self, target: Target) -> Load:
         """Return the load of a target, an empty one on first use."""
@@ -106,7 +121,10 @@
 def apply_target(fleet: Fleet, target: Target, now: timedelta) -> str | None:
     """Insert or update a target; return what changed for placement, if anything."""
     known = fleet.targets.get(target.id)
+    if _is_from_copy(fleet, target, now):
+        return None
     fleet.missing.pop(target.id, None)
+    fleet.removed.pop(target.id, None)
     if fleet.leaving.get(target.id) == target.incarnation:
         # An older entry, or one that expired and came back, does not undo it.
         target = replace(target, state=TargetState.LEAVING)
@@ -141,12 +159,13 @@
 def remove_target(fleet: Fleet, name: str, now: timedelta) -> str | None:
     """Apply the removal of an entry; return what changed, if anything."""
     target = fleet.targets.get(name)
+    fleet.withheld.pop(name, None)
     if target is None:
         return None
     if now < fleet.grace_until and target.state is not TargetState.LEAVING:
         fleet.missing.setdefault(name, fleet.grace_until)
         return "missing"
-    return _drop(fleet, name)
+    return _drop(fleet, name, now)
 
 
 def apply_listing(fleet: Fleet, targets: list[Target], now: timedelta) -> None:
@@ -217,18 +236,73 @@
     """Drop the targets whose entry did not come back; return their names."""
     overdue = [name for name, until in fleet.missing.items() if now >= until]
     for name in overdue:
-        _drop(fleet, name)
+        _drop(fleet, name, now)
     return overdue
 
 
+def begin_restore(fleet: Fleet, now: timedelta) -> None:
+    """Prepare for entries of an older copy of the store.
+
+    Load pattern: a store that returns to a copy some seconds old. The copy lacks
+    targets that joined since, and names those that left since as if they served.
+    """
+    start_return_grace(fleet, now)
+    for target in list(fleet.targets.values()):
+        if target.state is TargetState.LEAVING:
+            record_leaving(fleet, target.id, target.incarnation)
+    fleet.removed = {
+        name: (incarnation, at)
+        for name, (incarnation, at) in fleet.removed.items()
+        if now - at < MAX_COPY_AGE
+    }
+    fleet.restored_until = now + STALE_ENTRY_TIME
+
+
+def end_restore(fleet: Fleet, now: timedelta) -> list[Target]:
+    """Admit the withheld targets whose entries are still there after a restore."""
+    if fleet.restored_until is None or now < fleet.restored_until:
+        return []
+    admitted, fleet.withheld = list(fleet.withheld.values()), {}
+    fleet.restored_until = None
+    for target in admitted:
+        apply_target_entry(fleet, target, now)
+    return admitted
+
+
+def _is_from_copy(fleet: Fleet, target: Target, now: timedelta) -> bool:
+    """Return whether an entry may be older than what is known, and withhold it."""
+    if fleet.restored_until is None or now >= fleet.restored_until:
+        return False
+    known = fleet.targets.get(target.id)
+    if known is not None:
+        return _is_earlier(target.incarnation, known.incarnation)
+    incarnation, removed_at = fleet.removed.get(target.id, ("", now))
+    if removed_at > fleet.restored_until - STALE_ENTRY_TIME:
+        # It was not removed before the restore.
+        return False
+    if _is_earlier(incarnation, target.incarnation):
+        return False
+    fleet.withheld[target.id] = target
+    return True
+
+
+def _is_earlier(incarnation: str, other: str) -> bool:
+    """Return whether an incarnation started before another one, if that is known."""
+    if not (incarnation.isdecimal() and other.isdecimal()):
+        return False
+    return int(incarnation) < int(other)
+
+
 def _is_current_incarnation(fleet: Fleet, name: str, incarnation: str) -> bool:
     """Return whether a target, if known, still has this incarnation."""
     known = fleet.targets.get(name)
     return known is None or known.incarnation == incarnation
 
 
-def _drop(fleet: Fleet, name: str) -> str:
+def _drop(fleet: Fleet, name: str, now: timedelta) -> str:
     fleet.missing.pop(name, None)
     fleet.entry_changed_at.pop(name, None)
-    del fleet.targets[name]
+    fleet.removed[name] = (fleet.targets.pop(name).incarnation, now)
+    while len(fleet.removed) > MAX_LEAVING:
+        del fleet.removed[next(iter(fleet.removed))]
     return TargetState.GONE.value
--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -85,6 +85,11 @@
             is_listed = await self._list(stale=pause == LIST_PERIOD)
             pause = LIST_PERIOD if is_listed else INITIAL_LIST_DELAY
 
+    async def register_again(self) -> None:
+        """Write this host's entry, which a restored store may lack."""
+        await asyncio.sleep(self._random.uniform(0, MAX_START_DELAY_SECONDS))
+        await self._register()
+
     def find_candidate_pause(self, term: timedelta) -> timedelta:
         """Return the time until this host tries to acquire a lease again."""
         if self.rank < FREQUENT_CANDIDATES:
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -29,6 +29,7 @@
 from galenapass.forwarding.scheduling import Scheduler
 from galenapass.forwarding.slot_client import SlotClient
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
@@ -75,6 +76,7 @@
         list_split_goals: Callable[[], Iterable[tuple[str, float]]],
         on_announcement: Callable[[Announcement], None],
         permits: Permits,
+        epochs: StoreEpochs,
     ):
         self.endpoint = DatagramEndpoint(tables.host, clock, self._receive)
         self.slot_client = SlotClient(scheduler, scheduler_selection, self._send, clock)
@@ -89,6 +91,7 @@
         self._peers: Peers = {}
         self._limit_sharing = LimitSharing(tables.rate_limits, clock)
         self._permits = permits
+        self._epochs = epochs
         permits.connect(self, self._send, scheduler.wake)
         self._unannounced_parts: deque[tuple[str, PartDigest]] = deque(maxlen=4000)
         self._leaving: dict[tuple[str, str], timedelta] = {}
@@ -128,10 +131,10 @@
         """Announce that an engine accepted an order of a role."""
         self._orders[target.id] = (role, self._clock.monotonic())
 
-    def announce_limits(self) -> None:
-        """Tell the schedulers at once what targets' responses named."""
+    def announce_state(self) -> None:
+        """Tell the schedulers the rate limits of targets and the store's epoch."""
         if self._scheduler_selection.is_scheduler:
-            self._share_limits(self._scheduler_selection.list_peers(self._peers))
+            self._send_state(self._scheduler_selection.list_peers(self._peers))
             return
         for host in self._scheduler_selection.list_schedulers()[:1]:
             self._send(host, self._make_ping())
@@ -174,8 +177,8 @@
             now = self._clock.monotonic()
             if self._scheduler_selection.serves_other_hosts:
                 self._announce(addresses, now)
-                if self._limit_sharing.is_due():
-                    self._share_limits(addresses)
+                if self._limit_sharing.is_due() or self._epochs.is_new:
+                    self._send_state(addresses)
             for name in announcements.forget_silent(self._peers, now):
                 _log("peer is silent", peer=name)
             self._scheduler.set_peer_count(len(self._peers))
@@ -221,7 +224,7 @@
         for address in addresses:
             self.endpoint.send(address, announcement)
 
-    def _share_limits(self, addresses: list[Address]) -> None:
+    def _send_state(self, addresses: list[Address]) -> None:
         self._limit_sharing.record_share()
         pong = self._make_pong()
         for address in addresses:
@@ -277,12 +280,14 @@
     def _apply_ping(self, host: str, address: Address, ping: Ping) -> None:
         self._scheduler_selection.record_client(host, address)
         self._apply_limits(host, ping.limits)
+        self._epochs.observe(ping.epoch, host)
         self._apply_version(ping.version)
         self.endpoint.send(address, self._make_pong())
 
     def _apply_pong(self, host: str, address: Address, pong: Pong) -> None:
         self._scheduler_selection.record_pong(host, pong.is_fresh)
         self._apply_limits(host, pong.limits)
+        self._epochs.observe(pong.epoch, host)
         self._apply_version(pong.version)
 
     def _apply_leaving(
@@ -323,8 +328,10 @@
     def _make_pong(self) -> Pong:
         notices = self._limit_sharing.next_notices()
         is_fresh = self._scheduler_selection.is_fresh
-        return Pong(self._find_newest_version(), is_fresh, notices)
+        return Pong(
+            self._find_newest_version(), is_fresh, notices, self._epochs.current
+        )
 
     def _make_ping(self) -> Ping:
         notices = self._limit_sharing.next_notices()
-        return Ping(self._find_newest_version(), notices)
+        return Ping(self._find_newest_version(), notices, self._epochs.current)
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -84,6 +84,10 @@
         """Return whether this daemon holds the lease now."""
         return self._keeper.is_holder
 
+    def give_up_lease(self) -> None:
+        """Stop ordering roles, as the store was restored and may lack the lease."""
+        self._keeper.apply_epoch()
+
     async def run(self, pause: Callable[[], timedelta]) -> None:
         """Acquire the lease and order roles; ``pause`` returns the delay of a retry."""
         try:
--- a/src/galenapass/forwarding/store_updates.py
+++ b/src/galenapass/forwarding/store_updates.py
@@ -113,8 +113,15 @@
         """Record the time since which the store is available again."""
         tables.start_return_grace(self._fleet, since)
 
-    def drop_overdue(self) -> None:
-        """Drop the targets whose entries did not return in time after an outage."""
+    def handle_restore(self) -> None:
+        """Prepare for the entries of an older copy of the store."""
+        tables.begin_restore(self._fleet, self._clock.monotonic())
+
+    def step(self) -> None:
+        """Drop and admit the targets that waited since an outage or a restore."""
+        for target in tables.end_restore(self._fleet, self._clock.monotonic()):
+            _log("target is admitted after a restore", target=target.id)
+            self._on_change()
         for name in tables.drop_overdue(self._fleet, self._clock.monotonic()):
             _log("target did not return after an outage", target=name)
             self._on_change()
--- a/src/galenapass/forwarding/store_watches.py
+++ b/src/galenapass/forwarding/store_watches.py
@@ -90,6 +90,11 @@
         if self._watch_task is not None:
             self._watch_task.cancel()
 
+    def list_again(self) -> None:
+        """List all objects before the next watch, as the version means nothing now."""
+        self.version = None
+        self.restart()
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -61,6 +61,11 @@
         if suspect is not None:
             suspect.cleared |= suspect.crashes
 
+    async def publish_again(self) -> None:
+        """Publish the suspects again, which a restored store may lack."""
+        if self._world.crashes.suspects:
+            await self._publish_updates()
+
     async def check_for_crash(self, request: ForwardedRequest, target: Target) -> None:
         """Record a crash if a target that failed a request accepts no connections."""
         if not request.fingerprint or await _accepts_connections(target):
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -89,6 +89,7 @@
     ticks: Histogram
     failures: Counter
     limited_sends: Counter
+    store_restores: Counter
 
 
 def make_metrics() -> Metrics:
@@ -107,6 +108,7 @@
         ticks=Histogram(registry, "galenapass_tick_seconds"),
         failures=Counter(registry, "galenapass_failures", "duty"),
         limited_sends=Counter(registry, "galenapass_limited_sends", "target", "stage"),
+        store_restores=Counter(registry, "galenapass_store_restores"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -32,6 +32,7 @@
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.store_availability import StoreAvailability
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.forwarding.store_watches import StoreWatch
 from galenapass.forwarding.suspects import CrashSuspects
@@ -99,8 +100,9 @@
         self.store_availability = StoreAvailability(
             self.clock, self._handle_store_failure, self._handle_store_return
         )
+        self.epochs = StoreEpochs(self.clock, self._handle_store_restore)
         self.store = StoreClient(
-            settings.store, self._count_call, self.store_availability
+            settings.store, self._count_call, self.store_availability, self.epochs
         )
         self.runner_client = RunnerClient(self.clock, self._apply_notice)
         self.incarnation = time.time_ns() // 1_000_000
@@ -133,6 +135,7 @@
             self._list_split_goals,
             self._apply_announcement,
             permits,
+            self.epochs,
         )
         self.split_goals = SplitGoals(
             self.fleet,
@@ -148,7 +151,7 @@
             self.clock,
             settings.budget,
             self._handle_target_leaving,
-            self.peering.announce_limits,
+            self.peering.announce_state,
             self._count_limited_send,
         )
         self.request_handler = RequestHandler(
@@ -262,7 +265,14 @@
         settings = self.settings
         term = settings.lease * LEASE_TERMS
         lease = Lease(LEASE_NAME, settings.host, self.incarnation, term)
-        keeper = LeaseKeeper(lease, self.clock, _StaleReadStore(self.store))
+        if settings.is_first_start:
+            lease.fresh_until = self.clock.monotonic() + term
+        keeper = LeaseKeeper(
+            lease,
+            self.clock,
+            _StaleReadStore(self.store),
+            lambda: self.epochs.current or 0,
+        )
         return RolePlanner(
             self.fleet,
             keeper,
@@ -359,6 +369,22 @@
         for store_watch in self._store_watches:
             store_watch.restart()
 
+    def _handle_store_restore(self) -> None:
+        """Give up what the store no longer knows, and list and write all of it again.
+
+        What was in force stays: an older configuration, and targets that left, are in
+        the restored store as well.
+        """
+        self.metrics.store_restores.add(1)
+        self.planner.give_up_lease()
+        self.store_updates.handle_restore()
+        for store_watch in self._store_watches:
+            store_watch.list_again()
+        self._crashes_version = None
+        self._background.spawn(self.hosts.register_again())
+        self._background.spawn(self.suspects.publish_again())
+        self.peering.announce_state()
+
     def _apply_targets_listing(self, listing: ObjectListing) -> None:
         self.store_updates.apply_targets_listing(listing)
         self.scheduler_selection.targets_listed.set()
@@ -426,7 +452,7 @@
     async def _run_upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_PERIOD.total_seconds())
-            self.store_updates.drop_overdue()
+            self.store_updates.step()
             loads.forget_targets(self.fleet.loads, self.fleet.targets)
             forget_rate_limits(
                 self.fleet.rate_limits, self.fleet.targets, self.clock.monotonic()
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from galenapass.forwarding.store_availability import StoreAvailability
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.platform.messages import (
     Failure,
     FailureCause,
@@ -30,6 +31,7 @@
 WATCH_SLACK = timedelta(seconds=2)
 CONNECT_SECONDS = 1.0
 KEEPALIVE_SECONDS = 30.0
+_EPOCH = "Store-Era"
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
@@ -60,17 +62,23 @@
 
     An object's version is the store's revision of its last change, its body the JSON
     text of its spec. ``count`` is called with the kind of each call;
-    ``store_availability`` records the result.
+    ``store_availability`` records the result, ``epochs`` the epoch of each answer. An
+    answer of an earlier epoch than the known one counts as lost.
     """
 
-    __slots__ = ("_base", "_count", "_session", "_store_availability")
+    __slots__ = ("_base", "_count", "_epochs", "_session", "_store_availability")
 
     def __init__(
-        self, address: str, count: CountCall, store_availability: StoreAvailability
+        self,
+        address: str,
+        count: CountCall,
+        store_availability: StoreAvailability,
+        epochs: StoreEpochs,
     ):
         self._base = f"http://{address}"
         self._count = count
         self._store_availability = store_availability
+        self._epochs = epochs
         self._session = open_keepalive_session(
             once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_SECONDS
         )
@@ -116,12 +124,17 @@
         items: list[StoredObject] = []
         version, first_query = 0, "?serializable=1&" if stale else "?"
         query = first_query
+        epoch: int | None = None
         while True:
             path = _make_path(kind) + query.rstrip("?&")
             result = await self._call(_Call("list", "GET", path))
             page = result.and_then(lambda data: _parse(_read_page, data))
             if isinstance(page, Err):
                 return page
+            if items and self._epochs.current != epoch:
+                detail = "the store was restored between two pages"
+                return Err(Failure(FailureCause.UNKNOWN, detail=detail))
+            epoch = self._epochs.current
             stored, current, has_more = page.ok_value
             if items and stored and stored[0].name <= items[-1].name:
                 detail = f"a page starts again at {stored[0].name}"
@@ -140,7 +153,11 @@
         wait_ms = wait // timedelta(milliseconds=1)
         path = f"{_make_path(kind)}?watch={after}&wait_ms={wait_ms}"
         seconds = (wait + WATCH_SLACK).total_seconds()
+        epoch = self._epochs.current
         result = await self._call(_Call("watch", "GET", path, seconds=seconds))
+        if self._epochs.current != epoch:
+            # The version to watch after belongs to the earlier epoch.
+            return Err(Failure(FailureCause.COMPACTED, detail="the store was restored"))
         return result.and_then(lambda data: _parse(_read_changes, data))
 
     async def _call(self, call: _Call) -> Result[Any, Failure]:
@@ -168,6 +185,11 @@
                 timeout=timeout,
             ) as response:
                 text = await read_body(response)
+                epoch = _parse_epoch(response.headers.get(_EPOCH))
+                if self._epochs.is_outdated(epoch):
+                    detail = f"answered in epoch {epoch}, before a restore"
+                    return Err(Failure(FailureCause.UNKNOWN, detail=detail))
+                self._epochs.observe(epoch, "store")
                 return _decode_response(response.status, text)
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=_describe(error)))
@@ -175,6 +197,12 @@
             return Err(Failure(FailureCause.UNKNOWN, detail=_describe(error)))
 
 
+def _parse_epoch(text: str | None) -> int | None:
+    """Return the epoch that an answer names, None if none or if it is invalid."""
+    digits = (text or "").strip()
+    return int(digits) if digits.isascii() and digits.isdigit() else None
+
+
 def _make_path(kind: str, name: str | None = None) -> str:
     path = f"/objects/{quote(kind, safe='')}"
     return path if name is None else f"{path}/{quote(name, safe='')}"
--- a/src/galenapass/systems/leases.py
+++ b/src/galenapass/systems/leases.py
@@ -19,7 +19,12 @@
     evaluate_write,
 )
 from galenapass.tables.conditional_writes import ConditionalWrite
-from galenapass.tables.leases import Lease, LeasePhase, LeaseValue
+from galenapass.tables.leases import (
+    FENCES_PER_EPOCH,
+    Lease,
+    LeasePhase,
+    LeaseValue,
+)
 
 __all__ = [
     "LeaseEffect",
@@ -30,6 +35,7 @@
     "ReadLease",
     "StopLease",
     "WriteLease",
+    "apply_epoch",
     "is_claimable",
     "is_own_lease",
     "is_valid",
@@ -94,6 +100,9 @@
 
 def is_claimable(lease: Lease, now: timedelta) -> bool:
     """Return whether no daemon can still hold the lease as valid."""
+    is_uncertain = lease.unknown_until is not None and now < lease.unknown_until
+    if is_uncertain and not _is_of_current_epoch(lease):
+        return False
     if lease.value is None or lease.changed_at is None:
         return lease.version is None
     if lease.value.holder is None:
@@ -107,18 +116,41 @@
 
 
 def next_fence(lease: Lease) -> int:
-    """Return the fencing number of the next holder."""
-    return 1 if lease.value is None else lease.value.fence + 1
+    """Return the fencing number of the next holder.
+
+    A restored store may not know the last holders, so those of each epoch of the store
+    have numbers of their own.
+    """
+    last = 0 if lease.value is None else lease.value.fence
+    return max(last, lease.epoch * FENCES_PER_EPOCH) + 1
 
 
 def is_own_lease(lease: Lease) -> bool:
     """Return whether the object names this process as its holder."""
     value = lease.value
-    if value is None:
+    if value is None or not _is_of_current_epoch(lease):
+        # Others may have held the lease since, and the store has lost that.
         return False
     return (value.holder, value.incarnation) == (lease.host, lease.incarnation)
 
 
+def apply_epoch(lease: Lease, epoch: int, now: timedelta) -> None:
+    """Apply an epoch of the store; a later one than the known ends this lease.
+
+    Whoever held it before counts its term from before the restore. A daemon that has
+    just started does not know whether the store was restored before.
+    """
+    if epoch <= lease.epoch:
+        return
+    is_first, lease.epoch = lease.epoch == 0, epoch
+    if is_first and lease.fresh_until is not None and now < lease.fresh_until:
+        return
+    lease.valid_until = lease.version = lease.read_at = None
+    lease.changed_at = now
+    term = lease.term if lease.value is None else max(lease.term, lease.value.term)
+    lease.unknown_until = now + term
+
+
 def step_lease(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
     """Apply one event and return the call to make, or None."""
     if isinstance(event, StopLease):
@@ -127,6 +159,13 @@
     return step(lease, event, now) if step else None
 
 
+def _is_of_current_epoch(lease: Lease) -> bool:
+    """Return whether the object was written since the store was last restored."""
+    if lease.version is None or lease.value is None:
+        return False
+    return lease.value.fence > lease.epoch * FENCES_PER_EPOCH
+
+
 def _step_idle(lease: Lease, event: LeaseEvent, now: timedelta) -> LeaseEffect | None:
     if lease.retry_at is not None and now < lease.retry_at:
         return None
@@ -210,6 +249,10 @@
             _record_object(lease, event.answer, now)
         _finish_attempt(lease, outcome, now)
         return None
+    if outcome.resend and _is_outdated(lease, lease.attempt):
+        _record_object(lease, event.answer, now)
+        _finish_attempt(lease, WriteOutcome(failed=True), now)
+        return None
     if outcome.resend:
         return _send(lease)
     lease.phase = LeasePhase.UNSURE
@@ -223,6 +266,12 @@
     return _read(lease, LeasePhase.RESOLVING, now)
 
 
+def _is_outdated(lease: Lease, attempt: ConditionalWrite) -> bool:
+    """Return whether a write was prepared before the store was restored."""
+    value = _decode(attempt.body)
+    return value is not None and value.fence <= lease.epoch * FENCES_PER_EPOCH
+
+
 def _finish_attempt(lease: Lease, outcome: WriteOutcome, now: timedelta) -> None:
     attempt = lease.attempt
     assert attempt is not None
--- a/src/galenapass/tables/leases.py
+++ b/src/galenapass/tables/leases.py
@@ -6,7 +6,10 @@
 
 from galenapass.tables.conditional_writes import ConditionalWrite
 
-__all__ = ["Lease", "LeasePhase", "LeaseValue"]
+__all__ = ["FENCES_PER_EPOCH", "Lease", "LeasePhase", "LeaseValue"]
+
+# More holders than one epoch of the store can have.
+FENCES_PER_EPOCH = 1_000_000
 
 
 class LeasePhase(Enum):
@@ -23,7 +26,8 @@
 class LeaseValue:
     """Stored object ``leases/DOMAIN``; a released lease has no holder.
 
-    The fencing number ``fence`` increases by one with each new holder.
+    The fencing number ``fence`` increases with each new holder. Its part above
+    ``FENCES_PER_EPOCH`` is the store's epoch in which the holder acquired the lease.
     """
 
     holder: str | None
@@ -38,7 +42,10 @@
     """One daemon's local view of its domain's lease; times are monotonic.
 
     ``changed_at`` is when this daemon first saw the current version;
-    ``valid_until`` is computed from the time before the renewal was sent.
+    ``valid_until`` is computed from the time before the renewal was sent. ``epoch`` is
+    the store's epoch, and until ``unknown_until`` a lease that the store lost may still
+    be held. ``fresh_until`` ends the first start of the whole system, in which no
+    lease can be lost; it is None for a later start.
     """
 
     domain: str
@@ -55,3 +62,6 @@
     attempt: ConditionalWrite | None = None
     writes: int = 0
     stopping: bool = False
+    epoch: int = 0
+    unknown_until: timedelta | None = None
+    fresh_until: timedelta | None = None
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -32,6 +32,7 @@
     version: int = 0
     late: list[tuple[str, str, int | None]] = field(default_factory=list)
     history: list[StoredObject] = field(default_factory=list)
+    epoch: int = 0
 
     def read(self, name, call_outcome=CallOutcome.ANSWERED):
         if call_outcome is not CallOutcome.ANSWERED:
@@ -49,6 +50,15 @@
         answer = self._put(name, body, if_version)
         return UNKNOWN if call_outcome is CallOutcome.ANSWER_LOST else answer
 
+    def copy(self):
+        return dict(self.objects), self.version
+
+    def restore(self, copy):
+        """Return to an older copy, whose versions are given out again."""
+        objects, self.version = copy
+        self.objects = dict(objects)
+        self.epoch += 1
+
     def apply_late_write(self):
         if self.late:
             self._put(*self.late.pop(0))
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -11,6 +11,7 @@
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.platform.messages import ObjectChange
 from galenapass.tables.targets import Role, TargetState
@@ -26,6 +27,7 @@
         self.sent, self.versions, self.demand = [], [], {}
         self.clock = ManualClock()
         self.fleet = make_fleet(make_target("e1", Role.DECODE))
+        self.epochs = StoreEpochs(self.clock)
         self.peering = Peering(
             self.fleet,
             self.clock,
@@ -36,6 +38,7 @@
             lambda: (),
             lambda announcement: None,
             Permits("h1", self.fleet.rate_limits, self.clock),
+            self.epochs,
         )
         self.peering.endpoint = self
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -25,7 +25,7 @@
     step_lease,
 )
 from galenapass.tables.leases import Lease
-from tests.fake_objects import CALL_OUTCOMES, CallOutcome, FakeObjects
+from tests.fake_objects import CALL_OUTCOMES, UNKNOWN, CallOutcome, FakeObjects
 
 TERM = timedelta(seconds=8)
 HOSTS = 3
@@ -152,7 +152,125 @@
         assert list(holders) == sorted(holders)
 
 
+class RestoredProcess(Process):
+    """Process that sees the store's epoch in each answer."""
+
+    def send(self, objects, call_outcome):
+        super().send(objects, call_outcome)
+        is_answer = call_outcome is CallOutcome.ANSWERED
+        self.answer_epoch = objects.epoch if is_answer else None
+
+    def receive(self, now):
+        if self.answer_epoch is not None:
+            if self.answer_epoch < self.lease.epoch:
+                # The client of the store drops it.
+                self.answer = type(self.answer)(UNKNOWN)
+            leases.apply_epoch(self.lease, self.answer_epoch, now + self.offset)
+        super().receive(now)
+
+
+class RestoreMachine(LeaseMachine):
+    """The same processes while the store returns to older copies of itself."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects.epoch = 1
+        for process in self.processes:
+            process.lease.fresh_until = process.offset + TERM
+        self.copies = [self.objects.copy()]
+        self.used_fences = {}
+
+    def _start(self, number):
+        self.starts += 1
+        return RestoredProcess(number, self.starts)
+
+    @rule()
+    def copy_the_store(self):
+        self.copies.append(self.objects.copy())
+
+    @precondition(lambda self: self.now >= TERM)
+    @rule(age=st.integers(1, 4))
+    def restore_the_store(self, age):
+        self.objects.restore(self.copies[-min(age, len(self.copies))])
+
+    @rule(number=LeaseMachine.numbers)
+    def hear_the_epoch_from_a_peer(self, number):
+        epoch = max(process.lease.epoch for process in self.processes)
+        process = self.processes[number]
+        leases.apply_epoch(process.lease, epoch, self.now + process.offset)
+
+    @invariant()
+    def each_fence_has_one_holder(self):
+        # A write prepared before a restore may still reach the store. Its sender does
+        # not become the holder, so only fences that a holder may use count.
+        for process in self.processes:
+            if process.is_valid(self.now):
+                fence = process.lease.value.fence
+                holder = process.lease.host, process.lease.incarnation
+                assert fence >= max(self.used_fences, default=0)
+                assert self.used_fences.setdefault(fence, holder) == holder
+
+
 LeaseMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=50)
+RestoreMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=50)
+
+
+class RestoreMachineTest(RestoreMachine.TestCase):
+    pass
+
+
+class RestoreTest(TestCase):
+    def run_calls(self, process, objects, now):
+        process.apply(LeaseTick(), now)
+        while process.call is not None:
+            process.make_call(objects, CallOutcome.ANSWERED, now)
+
+    def test_restore_the_next_holder_waits_and_has_a_higher_fence(self):
+        for is_empty in (True, False):
+            objects, now = FakeObjects(epoch=1), TERM * 2
+            copy = objects.copy()
+            first, second = RestoredProcess(0, 1), RestoredProcess(1, 1)
+            for _ in range(2):
+                self.run_calls(first, objects, now)
+                now += TERM
+            fence = first.lease.value.fence
+            self.assertTrue(first.is_valid(now - TERM))
+            objects.restore(copy if is_empty else objects.copy())
+            restored, now = now, now + TERM / 10
+            while not second.is_valid(now):
+                self.run_calls(second, objects, now)
+                now += TERM / 10
+            self.assertGreaterEqual(now - restored, TERM)
+            self.assertLessEqual(now - restored, TERM * 2.5)
+            self.assertGreater(second.lease.value.fence, fence)
+
+    def test_restore_the_holder_stops_at_the_first_answer_of_the_new_epoch(self):
+        objects, now = FakeObjects(epoch=1), TERM * 2
+        process = RestoredProcess(0, 1)
+        while not process.is_valid(now):
+            self.run_calls(process, objects, now)
+            now += TERM / 10
+        leases.apply_epoch(process.lease, 2, now + process.offset)
+        self.assertFalse(process.is_valid(now))
+
+
+class RestoreMutationTest(TestCase):
+    """The state machine must fail when a mechanism for restores is disabled."""
+
+    def _assert_required(self, name, mutant):
+        with mock.patch.object(leases, name, mutant):
+            self.assertRaises(
+                AssertionError,
+                run_state_machine_as_test,
+                RestoreMachine,
+                settings=SEARCH,
+            )
+
+    def test_restore_needs_the_end_of_a_lease_of_an_earlier_epoch(self):
+        self._assert_required("_is_of_current_epoch", lambda lease: True)
+
+    def test_restore_needs_the_epoch(self):
+        self._assert_required("apply_epoch", lambda lease, epoch, now: None)
 
 
 class LeaseMachineTest(LeaseMachine.TestCase):
