Prefill for an engine that names a limit of zero

If the only engine that decodes named a limit of 0, no prompt was prefilled any more: it counted with no usable slot, and as nothing was sent to it, no answer could lift the limit. Every request of the service would have been refused until the engine restarted.

The least rate that the permits already grant now stands in one place, find_rate_limit, so slots and waits follow it as well. The test fails without it.

--- a/src/galenapass/forwarding/capacity.py
+++ b/src/galenapass/forwarding/capacity.py
@@ -5,7 +5,7 @@
 from galenapass.forwarding import admission, placement
 from galenapass.forwarding.admission import SlotCounts
 from galenapass.forwarding.fleet import Fleet
-from galenapass.forwarding.permits import MIN_RATE, Permits
+from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.placement import Choice, View
 from galenapass.forwarding.rate_limits import list_limited
 from galenapass.forwarding.slot_requests import SlotRequest, Stage
@@ -139,7 +139,7 @@
         limited = list_limited(self._fleet.rate_limits, targets)
         if not limited or len(limited) < len(targets):
             return math.inf
-        return max(sum(rate for _, rate in limited), MIN_RATE)
+        return sum(rate for _, rate in limited)
 
     def _mean_holding_ms(self, targets: list[Target]) -> float:
         """Return the mean milliseconds for which a slot is held, 0 if unknown."""
--- a/src/galenapass/forwarding/permits.py
+++ b/src/galenapass/forwarding/permits.py
@@ -18,6 +18,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding.rate_limits import (
+    MIN_RATE,
     Incarnation,
     RateLimits,
     find_rate_limit,
@@ -25,7 +26,7 @@
 from galenapass.logs import make_log
 from galenapass.tables.targets import Target
 
-__all__ = ["MIN_RATE", "Issuers", "Permit", "PermitIssuer", "PermitRequest", "Permits"]
+__all__ = ["Issuers", "Permit", "PermitIssuer", "PermitRequest", "Permits"]
 
 # An unused permit expires, as the rate is measured over seconds.
 PERMIT_LIFETIME = timedelta(milliseconds=500)
@@ -36,8 +37,6 @@
 MAX_REQUESTED = 4
 # Permits that accumulate while none is requested, as time at the target's rate.
 BURST_TIME = timedelta(milliseconds=250)
-# Requests a second below which nothing would show that a limit has ended.
-MIN_RATE = 0.2
 
 _log = make_log("limits")
 
--- a/src/galenapass/forwarding/rate_limits.py
+++ b/src/galenapass/forwarding/rate_limits.py
@@ -11,6 +11,7 @@
 from galenapass.tables.targets import Target
 
 __all__ = [
+    "MIN_RATE",
     "Incarnation",
     "RateLimit",
     "RateLimits",
@@ -23,6 +24,9 @@
 
 # Incarnations that are remembered; far more than a deployment has targets.
 MAX_RATE_LIMITS = 4096
+# Requests a second that a target gets even if it names a lower limit: only a response
+# shows that the limit has ended.
+MIN_RATE = 0.2
 # Messages of other hosts may be this old.
 FORGET_DELAY = timedelta(seconds=30)
 
@@ -45,9 +49,14 @@
 
 
 def find_rate_limit(limits: RateLimits, target: Target) -> float | None:
-    """Return a target's limit in requests a second, None if it has none."""
+    """Return the requests a second to send to a target, None if it has no limit.
+
+    These are ``MIN_RATE`` at least.
+    """
     limit = limits.get((target.id, target.incarnation))
-    return limit.rate if limit is not None else None
+    if limit is None or limit.rate is None:
+        return None
+    return max(limit.rate, MIN_RATE)
 
 
 def record_rate_limit(
--- a/tests/test_forwarding_limited_targets.py
+++ b/tests/test_forwarding_limited_targets.py
@@ -92,6 +92,19 @@
             scenario, make_target("e1"), make_target("d1", DECODE, slots=8)
         )
 
+    def test_the_end_of_a_limit_of_zero_can_be_noticed(self):
+        # Without any usable slot no prompt would be prefilled, and no answer of the
+        # only engine would lift the limit.
+        async def scenario(harness):
+            limit(harness.fleet, "d1", 0.0)
+            harness.submit(make_slot_request("r1", Stage.PREFILL, deadline=9000))
+            await harness.settle()
+            self.assertEqual(["r1"], harness.granted())
+
+        run_with_scheduler(
+            scenario, make_target("e1"), make_target("d1", DECODE, slots=8)
+        )
+
 
 class TestRefusals(TestCase):
     def test_calls_beyond_the_limits_of_all_targets_are_refused_at_once(self):
