--- a/src/galenapass/forwarding/permits.py
+++ b/src/galenapass/forwarding/permits.py
@@ -18,9 +18,9 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding.rate_limits import (
-    MIN_RATE,
     Incarnation,
     RateLimits,
+    find_rate,
     find_rate_limit,
 )
 from galenapass.logs import make_log
@@ -131,11 +131,11 @@
     def _step_bucket(self, incarnation: Incarnation, now: timedelta) -> float | None:
         """Issue permits of one target; return the seconds until the next is due."""
         bucket = self._buckets[incarnation]
-        limit = self._limits.get(incarnation)
-        if limit is None or limit.rate is None:
+        limit = find_rate(self._limits, incarnation)
+        if limit is None:
             del self._buckets[incarnation]
             return None
-        rate = max(limit.rate, MIN_RATE) * self._find_share()
+        rate = limit * self._find_share()
         bucket.refill(rate, now)
         bucket.requested = {
             host: (count, at)
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import repeat
 
 import xxhash
 
@@ -307,8 +308,9 @@
     decode = [t for t in serving if t.role is Role.DECODE and not view.is_down(t)]
     if not decode or not all(target.slots for target in decode):
         return None
-    total = sum(count_usable_slots(target, view) for target in decode)
-    decoding = sum(_count_sequences(target, view) for target in decode)
+    usable = [count_usable_slots(target, view) for target in decode]
+    total = sum(usable)
+    decoding = sum(map(_count_sequences, decode, usable, repeat(view)))
     prefilling = sum(
         load.prompts + load.peer_prompts
         for target in serving
@@ -318,13 +320,12 @@
     return total - decoding - prefilling, total
 
 
-def _count_sequences(target: Target, view: View) -> int:
-    """Return how many of a target's usable slots are in use.
+def _count_sequences(target: Target, usable: int, view: View) -> int:
+    """Return how many of a target's ``usable`` slots are in use.
 
     Sequences that began before a target named its limit may be more than these.
     """
     sequences = view.load_of(target).sequences
-    usable = count_usable_slots(target, view)
     return min(sequences, usable) if usable < target.slots else sequences
 
 
--- a/src/galenapass/forwarding/rate_limits.py
+++ b/src/galenapass/forwarding/rate_limits.py
@@ -15,6 +15,7 @@
     "Incarnation",
     "RateLimit",
     "RateLimits",
+    "find_rate",
     "find_rate_limit",
     "forget_rate_limits",
     "list_limited",
@@ -53,7 +54,12 @@
 
     These are ``MIN_RATE`` at least.
     """
-    limit = limits.get((target.id, target.incarnation))
+    return find_rate(limits, (target.id, target.incarnation))
+
+
+def find_rate(limits: RateLimits, incarnation: Incarnation) -> float | None:
+    """Return what ``find_rate_limit`` returns for a target of this incarnation."""
+    limit = limits.get(incarnation)
     if limit is None or limit.rate is None:
         return None
     return max(limit.rate, MIN_RATE)
--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -24,6 +24,7 @@
     "encode_headers",
     "filter_response_headers",
     "is_not_run",
+    "parse_integer",
     "parse_seconds",
 ]
 
@@ -105,11 +106,11 @@
 
 def decode_metadata(headers: Mapping[str, str]) -> RequestMetadata:
     """Return the metadata in a client's headers; invalid values count as absent."""
-    patience = _parse_integer(headers.get(_DEADLINE))
+    patience = parse_integer(headers.get(_DEADLINE))
     return RequestMetadata(
         attempt=headers.get(ATTEMPT_ID, ""),
         patience=None if patience is None else timedelta(milliseconds=patience),
-        last_event=_parse_integer(headers.get(LAST_EVENT_ID)),
+        last_event=parse_integer(headers.get(LAST_EVENT_ID)),
         prompt=_decode_prompt(headers),
     )
 
@@ -212,10 +213,10 @@
 
 def _decode_prompt(headers: Mapping[str, str]) -> Prompt | None:
     counts = headers.get(_TOKEN_COUNT, "").split(",")
-    tokens = _parse_integer(counts[0])
+    tokens = parse_integer(counts[0])
     if tokens is None:
         return None
-    output = _parse_integer(counts[1]) if len(counts) > 1 else None
+    output = parse_integer(counts[1]) if len(counts) > 1 else None
     parts = _decode_parts(headers.get(_PROMPT_PARTS, ""))
     return Prompt(tokens, output or 0, parts)
 
@@ -224,13 +225,14 @@
     parts = []
     for entry in filter(None, text.split(",")):
         name, _, count = entry.strip().partition(":")
-        tokens = _parse_integer(count)
+        tokens = parse_integer(count)
         if not name or tokens is None:
             return ()
         parts.append(Part(name, tokens))
     return tuple(parts)
 
 
-def _parse_integer(text: str | None) -> int | None:
+def parse_integer(text: str | None) -> int | None:
+    """Return a number of decimal digits, or None if it is absent or invalid."""
     digits = (text or "").strip()
     return int(digits) if digits.isascii() and digits.isdigit() else None
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -12,6 +12,7 @@
 
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_epochs import StoreEpochs
+from galenapass.platform.headers import parse_integer
 from galenapass.platform.messages import (
     Failure,
     FailureCause,
@@ -185,7 +186,7 @@
                 timeout=timeout,
             ) as response:
                 text = await read_body(response)
-                epoch = _parse_epoch(response.headers.get(_EPOCH))
+                epoch = parse_integer(response.headers.get(_EPOCH))
                 if self._epochs.is_outdated(epoch):
                     detail = f"answered in epoch {epoch}, before a restore"
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
@@ -197,12 +198,6 @@
             return Err(Failure(FailureCause.UNKNOWN, detail=_describe(error)))
 
 
-def _parse_epoch(text: str | None) -> int | None:
-    """Return the epoch that an answer names, None if none or if it is invalid."""
-    digits = (text or "").strip()
-    return int(digits) if digits.isascii() and digits.isdigit() else None
-
-
 def _make_path(kind: str, name: str | None = None) -> str:
     path = f"/objects/{quote(kind, safe='')}"
     return path if name is None else f"{path}/{quote(name, safe='')}"
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -66,6 +66,11 @@
         self.send(objects, call_outcome)
         self.receive(now)
 
+    def run_calls(self, objects, now):
+        self.apply(LeaseTick(), now)
+        while self.call is not None:
+            self.make_call(objects, CallOutcome.ANSWERED, now)
+
     def is_valid(self, now):
         return leases.is_valid(self.lease, now + self.offset)
 
@@ -220,25 +225,20 @@
 
 
 class RestoreTest(TestCase):
-    def run_calls(self, process, objects, now):
-        process.apply(LeaseTick(), now)
-        while process.call is not None:
-            process.make_call(objects, CallOutcome.ANSWERED, now)
-
     def test_restore_the_next_holder_waits_and_has_a_higher_fence(self):
         for is_empty in (True, False):
             objects, now = FakeObjects(epoch=1), TERM * 2
             copy = objects.copy()
             first, second = RestoredProcess(0, 1), RestoredProcess(1, 1)
             for _ in range(2):
-                self.run_calls(first, objects, now)
+                first.run_calls(objects, now)
                 now += TERM
             fence = first.lease.value.fence
             self.assertTrue(first.is_valid(now - TERM))
             objects.restore(copy if is_empty else objects.copy())
             restored, now = now, now + TERM / 10
             while not second.is_valid(now):
-                self.run_calls(second, objects, now)
+                second.run_calls(objects, now)
                 now += TERM / 10
             self.assertGreaterEqual(now - restored, TERM)
             self.assertLessEqual(now - restored, TERM * 2.5)
@@ -248,7 +248,7 @@
         objects, now = FakeObjects(epoch=1), TERM * 2
         process = RestoredProcess(0, 1)
         while not process.is_valid(now):
-            self.run_calls(process, objects, now)
+            process.run_calls(objects, now)
             now += TERM / 10
         leases.apply_epoch(process.lease, 2, now + process.offset)
         self.assertFalse(process.is_valid(now))
@@ -278,19 +278,14 @@
 
 
 class LeaseTest(TestCase):
-    def _run_calls(self, process, objects, now):
-        process.apply(LeaseTick(), now)
-        while process.call is not None:
-            process.make_call(objects, CallOutcome.ANSWERED, now)
-
     def test_can_be_acquired_at_once_after_a_release(self):
         objects, now = FakeObjects(), timedelta(0)
         first, second = Process(0, 1), Process(1, 1)
-        self._run_calls(first, objects, now)
+        first.run_calls(objects, now)
         first.apply(StopLease(), now)
         self.assertFalse(first.is_valid(now))
         first.make_call(objects, CallOutcome.ANSWERED, now)
-        self._run_calls(second, objects, now)
+        second.run_calls(objects, now)
         self.assertTrue(second.is_valid(now))
         self.assertEqual(2, second.lease.value.fence)
 
@@ -298,7 +293,7 @@
         objects = FakeObjects()
         process = Process(0, 1)
         for second in range(30):
-            self._run_calls(process, objects, timedelta(seconds=second))
+            process.run_calls(objects, timedelta(seconds=second))
             self.assertTrue(process.is_valid(timedelta(seconds=second)))
         self.assertEqual(1, process.lease.value.fence)
         self.assertLess(objects.version, 13)
@@ -317,10 +312,10 @@
     def test_continues_from_the_last_fence_when_the_object_is_deleted(self):
         objects, now = FakeObjects(), timedelta(0)
         holder, follower = Process(0, 1), Process(1, 1)
-        self._run_calls(holder, objects, now)
-        self._run_calls(follower, objects, now)
+        holder.run_calls(objects, now)
+        follower.run_calls(objects, now)
         objects.objects.clear()
-        self._run_calls(follower, objects, now + TERM)
+        follower.run_calls(objects, now + TERM)
         self.assertEqual(2, follower.lease.value.fence)
 
 
