Log the prompt parts of requests that ran when a target crashed

The line now names the shared parts, the incarnation and the crashes known for the request's fingerprint; galenapass_crashed_requests_total counts them by target. No change of logic.

--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -31,15 +31,21 @@
 class CrashSuspects:
     """Requests that were running when targets crashed.
 
-    ``publish`` writes the suspects of this daemon to the store for other daemons.
+    ``publish`` writes the suspects of this daemon to the store for other daemons;
+    ``on_crash`` is called for each request that was running at a crashed target.
     """
 
     def __init__(
-        self, world: World, clock: Clock, publish: Callable[[str], Awaitable[None]]
+        self,
+        world: World,
+        clock: Clock,
+        publish: Callable[[str], Awaitable[None]],
+        on_crash: Callable[[Target], None] = lambda target: None,
     ):
         self._world = world
         self._clock = clock
         self._publish = publish
+        self._on_crash = on_crash
         self._publishing: asyncio.Task[None] | None = None
 
     def check(self, fingerprint: str) -> Verdict | None:
@@ -74,7 +80,17 @@
         crash = Crash(target.id, target.incarnation)
         if not crashes.record_crash(self._world, request.fingerprint, crash, now):
             return
-        _log("target crashed", request=request.id, target=target.id)
+        suspect = self._world.crashes.suspects[request.fingerprint]
+        _log(
+            "target crashed",
+            request=request.id,
+            target=target.id,
+            incarnation=target.incarnation,
+            parts=[f"{part.digest:016x}" for part in request.shared_parts],
+            known_crashes=len(suspect.open_crashes),
+            suspects=len(self._world.crashes.suspects),
+        )
+        self._on_crash(target)
         if self._publishing is None or self._publishing.done():
             self._publishing = asyncio.create_task(self._publish_updates())
 
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -90,6 +90,7 @@
     failures: Counter
     limited_sends: Counter
     store_restores: Counter
+    crashed_requests: Counter
 
 
 def make_metrics() -> Metrics:
@@ -109,6 +110,7 @@
         failures=Counter(registry, "galenapass_failures", "duty"),
         limited_sends=Counter(registry, "galenapass_limited_sends", "target", "stage"),
         store_restores=Counter(registry, "galenapass_store_restores"),
+        crashed_requests=Counter(registry, "galenapass_crashed_requests", "target"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -107,7 +107,10 @@
         self.runner_client = RunnerClient(self.clock, self._apply_notice)
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
-            World(settings.host, settings.domain), self.clock, self._publish_crashes
+            World(settings.host, settings.domain),
+            self.clock,
+            self._publish_crashes,
+            lambda target: self.metrics.crashed_requests.add(1, {"target": target.id}),
         )
         permits = Permits(settings.host, self.fleet.rate_limits, self.clock)
         self.scheduler = Scheduler(
