--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -1,15 +1,16 @@
 """Serve a stand-in for a runner of the platform: an engine or a plain service."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 from aiohttp import web
 
-from stand_ins.serving import drop_connection, make_json_response
+from stand_ins.serving import drop_connection, make_json_response, split_address
 
-__all__ = ["EVENTS", "SIGNATURE", "STREAM_BODY", "Runner", "RunnerFaults"]
+__all__ = ["EVENTS", "SIGNATURE", "STREAM_BODY", "Runner", "RunnerFaults", "list_parts"]
 
 EVENTS = 4
 # Complete body of a streamed response.
@@ -18,6 +19,14 @@
 )
 SIGNATURE = "X-Galenapass-Response-Signature"
 ATTEMPT = "X-Galenapass-Attempt-Id"
+# Time from the head of an answer to the crash of a runner.
+CRASH_SECONDS = 0.05
+
+
+def list_parts(request: web.Request) -> set[str]:
+    """Return the ids of the parts of a request's prompt, but for the last."""
+    entries = request.headers.get("X-Galenapass-Prompt-Prefix", "").split(",")
+    return {entry.partition(":")[0] for entry in entries[:-1]}
 
 
 @dataclass(slots=True)
@@ -44,6 +53,8 @@
     leaving: bool = False
     rate_limit: float | None = None
     retry_after_seconds: float | None = None
+    crashing_parts: frozenset[str] = frozenset()
+    restart_seconds: float = 1.0
 
 
 @dataclass(slots=True)
@@ -51,7 +62,9 @@
     """Runner of the platform; ``stage`` is empty for a plain service.
 
     ``received`` lists all requests that arrived, ``received_at`` their times in seconds
-    of the event loop, ``ran`` the attempts that were run.
+    of the event loop, ``ran`` the attempts that were run, ``crashed_at`` the times of
+    its crashes. ``on_restart`` is called with its former id after each restart, which
+    gives it a new one.
     """
 
     id: str
@@ -68,6 +81,9 @@
     handles: set[str] = field(default_factory=set)
     cached_prompts: dict[str, int] = field(default_factory=dict)
     accepted_orders: list[dict[str, Any]] = field(default_factory=list)
+    crashed_at: list[float] = field(default_factory=list)
+    on_restart: Callable[[str], None] = lambda former: None
+    _restart: asyncio.Task[None] | None = None
     _runner: web.AppRunner | None = None
     _site: web.TCPSite | None = None
 
@@ -108,9 +124,36 @@
 
     async def stop(self) -> None:
         """Close the port and all connections."""
+        if self._restart is not None:
+            self._restart.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def crash(self) -> None:
+        """Close the port and break every connection; restart after a while."""
+        if self._restart is not None and not self._restart.done():
+            return
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        self._restart = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        assert self._runner is not None and self._site is not None
+        await self._site.stop()
+        server = self._runner.server
+        assert server is not None
+        for connection in list(server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.handles.clear()
+        await asyncio.sleep(self.faults.restart_seconds)
+        former = self.id
+        self.born += 1
+        self.id = f"{former.partition('-')[0]}-{self.born}"
+        ip, port = split_address(self.address)
+        self._site = web.TCPSite(self._runner, ip, port, reuse_address=True)
+        await self._site.start()
+        self.on_restart(former)
+
     async def _add_notices(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
@@ -202,6 +245,11 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        if list_parts(request) & self.faults.crashing_parts:
+            await asyncio.sleep(CRASH_SECONDS)
+            self.crash()
+            await asyncio.sleep(self.faults.restart_seconds)
+            return drop_connection(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for sent, number in enumerate(range(first, EVENTS + 1)):
             if sent == self.faults.break_after:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from datetime import timedelta
 
 import aiohttp
@@ -49,6 +50,7 @@
         self.second_decode = Runner("d2", "lm", stage="decode")
         self.plain = Runner("s1", "desk")
         self.second_plain = Runner("s2", "desk")
+        self.more_decode = []
         self.daemons = []
         self.settings = None
         self.client = None
@@ -66,11 +68,16 @@
             self.second_decode,
             self.plain,
             self.second_plain,
+            *self.more_decode,
         ]
 
     def register(self, runner, **changes):
         self.store.put("servers", runner.id, runner.entry(**changes))
 
+    def replace_entry(self, runner, former):
+        self.store.remove("servers", former)
+        self.register(runner)
+
     async def send(self, path, method="GET", body=b"", host=0, **headers):
         self._number += 1
         all_headers = make_headers(f"a{self._number}", 2500) | {
@@ -93,11 +100,18 @@
 
 @contextlib.asynccontextmanager
 async def run_fleet(
-    configuration=CONFIGURATION, settle=True, cached_prompts=None, domains=("zone-a",)
+    configuration=CONFIGURATION,
+    settle=True,
+    cached_prompts=None,
+    domains=("zone-a",),
+    more_decode=0,
 ):
     """Yield a fleet with a daemon per domain, which have loaded routes and targets."""
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
+    fleet.more_decode = [
+        Runner(f"d{n}", "lm", stage="decode") for n in range(3, 3 + more_decode)
+    ]
     runner = web.AppRunner(
         fleet.store.make_app(), access_log=None, shutdown_timeout=0.1
     )
@@ -106,6 +120,7 @@
     await web.TCPSite(runner, "127.0.0.1", port).start()
     for target in fleet.runners:
         await target.start()
+        target.on_restart = functools.partial(fleet.replace_entry, target)
         fleet.register(target)
     if configuration is not None:
         fleet.store.put("config", "main", configuration)
