Close connections with responses that nobody awaits, and ask for the attempt's id

What callers saw elsewhere: a faulty runner wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that had run.

Cause: the client library keeps a response that arrives on an idle connection and gives it to the next request. A response without an attempt's id was taken for the answer to whatever had been sent.

Change: bytes on an idle connection, and a second response to one request, close it; this holds for runners, the store and the product's own targets, which share the handler. A response on a kept connection needs the id of its attempt, which runners echo in all of their responses; calls that run once have a new connection anyhow.

--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -125,7 +125,7 @@
             ) as response:
                 self._report_notice(target, response, sent_at, message.attempt)
                 body = await read_body(response)
-                refusal = _check_attempt_id(response, message)
+                refusal = _check_attempt_id(response, message, is_required=False)
                 if refusal is None and response.status != 200:
                     refusal = _make_refusal(response)
                 if refusal is not None:
@@ -173,7 +173,8 @@
             return
         self._report_notice(target, response, sent_at, message.attempt)
         try:
-            refusal = _check_attempt_id(response, message)
+            # A kept connection may hold a response to an earlier request.
+            refusal = _check_attempt_id(response, message, is_required=not once)
             if refusal is None and is_not_run(response.status, response.headers):
                 refusal = _make_refusal(response)
             yield Err(refusal) if refusal else Ok(_make_response(response))
@@ -284,14 +285,19 @@
 
 
 def _check_attempt_id(
-    response: aiohttp.ClientResponse, message: ClientRequest
+    response: aiohttp.ClientResponse, message: ClientRequest, *, is_required: bool
 ) -> Verdict | None:
-    """Return a verdict if a response belongs to another request, else None."""
+    """Return a verdict if a response belongs to another request, else None.
+
+    ``is_required`` is set if a response without an id may belong to another one.
+    """
     named_attempt = response.headers.get(ATTEMPT_ID)
-    if named_attempt is None or named_attempt == message.attempt:
+    if named_attempt == message.attempt:
+        return None
+    if named_attempt is None and not is_required:
         return None
     response.close()
-    detail = f"the response is for attempt {named_attempt}"
+    detail = f"the response is for attempt {named_attempt or 'unknown'}"
     return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
 
 
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -56,29 +56,52 @@
     """Failure of a connection after a request was sent on it."""
 
 
-class _LimitedResponseHandler(ResponseHandler):
-    """Response reader that closes a connection with too many interim responses.
+class _StrictResponseHandler(ResponseHandler):
+    """Response reader that closes a connection with responses that nobody awaits.
 
-    The library discards interim responses in a loop that blocks the event loop.
+    The library keeps a response that arrives on an idle connection for the next
+    request. It also discards interim responses in a loop that blocks the event loop,
+    so their number is limited.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._interim_count = 0
+        self._is_awaiting = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin to await the response to the next request."""
+        self._is_awaiting = True
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes; those on an idle connection belong to no request."""
+        is_idle = not self._is_awaiting and (
+            self._payload is None or self._payload.is_eof()
+        )
+        if data and is_idle:
+            self.abort()
+            return
+        super().data_received(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the parsed head of a response."""
         is_interim = 100 <= data[0].code < 200
         self._interim_count = self._interim_count + 1 if is_interim else 0
-        if self._interim_count <= MAX_INTERIM_RESPONSES:
-            super().feed_data(data, size)
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            if self.transport is not None:
+                self.transport.close()
+            error = aiohttp.ClientPayloadError(
+                f"over {MAX_INTERIM_RESPONSES} interim answers"
+            )
+            self.set_exception(error)
             return
-        if self.transport is not None:
-            self.transport.close()
-        error = aiohttp.ClientPayloadError(
-            f"over {MAX_INTERIM_RESPONSES} interim answers"
-        )
-        self.set_exception(error)
+        if not self._is_awaiting:
+            # A second response to one request.
+            self.force_close()
+            return
+        self._is_awaiting = is_interim
+        super().feed_data(data, size)
 
 
 def open_session() -> aiohttp.ClientSession:
@@ -132,7 +155,7 @@
 ) -> aiohttp.ClientSession:
     # The library has no public setting for this; its version is pinned.
     factory: Any = functools.partial(
-        _LimitedResponseHandler, loop=asyncio.get_running_loop()
+        _StrictResponseHandler, loop=asyncio.get_running_loop()
     )
     connector._factory = factory
     return aiohttp.ClientSession(
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -200,6 +200,7 @@
         await request.read()
         refusal = self._refuse(request)
         if refusal is not None:
+            refusal.headers[ATTEMPT] = request.headers.get(ATTEMPT, "")
             if self.faults.retry_after_seconds is not None:
                 refusal.headers["Retry-After"] = str(self.faults.retry_after_seconds)
             return refusal
