Take a cut body without a length as cut, also when it is empty

What callers saw elsewhere: a runner stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Evidence: test_platform_cut_answers cuts answers with a length, with chunks and with neither at each byte, closed and reset. A head that is cut is no answer here already. Two cases failed before: an answer without a length that is closed just after its head was a whole empty body, and a reset that is processed together with the last bytes was the end of such a body, since the library takes both for its end and the connection is gone before anything can be asked of it.

Change: a reset is an error of the body that it cuts off, for all clients that share the handler; an empty body without a length is no whole answer.

--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -320,17 +320,17 @@
 
 
 async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the body; raise if the connection broke before its end."""
+    """Yield the body; raise if the connection broke before its end.
+
+    An empty body needs a length: without one the runner may have stopped before it.
+    """
     is_framed = (
         response.content_length is not None
         or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     )
-    connection = response.connection
-    # aiohttp treats a reset as the end of a body without a length.
-    closed = None
-    if not is_framed and connection is not None and connection.protocol is not None:
-        closed = connection.protocol.closed
+    is_empty = True
     async for chunk in response.content.iter_any():
+        is_empty = False
         yield chunk
-    if closed is not None and closed.done():
-        closed.result()
+    if is_empty and not is_framed:
+        raise aiohttp.ClientPayloadError("the connection ended after the head")
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -19,6 +19,7 @@
     "classify_error",
     "classify_response",
     "make_probed_socket",
+    "make_response_handler",
     "open_keepalive_session",
     "open_session",
     "open_single_use_session",
@@ -60,8 +61,8 @@
     """Response reader that closes a connection with responses that nobody awaits.
 
     The library keeps a response that arrives on an idle connection for the next
-    request. It also discards interim responses in a loop that blocks the event loop,
-    so their number is limited.
+    request, and takes a reset for the end of a body without a length. It also discards
+    interim responses in a loop that blocks the event loop, so their number is limited.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -84,6 +85,14 @@
             return
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Process the end of the connection; an error cuts the body off."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"the connection was lost: {exc}")
+            payload.set_exception(error, exc)
+        super().connection_lost(exc)
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the parsed head of a response."""
         is_interim = 100 <= data[0].code < 200
@@ -104,6 +113,11 @@
         super().feed_data(data, size)
 
 
+def make_response_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    """Return the reader of the responses on one connection."""
+    return _StrictResponseHandler(loop)
+
+
 def open_session() -> aiohttp.ClientSession:
     """Return a session that reuses its connections and has no total timeout."""
     connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
@@ -154,9 +168,7 @@
     connect: float = CONNECT_TIMEOUT_SECONDS,
 ) -> aiohttp.ClientSession:
     # The library has no public setting for this; its version is pinned.
-    factory: Any = functools.partial(
-        _StrictResponseHandler, loop=asyncio.get_running_loop()
-    )
+    factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
     connector._factory = factory
     return aiohttp.ClientSession(
         connector=connector,
--- a/tests/test_platform_kept_connections.py
+++ b/tests/test_platform_kept_connections.py
@@ -1,4 +1,4 @@
-"""Test that an answer on a kept connection belongs to the request that was sent there."""
+"""Test that an answer on a kept connection is one to the request sent there."""
 
 import asyncio
 import contextlib
