Pass on nothing of a resumed stream that is no event

What callers saw elsewhere: a stream had begun and broke off, and the next runner answered with an error; clients found its text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Cause: anything between two blank lines counted as an event, also without an id, and a stream that ended after one was complete. An answer with an error status was kept from the stream already.

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -197,14 +197,15 @@
         events = EventStream(request.last_event)
         async for chunk in _iterate_within(response.chunks, progress):
             complete_events = events.feed(chunk)
-            if not complete_events:
-                continue
-            progress.record()
-            send.slot.record_output()
-            if not sink.began:
-                await sink.begin(response.status, response.headers)
-            await sink.write(complete_events)
-            request.last_event = events.last
+            if complete_events:
+                progress.record()
+                send.slot.record_output()
+                if not sink.began:
+                    await sink.begin(response.status, response.headers)
+                await sink.write(complete_events)
+                request.last_event = events.last
+            if events.fault:
+                break
         if not events.is_complete:
             detail = (
                 events.fault
--- a/tests/test_platform_cut_answers.py
+++ b/tests/test_platform_cut_answers.py
@@ -109,7 +109,8 @@
             server, client = CutServer(), RunnerClient(SystemClock())
             server.resets, server.pause = resets, pause
             listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-            address = "127.0.0.1:%d" % listening.sockets[0].getsockname()[1]
+            port = listening.sockets[0].getsockname()[1]
+            address = f"127.0.0.1:{port}"
             accepted = {}
             async with listening:
                 for cut in range(first, len(answer) + 1):
