--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -36,7 +36,9 @@
     ``break_after`` closes a stream after that number of events, ``crash`` the
     connection of each request, ``close_port`` also the port. ``wrong_id`` responds
     with another attempt's id. ``leaving`` and ``rate_limit``, in requests a second, add
-    a header to each response, ``retry_after_seconds`` one to each refusal.
+    a header to each response, ``retry_after_seconds`` one to each refusal. The runner
+    crashes as it begins to answer a request with one of the ``crashing_parts`` in its
+    prompt, and is back after ``restart_seconds``, under its id if it ``keeps_id``.
     """
 
     shed: bool = False
@@ -55,6 +57,7 @@
     retry_after_seconds: float | None = None
     crashing_parts: frozenset[str] = frozenset()
     restart_seconds: float = 1.0
+    keeps_id: bool = False
 
 
 @dataclass(slots=True)
@@ -63,8 +66,7 @@
 
     ``received`` lists all requests that arrived, ``received_at`` their times in seconds
     of the event loop, ``ran`` the attempts that were run, ``crashed_at`` the times of
-    its crashes. ``on_restart`` is called with its former id after each restart, which
-    gives it a new one.
+    its crashes. ``on_restart`` is called with its former id after each restart.
     """
 
     id: str
@@ -148,7 +150,8 @@
         await asyncio.sleep(self.faults.restart_seconds)
         former = self.id
         self.born += 1
-        self.id = f"{former.partition('-')[0]}-{self.born}"
+        if not self.faults.keeps_id:
+            self.id = f"{former.partition('-')[0]}-{self.born}"
         ip, port = split_address(self.address)
         self._site = web.TCPSite(self._runner, ip, port, reuse_address=True)
         await self._site.start()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -75,7 +75,8 @@
         self.store.put("servers", runner.id, runner.entry(**changes))
 
     def replace_entry(self, runner, former):
-        self.store.remove("servers", former)
+        if former != runner.id:
+            self.store.remove("servers", former)
         self.register(runner)
 
     async def send(self, path, method="GET", body=b"", host=0, **headers):
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -6,11 +6,15 @@
 import aiohttp
 from testtools import TestCase
 
+from galenapass.forwarding.loads import digest_part
+from galenapass.forwarding.requests import Part
+from galenapass.platform.assembly import PlatformDaemon
 from stand_ins.runner import list_parts
-from tests.platform_fleet import run
+from tests.platform_fleet import make_settings, run
 
 HOSTS = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c")
 CRASHING = "bad0"
+PROMPT = f"aa:350,{CRASHING}:136,ffffff:200"
 # From this long after the fifth crash, the part may reach targets this often.
 CONTACT_SECONDS = 3.0
 CRASHES_TO_LEARN = 5
@@ -97,8 +101,8 @@
     """Wait until the hosts know of each other and of all targets."""
     await fleet.wait_for(
         lambda: all(
-            daemon.relay.daemons == len(HOSTS)
-            and len(daemon.fleet.targets) == len(fleet.runners)
+            daemon.relay.daemons == len(fleet.daemons)
+            and len(daemon.fleet.targets) == len(fleet.store.objects["servers"])
             for daemon in fleet.daemons
         ),
         seconds=15.0,
@@ -112,25 +116,168 @@
             runner.faults.event_seconds = 0.03
 
 
+def cut_off(some, others):
+    """Lose every datagram between two groups of hosts."""
+    for group, away in ((some, others), (others, some)):
+        lost = {daemon.settings.peers for daemon in away}
+        for daemon in group:
+            endpoint = daemon.peering.endpoint
+            endpoint.send = make_lossy(endpoint.send, lost)
+
+
+def make_lossy(send, lost):
+    return lambda address, message: (
+        None if tuple(address) in lost else send(address, message)
+    )
+
+
 class TestCrashingParts(TestCase):
+    """Rules on requests with a crashing part and on the sound ones beside them."""
+
+    async def play(self, fleet, *parts, seconds=12.0, **rates):
+        """Play sound traffic, then crashing parts beside it, and check the rules."""
+        await settle(fleet)
+        traffic = Traffic(fleet, parts)
+        set_crashing_parts(fleet, *parts)
+        await traffic.run(2.0, crashing=0.01)
+        began = asyncio.get_running_loop().time()
+        await traffic.run(seconds, **rates)
+        for part in parts:
+            self.check(fleet, traffic, began, part)
+
+    def check(self, fleet, traffic, began, part):
+        crashes = list_crashes(fleet)
+        learned = crashes[min(len(crashes), CRASHES_TO_LEARN) - 1]
+        late = [
+            at for at in list_arrivals(fleet, part) if at > learned + CONTACT_SECONDS
+        ]
+        self.assertLessEqual(len(late), MAX_REQUESTS, f"{len(crashes)} crashes")
+        since = learned + 2 * CONTACT_SECONDS
+        served = traffic.rate(since, float("inf"))
+        self.assertGreaterEqual(served, traffic.rate(0, began) / 2)
+
+    def check_blocks(self, fleet, *parts):
+        """Check that every host blocks just these parts."""
+        expected = {digest_part(Part(part, 1)).digest for part in parts}
+        for daemon in fleet.daemons:
+            messages = daemon.suspects.list_blocks()
+            blocked = {block.part for m in messages for block in m.blocks}
+            self.assertEqual(expected, blocked)
+
     def test_budget_khomsabai_post_a_crashing_part_is_kept_from_engines(self):
         # Requests with one part ended engine after engine, 26 in all.
+        async def scenario(fleet):
+            await self.play(fleet, CRASHING)
+            self.check_blocks(fleet, CRASHING)
+
+        run(scenario, domains=HOSTS, more_decode=1)
+
+    def test_two_crashing_parts_at_once(self):
+        async def scenario(fleet):
+            await self.play(fleet, CRASHING, "bad1")
+            self.check_blocks(fleet, CRASHING, "bad1")
+
+        run(scenario, domains=HOSTS, more_decode=1)
+
+    def test_a_single_engine_that_decodes(self):
+        async def scenario(fleet):
+            fleet.store.remove("servers", fleet.second_decode.id)
+            await self.play(fleet, CRASHING, sound=15.0)
+
+        run(scenario, domains=HOSTS)
+
+    def test_beside_crashes_of_other_causes(self):
+        async def scenario(fleet):
+            crashing = asyncio.create_task(self.crash_in_turn(fleet, 20))
+            await self.play(fleet, CRASHING)
+            crashing.cancel()
+            self.check_blocks(fleet, CRASHING)
+
+        run(scenario, domains=HOSTS, more_decode=3)
+
+    def test_crashes_of_other_causes_alone_block_nothing(self):
+        async def scenario(fleet):
+            await settle(fleet)
+            set_crashing_parts(fleet)
+            playing = asyncio.create_task(Traffic(fleet).run(8.0, crashing=0.01))
+            await self.crash_in_turn(fleet, 6, together=2)
+            await playing
+            self.check_blocks(fleet)
+
+        run(scenario, domains=HOSTS, more_decode=3)
+
+    async def crash_in_turn(self, fleet, times, together=1):
+        """Crash engines that decode, some at once, for causes of their own."""
+        decode = [r for r in fleet.runners if r.stage == "decode"]
+        for number in range(times):
+            await asyncio.sleep(1.1)
+            for runner in (decode * 2)[number % len(decode) :][:together]:
+                runner.crash()
+
+    def test_while_the_store_is_away(self):
+        async def scenario(fleet):
+            for runner in fleet.runners:
+                runner.faults.keeps_id = True
+
+            async def lose_store():
+                await settle(fleet)
+                await asyncio.sleep(1.0)
+                fleet.store.faults.status = 503
+                await asyncio.sleep(6.0)
+                fleet.store.faults.status = None
+
+            losing = asyncio.create_task(lose_store())
+            await self.play(fleet, CRASHING)
+            await losing
+
+        run(scenario, domains=HOSTS, more_decode=1)
+
+    def test_hosts_that_are_cut_off_from_each_other(self):
+        async def scenario(fleet):
+            await settle(fleet)
+            cut_off(fleet.daemons[:2], fleet.daemons[2:])
+            await self.play(fleet, CRASHING)
+
+        run(scenario, domains=HOSTS, more_decode=1)
+
+
+class TestHostsThatStart(TestCase):
+    """What was learned reaches hosts that start later."""
+
+    def play(self, forget):
         async def scenario(fleet):
             await settle(fleet)
             traffic = Traffic(fleet)
             set_crashing_parts(fleet, CRASHING)
             await traffic.run(2.0, crashing=0.01)
-            began = asyncio.get_running_loop().time()
-            await traffic.run(12.0)
-            crashes = list_crashes(fleet)
-            if len(crashes) < CRASHES_TO_LEARN:
-                learned = crashes[-1]
-            else:
-                learned = crashes[CRASHES_TO_LEARN - 1]
-            late = [at for at in list_arrivals(fleet) if at > learned + CONTACT_SECONDS]
-            self.assertLessEqual(len(late), MAX_REQUESTS, f"{len(crashes)} crashes")
-            since = learned + 2 * CONTACT_SECONDS
-            served = traffic.rate(since, float("inf"))
-            self.assertGreaterEqual(served, traffic.rate(0, began) / 2)
+            await traffic.run(4.0)
+            await asyncio.sleep(0.5)
+            forget(fleet)
+            settings = make_settings(fleet.settings.store, "front-7", "zone-a")
+            daemon = PlatformDaemon(settings, 0)
+            fleet.daemons.append(daemon)
+            await daemon.start()
+            await fleet.wait_for(lambda: daemon.fleet.routes.version)
+            await fleet.wait_for(daemon.suspects.list_blocks, 3.0)
+            before = len(list_arrivals(fleet))
+            status, _, _ = await fleet.send(
+                "/notes/1", "POST", host=-1, X_Galenapass_Prompt_Prefix=PROMPT
+            )
+            self.assertEqual(503, status)
+            self.assertEqual(before, len(list_arrivals(fleet)))
 
-        run(scenario, domains=HOSTS, more_decode=1)
+        run(scenario, domains=HOSTS[:2], more_decode=1)
+
+    def test_a_host_that_joins_hears_from_its_peers(self):
+        def forget(fleet):
+            for name in list(fleet.store.objects["crashes"]):
+                fleet.store.remove("crashes", name)
+
+        self.play(forget)
+
+    def test_a_host_that_starts_alone_reads_the_store(self):
+        def forget(fleet):
+            for daemon in fleet.daemons:
+                daemon.peering.endpoint.send = lambda address, message: None
+
+        self.play(forget)
