Take the start of an answer without events for the time at which it began

A whole answer clears its prompt parts of crashes before it began. An answer that is no stream has no first event, so its end was taken, which cleared crashes during it. Also: a later failure at a target that had crashed is probed anew, and reports that say nothing new aren't written to the store again.

--- a/src/galenapass/forwarding/grants.py
+++ b/src/galenapass/forwarding/grants.py
@@ -210,8 +210,9 @@
             loads.record_service_rate(prefill_rate, grant.uncached_tokens, took)
             return
         loads.record_durations(load, release.first_ms, release.took_ms)
-        began_at = granted.granted_at + release.first_ms * MILLISECOND
-        self._on_answer(slot_request, began_at)
+        # Without events it is only known that the answer began after the grant.
+        first_ms = release.first_ms if release.events else 0.0
+        self._on_answer(slot_request, granted.granted_at + first_ms * MILLISECOND)
         if slot_request.stage is Stage.DECODE:
             after_ms = release.took_ms - release.first_ms
             workload.record_output(
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -178,8 +178,10 @@
         """
         failed_at = self._clock.monotonic()
         crash = Crash(target.id, target.incarnation)
-        if crash not in self._own and await self._accepts_connections(crash, target):
-            return
+        known = self._own.get(crash)
+        if known is None or failed_at - known.at > BEGIN_TIME:
+            if await self._accepts_connections(crash, target):
+                return
         now = self._clock.monotonic()
         if request.fingerprint and crashes.record_crash(
             self._world, request.fingerprint, crash, now
@@ -253,8 +255,8 @@
             report = self._make_report(crash, own)
             for part_of_report in split_report(report):
                 self._hooks.share(part_of_report)
-            self._apply_report(report)
-            self._publish_soon()
+            if self._apply_report(report):
+                self._publish_soon()
             await asyncio.sleep(pause)
         own.is_sending = False
 
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -272,6 +272,48 @@
             check=lambda slot_request: checks.get(slot_request.fingerprint),
         )
 
+    def test_a_waiting_request_that_is_found_to_crash_targets_is_refused(self):
+        verdict = Verdict(Run.NOT_RUN, Reason.CRASHES_TARGETS)
+        checks = {}
+
+        async def scenario(harness):
+            target = harness.fleet.targets["s1"]
+            harness.fleet.load_of(target).requests = 100
+            for name in ("r1", "r2"):
+                harness.submit(make_slot_request(name, fingerprint=name))
+            await harness.settle()
+            checks["r1"] = verdict
+            harness.scheduler.check_waiting()
+            self.assertEqual({"r1": verdict}, harness.refused())
+            self.assertTrue(harness.scheduler.is_waiting("r2"))
+
+        run_with_scheduler(
+            scenario,
+            make_plain_target(slots=4),
+            check=lambda slot_request: checks.get(slot_request.fingerprint),
+        )
+
+    def test_whole_answers_are_told_with_the_time_at_which_they_began(self):
+        answers = []
+
+        async def scenario(harness):
+            for name, events in (("r1", 4), ("r2", 0)):
+                harness.submit(make_slot_request(name, Stage.DECODE))
+                await harness.settle()
+                harness.end(name, took_ms=50.0, first_ms=30.0, events=events)
+            harness.submit(make_slot_request("r3", Stage.DECODE))
+            await harness.settle()
+            harness.end("r3", Outcome.FAILED, took_ms=50.0, first_ms=30.0)
+            began = [(s.ticket, at) for s, at in answers]
+            start = harness.clock.monotonic()
+            self.assertEqual([("r1", start + 30 * MS), ("r2", start)], began)
+
+        run_with_scheduler(
+            scenario,
+            make_target("d1", Role.DECODE),
+            on_answer=lambda slot_request, at: answers.append((slot_request, at)),
+        )
+
     def test_excluded_targets_get_nothing_even_if_no_other_is_left(self):
         async def scenario(harness):
             harness.submit(make_slot_request("r1", excluded=frozenset({"s1"})))
