--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -22,6 +22,7 @@
     ObjectListing,
     StoredObject,
 )
+from galenapass.targets.connections import make_connector
 
 __all__ = ["CountCall", "ObjectClient", "ResponseLostError", "compute_retry_delay"]
 
@@ -187,6 +188,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
+                connector=make_connector(),
                 headers=self._headers,
                 timeout=self._timeout,
                 middlewares=(_prevent_resend,),
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -18,6 +18,7 @@
     "MAX_BODY_BYTES",
     "classify_error",
     "classify_response",
+    "make_connector",
     "make_probed_socket",
     "make_response_handler",
     "open_keepalive_session",
@@ -120,14 +121,12 @@
 
 def open_session() -> aiohttp.ClientSession:
     """Return a session that reuses its connections and has no total timeout."""
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-    return _open_session(connector)
+    return _open_session(make_connector(keepalive_timeout=KEEPALIVE_SECONDS))
 
 
 def open_single_use_session() -> aiohttp.ClientSession:
     """Return a session that opens a connection per request and never resends."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    return _open_session(connector, _prevent_resend)
+    return _open_session(make_connector(force_close=True), _prevent_resend)
 
 
 def open_keepalive_session(
@@ -144,8 +143,16 @@
     options: dict[str, Any] = {"socket_factory": make_probed_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
+    return _open_session(make_connector(**options), _prevent_resend, connect=connect)
+
+
+def make_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Return a connector whose connections read each response for one request."""
     connector = aiohttp.TCPConnector(limit=0, **options)
-    return _open_session(connector, _prevent_resend, connect=connect)
+    # The library has no public setting for this; its version is pinned.
+    factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
+    connector._factory = factory
+    return connector
 
 
 def make_probed_socket(info: Any) -> socket.socket:
@@ -167,9 +174,6 @@
     *middlewares: ClientMiddlewareType,
     connect: float = CONNECT_TIMEOUT_SECONDS,
 ) -> aiohttp.ClientSession:
-    # The library has no public setting for this; its version is pinned.
-    factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
-    connector._factory = factory
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
