--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -7,6 +7,7 @@
 from galenapass.forwarding.requests import ForwardedRequest, Part, Prompt
 from galenapass.forwarding.routes import Repeat, Route, RouteTable, Service
 from galenapass.forwarding.suspects import CrashHooks, CrashSuspects
+from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
 
@@ -52,9 +53,25 @@
     )
 
 
-def make_target(name, role=Role.PREFILL, domain="a", service="lm", **changes):
+def make_target(
+    name, role=Role.PREFILL, domain="a", service="lm", address=None, **changes
+):
     kind = TargetKind.SERVICE if role is Role.MIXED else TargetKind.ENGINE
-    return Target(name, f"10.0.0.1:{len(name)}", domain, kind, service, role, **changes)
+    address = address or f"10.0.0.1:{len(name)}"
+    return Target(name, address, domain, kind, service, role, **changes)
+
+
+def open_run(client, address, attempt, *, once=False):
+    """Return the context of a request that a client of runners sends to an address."""
+    return client.run(
+        make_target("e1", address=address),
+        ClientRequest(attempt, "POST", "/notes/1", "a.example", (), b""),
+        timedelta(seconds=5),
+        priority=None,
+        source=None,
+        last_event=None,
+        once=once,
+    )
 
 
 def make_suspects(host, clock, **outlets):
--- a/tests/test_platform_cut_answers.py
+++ b/tests/test_platform_cut_answers.py
@@ -4,19 +4,16 @@
 import contextlib
 import socket
 import struct
-from datetime import timedelta
 
 import aiohttp
 from result import Err
 from testtools import TestCase
 
 from galenapass.clocks import SystemClock
-from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.platform.runner_client import RunnerClient
 from galenapass.targets.connections import make_response_handler
-from tests.forwarding_fakes import make_target
+from tests.forwarding_fakes import open_run
 
-SECOND = timedelta(seconds=1)
 BODY = b"the whole body"
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Galenapass-Attempt-Id: a1\r\n"
@@ -57,20 +54,8 @@
 
 async def send(client, address, once):
     """Return the body of a request's answer, None if it failed or was cut."""
-    message = ClientRequest("a1", "POST", "/notes/1", "a.example", (), b"")
-    target = make_target("e1")
-    object.__setattr__(target, "address", address)
-    context = client.run(
-        target,
-        message,
-        5 * SECOND,
-        priority=None,
-        source=None,
-        last_event=None,
-        once=once,
-    )
     try:
-        async with context as response:
+        async with open_run(client, address, "a1", once=once) as response:
             if isinstance(response, Err):
                 return None
             return b"".join([chunk async for chunk in response.ok_value.chunks])
--- a/tests/test_platform_kept_connections.py
+++ b/tests/test_platform_kept_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from datetime import timedelta
 
 from result import Err, Ok
 from testtools import TestCase
@@ -10,13 +9,11 @@
 from galenapass.clocks import ManualClock, SystemClock
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_epochs import StoreEpochs
-from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.platform.runner_client import RunnerClient
 from galenapass.platform.store_client import StoreClient
 from galenapass.verdicts import Run
-from tests.forwarding_fakes import make_target
+from tests.forwarding_fakes import open_run
 
-SECOND = timedelta(seconds=1)
 NOT_RUN = (
     b"HTTP/1.1 503 Service Unavailable\r\nX-Galenapass-Not-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
@@ -68,19 +65,7 @@
 
 async def send(client, address, attempt):
     """Send a request that may be repeated; return its status and body, or verdict."""
-    message = ClientRequest(attempt, "POST", "/notes/1", "a.example", (), b"")
-    target = make_target("e1")
-    object.__setattr__(target, "address", address)
-    context = client.run(
-        target,
-        message,
-        5 * SECOND,
-        priority=None,
-        source=None,
-        last_event=None,
-        once=False,
-    )
-    async with context as response:
+    async with open_run(client, address, attempt) as response:
         if isinstance(response, Err):
             return response.err_value
         body = b"".join([chunk async for chunk in response.ok_value.chunks])
