--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -38,8 +38,8 @@
 # Logarithm of the odds against chance from which a part is blocked; hundreds of parts
 # are present in a few crashes.
 MIN_SCORE = math.log(1000)
-# The same for a part that whole answers had before.
-MIN_SOUND_SCORE = math.log(100_000)
+# The odds rise with the share of answers that a wrong block would refuse, above this.
+RARE_SHARE = 0.01
 # From here a request that has lost a target to a crash is not sent to another one.
 SUSPECT_CRASHES = 2
 SUSPECT_SCORE = MIN_SCORE / 2
@@ -237,7 +237,7 @@
         _block(evidence, part, record.at, now)
         for part, (crashes, score) in scores.items()
         if crashes >= MIN_CRASHES
-        and score >= max(_find_min_score(evidence, part), best - TIE_SCORE)
+        and score >= max(_find_min_score(evidence, part, record), best - TIE_SCORE)
     ]
     return blocked
 
@@ -333,8 +333,9 @@
     return len(counted), score
 
 
-def _find_min_score(evidence: CrashEvidence, part: int) -> float:
-    return MIN_SOUND_SCORE if part in evidence.sound_at else MIN_SCORE
+def _find_min_score(evidence: CrashEvidence, part: int, record: _CrashRecord) -> float:
+    answers = evidence.answers.get(record.service, _Answers())
+    return MIN_SCORE + math.log1p(answers.estimate_share(part) / RARE_SHARE)
 
 
 def _has_returned(evidence: CrashEvidence, part: int, record: _CrashRecord) -> bool:
--- a/tests/test_forwarding_crash_evidence.py
+++ b/tests/test_forwarding_crash_evidence.py
@@ -236,16 +236,20 @@
 
     STEP, ANSWER, CRASH, RESTART = 10, 300, 100, 3000
 
-    def __init__(self, seed, engines, sound, crashing=0.0, services=2, parts=30):
+    def __init__(
+        self, seed, engines, sound, crashing=0.0, services=2, parts=30, before=0.0
+    ):
         self.random = random.Random(seed)
         self.evidence = CrashEvidence()
         self.crashes_with_part, self.blocked = [], {}
         self._rates = sound, crashing
         self._services, self._parts = services, parts
+        self._before, self._crashes_on_part = before, False
         self._up_at = [0] * engines
         self._running = defaultdict(list)
 
     def run(self, begin, end, random_crashes=0.0, together=1, crashing=True):
+        self._crashes_on_part = crashing
         for now in range(begin, end, self.STEP):
             seconds = self.STEP / 1000
             sound, rate = self._rates
@@ -259,6 +263,8 @@
                     self._crash(engine, now)
 
     def _draw_sound(self):
+        if not self._crashes_on_part and self.random.random() < self._before:
+            return (FIRST, CRASHING)
         first = self.random.randint(1, self._services)
         part = int(self.random.paretovariate(0.7)) % self._parts
         return (first, 1000 * first + part)
@@ -274,7 +280,7 @@
 
     def _end_answers(self, now):
         for engine in list(self._running):
-            if any(
+            if self._crashes_on_part and any(
                 CRASHING in parts and now - at >= self.CRASH
                 for at, parts in self._running[engine]
             ):
@@ -312,9 +318,9 @@
 class TestSimulations(TestCase):
     """Load patterns with and without a crashing part."""
 
-    def check(self, engines, sound, crashing, **options):
+    def check(self, engines, sound, crashing, before=0.0, **options):
         for seed in SEEDS:
-            simulation = Simulation(seed, engines, sound, crashing)
+            simulation = Simulation(seed, engines, sound, crashing, before=before)
             simulation.run(0, 8000, crashing=False)
             simulation.run(8000, 40_000, **options)
             self.assertIn(CRASHING, simulation.blocked, f"seed {seed}")
@@ -339,6 +345,9 @@
     def test_thirty_busy_engines(self):
         self.check(engines=30, sound=90.0, crashing=3.0)
 
+    def test_a_part_that_sound_requests_had_before(self):
+        self.check(engines=3, sound=40.0, crashing=3.0, before=0.01)
+
     def test_beside_crashes_of_other_causes(self):
         self.check(engines=9, sound=40.0, crashing=1.0, random_crashes=0.5)
 
