Ask in one place whether a blocked part was in a crash

The same condition stood in is_explained and in the score. A test was named after a first part, which it does not have; it has its name from what it checks now.

--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -269,9 +269,7 @@
 def is_explained(evidence: CrashEvidence, crash: Crash) -> bool:
     """Return whether a request with a blocked part was running at a crash."""
     record = evidence.crashes.get(crash)
-    if record is None or not evidence.blocks:
-        return False
-    return not evidence.blocks.keys().isdisjoint(record.sightings)
+    return record is not None and _has_blocked_part(evidence, record)
 
 
 def is_suspected(evidence: CrashEvidence, parts: Iterable[int]) -> bool:
@@ -316,7 +314,7 @@
             (evidence.crashes[name] for name in names), key=lambda r: r.at
         )
         if (sound_at is None or record.at >= sound_at)
-        and evidence.blocks.keys().isdisjoint(record.sightings)
+        and not _has_blocked_part(evidence, record)
     ]
     counted: list[_CrashRecord] = []
     for record in records:
@@ -338,6 +336,10 @@
     return MIN_SCORE + math.log1p(answers.estimate_share(part) / RARE_SHARE)
 
 
+def _has_blocked_part(evidence: CrashEvidence, record: _CrashRecord) -> bool:
+    return not evidence.blocks.keys().isdisjoint(record.sightings)
+
+
 def _has_returned(evidence: CrashEvidence, part: int, record: _CrashRecord) -> bool:
     """Return whether a part crashed a target after its block ended."""
     block = evidence.blocks.get(part)
--- a/tests/test_forwarding_crash_evidence.py
+++ b/tests/test_forwarding_crash_evidence.py
@@ -75,7 +75,7 @@
             report = make_report(n, 1000 * (n + 1), parts)
             self.assertEqual([], apply_report(evidence, report))
 
-    def test_a_first_part_that_crashes_targets_is_blocked(self):
+    def test_a_crashing_part_that_several_requests_have_is_blocked(self):
         evidence, blocked = make_evidence(), []
         for n in range(3):
             parts = {FIRST: 6, CRASHING: 2, 2000 + n: 1}
