--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -75,6 +75,7 @@
     peers_port: int = 0
     ip: str = field(default_factory=_choose_ip)
     retry_slack: int = 50
+    grace_seconds: float = GRACE_SECONDS
     process: Process | None = None
     paused_at: float = 0.0
     started_at: float = 0.0
@@ -106,7 +107,7 @@
             ready_port=self.ready_port,
             peers_port=self.peers_port,
             retry_slack=self.retry_slack,
-            grace=GRACE_SECONDS,
+            grace=self.grace_seconds,
             store=store,
         )
         path.write_text(text)
@@ -150,7 +151,9 @@
         except TimeoutError:
             process.send(signal.SIGKILL)
             await process.wait()
-            self.exit_errors.append(f"{self.name} did not stop in {GRACE_SECONDS} s")
+            self.exit_errors.append(
+                f"{self.name} did not stop in {self.grace_seconds} s"
+            )
             return
         expected = {0, -signal.SIGKILL}
         if START_MESSAGE not in self.log.read_bytes()[self.log_start :]:
@@ -161,30 +164,45 @@
 
     async def _wait_exit(self, process: Process, began: float) -> int:
         try:
-            return await process.wait(GRACE_SECONDS)
+            return await process.wait(self.grace_seconds)
         except TimeoutError:
-            if self.paused_at + GRACE_SECONDS < began:
+            if self.paused_at + self.grace_seconds < began:
                 raise
             # It may have been suspended during part of the grace period.
             process.send(signal.SIGCONT)
-            return await process.wait(GRACE_SECONDS)
+            return await process.wait(self.grace_seconds)
 
 
 class Environment:
-    """The metadata store, the targets, the proxies and the daemons of a soak test."""
+    """The metadata store, the targets, the proxies and the daemons of a soak test.
+
+    ``configuration`` holds the operator's routes, to which each version adds one.
+    """
 
-    def __init__(self, folder: Path, daemons: int):
+    def __init__(
+        self,
+        folder: Path,
+        daemons: int,
+        grace_seconds: float = GRACE_SECONDS,
+        configuration: dict[str, Any] = CONFIGURATION,
+    ):
         self.store = MetadataStore()
         self.runners = {runner.id: runner for runner in _make_runners()}
         self.daemons = {
             daemon.name: daemon
             for daemon in (
-                Daemon(f"front-{n}", DOMAINS[n % len(DOMAINS)], folder)
+                Daemon(
+                    f"front-{n}",
+                    DOMAINS[n % len(DOMAINS)],
+                    folder,
+                    grace_seconds=grace_seconds,
+                )
                 for n in range(daemons)
             )
         }
         self.proxies: dict[str, Proxy] = {}
         self.version = 1
+        self._configuration = configuration
         self._store_server: web.AppRunner | None = None
         self._target_states: dict[str, str] = {}
         self._heartbeats: asyncio.Task[None] | None = None
@@ -236,8 +254,8 @@
 
     def _publish_current(self) -> None:
         route = make_route(f"/version-{self.version}/", "idempotent", "desk")
-        routes = [*CONFIGURATION["routes"], route]
-        changed = CONFIGURATION | {"version": self.version, "routes": routes}
+        routes = [*self._configuration["routes"], route]
+        changed = self._configuration | {"version": self.version, "routes": routes}
         self.store.put("config", "main", changed)
 
     def list_executed(self) -> dict[str, list[str]]:
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -16,7 +16,7 @@
 from stand_ins.platform_routes import HOST
 from stand_ins.runner import STREAM_BODY
 
-__all__ = ["Report", "describe", "run_soak"]
+__all__ = ["Report", "describe", "run_soak", "wait_ready"]
 
 READY_SECONDS = 15.0
 # Time after the last fault until the configuration is in force, roles are stable and
@@ -61,7 +61,7 @@
     ]
     try:
         await environment.start()
-        failures = await _wait_ready(environment)
+        failures = await wait_ready(environment)
         started = time.monotonic()
         is_over = lambda: time.monotonic() > started + seconds  # noqa: E731
         async with asyncio.TaskGroup() as tasks:
@@ -88,7 +88,7 @@
     await environment.apply(fault)
 
 
-async def _wait_ready(
+async def wait_ready(
     environment: Environment, seconds: float = READY_SECONDS
 ) -> list[str]:
     """Wait until every daemon is ready; return a failure for each that is not."""
@@ -124,7 +124,7 @@
     """Return the failures that remain after every fault has ended."""
     for name in environment.daemons:
         await environment.start_daemon(name)
-    failures = await _wait_ready(environment)
+    failures = await wait_ready(environment)
     await asyncio.sleep(RECOVERY_SECONDS)
     async with aiohttp.ClientSession() as session:
         for name, daemon in environment.daemons.items():
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -38,7 +38,8 @@
     with another attempt's id. ``leaving`` and ``rate_limit``, in requests a second, add
     a header to each response, ``retry_after_seconds`` one to each refusal. The runner
     crashes as it begins to answer a request with one of the ``crashing_parts`` in its
-    prompt, and is back after ``restart_seconds``, under its id if it ``keeps_id``.
+    prompt, and is back after ``restart_seconds``, under its id if it ``keeps_id``. A
+    plain service answers ``body_bytes`` bytes.
     """
 
     shed: bool = False
@@ -58,6 +59,7 @@
     crashing_parts: frozenset[str] = frozenset()
     restart_seconds: float = 1.0
     keeps_id: bool = False
+    body_bytes: int | None = None
 
 
 @dataclass(slots=True)
@@ -223,10 +225,10 @@
         if not self.faults.unsigned:
             headers[SIGNATURE] = f"signed-by-{self.id}"
         if not self.stage:
-            body = f"{self.id} {request.method} {request.raw_path}"
-            return web.Response(
-                status=self.faults.status, headers=headers, body=body.encode()
-            )
+            body = f"{self.id} {request.method} {request.raw_path}".encode()
+            if self.faults.body_bytes is not None:
+                body = bytes(self.faults.body_bytes)
+            return web.Response(status=self.faults.status, headers=headers, body=body)
         return await self._stream(request, headers)
 
     def _refuse(self, request: web.Request) -> web.Response | None:
--- /dev/null
+++ b/tests/test_platform_planned_stops.py
@@ -0,0 +1,230 @@
+"""Test what callers of a daemon process get while it stops on SIGTERM."""
+
+import asyncio
+import contextlib
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from testtools import TestCase
+
+from experiments.soak.environment import Environment
+from experiments.soak.runs import wait_ready
+from stand_ins.platform_routes import CONFIGURATION
+from stand_ins.runner import STREAM_BODY
+from tests.stop_clients import Exchange, list_lost, make_request, read_answer
+
+GRACE_SECONDS = 6.0
+DEADLINE_MS = 8000
+ROUTES = [route | {"timeout_ms": DEADLINE_MS} for route in CONFIGURATION["routes"]]
+
+
+class Caller:
+    """Caller with one connection to a daemon process."""
+
+    def __init__(self, name, reader, writer):
+        self.exchanges = []
+        self._name = name
+        self._reader = reader
+        self._writer = writer
+
+    def write(self, path, body=b"", cut=None):
+        """Send a request, or its first ``cut`` bytes; return the exchange and rest."""
+        exchange = Exchange(f"{self._name}-{len(self.exchanges)}", time.monotonic())
+        self.exchanges.append(exchange)
+        data = make_request(path, exchange.attempt, DEADLINE_MS, body=body)
+        with contextlib.suppress(OSError):
+            self._writer.write(data[:cut])
+        return exchange, b"" if cut is None else data[cut:]
+
+    def write_rest(self, exchange, rest):
+        """Send the rest of a request."""
+        exchange.sent_at = time.monotonic()
+        self._writer.write(rest)
+
+    async def read(self, exchange):
+        """Read the answer to a request."""
+        await read_answer(self._reader, exchange)
+        return exchange
+
+    async def ask(self, path, body=b""):
+        """Send a request and read its answer."""
+        return await self.read(self.write(path, body)[0])
+
+    async def close(self):
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+
+class StoppingHost:
+    """One daemon process with the stand-ins, and the callers that opened connections.
+
+    ``signal_at`` is the monotonic time of SIGTERM in seconds.
+    """
+
+    def __init__(self, environment):
+        self.environment = environment
+        self.daemon = next(iter(environment.daemons.values()))
+        self.callers = []
+        self.signal_at = 0.0
+
+    async def connect(self, **options):
+        reader, writer = await asyncio.open_connection(
+            self.daemon.ip, self.daemon.front_port, **options
+        )
+        self.callers.append(Caller(f"c{len(self.callers)}", reader, writer))
+        return self.callers[-1]
+
+    def stop(self):
+        self.signal_at = time.monotonic()
+        self.daemon.send(signal.SIGTERM)
+
+    async def wait_until(self, seconds):
+        """Wait until a time in seconds after the signal."""
+        await asyncio.sleep(max(self.signal_at + seconds - time.monotonic(), 0))
+
+    async def wait_exit(self):
+        return await self.daemon.process.wait(2 * GRACE_SECONDS)
+
+    def list_received(self):
+        """Return the attempts that targets received."""
+        runners = self.environment.runners.values()
+        return {
+            request.headers.get("X-Galenapass-Attempt-Id")
+            for runner in runners
+            for request in runner.received
+        }
+
+    def list_lost(self):
+        exchanges = [e for caller in self.callers for e in caller.exchanges]
+        return list_lost(exchanges, self.list_received(), self.signal_at, GRACE_SECONDS)
+
+
+def run(scenario, event_seconds=0.0, call_seconds=0.0):
+    """Run an async test scenario with a daemon process of its own."""
+
+    async def main():
+        with tempfile.TemporaryDirectory() as folder:
+            environment = Environment(
+                Path(folder), 1, GRACE_SECONDS, CONFIGURATION | {"routes": ROUTES}
+            )
+            try:
+                await environment.start()
+                assert not await wait_ready(environment)
+                for runner in environment.runners.values():
+                    runner.faults.event_seconds = event_seconds
+                    runner.faults.delay_seconds = 0 if runner.stage else call_seconds
+                host = StoppingHost(environment)
+                await scenario(host)
+                await asyncio.gather(*(caller.close() for caller in host.callers))
+            finally:
+                await environment.stop()
+
+    asyncio.run(main())
+
+
+class TestLateRequests(TestCase):
+    def check_late_requests(self, path, **options):
+        """Send requests on kept connections until shortly before the end."""
+
+        async def scenario(host):
+            steps = [0.3 * n for n in range(18)]
+            callers = [await host.connect() for _ in steps]
+            for caller in callers:
+                await caller.ask("/seats/1")
+            # Keeps the process until the end of its grace period.
+            slow = await host.connect()
+            host.environment.runners["s0"].faults.delay_seconds = 4.5
+            host.environment.runners["s1"].faults.delay_seconds = 4.5
+            first = asyncio.create_task(slow.ask("/hold/1"))
+            await asyncio.sleep(0.3)
+            for name in ("s0", "s1"):
+                faults = host.environment.runners[name].faults
+                faults.delay_seconds = options.get("call_seconds", 0.0)
+            host.stop()
+            pending = [first]
+            for caller, at in zip(callers, steps, strict=True):
+                await host.wait_until(at)
+                pending.append(asyncio.create_task(caller.ask(path)))
+            status = await host.wait_exit()
+            exchanges = await asyncio.gather(*pending)
+            self.assertEqual(0, status)
+            self.assertEqual([], host.list_lost())
+            self.assertEqual({200}, {e.status for e in exchanges[:6]})
+
+        run(scenario, **options)
+
+    def test_late_streams_are_not_cut_at_the_end_of_the_grace_period(self):
+        self.check_late_requests("/once/1", event_seconds=0.5)
+
+    def test_late_calls_are_not_cut_at_the_end_of_the_grace_period(self):
+        self.check_late_requests("/hold/1", call_seconds=2.0)
+
+
+class TestOpenConnections(TestCase):
+    def test_requests_sent_without_waiting_are_all_answered(self):
+        async def scenario(host):
+            caller = await host.connect()
+            host.stop()
+            await host.wait_until(0.2)
+            exchanges = [caller.write(f"/seats/{n}")[0] for n in range(3)]
+            for exchange in exchanges:
+                await caller.read(exchange)
+            self.assertEqual([200] * 3, [e.status for e in exchanges])
+            await host.wait_exit()
+
+        run(scenario, call_seconds=0.1)
+
+    def test_a_request_sent_in_pieces_is_answered(self):
+        async def scenario(host):
+            callers = [await host.connect() for _ in range(3)]
+            parts = [
+                caller.write("/hold/1", b"x" * 1000, cut=300) for caller in callers
+            ]
+            await asyncio.sleep(0.1)
+            host.stop()
+            for caller, (exchange, rest), at in zip(
+                callers, parts, (0.2, 1.5, 4.0), strict=True
+            ):
+                await host.wait_until(at)
+                caller.write_rest(exchange, rest)
+                await caller.read(exchange)
+                self.assertTrue(exchange.is_whole, at)
+                self.assertIn(exchange.status, (200, 503))
+            await host.wait_exit()
+
+        run(scenario)
+
+    def test_an_answer_that_is_read_slowly_arrives_whole(self):
+        async def scenario(host):
+            size = 6 * 2**20
+            for name in ("s0", "s1"):
+                host.environment.runners[name].faults.body_bytes = size
+            caller = await host.connect(limit=2**12)
+            host.stop()
+            exchange, _ = caller.write("/seats/1")
+            await host.wait_until(0.55 * GRACE_SECONDS)
+            await caller.read(exchange)
+            self.assertEqual((200, size), (exchange.status, len(exchange.body)))
+            await host.wait_exit()
+
+        run(scenario)
+
+    def test_an_idle_connection_is_closed_before_the_process_ends(self):
+        async def scenario(host):
+            caller = await host.connect()
+            await caller.ask("/seats/1")
+            slow = await host.connect()
+            pending = asyncio.create_task(slow.ask("/once/1"))
+            await asyncio.sleep(0.1)
+            host.stop()
+            exchange = Exchange("", time.monotonic())
+            await caller.read(exchange)
+            self.assertFalse(exchange.status)
+            self.assertIsNone(host.daemon.process.status)
+            self.assertEqual(STREAM_BODY, (await pending).body)
+            await host.wait_exit()
+
+        run(scenario, event_seconds=1.1)
