Log what a stopping daemon still has open: requests, connections, bytes

A stop logged only how many handlers were open. A request that waits behind another one of its connection, and an answer that the caller has not taken, were in no count, so that the ways in which a stop loses requests could not be told apart. The server of the clients' port counts them now.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -14,6 +14,7 @@
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
 from galenapass.forwarding.target_messages import ClientRequest
+from galenapass.http_connections import ClientServer
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
 from galenapass.verdicts import Reason, Run, Verdict
@@ -204,12 +205,12 @@
             self._raw.transport.close()
 
 
-def make_server(handler: RequestHandler) -> web.Server:
+def make_server(handler: RequestHandler) -> ClientServer:
     """Return the server of the clients' port.
 
     A client that disconnects cancels the handling of its request.
     """
-    return web.Server(
+    return ClientServer(
         handler.handle,
         handler_cancellation=True,
         access_log=None,
--- /dev/null
+++ b/src/galenapass/http_connections.py
@@ -0,0 +1,109 @@
+"""Serve HTTP connections whose state a graceful stop can see."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ["ClientConnection", "ClientServer", "ConnectionCounts", "close_after"]
+
+# Time for a client to close its side of a connection that is closed here. Data that
+# arrives on a closed socket resets the connection, and an answer on its way is lost.
+LINGER_TIME = timedelta(milliseconds=200)
+FLUSH_POLL = timedelta(milliseconds=20)
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectionCounts:
+    """Open connections, requests that wait on them and bytes not yet written."""
+
+    connections: int
+    waiting: int
+    unwritten: int
+
+
+class ClientConnection(web.RequestHandler):  # type: ignore[misc]
+    """HTTP connection of one client."""
+
+    __slots__ = ()
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that were read and are not yet handled."""
+        return len(self._messages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the connection waits for a request."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting and not self._messages
+
+    @property
+    def unwritten(self) -> int:
+        """Return the number of bytes that the client has not yet taken."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        return int(self.transport.get_write_buffer_size())
+
+    def close_idle(self) -> None:
+        """Close the sending side, ignore what arrives, and close soon after."""
+        self.close()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write_eof()
+        self._loop.call_later(LINGER_TIME.total_seconds(), self.force_close)
+
+
+class ClientServer(web.Server):
+    """Server of client connections.
+
+    ``options`` are those of aiohttp's connections.
+    """
+
+    def __init__(self, handler: Any, **options: Any):
+        super().__init__(handler, **options)
+        self._options = {k: v for k, v in options.items() if k not in _SERVER_OPTIONS}
+
+    def __call__(self) -> ClientConnection:
+        """Return the protocol of a new connection."""
+        return ClientConnection(self, loop=self._loop, **self._options)
+
+    def count(self) -> ConnectionCounts:
+        """Return the counts of all connections."""
+        connections = self._list_open()
+        return ConnectionCounts(
+            len(connections),
+            sum(connection.waiting for connection in connections),
+            sum(connection.unwritten for connection in connections),
+        )
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+        for connection in self._list_open():
+            if connection.is_idle:
+                connection.close_idle()
+
+    def _list_open(self) -> list[ClientConnection]:
+        return [
+            connection
+            for connection in self.connections
+            if isinstance(connection, ClientConnection)
+            and connection.transport is not None
+        ]
+
+
+async def close_after(raw: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Write a response, and close its connection once the client has taken it."""
+    await response.prepare(raw)
+    await response.write_eof()
+    transport = raw.transport
+    if not raw.content.is_eof() or transport is None or transport.is_closing():
+        return
+    transport.write_eof()  # type: ignore[attr-defined]
+    while transport.get_write_buffer_size():  # type: ignore[attr-defined]
+        await asyncio.sleep(FLUSH_POLL.total_seconds())
+    await asyncio.sleep(LINGER_TIME.total_seconds())
+
+
+_SERVER_OPTIONS = frozenset({"request_factory", "handler_cancellation", "loop"})
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -196,6 +196,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._scheduling_tasks: list[asyncio.Task[Any]] = []
         self._runners: list[web.BaseRunner] = []
+        self._client_server = make_server(self.request_handler)
         self._client_site: web.TCPSite | None = None
 
     async def start(self) -> None:
@@ -203,7 +204,7 @@
         _log("daemon starts", host=self.settings.host, domain=self.settings.domain)
         await self._listen_internal()
         self._client_site = await self._listen(
-            web.ServerRunner(make_server(self.request_handler)), self.settings.front
+            web.ServerRunner(self._client_server), self.settings.front
         )
         await self.peering.endpoint.open(self.settings.peers)
         is_first = self.settings.is_first_start
@@ -222,18 +223,29 @@
         self.request_handler.stopping = True
         self.scheduler_selection.step_down()
         self.peering.announce_version()
-        _log("daemon stops", open=self.request_handler.open)
+        self._log_stop("daemon stops")
         listen_time = self.settings.grace_period * STOP_LISTEN_SHARE
         await asyncio.sleep(listen_time.total_seconds())
         site, self._client_site = self._client_site, None
         if site is not None:
             await site.stop()
+            self._log_stop("daemon takes no new connections")
         end = started + self.settings.grace_period * STOP_END_SHARE
         while self.request_handler.open and self.clock.monotonic() < end:
             await asyncio.sleep(0.02)
         for task in [*self._tasks, *self._scheduling_tasks]:
             task.cancel()
-        _log("daemon has stopped", open=self.request_handler.open)
+        self._log_stop("daemon has stopped")
+
+    def _log_stop(self, sentence: str) -> None:
+        counts = self._client_server.count()
+        _log(
+            sentence,
+            open=self.request_handler.open,
+            connections=counts.connections,
+            waiting=counts.waiting,
+            unwritten=counts.unwritten,
+        )
 
     async def close(self) -> None:
         """Close every port and connection; not needed when the process exits."""
