Start no request that a planned stop would cut

Callers saw requests that came late in a stop forwarded and then closed without a whole answer, among them calls that may not be repeated.

Cause: a host that got SIGTERM forwarded every request as if there were no end, new connections for 0.45 of the grace period and kept ones to its end, and cancelled what was open at 0.9 of it.

A stop is now a bound that every open request knows. A request starts only if answers of its size, measured on this host, show that it ends in time: early in the stop more likely than not, as a refused client may be sent to this host again, later in nearly all cases. The rest is refused at once, not run, to go elsewhere; one that waits for a slot is refused as soon as it would come too late. What runs at the end of the answers gets a final verdict before the process ends, and a stream that was begun is cut.

--- /dev/null
+++ b/src/galenapass/forwarding/answer_times.py
@@ -0,0 +1,100 @@
+"""Expect how long an answer takes, from the answers of similar size before it."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.forwarding.requests import ForwardedRequest
+from galenapass.forwarding.slot_requests import Stage
+
+__all__ = ["AnswerTimes", "ExpectedTime"]
+
+# Last answers kept for each service and stage. Sizes are upper bounds, and few answers
+# come near them.
+MAX_SAMPLES = 256
+# Answers whose sizes differ by no more than this factor are compared.
+SIMILAR_FACTOR = 1.5
+# Answers used if none is similar in size.
+NEAREST_SAMPLES = 8
+# The longest of n answers is expected to be exceeded by this over n.
+UNSEEN_SAMPLES = 8.0
+
+_Sample = tuple[int, timedelta]
+
+
+@dataclass(slots=True, frozen=True)
+class ExpectedTime:
+    """Time that half of the answers take at most, and one that hardly any exceeds."""
+
+    median: timedelta
+    longest: timedelta
+
+    def __add__(self, other: "ExpectedTime") -> "ExpectedTime":
+        return ExpectedTime(self.median + other.median, self.longest + other.longest)
+
+
+class AnswerTimes:
+    """Durations of each stage of requests, by service and size.
+
+    The size is the number of prompt or output tokens of the stage, 1 for plain calls.
+    """
+
+    __slots__ = ("_samples",)
+
+    def __init__(self) -> None:
+        self._samples: dict[tuple[str, Stage], deque[_Sample]] = {}
+
+    def record(self, request: ForwardedRequest, stage: Stage, took: timedelta) -> None:
+        """Record how long a stage of a request took."""
+        key = (request.service, stage)
+        samples = self._samples.setdefault(key, deque(maxlen=MAX_SAMPLES))
+        samples.append((_measure_size(request, stage), took))
+
+    def expect(self, request: ForwardedRequest, stage: Stage) -> ExpectedTime | None:
+        """Return how long a request takes from a stage to its end, None if unknown.
+
+        The time that it waits for a slot is not included.
+        """
+        last = self._expect_stage(request, _LAST_STAGES.get(stage, stage))
+        if last is None or stage is not Stage.PREFILL:
+            return last
+        # Engines that also generate output need no prefill of its own.
+        prefill = self._expect_stage(request, stage)
+        return last if prefill is None else last + prefill
+
+    def _expect_stage(
+        self, request: ForwardedRequest, stage: Stage
+    ) -> ExpectedTime | None:
+        samples = self._samples.get((request.service, stage))
+        if not samples:
+            return None
+        size = _measure_size(request, stage)
+        durations = sorted(
+            took * max(size / sample_size, 1.0)
+            for sample_size, took in _choose_similar(samples, size)
+        )
+        count = len(durations)
+        unseen = 1 + UNSEEN_SAMPLES / count
+        return ExpectedTime(durations[count // 2], durations[-1] * unseen)
+
+
+def _choose_similar(samples: Iterable[_Sample], size: int) -> list[_Sample]:
+    """Return the samples of similar size, or the nearest ones if there are none."""
+    distances = sorted(
+        ((abs(math.log(sample[0] / size)), sample) for sample in samples),
+        key=lambda pair: pair[0],
+    )
+    similar = [s for distance, s in distances if distance <= math.log(SIMILAR_FACTOR)]
+    return similar or [sample for _, sample in distances[:NEAREST_SAMPLES]]
+
+
+def _measure_size(request: ForwardedRequest, stage: Stage) -> int:
+    if stage is Stage.CALL or request.prompt is None:
+        return 1
+    prompt = request.prompt
+    return max(prompt.tokens if stage is Stage.PREFILL else prompt.output_tokens, 1)
+
+
+_LAST_STAGES = {Stage.PREFILL: Stage.DECODE}
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -10,6 +10,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding import admission, retries, retry_budgets
+from galenapass.forwarding.answer_times import AnswerTimes
 from galenapass.forwarding.fleet import (
     Fleet,
     list_excluded,
@@ -17,6 +18,7 @@
     record_leaving,
 )
 from galenapass.forwarding.interfaces import Sink, TargetClient
+from galenapass.forwarding.open_requests import OpenRequests
 from galenapass.forwarding.progress import ProgressTimeouts
 from galenapass.forwarding.rate_limits import find_rate_limit, record_rate_limit
 from galenapass.forwarding.requests import ForwardedRequest
@@ -25,6 +27,7 @@
 from galenapass.forwarding.sending import Send, Sender, classify_failure
 from galenapass.forwarding.slot_client import Slot, SlotClient
 from galenapass.forwarding.slot_requests import Outcome, SlotRequest, Stage
+from galenapass.forwarding.stop_times import StopTimes
 from galenapass.forwarding.suspects import CrashSuspects
 from galenapass.forwarding.target_messages import ClientRequest, TargetNotice
 from galenapass.logs import make_log
@@ -94,6 +97,8 @@
         self._on_limit_change = on_limit_change
         self._on_limited_send = on_limited_send
         self._sender = Sender(target_client, suspects, clock)
+        self._answer_times = AnswerTimes()
+        self._open_requests = OpenRequests(clock, self._answer_times)
         self._budgets: dict[str, Budget] = {}
         self._ticket_numbers = itertools.count()
 
@@ -104,14 +109,16 @@
         now = self._clock.monotonic()
         budget = self._find_budget(request)
         retry_budgets.record_request(budget, now, self.terms)
-        time_left = (request.deadline - now).total_seconds()
+        first_stage = Stage.PREFILL if self._generates(request) else Stage.CALL
         try:
-            async with asyncio.timeout(max(time_left, 0)):
+            async with self._open_requests.bound(request, first_stage):
                 return await self._try_targets(request, message, sink, budget)
         except TimeoutError:
-            run = Run.MAY_HAVE_RUN if request.runs else Run.NOT_RUN
-            detail = f"{request.sends} sends in {request.deadline - request.arrived}"
-            return Err(Verdict(run, Reason.DEADLINE_PASSED, detail))
+            return Err(self._open_requests.make_verdict(request))
+
+    def begin_stop(self, times: StopTimes) -> None:
+        """Answer the open requests, and those still to come, within a stop."""
+        self._open_requests.begin_stop(times)
 
     async def _try_targets(
         self,
@@ -155,10 +162,34 @@
     async def _send(
         self, request: ForwardedRequest, message: ClientRequest, sink: Sink
     ) -> Result[None, Verdict]:
+        if self._generates(request):
+            return await self._generate(request, message, sink)
+        return await self._call(request, message, sink)
+
+    def _generates(self, request: ForwardedRequest) -> bool:
+        """Return whether a model service answers the request."""
         service = self._fleet.routes.services.get(request.service)
-        if service is None or not service.is_model or request.prompt is None:
-            return await self._call(request, message, sink)
-        return await self._generate(request, message, sink)
+        is_model = service is not None and service.is_model
+        return is_model and request.prompt is not None
+
+    async def _run(
+        self,
+        request: ForwardedRequest,
+        message: ClientRequest,
+        sink: Sink,
+        send: Send,
+        stage: Stage,
+    ) -> Result[None, Verdict]:
+        """Run a request at a target, and learn how long its last stage takes."""
+        self._open_requests.record_start(request)
+        started = self._clock.monotonic()
+        outcome = await self._sender.run(request, message, sink, send)
+        if isinstance(outcome, Ok):
+            began = send.slot.first_output_at if stage is Stage.PREFILL else None
+            took = self._clock.monotonic() - (began or started)
+            last = Stage.DECODE if stage is Stage.PREFILL else stage
+            self._answer_times.record(request, last, took)
+        return outcome
 
     # Plain services
 
@@ -176,7 +207,7 @@
                 limit, limit, self._make_switch_check(request)
             )
         send = Send(acquired.ok_value, progress_timeouts=progress_timeouts)
-        return await self._sender.run(request, message, sink, send)
+        return await self._run(request, message, sink, send, Stage.CALL)
 
     # Model services
 
@@ -201,7 +232,7 @@
             send = Send(
                 slot, progress_timeouts=self._find_progress_timeouts(request, slot)
             )
-            return await self._sender.run(request, message, sink, send)
+            return await self._run(request, message, sink, send, Stage.PREFILL)
         prefilled = await self._prefill(request, message, slot)
         if isinstance(prefilled, Err):
             return prefilled
@@ -226,7 +257,7 @@
             return acquired
         slot = acquired.ok_value
         send = Send(slot, prefilled.source, self._find_progress_timeouts(request, slot))
-        outcome = await self._sender.run(request, message, sink, send)
+        outcome = await self._run(request, message, sink, send, Stage.DECODE)
         if isinstance(outcome, Err) and outcome.err_value.run is Run.NOT_RUN:
             # Either engine may have lost the KV cache, so both are avoided next time.
             request.tried.add(prefilled.prefill_engine.id)
@@ -271,6 +302,7 @@
         target = grant.target
         sent = self._clock.monotonic()
         request.prefills += 1
+        self._open_requests.record_wait(request, Stage.DECODE)
         expected = (
             grant.finish_ms * PREFILL_TIMEOUT_FACTOR * MILLISECOND
             + PREFILL_TIMEOUT_SLACK
@@ -294,6 +326,8 @@
             self._sender.record_failure(request, target, prefilled.err_value)
             return prefilled
         slot.end(Outcome.DONE)
+        took = self._clock.monotonic() - sent
+        self._answer_times.record(request, Stage.PREFILL, took)
         return Ok(PrefilledPrompt(prefilled.ok_value, target))
 
     # Slots
@@ -302,15 +336,20 @@
         self, request: ForwardedRequest, stage: Stage, prefill_engine: str = ""
     ) -> Result[Slot, Verdict]:
         """Acquire a slot at a target that accepts work from this daemon."""
+        self._open_requests.record_wait(request, stage)
         for _ in range(MAX_GRANTS):
+            if not self._open_requests.may_start(request):
+                return Err(self._open_requests.make_verdict(request))
             acquired = await self._slot_client.acquire(
                 self._make_slot_request(request, stage, prefill_engine)
             )
             if isinstance(acquired, Err):
                 return acquired
             refusal = self._suspects.check_request(request)
+            if refusal is None and not self._open_requests.may_start(request):
+                refusal = self._open_requests.make_verdict(request)
             if refusal is not None:
-                # It was found to crash targets while the slot request was in progress.
+                # It was found to crash targets, or became too late, meanwhile.
                 acquired.ok_value.end(Outcome.CANCELLED)
                 return Err(refusal)
             target = acquired.ok_value.grant.target
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -47,9 +47,9 @@
     prompt: Prompt | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ForwardedRequest:
-    """Request in progress; times are monotonic.
+    """Request in progress, equal to itself only; times are monotonic.
 
     ``runs`` counts the sends that may have run, ``sends`` all sends except prefills and
     ``prefills`` the prefills; ``last_event`` is the id of the last event sent to the
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -31,6 +31,7 @@
 from galenapass.forwarding.scheduling import Hooks, Scheduler
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
+from galenapass.forwarding.stop_times import plan_stop
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
@@ -80,9 +81,7 @@
 UPKEEP_PERIOD = timedelta(milliseconds=100)
 # The lease must exceed the minimum time between orders of two alternating holders.
 LEASE_TERMS = 2
-# Shares of the grace period: until the load balancer has reacted, until the end.
-STOP_LISTEN_SHARE = 0.45
-STOP_END_SHARE = 0.9
+STOP_POLL = timedelta(milliseconds=20)
 
 _log = make_log("daemon")
 
@@ -218,25 +217,27 @@
         )
 
     async def stop(self) -> None:
-        """Refuse new connections, finish open requests and cancel all tasks."""
-        started = self.clock.monotonic()
+        """Answer open requests, refuse what would come too late, cancel all tasks."""
+        times = plan_stop(self.clock.monotonic(), self.settings.grace_period)
         self.request_handler.stopping = True
+        self.relay.begin_stop(times)
         self.scheduler_selection.step_down()
         self.peering.announce_version()
         self._log_stop("daemon stops")
-        listen_time = self.settings.grace_period * STOP_LISTEN_SHARE
-        await asyncio.sleep(listen_time.total_seconds())
+        await self._wait(times.listen_until, lambda: False)
         site, self._client_site = self._client_site, None
         if site is not None:
             await site.stop()
             self._log_stop("daemon takes no new connections")
-        end = started + self.settings.grace_period * STOP_END_SHARE
-        while self.request_handler.open and self.clock.monotonic() < end:
-            await asyncio.sleep(0.02)
+        await self._wait(times.exit_by, lambda: not self.request_handler.open)
         for task in [*self._tasks, *self._scheduling_tasks]:
             task.cancel()
         self._log_stop("daemon has stopped")
 
+    async def _wait(self, until: timedelta, is_over: Callable[[], bool]) -> None:
+        while not is_over() and self.clock.monotonic() < until:
+            await asyncio.sleep(STOP_POLL.total_seconds())
+
     def _log_stop(self, sentence: str) -> None:
         counts = self._client_server.count()
         _log(
--- /dev/null
+++ b/tests/test_forwarding_stops.py
@@ -0,0 +1,160 @@
+"""Test which requests a stopping host starts, and how it ends those it has."""
+
+import asyncio
+from datetime import timedelta
+
+from testtools import TestCase
+
+from galenapass.clocks import BootClock, ManualClock
+from galenapass.forwarding.answer_times import AnswerTimes, ExpectedTime
+from galenapass.forwarding.open_requests import OpenRequests
+from galenapass.forwarding.requests import Part, Prompt
+from galenapass.forwarding.slot_requests import Stage
+from galenapass.forwarding.stop_times import find_latest_start, plan_stop
+from galenapass.verdicts import Reason, Run
+from tests.forwarding_fakes import MS, make_request
+
+SECOND = timedelta(seconds=1)
+
+
+def make_sized(output, tokens=1000):
+    return make_request(prompt=Prompt(tokens, output, (Part("p", tokens),)))
+
+
+class TestLatestStart(TestCase):
+    times = plan_stop(0 * SECOND, 10 * SECOND)
+
+    def test_the_phases_follow_each_other_within_the_grace_period(self):
+        times = self.times
+        ends = [
+            times.early_until,
+            times.listen_until,
+            times.idle_until,
+            times.answer_until,
+            times.exit_by,
+        ]
+        self.assertEqual(sorted(ends), ends)
+        self.assertLess(times.exit_by, 10 * SECOND)
+
+    def test_a_short_request_may_start_late(self):
+        expected = ExpectedTime(100 * MS, 200 * MS)
+        latest = find_latest_start(self.times, expected)
+        self.assertEqual(self.times.answer_until - 250 * MS, latest)
+
+    def test_an_early_request_must_only_be_likely_to_end(self):
+        latest = find_latest_start(self.times, ExpectedTime(SECOND, 9 * SECOND))
+        self.assertEqual(self.times.early_until, latest)
+
+    def test_a_request_that_is_likely_to_be_cut_never_starts(self):
+        latest = find_latest_start(self.times, ExpectedTime(8 * SECOND, 9 * SECOND))
+        self.assertLess(latest, 0 * SECOND)
+
+    def test_an_unknown_request_may_start_early(self):
+        self.assertEqual(self.times.early_until, find_latest_start(self.times, None))
+
+
+class TestAnswerTimes(TestCase):
+    def test_nothing_is_expected_of_unknown_work(self):
+        self.assertIsNone(AnswerTimes().expect(make_request(), Stage.DECODE))
+
+    def test_a_larger_output_is_expected_to_take_longer(self):
+        times = AnswerTimes()
+        for _ in range(64):
+            times.record(make_sized(10), Stage.DECODE, SECOND)
+        expected = times.expect(make_sized(100), Stage.DECODE)
+        self.assertEqual(10 * SECOND, expected.median)
+
+    def test_answers_of_other_sizes_do_not_count_beside_similar_ones(self):
+        times = AnswerTimes()
+        for _ in range(64):
+            times.record(make_sized(10), Stage.DECODE, SECOND)
+            times.record(make_sized(1000), Stage.DECODE, 20 * SECOND)
+        self.assertEqual(SECOND, times.expect(make_sized(10), Stage.DECODE).median)
+
+    def test_few_answers_say_little_about_the_longest(self):
+        times = AnswerTimes()
+        times.record(make_sized(10), Stage.DECODE, SECOND)
+        first = times.expect(make_sized(10), Stage.DECODE).longest
+        for _ in range(100):
+            times.record(make_sized(10), Stage.DECODE, SECOND)
+        later = times.expect(make_sized(10), Stage.DECODE).longest
+        self.assertGreater(first, 5 * later)
+        self.assertGreater(later, SECOND)
+
+    def test_a_prompt_to_be_read_takes_both_stages(self):
+        times = AnswerTimes()
+        times.record(make_sized(10), Stage.PREFILL, SECOND)
+        times.record(make_sized(10), Stage.DECODE, 2 * SECOND)
+        expected = times.expect(make_sized(10), Stage.PREFILL)
+        self.assertEqual(3 * SECOND, expected.median)
+
+
+class TestOpenRequests(TestCase):
+    def make(self, clock, answer_times=None):
+        return OpenRequests(clock, answer_times or AnswerTimes())
+
+    def run_bounded(self, clock, request, act):
+        """Return the verdict for a request during which ``act`` is called."""
+        open_requests = self.make(clock)
+
+        async def scenario():
+            try:
+                async with open_requests.bound(request, Stage.CALL):
+                    act(open_requests)
+                    await asyncio.sleep(2)
+            except TimeoutError:
+                return open_requests.make_verdict(request)
+
+        return asyncio.run(scenario())
+
+    def make_bounded(self, clock, patience=5000):
+        now = clock.monotonic() // MS
+        return make_request(arrived=now, patience=patience)
+
+    def test_a_request_that_waits_ends_when_it_would_come_too_late(self):
+        clock = BootClock()
+
+        def act(open_requests):
+            grace = timedelta(milliseconds=100)
+            open_requests.begin_stop(plan_stop(clock.monotonic(), grace))
+
+        verdict = self.run_bounded(clock, self.make_bounded(clock), act)
+        self.assertEqual((Run.NOT_RUN, Reason.STOPPING), (verdict.run, verdict.reason))
+        self.assertIsNotNone(verdict.retry_after)
+
+    def test_a_request_that_runs_ends_with_the_answers(self):
+        clock, request = BootClock(), None
+        request = self.make_bounded(clock)
+
+        def act(open_requests):
+            request.runs += 1
+            open_requests.record_start(request)
+            grace = timedelta(milliseconds=100)
+            open_requests.begin_stop(plan_stop(clock.monotonic(), grace))
+
+        verdict = self.run_bounded(clock, request, act)
+        self.assertIs(Run.MAY_HAVE_RUN, verdict.run)
+        self.assertIs(Reason.STOPPING, verdict.reason)
+
+    def test_a_deadline_before_the_end_of_the_stop_stays(self):
+        clock = BootClock()
+
+        def act(open_requests):
+            grace = timedelta(seconds=10)
+            open_requests.begin_stop(plan_stop(clock.monotonic(), grace))
+
+        verdict = self.run_bounded(clock, self.make_bounded(clock, 100), act)
+        self.assertIs(Reason.DEADLINE_PASSED, verdict.reason)
+
+    def test_a_late_request_may_not_start(self):
+        clock = ManualClock()
+        open_requests = self.make(clock)
+        open_requests.begin_stop(plan_stop(clock.monotonic(), 10 * SECOND))
+        clock.advance(4 * SECOND)
+        request = make_request(arrived=4000, patience=8000)
+
+        async def scenario():
+            async with open_requests.bound(request, Stage.CALL):
+                return open_requests.may_start(request)
+
+        self.assertFalse(asyncio.run(scenario()))
