Let callers take their answers before a stopping process ends

Callers that read slowly got a part of their answer: the process ended while the rest was in its buffers. An answer that had been written could also be lost: a socket that is closed with unread bytes of the next request resets the connection.

Cause: a stop waited for handlers. An answer that a handler had returned was in no count, and with no handler open the process ended at once, with all connections.

The stop now waits for connections.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -14,7 +14,7 @@
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
 from galenapass.forwarding.target_messages import ClientRequest
-from galenapass.http_connections import ClientServer
+from galenapass.http_connections import ClientServer, close_after
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
 from galenapass.verdicts import Reason, Run, Verdict
@@ -67,8 +67,11 @@
             raise
         finally:
             self.open -= 1
-        if self.stopping:
+        if self.stopping and not response.prepared:
             response.force_close()
+        # A stream that began before the stop did not say that its connection closes.
+        if self.stopping and response.keep_alive is False:
+            await close_after(raw, response)
         return response
 
     async def _answer(self, raw: web.BaseRequest) -> web.StreamResponse:
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -95,11 +95,11 @@
 
 async def close_after(raw: web.BaseRequest, response: web.StreamResponse) -> None:
     """Write a response, and close its connection once the client has taken it."""
-    await response.prepare(raw)
-    await response.write_eof()
     transport = raw.transport
     if not raw.content.is_eof() or transport is None or transport.is_closing():
         return
+    await response.prepare(raw)
+    await response.write_eof()
     transport.write_eof()  # type: ignore[attr-defined]
     while transport.get_write_buffer_size():  # type: ignore[attr-defined]
         await asyncio.sleep(FLUSH_POLL.total_seconds())
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -229,7 +229,10 @@
         if site is not None:
             await site.stop()
             self._log_stop("daemon takes no new connections")
-        await self._wait(times.exit_by, lambda: not self.request_handler.open)
+        await self._wait(times.idle_until, self._is_unconnected)
+        while not self._is_unconnected() and self.clock.monotonic() < times.exit_by:
+            self._client_server.close_idle()
+            await asyncio.sleep(STOP_POLL.total_seconds())
         for task in [*self._tasks, *self._scheduling_tasks]:
             task.cancel()
         self._log_stop("daemon has stopped")
@@ -238,6 +241,9 @@
         while not is_over() and self.clock.monotonic() < until:
             await asyncio.sleep(STOP_POLL.total_seconds())
 
+    def _is_unconnected(self) -> bool:
+        return not self._client_server.count().connections
+
     def _log_stop(self, sentence: str) -> None:
         counts = self._client_server.count()
         _log(
