Keep the heartbeats of one host in a batch in their order

A batch with a short heartbeat of a host and, after it, a whole entry of the same host was read with the state of the whole entry in both: Decoder reads all whole entries of a batch before the short ones. An ALIVE heartbeat came out as LEAVING or GONE. gossip.dequeue puts one heartbeat of a host into a batch (read, not shown), so callers should have seen nothing of it.

Encoder now replaces the short heartbeats of a host that are in the batch already by whole entries when its entry changes. So all whole entries of a host come before its short ones, and every short one has the state of the last whole entry. Format and Decoder are unchanged, so earlier builds read such a batch rightly as well; what an earlier build writes stays ambiguous.

The new test failed before (states LEAVING and GONE in place of ALIVE).

--- a/src/galenapass/peers/encoding.py
+++ b/src/galenapass/peers/encoding.py
@@ -98,7 +98,35 @@
             batch.beats.counters.append(item.counter)
             batch.beats.lags.append(batch.settings_version - item.settings_version)
             return
+        self._expand_beats(batch, item.host)
         self._hosts[item.host] = entry
+        self._add_host(batch, item)
+
+    def _expand_beats(self, batch: wire.Batch, host: str) -> None:
+        """Replace short heartbeats of a host in a batch by whole entries.
+
+        A partner reads all whole entries before the short ones, with the last state.
+        """
+        beats = batch.beats
+        index = self._names.get(host)
+        positions = [n for n, other in enumerate(beats.hosts) if other == index]
+        for position in positions:
+            incarnation, state, address, domain = self._hosts[host]
+            beat = Heartbeat(
+                host,
+                address,
+                domain,
+                incarnation,
+                beats.counters[position],
+                state,
+                batch.settings_version - beats.lags[position],
+            )
+            self._add_host(batch, beat)
+        for position in reversed(positions):
+            for column in (beats.hosts, beats.counters, beats.lags):
+                del column[position]
+
+    def _add_host(self, batch: wire.Batch, item: Heartbeat) -> None:
         batch.hosts.add(
             host=self._index_name(batch, item.host),
             domain=self._index_name(batch, item.domain),
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,6 +1,7 @@
 """Test that rows reach every daemon, urgent ones first, within a byte budget."""
 
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 from hypothesis import given
@@ -242,6 +243,26 @@
                 Counter(round_to_levels(item) for item in items), Counter(read)
             )
 
+    def test_heartbeats_of_one_host_in_a_batch_keep_their_states_and_order(self):
+        # A short heartbeat was read with the state of a whole entry after it.
+        states = (HostState.ALIVE, HostState.ALIVE, HostState.LEAVING, HostState.GONE)
+        for before in range(3):
+            encoder, decoder = Encoder(), Decoder("a")
+            first = [Heartbeat("a", "", "north", 1, n) for n in range(before)]
+            decoder.decode(encoder.encode(first, 7))
+            items = [
+                Heartbeat(name, "", "north", 1, 10 + 2 * n + twice, state, n)
+                for n, state in enumerate(states)
+                for twice in (0, 1)
+                for name in ("a", "b")
+            ]
+            read = decoder.decode(encoder.encode(items, 7))
+            for name in ("a", "b"):
+                expected = [item for item in items if item.host == name]
+                self.assertEqual(expected, [i for i in read if i.host == name])
+            again = [replace(item, counter=99) for item in items[-2:]]
+            self.assertEqual(again, decoder.decode(encoder.encode(again, 7)))
+
 
 def round_to_levels(item):
     if isinstance(item, TargetUse):
