Tell the crashes of one incarnation of a target apart

While the store was away, prompts with a crashing part ended ten targets, and four requests with it reached targets later than 3 s after the fifth crash; three are allowed.

Cause: a report names a crash by target and incarnation. A target that restarts under its id keeps its known incarnation until the store tells the new one, so its later crashes merged with the first one. A trace of the failing test shows it: d1 crashed at 0.07, 1.78 and 4.62 s, always as incarnation 1; the part was blocked at 5.92 s, after ten crashes.

A crash now has a number as well, one more than that of the last crash that the host knew before it sent the lost request and before it sent another request that the target answered. Schedulers tell their clients which crashes they know, or these would give every crash the same name. A host that missed a crash reports the next one under its name; a part therefore counts as of the first host that sent it to that crash.

The test of what clients hear failed with the former peering.

--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -28,6 +28,7 @@
     "forget_old_crashes",
     "is_suspected",
     "list_blocks",
+    "name_crash",
     "record_answer",
     "record_sound_parts",
     "record_report",
@@ -100,11 +101,13 @@
 
 @dataclass(slots=True)
 class _CrashRecord:
-    """Reports of all hosts on one crash."""
+    """Reports of all hosts on one crash, which this host knows since ``known_at``."""
 
     service: str
     at: timedelta
+    known_at: timedelta
     requests: dict[str, int] = field(default_factory=dict)
+    reported_at: dict[str, timedelta] = field(default_factory=dict)
     sightings: dict[int, dict[str, Sighting]] = field(default_factory=dict)
 
     @property
@@ -114,6 +117,13 @@
     def find_last_sent(self, part: int) -> timedelta:
         return max(s.sent_at for s in self.sightings[part].values())
 
+    def find_crash_time(self, part: int) -> timedelta:
+        """Return when the crash was noticed by the first host that sent a part.
+
+        A host that missed a crash reports the next one under its name.
+        """
+        return min(self.reported_at[host] for host in self.sightings[part])
+
 
 @dataclass(slots=True)
 class _Answers:
@@ -149,14 +159,34 @@
     blocks: dict[int, PartBlock] = field(default_factory=dict)
 
 
-def record_report(evidence: CrashEvidence, report: CrashReport) -> bool:
+def name_crash(
+    evidence: CrashEvidence, target: str, incarnation: str, returned_at: timedelta
+) -> Crash:
+    """Return the name of a crash, the number of which follows from what is known.
+
+    A target that restarts under its id has its former incarnation until the store
+    tells the new one. A crash is a later one than a known crash only if the target
+    answered after that became known; the request that was lost and one that was
+    answered were sent at ``returned_at`` or later. No clocks of two hosts are
+    compared, so there are never more names than crashes.
+    """
+    number, crash = 1, Crash(target, incarnation)
+    while (record := evidence.crashes.get(crash)) and record.known_at < returned_at:
+        number += 1
+        crash = Crash(target, f"{incarnation}#{number}")
+    return crash
+
+
+def record_report(evidence: CrashEvidence, report: CrashReport, now: timedelta) -> bool:
     """Merge a report; return whether it tells anything new."""
     record = evidence.crashes.get(report.crash)
     is_new = record is None
     if record is None:
-        record = _CrashRecord(report.service, report.at)
+        record = _CrashRecord(report.service, report.at, known_at=now)
         evidence.crashes[report.crash] = record
     record.at = min(record.at, report.at)
+    reported_at = record.reported_at.get(report.host, report.at)
+    record.reported_at[report.host] = min(reported_at, report.at)
     if report.requests > record.requests.get(report.host, -1):
         record.requests[report.host] = report.requests
         is_new = True
@@ -308,24 +338,25 @@
     if len(names) < SUSPECT_CRASHES:
         return 0, 0.0
     sound_at = evidence.sound_at.get(part)
-    records = [
-        record
-        for record in sorted(
-            (evidence.crashes[name] for name in names), key=lambda r: r.at
-        )
-        if (sound_at is None or record.at >= sound_at)
-        and not _has_blocked_part(evidence, record)
-    ]
+    records = sorted(
+        (evidence.crashes[name] for name in names),
+        key=lambda r: r.find_crash_time(part),
+    )
     counted: list[_CrashRecord] = []
     for record in records:
-        if not counted or record.find_last_sent(part) > counted[-1].at:
-            counted.append(record)
+        if sound_at is not None and record.find_crash_time(part) < sound_at:
+            continue
+        if _has_blocked_part(evidence, record):
+            continue
+        if counted and record.find_last_sent(part) <= counted[-1].find_crash_time(part):
+            continue
+        counted.append(record)
     if not counted:
         return 0, 0.0
     answers = evidence.answers.get(counted[0].service, _Answers())
     absent = math.log(1 - answers.estimate_share(part))
     # The part is in none of the answers that began since the first crash.
-    score = -absent * answers.count_since(counted[0].at)
+    score = -absent * answers.count_since(counted[0].find_crash_time(part))
     for record in counted:
         score -= math.log(1 - math.exp(absent * max(record.running, 1)))
     return len(counted), score
--- a/src/galenapass/forwarding/crash_sharing.py
+++ b/src/galenapass/forwarding/crash_sharing.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any
 
@@ -23,6 +23,7 @@
     "encode_sound_parts",
     "split_blocks",
     "split_report",
+    "summarize",
 ]
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -70,6 +71,16 @@
     return [PartBlocks(chunk) for chunk in _split(tuple(blocks))]
 
 
+def summarize(message: CrashMessage) -> CrashMessage | None:
+    """Return what hosts that do not schedule need of a message, None if nothing.
+
+    They name the crashes that they see after those that they know.
+    """
+    if isinstance(message, CrashReport):
+        return replace(message, requests=0, sightings=(), fingerprints=())
+    return message if isinstance(message, PartBlocks) else None
+
+
 def encode_report(report: CrashReport, now: timedelta) -> list[Any]:
     """Return a report as an array."""
     sightings = [
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -12,7 +12,12 @@
 from galenapass.forwarding import announcements, fleet, workload
 from galenapass.forwarding.announcements import Announcement, Peers
 from galenapass.forwarding.crash_evidence import CrashReport
-from galenapass.forwarding.crash_sharing import CrashMessage, PartBlocks, SoundParts
+from galenapass.forwarding.crash_sharing import (
+    CrashMessage,
+    PartBlocks,
+    SoundParts,
+    summarize,
+)
 from galenapass.forwarding.datagram_endpoint import DatagramEndpoint
 from galenapass.forwarding.datagrams import (
     PeerMessage,
@@ -151,16 +156,21 @@
             self._send(host, self._make_ping())
 
     def share_crash_message(self, message: CrashMessage) -> None:
-        """Tell the schedulers what is known of crashes, and clients what is blocked."""
+        """Tell the schedulers what is known of crashes, and clients a summary."""
         if not self._scheduler_selection.is_scheduler:
             for host in self._scheduler_selection.list_schedulers()[:2]:
                 self._send(host, message)
             return
-        addresses = self._scheduler_selection.list_peers(self._peers)
-        if isinstance(message, PartBlocks):
-            addresses += self._scheduler_selection.list_clients()
-        for address in addresses:
+        for address in self._scheduler_selection.list_peers(self._peers):
             self.endpoint.send(address, message)
+        self._summarize_for_clients(message)
+
+    def _summarize_for_clients(self, message: CrashMessage) -> None:
+        summary = summarize(message)
+        if summary is None:
+            return
+        for client in self._scheduler_selection.list_clients():
+            self.endpoint.send(client, summary)
 
     def list_issuers(self) -> list[str]:
         """Return the schedulers that may issue permits, this host included.
@@ -326,9 +336,8 @@
             return
         if host not in self._peers and self._scheduler_selection.is_scheduler:
             self.share_crash_message(message)
-        elif isinstance(message, PartBlocks):
-            for client in self._scheduler_selection.list_clients():
-                self.endpoint.send(client, message)
+        else:
+            self._summarize_for_clients(message)
 
     def _apply_pong(self, host: str, address: Address, pong: Pong) -> None:
         self._scheduler_selection.record_pong(host, pong.is_fresh)
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -53,6 +53,8 @@
 # Reports are sent again after these pauses, as a datagram may be lost.
 REPEAT_PAUSES_SECONDS = (0.15, 0.4)
 REFUSAL_RETRY_AFTER = timedelta(seconds=10)
+# Targets whose last answers are remembered.
+MAX_ANSWERED = 4096
 
 _log = make_log("suspects")
 
@@ -95,6 +97,8 @@
         self._hooks = hooks
         self._evidence = CrashEvidence()
         self._own: dict[Crash, _OwnReport] = {}
+        # When the last answered request was sent, by target.
+        self._answered: dict[str, timedelta] = {}
         self._probes: dict[Crash, asyncio.Task[bool]] = {}
         self._background = BackgroundTasks("suspects")
         self._publishing: asyncio.Task[None] | None = None
@@ -165,6 +169,13 @@
         if cleared:
             self._share(SoundParts(tuple(cleared), began_at))
 
+    def record_response(self, target: Target, sent_at: timedelta) -> None:
+        """Record that a target began to answer a request that was sent at a time."""
+        latest = max(sent_at, self._answered.pop(target.id, sent_at))
+        self._answered[target.id] = latest
+        if len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+
     async def check_for_crash(
         self,
         request: ForwardedRequest,
@@ -177,7 +188,7 @@
         ``began_at`` is when the answer began, None if it has not.
         """
         failed_at = self._clock.monotonic()
-        crash = Crash(target.id, target.incarnation)
+        crash = self._name_crash(target, sent_at)
         known = self._own.get(crash)
         if known is None or failed_at - known.at > BEGIN_TIME:
             if await self._accepts_connections(crash, target):
@@ -197,7 +208,7 @@
             "target crashed",
             request=request.id,
             target=target.id,
-            incarnation=target.incarnation,
+            incarnation=crash.incarnation,
             parts=[f"{part:016x}" for part in _list_shared(request)],
             may_be_cause=may_be_cause,
             known_crashes=self._count_known(request),
@@ -260,6 +271,12 @@
             await asyncio.sleep(pause)
         own.is_sending = False
 
+    def _name_crash(self, target: Target, sent_at: timedelta) -> Crash:
+        answered_at = self._answered.get(target.id, timedelta.min)
+        return crash_evidence.name_crash(
+            self._evidence, target.id, target.incarnation, min(sent_at, answered_at)
+        )
+
     def _make_report(self, crash: Crash, own: _OwnReport) -> CrashReport:
         return CrashReport(
             crash,
@@ -278,7 +295,7 @@
         now = self._clock.monotonic()
         for fingerprint in report.fingerprints:
             crashes.record_crash(self._world, fingerprint, report.crash, now)
-        if not crash_evidence.record_report(self._evidence, report):
+        if not crash_evidence.record_report(self._evidence, report, now):
             return False
         crash_evidence.forget_old_crashes(self._evidence, now)
         self._block(crash_evidence.block_parts(self._evidence, report.crash, now))
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -425,6 +425,7 @@
             self.peering.announce_version()
 
     def _apply_notice(self, target: Target, notice: TargetNotice) -> None:
+        self.suspects.record_response(target, notice.sent_at)
         self.relay.apply_notice(target, notice)
 
     def _handle_target_leaving(self, target: Target) -> None:
--- a/tests/test_forwarding_crash_evidence.py
+++ b/tests/test_forwarding_crash_evidence.py
@@ -1,5 +1,6 @@
 """Check which prompt parts are blocked for the crashes of targets."""
 
+import itertools
 import random
 from collections import defaultdict
 from dataclasses import replace
@@ -34,8 +35,8 @@
 
 def apply_report(evidence, report, now=None):
     """Apply a report and return the parts that it makes blocked."""
-    crash_evidence.record_report(evidence, report)
     at = report.at if now is None else now * MS
+    crash_evidence.record_report(evidence, report, at)
     return [
         block.part for block in crash_evidence.block_parts(evidence, report.crash, at)
     ]
@@ -214,30 +215,72 @@
         for n in [*order, *again]:
             apply_report(evidence, reports[n])
         self.assertEqual([CRASHING], list(evidence.blocks))
-        self.assertFalse(crash_evidence.record_report(evidence, reports[0]))
+        self.assertFalse(crash_evidence.record_report(evidence, reports[0], 9000 * MS))
 
     def test_a_later_report_adds_requests(self):
         evidence = CrashEvidence()
         report = make_report(1, 1000, {FIRST: 1})
-        crash_evidence.record_report(evidence, report)
+        crash_evidence.record_report(evidence, report, report.at)
         more = replace(report, requests=3, sightings=(Sighting(7, 1, 0 * MS),))
-        self.assertTrue(crash_evidence.record_report(evidence, more))
+        self.assertTrue(crash_evidence.record_report(evidence, more, report.at))
         record = evidence.crashes[report.crash]
         self.assertEqual((3, {FIRST, 7}), (record.running, set(record.sightings)))
 
 
+class TestNames(TestCase):
+    """Crashes of one incarnation are told apart by what hosts know of each other."""
+
+    def name(self, evidence, returned):
+        return crash_evidence.name_crash(evidence, "e0", "1", returned * MS)
+
+    def test_a_crash_after_the_return_of_a_target_is_a_later_one(self):
+        evidence = CrashEvidence()
+        for n, incarnation in enumerate(("1", "1#2", "1#3")):
+            at = 3000 * (n + 1)
+            crash = self.name(evidence, at - 100)
+            self.assertEqual(Crash("e0", incarnation), crash)
+            report = replace(make_report(0, at, {FIRST: 1}), crash=crash)
+            crash_evidence.record_report(evidence, report, (at + 50) * MS)
+            self.assertEqual(crash, self.name(evidence, at))
+            self.assertEqual(crash, self.name(evidence, at + 50))
+
+    def test_a_crash_under_the_name_of_an_earlier_one_accuses_once(self):
+        # Host h2 missed the first crash, so it reports the second one under its name.
+        second = Crash("e0", "1#2")
+        reports = [
+            make_report(0, 3000, {FIRST: 3, CRASHING: 1}),
+            make_report(0, 6005, {FIRST: 3, 7: 1}, host="h2"),
+            replace(make_report(0, 6000, {FIRST: 3, CRASHING: 1, 7: 1}), crash=second),
+        ]
+        for order in itertools.permutations(reports):
+            evidence = make_evidence()
+            for report in order:
+                crash_evidence.record_report(evidence, report, 6010 * MS)
+            self.assertTrue(crash_evidence.is_suspected(evidence, (CRASHING,)))
+            self.assertFalse(crash_evidence.is_suspected(evidence, (7,)))
+
+
 class Simulation:
     """Engines that generate answers of sound requests and of crashing ones.
 
     Time passes in steps of 10 ms. A crashing request ends its engine 100 ms after its
-    start, an answer takes 300 ms; engines are back after 3 s. ``random_crashes`` ends
-    engines for other causes, given in crashes a second, ``together`` of them at once.
+    start, an answer takes 300 ms; engines are back after 3 s, under their incarnation
+    if they ``keeps_id``. ``random_crashes`` ends engines for other causes, given in
+    crashes a second, ``together`` of them at once.
     """
 
     STEP, ANSWER, CRASH, RESTART = 10, 300, 100, 3000
 
     def __init__(
-        self, seed, engines, sound, crashing=0.0, services=2, parts=30, before=0.0
+        self,
+        seed,
+        engines,
+        sound,
+        crashing=0.0,
+        services=2,
+        parts=30,
+        before=0.0,
+        keeps_id=False,
     ):
         self.random = random.Random(seed)
         self.evidence = CrashEvidence()
@@ -245,6 +288,7 @@
         self._rates = sound, crashing
         self._services, self._parts = services, parts
         self._before, self._crashes_on_part = before, False
+        self._keeps_id = keeps_id
         self._up_at = [0] * engines
         self._running = defaultdict(list)
 
@@ -300,8 +344,14 @@
         for at, parts in running:
             for part in parts:
                 sightings[part].append(at)
+        crash = Crash(f"e{engine}", str(now))
+        if self._keeps_id:
+            last_sent = max((at for at, _ in running), default=-1)
+            crash = crash_evidence.name_crash(
+                self.evidence, crash.target, "1", last_sent * MS
+            )
         report = CrashReport(
-            Crash(f"e{engine}", str(now)),
+            crash,
             "lm",
             "h1",
             now * MS,
@@ -318,9 +368,11 @@
 class TestSimulations(TestCase):
     """Load patterns with and without a crashing part."""
 
-    def check(self, engines, sound, crashing, before=0.0, **options):
+    def check(self, engines, sound, crashing, before=0.0, keeps_id=False, **options):
         for seed in SEEDS:
-            simulation = Simulation(seed, engines, sound, crashing, before=before)
+            simulation = Simulation(
+                seed, engines, sound, crashing, before=before, keeps_id=keeps_id
+            )
             simulation.run(0, 8000, crashing=False)
             simulation.run(8000, 40_000, **options)
             self.assertIn(CRASHING, simulation.blocked, f"seed {seed}")
@@ -351,17 +403,23 @@
     def test_beside_crashes_of_other_causes(self):
         self.check(engines=9, sound=40.0, crashing=1.0, random_crashes=0.5)
 
+    def test_engines_that_restart_under_their_ids(self):
+        self.check(engines=3, sound=40.0, crashing=3.0, keeps_id=True)
+
+    def test_a_single_engine_that_restarts_under_its_id(self):
+        self.check(engines=1, sound=20.0, crashing=3.0, keeps_id=True)
+
     def test_crashes_of_other_causes_block_nothing(self):
         for seed in SEEDS:
             for engines, together in ((9, 1), (9, 3), (30, 9)):
-                simulation = Simulation(seed, engines, 40.0)
+                simulation = Simulation(seed, engines, 40.0, keeps_id=seed % 2 == 1)
                 simulation.run(0, 60_000, random_crashes=0.1, together=together)
                 self.assertEqual({}, simulation.blocked, f"seed {seed}, {engines}")
 
     def test_a_fleet_that_crashes_all_along_blocks_no_common_part(self):
         for seed in SEEDS[:20]:
             for engines in (1, 3):
-                simulation = Simulation(seed, engines, 40.0)
+                simulation = Simulation(seed, engines, 40.0, keeps_id=seed % 2 == 1)
                 simulation.run(0, 60_000, random_crashes=0.4, together=engines)
                 answers = simulation.evidence.answers["lm"]
                 common = [
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -8,14 +8,16 @@
 
 from galenapass.clocks import ManualClock
 from galenapass.forwarding.announcements import Announcement
+from galenapass.forwarding.crash_evidence import CrashReport, Sighting
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.platform.messages import ObjectChange
+from galenapass.tables.crashes import Crash
 from galenapass.tables.targets import Role, TargetState
-from tests.forwarding_fakes import make_fleet, make_suspects, make_target
+from tests.forwarding_fakes import MS, make_fleet, make_suspects, make_target
 
 
 class FakeDaemon:
@@ -49,6 +51,9 @@
     def list_clients(self):
         return [("10.0.0.9", 1)]
 
+    def list_peers(self, peers):
+        return [("10.0.0.3", 1)]
+
     def list_due_pings(self):
         return ["h2"]
 
@@ -87,6 +92,22 @@
         self.assertEqual([Pong(6, False)], daemon.sent)
 
 
+class TestCrashes(TestCase):
+    def test_clients_of_a_scheduler_hear_which_crashes_are_known(self):
+        # A host that knows of no earlier crash reports each one under the same name.
+        daemon = FakeDaemon()
+        sightings = (Sighting(7, 2, 0 * MS),)
+        report = CrashReport(
+            Crash("e1", "17"), "lm", "h2", 0 * MS, 2, sightings, ("f",)
+        )
+        daemon.receive(report)
+        daemon.receive(report)
+        to_peer, to_client = daemon.sent
+        self.assertEqual(report, to_peer)
+        self.assertEqual(report.crash, to_client.crash)
+        self.assertEqual(((), ()), (to_client.sightings, to_client.fingerprints))
+
+
 class TestLeaving(TestCase):
     def test_a_leaving_target_is_announced_to_a_host_that_the_store_rejects(self):
         daemon = FakeDaemon()
