End with status 0 however often a stop signal comes

Seen: galenapassd that gets SIGTERM again while its process ends has the status -15, as if it had been killed, and supervisors count a failed stop. Cause: the loop's signal handlers go with the loop. Closing it puts the default handlers back, and the interpreter needs some time to end after it. Now one handler, which stands from the start on, wakes the loop. Once the daemon has stopped the signals are ignored, which lasts until the process ends.

--- a/src/galenapass/daemon.py
+++ b/src/galenapass/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from types import FrameType
 from typing import TYPE_CHECKING
@@ -18,7 +19,8 @@
 EXIT_FAULTS = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-_early_signals: list[int] = []
+_signals: list[int] = []
+_on_signal: list[Callable[[], object]] = []
 
 
 @click.command(name="galenapassd")
@@ -31,7 +33,7 @@
     """
     # The imports below are slow; a stop signal that arrives meanwhile must not be lost.
     for number in SIGNALS:
-        signal.signal(number, _record_early_signal)
+        signal.signal(number, _record_signal)
     from galenapass.settings.daemon import read_daemon_settings
 
     settings = read_daemon_settings(file)
@@ -47,9 +49,10 @@
 
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in SIGNALS:
-        loop.add_signal_handler(number, stopping.set)
-    if _early_signals:
+    # Handlers of the loop would give way to the default ones when it is closed, and a
+    # signal from then on would end the process with another status.
+    _on_signal.append(lambda: loop.call_soon_threadsafe(stopping.set))
+    if _signals:
         stopping.set()
     daemon = Daemon(settings)
     try:
@@ -60,11 +63,15 @@
         return EXIT_CANNOT_START
     finally:
         await daemon.stop()
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
     return 0
 
 
-def _record_early_signal(number: int, frame: FrameType | None) -> None:
-    _early_signals.append(number)
+def _record_signal(number: int, frame: FrameType | None) -> None:
+    _signals.append(number)
+    for call in _on_signal:
+        call()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_process_planned_stops.py
@@ -0,0 +1,144 @@
+"""Test with processes what callers get whose requests meet a planned stop."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import time
+
+import orjson
+from testtools import TestCase
+
+from experiments.answers import CHAT_PATH, make_chat, read_error
+from experiments.fleet import CALLER_KEY, TargetSpec
+from tests.process_fleet import make_engines, wait_until, with_fleet
+from tests.stop_clients import Exchange, read_answer
+
+HOLD_PATH = "/v1/services/booking/holds"
+SEATS_PATH = "/v1/services/booking/seats"
+DESK = TargetSpec("desk-1", "north", service="booking")
+STOP_SECONDS = 4.0
+STOP_WITHIN = "4 s"
+# From the end of the stop to the end of the process, on a busy machine.
+EXIT_SECONDS = 0.5
+# A start waits up to 4 s for a platform that does not answer.
+START_STOP_SECONDS = 2.0
+PACED = ("--token-interval", "0.03")
+SLOW = ("--token-interval", "0.2")
+TOKENS = 60
+NOT_RUN = (503, "not run", "stopping")
+MAY_HAVE_RUN = (503, "may have run", "stopping")
+
+
+def make_request(path, body=b"", key=None, token=CALLER_KEY, method="POST", **more):
+    lines = [f"{method} {path} HTTP/1.1", "Host: galenapass"]
+    headers = {"Authorization": f"Bearer {token}", "Content-Length": len(body), **more}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def make_chat_request(content, tokens, **more):
+    body = orjson.dumps(make_chat(content, tokens) | more)
+    return make_request(CHAT_PATH, body)
+
+
+class Connection:
+    """Raw connection to a port of a daemon."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    def write(self, data):
+        """Send bytes; return the exchange that they begin or belong to."""
+        with contextlib.suppress(OSError):
+            self._writer.write(data)
+        return Exchange("", time.monotonic())
+
+    async def read(self, exchange):
+        await read_answer(self._reader, exchange)
+        return exchange
+
+    async def ask(self, data):
+        return await self.read(self.write(data))
+
+    async def close(self):
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+    async def read_end(self):
+        """Return whether the connection ends without a further byte."""
+        try:
+            return not await self._reader.read(1)
+        except OSError:
+            return False
+
+
+async def connect(address, **options):
+    ip, _, port = address.rpartition(":")
+    return Connection(*await asyncio.open_connection(ip, int(port), **options))
+
+
+def read_refusal(exchange):
+    """Return status, verdict and reason of a whole problem answer or error event."""
+    if not exchange.is_whole:
+        return None
+    problem = read_error(exchange.body) or {}
+    return exchange.status, problem.get("verdict"), problem.get("reason")
+
+
+class PlannedStop:
+    """Daemon of a fleet that is stopped, with its exit status and time."""
+
+    def __init__(self, fleet, name="entry-1"):
+        self.fleet = fleet
+        self.spec = fleet.daemons[name]
+        self.process = fleet.processes[name]
+        self.signal_at = 0.0
+
+    async def connect(self, **options):
+        return await connect(self.spec.entry, **options)
+
+    def begin(self):
+        self.signal_at = time.monotonic()
+        self.process.send(signal.SIGTERM)
+
+    async def wait(self, test):
+        """Check that the process ends in time with status 0."""
+        status = await self.process.wait(20)
+        test.assertEqual(0, status)
+        seconds = time.monotonic() - self.signal_at
+        test.assertLess(seconds, STOP_SECONDS + EXIT_SECONDS)
+
+    async def wait_run(self, name, count=1):
+        async def has_run():
+            account = await self.fleet.read_account(name)
+            unnamed = account.get("runs_without_key", 0)
+            return len(account["runs"]) + unnamed >= count
+
+        await wait_until(has_run)
+
+
+class TestSignals(TestCase):
+    @with_fleet(1, make_engines(1), stop_within=STOP_WITHIN)
+    async def test_signals_up_to_the_end_of_the_process_leave_its_status_0(self, fleet):
+        for numbers in (
+            (signal.SIGTERM, signal.SIGTERM),
+            (signal.SIGTERM, signal.SIGINT),
+            (signal.SIGINT, signal.SIGTERM),
+        ):
+            process = fleet.processes["entry-1"]
+            for _ in range(2000):
+                if process.status is not None:
+                    break
+                for number in numbers:
+                    # Process.send would take the exit status from the loop's watcher.
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(process.pid, number)
+                await asyncio.sleep(0.002)
+            self.assertEqual(0, await process.wait(8), numbers)
+            await fleet.start_daemon("entry-1")
+            await fleet.wait_ready()
