Refuse waiting requests at the stop limit with what is true

Seen: a request that waits for another target after an attempt that may have run is refused with "not run" at the stop limit, so that its caller may repeat it; one that begins to wait after the limit is sent to a target and cut where the process ends. Cause: `refuse_waiting` gave one verdict to all requests that wait at that moment, and had no effect on later ones. Evidence: the tests got "not run" for the request with an earlier attempt. Now the verdict includes earlier attempts and the refusal stays in force. The verdict of a refusal in a stop is named `STOPPING`.

--- a/src/galenapass/core.py
+++ b/src/galenapass/core.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.dispatch import Route
+from galenapass.dispatch import STOPPING, Route
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
 from galenapass.systems import (
@@ -30,7 +31,6 @@
 
 TICK_PERIOD = timedelta(milliseconds=100)
 SUSPECT_PROPAGATION_TIME = timedelta(milliseconds=250)
-STOPPING_RETRY_AFTER = timedelta(seconds=1)
 PREEMPTED = Verdict(
     Run.MAY_HAVE_RUN, Reason.PREEMPTED, "bulk work gives way to urgent work"
 )
@@ -56,6 +56,7 @@
         "_metrics",
         "_publish_suspects",
         "_random",
+        "_refusal",
         "_ticker",
         "stopping",
         "world",
@@ -80,6 +81,7 @@
         self._random = random
         self._metrics = metrics
         self._decisions: dict[str, Decision] = {}
+        self._refusal: Verdict | None = None
         self._ticker = Ticker(self._tick, TICK_PERIOD)
 
     def start(self) -> None:
@@ -124,9 +126,16 @@
         return await self._decide(request)
 
     def refuse_waiting(self, verdict: Verdict) -> None:
-        """Refuse every request that waits for a target."""
+        """Refuse every request that waits for a target, and all that would wait later.
+
+        The verdict says that a request may have run if an earlier attempt may have.
+        """
+        self._refusal = verdict
         for request_id in list(self._decisions):
-            self._resolve(request_id, Err(verdict))
+            refusal = _include_earlier_attempts(
+                self.world.requests[request_id], verdict
+            )
+            self._resolve(request_id, Err(refusal))
 
     def record_first_token(self, request: Request) -> None:
         """Record that prefill has finished and output has begun."""
@@ -153,10 +162,7 @@
         self.wake()
 
     def _refuse_stopping(self) -> Verdict | None:
-        if not self.stopping:
-            return None
-        detail = "this daemon is stopping"
-        return Verdict(Run.NOT_RUN, Reason.STOPPING, detail, STOPPING_RETRY_AFTER)
+        return STOPPING if self.stopping else None
 
     def _refuse_new(self, request: Request) -> Verdict | None:
         now = self._clock.monotonic()
@@ -196,6 +202,8 @@
             crashes.record_completion(self.world, request, now)
 
     async def _decide(self, request: Request) -> Result[Route, Verdict]:
+        if self._refusal is not None:
+            return Err(_include_earlier_attempts(request, self._refusal))
         decision: Decision = asyncio.get_running_loop().create_future()
         self._decisions[request.id] = decision
         self.wake()
@@ -249,6 +257,10 @@
         )
 
 
+def _include_earlier_attempts(request: Request, verdict: Verdict) -> Verdict:
+    return replace(verdict, run=Run.MAY_HAVE_RUN) if request.may_have_run else verdict
+
+
 def _make_route(world: World, choice: Choice) -> Route:
     prefill = world.targets.get(choice.prefill_target or "")
     return Route(
--- a/src/galenapass/dispatch.py
+++ b/src/galenapass/dispatch.py
@@ -1,14 +1,20 @@
 """Define the interfaces between the callers' handlers and the core."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 from result import Result
 
 from galenapass.tables.requests import Request
-from galenapass.verdicts import Verdict
+from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["Claim", "Claims", "Dispatcher", "Route", "StoredAnswer"]
+__all__ = ["STOPPING", "Claim", "Claims", "Dispatcher", "Route", "StoredAnswer"]
+
+STOPPING = Verdict(
+    Run.NOT_RUN, Reason.STOPPING, "this daemon is stopping", timedelta(seconds=1)
+)
+"""Refusal of a request that comes during a planned stop."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,12 +7,13 @@
 
 from galenapass.clocks import ManualClock
 from galenapass.core import PREEMPTED, Core
+from galenapass.dispatch import STOPPING
 from galenapass.metrics import make_metrics
 from galenapass.systems import crashes, demand
 from galenapass.tables.crashes import Crash
 from galenapass.tables.requests import RequestState
 from galenapass.tables.targets import Role
-from galenapass.verdicts import Reason
+from galenapass.verdicts import Reason, Run
 from tests.test_routing import make_request, make_world
 
 
@@ -57,6 +58,38 @@
         self.assertIsNone(request.target)
 
 
+class TestStop(TestCase):
+    def refuse(self, requests, then_wait=False):
+        """Refuse waiting requests, or those that would wait; return the verdicts."""
+
+        async def run():
+            world = make_world((Role.MIXED,))
+            core = Core(
+                world, ManualClock(), Random(1), make_metrics(), None, None, None
+            )
+            waiting = [asyncio.create_task(core.route(r)) for r in requests]
+            if then_wait:
+                core.refuse_waiting(STOPPING)
+            await asyncio.sleep(0)
+            core.refuse_waiting(STOPPING)
+            return [outcome.err_value.run for outcome in await asyncio.gather(*waiting)]
+
+        return asyncio.run(asyncio.wait_for(run(), 3))
+
+    def make_requests(self):
+        requests = [make_request(1), make_request(2)]
+        requests[1].may_have_run = True
+        return requests
+
+    def test_a_request_with_an_earlier_attempt_is_not_refused_as_not_run(self):
+        verdicts = self.refuse(self.make_requests())
+        self.assertEqual([Run.NOT_RUN, Run.MAY_HAVE_RUN], verdicts)
+
+    def test_a_request_that_would_wait_after_the_stop_limit_is_refused(self):
+        verdicts = self.refuse(self.make_requests(), then_wait=True)
+        self.assertEqual([Run.NOT_RUN, Run.MAY_HAVE_RUN], verdicts)
+
+
 class TestResume(TestCase):
     def test_resumed_stream_releases_its_prefill(self):
         async def move():
