Close idle connections with TLS, which has no half-closed ones

Seen: with TLS, closing an idle connection and writing the last answer of a connection raise NotImplementedError. Cause: `write_eof` of TLS transports is not implemented. The test's transport behaves as those of TLS do. Now only transports that can close one side do.

--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -51,7 +51,7 @@
         """Close the sending side, ignore what arrives, and close soon after."""
         self.close()
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write_eof()
+            _end_sending(self.transport)
         self._loop.call_later(LINGER_TIME.total_seconds(), self.force_close)
 
 
@@ -100,10 +100,16 @@
         return
     await response.prepare(raw)
     await response.write_eof()
-    transport.write_eof()  # type: ignore[attr-defined]
+    _end_sending(transport)
     while transport.get_write_buffer_size():  # type: ignore[attr-defined]
         await asyncio.sleep(FLUSH_POLL.total_seconds())
     await asyncio.sleep(LINGER_TIME.total_seconds())
 
 
+def _end_sending(transport: Any) -> None:
+    # TLS has no half-closed connections.
+    if transport.can_write_eof():
+        transport.write_eof()
+
+
 _SERVER_OPTIONS = frozenset({"request_factory", "handler_cancellation", "loop"})
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -49,6 +49,23 @@
     asyncio.run(main())
 
 
+class TlsTransport(asyncio.Transport):
+    """Transport that cannot close its sending side alone, as those of TLS."""
+
+    def __init__(self):
+        super().__init__()
+        self.closed = asyncio.Event()
+
+    def can_write_eof(self):
+        return False
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        self.closed.set()
+
+
 class TestCounts(TestCase):
     def test_requests_that_wait_for_their_turn_are_counted(self):
         release = asyncio.Event()
@@ -126,3 +143,18 @@
             self.assertEqual(b"", await reader.read())
 
         run(scenario, handle)
+
+    def test_an_idle_connection_with_tls_is_closed(self):
+        async def handle(raw):
+            return web.Response()
+
+        async def main():
+            server = ClientServer(handle, handler_cancellation=True, access_log=None)
+            connection, transport = server(), TlsTransport()
+            connection.connection_made(transport)
+            await wait_for(lambda: connection.is_idle)
+            server.close_idle()
+            await asyncio.wait_for(transport.closed.wait(), 3)
+            connection.connection_lost(None)
+
+        asyncio.run(main())
