Refuse requests whose bodies are on their way when a stop begins

Seen: a request whose body is not yet whole when the daemon is told to stop gets no answer: its connection is closed, 1 s later or less. Cause: a request was counted as open once its body was whole, so the stop did not wait for it, and then aiohttp cancelled its handler. Evidence: two requests sent in pieces got no byte. Since any request that reaches the scheduler in a stop is refused, nothing is won by reading on: reading is ended and the request refused at once as not run. Requests that come later are refused before their bodies are read, and calls with a key before the platform is asked for a claim.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -144,6 +144,7 @@
         _log("daemon is stopping", open=self.streams.count)
         self.is_ready = False
         self.core.stopping = True
+        self.streams.refuse_bodies()
         self.peers.leave()
         await self._finish_streams()
         self.core.stop()
--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from galenapass.callers.bodies import StoppingError
 from galenapass.callers.calls import make_call_handler
 from galenapass.callers.completions import (
     make_completion_handler,
@@ -17,7 +18,7 @@
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.streams import OpenStreams
 from galenapass.clocks import Clock
-from galenapass.dispatch import Claims, Dispatcher
+from galenapass.dispatch import STOPPING, Claims, Dispatcher
 from galenapass.logs import make_log
 from galenapass.targets.engines import EngineClient
 from galenapass.targets.services import PlainServiceClient
@@ -130,6 +131,8 @@
         return make_problem_response(Verdict(Run.NOT_RUN, reason, detail), error.status)
     except web.RequestPayloadError as error:
         return make_problem_response(Verdict(Run.NOT_RUN, Reason.MALFORMED, str(error)))
+    except StoppingError:
+        return make_problem_response(STOPPING)
     except ConnectionResetError:
         raise
     except Exception as error:
--- a/src/galenapass/callers/bodies.py
+++ b/src/galenapass/callers/bodies.py
@@ -11,10 +11,12 @@
 from result import Err, Ok, Result
 
 from galenapass.callers.limits import Limits
+from galenapass.callers.streams import OpenStreams
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = [
     "Completion",
+    "StoppingError",
     "fingerprint_call",
     "hash_blocks",
     "read_body",
@@ -56,12 +58,26 @@
         return fingerprint_call(caller, path, body)
 
 
-async def read_body(request: web.Request, limits: Limits) -> bytes:
-    """Return the whole body; raise 408 if it is too slow and 413 if it is too large."""
+class StoppingError(Exception):
+    """Refusal of a request whose body was not read before the daemon stops."""
+
+
+async def read_body(
+    request: web.Request, limits: Limits, streams: OpenStreams
+) -> bytes:
+    """Return the whole body; raise 408 if it is too slow and 413 if it is too large.
+
+    Raise StoppingError if the daemon stops before the body is whole.
+    """
+    if streams.stopping:
+        raise StoppingError
     try:
-        async with asyncio.timeout(limits.body_timeout.total_seconds()):
-            return await request.read()
+        async with asyncio.timeout(limits.body_timeout.total_seconds()) as timeout:
+            with streams.watch_body(timeout):
+                return await request.read()
     except TimeoutError:
+        if streams.stopping:
+            raise StoppingError from None
         detail = f"no whole body within {limits.body_timeout.total_seconds():g} s"
         raise web.HTTPRequestTimeout(text=detail) from None
 
--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -43,7 +43,7 @@
         )
         if isinstance(service, Err):
             return make_problem_response(service.err_value)
-        body = await read_body(request, context.limits)
+        body = await read_body(request, context.limits, context.streams)
         call = _read_call(context, request, service.ok_value, body)
         if isinstance(call, Err):
             return make_problem_response(call.err_value)
--- a/src/galenapass/callers/completions.py
+++ b/src/galenapass/callers/completions.py
@@ -30,7 +30,7 @@
         caller = context.find_caller(http_request)
         if isinstance(caller, Err):
             return make_problem_response(caller.err_value)
-        body = await read_body(http_request, context.limits)
+        body = await read_body(http_request, context.limits, context.streams)
         completion = read_completion(http_request.path, body)
         if isinstance(completion, Err):
             return make_problem_response(completion.err_value)
--- a/src/galenapass/callers/streams.py
+++ b/src/galenapass/callers/streams.py
@@ -42,7 +42,9 @@
 
     limits: Limits = field(default_factory=Limits)
     requests: int = 0
+    stopping: bool = False
     _attempts: dict[str, OpenAttempt] = field(default_factory=dict)
+    _bodies: set[asyncio.Timeout] = field(default_factory=set)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _idle: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -71,6 +73,22 @@
         finally:
             del self._attempts[attempt.request.id]
 
+    @contextmanager
+    def watch_body(self, timeout: asyncio.Timeout) -> Iterator[None]:
+        """Let ``refuse_bodies`` end a timeout while the block reads a body."""
+        self._bodies.add(timeout)
+        try:
+            yield
+        finally:
+            self._bodies.remove(timeout)
+
+    def refuse_bodies(self) -> None:
+        """Refuse the requests whose bodies are on their way, and all that follow."""
+        self.stopping = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._bodies:
+            timeout.reschedule(now)
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine as a background task, which ``wait_idle`` waits for."""
         task = asyncio.create_task(coroutine)
--- a/tests/test_process_planned_stops.py
+++ b/tests/test_process_planned_stops.py
@@ -122,6 +122,96 @@
         await wait_until(has_run)
 
 
+class TestOpenConnections(TestCase):
+    @with_fleet(1, make_engines(1, *PACED), stop_within=STOP_WITHIN)
+    async def test_requests_whose_body_is_on_the_way_are_refused_at_once(self, fleet):
+        stop = PlannedStop(fleet)
+        data = make_chat_request("pieces", TOKENS)
+        callers = [await stop.connect() for _ in range(2)]
+        exchanges = [caller.write(data[:-20]) for caller in callers]
+        await asyncio.sleep(0.2)
+        stop.begin()
+        await callers[0].read(exchanges[0])
+        await callers[0].close()
+        callers[1].write(data[-20:])
+        await callers[1].read(exchanges[1])
+        self.assertEqual([NOT_RUN] * 2, [read_refusal(e) for e in exchanges])
+        await stop.wait(self)
+        self.assertLess(time.monotonic() - stop.signal_at, 2.5)
+
+    async def send_until_closed(self, stop):
+        """Send requests on connections until none can be opened; return them."""
+        exchanges = []
+
+        async def run(n):
+            data = make_chat_request(f"kept {n}", 2)
+            while True:
+                try:
+                    caller = await stop.connect()
+                except OSError:
+                    return
+                while True:
+                    exchange = await caller.ask(data)
+                    exchanges.append(exchange)
+                    if not exchange.is_whole or exchange.closes:
+                        break
+                    await asyncio.sleep(0.01)
+
+        callers = [asyncio.create_task(run(n)) for n in range(6)]
+        await asyncio.sleep(0.3)
+        stop.begin()
+        await asyncio.gather(*callers)
+        return exchanges
+
+
+class TestStopLimit(TestCase):
+    async def stop_calls(self, fleet, **faults):
+        """Stop a daemon with calls at work at a service; return stop and answers."""
+        stop = PlannedStop(fleet)
+        await fleet.set_faults("desk-1", delay=8.0)
+        seats = make_request(SEATS_PATH, method="GET")
+        calls = [make_request(HOLD_PATH, b"{}", key="hold-1"), seats]
+        sent = [asyncio.create_task((await stop.connect()).ask(c)) for c in calls]
+        await stop.wait_run("desk-1", 2)
+        if faults:
+            await fleet.set_faults("platform", **faults)
+        stop.begin()
+        answers = await asyncio.gather(*sent)
+        await stop.wait(self)
+        self.assertEqual([MAY_HAVE_RUN] * 2, [read_refusal(e) for e in answers])
+        account = await fleet.read_account("desk-1")
+        self.assertEqual(
+            (1, 1), (account["runs"]["hold-1"], account["runs_without_key"])
+        )
+
+    @with_fleet(2, [DESK], stop_within=STOP_WITHIN)
+    async def test_a_call_refused_by_a_stop_leaves_its_key_free(self, fleet):
+        stop = PlannedStop(fleet)
+        await fleet.set_faults("desk-1", delay=1.0)
+        first = asyncio.create_task(
+            (await stop.connect()).ask(make_request(HOLD_PATH, b"{}", key="first"))
+        )
+        await stop.wait_run("desk-1")
+        callers = [await stop.connect() for _ in range(20)]
+        stop.begin()
+        sent = []
+        for n, caller in enumerate(callers):
+            data = make_request(HOLD_PATH, b"{}", key=f"key-{n}")
+            sent.append(asyncio.create_task(caller.ask(data)))
+            await asyncio.sleep(0.03)
+        answers = await asyncio.gather(*sent)
+        self.assertEqual(200, (await first).status)
+        await stop.wait(self)
+        await fleet.set_faults("desk-1", delay=0.0)
+        refused = [n for n, e in enumerate(answers) if read_refusal(e) == NOT_RUN]
+        self.assertNotEqual([], refused)
+        for n, exchange in enumerate(answers):
+            self.assertTrue(exchange.is_whole or not exchange.status, n)
+            key = f"key-{n}"
+            again = await fleet.send("entry-2", HOLD_PATH, {}, Idempotency_Key=key)
+            self.assertEqual(200, again.status, (n, again.body))
+
+
 class TestSignals(TestCase):
     @with_fleet(1, make_engines(1), stop_within=STOP_WITHIN)
     async def test_signals_up_to_the_end_of_the_process_leave_its_status_0(self, fleet):
