Answer calls that are at work at the stop limit

Seen: a call to a plain service that is at work when the time of a planned stop is over gets no answer; its connection is closed where the process ends. Cause: only completions were registered as attempts, so the abort at the stop limit did not reach calls. Attempts that began just then were missed as well. Evidence: two calls of 8 s and a stop of 4 s: neither got a byte, and the process ended 5.2 s after SIGTERM. Now calls are registered too, in a table of their own, as drains and preemption may not move them. They end with 503 "may have run" and "stopping", the claim is finished and a repeat elsewhere does not run. The service counted one run for each.

--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -1,6 +1,7 @@
 """Handle calls to plain services; those with an idempotency key run at most once."""
 
 import asyncio
+from collections.abc import Awaitable
 from urllib.parse import unquote
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from galenapass.callers.keys import find_service
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.relays import COMPLETED
+from galenapass.callers.streams import OpenAttempt
 from galenapass.dispatch import Claim, StoredAnswer
 from galenapass.tables.configurations import Caller, Service
 from galenapass.tables.requests import Request
@@ -171,9 +173,10 @@
     routed = await context.dispatcher.route(request)
     while not isinstance(routed, Err):
         remaining = (request.deadline - context.clock.monotonic()).total_seconds()
-        outcome = await context.services.send(
+        send = context.services.send(
             routed.ok_value.address, call, max(remaining, 0.001)
         )
+        outcome = await _send_until_aborted(context, request, send)
         if isinstance(outcome, Ok):
             return outcome
         verdict = outcome.err_value
@@ -183,6 +186,21 @@
     return Err(routed.err_value)
 
 
+async def _send_until_aborted(
+    context: HandlerContext,
+    request: Request,
+    send: Awaitable[Result[StoredAnswer, Verdict]],
+) -> Result[StoredAnswer, Verdict]:
+    attempt: OpenAttempt | None = None
+    try:
+        async with asyncio.timeout(None) as timeout:
+            attempt = OpenAttempt(request, timeout, lambda: False)
+            with context.streams.watch_call(attempt):
+                return await send
+    except TimeoutError:
+        return Err((attempt and attempt.cause) or _INTERRUPTED)
+
+
 def _make_request(
     context: HandlerContext, caller: Caller, service: Service, call: Call
 ) -> Request:
--- a/src/galenapass/callers/streams.py
+++ b/src/galenapass/callers/streams.py
@@ -44,6 +44,8 @@
     requests: int = 0
     stopping: bool = False
     _attempts: dict[str, OpenAttempt] = field(default_factory=dict)
+    _calls: dict[str, OpenAttempt] = field(default_factory=dict)
+    _abort_cause: Verdict | None = None
     _bodies: set[asyncio.Timeout] = field(default_factory=set)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _idle: asyncio.Event = field(default_factory=asyncio.Event)
@@ -68,11 +70,22 @@
     def watch_attempt(self, attempt: OpenAttempt) -> Iterator[None]:
         """Register an attempt for sweeps and ``abort_attempt`` while the block runs."""
         self._attempts[attempt.request.id] = attempt
+        self._abort_late(attempt)
         try:
             yield
         finally:
             del self._attempts[attempt.request.id]
 
+    @contextmanager
+    def watch_call(self, attempt: OpenAttempt) -> Iterator[None]:
+        """Register a call, which only ``abort_all_attempts`` ends, during the block."""
+        self._calls[attempt.request.id] = attempt
+        self._abort_late(attempt)
+        try:
+            yield
+        finally:
+            del self._calls[attempt.request.id]
+
     @contextmanager
     def watch_body(self, timeout: asyncio.Timeout) -> Iterator[None]:
         """Let ``refuse_bodies`` end a timeout while the block reads a body."""
@@ -114,8 +127,9 @@
         return True
 
     def abort_all_attempts(self, cause: Verdict) -> None:
-        """End every open attempt at once with a cause."""
-        for attempt in self._attempts.values():
+        """End every open attempt at once with a cause, and all that begin later."""
+        self._abort_cause = cause
+        for attempt in [*self._attempts.values(), *self._calls.values()]:
             attempt.abort(cause)
 
     async def run_sweeps(self) -> None:
@@ -139,6 +153,10 @@
         elif stalled_seconds > self.limits.silence_timeout.total_seconds():
             attempt.abort(_TARGET_SILENT)
 
+    def _abort_late(self, attempt: OpenAttempt) -> None:
+        if self._abort_cause is not None:
+            attempt.abort(self._abort_cause)
+
     def _remove_task(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         self._signal_if_idle()
--- a/tests/test_process_planned_stops.py
+++ b/tests/test_process_planned_stops.py
@@ -184,6 +184,44 @@
             (1, 1), (account["runs"]["hold-1"], account["runs_without_key"])
         )
 
+    @with_fleet(2, [DESK], stop_within=STOP_WITHIN)
+    async def test_calls_at_work_at_the_limit_are_answered_and_not_repeated(
+        self, fleet
+    ):
+        await self.stop_calls(fleet)
+        await fleet.set_faults("desk-1", delay=0.0)
+        again = await fleet.send("entry-2", HOLD_PATH, {}, Idempotency_Key="hold-1")
+        problem = orjson.loads(again.body)
+        self.assertEqual("may have run", problem["verdict"])
+        self.assertNotIn("under way", problem["detail"])
+        account = await fleet.read_account("desk-1")
+        self.assertEqual({"hold-1": 1}, account["runs"])
+
+    @with_fleet(1, make_engines(1, *SLOW), stop_within=STOP_WITHIN)
+    async def test_a_completion_that_is_not_streamed_is_answered(self, fleet):
+        stop = PlannedStop(fleet)
+        caller = await stop.connect()
+        exchange = caller.write(make_chat_request("whole", 100, stream=False))
+        await stop.wait_run("runner-1")
+        stop.begin()
+        await caller.read(exchange)
+        self.assertEqual(MAY_HAVE_RUN, read_refusal(exchange))
+        await stop.wait(self)
+
+    @with_fleet(1, make_engines(1, *SLOW), stop_within=STOP_WITHIN)
+    async def test_requests_that_wait_are_refused_as_not_run(self, fleet):
+        stop = PlannedStop(fleet)
+        fleet.processes["runner-1"].send(signal.SIGKILL)
+        await asyncio.sleep(2.0)
+        callers = [await stop.connect() for _ in range(20)]
+        sent = [c.ask(make_chat_request(f"{n}", 60)) for n, c in enumerate(callers)]
+        pending = asyncio.gather(*sent)
+        await asyncio.sleep(0.5)
+        stop.begin()
+        answers = await pending
+        self.assertEqual([NOT_RUN] * 20, [read_refusal(e) for e in answers])
+        await stop.wait(self)
+
     @with_fleet(2, [DESK], stop_within=STOP_WITHIN)
     async def test_a_call_refused_by_a_stop_leaves_its_key_free(self, fleet):
         stop = PlannedStop(fleet)
