End a planned stop within [stop] within

Seen: with a call at work and the platform away a stop of 4 s takes 5.2 s. A supervisor that trusts the setting kills the process. Cause: after the stop limit each release had a time limit of its own (peers, claims, connections), one after the other, and their sum was bounded by nothing. The answer to a call with a key waited 2 s for its claim, longer than the time that is left then. Now what is left of the time bounds all releases together, claims are written while peers are told, and in a stop an answer waits 0.5 s for its claim.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -64,6 +64,8 @@
 # Part of the stop limit reserved for closing connections after the last stream
 # has ended or was aborted.
 CLOSE_RESERVE = timedelta(seconds=2)
+# Part of the stop limit reserved for the end of the process.
+EXIT_RESERVE = timedelta(milliseconds=300)
 # Longest wait for writing the outcomes of calls that are still unwritten.
 FLUSH_TIMEOUT = timedelta(seconds=1)
 # A daemon that holds one of these duties needs the newest host list.
@@ -140,24 +142,35 @@
         _log("daemon is ready", version=self.configuration_manager.version)
 
     async def stop(self) -> None:
-        """Refuse new requests, let open streams finish and release all resources."""
+        """Refuse new requests, let open ones finish and release all resources.
+
+        It takes at most the time of ``[stop] within``.
+        """
+        end = self.clock.monotonic() + self.settings.stop_within - EXIT_RESERVE
         _log("daemon is stopping", open=self.streams.count)
         self.is_ready = False
         self.core.stopping = True
         self.streams.refuse_bodies()
         self.peers.leave()
         await self._finish_streams()
+        try:
+            async with asyncio.timeout(self._compute_remaining(end)):
+                await self._release_resources()
+        except TimeoutError:
+            _log("resources are left unreleased at the stop limit")
+        _log("daemon has stopped")
+
+    async def _release_resources(self) -> None:
         self.core.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.observer.stop()
-        await self.peers.stop()
-        await self.claims.flush(FLUSH_TIMEOUT)
+        await asyncio.gather(
+            self.observer.stop(), self.peers.stop(), self.claims.flush(FLUSH_TIMEOUT)
+        )
         for runner in self._runners:
             await runner.cleanup()
         await self.clients.close()
-        _log("daemon has stopped")
 
     # Interface for the callers' port
 
@@ -362,8 +375,11 @@
         if self.streams.count:
             await self._abort_streams()
 
+    def _compute_remaining(self, end: timedelta) -> float:
+        return max((end - self.clock.monotonic()).total_seconds(), 0.0)
+
     async def _abort_streams(self) -> None:
-        """End every open stream and waiting request with a verdict for its caller."""
+        """End every open stream, call and waiting request with a verdict."""
         _log("open streams are aborted at the stop limit", open=self.streams.count)
         self.streams.abort_all_attempts(
             replace(_STOP_TIMEOUT_VERDICT, run=Run.MAY_HAVE_RUN)
--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -28,6 +28,7 @@
 # /v1/services/NAME precedes the path that is sent to the target.
 SEGMENTS_BEFORE_PATH = 4
 CLOSE_CLAIM_TIMEOUT_SECONDS = 2.0
+STOPPING_CLOSE_CLAIM_TIMEOUT_SECONDS = 0.5
 
 
 def make_call_handler(context: HandlerContext) -> Handler:
@@ -150,9 +151,10 @@
         closing = context.claims.release(claim)
     else:
         closing = context.claims.finish(claim, None)
-    await asyncio.wait(
-        {context.streams.spawn(closing)}, timeout=CLOSE_CLAIM_TIMEOUT_SECONDS
-    )
+    timeout = CLOSE_CLAIM_TIMEOUT_SECONDS
+    if context.streams.stopping:
+        timeout = STOPPING_CLOSE_CLAIM_TIMEOUT_SECONDS
+    await asyncio.wait({context.streams.spawn(closing)}, timeout=timeout)
 
 
 async def _dispatch(
