Let callers take their answers before galenapassd ends

Seen: answers that callers have not yet taken when the last request has ended are cut: of 1500 answers 33 to 36 came whole on a connection that was read 1 s late. Cause: a stop waited for requests being handled, not for requests that were read and wait for their turn nor for answers that are not yet written, and closed the ports last, so that requests were accepted while the daemon took itself apart. Evidence: the test reads 1500 answers on each of two connections.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -19,6 +19,7 @@
 from galenapass.callers.context import Handler
 from galenapass.callers.limits import Limits
 from galenapass.callers.streams import OpenStreams
+from galenapass.client_runner import ClientRunner
 from galenapass.clients import Clients
 from galenapass.clocks import SystemClock
 from galenapass.configuration_manager import ConfigurationManager
@@ -66,6 +67,9 @@
 CLOSE_RESERVE = timedelta(seconds=2)
 # Part of the stop limit reserved for the end of the process.
 EXIT_RESERVE = timedelta(milliseconds=300)
+# Longest wait for connections that are closed while no request is open.
+CLOSE_TIMEOUT = timedelta(milliseconds=300)
+BUSY_POLL = timedelta(milliseconds=20)
 # Longest wait for writing the outcomes of calls that are still unwritten.
 FLUSH_TIMEOUT = timedelta(seconds=1)
 # A daemon that holds one of these duties needs the newest host list.
@@ -114,7 +118,7 @@
         self.observer = self._make_observer()
         self.is_ready = False
         self._tasks: list[asyncio.Task[Any]] = []
-        self._runners: list[web.AppRunner] = []
+        self._runners: list[ClientRunner] = []
 
     async def start(self) -> None:
         """Open every port and start every duty."""
@@ -147,12 +151,12 @@
         It takes at most the time of ``[stop] within``.
         """
         end = self.clock.monotonic() + self.settings.stop_within - EXIT_RESERVE
-        _log("daemon is stopping", open=self.streams.count)
+        _log("daemon is stopping", open=self.streams.count, busy=self._count_busy())
         self.is_ready = False
         self.core.stopping = True
         self.streams.refuse_bodies()
         self.peers.leave()
-        await self._finish_streams()
+        await self._finish_requests()
         try:
             async with asyncio.timeout(self._compute_remaining(end)):
                 await self._release_resources()
@@ -161,6 +165,7 @@
         _log("daemon has stopped")
 
     async def _release_resources(self) -> None:
+        await self._close_connections()
         self.core.stop()
         for task in self._tasks:
             task.cancel()
@@ -368,17 +373,35 @@
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    async def _finish_streams(self) -> None:
+    async def _finish_requests(self) -> None:
         timeout = (self.settings.stop_within - CLOSE_RESERVE).total_seconds()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.streams.wait_idle(), max(timeout, 0))
+            await asyncio.wait_for(self._wait_idle(), max(timeout, 0))
         if self.streams.count:
-            await self._abort_streams()
+            await self._abort_requests()
+
+    async def _wait_idle(self) -> None:
+        """Wait until no request is open and every answer has been written."""
+        await self.streams.wait_idle()
+        while self.streams.count or self._count_busy():
+            await asyncio.sleep(BUSY_POLL.total_seconds())
+            await self.streams.wait_idle()
+
+    def _count_busy(self) -> int:
+        return sum(runner.count_busy() for runner in self._runners)
+
+    async def _close_connections(self) -> None:
+        """Stop listening and close the idle connections; wait until none is busy."""
+        for runner in self._runners:
+            await runner.close_idle()
+        with contextlib.suppress(TimeoutError):
+            seconds = CLOSE_TIMEOUT.total_seconds()
+            await asyncio.wait_for(self._wait_idle(), seconds)
 
     def _compute_remaining(self, end: timedelta) -> float:
         return max((end - self.clock.monotonic()).total_seconds(), 0.0)
 
-    async def _abort_streams(self) -> None:
+    async def _abort_requests(self) -> None:
         """End every open stream, call and waiting request with a verdict."""
         _log("open streams are aborted at the stop limit", open=self.streams.count)
         self.streams.abort_all_attempts(
@@ -387,7 +410,7 @@
         self.core.refuse_waiting(_STOP_TIMEOUT_VERDICT)
         with contextlib.suppress(TimeoutError):
             seconds = CLOSE_RESERVE.total_seconds() / 2
-            await asyncio.wait_for(self.streams.wait_idle(), seconds)
+            await asyncio.wait_for(self._wait_idle(), seconds)
 
 
 def _make_metrics_handler(metrics: Metrics) -> Handler:
--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -17,6 +17,7 @@
 from galenapass.callers.limits import Limits
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.streams import OpenStreams
+from galenapass.client_runner import ClientRunner
 from galenapass.clocks import Clock
 from galenapass.dispatch import STOPPING, Claims, Dispatcher
 from galenapass.logs import make_log
@@ -88,9 +89,9 @@
 
 def make_runner(
     app: web.Application, shutdown_timeout: timedelta = DEFAULT_SHUTDOWN_TIMEOUT
-) -> web.AppRunner:
+) -> ClientRunner:
     """Return a runner that cancels a handler as soon as its caller disconnects."""
-    return web.AppRunner(
+    return ClientRunner(
         app,
         handler_cancellation=True,
         access_log=None,
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -78,6 +78,13 @@
             sum(connection.unwritten for connection in connections),
         )
 
+    def count_busy(self) -> int:
+        """Return the number of connections with an answer that is due or unwritten."""
+        return sum(
+            not connection.is_idle or connection.unwritten > 0
+            for connection in self._list_open()
+        )
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         for connection in self._list_open():
--- a/tests/test_process_planned_stops.py
+++ b/tests/test_process_planned_stops.py
@@ -9,8 +9,8 @@
 import orjson
 from testtools import TestCase
 
-from experiments.answers import CHAT_PATH, make_chat, read_error
-from experiments.fleet import CALLER_KEY, TargetSpec
+from experiments.answers import CHAT_PATH, is_complete_answer, make_chat, read_error
+from experiments.fleet import CALLER_KEY, TOKEN, TargetSpec
 from tests.process_fleet import make_engines, wait_until, with_fleet
 from tests.stop_clients import Exchange, read_answer
 
@@ -139,6 +139,48 @@
         await stop.wait(self)
         self.assertLess(time.monotonic() - stop.signal_at, 2.5)
 
+    @with_fleet(1, make_engines(1), stop_within=STOP_WITHIN)
+    async def test_an_answer_that_is_read_slowly_arrives_whole(self, fleet):
+        stop = PlannedStop(fleet)
+        callers = [await stop.connect(limit=2**12) for _ in range(2)]
+        # The answers to many requests, more than the buffers of sockets hold.
+        request = make_request("/metrics", method="GET")
+        count = 1500
+        for caller in callers:
+            caller.write(request * count)
+        await asyncio.sleep(0.5)
+        stop.begin()
+        await asyncio.sleep(1.0)
+
+        async def read_all(caller):
+            exchanges = [Exchange("", 0.0) for _ in range(count)]
+            for exchange in exchanges:
+                await caller.read(exchange)
+            return sum(e.is_whole and e.status == 200 for e in exchanges)
+
+        whole = await asyncio.gather(*(read_all(caller) for caller in callers))
+        self.assertEqual([count] * 2, whole)
+        await stop.wait(self)
+
+    @with_fleet(1, make_engines(1, *PACED), stop_within=STOP_WITHIN)
+    async def test_idle_connections_close_and_kept_ones_get_whole_answers(self, fleet):
+        stop = PlannedStop(fleet)
+        idle = await stop.connect()
+        await idle.ask(make_request("/healthz", method="GET"))
+        stream = await stop.connect()
+        open_stream = asyncio.create_task(stream.ask(make_chat_request("open", TOKENS)))
+        await stop.wait_run("runner-1")
+        kept = await self.send_until_closed(stop)
+        self.assertTrue(await idle.read_end())
+        answer = await open_stream
+        self.assertTrue(is_complete_answer(make_chat("open", TOKENS), 200, answer.body))
+        await stop.wait(self)
+        broken = [e for e in kept if not e.is_whole and e.status]
+        self.assertEqual([], broken)
+        self.assertEqual({200, 503}, {e.status for e in kept if e.is_whole})
+        refused = [e for e in kept if e.status == 503]
+        self.assertEqual({NOT_RUN}, {read_refusal(e) for e in refused})
+
     async def send_until_closed(self, stop):
         """Send requests on connections until none can be opened; return them."""
         exchanges = []
@@ -197,6 +239,10 @@
         account = await fleet.read_account("desk-1")
         self.assertEqual({"hold-1": 1}, account["runs"])
 
+    @with_fleet(1, [DESK], stop_within=STOP_WITHIN)
+    async def test_calls_at_work_without_the_platform_are_answered(self, fleet):
+        await self.stop_calls(fleet, outage=True)
+
     @with_fleet(1, make_engines(1, *SLOW), stop_within=STOP_WITHIN)
     async def test_a_completion_that_is_not_streamed_is_answered(self, fleet):
         stop = PlannedStop(fleet)
@@ -289,3 +335,30 @@
         stop.begin()
         await stop.wait(self)
         self.assertLess(time.monotonic() - stop.signal_at, START_STOP_SECONDS)
+
+
+class TestOperators(TestCase):
+    @with_fleet(1, make_engines(1), stop_within=STOP_WITHIN)
+    async def test_an_apply_at_work_is_answered_and_then_in_force(self, fleet):
+        stop = PlannedStop(fleet)
+        text = fleet.format_operators_file(weight=0.5).encode()
+        state = await fleet.query_operators_port("entry-1", "/status")
+        version = state["settings_version"]
+        await fleet.set_faults("platform", delay=1.5)
+        operators = await connect(stop.spec.operators_address)
+        exchange = operators.write(
+            make_request(
+                "/configuration",
+                text,
+                token=TOKEN,
+                method="PUT",
+                If_Match=f'"{version}"',
+            )
+        )
+        await asyncio.sleep(0.3)
+        stop.begin()
+        await operators.read(exchange)
+        await stop.wait(self)
+        await fleet.set_faults("platform")
+        self.assertTrue(exchange.is_whole)
+        self.assertEqual(200, exchange.status, exchange.body)
