Answer all requests of a connection before a stop closes it

Seen: of three requests written at once on a connection during a stop the first is refused with Connection: close and two get no answer. Cause: each refusal in a stop closed its connection, whatever else had been read from it. Evidence: 503 "not run" once and nothing for the other two. Now the answer to the last request that was read closes the connection, for each kind of answer and on the operators' port too. It is written by `close_after`, which lingers, so that bytes on their way do not reset it.

--- a/src/galenapass/assembly.py
+++ b/src/galenapass/assembly.py
@@ -290,7 +290,9 @@
             list_duties=self._list_duties,
             find_configuration=self.configuration_manager.find,
         )
-        return make_operators_app(overview, self.settings.operators_token)
+        return make_operators_app(
+            overview, self.settings.operators_token, lambda: self.streams.stopping
+        )
 
     # Duties
 
--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -17,7 +17,7 @@
 from galenapass.callers.limits import Limits
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.streams import OpenStreams
-from galenapass.client_runner import ClientRunner
+from galenapass.client_runner import ClientRunner, make_last_answer
 from galenapass.clocks import Clock
 from galenapass.dispatch import STOPPING, Claims, Dispatcher
 from galenapass.logs import make_log
@@ -66,7 +66,8 @@
         find_caller=make_caller_finder(daemon_view),
     )
     app = web.Application(
-        client_max_size=limits.body_bytes, middlewares=[_handle_errors]
+        client_max_size=limits.body_bytes,
+        middlewares=[make_last_answer(lambda: streams.stopping), _handle_errors],
     )
     app.cleanup_ctx.append(_make_sweep_context(streams))
     complete = make_completion_handler(context)
--- a/src/galenapass/callers/problems.py
+++ b/src/galenapass/callers/problems.py
@@ -78,9 +78,6 @@
     if not verdict.may_retry:
         # Completion clients retry on most errors unless this header forbids it.
         response.headers["X-Should-Retry"] = "false"
-    if verdict.reason is Reason.STOPPING:
-        # The caller reconnects to a host that is not stopping.
-        response.force_close()
     return response
 
 
--- a/src/galenapass/client_runner.py
+++ b/src/galenapass/client_runner.py
@@ -1,10 +1,13 @@
 """Run applications whose connections close in order during a graceful stop."""
 
+from collections.abc import Callable
+
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
-from galenapass.http_connections import ClientServer
+from galenapass.http_connections import ClientConnection, ClientServer, close_after
 
-__all__ = ["ClientRunner"]
+__all__ = ["ClientRunner", "make_last_answer"]
 
 
 class ClientRunner(web.AppRunner):
@@ -29,3 +32,25 @@
             await site.stop()
         if isinstance(self.server, ClientServer):
             self.server.close_idle()
+
+
+def make_last_answer(is_stopping: Callable[[], bool]) -> Middleware:
+    """Return the middleware that closes connections during a stop.
+
+    The answer to the last request that was read from a connection closes it.
+    """
+
+    @web.middleware
+    async def close_when_stopping(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        connection, transport = request.protocol, request.transport
+        if not is_stopping() or transport is None or transport.is_closing():
+            return response
+        if isinstance(connection, ClientConnection) and not connection.waiting:
+            response.force_close()
+            await close_after(request, response)
+        return response
+
+    return close_when_stopping
--- a/src/galenapass/operators/app.py
+++ b/src/galenapass/operators/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
@@ -11,6 +12,7 @@
 from result import Err, Ok, Result
 
 from galenapass.callers.problems import PROBLEM_TYPE, make_problem_response
+from galenapass.client_runner import make_last_answer
 from galenapass.logs import make_log
 from galenapass.operators.interfaces import Conflict, OperatorsView
 from galenapass.operators.tokens import Handler, make_token_check
@@ -31,11 +33,17 @@
 log = make_log("operators")
 
 
-def make_operators_app(view: OperatorsView, token: str) -> web.Application:
+def make_operators_app(
+    view: OperatorsView, token: str, is_stopping: Callable[[], bool] = lambda: False
+) -> web.Application:
     """Return the application for operators, who authenticate with a token."""
     app = web.Application(
         client_max_size=MAX_FILE_BYTES,
-        middlewares=[make_token_check(token), _handle_errors],
+        middlewares=[
+            make_last_answer(is_stopping),
+            make_token_check(token),
+            _handle_errors,
+        ],
     )
     app.add_routes(
         [
--- a/tests/test_process_planned_stops.py
+++ b/tests/test_process_planned_stops.py
@@ -123,6 +123,33 @@
 
 
 class TestOpenConnections(TestCase):
+    @with_fleet(1, make_engines(1, *PACED), stop_within=STOP_WITHIN)
+    async def test_requests_sent_without_waiting_are_all_answered(self, fleet):
+        stop = PlannedStop(fleet)
+        stream = await stop.connect()
+        first = stream.write(make_chat_request("open", TOKENS))
+        await stop.wait_run("runner-1")
+        before, during = await stop.connect(), await stop.connect()
+        sent = [before.write(make_chat_request("before", TOKENS))]
+        sent += [before.write(make_chat_request(f"{n}", TOKENS)) for n in range(2)]
+        await stop.wait_run("runner-1", 2)
+        stop.begin()
+        await asyncio.sleep(0.3)
+        late = make_chat_request("late", TOKENS)
+        refused = [during.write(late * 3), *[Exchange("", 0.0) for _ in range(2)]]
+        for exchange in refused:
+            await during.read(exchange)
+        for exchange in sent:
+            await before.read(exchange)
+        await stream.read(first)
+        self.assertEqual([NOT_RUN] * 3, [read_refusal(e) for e in refused])
+        self.assertTrue(
+            is_complete_answer(make_chat("before", TOKENS), 200, sent[0].body)
+        )
+        self.assertEqual([NOT_RUN] * 2, [read_refusal(e) for e in sent[1:]])
+        self.assertEqual([False] * 2 + [True], [e.closes for e in refused])
+        await stop.wait(self)
+
     @with_fleet(1, make_engines(1, *PACED), stop_within=STOP_WITHIN)
     async def test_requests_whose_body_is_on_the_way_are_refused_at_once(self, fleet):
         stop = PlannedStop(fleet)
