--- a/src/galenapass/callers/app.py
+++ b/src/galenapass/callers/app.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from galenapass.callers.bodies import StoppingError
 from galenapass.callers.calls import make_call_handler
 from galenapass.callers.completions import (
     make_completion_handler,
@@ -16,8 +17,9 @@
 from galenapass.callers.limits import Limits
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.streams import OpenStreams
+from galenapass.client_runner import ClientRunner, make_last_answer
 from galenapass.clocks import Clock
-from galenapass.dispatch import Claims, Dispatcher
+from galenapass.dispatch import STOPPING, Claims, Dispatcher
 from galenapass.logs import make_log
 from galenapass.targets.engines import EngineClient
 from galenapass.targets.services import PlainServiceClient
@@ -64,7 +66,8 @@
         find_caller=make_caller_finder(daemon_view),
     )
     app = web.Application(
-        client_max_size=limits.body_bytes, middlewares=[_handle_errors]
+        client_max_size=limits.body_bytes,
+        middlewares=[make_last_answer(lambda: streams.stopping), _handle_errors],
     )
     app.cleanup_ctx.append(_make_sweep_context(streams))
     complete = make_completion_handler(context)
@@ -87,9 +90,9 @@
 
 def make_runner(
     app: web.Application, shutdown_timeout: timedelta = DEFAULT_SHUTDOWN_TIMEOUT
-) -> web.AppRunner:
+) -> ClientRunner:
     """Return a runner that cancels a handler as soon as its caller disconnects."""
-    return web.AppRunner(
+    return ClientRunner(
         app,
         handler_cancellation=True,
         access_log=None,
@@ -130,6 +133,8 @@
         return make_problem_response(Verdict(Run.NOT_RUN, reason, detail), error.status)
     except web.RequestPayloadError as error:
         return make_problem_response(Verdict(Run.NOT_RUN, Reason.MALFORMED, str(error)))
+    except StoppingError:
+        return make_problem_response(STOPPING)
     except ConnectionResetError:
         raise
     except Exception as error:
--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -1,6 +1,7 @@
 """Handle calls to plain services; those with an idempotency key run at most once."""
 
 import asyncio
+from collections.abc import Awaitable
 from urllib.parse import unquote
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from galenapass.callers.keys import find_service
 from galenapass.callers.problems import make_problem_response
 from galenapass.callers.relays import COMPLETED
+from galenapass.callers.streams import OpenAttempt
 from galenapass.dispatch import Claim, StoredAnswer
 from galenapass.tables.configurations import Caller, Service
 from galenapass.tables.requests import Request
@@ -26,6 +28,7 @@
 # /v1/services/NAME precedes the path that is sent to the target.
 SEGMENTS_BEFORE_PATH = 4
 CLOSE_CLAIM_TIMEOUT_SECONDS = 2.0
+STOPPING_CLOSE_CLAIM_TIMEOUT_SECONDS = 0.5
 
 
 def make_call_handler(context: HandlerContext) -> Handler:
@@ -43,7 +46,7 @@
         )
         if isinstance(service, Err):
             return make_problem_response(service.err_value)
-        body = await read_body(request, context.limits)
+        body = await read_body(request, context.limits, context.streams)
         call = _read_call(context, request, service.ok_value, body)
         if isinstance(call, Err):
             return make_problem_response(call.err_value)
@@ -148,9 +151,10 @@
         closing = context.claims.release(claim)
     else:
         closing = context.claims.finish(claim, None)
-    await asyncio.wait(
-        {context.streams.spawn(closing)}, timeout=CLOSE_CLAIM_TIMEOUT_SECONDS
-    )
+    timeout = CLOSE_CLAIM_TIMEOUT_SECONDS
+    if context.streams.stopping:
+        timeout = STOPPING_CLOSE_CLAIM_TIMEOUT_SECONDS
+    await asyncio.wait({context.streams.spawn(closing)}, timeout=timeout)
 
 
 async def _dispatch(
@@ -171,9 +175,10 @@
     routed = await context.dispatcher.route(request)
     while not isinstance(routed, Err):
         remaining = (request.deadline - context.clock.monotonic()).total_seconds()
-        outcome = await context.services.send(
+        send = context.services.send(
             routed.ok_value.address, call, max(remaining, 0.001)
         )
+        outcome = await _send_until_aborted(context, request, send)
         if isinstance(outcome, Ok):
             return outcome
         verdict = outcome.err_value
@@ -183,6 +188,21 @@
     return Err(routed.err_value)
 
 
+async def _send_until_aborted(
+    context: HandlerContext,
+    request: Request,
+    send: Awaitable[Result[StoredAnswer, Verdict]],
+) -> Result[StoredAnswer, Verdict]:
+    attempt: OpenAttempt | None = None
+    try:
+        async with asyncio.timeout(None) as timeout:
+            attempt = OpenAttempt(request, timeout, lambda: False)
+            with context.streams.watch_call(attempt):
+                return await send
+    except TimeoutError:
+        return Err((attempt and attempt.cause) or _INTERRUPTED)
+
+
 def _make_request(
     context: HandlerContext, caller: Caller, service: Service, call: Call
 ) -> Request:
