Soak planned stops with clients on kept connections

The invariant LOST asks for whole answers unless a fault that nobody planned is near, the deadline was reached, or a target was still at work in the last sixth of the grace period.

The raw HTTP reader moves from the tests to the soak, which now shares it, with the rule that decides what was lost.

--- a/experiments/soak/__main__.py
+++ b/experiments/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from experiments.soak.environment import GRACE_SECONDS
 from experiments.soak.runs import describe, run_soak
 
 __all__ = ["main", "read_regressions"]
@@ -32,6 +33,18 @@
     show_default=True,
     help="Number of times the store returns to an older copy.",
 )
+@click.option(
+    "--stops",
+    default=0,
+    show_default=True,
+    help="Number of planned stops, with the faults that overlap them.",
+)
+@click.option(
+    "--grace",
+    default=GRACE_SECONDS,
+    show_default=True,
+    help="Grace period of a stop in seconds.",
+)
 @click.option(
     "--folder",
     type=click.Path(path_type=Path, file_okay=False),
@@ -45,6 +58,8 @@
     daemons: int,
     clients: int,
     restores: int,
+    stops: int,
+    grace: float,
     folder: Path | None,
     regressions: bool,
 ) -> None:
@@ -52,7 +67,7 @@
     seeds = [time.time_ns() % 10**9 if seed is None else seed]
     if regressions:
         seeds = [int(section) for section in read_regressions()]
-        restores = 0
+        restores = stops = 0
     violation_count = 0
     for current_seed in seeds:
         click.echo(f"seed {current_seed}")
@@ -67,6 +82,8 @@
                 clients,
                 log_folder,
                 restores,
+                stops,
+                grace,
             )
         )
         click.echo(describe(report))
--- a/experiments/soak/clients.py
+++ b/experiments/soak/clients.py
@@ -65,6 +65,7 @@
                 asyncio.timeout(DEADLINE_SECONDS + ABANDON_SECONDS),
                 session.request(route.method, url, headers=headers) as response,
             ):
+                outcome.sent = began
                 outcome.status = response.status
                 outcome.signature = response.headers.get(SIGNATURE, "")
                 async for chunk in response.content.iter_any():
--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -17,12 +17,13 @@
 from experiments.soak.proxies import Disturbance, Proxy
 from stand_ins.metadata_store import MetadataStore, StoreCopy, StoreFaults
 from stand_ins.platform_routes import CONFIGURATION, make_route
-from stand_ins.runner import Runner, RunnerFaults
+from stand_ins.runner import ATTEMPT, Runner, RunnerFaults
 
 __all__ = ["Daemon", "Environment"]
 
 DOMAINS = ("zone-a", "zone-b")
 GRACE_SECONDS = 4.0
+BUDGET_RATIOS = (0.2, 0.1, 0.3)
 EVENT_INTERVAL_SECONDS = 0.02
 SLOW_RESPONSE_SECONDS = 1.0
 LOST_RESPONSES = 3
@@ -42,7 +43,7 @@
 front = "{ip}:{front_port}"
 ready = "{ip}:{ready_port}"
 [bounds]
-budget_ratio = 0.2
+budget_ratio = {budget_ratio}
 retry_slack = {retry_slack}
 budget_window_s = 10
 grace_s = {grace}
@@ -63,8 +64,9 @@
 class Daemon:
     """Ports, files and process of one daemon; ``exit_errors`` lists unclean exits.
 
-    ``paused_at`` and ``started_at`` are the monotonic times, in seconds, of the last
-    pause and start; ``log_start`` is the log's length in bytes before the last start.
+    ``signals_at`` are the monotonic times, in seconds, of SIGTERM to a running process,
+    ``paused_at`` and ``started_at`` those of the last pause and start; ``log_start`` is
+    the log's length in bytes before the last start.
     """
 
     name: str
@@ -75,8 +77,10 @@
     peers_port: int = 0
     ip: str = field(default_factory=_choose_ip)
     retry_slack: int = 50
+    budget_ratio: float = BUDGET_RATIOS[0]
     grace_seconds: float = GRACE_SECONDS
     process: Process | None = None
+    signals_at: list[float] = field(default_factory=list)
     paused_at: float = 0.0
     started_at: float = 0.0
     log_start: int = 0
@@ -107,6 +111,7 @@
             ready_port=self.ready_port,
             peers_port=self.peers_port,
             retry_slack=self.retry_slack,
+            budget_ratio=self.budget_ratio,
             grace=self.grace_seconds,
             store=store,
         )
@@ -145,6 +150,7 @@
         if process is None or process.status is not None:
             return
         began = time.monotonic()
+        self.signals_at.append(began)
         process.send(signal.SIGTERM)
         try:
             status = await self._wait_exit(process, began)
@@ -262,6 +268,14 @@
         """Return the attempts that each target executed."""
         return {name: runner.ran for name, runner in self.runners.items()}
 
+    def list_received(self) -> set[str]:
+        """Return the attempts that targets received, also those they refused."""
+        return {
+            request.headers.get(ATTEMPT, "")
+            for runner in self.runners.values()
+            for request in runner.received
+        }
+
     async def apply(self, fault: Fault) -> None:
         """Start a fault, wait for its duration and end it."""
         group, component = _split_component(fault.component)
@@ -299,6 +313,7 @@
             "kill": (lambda: daemon.send(signal.SIGKILL), restart),
             "terminate": (daemon.terminate, restart),
             "settings": (lambda: self._change_settings(daemon), _do_nothing),
+            "hangup": (lambda: _hang_up(daemon), _do_nothing),
         }
 
     def _find_store_actions(self) -> dict[str, Any]:
@@ -357,10 +372,9 @@
 
     def _change_settings(self, daemon: Daemon) -> None:
         daemon.retry_slack += 1
+        daemon.budget_ratio = BUDGET_RATIOS[daemon.retry_slack % len(BUDGET_RATIOS)]
         daemon.write_settings(self.proxies[daemon.name].address)
-        # A process cannot handle a signal before its interpreter runs.
-        if time.monotonic() - daemon.started_at > INTERPRETER_SECONDS:
-            daemon.send(signal.SIGHUP)
+        _hang_up(daemon)
 
     async def _write_heartbeats(self) -> None:
         """Rewrite the targets' entries regularly, since orders change their roles."""
@@ -410,6 +424,12 @@
         setattr(faults, name, value)
 
 
+def _hang_up(daemon: Daemon) -> None:
+    # A process cannot handle a signal before its interpreter runs.
+    if time.monotonic() - daemon.started_at > INTERPRETER_SECONDS:
+        daemon.send(signal.SIGHUP)
+
+
 def _do_nothing() -> None:
     """Do nothing, for faults that need no end."""
 
--- a/experiments/soak/faults.py
+++ b/experiments/soak/faults.py
@@ -12,6 +12,7 @@
     "Fault",
     "plan_faults",
     "plan_restores",
+    "plan_stops",
 ]
 
 # Shortest and longest duration of each kind in seconds; 0 for faults without an end.
@@ -49,6 +50,44 @@
 # Share of the faults that are applied to each component of a group in turn.
 SERIES_SHARE = 0.15
 SERIES_GAP_SECONDS = 0.3
+# Longest pause until a stopped daemon is started again, or at once.
+RESTART_SECONDS = 1.0
+STOP_GAP_SECONDS = (0.3, 2.0)
+# Share of the stops that come with faults which nobody plans.
+UNPLANNED_SHARE = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class _Companion:
+    """Fault around a stop: its share of the stops and its usual place in them.
+
+    ``earliest`` is in seconds from the signal, ``latest`` in grace periods.
+    """
+
+    kind: str
+    component: str
+    share: float
+    earliest: float
+    latest: float
+    seconds: tuple[float, float] = (0.0, 0.0)
+
+
+# The empty component is the stopped daemon, ``runner`` any target.
+_PLANNED = (
+    _Companion("terminate", "", 0.4, 0.05, 0.9),
+    _Companion("settings", "", 0.5, -0.5, 0.0),
+    _Companion("settings", "", 0.5, 0.0, 1.0),
+    _Companion("settings", "", 0.5, 0.0, 1.5),
+    _Companion("hangup", "", 0.4, -0.3, 1.5),
+    _Companion("configuration", "store", 0.4, -0.5, 1.2),
+    _Companion("leave", "runner", 0.3, -0.5, 0.5, (1.0, 3.0)),
+)
+_UNPLANNED = (
+    _Companion("pause", "", 0.7, 0.0, 0.7, (0.1, 1.0)),
+    _Companion("kill", "", 0.5, 0.5, 0.95),
+    _Companion("unavailable", "store", 0.5, -1.0, 0.9, (0.3, 3.0)),
+    _Companion("restart", "runner", 0.3, 0.0, 0.9, (0.2, 1.5)),
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,6 +144,58 @@
     return faults
 
 
+def plan_stops(
+    seed: int,
+    seconds: float,
+    count: int,
+    grace: float,
+    daemons: list[str],
+    runners: list[str],
+) -> list[Fault]:
+    """Return ``count`` planned stops with the faults that overlap them, by start time.
+
+    A stop is of one daemon, or of several in turn or at once; it begins ``grace``
+    seconds before the end of the ``seconds`` at the latest. They are drawn apart from
+    the other faults, whose plan does not depend on them.
+    """
+    random = Random(f"{seed}-stops")
+    faults: list[Fault] = []
+    for _ in range(count):
+        begin = random.uniform(0, max(seconds - grace, 0.0))
+        stopped = random.sample(daemons, random.randint(1, len(daemons)))
+        gap = random.choice((0.0, random.uniform(*STOP_GAP_SECONDS)))
+        unplanned = random.choices(_UNPLANNED, k=random.random() < UNPLANNED_SHARE)
+        for number, daemon in enumerate(stopped):
+            at = begin + number * gap
+            pause = random.choice((0.0, random.uniform(0, RESTART_SECONDS)))
+            faults.append(Fault(at, pause, "terminate", daemon))
+            faults += _draw_companions(
+                random, (*_PLANNED, *unplanned), at, grace, daemon, runners
+            )
+    timely = [fault for fault in faults if 0 <= fault.at <= fault.end <= seconds]
+    return sorted(timely, key=lambda fault: (fault.at, fault.component))
+
+
+def _draw_companions(
+    random: Random,
+    companions: tuple[_Companion, ...],
+    at: float,
+    grace: float,
+    daemon: str,
+    runners: list[str],
+) -> list[Fault]:
+    faults = []
+    for companion in companions:
+        begin = at + random.uniform(companion.earliest, companion.latest * grace)
+        duration = random.uniform(*companion.seconds)
+        name = random.choice(runners) if companion.component else daemon
+        if companion.component == "store":
+            name = "store"
+        if random.random() < companion.share:
+            faults.append(Fault(begin, duration, companion.kind, name))
+    return faults
+
+
 def _draw_group(
     random: Random, daemons: list[str], runners: list[str]
 ) -> tuple[dict[str, tuple[float, float]], list[str]]:
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -3,17 +3,27 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import aiohttp
 
 from experiments.soak.clients import Client
-from experiments.soak.environment import Environment
-from experiments.soak.faults import Fault, plan_faults, plan_restores
-from experiments.soak.invariants import ROUTES, SLACK_SECONDS, Outcome, find_violations
-from stand_ins.platform_routes import HOST
+from experiments.soak.environment import GRACE_SECONDS, Environment
+from experiments.soak.faults import Fault, plan_faults, plan_restores, plan_stops
+from experiments.soak.invariants import (
+    ROUTES,
+    SLACK_SECONDS,
+    Outcome,
+    PlannedStop,
+    find_lost,
+    find_violations,
+)
+from experiments.soak.kept_clients import BEHAVIOURS, DEADLINE_SECONDS, KeptClient
+from stand_ins.platform_routes import CONFIGURATION, HOST
 from stand_ins.runner import STREAM_BODY
 
 __all__ = ["Report", "describe", "run_soak", "wait_ready"]
@@ -29,11 +39,15 @@
 
 @dataclass(slots=True)
 class Report:
-    """Injected faults, outcomes of clients and violations of one soak test."""
+    """Injected faults, outcomes of clients and violations of one soak test.
+
+    ``lag`` is the longest delay of the clients' event loop, in seconds.
+    """
 
     faults: list[Fault]
     outcomes: list[Outcome]
     violations: list[str]
+    lag: float
 
 
 async def run_soak(
@@ -44,43 +58,110 @@
     client_count: int,
     folder: Path,
     restore_count: int = 0,
+    stop_count: int = 0,
+    grace_seconds: float = GRACE_SECONDS,
 ) -> Report:
     """Inject the faults of a seed for ``seconds`` and check the invariants.
 
-    The store also returns to an older copy ``restore_count`` times.
+    The store also returns to an older copy ``restore_count`` times. With planned stops,
+    ``stop_count`` of them, half of the clients keep their connections.
     """
-    environment = Environment(folder, daemon_count)
+    environment = Environment(
+        folder,
+        daemon_count,
+        grace_seconds,
+        _make_configuration() if stop_count else CONFIGURATION,
+    )
     faults = plan_faults(
         seed, seconds, fault_count, list(environment.daemons), list(environment.runners)
     )
     faults += plan_restores(seed, seconds, restore_count)
+    faults += plan_stops(
+        seed,
+        seconds,
+        stop_count,
+        grace_seconds,
+        list(environment.daemons),
+        list(environment.runners),
+    )
     faults.sort(key=lambda fault: (fault.at, fault.component))
     addresses = {name: daemon.address for name, daemon in environment.daemons.items()}
     clients = [
-        Client(f"c{n}", addresses, Random(f"{seed}-{n}")) for n in range(client_count)
+        Client(f"c{n}", addresses, Random(f"{seed}-{n}"))
+        for n in range(client_count // 2 if stop_count else client_count)
     ]
+    kept_clients = [
+        _make_kept_client(n, addresses, seed)
+        for n in range(client_count - len(clients))
+    ]
+    all_clients: list[Client | KeptClient] = [*clients, *kept_clients]
+    lags: list[float] = []
     try:
         await environment.start()
         failures = await wait_ready(environment)
         started = time.monotonic()
         is_over = lambda: time.monotonic() > started + seconds  # noqa: E731
         async with asyncio.TaskGroup() as tasks:
-            for client in clients:
-                tasks.create_task(client.run(started, is_over))
+            tasks.create_task(_measure_lags(lags, is_over))
+            for any_client in all_clients:
+                tasks.create_task(any_client.run(started, is_over))
             for fault in faults:
                 tasks.create_task(_inject(environment, fault, started))
         failures += await _check_recovery(environment, clients[0])
         failures += await _stop_daemons(environment)
     finally:
         await environment.stop()
-    outcomes = [outcome for client in clients for outcome in client.outcomes]
+    outcomes = [
+        outcome for any_client in all_clients for outcome in any_client.outcomes
+    ]
     violations = find_violations(outcomes, environment.list_executed(), STREAM_BODY)
     violations = [
         violation
         for violation in violations
         if not _is_excused(violation, outcomes, faults)
     ]
-    return Report(faults, outcomes, failures + violations)
+    violations += find_lost(
+        outcomes,
+        environment.list_received(),
+        _list_stops(environment, started),
+        faults,
+        {name: runner.service for name, runner in environment.runners.items()},
+    )
+    return Report(faults, outcomes, failures + violations, max(lags, default=0.0))
+
+
+def _make_configuration() -> dict[str, Any]:
+    """Return a configuration whose routes allow for the longest deadline."""
+    timeout_ms = int(DEADLINE_SECONDS[1] * 1000)
+    routes = [route | {"timeout_ms": timeout_ms} for route in CONFIGURATION["routes"]]
+    return CONFIGURATION | {"routes": routes}
+
+
+def _make_kept_client(number: int, addresses: dict[str, str], seed: int) -> KeptClient:
+    names, behaviours = list(addresses), list(BEHAVIOURS)
+    daemon = names[number % len(names)]
+    behaviour = behaviours[(number + number // len(names)) % len(behaviours)]
+    name = f"k{number}-{behaviour}"
+    return KeptClient(name, daemon, addresses[daemon], behaviour, f"{seed}-{name}")
+
+
+def _list_stops(
+    environment: Environment, started: float
+) -> dict[str, list[PlannedStop]]:
+    return {
+        name: [
+            PlannedStop(at - started, daemon.grace_seconds) for at in daemon.signals_at
+        ]
+        for name, daemon in environment.daemons.items()
+    }
+
+
+async def _measure_lags(lags: list[float], is_over: Callable[[], bool]) -> None:
+    """Collect how late the event loop of the clients and stand-ins is, in seconds."""
+    while not is_over():
+        began = time.monotonic()
+        await asyncio.sleep(POLL_SECONDS)
+        lags.append(time.monotonic() - began - POLL_SECONDS)
 
 
 async def _inject(environment: Environment, fault: Fault, started: float) -> None:
@@ -176,7 +257,7 @@
 
 def describe(report: Report) -> str:
     """Return the faults with the outcomes around each, and the violations."""
-    lines = [f"{_count(report.outcomes)} in all"]
+    lines = [f"{_count(report.outcomes)} in all, clients up to {report.lag:.2f} s late"]
     for fault in report.faults:
         overlapping = [
             outcome
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -10,7 +10,15 @@
 
 from stand_ins.serving import drop_connection, make_json_response, split_address
 
-__all__ = ["EVENTS", "SIGNATURE", "STREAM_BODY", "Runner", "RunnerFaults", "list_parts"]
+__all__ = [
+    "ATTEMPT",
+    "EVENTS",
+    "SIGNATURE",
+    "STREAM_BODY",
+    "Runner",
+    "RunnerFaults",
+    "list_parts",
+]
 
 EVENTS = 4
 # Complete body of a streamed response.
@@ -40,6 +48,9 @@
     crashes as it begins to answer a request with one of the ``crashing_parts`` in its
     prompt, and is back after ``restart_seconds``, under its id if it ``keeps_id``. A
     plain service answers ``body_bytes`` bytes.
+
+    A request may ask for more: ``seconds`` in its query is the duration of a call, or
+    the time between the events of a stream, ``bytes`` the length of an answer.
     """
 
     shed: bool = False
@@ -224,12 +235,16 @@
         headers = {ATTEMPT: "another" if self.faults.wrong_id else attempt}
         if not self.faults.unsigned:
             headers[SIGNATURE] = f"signed-by-{self.id}"
+        seconds = request.query.get("seconds")
         if not self.stage:
+            await asyncio.sleep(float(seconds or 0))
             body = f"{self.id} {request.method} {request.raw_path}".encode()
+            body = body.rjust(int(request.query.get("bytes", 0)))
             if self.faults.body_bytes is not None:
                 body = bytes(self.faults.body_bytes)
             return web.Response(status=self.faults.status, headers=headers, body=body)
-        return await self._stream(request, headers)
+        pause = self.faults.event_seconds if seconds is None else float(seconds)
+        return await self._stream(request, headers, pause)
 
     def _refuse(self, request: web.Request) -> web.Response | None:
         expected = request.headers.get("X-Galenapass-Expect-Instance")
@@ -246,7 +261,7 @@
         return None
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str]
+        self, request: web.Request, headers: dict[str, str], pause: float
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
@@ -261,7 +276,7 @@
             if sent == self.faults.break_after:
                 await response.write(b"id: ")
                 return drop_connection(request)
-            await asyncio.sleep(self.faults.event_seconds)
+            await asyncio.sleep(pause)
             await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
         await response.write_eof()
         return response
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -10,10 +10,11 @@
 from testtools import TestCase
 
 from experiments.soak.environment import Environment
+from experiments.soak.invariants import PlannedStop, list_lost
+from experiments.soak.raw_requests import Exchange, make_request, read_answer
 from experiments.soak.runs import wait_ready
 from stand_ins.platform_routes import CONFIGURATION
 from stand_ins.runner import STREAM_BODY
-from tests.stop_clients import Exchange, list_lost, make_request, read_answer
 
 GRACE_SECONDS = 6.0
 DEADLINE_MS = 8000
@@ -88,18 +89,10 @@
     async def wait_exit(self):
         return await self.daemon.process.wait(2 * GRACE_SECONDS)
 
-    def list_received(self):
-        """Return the attempts that targets received."""
-        runners = self.environment.runners.values()
-        return {
-            request.headers.get("X-Galenapass-Attempt-Id")
-            for runner in runners
-            for request in runner.received
-        }
-
     def list_lost(self):
         exchanges = [e for caller in self.callers for e in caller.exchanges]
-        return list_lost(exchanges, self.list_received(), self.signal_at, GRACE_SECONDS)
+        stop = PlannedStop(self.signal_at, GRACE_SECONDS)
+        return list_lost(exchanges, self.environment.list_received(), stop)
 
 
 def run(scenario, event_seconds=0.0, call_seconds=0.0):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,14 +7,20 @@
 from testtools import TestCase
 
 from experiments.soak.__main__ import read_regressions
-from experiments.soak.faults import plan_faults, plan_restores
-from experiments.soak.invariants import Outcome, find_violations
+from experiments.soak.faults import Fault, plan_faults, plan_restores, plan_stops
+from experiments.soak.invariants import (
+    Outcome,
+    PlannedStop,
+    find_lost,
+    find_violations,
+)
 from experiments.soak.proxies import Disturbance, Proxy
 from experiments.soak.runs import describe, run_soak
 from stand_ins.runner import STREAM_BODY
 
 SEED = 2026
 SECONDS = 8.0
+STOP_SEED, STOP_SECONDS, STOP_GRACE = 2026, 5.0, 4.0
 DAEMONS, RUNNERS = ["front-0", "front-1"], ["p0", "d0", "s0"]
 
 
@@ -45,6 +51,27 @@
             self.assertLessEqual(restore.end, SECONDS)
             self.assertEqual([restore], plan_restores(seed, SECONDS, 1))
 
+    def test_stops_leave_the_plan_of_the_other_faults_as_it_is(self):
+        for seed in range(50):
+            planned = plan_stops(seed, SECONDS, 2, 3.0, DAEMONS, RUNNERS)
+            self.assertEqual(
+                planned, plan_stops(seed, SECONDS, 2, 3.0, DAEMONS, RUNNERS)
+            )
+            self.assertIn("terminate", {fault.kind for fault in planned})
+            for fault in planned:
+                self.assertTrue(0 <= fault.at <= fault.end <= SECONDS)
+
+    def test_stops_come_in_turn_and_at_once_with_all_that_may_overlap_them(self):
+        kinds, stopped = set(), set()
+        for seed in range(200):
+            planned = plan_stops(seed, SECONDS, 1, 3.0, DAEMONS, RUNNERS)
+            kinds |= {fault.kind for fault in planned}
+            times = [fault.at for fault in planned if fault.kind == "terminate"]
+            stopped.add(len(times) - len(set(times)))
+        expected = "terminate settings hangup configuration leave pause kill"
+        self.assertEqual({*expected.split(), "unavailable", "restart"}, kinds)
+        self.assertEqual({0, 1}, stopped)
+
     def test_plans_contain_series_and_overlapping_faults(self):
         planned = [plan_faults(n, SECONDS, 14, DAEMONS, RUNNERS) for n in range(20)]
         self.assertTrue(any(len(faults) > 14 for faults in planned))
@@ -90,6 +117,60 @@
             self.assertIn(text, found)
 
 
+class TestLost(TestCase):
+    STOPS = {"front-0": [PlannedStop(10.0, 6.0)]}
+
+    def find(self, sent, ended, received=True, faults=(), **changes):
+        values = {"complete": False, "sent": sent, "ended": ended} | changes
+        outcome = make_outcome(**values)
+        outcome.began, outcome.deadline = sent, sent + 8.0
+        attempts = {"a1"} if received else set()
+        services = {"s0": "desk", "d0": "lm"}
+        return find_lost([outcome], attempts, self.STOPS, list(faults), services)
+
+    def test_a_request_that_a_target_received_needs_a_whole_answer(self):
+        self.assertIn("LOST hold", self.find(9.0, 10.1)[0])
+        self.assertIn("sent +4.50 s, ended +5.50 s", self.find(14.5, 15.5)[0])
+        self.assertEqual([], self.find(9.0, 10.1, complete=True))
+
+    def test_work_at_a_target_may_be_cut_in_the_last_sixth(self):
+        self.assertEqual([], self.find(12.9, 15.1))
+        self.assertEqual(1, len(self.find(12.9, 14.9)))
+        self.assertEqual(1, len(self.find(13.1, 15.1)))
+
+    def test_a_request_that_was_not_received_may_cross_the_close(self):
+        self.assertEqual([], self.find(11.0, 11.2, received=False))
+        self.assertEqual(1, len(self.find(11.0, 11.3, received=False)))
+
+    def test_neither_a_deadline_nor_another_time_counts(self):
+        self.assertEqual([], self.find(2.5, 10.5))
+        self.assertEqual([], self.find(9.0, 9.5))
+        self.assertEqual([], self.find(18.0, 18.5))
+
+    def test_only_faults_that_nobody_planned_excuse(self):
+        cases = {
+            ("pause", "front-0"): True,
+            ("unavailable", "store"): True,
+            ("reset", "link s0"): True,
+            ("restart", "s0"): True,
+            ("restart", "d0"): False,
+            ("pause", "front-1"): False,
+            ("settings", "front-0"): False,
+            ("configuration", "store"): False,
+        }
+        for (kind, component), is_excused in cases.items():
+            lost = self.find(9.0, 10.5, faults=[Fault(5.5, 1.0, kind, component)])
+            self.assertEqual(is_excused, not lost, (kind, component))
+            lost = self.find(9.0, 10.5, faults=[Fault(10.6, 1.0, kind, component)])
+            self.assertEqual(1, len(lost), "a fault after the end")
+
+    def test_a_target_that_leaves_excuses_nothing_until_it_restarts(self):
+        self.assertEqual(
+            1, len(self.find(9, 10.5, faults=[Fault(9, 2, "leave", "s0")]))
+        )
+        self.assertEqual([], self.find(9, 10.5, faults=[Fault(9, 1, "leave", "s0")]))
+
+
 class TestProxy(TestCase):
     def exchange(self, disturbance):
         """Return the response or error name through a disturbed proxy within 1 s."""
@@ -140,3 +221,20 @@
             )
         self.assertEqual([], report.violations, describe(report))
         self.assertGreater(len(report.outcomes), 100)
+
+    def test_callers_on_kept_connections_lose_nothing_in_planned_stops(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                run_soak(
+                    STOP_SEED,
+                    STOP_SECONDS,
+                    0,
+                    2,
+                    24,
+                    pathlib.Path(folder),
+                    stop_count=1,
+                    grace_seconds=STOP_GRACE,
+                )
+            )
+        self.assertEqual([], report.violations, describe(report))
+        self.assertGreater(len(report.outcomes), 100)
