Judge what follows a cut answer together with that answer

Nothing can follow a cut answer on its connection. What cut the first one is still judged for that request.

A defect of the soak test.

--- a/experiments/soak/kept_clients.py
+++ b/experiments/soak/kept_clients.py
@@ -87,7 +87,11 @@
     await connection.read(-2)
     # It is due by its deadline from the time when it is its turn.
     second.deadline += first.ended - first.began
-    return await connection.read()
+    is_open = await connection.read()
+    if not first.complete:
+        # Nothing can follow an answer that was cut; what cut it is judged there.
+        second.sent = None
+    return is_open
 
 
 async def _send_pieces(connection: _Connection, random: Random) -> bool:
