Reproduce a status that is not 0 after a signal at the end of a stop

A daemon that had stopped in time, with nothing open, ended with status -1 when SIGHUP came between its line "daemon has stopped" and the exit, and with -15 on a second SIGTERM there. The platform sees a process that failed.

Cause, as read: closing the event loop removes its signal handlers, which brings back the default action, and the interpreter goes on for a moment after that.

--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -221,3 +221,26 @@
             await host.wait_exit()
 
         run(scenario, event_seconds=1.1)
+
+
+class TestSignals(TestCase):
+    def check_signal(self, number):
+        """Send a signal over and over from the last log line until the exit."""
+
+        async def scenario(host):
+            host.stop()
+            process = host.daemon.process
+            while b"daemon has stopped" not in host.daemon.log.read_bytes():
+                await asyncio.sleep(0.002)
+            while process.status is None:
+                host.daemon.send(number)
+                await asyncio.sleep(0.005)
+            self.assertEqual(0, process.status)
+
+        run(scenario)
+
+    def test_settings_that_change_as_the_process_ends_leave_its_status_0(self):
+        self.check_signal(signal.SIGHUP)
+
+    def test_a_second_sigterm_as_the_process_ends_leaves_its_status_0(self):
+        self.check_signal(signal.SIGTERM)
