--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     find_lost,
     find_violations,
 )
+from experiments.soak.kept_clients import KeptClient
 from experiments.soak.proxies import Disturbance, Proxy
 from experiments.soak.runs import describe, run_soak
 from stand_ins.runner import STREAM_BODY
@@ -171,6 +172,41 @@
         self.assertEqual([], self.find(9, 10.5, faults=[Fault(9, 1, "leave", "s0")]))
 
 
+class TestKeptClient(TestCase):
+    def send_two(self, answer):
+        """Return the outcomes of two requests that are answered by some bytes."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await asyncio.sleep(0.3)
+            writer.transport.abort()
+
+        async def main():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            client = KeptClient("k0", "front-0", f"{host}:{port}", "two", "7")
+            loop = asyncio.get_running_loop()
+            await client.run(loop.time(), lambda: bool(client.outcomes))
+            server.close()
+            return client.outcomes
+
+        return asyncio.run(main())
+
+    def test_nothing_behind_a_cut_answer_counts_as_sent(self):
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+        first, second = self.send_two(cut)
+        self.assertEqual((200, False), (first.status, first.complete))
+        self.assertIsNotNone(first.sent)
+        self.assertEqual((0, None), (second.status, second.sent))
+
+    def test_a_request_behind_a_whole_answer_counts_as_sent(self):
+        first, second = self.send_two(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual((503, True), (first.status, first.complete))
+        self.assertEqual((0, False), (second.status, second.complete))
+        self.assertGreater(second.ended - second.sent, 0.2)
+
+
 class TestProxy(TestCase):
     def exchange(self, disturbance):
         """Return the response or error name through a disturbed proxy within 1 s."""
