Keep a connection of the soak silent once its proxy dropped bytes

The proxy of the target had dropped what arrived during 0.12 s and passed on what came after it, which no TCP connection does and which its documentation excludes. The cut, 9.88 to 10.00 s, lies within the stream, which ended at 10.11 s by the daemon's log.

The regression test got "13" in place of "1" before. A defect of the soak test.

--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -93,10 +93,12 @@
         writer: asyncio.StreamWriter,
         drops: frozenset[Disturbance],
     ) -> None:
+        is_cut = False
         while chunk := await reader.read(CHUNK_BYTES):
             if self.disturbance is Disturbance.DELAY:
                 await asyncio.sleep(DELAY_SECONDS)
-            if self.disturbance in drops:
+            is_cut = is_cut or self.disturbance in drops
+            if is_cut:
                 continue
             writer.write(chunk)
             await writer.drain()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -118,6 +118,34 @@
             self.assertIn(text, found)
 
 
+class TestCutProxy(TestCase):
+    def test_a_connection_that_lost_bytes_stays_silent_after_the_cut(self):
+        async def serve(reader, writer):
+            for event in (b"1", b"2", b"3"):
+                writer.write(event)
+                await asyncio.sleep(0.2)
+            writer.close()
+
+        async def main():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            proxy = Proxy(f"{host}:{port}")
+            await proxy.start()
+            ip, _, proxy_port = proxy.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(ip, int(proxy_port))
+            received = await reader.readexactly(1)
+            proxy.disturb(Disturbance.CUT_RESPONSES)
+            await asyncio.sleep(0.3)
+            proxy.disturb(Disturbance.NONE)
+            received += await reader.read()
+            writer.close()
+            await proxy.stop()
+            server.close()
+            return received
+
+        self.assertEqual(b"1", asyncio.run(main()))
+
+
 class TestLost(TestCase):
     STOPS = {"front-0": [PlannedStop(10.0, 6.0)]}
 
