Bound the numbers in a client's headers

A request with X-Galenapass-Deadline-Ms of 18 digits got a status of 500 from the entry host: the deadline overflowed a timedelta (OverflowError). One of more than 4,300 digits failed in the conversion to an integer (ValueError).

--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -48,6 +48,10 @@
 _UNAVAILABLE = 503
 # One day: above any deployment's limit, and larger numbers overflow a timedelta.
 _MAX_SECONDS = 86_400.0
+# More digits than any proper number of the protocol has.
+_MAX_DIGITS = 18
+# Above the prompt and the output of any request.
+_MAX_TOKENS = 1_000_000_000
 # Prompt and output tokens, separated by a comma.
 _TOKEN_COUNT = "X-Galenapass-Token-Count"
 # ID:TOKENS entries in prompt order; the last part is not shared between requests.
@@ -106,15 +110,19 @@
 
 def decode_metadata(headers: Mapping[str, str]) -> RequestMetadata:
     """Return the metadata in a client's headers; invalid values count as absent."""
-    patience = parse_integer(headers.get(_DEADLINE))
+    patience_ms = parse_integer(headers.get(_DEADLINE))
     return RequestMetadata(
         attempt=headers.get(ATTEMPT_ID, ""),
-        patience=None if patience is None else timedelta(milliseconds=patience),
+        patience=None if patience_ms is None else _make_patience(patience_ms),
         last_event=parse_integer(headers.get(LAST_EVENT_ID)),
         prompt=_decode_prompt(headers),
     )
 
 
+def _make_patience(milliseconds: int) -> timedelta:
+    return timedelta(seconds=min(milliseconds / 1000, _MAX_SECONDS))
+
+
 def encode_headers(headers: Headers, host: str, options: SendOptions) -> Headers:
     """Return the headers of a request to a target: the client's and the system's."""
     pairs = _filter_client_headers(headers, options)
@@ -213,10 +221,10 @@
 
 def _decode_prompt(headers: Mapping[str, str]) -> Prompt | None:
     counts = headers.get(_TOKEN_COUNT, "").split(",")
-    tokens = parse_integer(counts[0])
+    tokens = _parse_tokens(counts[0])
     if tokens is None:
         return None
-    output = parse_integer(counts[1]) if len(counts) > 1 else None
+    output = _parse_tokens(counts[1]) if len(counts) > 1 else None
     parts = _decode_parts(headers.get(_PROMPT_PARTS, ""))
     return Prompt(tokens, output or 0, parts)
 
@@ -225,14 +233,20 @@
     parts = []
     for entry in filter(None, text.split(",")):
         name, _, count = entry.strip().partition(":")
-        tokens = parse_integer(count)
+        tokens = _parse_tokens(count)
         if not name or tokens is None:
             return ()
         parts.append(Part(name, tokens))
     return tuple(parts)
 
 
+def _parse_tokens(text: str) -> int | None:
+    tokens = parse_integer(text)
+    return tokens if tokens is not None and tokens <= _MAX_TOKENS else None
+
+
 def parse_integer(text: str | None) -> int | None:
     """Return a number of decimal digits, or None if it is absent or invalid."""
     digits = (text or "").strip()
-    return int(digits) if digits.isascii() and digits.isdigit() else None
+    is_number = digits.isascii() and digits.isdigit() and len(digits) <= _MAX_DIGITS
+    return int(digits) if is_number else None
