Check types and ranges where entries and datagrams are decoded

An entry with a port of 5,000 digits, digits of other scripts, a time that overflows, an integer beyond 64 bits or texts in place of numbers raised an error outside the decoder, or came into force: a host's port out of range reaches sendto, which closes the datagram endpoint (read in asyncio, not played). One odd message hid the others of its datagram. json_values holds one list of decode errors and the readers of integers, finite numbers and names; runners, configuration, hosts, crashes and datagrams use them, and messages of a datagram are decoded one by one.

--- a/src/galenapass/forwarding/crash_sharing.py
+++ b/src/galenapass/forwarding/crash_sharing.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from galenapass.forwarding.crash_evidence import CrashReport, PartBlock, Sighting
+from galenapass.json_values import read_integer
 from galenapass.tables.crashes import Crash
 
 __all__ = [
@@ -94,10 +95,14 @@
         Crash(str(target), str(incarnation)),
         str(service),
         str(host),
-        now - int(age) * MILLISECOND,
-        int(requests),
+        now - read_integer(age) * MILLISECOND,
+        read_integer(requests),
         tuple(
-            Sighting(int(part), int(count), now - int(sent_age) * MILLISECOND)
+            Sighting(
+                read_integer(part),
+                read_integer(count),
+                now - read_integer(sent_age) * MILLISECOND,
+            )
             for part, count, sent_age in sightings
         ),
         tuple(map(str, fingerprints)),
@@ -112,7 +117,9 @@
 def decode_sound_parts(row: list[Any], now: timedelta) -> SoundParts:
     """Return the sound parts of an array; raise an error if it is malformed."""
     parts, age = row
-    return SoundParts(tuple(map(int, parts)), now - int(age) * MILLISECOND)
+    return SoundParts(
+        tuple(map(read_integer, parts)), now - read_integer(age) * MILLISECOND
+    )
 
 
 def encode_blocks(blocks: PartBlocks, now: timedelta) -> list[Any]:
@@ -133,10 +140,10 @@
     return PartBlocks(
         tuple(
             PartBlock(
-                int(part),
-                now - int(age) * MILLISECOND,
-                now + int(left) * MILLISECOND,
-                int(strikes),
+                read_integer(part),
+                now - read_integer(age) * MILLISECOND,
+                now + read_integer(left) * MILLISECOND,
+                read_integer(strikes),
             )
             for part, age, left, strikes in row
         )
--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -37,6 +37,14 @@
     Stage,
 )
 from galenapass.forwarding.workload import DecodeStatistics, MeasuredDemand
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_json,
+    describe_error,
+    read_integer,
+    read_number,
+)
+from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -54,6 +62,8 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 
+_log = make_log("peers")
+
 
 @dataclass(slots=True, frozen=True)
 class Ping:
@@ -137,18 +147,26 @@
 def decode_datagram(
     data: bytes, now: timedelta
 ) -> Result[tuple[str, list[PeerMessage]], str]:
-    """Return the sender and its messages, or why the bytes cannot be decoded."""
+    """Return the sender and its messages, or why the bytes cannot be decoded.
+
+    Messages that cannot be decoded are logged and left out.
+    """
+    try:
+        host, rows = decode_json(data).unwrap_or_raise(ValueError)
+        decoded = [_decode_message(str(host), row, now) for row in rows]
+        return Ok((str(host), [m for m in decoded if m is not None]))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
+
+
+def _decode_message(host: str, row: Any, now: timedelta) -> PeerMessage | None:
+    """Return a message; None for an unreadable one or a kind of a later build."""
     try:
-        host, rows = orjson.loads(data)
-        # Kinds of later builds are left out.
-        messages = [
-            _DECODERS[kind](host, rest, now)
-            for kind, *rest in rows
-            if kind in _DECODERS
-        ]
-        return Ok((str(host), messages))
-    except (ValueError, TypeError, KeyError, IndexError, OverflowError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+        kind, *rest = row
+        return _DECODERS[kind](host, rest, now) if kind in _DECODERS else None
+    except DECODE_ERRORS as error:
+        _log("message is unreadable", sender=host, error=describe_error(error))
+        return None
 
 
 def _encode_slot_request(slot_request: SlotRequest, now: timedelta) -> list[Any]:
@@ -184,11 +202,16 @@
         str(request),
         str(service),
         Stage(stage),
-        now + int(soft_deadline) * MILLISECOND,
-        now + int(deadline) * MILLISECOND,
-        int(rank),
-        None if prompt is None else Prompt(int(prompt[0]), int(prompt[1]), ()),
-        tuple(PartDigest(int(digest), int(tokens)) for digest, tokens in parts),
+        now + read_integer(soft_deadline) * MILLISECOND,
+        now + read_integer(deadline) * MILLISECOND,
+        read_integer(rank),
+        None
+        if prompt is None
+        else Prompt(read_integer(prompt[0]), read_integer(prompt[1]), ()),
+        tuple(
+            PartDigest(read_integer(digest), read_integer(tokens))
+            for digest, tokens in parts
+        ),
         frozenset(map(str, tried)),
         frozenset(map(str, excluded)),
         str(prefill_engine),
@@ -231,15 +254,15 @@
         str(service),
         Role(role),
         incarnation=str(incarnation),
-        slots=int(slots),
+        slots=read_integer(slots),
     )
     return Grant(
         str(ticket),
         target,
-        float(cost),
-        float(wait),
-        int(uncached_tokens),
-        float(fixed),
+        read_number(cost),
+        read_number(wait),
+        read_integer(uncached_tokens),
+        read_number(fixed),
         str(why),
         None if cache_source is None else str(cache_source),
     )
@@ -259,7 +282,7 @@
 
 def _decode_refusal(host: str, row: list[Any], now: timedelta) -> SlotRefusal:
     ticket, run, reason, detail, after = row
-    wait = None if after is None else int(after) * MILLISECOND
+    wait = None if after is None else read_integer(after) * MILLISECOND
     return SlotRefusal(
         str(ticket), Verdict(Run(run), Reason(reason), str(detail), wait)
     )
@@ -282,10 +305,10 @@
     return SlotRelease(
         str(ticket),
         Outcome(outcome),
-        float(took),
-        float(first),
+        read_number(took),
+        read_number(first),
         bool(is_prefill_only),
-        int(events),
+        read_integer(events),
     )
 
 
@@ -319,23 +342,32 @@
     sequence, version, work, cached_parts, demand, leaving, orders, split_goals = row
     return Announcement(
         str(host),
-        int(sequence),
-        int(version),
+        read_integer(sequence),
+        read_integer(version),
         tuple(
-            TargetWork(str(t), int(n), int(tokens), int(prompts), float(ms))
+            TargetWork(
+                str(t),
+                read_integer(n),
+                read_integer(tokens),
+                read_integer(prompts),
+                read_number(ms),
+            )
             for t, n, tokens, prompts, ms in work
         ),
-        tuple((str(t), PartDigest(int(d), int(n))) for t, d, n in cached_parts),
+        tuple(
+            (str(t), PartDigest(read_integer(d), read_integer(n)))
+            for t, d, n in cached_parts
+        ),
         tuple(_decode_demand(item) for item in demand),
         tuple((str(t), str(incarnation)) for t, incarnation in leaving),
         tuple((str(t), Role(role)) for t, role in orders),
-        tuple((str(name), float(share)) for name, share in split_goals),
+        tuple((str(name), read_number(share)) for name, share in split_goals),
     )
 
 
 def _decode_demand(row: list[Any]) -> MeasuredDemand:
     service, *numbers = row
-    prefill_load, decode_rate, token_rate, *sums = map(float, numbers)
+    prefill_load, decode_rate, token_rate, *sums = map(read_number, numbers)
     return MeasuredDemand(
         str(service), prefill_load, decode_rate, token_rate, DecodeStatistics(*sums)
     )
@@ -361,8 +393,8 @@
         LimitNotice(
             (str(target), str(incarnation)),
             RateLimit(
-                None if rate is None else max(float(rate), 0.0),
-                now - max(int(age), 0) * MILLISECOND,
+                None if rate is None else max(read_number(rate), 0.0),
+                now - max(read_integer(age), 0) * MILLISECOND,
             ),
         )
         for target, incarnation, rate, age in row[0]
@@ -371,12 +403,12 @@
 
 def _decode_epoch(row: list[Any]) -> int | None:
     """Decode the epoch that ends a message; messages of earlier builds lack it."""
-    return int(row[0]) if row and row[0] is not None else None
+    return read_integer(row[0]) if row and row[0] is not None else None
 
 
 def _decode_permit_request(host: str, row: list[Any], now: timedelta) -> PermitRequest:
     target, incarnation, count = row
-    return PermitRequest((str(target), str(incarnation)), int(count))
+    return PermitRequest((str(target), str(incarnation)), read_integer(count))
 
 
 Encode = Callable[[Any, timedelta], list[Any]]
@@ -401,7 +433,7 @@
             ping.epoch,
         ],
         lambda host, row, now: Ping(
-            int(row[0]), _decode_limits(row[1:], now), _decode_epoch(row[2:])
+            read_integer(row[0]), _decode_limits(row[1:], now), _decode_epoch(row[2:])
         ),
     ),
     Pong: (
@@ -413,7 +445,7 @@
             pong.epoch,
         ],
         lambda host, row, now: Pong(
-            int(row[0]),
+            read_integer(row[0]),
             bool(row[1]),
             _decode_limits(row[2:], now),
             _decode_epoch(row[3:]),
--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -11,8 +11,17 @@
 
 from galenapass.forwarding import schedulers
 from galenapass.forwarding.schedulers import HostEntry, Hosts
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_json,
+    describe_error,
+    describe_value,
+    is_name,
+    read_number,
+)
 from galenapass.logs import make_log
-from galenapass.platform.messages import Failure, ObjectListing
+from galenapass.platform.messages import Failure, ObjectListing, StoredObject
+from galenapass.settings.addresses import parse_ipv4_address
 
 __all__ = ["HostObjects", "HostRegistry"]
 
@@ -25,6 +34,8 @@
 # Hosts that try to acquire the lease often; the other hosts do so rarely.
 FREQUENT_CANDIDATES = 2
 CANDIDATE_INTERVAL = timedelta(milliseconds=250)
+# Above the power of any host.
+MAX_POWER = 1_000_000.0
 # Beyond this rank a longer delay saves hardly any calls.
 MAX_RANK = 20
 
@@ -145,10 +156,27 @@
 
 def _decode_entries(listing: ObjectListing) -> Iterator[tuple[str, HostEntry]]:
     for stored in listing.items:
-        try:
-            data = orjson.loads(stored.body)
-            ip, _, port = data["peers"].rpartition(":")
-            power = float(data.get("power", 1.0))
-            yield stored.name, HostEntry(str(data["domain"]), (ip, int(port)), power)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            _log("host entry is unreadable", host=stored.name, error=repr(error))
+        entry = _decode_entry(stored)
+        if isinstance(entry, Ok):
+            yield stored.name, entry.ok_value
+        else:
+            _log("host entry is unreadable", host=stored.name, error=entry.err_value)
+
+
+def _decode_entry(stored: StoredObject) -> Result[HostEntry, str]:
+    try:
+        data = decode_json(stored.body).unwrap_or_raise(ValueError)
+        domain, peers = data["domain"], data["peers"]
+        for value in (stored.name, domain, peers):
+            if not is_name(value):
+                return Err(f"{describe_value(value)} is no name")
+        power = read_number(data.get("power", 1.0))
+        if not 0 <= power <= MAX_POWER:
+            return Err(f"power is {power}")
+        address = parse_ipv4_address(peers)
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
+    if isinstance(address, Err):
+        return Err(f"the address is {describe_value(peers)}")
+    ip, port = address.ok_value.ip, address.ok_value.port
+    return Ok(HostEntry(domain, (ip, port), power))
--- a/src/galenapass/forwarding/published_crashes.py
+++ b/src/galenapass/forwarding/published_crashes.py
@@ -19,6 +19,12 @@
     encode_blocks,
     encode_report,
 )
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_json,
+    describe_error,
+    read_number,
+)
 from galenapass.logs import make_log
 from galenapass.systems.crashes import SuspectUpdate
 from galenapass.tables.crashes import Crash
@@ -64,21 +70,16 @@
     Texts of earlier builds hold only suspects.
     """
     try:
-        data = orjson.loads(text)
+        data = decode_json(text).unwrap_or_raise(ValueError)
         suspects = [_decode_suspect(row) for row in data["suspects"]]
-        written_at = datetime.fromtimestamp(float(data.get("written_at", 0.0)), UTC)
+        written_at = datetime.fromtimestamp(
+            read_number(data.get("written_at", 0.0)), UTC
+        )
         then = now - max(wall - written_at, timedelta(0))
         reports = [decode_report(row, then) for row in data.get("reports", [])]
         blocks = decode_blocks(data.get("blocks", []), then).blocks
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        OSError,
-    ) as error:
-        _log("published crashes are unreadable", error=repr(error))
+    except (*DECODE_ERRORS, OSError) as error:
+        _log("published crashes are unreadable", error=describe_error(error))
         return PublishedCrashes()
     return PublishedCrashes(suspects, reports, blocks)
 
--- /dev/null
+++ b/src/galenapass/json_values.py
@@ -0,0 +1,125 @@
+"""Decode JSON of other writers, in which single values may be invalid.
+
+A strict decoder reads a text as a whole. Only if that fails, the text is split into
+its members or elements, so that an invalid one does not hide the others.
+"""
+
+import math
+import re
+import reprlib
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+from result import Err, Ok, Result
+
+__all__ = [
+    "DECODE_ERRORS",
+    "decode_json",
+    "describe_error",
+    "describe_value",
+    "is_name",
+    "read_integer",
+    "read_number",
+    "split_array",
+    "split_object",
+]
+
+# Errors of reading fields of a decoded value whose types or ranges are wrong.
+DECODE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+# Range of the integers that the encoder accepts.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
+MAX_NAME_CHARACTERS = 256
+MAX_DESCRIPTION_CHARACTERS = 200
+
+# Strings, runs of opening or closing brackets, and commas. Possessive repeats, and a
+# string without an end that takes all of the rest, keep the scan linear.
+_TOKENS = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{]+|[\]}]+|,', re.DOTALL)
+_KEY = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
+
+
+def decode_json(text: bytes | str) -> Result[Any, str]:
+    """Return the value of a text, or why it is not valid JSON."""
+    try:
+        return Ok(orjson.loads(text))
+    except (ValueError, RecursionError) as error:
+        return Err(describe_error(error))
+
+
+def split_object(text: bytes) -> dict[str, bytes]:
+    """Return the texts of an object's members; raise ValueError if it has none.
+
+    Members with an unreadable key are left out.
+    """
+    members = {}
+    for member in _split(text, b"{", b"}"):
+        match = _KEY.match(member)
+        key = decode_json(match[1]) if match else Err("no key")
+        if match is not None and isinstance(key, Ok):
+            members[key.ok_value] = member[match.end() :]
+    return members
+
+
+def split_array(text: bytes) -> list[bytes]:
+    """Return the texts of an array's elements; raise ValueError if it is no array."""
+    return list(_split(text, b"[", b"]"))
+
+
+def read_integer(value: Any) -> int:
+    """Return an integer of 64 bits; raise ValueError for any other value."""
+    if type(value) is not int or not MIN_INTEGER <= value <= MAX_INTEGER:
+        raise ValueError(f"{describe_value(value)} is no integer of 64 bits")
+    return value
+
+
+def read_number(value: Any) -> float:
+    """Return a finite number; raise ValueError for any other value."""
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError(f"{describe_value(value)} is no finite number")
+    return float(value)
+
+
+def is_name(value: Any) -> bool:
+    """Return whether a value is a text that can be logged, sent and compared."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARACTERS
+        and value.isprintable()
+    )
+
+
+def describe_value(value: Any) -> str:
+    """Return the representation of a value of any size and depth, shortened."""
+    return reprlib.repr(value)
+
+
+def describe_error(error: Exception) -> str:
+    """Return the class and the message of an error, shortened."""
+    return f"{type(error).__name__}: {error}"[:MAX_DESCRIPTION_CHARACTERS]
+
+
+def _split(text: bytes, opening: bytes, closing: bytes) -> Iterator[bytes]:
+    text = text.strip()
+    if not (text.startswith(opening) and text.endswith(closing)):
+        raise ValueError(f"no {opening.decode()}...{closing.decode()} around the text")
+    depth, start = 0, 1
+    for token in _TOKENS.finditer(text, 1, len(text) - 1):
+        first = text[token.start()]
+        if first in b"[{":
+            depth += token.end() - token.start()
+        elif first in b"]}":
+            depth -= token.end() - token.start()
+        elif first in b"," and depth == 0:
+            yield text[start : token.start()]
+            start = token.end()
+    last = text[start:-1]
+    if last.strip():
+        yield last
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import Any
 
-import orjson
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -37,6 +36,7 @@
 from galenapass.forwarding.store_watches import StoreWatch
 from galenapass.forwarding.suspects import CrashHooks, CrashSuspects
 from galenapass.forwarding.target_messages import TargetNotice
+from galenapass.json_values import decode_json
 from galenapass.logs import make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
 from galenapass.platform.configuration import (
@@ -589,8 +589,8 @@
 def _decode_routes(name: str, body: str) -> Result[RouteTable, str] | None:
     if name != CONFIGURATION_NAME:
         return None
-    return decode_configuration(orjson.loads(body))
+    return decode_json(body).and_then(decode_configuration)
 
 
 def _decode_target(name: str, body: str) -> Result[Target, str]:
-    return decode_runner(name, orjson.loads(body))
+    return decode_json(body).and_then(lambda entry: decode_runner(name, entry))
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -13,6 +13,14 @@
     RouteTable,
     Service,
 )
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    describe_error,
+    describe_value,
+    is_name,
+    read_integer,
+    read_number,
+)
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode_configuration"]
 
@@ -24,6 +32,8 @@
 _REPEATS_BY_KIND = {"idempotent": Repeat.ANY}
 _STREAMING = "streaming"
 _DEFAULT_LATENCY_OBJECTIVE_MS = 1000
+# One day: above any deployment's times, and larger numbers overflow a timedelta.
+_MAX_DURATION = timedelta(days=1)
 
 
 def decode_configuration(spec: Any) -> Result[RouteTable, str]:
@@ -33,14 +43,14 @@
         services = [_decode_service(row) for row in spec["services"]]
         return Ok(
             RouteTable(
-                version=int(spec["version"]),
+                version=read_integer(spec["version"]),
                 routes=_group_by_host(routes),
                 services={service.name: service for service in services},
                 limits=_decode_limits(spec.get("limits") or {}),
             )
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
 
 
 def _group_by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
@@ -57,36 +67,41 @@
         repeat = Repeat.RESUME
     latency_objective = row.get("target_latency_ms") or _DEFAULT_LATENCY_OBJECTIVE_MS
     return Route(
-        name=row["name"],
-        host=row["hostname"].lower(),
-        prefix=row["path_prefix"],
+        name=_read_name(row["name"]),
+        host=_read_name(row["hostname"]).lower(),
+        prefix=_read_prefix(row["path_prefix"]),
         split=_decode_split(row),
         repeat=repeat,
         streams=streams,
-        timeout=row["timeout_ms"] * _MILLISECOND,
-        latency_objective=latency_objective * _MILLISECOND,
-        rank=int(row.get("priority") or 0),
-        attempts=max(int(row.get("attempts") or 1), 1),
+        timeout=_read_duration(row["timeout_ms"], _MILLISECOND),
+        latency_objective=_read_duration(latency_objective, _MILLISECOND),
+        rank=read_integer(row.get("priority") or 0),
+        attempts=max(read_integer(row.get("attempts") or 1), 1),
     )
 
 
 def _decode_split(row: Mapping[str, Any]) -> tuple[tuple[str, float], ...]:
     if row.get("service"):
-        return ((row["service"], 1.0),)
-    return tuple(
-        (part["service"], float(part["weight"])) for part in row["traffic_split"]
+        return ((_read_name(row["service"]), 1.0),)
+    split = tuple(
+        (_read_name(part["service"]), _read_weight(part["weight"]))
+        for part in row["traffic_split"]
     )
+    if not split:
+        raise ValueError("a route has no service")
+    return split
 
 
 def _decode_service(row: Mapping[str, Any]) -> Service:
     engine = row.get("engine")
     if not engine:
-        return Service(row["name"], is_model=False)
+        return Service(_read_name(row["name"]), is_model=False)
+    reconfiguration = engine.get("reconfig_s") or 0
     return Service(
-        row["name"],
+        _read_name(row["name"]),
         is_model=True,
-        reconfiguration=timedelta(seconds=float(engine.get("reconfig_s") or 0)),
-        cache_tokens=int(engine.get("kv_tokens") or 0),
+        reconfiguration=_read_duration(reconfiguration, timedelta(seconds=1)),
+        cache_tokens=_read_count(engine.get("kv_tokens") or 0),
     )
 
 
@@ -94,7 +109,41 @@
     defaults = ClientLimits()
     idle = row.get("idle_timeout_ms")
     return ClientLimits(
-        header_bytes=int(row.get("max_header_bytes") or defaults.header_bytes),
-        body_bytes=int(row.get("max_body_bytes") or defaults.body_bytes),
-        idle=defaults.idle if idle is None else idle * _MILLISECOND,
+        header_bytes=_read_count(row.get("max_header_bytes") or defaults.header_bytes),
+        body_bytes=_read_count(row.get("max_body_bytes") or defaults.body_bytes),
+        idle=defaults.idle if idle is None else _read_duration(idle, _MILLISECOND),
     )
+
+
+def _read_name(value: Any) -> str:
+    if not is_name(value):
+        raise ValueError(f"{describe_value(value)} is no name")
+    return str(value)
+
+
+def _read_prefix(value: Any) -> str:
+    if not isinstance(value, str) or not value.startswith("/"):
+        raise ValueError(f"{describe_value(value)} is no path")
+    return value
+
+
+def _read_duration(value: Any, unit: timedelta) -> timedelta:
+    """Return a number of units as a duration; raise ValueError if out of range."""
+    number = read_number(value)
+    if not 0 <= number <= _MAX_DURATION / unit:
+        raise ValueError(f"{describe_value(value)} is no duration of up to a day")
+    return number * unit
+
+
+def _read_weight(value: Any) -> float:
+    weight = read_number(value)
+    if weight < 0:
+        raise ValueError(f"weight {weight} is negative")
+    return weight
+
+
+def _read_count(value: Any) -> int:
+    count = read_integer(value)
+    if count < 0:
+        raise ValueError(f"count {count} is negative")
+    return count
--- a/src/galenapass/settings/addresses.py
+++ b/src/galenapass/settings/addresses.py
@@ -6,7 +6,13 @@
 
 from result import Err, Ok, Result
 
-__all__ = ["Address", "parse_address", "parse_listen_address", "parse_target_address"]
+__all__ = [
+    "Address",
+    "parse_address",
+    "parse_ipv4_address",
+    "parse_listen_address",
+    "parse_target_address",
+]
 
 MAX_PORT = 65_535
 
@@ -39,6 +45,13 @@
     return Ok(address)
 
 
+def parse_ipv4_address(text: str) -> Result[Address, str]:
+    """Parse an IPv4 address to connect to, as ``parse_address``."""
+    return parse_address(text).and_then(
+        lambda address: Err("an IPv4 address") if ":" in address.ip else Ok(address)
+    )
+
+
 def parse_target_address(text: str) -> Result[str, str]:
     """Parse an address to connect to and return its canonical text."""
     return parse_address(text).map(str)
