Read the good entries of a page that holds an odd one

One entry nested more than 254 or 1,024 levels, with a number too large, NaN or text that is not UTF-8 made each listing and each watch event of its kind fail (JSONDecodeError, or TypeError of the encoder), so that daemons no longer followed it; an entry without a name or with a name in another order did too. A page that the decoder refuses is split at its brackets in linear time, and its entries are decoded one by one. An unreadable spec gets an empty body, which names nothing; an entry without a readable name is logged and left out. A list ends as a failure only if a page brings no new name.

--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -1,6 +1,6 @@
 """Call the platform's metadata store over HTTP."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -12,6 +12,16 @@
 
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_epochs import StoreEpochs
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_json,
+    describe_error,
+    describe_value,
+    read_integer,
+    split_array,
+    split_object,
+)
+from galenapass.logs import make_log
 from galenapass.platform.headers import parse_integer
 from galenapass.platform.messages import (
     Failure,
@@ -36,7 +46,8 @@
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+# Body of an object whose spec cannot be read; it is not valid JSON.
+_UNREADABLE = ""
 _CAUSES_BY_STATUS = {
     404: FailureCause.NOT_FOUND,
     409: FailureCause.CONFLICT,
@@ -48,6 +59,8 @@
 _SUCCESS_STATUSES = frozenset({200, 201})
 _UNANSWERED_CAUSES = frozenset({FailureCause.UNAVAILABLE, FailureCause.UNKNOWN})
 
+_log = make_log("store")
+
 
 @dataclass(slots=True, frozen=True)
 class _Call:
@@ -62,9 +75,10 @@
     """Client of the store; methods return a failure instead of raising an error.
 
     An object's version is the store's revision of its last change, its body the JSON
-    text of its spec. ``count`` is called with the kind of each call;
-    ``store_availability`` records the result, ``epochs`` the epoch of each answer. An
-    answer of an earlier epoch than the known one counts as lost.
+    text of its spec, empty if the spec cannot be read. An object of a listing or a
+    watch whose name cannot be read is left out. ``count`` is called with the kind of
+    each call; ``store_availability`` records the result, ``epochs`` the epoch of each
+    answer. An answer of an earlier epoch than the known one counts as lost.
     """
 
     __slots__ = ("_base", "_count", "_epochs", "_session", "_store_availability")
@@ -96,7 +110,7 @@
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
         result = await self._call(_Call("read", "GET", path, seconds=seconds))
-        return result.and_then(lambda data: _parse(_read_stored, data))
+        return result.and_then(lambda data: _parse(_read_object, data, kind))
 
     async def write(
         self, kind: str, name: str, body: str, if_version: int | None = None
@@ -109,7 +123,7 @@
             wrapped = _make_object(name, spec, if_version)
             call = _Call("write", "PUT", _make_path(kind, name), wrapped)
         result = await self._call(call)
-        return result.and_then(lambda data: _parse(_read_version, data))
+        return result.and_then(lambda data: _parse(_read_written, data, kind))
 
     async def delete(
         self, kind: str, name: str, if_version: int
@@ -122,14 +136,14 @@
         self, kind: str, *, stale: bool = False
     ) -> Result[ObjectListing, Failure]:
         """Return every object of a kind; ``stale`` as for ``read``."""
-        items: list[StoredObject] = []
+        items: dict[str, StoredObject] = {}
         version, first_query = 0, "?serializable=1&" if stale else "?"
         query = first_query
         epoch: int | None = None
         while True:
             path = _make_path(kind) + query.rstrip("?&")
             result = await self._call(_Call("list", "GET", path))
-            page = result.and_then(lambda data: _parse(_read_page, data))
+            page = result.and_then(lambda data: _parse(_read_page, data, kind))
             if isinstance(page, Err):
                 return page
             if items and self._epochs.current != epoch:
@@ -137,14 +151,15 @@
                 return Err(Failure(FailureCause.UNKNOWN, detail=detail))
             epoch = self._epochs.current
             stored, current, has_more = page.ok_value
-            if items and stored and stored[0].name <= items[-1].name:
-                detail = f"a page starts again at {stored[0].name}"
+            new = {item.name: item for item in stored if item.name not in items}
+            if stored and not new:
+                detail = f"a page starts again at {describe_value(stored[0].name)}"
                 return Err(Failure(FailureCause.UNKNOWN, detail=detail))
-            items += stored
+            items |= new
             # Changes made between two pages are newer than the first page's version.
             version = version or current
             if not has_more or not stored:
-                return Ok(ObjectListing(version, tuple(items)))
+                return Ok(ObjectListing(version, tuple(items.values())))
             query = f"{first_query}after={quote(stored[-1].name, safe='')}"
 
     async def watch(
@@ -159,9 +174,9 @@
         if self._epochs.current != epoch:
             # The version to watch after belongs to the earlier epoch.
             return Err(Failure(FailureCause.COMPACTED, detail="the store was restored"))
-        return result.and_then(lambda data: _parse(_read_changes, data))
+        return result.and_then(lambda data: _parse(_read_changes, data, kind))
 
-    async def _call(self, call: _Call) -> Result[Any, Failure]:
+    async def _call(self, call: _Call) -> Result[bytes, Failure]:
         sent_at = self._store_availability.start()
         result = await self._send(call)
         if isinstance(result, Err) and result.err_value.cause in _UNANSWERED_CAUSES:
@@ -170,7 +185,7 @@
             self._store_availability.record_answer(sent_at)
         return result
 
-    async def _send(self, call: _Call) -> Result[Any, Failure]:
+    async def _send(self, call: _Call) -> Result[bytes, Failure]:
         self._count(call.name)
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
@@ -193,9 +208,9 @@
                 self._epochs.observe(epoch, "store")
                 return _decode_response(response.status, text)
         except _CONNECT_ERRORS as error:
-            return Err(Failure(FailureCause.UNAVAILABLE, detail=_describe(error)))
-        except (*_TRANSPORT_ERRORS, *_DECODE_ERRORS) as error:
-            return Err(Failure(FailureCause.UNKNOWN, detail=_describe(error)))
+            return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
+        except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
+            return Err(Failure(FailureCause.UNKNOWN, detail=describe_error(error)))
 
 
 def _make_path(kind: str, name: str | None = None) -> str:
@@ -210,9 +225,9 @@
     return {"metadata": metadata, "spec": spec}
 
 
-def _decode_response(status: int, text: bytes) -> Result[Any, Failure]:
+def _decode_response(status: int, text: bytes) -> Result[bytes, Failure]:
     if status in _SUCCESS_STATUSES:
-        return Ok(orjson.loads(text))
+        return Ok(text)
     cause = _CAUSES_BY_STATUS.get(status, FailureCause.UNKNOWN)
     detail = f"{status} {text[:200].decode(errors='replace')}"
     return Err(Failure(cause, _read_current_version(text), detail))
@@ -221,42 +236,120 @@
 def _read_current_version(text: bytes) -> int | None:
     """Return the object's version that a conflict reports, or None if unreadable."""
     try:
-        return int(orjson.loads(text)["metadata"]["revision"])
-    except _DECODE_ERRORS:
+        return _read_version(_decode_members(text))
+    except DECODE_ERRORS:
         return None
 
 
-def _parse(read: Any, data: Any) -> Result[Any, Failure]:
+def _parse(
+    read: Callable[[bytes, str], Any], text: bytes, kind: str
+) -> Result[Any, Failure]:
     try:
-        return Ok(read(data))
-    except _DECODE_ERRORS as error:
-        return Err(
-            Failure(FailureCause.UNKNOWN, detail=f"unreadable: {_describe(error)}")
-        )
+        return Ok(read(text, kind))
+    except DECODE_ERRORS as error:
+        detail = f"unreadable: {describe_error(error)}"
+        return Err(Failure(FailureCause.UNKNOWN, detail=detail))
+
+
+@dataclass(slots=True, frozen=True)
+class _Unreadable:
+    """Value in a response that is not valid JSON."""
+
+    text: bytes
+    reason: str
+
+
+def _decode_value(text: bytes) -> Any:
+    decoded = decode_json(text)
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    return _Unreadable(text, decoded.err_value)
+
+
+def _decode_members(text: bytes) -> Any:
+    """Return the value of a text, or its members if it is not valid JSON."""
+    value = _decode_value(text)
+    return _split_members(value) if isinstance(value, _Unreadable) else value
+
+
+def _split_members(value: Any) -> Any:
+    """Return the members of an unreadable object, of which one is unreadable."""
+    if not isinstance(value, _Unreadable):
+        return value
+    try:
+        members = split_object(value.text)
+    except ValueError as error:
+        raise ValueError(value.reason) from error
+    return {key: _decode_value(member) for key, member in members.items()}
 
 
-def _describe(error: Exception) -> str:
-    return f"{type(error).__name__}: {error}"
+def _split_elements(value: Any) -> list[Any]:
+    """Return the elements of an array, also if some of them are unreadable."""
+    if not isinstance(value, _Unreadable):
+        return list(value)
+    return [_decode_value(element) for element in split_array(value.text)]
 
 
 def _read_version(data: Mapping[str, Any]) -> int:
-    return int(data["metadata"]["revision"])
+    return read_integer(_split_members(data["metadata"])["revision"])
+
+
+def _read_written(text: bytes, kind: str) -> int:
+    return _read_version(_decode_members(text))
+
 
+def _read_object(text: bytes, kind: str) -> StoredObject:
+    return _read_stored(_decode_members(text))
 
-def _read_stored(data: Mapping[str, Any]) -> StoredObject:
-    body = orjson.dumps(data.get("spec")).decode()
-    return StoredObject(data["metadata"]["name"], _read_version(data), body)
 
+def _read_stored(value: Any) -> StoredObject:
+    data = _split_members(value)
+    name = _split_members(data["metadata"])["name"]
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"the name is {describe_value(name)}")
+    return StoredObject(name, _read_version(data), _encode_spec(data.get("spec")))
+
+
+def _encode_spec(spec: Any) -> str:
+    if isinstance(spec, _Unreadable):
+        return _UNREADABLE
+    try:
+        return orjson.dumps(spec).decode()
+    except TypeError:
+        # The spec is nested too deeply to be encoded.
+        return _UNREADABLE
 
-def _read_page(data: Mapping[str, Any]) -> tuple[list[StoredObject], int, bool]:
-    stored = [_read_stored(item) for item in data["items"]]
-    return stored, int(data["current_rev"]), bool(data["has_more"])
 
+def _read_page(text: bytes, kind: str) -> tuple[list[StoredObject], int, bool]:
+    data = _decode_members(text)
+    elements = _split_elements(data["items"])
+    stored = _read_each(_read_stored, elements, kind)
+    has_more = bool(data["has_more"])
+    if has_more and elements and not stored:
+        raise ValueError("a page has no name after which to continue")
+    return stored, read_integer(data["current_rev"]), has_more
 
-def _read_changes(data: Mapping[str, Any]) -> tuple[int, tuple[ObjectChange, ...]]:
-    changes = []
-    for event in data["events"]:
-        stored = _read_stored(event["object"])
-        removed = bool(event["removed"])
-        changes.append(ObjectChange(stored.name, stored.version, stored.body, removed))
-    return int(data["current_rev"]), tuple(changes)
+
+def _read_changes(text: bytes, kind: str) -> tuple[int, tuple[ObjectChange, ...]]:
+    data = _decode_members(text)
+    elements = _split_elements(data["events"])
+    changes = _read_each(_read_change, elements, kind)
+    return read_integer(data["current_rev"]), tuple(changes)
+
+
+def _read_change(value: Any) -> ObjectChange:
+    event = _split_members(value)
+    stored = _read_stored(event["object"])
+    removed = bool(event["removed"])
+    return ObjectChange(stored.name, stored.version, stored.body, removed)
+
+
+def _read_each(read: Callable[[Any], Any], elements: list[Any], kind: str) -> list[Any]:
+    """Return what is read from each element; leave out and log the unreadable."""
+    values = []
+    for element in elements:
+        try:
+            values.append(read(element))
+        except DECODE_ERRORS as error:
+            _log("entry is left out", kind=kind, error=describe_error(error))
+    return values
