Give up a silent target only once the next send is ready

Cause: whether a request may go to another target was asked as the wait for an event began. When it ended, all streams that paused were given up at once, and only then was the retry budget charged and a slot requested; both are enough for a few. Calls that may be repeated were given up in the same way.

The read is no longer ended by its time limit. After it, the next send is prepared while the old answer is still read: its cost is taken from the budget, slots are acquired at other targets, the prompt is prefilled. Once that is ready and the target still silent, the read ends, the connection is closed and the next send starts. Progress ends the preparation: slots are cancelled, the KV cache is released, and what was not sent returns to the budget (a prefill that was sent stays counted). If nothing can be prepared, the answer is awaited and the switch tried again 0.5 s later. No prompt is prefilled while no other target that answers has a free slot. A target that is given up still counts as failed and is probed for a crash: one that lost its host or its links is silent too, and the probe tells these from slow ones.

Evidence: of the new tests with the whole daemon five failed before (streams that pause together; a stream and a call with no other target; an event during the preparation; the deadline with a silent target, given up after 0.8 s) and pass now.

--- a/src/galenapass/forwarding/progress.py
+++ b/src/galenapass/forwarding/progress.py
@@ -37,6 +37,14 @@
         self._last_progress_at = clock.monotonic()
         self._has_begun = False
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether the time without progress has any limit."""
+        return (
+            self._progress_timeouts.first is not None
+            or self._progress_timeouts.later is not None
+        )
+
     def record(self) -> None:
         """Record progress now."""
         self._last_progress_at = self._clock.monotonic()
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding import admission, retries, retry_budgets
+from galenapass.forwarding import admission, placement, retries, retry_budgets
 from galenapass.forwarding.fleet import (
     Fleet,
     list_excluded,
@@ -22,10 +22,16 @@
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
 from galenapass.forwarding.routes import Repeat
-from galenapass.forwarding.sending import Send, Sender, classify_failure
+from galenapass.forwarding.sending import (
+    SILENT_TARGET,
+    Send,
+    Sender,
+    classify_failure,
+)
 from galenapass.forwarding.slot_client import Slot, SlotClient
 from galenapass.forwarding.slot_requests import Outcome, SlotRequest, Stage
 from galenapass.forwarding.suspects import CrashSuspects
+from galenapass.forwarding.switching import Standby, SwitchSteps
 from galenapass.forwarding.target_messages import ClientRequest, TargetNotice
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
@@ -38,8 +44,8 @@
 # does not make it faster.
 PREFILL_TIMEOUT_FACTOR = 3.0
 PREFILL_TIMEOUT_SLACK = timedelta(seconds=1.5)
-# A stream that can be resumed on another target is moved after this long without an
-# event; clients disconnect after two seconds without one.
+# A stream that can be resumed is moved after this long without an event, once another
+# target is ready for it; clients disconnect after two seconds without one.
 STREAM_STALL_TIMEOUT = timedelta(milliseconds=800)
 # The first event may take this multiple of its expected time on top of that.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
@@ -119,6 +125,20 @@
         message: ClientRequest,
         sink: Sink,
         budget: Budget,
+    ) -> Result[None, Verdict]:
+        standby = self._make_standby(request, message)
+        try:
+            return await self._try_each(request, message, sink, budget, standby)
+        finally:
+            standby.cancel()
+
+    async def _try_each(
+        self,
+        request: ForwardedRequest,
+        message: ClientRequest,
+        sink: Sink,
+        budget: Budget,
+        standby: Standby,
     ) -> Result[None, Verdict]:
         while True:
             refusal = self._suspects.check_request(request)
@@ -128,16 +148,18 @@
                         request, refusal, "it is not tried again"
                     )
                 )
-            outcome = await self._send(request, message, sink)
+            outcome = await self._send(request, message, sink, standby)
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
-            now = self._clock.monotonic()
-            obstacle = retries.find_obstacle(request, failure, now)
-            if obstacle is None and not self._spend(request, budget, now):
-                obstacle = "the retry budget is spent"
-            if obstacle is not None:
-                return Err(retries.make_final_verdict(request, failure, obstacle))
+            if not standby.is_ready:
+                standby.cancel()
+                now = self._clock.monotonic()
+                obstacle = retries.find_obstacle(request, failure, now)
+                if obstacle is None and not self._spend(request, budget, now):
+                    obstacle = "the retry budget is spent"
+                if obstacle is not None:
+                    return Err(retries.make_final_verdict(request, failure, obstacle))
             _log(
                 "request is sent again",
                 request=request.id,
@@ -153,18 +175,37 @@
         return retry_budgets.spend(budget, now, self.terms, self.daemons, count)
 
     async def _send(
-        self, request: ForwardedRequest, message: ClientRequest, sink: Sink
+        self,
+        request: ForwardedRequest,
+        message: ClientRequest,
+        sink: Sink,
+        standby: Standby,
     ) -> Result[None, Verdict]:
+        send = standby.take()
+        if send is None:
+            prepared = await self._prepare(request, message)
+            if isinstance(prepared, Err):
+                return prepared
+            send = prepared.ok_value
+        outcome = await self._sender.run(request, message, sink, send, standby)
+        is_not_run = isinstance(outcome, Err) and outcome.err_value.run is Run.NOT_RUN
+        if is_not_run and send.prefill_engine is not None:
+            # Either engine may have lost the KV cache, so both are avoided next time.
+            request.tried.add(send.prefill_engine)
+        return outcome
+
+    async def _prepare(
+        self, request: ForwardedRequest, message: ClientRequest
+    ) -> Result[Send, Verdict]:
+        """Acquire the slots of a send and have its prompt prefilled where needed."""
         service = self._fleet.routes.services.get(request.service)
         if service is None or not service.is_model or request.prompt is None:
-            return await self._call(request, message, sink)
-        return await self._generate(request, message, sink)
+            return await self._prepare_call(request)
+        return await self._prepare_generation(request, message)
 
     # Plain services
 
-    async def _call(
-        self, request: ForwardedRequest, message: ClientRequest, sink: Sink
-    ) -> Result[None, Verdict]:
+    async def _prepare_call(self, request: ForwardedRequest) -> Result[Send, Verdict]:
         acquired = await self._acquire_slot(request, Stage.CALL)
         if isinstance(acquired, Err):
             return acquired
@@ -175,14 +216,13 @@
             progress_timeouts = ProgressTimeouts(
                 limit, limit, self._make_switch_check(request)
             )
-        send = Send(acquired.ok_value, progress_timeouts=progress_timeouts)
-        return await self._sender.run(request, message, sink, send)
+        return Ok(Send(acquired.ok_value, progress_timeouts=progress_timeouts))
 
     # Model services
 
-    async def _generate(
-        self, request: ForwardedRequest, message: ClientRequest, sink: Sink
-    ) -> Result[None, Verdict]:
+    async def _prepare_generation(
+        self, request: ForwardedRequest, message: ClientRequest
+    ) -> Result[Send, Verdict]:
         acquired = await self._acquire_slot(request, Stage.PREFILL)
         if isinstance(acquired, Err):
             return acquired
@@ -198,22 +238,16 @@
             output=request.prompt.output_tokens if request.prompt else 0,
         )
         if grant.target.role is not Role.PREFILL:
-            send = Send(
-                slot, progress_timeouts=self._find_progress_timeouts(request, slot)
-            )
-            return await self._sender.run(request, message, sink, send)
+            timeouts = self._find_progress_timeouts(request, slot)
+            return Ok(Send(slot, progress_timeouts=timeouts))
         prefilled = await self._prefill(request, message, slot)
         if isinstance(prefilled, Err):
             return prefilled
-        return await self._decode(request, message, sink, prefilled.ok_value)
+        return await self._prepare_decode(request, prefilled.ok_value)
 
-    async def _decode(
-        self,
-        request: ForwardedRequest,
-        message: ClientRequest,
-        sink: Sink,
-        prefilled: PrefilledPrompt,
-    ) -> Result[None, Verdict]:
+    async def _prepare_decode(
+        self, request: ForwardedRequest, prefilled: PrefilledPrompt
+    ) -> Result[Send, Verdict]:
         try:
             acquired = await self._acquire_slot(
                 request, Stage.DECODE, prefilled.prefill_engine.id
@@ -225,12 +259,8 @@
             self._sender.spawn(self._target_client.release_kv_cache(prefilled.source))
             return acquired
         slot = acquired.ok_value
-        send = Send(slot, prefilled.source, self._find_progress_timeouts(request, slot))
-        outcome = await self._sender.run(request, message, sink, send)
-        if isinstance(outcome, Err) and outcome.err_value.run is Run.NOT_RUN:
-            # Either engine may have lost the KV cache, so both are avoided next time.
-            request.tried.add(prefilled.prefill_engine.id)
-        return outcome
+        timeouts = self._find_progress_timeouts(request, slot)
+        return Ok(Send(slot, prefilled.source, timeouts, prefilled.prefill_engine.id))
 
     def _find_progress_timeouts(
         self, request: ForwardedRequest, slot: Slot
@@ -257,13 +287,73 @@
 
         def may_switch_target() -> bool:
             now = self._clock.monotonic()
-            if request.runs >= request.route.attempts:
+            if retries.find_obstacle(request, SILENT_TARGET, now) is not None:
                 return False
             count = request.next_retry_cost
             return retry_budgets.can_spend(budget, now, self.terms, self.daemons, count)
 
         return may_switch_target
 
+    # Silent targets
+
+    def _make_standby(
+        self, request: ForwardedRequest, message: ClientRequest
+    ) -> Standby:
+        steps = SwitchSteps(
+            lambda: self._reserve_switch(request),
+            lambda: self._prepare_switch(request, message),
+            self._sender.discard,
+        )
+        return Standby(request.id, steps)
+
+    def _reserve_switch(self, request: ForwardedRequest) -> Callable[[], None] | None:
+        """Take the cost of a switch from the retry budget, None if it is impossible.
+
+        Return a function that gives back what was not sent.
+        """
+        now = self._clock.monotonic()
+        if not self._has_other_target(request, now):
+            return None
+        budget = self._find_budget(request)
+        count, prefills = request.next_retry_cost, request.prefills
+        if not self._spend(request, budget, now):
+            return None
+
+        def give_back() -> None:
+            # The first prefill of a request is free.
+            sent = request.prefills - max(prefills, 1)
+            retry_budgets.give_back(budget, now, count - max(sent, 0))
+
+        return give_back
+
+    def _has_other_target(self, request: ForwardedRequest, now: timedelta) -> bool:
+        """Return whether a target that answers has a free slot, except the present one.
+
+        Without it, a prompt would be prefilled in vain.
+        """
+        view = self._fleet.view(now)
+        targets = placement.list_eligible(
+            self._fleet.targets.values(),
+            request.service,
+            None,
+            frozenset(),
+            self._list_unusable(request),
+        )
+        return any(
+            target.role is not Role.PREFILL
+            and not view.is_down(target)
+            and placement.has_slot(target, view.load_of(target))
+            for target in targets
+        )
+
+    async def _prepare_switch(
+        self, request: ForwardedRequest, message: ClientRequest
+    ) -> Result[Send, Verdict]:
+        if request.target is not None:
+            # A request that may have crashed a target gets no second one.
+            request.tried.add(request.target)
+        return await self._prepare(request, message)
+
     async def _prefill(
         self, request: ForwardedRequest, message: ClientRequest, slot: Slot
     ) -> Result[PrefilledPrompt, Verdict]:
@@ -336,11 +426,15 @@
             request.prompt,
             request.parts,
             frozenset(request.tried),
-            list_excluded(self._fleet, self._clock.monotonic()),
+            self._list_unusable(request),
             prefill_engine,
             request.fingerprint,
         )
 
+    def _list_unusable(self, request: ForwardedRequest) -> frozenset[str]:
+        excluded = list_excluded(self._fleet, self._clock.monotonic())
+        return excluded if request.target is None else excluded | {request.target}
+
     def apply_notice(self, target: Target, notice: TargetNotice) -> None:
         """Apply what a target's response says of the target."""
         now = self._clock.monotonic()
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -54,7 +54,8 @@
     ``runs`` counts the sends that may have run, ``sends`` all sends except prefills and
     ``prefills`` the prefills; ``last_event`` is the id of the last event sent to the
     client. ``parts`` are the parts of the prompt that engines cache, the part that is
-    not shared last. ``tried`` holds the ids of targets to use last.
+    not shared last. ``tried`` holds the ids of targets to use last; ``target`` is the
+    id of the one that works on it now, at which no second slot is requested.
     """
 
     id: str
@@ -70,6 +71,7 @@
     prefills: int = 0
     last_event: int | None = None
     tried: set[str] = field(default_factory=set)
+    target: str | None = None
 
     @property
     def shared_parts(self) -> "tuple[PartDigest, ...]":
--- a/src/galenapass/forwarding/retry_budgets.py
+++ b/src/galenapass/forwarding/retry_budgets.py
@@ -8,7 +8,14 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-__all__ = ["Budget", "RetryBudgetTerms", "can_spend", "record_request", "spend"]
+__all__ = [
+    "Budget",
+    "RetryBudgetTerms",
+    "can_spend",
+    "give_back",
+    "record_request",
+    "spend",
+]
 
 # The rest stays unused, as daemons cannot see each other's retries at the edges of the
 # window.
@@ -70,6 +77,12 @@
     return True
 
 
+def give_back(budget: Budget, spent_at: timedelta, count: int) -> None:
+    """Return up to ``count`` retries that were taken at a time and not sent."""
+    for _ in range(min(count, budget.retries.count(spent_at))):
+        budget.retries.remove(spent_at)
+
+
 def _drop_before(times: deque[timedelta], before: timedelta) -> None:
     while times and times[0] < before:
         times.popleft()
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -1,10 +1,9 @@
 """Run a request at one target and relay its response to the client."""
 
-import asyncio
-from collections.abc import AsyncIterator, Awaitable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, TypeVar
+from typing import Any
 
 import aiohttp
 from result import Err, Ok, Result
@@ -17,6 +16,7 @@
 from galenapass.forwarding.progress import Progress, ProgressTimeouts
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.routes import Repeat
+from galenapass.forwarding.silence import NextSend, SilenceWatch, SilentTargetError
 from galenapass.forwarding.slot_client import Slot
 from galenapass.forwarding.slot_requests import Outcome
 from galenapass.forwarding.suspects import CrashSuspects
@@ -25,14 +25,15 @@
 from galenapass.tables.targets import Target
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["Send", "Sender", "classify_failure"]
+__all__ = ["SILENT_TARGET", "Send", "Sender", "classify_failure"]
 
 MILLISECOND = timedelta(milliseconds=1)
 # Largest answer that is not streamed. It is buffered until it is complete, so that a
 # truncated one is never relayed.
 MAX_ANSWER_BYTES = 8 * 2**20
-
-T = TypeVar("T")
+SILENT_TARGET = Verdict(
+    Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "no progress for too long"
+)
 
 _log = make_log("forwarding")
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError)
@@ -46,12 +47,14 @@
 class Send:
     """Parameters of one send to the target of a slot.
 
-    ``source`` is where the KV cache of a prefilled prompt is.
+    ``source`` is where the KV cache of a prefilled prompt is, ``prefill_engine`` the id
+    of the engine that holds it.
     """
 
     slot: Slot
     source: str | None = None
     progress_timeouts: ProgressTimeouts = ProgressTimeouts()
+    prefill_engine: str | None = None
 
 
 class Sender:
@@ -69,26 +72,36 @@
         """Run a coroutine in the background."""
         self._background.spawn(work)
 
+    def discard(self, send: Send) -> None:
+        """Release what a send that will not be run holds."""
+        send.slot.end(Outcome.CANCELLED)
+        if send.source is not None:
+            self.spawn(self._target_client.release_kv_cache(send.source))
+
     async def run(
         self,
         request: ForwardedRequest,
         message: ClientRequest,
         sink: Sink,
         send: Send,
+        next_send: NextSend,
     ) -> Result[None, Verdict]:
-        """Run a request, relay its response and release its slot."""
+        """Run a request, relay its response and release its slot.
+
+        A silent target is given up once ``next_send`` is ready. It counts as failed, as
+        one that is cut off or has lost its host is silent too.
+        """
         target = send.slot.grant.target
         # Counted as a run until the target proves that it did not run the request.
         request.runs += 1
         request.sends += 1
         try:
-            outcome = await self._run_at_target(request, message, sink, send)
+            outcome = await self._run_at_target(request, message, sink, send, next_send)
         except _CONNECTION_ERRORS as error:
             detail = f"{type(error).__name__}: {error}"
             outcome = Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail))
-        except _StalledError:
-            detail = "no progress for too long"
-            outcome = Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail))
+        except SilentTargetError:
+            outcome = Err(SILENT_TARGET)
         except BaseException:
             # The client disconnected or the deadline passed; this is no failure of the
             # target.
@@ -117,9 +130,26 @@
         message: ClientRequest,
         sink: Sink,
         send: Send,
+        next_send: NextSend,
+    ) -> Result[None, Verdict]:
+        target = send.slot.grant.target
+        request.target = target.id
+        watch = SilenceWatch(Progress(send.progress_timeouts, self._clock), next_send)
+        try:
+            return await self._exchange(request, message, sink, send, watch)
+        finally:
+            watch.stop()
+            request.target = None
+
+    async def _exchange(
+        self,
+        request: ForwardedRequest,
+        message: ClientRequest,
+        sink: Sink,
+        send: Send,
+        watch: SilenceWatch,
     ) -> Result[None, Verdict]:
         target = send.slot.grant.target
-        progress = Progress(send.progress_timeouts, self._clock)
         time_left = request.deadline - self._clock.monotonic()
         once = request.route.repeat is Repeat.ONCE
         rank = request.route.rank if request.prompt is not None else None
@@ -141,16 +171,14 @@
             last_event=request.last_event,
             once=once,
         )
-        opened = await _await_within(
-            run_context.__aenter__(), progress.find_time_left()
-        )
+        opened = await watch.read(run_context.__aenter__())
         try:
             if isinstance(opened, Err):
                 return opened
             response = opened.ok_value
             if request.route.streams and response.status == 200:
-                return await self._relay_stream(request, sink, send, response, progress)
-            return await self._relay_whole(request, sink, send, response, progress)
+                return await self._relay_stream(request, sink, send, response, watch)
+            return await self._relay_whole(request, sink, send, response, watch)
         finally:
             await run_context.__aexit__(None, None, None)
 
@@ -160,11 +188,11 @@
         sink: Sink,
         send: Send,
         response: TargetResponse,
-        progress: Progress,
+        watch: SilenceWatch,
     ) -> Result[None, Verdict]:
         body = bytearray()
-        async for chunk in _iterate_within(response.chunks, progress):
-            progress.record()
+        async for chunk in _read_chunks(response.chunks, watch):
+            watch.record_progress()
             body += chunk
             if len(body) > MAX_ANSWER_BYTES:
                 return Err(_TOO_LONG)
@@ -190,15 +218,15 @@
         sink: Sink,
         send: Send,
         response: TargetResponse,
-        progress: Progress,
+        watch: SilenceWatch,
     ) -> Result[None, Verdict]:
         if not response.signed:
             return Err(_UNSIGNED)
         events = EventStream(request.last_event)
-        async for chunk in _iterate_within(response.chunks, progress):
+        async for chunk in _read_chunks(response.chunks, watch):
             complete_events = events.feed(chunk)
             if complete_events:
-                progress.record()
+                watch.record_progress()
                 send.slot.record_output()
                 if not sink.began:
                     await sink.begin(response.status, response.headers)
@@ -241,28 +269,12 @@
     return _OUTCOMES_BY_REASON.get(failure.reason, Outcome.FAILED)
 
 
-class _StalledError(Exception):
-    """A target made no progress for longer than its timeout."""
-
-
-async def _await_within(work: Awaitable[T], limit: timedelta | None) -> T:
-    if limit is None:
-        return await work
-    try:
-        async with asyncio.timeout(limit.total_seconds()) as timer:
-            return await work
-    except TimeoutError:
-        if timer.expired():
-            raise _StalledError from None
-        raise
-
-
-async def _iterate_within(
-    chunks: AsyncIterator[bytes], progress: Progress
+async def _read_chunks(
+    chunks: AsyncIterator[bytes], watch: SilenceWatch
 ) -> AsyncIterator[bytes]:
     while True:
         try:
-            chunk = await _await_within(anext(chunks), progress.find_time_left())
+            chunk = await watch.read(anext(chunks))
         except StopAsyncIteration:
             return
         yield chunk
--- /dev/null
+++ b/tests/test_forwarding_switching.py
@@ -0,0 +1,133 @@
+"""Check when a silent target is given up, and what a preparation leaves behind."""
+
+import asyncio
+from datetime import timedelta
+
+from result import Err, Ok
+from testtools import TestCase
+
+from galenapass.clocks import SystemClock
+from galenapass.forwarding import retry_budgets
+from galenapass.forwarding.progress import Progress, ProgressTimeouts
+from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
+from galenapass.forwarding.silence import SilenceWatch, SilentTargetError
+from galenapass.forwarding.switching import Standby, SwitchSteps
+from galenapass.verdicts import Reason, Run, Verdict
+from tests.forwarding_fakes import MS
+
+LIMIT = 30 * MS
+REFUSED = Verdict(Run.NOT_RUN, Reason.NO_TARGET, "no target")
+
+
+class Steps:
+    """Steps of a preparation that take a while; ``calls`` lists them."""
+
+    def __init__(self, outcome, seconds=0.0, allowed=True):
+        self.calls = []
+        self.outcome = outcome
+        self.seconds = seconds
+        self.allowed = allowed
+
+    def make_standby(self):
+        return Standby("r1", SwitchSteps(self.reserve, self.prepare, self.discard))
+
+    def reserve(self):
+        if not self.allowed:
+            return None
+        self.calls.append("reserve")
+        return lambda: self.calls.append("give back")
+
+    async def prepare(self):
+        await asyncio.sleep(self.seconds)
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+    def discard(self, send):
+        self.calls.append(f"discard {send}")
+
+
+def watch_read(steps, events, limit=LIMIT):
+    """Read events of given delays in seconds; return their count and the standby."""
+
+    async def main():
+        standby = steps.make_standby()
+        progress = Progress(ProgressTimeouts(limit, limit), SystemClock())
+        watch = SilenceWatch(progress, standby)
+        read = 0
+        try:
+            for delay in events:
+                await watch.read(asyncio.sleep(delay))
+                watch.record_progress()
+                read += 1
+        except SilentTargetError:
+            pass
+        finally:
+            watch.stop()
+        return read, standby.take()
+
+    return asyncio.run(main())
+
+
+class TestSilence(TestCase):
+    def test_a_target_is_given_up_once_the_next_send_is_ready(self):
+        steps = Steps(Ok("send"), 0.05)
+        self.assertEqual((1, "send"), watch_read(steps, [0.01, 5.0]))
+        self.assertEqual(["reserve"], steps.calls)
+
+    def test_a_target_is_awaited_while_the_budget_allows_no_switch(self):
+        steps = Steps(Ok("send"), allowed=False)
+        self.assertEqual((2, None), watch_read(steps, [0.01, 0.2]))
+
+    def test_a_target_is_awaited_while_no_other_is_free(self):
+        steps = Steps(Err(REFUSED))
+        self.assertEqual((2, None), watch_read(steps, [0.01, 0.2]))
+        self.assertEqual(["reserve", "give back"], steps.calls)
+
+    def test_a_preparation_that_fails_ends_no_answer(self):
+        steps = Steps(RuntimeError("unexpected"))
+        self.assertEqual((2, None), watch_read(steps, [0.01, 0.2]))
+        self.assertEqual(["reserve", "give back"], steps.calls)
+
+    def test_progress_ends_a_preparation(self):
+        steps = Steps(Ok("send"), 0.5)
+        self.assertEqual((3, None), watch_read(steps, [0.01, 0.1, 0.01]))
+        self.assertEqual(["reserve", "give back"], steps.calls)
+
+
+class TestStandby(TestCase):
+    def test_a_send_that_is_not_used_is_released(self):
+        async def main():
+            steps = Steps(Ok("send"))
+            standby = steps.make_standby()
+            self.assertTrue(await standby.prepare())
+            standby.cancel()
+            standby.cancel()
+            self.assertFalse(standby.is_ready)
+            return steps.calls
+
+        self.assertEqual(["reserve", "discard send", "give back"], asyncio.run(main()))
+
+    def test_a_send_that_is_taken_keeps_its_reservation(self):
+        async def main():
+            steps = Steps(Ok("send"))
+            standby = steps.make_standby()
+            await standby.prepare()
+            self.assertEqual("send", standby.take())
+            standby.cancel()
+            return steps.calls
+
+        self.assertEqual(["reserve"], asyncio.run(main()))
+
+
+class TestBudget(TestCase):
+    def test_what_was_not_sent_returns_to_the_budget(self):
+        budget, terms = Budget(), RetryBudgetTerms(0.0, 4 / 0.85, timedelta(seconds=9))
+        for at in (1 * MS, 2 * MS):
+            self.assertTrue(retry_budgets.spend(budget, at, terms, 1, 2))
+        self.assertFalse(retry_budgets.can_spend(budget, 3 * MS, terms, 1))
+        retry_budgets.give_back(budget, 1 * MS, 1)
+        self.assertEqual([1 * MS, 2 * MS, 2 * MS], list(budget.retries))
+        retry_budgets.give_back(budget, 1 * MS, 3)
+        self.assertEqual([2 * MS, 2 * MS], list(budget.retries))
+        self.assertTrue(retry_budgets.can_spend(budget, 3 * MS, terms, 1, 2))
--- /dev/null
+++ b/tests/test_platform_silent_streams.py
@@ -0,0 +1,233 @@
+"""Test what becomes of answers whose targets are silent for a while, or for good."""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+
+from testtools import TestCase
+
+from galenapass.forwarding.retry_budgets import USABLE_SHARE, RetryBudgetTerms
+from stand_ins.platform_routes import CONFIGURATION
+from stand_ins.runner import SIGNATURE, STREAM_BODY
+from tests.platform_fleet import run
+from tests.test_platform_faults import raw_target, read_head
+
+DEADLINE_MS = 9000
+ROUTES = [route | {"timeout_ms": DEADLINE_MS} for route in CONFIGURATION["routes"]]
+PATIENT = CONFIGURATION | {"routes": ROUTES}
+# A pause that is longer than a silent target is waited for where another one is ready.
+PAUSE_SECONDS = 0.9
+
+
+def set_budget(fleet, retries):
+    """Let the daemon send ``retries`` more times in all."""
+    relay = fleet.daemon.relay
+    fixed = retries * relay.daemons / USABLE_SHARE
+    relay.terms = RetryBudgetTerms(0.0, fixed, timedelta(seconds=60))
+
+
+def set_pauses(fleet, seconds):
+    for runner in (fleet.decode, fleet.second_decode):
+        runner.faults.event_seconds = seconds
+
+
+def count_spent(fleet, service="lm"):
+    return len(fleet.daemon.relay._budgets[service].retries)
+
+
+async def ask(fleet, path="/notes/1", deadline_ms=DEADLINE_MS):
+    """Return the status and body of an answer and how many seconds it took."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    status, body, _ = await fleet.send(
+        path, "POST", X_Galenapass_Deadline_Ms=str(deadline_ms)
+    )
+    return status, body, loop.time() - started
+
+
+class SilentEngine:
+    """Decode engine that sends one event and then nothing more.
+
+    ``closed_at`` lists when its connections were closed, in seconds of the event loop.
+    """
+
+    def __init__(self):
+        self.attempts = []
+        self.closed_at = []
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            attempt = await read_head(reader)
+            if attempt is None:
+                # A probe, which tells a silent target from one that has crashed.
+                writer.close()
+                return
+            self.attempts.append(attempt)
+            writer.write(
+                (
+                    "HTTP/1.1 200 OK\r\n"
+                    f"X-Galenapass-Attempt-Id: {attempt}\r\n"
+                    f"{SIGNATURE}: signed\r\n\r\n"
+                    "id: 1\ndata: t1\n\n"
+                ).encode()
+            )
+            await reader.read()
+        self.closed_at.append(asyncio.get_running_loop().time())
+        writer.close()
+
+    @contextlib.asynccontextmanager
+    async def replace(self, fleet, names):
+        """Serve in place of decode engines of the fleet."""
+        async with raw_target(self.serve) as address:
+            for name in names:
+                fleet.store.remove("servers", name)
+            entry = fleet.decode.entry(address=address, born=7)
+            fleet.store.put("servers", "raw", entry)
+            known = fleet.daemon.fleet.targets
+            await fleet.wait_for(
+                lambda: "raw" in known and not known.keys() & set(names)
+            )
+            yield
+
+
+class TestPauses(TestCase):
+    def test_streams_that_pause_together_are_all_whole(self):
+        # 22 of 24 streams were cut: all were given up at once, and the retry budget
+        # and the free slots were enough for a few of them only.
+        async def scenario(fleet):
+            set_budget(fleet, 4)
+            set_pauses(fleet, PAUSE_SECONDS)
+            answers = await asyncio.gather(*(ask(fleet) for _ in range(12)))
+            self.assertEqual(
+                [(200, STREAM_BODY)] * 12, [answer[:2] for answer in answers]
+            )
+            runs = fleet.decode.ran + fleet.second_decode.ran
+            extra = len(runs) + len(fleet.prefill.received) - 2 * 12
+            self.assertLessEqual(extra, 4)
+            self.assertEqual(extra, count_spent(fleet))
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_stream_is_awaited_while_no_other_target_is_there(self):
+        async def scenario(fleet):
+            fleet.store.remove("servers", "d2")
+            await fleet.wait_for(lambda: "d2" not in fleet.daemon.fleet.targets)
+            set_pauses(fleet, PAUSE_SECONDS)
+            status, body, _ = await ask(fleet)
+            self.assertEqual((200, STREAM_BODY), (status, body))
+            self.assertEqual(1, len(fleet.decode.ran))
+            self.assertEqual(1, len(fleet.prefill.received))
+            self.assertEqual(0, count_spent(fleet))
+
+        run(scenario, configuration=PATIENT)
+
+    def test_an_event_ends_the_preparation_of_a_switch(self):
+        async def scenario(fleet):
+            set_pauses(fleet, PAUSE_SECONDS)
+            pending = asyncio.create_task(ask(fleet))
+            await fleet.wait_for(lambda: fleet.decode.ran + fleet.second_decode.ran)
+            fleet.prefill.faults.delay_seconds = 0.5
+            status, body, _ = await pending
+            self.assertEqual((200, STREAM_BODY), (status, body))
+            self.assertEqual(1, len(fleet.decode.ran + fleet.second_decode.ran))
+            # What was sent in vain still counts against the budget, nothing else.
+            prefills = len(fleet.prefill.received)
+            self.assertGreater(prefills, 1)
+            self.assertEqual(prefills - 1, count_spent(fleet))
+            loads = fleet.daemon.fleet.loads
+            for name in ("e1", "d1", "d2"):
+                held = (
+                    loads[name].prompts + loads[name].sequences if name in loads else 0
+                )
+                self.assertEqual(0, held, name)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_call_is_awaited_while_no_other_target_is_there(self):
+        # It was given up after 0.45 of its time and sent to the same target again.
+        async def scenario(fleet):
+            fleet.store.remove("servers", "s2")
+            await fleet.wait_for(lambda: "s2" not in fleet.daemon.fleet.targets)
+            fleet.plain.faults.delay_seconds = 1.4
+            status, _, _ = await ask(fleet, "/seats/1", 2000)
+            self.assertEqual((200, 1), (status, len(fleet.plain.ran)))
+
+        run(scenario, configuration=PATIENT)
+
+
+class TestSilentTargets(TestCase):
+    def test_a_stalled_target_is_left_for_another_one(self):
+        async def scenario(fleet):
+            engine = SilentEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                status, body, seconds = await ask(fleet)
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual((1, 1), (len(engine.attempts), count_runs(fleet)))
+                self.assertLess(seconds, 1.5)
+                await fleet.wait_for(lambda: engine.closed_at)
+                moved_at = fleet.second_decode.received_at[-1]
+                self.assertLess(engine.closed_at[0] - moved_at, 0.4)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_stalled_call_is_left_for_another_target(self):
+        async def scenario(fleet):
+            fleet.plain.faults.delay_seconds = 30.0
+            for _ in range(3):
+                status, body, _ = await ask(fleet, "/seats/1", 3000)
+                self.assertEqual(200, status)
+                self.assertTrue(body.startswith(b"s2"), body)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_the_deadline_ends_the_wait_for_a_silent_target(self):
+        async def scenario(fleet):
+            engine = SilentEngine()
+            async with engine.replace(fleet, ["d1", "d2"]):
+                tasks = asyncio.all_tasks()
+                started = asyncio.get_running_loop().time()
+                with contextlib.suppress(Exception):
+                    await ask(fleet, deadline_ms=1800)
+                await fleet.wait_for(lambda: engine.closed_at, 0.5)
+                self.assertAlmostEqual(1.8, engine.closed_at[0] - started, delta=0.4)
+                self.assertEqual(1, len(engine.attempts))
+                await asyncio.sleep(0.1)
+                self.assertFalse(list_watches(asyncio.all_tasks() - tasks))
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_client_that_leaves_ends_a_switch_in_preparation(self):
+        async def scenario(fleet):
+            engine = SilentEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                tasks = asyncio.all_tasks()
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: engine.attempts)
+                fleet.prefill.faults.delay_seconds = 1.5
+                await fleet.wait_for(lambda: len(fleet.prefill.received) > 1)
+                pending.cancel()
+                await fleet.wait_for(lambda: engine.closed_at, 0.5)
+                await asyncio.sleep(0.2)
+                self.assertFalse(list_watches(asyncio.all_tasks() - tasks))
+                self.assertEqual(0, count_runs(fleet))
+
+        run(scenario, configuration=PATIENT)
+
+
+async def move_second_decode(fleet):
+    """Move a decode engine to another domain, so that it is chosen last."""
+    fleet.register(fleet.second_decode, zone="zone-b")
+    known = fleet.daemon.fleet.targets
+    await fleet.wait_for(lambda: known["d2"].domain == "zone-b")
+
+
+def count_runs(fleet):
+    return len(fleet.decode.ran + fleet.second_decode.ran)
+
+
+def list_watches(tasks):
+    """Return the tasks of silence watches and preparations."""
+    names = ("SilenceWatch", "Standby")
+    return [t for t in tasks if t.get_coro().__qualname__.startswith(names)]
