Do not count a client's slow reading as silence of the target

A stream whose client took an event slowly was given up, or its switch was prepared, although its target was at work: the time without progress ran from the arrival of the last event, so it included the time to write that event to the client, and the next read began with no time left.

The time now runs from the end of the write. The new test, a client that takes 0.4 s for an event with a limit of 0.2 s, failed before: budget was reserved for a switch again and again; now none is prepared.

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -232,6 +232,8 @@
                     await sink.begin(response.status, response.headers)
                 await sink.write(complete_events)
                 request.last_event = events.last
+                # The target was not waited for while the client was slow to read.
+                watch.record_progress()
             if events.fault:
                 break
         if not events.is_complete:
--- a/tests/test_forwarding_switching.py
+++ b/tests/test_forwarding_switching.py
@@ -1,19 +1,24 @@
 """Check when a silent target is given up, and what a preparation leaves behind."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 from result import Err, Ok
 from testtools import TestCase
 
 from galenapass.clocks import SystemClock
-from galenapass.forwarding import retry_budgets
+from galenapass.forwarding import retry_budgets, silence
 from galenapass.forwarding.progress import Progress, ProgressTimeouts
 from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
+from galenapass.forwarding.sending import Send, Sender
 from galenapass.forwarding.silence import SilenceWatch, SilentTargetError
+from galenapass.forwarding.slot_client import Slot
+from galenapass.forwarding.slot_requests import Grant, Stage
 from galenapass.forwarding.switching import Standby, SwitchSteps
+from galenapass.forwarding.target_messages import ClientRequest, TargetResponse
 from galenapass.verdicts import Reason, Run, Verdict
-from tests.forwarding_fakes import MS
+from tests.forwarding_fakes import MS, make_request, make_suspects, make_target
 
 LIMIT = 30 * MS
 REFUSED = Verdict(Run.NOT_RUN, Reason.NO_TARGET, "no target")
@@ -95,6 +100,55 @@
         self.assertEqual(["reserve", "give back"], steps.calls)
 
 
+class EagerTargetClient:
+    """Client of a target that sends an event again shortly after the last was read."""
+
+    @contextlib.asynccontextmanager
+    async def run(self, target, message, time_left, **options):
+        yield Ok(TargetResponse(200, [], True, self.make_chunks()))
+
+    async def make_chunks(self):
+        for number in (1, 2):
+            await asyncio.sleep(0.05)
+            yield f"id: {number}\ndata: t\n\n".encode()
+
+
+class SlowSink:
+    """Sink whose client takes a while to read each event."""
+
+    began = False
+
+    async def begin(self, status, headers):
+        self.began = True
+
+    async def write(self, events):
+        await asyncio.sleep(0.4)
+
+    async def finish(self):
+        pass
+
+
+class TestSlowClients(TestCase):
+    def test_a_client_that_reads_slowly_is_no_silence_of_the_target(self):
+        # The time to write an event to the client counted as silence of the target, so
+        # the next read had no time left.
+        self.patch(silence, "RETRY_INTERVAL", 10 * MS)
+        clock, steps = SystemClock(), Steps(Err(REFUSED))
+
+        async def main():
+            sender = Sender(EagerTargetClient(), make_suspects("h1", clock), clock)
+            grant = Grant("t1", make_target("d1"), 0.0, 0.0, 0, 0.0, "")
+            slot = Slot(grant, Stage.DECODE, clock, lambda release: None)
+            limit = 200 * MS
+            send = Send(slot, progress_timeouts=ProgressTimeouts(limit, limit))
+            request = make_request(arrived=clock.monotonic() / MS)
+            message = ClientRequest("r1", "POST", "/notes/1", "a.example", (), b"")
+            standby = steps.make_standby()
+            return await sender.run(request, message, SlowSink(), send, standby)
+
+        self.assertEqual((Ok(None), []), (asyncio.run(main()), steps.calls))
+
+
 class TestStandby(TestCase):
     def test_a_send_that_is_not_used_is_released(self):
         async def main():
