--- a/tests/test_process_planned_stops.py
+++ b/tests/test_process_planned_stops.py
@@ -11,8 +11,8 @@
 
 from experiments.answers import CHAT_PATH, is_complete_answer, make_chat, read_error
 from experiments.fleet import CALLER_KEY, TOKEN, TargetSpec
+from experiments.soak.raw_requests import Exchange, read_answer
 from tests.process_fleet import make_engines, wait_until, with_fleet
-from tests.stop_clients import Exchange, read_answer
 
 HOLD_PATH = "/v1/services/booking/holds"
 SEATS_PATH = "/v1/services/booking/seats"
