Keep the signals of a process handled until it has ended

A daemon that had stopped in time, with nothing open, ended with status -15 on a second SIGTERM and with -1 on SIGHUP between its last line and the exit; one that got SIGTERM while it was starting ended by it as well. The platform sees a process that failed.

Cause: the signals were handled by the event loop alone. Before it runs, and once it is closed, they have their default action.

ProcessSignals handles them from the first line of the process, remembers those that come before the loop runs, and ignores them after the stop. galenapassd had a mechanism of its own for this, which is gone.

--- a/src/galenapass/daemon.py
+++ b/src/galenapass/daemon.py
@@ -4,13 +4,14 @@
 import contextlib
 import signal
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from pathlib import Path
-from types import FrameType
 from typing import TYPE_CHECKING, Any
 
 import click
 
+from galenapass.process_signals import ProcessSignals
+
 if TYPE_CHECKING:
     from galenapass.settings.daemon import DaemonSettings
 
@@ -20,9 +21,6 @@
 EXIT_FAULTS = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-_signals: list[int] = []
-_on_signal: list[Callable[[], object]] = []
-
 
 @click.command(name="galenapassd")
 @click.argument("file", type=click.Path(path_type=Path))
@@ -33,8 +31,7 @@
     1 when a port cannot be opened.
     """
     # The imports below are slow; a stop signal that arrives meanwhile must not be lost.
-    for number in SIGNALS:
-        signal.signal(number, _record_signal)
+    signals = ProcessSignals(SIGNALS)
     from galenapass.settings.daemon import read_daemon_settings
 
     settings = read_daemon_settings(file)
@@ -42,19 +39,16 @@
         for fault in settings.unwrap_err():
             click.echo(str(fault), err=True)
         sys.exit(EXIT_FAULTS)
-    sys.exit(asyncio.run(_serve(settings.unwrap())))
+    sys.exit(asyncio.run(_serve(settings.unwrap(), signals)))
 
 
-async def _serve(settings: "DaemonSettings") -> int:
+async def _serve(settings: "DaemonSettings", signals: ProcessSignals) -> int:
     from galenapass.assembly import Daemon
 
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    # Handlers of the loop would give way to the default ones when it is closed, and a
-    # signal from then on would end the process with another status.
-    _on_signal.append(lambda: loop.call_soon_threadsafe(stopping.set))
-    if _signals:
-        stopping.set()
+    for number in SIGNALS:
+        signals.subscribe(number, lambda: loop.call_soon_threadsafe(stopping.set))
     daemon = Daemon(settings)
     try:
         await _run_until(stopping, daemon.start())
@@ -63,8 +57,7 @@
         return EXIT_CANNOT_START
     finally:
         await daemon.stop()
-        for number in SIGNALS:
-            signal.signal(number, signal.SIG_IGN)
+        signals.ignore()
     return 0
 
 
@@ -79,11 +72,5 @@
     await stop
 
 
-def _record_signal(number: int, frame: FrameType | None) -> None:
-    _signals.append(number)
-    for call in _on_signal:
-        call()
-
-
 if __name__ == "__main__":
     main()
--- a/src/galenapass/platform/__main__.py
+++ b/src/galenapass/platform/__main__.py
@@ -4,11 +4,14 @@
 import os
 import signal
 
+from galenapass.process_signals import ProcessSignals
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def _run() -> None:
-    # SIGHUP ends the process by default, and importing the daemon takes most of a
-    # second; settings that change in that time are read after the import anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Importing the daemon takes most of a second.
+    signals = ProcessSignals(SIGNALS)
     # No connection here uses TLS, and the HTTP library would read every certificate
     # of the host on import.
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
@@ -18,7 +21,7 @@
 
     gc.freeze()
     gc.enable()
-    main()
+    main(obj=signals)
 
 
 if __name__ == "__main__":
--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -14,6 +14,7 @@
 from galenapass.logs import BoundedLog, make_log
 from galenapass.platform.assembly import PlatformDaemon
 from galenapass.platform.settings import HostSettings, read_host_settings
+from galenapass.process_signals import ProcessSignals
 
 __all__ = ["follow_settings", "main"]
 
@@ -36,7 +37,8 @@
     show_default=True,
     help="Port that serves the metrics on this host's address.",
 )
-def main(metrics_port: int) -> None:
+@click.pass_obj
+def main(signals: ProcessSignals, metrics_port: int) -> None:
     """Serve with the settings in the file that GALENAPASS_CONFIG names.
 
     Exit status: 0 after a graceful stop, 1 when a port cannot be opened,
@@ -44,16 +46,16 @@
     """
     BoundedLog(sys.stdout.fileno(), SystemClock()).open()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    sys.exit(asyncio.run(_serve(path, metrics_port)))
+    sys.exit(asyncio.run(_serve(path, metrics_port, signals)))
 
 
-async def _serve(path: Path, metrics_port: int) -> int:
+async def _serve(path: Path, metrics_port: int, signals: ProcessSignals) -> int:
     stopping = asyncio.Event()
     changed = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signals.subscribe(number, lambda: loop.call_soon_threadsafe(stopping.set))
+    signals.subscribe(signal.SIGHUP, lambda: loop.call_soon_threadsafe(changed.set))
     settings = read_host_settings(path)
     if settings.is_err():
         _log("settings are invalid", fault=str(settings.unwrap_err()))
@@ -71,6 +73,7 @@
     finally:
         settings_task.cancel()
         await daemon.stop()
+        signals.ignore()
     return 0
 
 
