Read a lease with odd values as one that nobody can claim

A lease object with a term too large for a duration ended the planner's duty on each read, and one whose fence is a text failed later, when it was compared.

Cause: the decoder caught three kinds of errors and passed values of any type. It reads them with the checks of the other entries now. The test failed before (OverflowError for a term of 2**63 ms); the lease stays unclaimable, as before for unreadable ones: the fence of its holder is unknown.

--- a/src/galenapass/systems/leases.py
+++ b/src/galenapass/systems/leases.py
@@ -12,6 +12,7 @@
 import orjson
 from result import Ok, Result
 
+from galenapass.json_values import DECODE_ERRORS, is_name, read_integer
 from galenapass.platform.messages import Failure, FailureCause, StoredObject
 from galenapass.systems.conditional_writes import (
     WriteOutcome,
@@ -336,14 +337,18 @@
 def _decode(body: str) -> LeaseValue | None:
     try:
         data = orjson.loads(body)
+        holder, nonce = data["holder"], data["nonce"]
+        if not (holder is None or is_name(holder)) or not isinstance(nonce, str):
+            return None
         return LeaseValue(
-            data["holder"],
-            data["incarnation"],
-            data["fence"],
-            timedelta(milliseconds=data["term_ms"]),
-            data["nonce"],
+            holder,
+            read_integer(data["incarnation"]),
+            read_integer(data["fence"]),
+            timedelta(milliseconds=read_integer(data["term_ms"])),
+            nonce,
         )
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
+        # Nobody can tell when such a lease ends, so it is never claimable.
         return None
 
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -13,8 +13,10 @@
     rule,
     run_state_machine_as_test,
 )
+from result import Ok
 from testtools import TestCase
 
+from galenapass.platform.messages import StoredObject
 from galenapass.systems import leases
 from galenapass.systems.leases import (
     LeaseRead,
@@ -319,6 +321,32 @@
         self.assertEqual(2, follower.lease.value.fence)
 
 
+class OddLeaseTest(TestCase):
+    def test_a_lease_with_an_odd_value_is_never_claimable(self):
+        good = {
+            "holder": "h2",
+            "incarnation": 1,
+            "fence": 3,
+            "term_ms": 1000,
+            "nonce": "n",
+        }
+        odd = [
+            {"term_ms": 2**63},
+            {"term_ms": "1000"},
+            {"fence": "3"},
+            {"holder": []},
+            {"incarnation": None},
+            {"nonce": 1},
+        ]
+        for change in odd:
+            process = Process(1, 1)
+            process.apply(LeaseTick(), timedelta(0))
+            stored = StoredObject("north", 1, orjson.dumps(good | change).decode())
+            process.apply(LeaseRead(Ok(stored)), timedelta(0))
+            now = process.offset + timedelta(days=1)
+            self.assertFalse(leases.is_claimable(process.lease, now), change)
+
+
 class LeaseMutationTest(TestCase):
     """The state machine must fail when a mechanism is disabled."""
 
