Refuse odd numbers and names in the answers of engines

A number too large in an engine's report ended the task that had asked for it, and the handle of a prefilled prompt was put into a header whatever it was.

The test failed before: a part without a name was accepted, and 1e400 raised OverflowError in the first case of the report.

--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
+from typing import Any
 
 import aiohttp
 import orjson
@@ -20,6 +21,13 @@
     TargetNotice,
     TargetResponse,
 )
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    describe_error,
+    describe_value,
+    is_name,
+    read_integer,
+)
 from galenapass.platform.headers import (
     ATTEMPT_ID,
     RETRY_AFTER,
@@ -62,7 +70,6 @@
     412: OrderOutcome.FENCED,
     421: OrderOutcome.MISDIRECTED,
 }
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 
 
 class RunnerClient:
@@ -130,13 +137,15 @@
                     refusal = _make_refusal(response)
                 if refusal is not None:
                     return Err(replace(refusal, run=Run.NOT_RUN))
-                handle = orjson.loads(body)["kv_handle"]
+                handle = _read_name(orjson.loads(body)["kv_handle"])
                 return Ok(f"{target.address}/{handle}")
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             failure = classify_error(error)
             return Err(Verdict(Run.NOT_RUN, failure.reason, failure.detail))
-        except _DECODE_ERRORS as error:
-            return Err(Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, repr(error)))
+        except DECODE_ERRORS as error:
+            return Err(
+                Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, describe_error(error))
+            )
 
     @asynccontextmanager
     async def run(
@@ -209,18 +218,20 @@
                     EngineState(
                         # Number of orders accepted since the runner's start; the
                         # field `seq` of the store's entry counts heartbeats.
-                        orders=int(data["seq"]),
+                        orders=read_integer(data["seq"]),
                         changing=bool(data["busy"]),
                         role=ROLES_BY_NAME.get(data["stage"], Role.MIXED),
                         incarnation=str(data.get("born", 0)),
-                        waiting=int(data.get("num_waiting", 0)),
-                        running=int(data.get("num_running", 0)),
+                        waiting=read_integer(data.get("num_waiting", 0)),
+                        running=read_integer(data.get("num_running", 0)),
                     )
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Err(classify_error(error))
-        except _DECODE_ERRORS as error:
-            return Err(Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, repr(error)))
+        except DECODE_ERRORS as error:
+            return Err(
+                Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, describe_error(error))
+            )
 
     async def fetch_parts(self, target: Target) -> Result[tuple[Part, ...], Verdict]:
         """Return the prompt parts that an engine caches; the call delays its work."""
@@ -231,11 +242,16 @@
                 self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response))
                 # Each row has an empty string, part, token count and model.
-                return Ok(tuple(Part(str(r[1]), int(r[2])) for r in data["held"]))
+                rows = data["held"]
+                return Ok(
+                    tuple(Part(_read_name(r[1]), read_integer(r[2])) for r in rows)
+                )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Err(classify_error(error))
-        except (*_DECODE_ERRORS, IndexError) as error:
-            return Err(Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, repr(error)))
+        except DECODE_ERRORS as error:
+            return Err(
+                Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, describe_error(error))
+            )
 
     def _report_notice(
         self,
@@ -334,3 +350,14 @@
         yield chunk
     if is_empty and not is_framed:
         raise aiohttp.ClientPayloadError("the connection ended after the head")
+
+
+def _read_name(value: Any) -> str:
+    """Return a name; raise ValueError for what cannot be sent in a header."""
+    if not is_name(value):
+        raise ValueError(f"{describe_value(value)} is no name")
+    return str(value)
+
+
+def _make_unreadable(error: Exception) -> Verdict:
+    return Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, describe_error(error))
--- a/tests/test_platform_malformed_responses.py
+++ b/tests/test_platform_malformed_responses.py
@@ -141,3 +141,35 @@
                 self.assertIs(Run.NOT_RUN, prefilled.err_value.run)
 
         asyncio.run(check())
+
+    def test_an_odd_number_or_name_of_an_engine_is_a_verdict(self):
+        async def call(body, ask):
+            async with asyncio.timeout(5), serve(200, body) as address:
+                client = RunnerClient(SystemClock())
+                try:
+                    return await ask(client, make_target("e1", address=address))
+                finally:
+                    await client.close()
+
+        async def fetch_state(client, target):
+            return await client.fetch_state(target)
+
+        async def fetch_parts(client, target):
+            return await client.fetch_parts(target)
+
+        async def prefill(client, target):
+            return await client.prefill(target, MESSAGE, SECOND, 0, None)
+
+        state = b'{"stage":"decode","busy":false,"seq":1,"num_waiting":%b}'
+        cases = [
+            *((fetch_state, state % value) for value in (b"1e400", b"1" * 400, b"[]")),
+            (fetch_parts, b'{"held":[["","p",1e400,"m"]]}'),
+            (fetch_parts, b'{"held":[["",[],1,"m"]]}'),
+            (prefill, rb'{"kv_handle":"h\r\nX-Other: 1"}'),
+            (prefill, b'{"kv_handle":[]}'),
+            (prefill, b"[" * 2000 + b"]" * 2000),
+        ]
+        for ask, body in cases:
+            result = asyncio.run(call(body, ask))
+            self.assertIsInstance(result, Err, body[:80])
+            self.assertIs(Run.NOT_RUN, result.err_value.run)
