--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -56,6 +56,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signals.subscribe(number, lambda: loop.call_soon_threadsafe(stopping.set))
     signals.subscribe(signal.SIGHUP, lambda: loop.call_soon_threadsafe(changed.set))
+    if signals.has_received(signal.SIGTERM) or signals.has_received(signal.SIGINT):
+        _log("daemon is stopped before its start")
+        signals.ignore()
+        return 0
     settings = read_host_settings(path)
     if settings.is_err():
         _log("settings are invalid", fault=str(settings.unwrap_err()))
--- a/src/galenapass/process_signals.py
+++ b/src/galenapass/process_signals.py
@@ -29,6 +29,10 @@
         if number in self._received:
             call()
 
+    def has_received(self, number: int) -> bool:
+        """Return whether a signal has come."""
+        return number in self._received
+
     def ignore(self) -> None:
         """Ignore the signals until the process ends."""
         for number in self._numbers:
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -244,3 +244,17 @@
 
     def test_a_second_sigterm_as_the_process_ends_leaves_its_status_0(self):
         self.check_signal(signal.SIGTERM)
+
+    def test_a_daemon_that_is_stopped_while_it_starts_ends_at_once(self):
+        async def scenario(host):
+            host.stop()
+            await host.wait_exit()
+            await host.environment.start_daemon(host.daemon.name)
+            # The interpreter runs, and the imports have begun.
+            await asyncio.sleep(0.3)
+            started_at = time.monotonic()
+            host.daemon.send(signal.SIGTERM)
+            self.assertEqual(0, await host.wait_exit())
+            self.assertLess(time.monotonic() - started_at, GRACE_SECONDS / 2)
+
+        run(scenario)
