--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -67,7 +67,7 @@
             raise
         finally:
             self.open -= 1
-        if self.stopping and not response.prepared and not _has_more(raw):
+        if self.stopping and not response.prepared and not _has_next(raw):
             response.force_close()
         # A stream that began before the stop did not say that its connection closes.
         if self.stopping and response.keep_alive is False:
@@ -187,7 +187,7 @@
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status and headers of a stream."""
         self.response = web.StreamResponse(status=status, headers=headers)
-        if self._is_stopping() and not _has_more(self._raw):
+        if self._is_stopping() and not _has_next(self._raw):
             self.response.force_close()
         self.began = True
         await self.response.prepare(self._raw)
@@ -224,7 +224,7 @@
     )
 
 
-def _has_more(raw: web.BaseRequest) -> bool:
+def _has_next(raw: web.BaseRequest) -> bool:
     """Return whether another request waits on the connection for its answer."""
     return isinstance(raw.protocol, ClientConnection) and raw.protocol.waiting > 0
 
