Keep an idle connection until its answers are written

Callers of a stopping host that took their answers slowly got a part of them.

Cause: an answer that fits into the buffer of its connection ends its handler, and the connection counts as idle. A fifth of a second after its sending side was closed such a connection was no longer counted, whatever was left in its buffer, and the process ended with it once no other connection was open.

The fifth of a second now begins when the buffer is empty; until then the connection counts, up to the end of the stop.

Evidence: a caller that sends requests and reads no answer until the server's buffer holds one. The test failed before: no connection was counted while bytes were unwritten.

--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -52,11 +52,17 @@
         return int(self.transport.get_write_buffer_size())
 
     def close_idle(self) -> None:
-        """Close the sending side, ignore what arrives, and close soon after."""
+        """Close the sending side, ignore what arrives, and close once all is taken."""
         self.close()
         if self.transport is not None and not self.transport.is_closing():
             _close_sending_side(self.transport)
-        self._loop.call_later(LINGER_TIME.total_seconds(), self.force_close)
+        self._close_when_written()
+
+    def _close_when_written(self) -> None:
+        delay, act = LINGER_TIME, self.force_close
+        if self.unwritten:
+            delay, act = FLUSH_POLL, self._close_when_written
+        self._loop.call_later(delay.total_seconds(), act)
 
 
 class ClientServer(web.Server):
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from testtools import TestCase
 
-from galenapass.http_connections import ClientServer, close_after
+from galenapass.http_connections import LINGER_TIME, ClientServer, close_after
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
 BODY_BYTES = 6 * 2**20
@@ -147,3 +147,29 @@
             self.assertEqual(b"", await kept_reader.read())
 
         run(scenario, handle)
+
+    def test_an_idle_connection_stays_until_its_answer_is_written(self):
+        answers = []
+
+        async def handle(raw):
+            answers.append(raw.path)
+            return web.Response(body=bytes(2**14))
+
+        async def scenario(server, connect):
+            reader, writer = await connect(limit=2**12)
+            # The client takes no answer until the server's buffer holds one.
+            while not server.count().unwritten:
+                writer.write(REQUEST % len(answers))
+                await asyncio.sleep(0.001)
+            (connection,) = server.connections
+            await wait_for(lambda: connection.is_idle)
+            server.close_idle()
+            await asyncio.sleep(2 * LINGER_TIME.total_seconds())
+            self.assertEqual(1, server.count().connections)
+            for _ in answers:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2**14)
+            self.assertEqual(b"", await reader.read())
+            await wait_for(lambda: not server.count().connections)
+
+        run(scenario, handle)
