Reset the connection of a stream that is cut for an HTTP/1.0 caller

Callers that speak HTTP/1.0 took a stream that was cut at the end of a stop, or at its deadline, for complete.

Cause: the body of such an answer has no length and no chunks and ends with its connection, and a stream was cut by closing the connection. The connection is reset now; a chunked body still ends without its last chunk.

Evidence: the test reads a stream that is longer than the grace period.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -14,7 +14,12 @@
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
 from galenapass.forwarding.target_messages import ClientRequest
-from galenapass.http_connections import ClientConnection, ClientServer, close_after
+from galenapass.http_connections import (
+    ClientConnection,
+    ClientServer,
+    close_after,
+    cut_connection,
+)
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
 from galenapass.verdicts import Reason, Run, Verdict
@@ -204,8 +209,7 @@
 
     def abort(self) -> None:
         """Close the connection so that the body is seen to be cut short."""
-        if self._raw.transport is not None:
-            self._raw.transport.close()
+        cut_connection(self._raw)
 
 
 def make_server(handler: RequestHandler) -> ClientServer:
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -1,15 +1,23 @@
 """Serve HTTP connections whose state a graceful stop can see."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from galenapass.logs import make_log
 
-__all__ = ["ClientConnection", "ClientServer", "ConnectionCounts", "close_after"]
+__all__ = [
+    "ClientConnection",
+    "ClientServer",
+    "ConnectionCounts",
+    "close_after",
+    "cut_connection",
+]
 
 # Time for a client to close its side of a connection that is closed here. Data that
 # arrives on a closed socket resets the connection, and an answer on its way is lost.
@@ -116,6 +124,20 @@
     await asyncio.sleep(LINGER_TIME.total_seconds())
 
 
+def cut_connection(raw: web.BaseRequest) -> None:
+    """Close the connection of a request so that its answer is seen to be cut short."""
+    transport = raw.transport
+    if transport is None:
+        return
+    if raw.version >= HttpVersion11:
+        transport.close()
+        return
+    # A closed connection is how an answer without chunks ends, so it is reset instead.
+    client_socket = transport.get_extra_info("socket")
+    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
+
+
 def _close_sending_side(transport: Any) -> None:
     try:
         transport.write_eof()
@@ -124,4 +146,6 @@
         _log("connection was reset", error=repr(error))
 
 
+# Lingering is on, for 0 s.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _SERVER_OPTIONS = frozenset({"request_factory", "handler_cancellation", "loop"})
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -228,3 +228,22 @@
             await host.wait_exit()
 
         run(scenario, event_seconds=1.1)
+
+
+class TestCutStreams(TestCase):
+    def test_a_cut_stream_of_an_http_1_0_caller_does_not_look_complete(self):
+        async def scenario(host):
+            reader, writer = await asyncio.open_connection(
+                host.daemon.ip, host.daemon.front_port
+            )
+            request = make_request("/once/1", "old", DEADLINE_MS)
+            writer.write(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await asyncio.sleep(0.3)
+            host.stop()
+            await reader.readuntil(b"id: 1")
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+            await host.wait_exit()
+            writer.close()
+
+        run(scenario, event_seconds=1.9)
