Expect the time to read a prompt where output is generated

Callers of a stopping host could wait for answers that were cut at its end, as the host started requests too late.

Cause: where one engine reads the prompt and generates, only the time from the first event on was recorded, and a request without samples of reading was expected to take that time alone.

The time to the first event is recorded as that of the reading now, and work whose reading time is unknown is unknown.

Evidence: the test serves eight requests of 2.1 s, of which 2 s are reading.

--- a/src/galenapass/forwarding/answer_times.py
+++ b/src/galenapass/forwarding/answer_times.py
@@ -60,9 +60,8 @@
         last = self._expect_stage(request, _LAST_STAGES.get(stage, stage))
         if last is None or stage is not Stage.PREFILL:
             return last
-        # Engines that also generate output need no prefill of its own.
         prefill = self._expect_stage(request, stage)
-        return last if prefill is None else last + prefill
+        return None if prefill is None else last + prefill
 
     def _expect_stage(
         self, request: ForwardedRequest, stage: Stage
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -180,12 +180,14 @@
         send: Send,
         stage: Stage,
     ) -> Result[None, Verdict]:
-        """Run a request at a target, and learn how long its last stage takes."""
+        """Run a request at a target, and learn how long its stages take."""
         self._open_requests.record_start(request)
         started = self._clock.monotonic()
         outcome = await self._sender.run(request, message, sink, send)
         if isinstance(outcome, Ok):
             began = send.slot.first_output_at if stage is Stage.PREFILL else None
+            if began is not None:
+                self._answer_times.record(request, stage, began - started)
             took = self._clock.monotonic() - (began or started)
             last = Stage.DECODE if stage is Stage.PREFILL else stage
             self._answer_times.record(request, last, took)
--- a/tests/test_forwarding_stops.py
+++ b/tests/test_forwarding_stops.py
@@ -1,18 +1,31 @@
 """Test which requests a stopping host starts, and how it ends those it has."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
+from result import Ok
 from testtools import TestCase
 
 from galenapass.clocks import BootClock, ManualClock
 from galenapass.forwarding.answer_times import AnswerTimes, ExpectedTime
 from galenapass.forwarding.open_requests import OpenRequests
+from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import Part, Prompt
-from galenapass.forwarding.slot_requests import Stage
+from galenapass.forwarding.retry_budgets import RetryBudgetTerms
+from galenapass.forwarding.slot_client import Slot
+from galenapass.forwarding.slot_requests import Grant, Stage
 from galenapass.forwarding.stop_times import find_latest_start, plan_stop
+from galenapass.forwarding.target_messages import ClientRequest, TargetResponse
+from galenapass.tables.targets import Role
 from galenapass.verdicts import Reason, Run
-from tests.forwarding_fakes import MS, make_request
+from tests.forwarding_fakes import (
+    MS,
+    make_fleet,
+    make_request,
+    make_suspects,
+    make_target,
+)
 
 SECOND = timedelta(seconds=1)
 
@@ -158,3 +171,69 @@
                 return open_requests.may_start(request)
 
         self.assertFalse(asyncio.run(scenario()))
+
+
+class FakeEngine:
+    """Engine that reads prompts and generates; a manual clock passes meanwhile."""
+
+    def __init__(self, clock, read_time, output_time):
+        self._clock = clock
+        self._read_time = read_time
+        self._output_time = output_time
+
+    async def acquire(self, slot_request):
+        grant = Grant(
+            slot_request.ticket, make_target("e1", Role.DECODE), 1.0, 0.0, 0, 0.0, ""
+        )
+        return Ok(Slot(grant, slot_request.stage, self._clock, lambda release: None))
+
+    @contextlib.asynccontextmanager
+    async def run(self, target, message, time_left, **options):
+        yield Ok(TargetResponse(200, [], True, self._generate()))
+
+    async def _generate(self):
+        self._clock.advance(self._read_time)
+        yield b"id: 1\ndata: t1\n\n"
+        self._clock.advance(self._output_time)
+        yield b"id: 2\ndata: t2\n\n"
+
+
+class FakeSink:
+    began = False
+
+    async def begin(self, status, headers):
+        self.began = True
+
+    async def write(self, events):
+        pass
+
+    async def finish(self):
+        pass
+
+
+class TestRelay(TestCase):
+    def serve(self, relay, clock):
+        request = make_request(arrived=clock.monotonic() // MS, patience=60_000)
+        message = ClientRequest("r1", "POST", "/notes/1", "a.example", (), b"")
+        return asyncio.run(relay.serve(request, message, FakeSink()))
+
+    def test_the_time_to_read_a_prompt_counts_where_output_is_generated(self):
+        clock = ManualClock()
+        engine = FakeEngine(clock, 2 * SECOND, 100 * MS)
+        relay = Relay(
+            make_fleet(make_target("e1", Role.DECODE)),
+            engine,
+            engine,
+            make_suspects("host-1", clock),
+            clock,
+            RetryBudgetTerms(),
+            on_left=lambda target: None,
+            on_limit_change=lambda: None,
+            on_limited_send=lambda target, stage: None,
+        )
+        for _ in range(8):
+            self.assertTrue(self.serve(relay, clock).is_ok())
+        relay.begin_stop(plan_stop(clock.monotonic(), 10 * SECOND))
+        clock.advance(7.2 * SECOND)
+        verdict = self.serve(relay, clock).unwrap_err()
+        self.assertEqual((Run.NOT_RUN, Reason.STOPPING), (verdict.run, verdict.reason))
