Answer the open requests of a host that was suspended in its stop

Callers whose requests were open got no answer when the host was suspended beyond the end of a planned stop.

Cause: the stop ends by a clock that counts a suspension, and the timers that end open requests by the clock of the event loop, which does not. The process ended first and closed the connections.

A stop that ends with open requests sets their timers again, which are due then, and lets the answers be written before it goes on.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -233,6 +233,10 @@
         while not self._is_unconnected() and self.clock.monotonic() < times.exit_by:
             self._client_server.close_idle()
             await asyncio.sleep(STOP_POLL.total_seconds())
+        if self.request_handler.open:
+            # The host was suspended, which the timers of open requests do not count.
+            self.relay.begin_stop(times)
+            await asyncio.sleep(STOP_POLL.total_seconds())
         for task in [*self._tasks, *self._scheduling_tasks]:
             task.cancel()
         self._log_stop("daemon has stopped")
