--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -222,11 +222,13 @@
     def _record_answer_time(
         self, request: ForwardedRequest, send: Send, started: timedelta
     ) -> None:
-        """Learn how long the last stage of a request took."""
+        """Learn how long the last stages of a request took."""
         stage = Stage.DECODE if self._generates(request) else Stage.CALL
-        if stage is Stage.DECODE and send.source is None:
+        began = send.slot.first_output_at
+        if stage is Stage.DECODE and send.source is None and began is not None:
             # Before its first output the engine read the prompt.
-            started = send.slot.first_output_at or started
+            self._answer_times.record(request, Stage.PREFILL, began - started)
+            started = began
         took = self._clock.monotonic() - started
         self._answer_times.record(request, stage, took)
 
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -1,19 +1,31 @@
 """Serve HTTP connections whose state a graceful stop can see."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
-__all__ = ["ClientConnection", "ClientServer", "ConnectionCounts", "close_after"]
+from galenapass.logs import make_log
+
+__all__ = [
+    "ClientConnection",
+    "ClientServer",
+    "ConnectionCounts",
+    "close_after",
+    "cut_connection",
+]
 
 # Time for a client to close its side of a connection that is closed here. Data that
 # arrives on a closed socket resets the connection, and an answer on its way is lost.
 LINGER_TIME = timedelta(milliseconds=200)
 FLUSH_POLL = timedelta(milliseconds=20)
 
+_log = make_log("connections")
+
 
 @dataclass(slots=True, frozen=True)
 class ConnectionCounts:
@@ -48,11 +60,17 @@
         return int(self.transport.get_write_buffer_size())
 
     def close_idle(self) -> None:
-        """Close the sending side, ignore what arrives, and close soon after."""
+        """Close the sending side, ignore what arrives, and close once all is taken."""
         self.close()
         if self.transport is not None and not self.transport.is_closing():
-            _end_sending(self.transport)
-        self._loop.call_later(LINGER_TIME.total_seconds(), self.force_close)
+            _close_sending_side(self.transport)
+        self._close_when_written()
+
+    def _close_when_written(self) -> None:
+        delay, act = LINGER_TIME, self.force_close
+        if self.unwritten:
+            delay, act = FLUSH_POLL, self._close_when_written
+        self._loop.call_later(delay.total_seconds(), act)
 
 
 class ClientServer(web.Server):
@@ -107,16 +125,37 @@
         return
     await response.prepare(raw)
     await response.write_eof()
-    _end_sending(transport)
+    _close_sending_side(transport)
     while transport.get_write_buffer_size():  # type: ignore[attr-defined]
         await asyncio.sleep(FLUSH_POLL.total_seconds())
     await asyncio.sleep(LINGER_TIME.total_seconds())
 
 
-def _end_sending(transport: Any) -> None:
+def cut_connection(raw: web.BaseRequest) -> None:
+    """Close the connection of a request so that its answer is seen to be cut short."""
+    transport = raw.transport
+    if transport is None:
+        return
+    if raw.version >= HttpVersion11:
+        transport.close()
+        return
+    # A closed connection is how an answer without chunks ends, so it is reset instead.
+    client_socket = transport.get_extra_info("socket")
+    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
+
+
+def _close_sending_side(transport: Any) -> None:
     # TLS has no half-closed connections.
-    if transport.can_write_eof():
+    if not transport.can_write_eof():
+        return
+    try:
         transport.write_eof()
+    except OSError as error:
+        # The client has reset the connection, and the event loop does not know yet.
+        _log("connection was reset", error=repr(error))
 
 
+# Lingering is on, for 0 s.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _SERVER_OPTIONS = frozenset({"request_factory", "handler_cancellation", "loop"})
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 from aiohttp import web
 from testtools import TestCase
 
-from galenapass.http_connections import ClientServer, close_after
+from galenapass.http_connections import LINGER_TIME, ClientServer, close_after
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: a.example\r\n\r\n"
 BODY_BYTES = 6 * 2**20
@@ -158,3 +160,48 @@
             connection.connection_lost(None)
 
         asyncio.run(main())
+
+    def test_a_connection_that_its_client_reset_does_not_end_the_closing(self):
+        async def handle(raw):
+            return web.Response()
+
+        async def scenario(server, connect):
+            kept_reader, kept = await connect()
+            client = socket.create_connection(kept.get_extra_info("peername"))
+            await wait_for(lambda: server.count().connections == 2)
+            await asyncio.sleep(0.05)
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            # Resets at once, before the server's event loop can see it.
+            client.close()
+            server.close_idle()
+            self.assertEqual(b"", await kept_reader.read())
+
+        run(scenario, handle)
+
+    def test_an_idle_connection_stays_until_its_answer_is_written(self):
+        answers = []
+
+        async def handle(raw):
+            answers.append(raw.path)
+            return web.Response(body=bytes(2**14))
+
+        async def scenario(server, connect):
+            reader, writer = await connect(limit=2**12)
+            # The client takes no answer until the server's buffer holds one.
+            while not server.count().unwritten:
+                writer.write(REQUEST % len(answers))
+                await asyncio.sleep(0.001)
+            (connection,) = server.connections
+            await wait_for(lambda: connection.is_idle)
+            server.close_idle()
+            await asyncio.sleep(2 * LINGER_TIME.total_seconds())
+            self.assertEqual(1, server.count().connections)
+            for _ in answers:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2**14)
+            self.assertEqual(b"", await reader.read())
+            await wait_for(lambda: not server.count().connections)
+
+        run(scenario, handle)
