--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -21,7 +21,7 @@
 
 # Time for a client to close its side of a connection that is closed here. Data that
 # arrives on a closed socket resets the connection, and an answer on its way is lost.
-LINGER_TIME = timedelta(milliseconds=200)
+LINGER_TIME = timedelta(milliseconds=100)
 FLUSH_POLL = timedelta(milliseconds=20)
 
 _log = make_log("connections")
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -64,6 +64,9 @@
     def is_closing(self):
         return False
 
+    def get_write_buffer_size(self):
+        return 0
+
     def close(self):
         self.closed.set()
 
