Refuse a request whose body does not arrive before a stop ends

A caller whose body was on its way when the process ended got no byte: status 0, and the connection closed 5.76 s after SIGTERM of a grace period of 6 s (found in review).

Cause: the end of a stop bounded requests from the moment at which they had been read.

Bodies are bounded by the end of the answers as well, and the request is refused as not run, which is true, so that calls that may run once can be sent again. The test failed before.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -1,5 +1,6 @@
 """Handle HTTP requests of clients and write the responses."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from random import Random
@@ -13,6 +14,7 @@
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
+from galenapass.forwarding.stop_times import StopTimes
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
     ClientConnection,
@@ -39,7 +41,7 @@
 class RequestHandler:
     """HTTP handler of the clients' port.
 
-    ``open`` counts the requests in progress; while ``stopping`` is set, responses close
+    ``open`` counts the requests in progress; once ``stopping`` is set, responses close
     their connections.
     """
 
@@ -60,6 +62,15 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._stop_times: StopTimes | None = None
+        self._body_timers: set[asyncio.Timeout] = set()
+
+    def begin_stop(self, times: StopTimes) -> None:
+        """Close connections by their next answers, and bound bodies on their way."""
+        self.stopping = True
+        self._stop_times = times
+        for timer in self._body_timers:
+            self._bound_body(timer)
 
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return its response."""
@@ -90,7 +101,10 @@
             _log("no route", host=host, path=raw.raw_path, version=table.version)
             return web.Response(status=404)
         metadata = self._decode_metadata(raw.headers)
-        body = await _read_body(raw, table.limits.body_bytes)
+        try:
+            body = await self._read_body(raw, table.limits.body_bytes)
+        except TimeoutError:
+            return self._refuse(raw, _BODY_TOO_LATE, None)
         if body is None:
             return web.Response(status=413)
         request = self._make_request(raw, route, metadata, body, arrived)
@@ -113,6 +127,23 @@
             return sink.response
         return self._refuse(raw, outcome.unwrap_err(), request)
 
+    async def _read_body(self, raw: web.BaseRequest, limit: int) -> bytes | None:
+        """Read a body; raise TimeoutError if it is not whole as the answers end."""
+        async with asyncio.timeout(None) as timer:
+            self._body_timers.add(timer)
+            try:
+                self._bound_body(timer)
+                return await _read_body(raw, limit)
+            finally:
+                self._body_timers.discard(timer)
+
+    def _bound_body(self, timer: asyncio.Timeout) -> None:
+        if self._stop_times is None or timer.expired():
+            return
+        time_left = self._stop_times.answer_until - self._clock.monotonic()
+        end = asyncio.get_running_loop().time() + time_left.total_seconds()
+        timer.reschedule(end)
+
     def _make_request(
         self,
         raw: web.BaseRequest,
@@ -261,6 +292,9 @@
     return digest.hexdigest()
 
 
+_BODY_TOO_LATE = Verdict(
+    Run.NOT_RUN, Reason.STOPPING, "the body did not arrive before this host stopped"
+)
 _NO_ROUTES = Verdict(
     Run.NOT_RUN, Reason.NOT_CONFIGURED, "no configuration is known yet"
 )
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -190,6 +190,21 @@
 
         run(scenario)
 
+    def test_a_body_that_never_arrives_whole_is_refused_before_the_end(self):
+        async def scenario(host):
+            early, late = await host.connect(), await host.connect()
+            first, _ = early.write("/hold/1", b"x" * 1000, cut=-500)
+            await asyncio.sleep(0.1)
+            host.stop()
+            await host.wait_until(0.5)
+            second, _ = late.write("/hold/2", b"x" * 1000, cut=-500)
+            for caller, exchange in ((early, first), (late, second)):
+                await caller.read(exchange)
+                self.assertEqual((503, True), (exchange.status, exchange.is_whole))
+            self.assertEqual(0, await host.wait_exit())
+
+        run(scenario)
+
     def test_an_answer_that_is_read_slowly_arrives_whole(self):
         async def scenario(host):
             size = 6 * 2**20
