Read the good items of the object API beside an odd one

One item of a listing nested too deeply, with a number too large, NaN, text that is not UTF-8, or a name or version of a wrong type made the whole listing or host list end as a failure; as a change it ended the watch, which reconnected to the same change again and again, so that a daemon no longer followed any change behind it. A reader also got bodies that were no text. The object client read each answer as a whole and raised at the first item. It now reads answers with the mechanism of the store client, which moves to json_values: an answer that the decoder refuses is split, and its items are read one by one. An item without a readable name or version is logged and left out; a body that is no text is logged and empty, which names nothing.

--- a/src/galenapass/json_values.py
+++ b/src/galenapass/json_values.py
@@ -7,21 +7,28 @@
 import math
 import re
 import reprlib
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any, TypeVar
 
 import orjson
 from result import Err, Ok, Result
 
 __all__ = [
     "DECODE_ERRORS",
+    "Unreadable",
     "decode_json",
+    "decode_members",
     "describe_error",
     "describe_value",
     "is_name",
+    "read_each",
     "read_integer",
+    "read_name",
     "read_number",
     "split_array",
+    "split_elements",
+    "split_members",
     "split_object",
 ]
 
@@ -40,12 +47,22 @@
 MAX_NAME_CHARACTERS = 256
 MAX_DESCRIPTION_CHARACTERS = 200
 
+Read = TypeVar("Read")
+
 # Strings, runs of opening or closing brackets, and commas. Possessive repeats, and a
 # string without an end that takes all of the rest, keep the scan linear.
 _TOKENS = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{]+|[\]}]+|,', re.DOTALL)
 _KEY = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
 
 
+@dataclass(slots=True, frozen=True)
+class Unreadable:
+    """Value in a text that is not valid JSON."""
+
+    text: bytes
+    reason: str
+
+
 def decode_json(text: bytes | str) -> Result[Any, str]:
     """Return the value of a text, or why it is not valid JSON."""
     try:
@@ -73,6 +90,46 @@
     return list(_split(text, b"[", b"]"))
 
 
+def decode_members(text: bytes) -> Any:
+    """Return the value of a text, or its members if it is not valid JSON.
+
+    Members that cannot be read are ``Unreadable``; raise ValueError without members.
+    """
+    value = _decode_value(text)
+    return split_members(value) if isinstance(value, Unreadable) else value
+
+
+def split_members(value: Any) -> Any:
+    """Return the members of an unreadable object, of which one is unreadable."""
+    if not isinstance(value, Unreadable):
+        return value
+    try:
+        members = split_object(value.text)
+    except ValueError as error:
+        raise ValueError(value.reason) from error
+    return {key: _decode_value(member) for key, member in members.items()}
+
+
+def split_elements(value: Any) -> list[Any]:
+    """Return the elements of an array, also if some of them are unreadable."""
+    if not isinstance(value, Unreadable):
+        return list(value)
+    return [_decode_value(element) for element in split_array(value.text)]
+
+
+def read_each(
+    read: Callable[[Any], Read], elements: Iterable[Any], skip: Callable[[str], None]
+) -> list[Read]:
+    """Return what is read from each element; pass errors of the others to ``skip``."""
+    values = []
+    for element in elements:
+        try:
+            values.append(read(element))
+        except DECODE_ERRORS as error:
+            skip(describe_error(error))
+    return values
+
+
 def read_integer(value: Any) -> int:
     """Return an integer of 64 bits; raise ValueError for any other value."""
     if type(value) is not int or not MIN_INTEGER <= value <= MAX_INTEGER:
@@ -87,6 +144,13 @@
     return float(value)
 
 
+def read_name(value: Any) -> str:
+    """Return a text that can name an object; raise ValueError for any other value."""
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"the name is {describe_value(value)}")
+    return value
+
+
 def is_name(value: Any) -> bool:
     """Return whether a value is a text that can be logged, sent and compared."""
     return (
@@ -106,6 +170,13 @@
     return f"{type(error).__name__}: {error}"[:MAX_DESCRIPTION_CHARACTERS]
 
 
+def _decode_value(text: bytes) -> Any:
+    decoded = decode_json(text)
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    return Unreadable(text, decoded.err_value)
+
+
 def _split(text: bytes, opening: bytes, closing: bytes) -> Iterator[bytes]:
     text = text.strip()
     if not (text.startswith(opening) and text.endswith(closing)):
--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -6,13 +6,23 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TypeVar
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import aiohttp
-import orjson
 from result import Err, Ok, Result
 
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_members,
+    describe_error,
+    describe_value,
+    read_each,
+    read_integer,
+    read_name,
+    split_elements,
+    split_members,
+)
 from galenapass.logs import make_log
 from galenapass.platform.messages import (
     Failure,
@@ -42,7 +52,6 @@
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
-_DECODE_ERRORS = (ValueError, KeyError, TypeError)
 
 _CAUSES_BY_STATUS = {
     404: FailureCause.NOT_FOUND,
@@ -55,7 +64,7 @@
 class _Response:
     status: int
     headers: Mapping[str, str]
-    text: str
+    text: bytes
 
 
 class ResponseLostError(aiohttp.ClientError):
@@ -65,8 +74,10 @@
 class ObjectClient:
     """Client of the object API on behalf of one host.
 
-    Calls return a failure instead of raising an error. ``count`` is called with the
-    kind of each call when it is sent.
+    Calls return a failure instead of raising an error. An item of a listing or a
+    watch whose name or version cannot be read is logged and left out; a body that
+    cannot be read is empty. ``count`` is called with the kind of each call when it is
+    sent.
     """
 
     __slots__ = ("_base", "_count", "_headers", "_rng", "_session", "_timeout")
@@ -99,7 +110,7 @@
     async def read(self, kind: str, name: str) -> Result[StoredObject, Failure]:
         """Return one object."""
         return await self._call(
-            "read", "GET", _make_path(kind, name), lambda r: _read_stored(name, r)
+            "read", "GET", _make_path(kind, name), lambda r: _read_single(name, r)
         )
 
     async def write(
@@ -121,7 +132,7 @@
     async def list(self, kind: str) -> Result[ObjectListing, Failure]:
         """Return every object of a kind."""
         path = f"/objects/{quote(kind, safe='')}"
-        return await self._call("list", "GET", path, _read_listing)
+        return await self._call("list", "GET", path, lambda r: _read_listing(kind, r))
 
     async def list_hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
         """Return the platform's list of live and leaving hosts, which lags behind."""
@@ -137,8 +148,10 @@
                         attempt = 0
                         after = max(after, change.version)
                         yield change
-            except (*_TRANSPORT_ERRORS, *_DECODE_ERRORS) as error:
-                _log("watch failed", kind=kind, after=after, error=_describe(error))
+            except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
+                _log(
+                    "watch failed", kind=kind, after=after, error=describe_error(error)
+                )
             pause = compute_retry_delay(attempt, self._rng)
             attempt += 1
             await asyncio.sleep(pause.total_seconds())
@@ -152,6 +165,7 @@
             sock_connect=CONNECT_TIMEOUT.total_seconds(),
             sock_read=WATCH_READ_TIMEOUT.total_seconds(),
         )
+        skip = _make_skip(kind)
         url = f"{self._base}/watch/{quote(kind, safe='')}?after={after}"
         async with self._open_session().get(url, timeout=timeout) as response:
             response.raise_for_status()
@@ -159,7 +173,8 @@
                 max_line_length=MAX_WATCH_LINE_BYTES
             ):
                 if line.strip():
-                    yield _read_change(line)
+                    for change in read_each(_read_change, [line], skip):
+                        yield change
 
     async def _call(
         self,
@@ -177,13 +192,13 @@
                 method, self._base + path, headers=headers, data=data
             ) as response:
                 reply = _Response(
-                    response.status, response.headers, await response.text()
+                    response.status, response.headers, await response.read()
                 )
                 return Ok(parse(reply)) if reply.status == 200 else _map_error(reply)
         except _CONNECT_ERRORS as error:
-            return Err(Failure(FailureCause.UNAVAILABLE, detail=_describe(error)))
-        except (*_TRANSPORT_ERRORS, *_DECODE_ERRORS) as error:
-            return Err(Failure(FailureCause.UNKNOWN, detail=_describe(error)))
+            return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
+        except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
+            return Err(Failure(FailureCause.UNKNOWN, detail=describe_error(error)))
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -216,11 +231,6 @@
         raise ResponseLostError(repr(error)) from error
 
 
-def _describe(error: Exception) -> str:
-    # The repr of some errors contains the request's headers, including the token.
-    return f"{type(error).__name__}: {error}"
-
-
 def _make_timeout(total: timedelta) -> aiohttp.ClientTimeout:
     seconds = total.total_seconds()
     connect = min(CONNECT_TIMEOUT.total_seconds(), seconds)
@@ -240,7 +250,8 @@
 def _map_error(response: _Response) -> Err[Failure]:
     cause = _CAUSES_BY_STATUS.get(response.status, FailureCause.UNKNOWN)
     current = _read_etag(response) if cause is FailureCause.CONFLICT else None
-    return Err(Failure(cause, current, f"{response.status} {response.text[:200]}"))
+    detail = f"{response.status} {response.text[:200].decode(errors='replace')}"
+    return Err(Failure(cause, current, detail))
 
 
 def _require_version(response: _Response) -> int:
@@ -255,32 +266,79 @@
     return int(digits) if digits.isdigit() else None
 
 
-def _read_stored(name: str, response: _Response) -> StoredObject:
-    return StoredObject(name, _require_version(response), response.text)
+def _read_single(name: str, response: _Response) -> StoredObject:
+    return StoredObject(name, _require_version(response), response.text.decode())
+
 
+def _read_listing(kind: str, response: _Response) -> ObjectListing:
+    data = decode_members(response.text)
+    elements = split_elements(data["items"])
+    items = read_each(_read_stored, elements, _make_skip(kind))
+    return ObjectListing(read_integer(data["version"]), tuple(items))
 
-def _read_listing(response: _Response) -> ObjectListing:
-    data = orjson.loads(response.text)
-    items = (StoredObject(i["name"], i["version"], i["body"]) for i in data["items"])
-    return ObjectListing(data["version"], tuple(items))
+
+def _read_stored(value: Any) -> StoredObject:
+    data = split_members(value)
+    name = read_name(data["name"])
+    return StoredObject(name, read_integer(data["version"]), _read_body(name, data))
 
 
 def _read_change(line: bytes) -> ObjectChange:
-    data = orjson.loads(line)
-    deleted = bool(data.get("deleted"))
-    return ObjectChange(data["name"], data["version"], data.get("body") or "", deleted)
+    data = decode_members(line)
+    deleted = _read_flag(data.get("deleted", False))
+    name, version = read_name(data["name"]), read_integer(data["version"])
+    return ObjectChange(
+        name, version, "" if deleted else _read_body(name, data), deleted
+    )
+
+
+def _read_flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{describe_value(value)} is no boolean")
+    return value
+
+
+def _read_body(name: str, data: Mapping[str, Any]) -> str:
+    body = data.get("body")
+    if isinstance(body, str):
+        return body
+    _log("body is unreadable", object=name, error=f"it is {describe_value(body)}")
+    return ""
 
 
 def _read_hosts(response: _Response) -> tuple[ListedHost, ...]:
-    rows = orjson.loads(response.text)["hosts"]
-    return tuple(
-        ListedHost(
-            id=row["id"],
-            kind=row["kind"],
-            address=row["address"],
-            domain=row["domain"],
-            leaving=row["state"] == "leaving",
-            incarnation=row.get("incarnation", 0),
-        )
-        for row in rows
+    rows = split_elements(decode_members(response.text)["hosts"])
+    return tuple(read_each(_read_host, rows, _skip_host))
+
+
+def _read_host(value: Any) -> ListedHost:
+    row = split_members(value)
+    kind, address, domain, state = (
+        _read_text(row[field]) for field in ("kind", "address", "domain", "state")
     )
+    return ListedHost(
+        id=read_name(row["id"]),
+        kind=kind,
+        address=address,
+        domain=domain,
+        leaving=state == "leaving",
+        incarnation=_read_incarnation(row.get("incarnation", 0)),
+    )
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{describe_value(value)} is no text")
+    return value
+
+
+def _read_incarnation(value: Any) -> int | str:
+    return value if isinstance(value, str) else read_integer(value)
+
+
+def _make_skip(kind: str) -> Callable[[str], None]:
+    return lambda error: _log("item is left out", kind=kind, error=error)
+
+
+def _skip_host(error: str) -> None:
+    _log("host is left out", error=error)
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -14,12 +14,15 @@
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.json_values import (
     DECODE_ERRORS,
-    decode_json,
+    Unreadable,
+    decode_members,
     describe_error,
     describe_value,
+    read_each,
     read_integer,
-    split_array,
-    split_object,
+    read_name,
+    split_elements,
+    split_members,
 )
 from galenapass.logs import make_log
 from galenapass.platform.headers import parse_integer
@@ -236,7 +239,7 @@
 def _read_current_version(text: bytes) -> int | None:
     """Return the object's version that a conflict reports, or None if unreadable."""
     try:
-        return _read_version(_decode_members(text))
+        return _read_version(decode_members(text))
     except DECODE_ERRORS:
         return None
 
@@ -251,67 +254,26 @@
         return Err(Failure(FailureCause.UNKNOWN, detail=detail))
 
 
-@dataclass(slots=True, frozen=True)
-class _Unreadable:
-    """Value in a response that is not valid JSON."""
-
-    text: bytes
-    reason: str
-
-
-def _decode_value(text: bytes) -> Any:
-    decoded = decode_json(text)
-    if isinstance(decoded, Ok):
-        return decoded.ok_value
-    return _Unreadable(text, decoded.err_value)
-
-
-def _decode_members(text: bytes) -> Any:
-    """Return the value of a text, or its members if it is not valid JSON."""
-    value = _decode_value(text)
-    return _split_members(value) if isinstance(value, _Unreadable) else value
-
-
-def _split_members(value: Any) -> Any:
-    """Return the members of an unreadable object, of which one is unreadable."""
-    if not isinstance(value, _Unreadable):
-        return value
-    try:
-        members = split_object(value.text)
-    except ValueError as error:
-        raise ValueError(value.reason) from error
-    return {key: _decode_value(member) for key, member in members.items()}
-
-
-def _split_elements(value: Any) -> list[Any]:
-    """Return the elements of an array, also if some of them are unreadable."""
-    if not isinstance(value, _Unreadable):
-        return list(value)
-    return [_decode_value(element) for element in split_array(value.text)]
-
-
 def _read_version(data: Mapping[str, Any]) -> int:
-    return read_integer(_split_members(data["metadata"])["revision"])
+    return read_integer(split_members(data["metadata"])["revision"])
 
 
 def _read_written(text: bytes, kind: str) -> int:
-    return _read_version(_decode_members(text))
+    return _read_version(decode_members(text))
 
 
 def _read_object(text: bytes, kind: str) -> StoredObject:
-    return _read_stored(_decode_members(text))
+    return _read_stored(decode_members(text))
 
 
 def _read_stored(value: Any) -> StoredObject:
-    data = _split_members(value)
-    name = _split_members(data["metadata"])["name"]
-    if not isinstance(name, str) or not name:
-        raise ValueError(f"the name is {describe_value(name)}")
+    data = split_members(value)
+    name = read_name(split_members(data["metadata"])["name"])
     return StoredObject(name, _read_version(data), _encode_spec(data.get("spec")))
 
 
 def _encode_spec(spec: Any) -> str:
-    if isinstance(spec, _Unreadable):
+    if isinstance(spec, Unreadable):
         return _UNREADABLE
     try:
         return orjson.dumps(spec).decode()
@@ -321,9 +283,9 @@
 
 
 def _read_page(text: bytes, kind: str) -> tuple[list[StoredObject], int, bool]:
-    data = _decode_members(text)
-    elements = _split_elements(data["items"])
-    stored = _read_each(_read_stored, elements, kind)
+    data = decode_members(text)
+    elements = split_elements(data["items"])
+    stored = read_each(_read_stored, elements, _make_skip(kind))
     has_more = bool(data["has_more"])
     if has_more and elements and not stored:
         raise ValueError("a page has no name after which to continue")
@@ -331,25 +293,18 @@
 
 
 def _read_changes(text: bytes, kind: str) -> tuple[int, tuple[ObjectChange, ...]]:
-    data = _decode_members(text)
-    elements = _split_elements(data["events"])
-    changes = _read_each(_read_change, elements, kind)
+    data = decode_members(text)
+    elements = split_elements(data["events"])
+    changes = read_each(_read_change, elements, _make_skip(kind))
     return read_integer(data["current_rev"]), tuple(changes)
 
 
 def _read_change(value: Any) -> ObjectChange:
-    event = _split_members(value)
+    event = split_members(value)
     stored = _read_stored(event["object"])
     removed = bool(event["removed"])
     return ObjectChange(stored.name, stored.version, stored.body, removed)
 
 
-def _read_each(read: Callable[[Any], Any], elements: list[Any], kind: str) -> list[Any]:
-    """Return what is read from each element; leave out and log the unreadable."""
-    values = []
-    for element in elements:
-        try:
-            values.append(read(element))
-        except DECODE_ERRORS as error:
-            _log("entry is left out", kind=kind, error=describe_error(error))
-    return values
+def _make_skip(kind: str) -> Callable[[str], None]:
+    return lambda error: _log("entry is left out", kind=kind, error=error)
--- /dev/null
+++ b/tests/test_odd_objects.py
@@ -0,0 +1,168 @@
+"""Test that an odd item of the object API affects no other item."""
+
+import asyncio
+import contextlib
+import random
+
+import orjson
+from aiohttp import web
+from result import Ok
+from testtools import TestCase
+
+from galenapass.platform.messages import ObjectChange, StoredObject
+from galenapass.platform.object_client import ObjectClient
+from tests.test_platform_odd_entries import ODD_VALUES, log_of
+
+FIRST = {"name": "a", "version": 5, "body": "first"}
+LAST = {"name": "z", "version": 7, "body": "last"}
+ITEM = {"name": "m", "version": 6, "body": "odd"}
+HOST = {"id": "h1", "kind": "daemon", "address": "a:1", "domain": "d", "state": "live"}
+# Texts that are no body; the last of the odd values would change the frame.
+ODD_TEXTS = {
+    name: text for name, text in ODD_VALUES.items() if name != "brackets in a text"
+} | {"null": b"null", "number": b"5", "array": b"[]", "table": b"{}"}
+
+
+def _change(item, field, text):
+    return orjson.dumps(item)[:-1] + b',"%s":%s}' % (field.encode(), text)
+
+
+def _make_odd_items():
+    """Return the text of items whose name or version cannot be read."""
+    odd = {f"whole: {name}": text for name, text in ODD_TEXTS.items()}
+    for field in ("name", "version"):
+        for name, text in ODD_TEXTS.items():
+            if (field, name) != ("version", "number"):
+                odd[f"{field}: {name}"] = _change(ITEM, field, text)
+    odd["empty name"] = _change(ITEM, "name", b'""')
+    odd["version in a text"] = _change(ITEM, "version", b'"6"')
+    odd["version true"] = _change(ITEM, "version", b"true")
+    return odd
+
+
+class _Server:
+    """Object API that answers with given texts."""
+
+    def __init__(self):
+        self.text = b""
+        self.watches = 0
+
+    async def get(self, request):
+        return web.Response(body=self.text, content_type="application/json")
+
+    async def watch(self, request):
+        self.watches += 1
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(self.text)
+        await asyncio.sleep(5)
+        return response
+
+
+def _run(test):
+    async def inner():
+        server = _Server()
+        app = web.Application()
+        app.router.add_get("/objects/{kind}", server.get)
+        app.router.add_get("/hosts", server.get)
+        app.router.add_get("/watch/{kind}", server.watch)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        client = ObjectClient(address, "h", "d", lambda call: None, random.Random(1))
+        try:
+            await test(server, client)
+        finally:
+            await client.close()
+            await runner.cleanup()
+
+    return log_of(lambda: asyncio.run(inner()))
+
+
+def _list_of(*items):
+    return b'{"version":9,"items":[%s]}' % b",".join(items)
+
+
+async def _follow(client, count):
+    changes = []
+    async with contextlib.aclosing(client.watch("things", 4)) as watch:
+        async for change in watch:
+            changes.append(change)
+            if len(changes) == count:
+                return changes
+
+
+class TestObjectClient(TestCase):
+    def test_an_odd_item_hides_no_other_of_its_listing(self):
+        odd = _make_odd_items()
+
+        async def test(server, client):
+            for name, text in odd.items():
+                server.text = _list_of(orjson.dumps(FIRST), text, orjson.dumps(LAST))
+                listing = await client.list("things")
+                self.assertIsInstance(listing, Ok, name)
+                self.assertEqual(9, listing.ok_value.version, name)
+                names = [item.name for item in listing.ok_value.items]
+                self.assertEqual(["a", "z"], names, name)
+
+        lines = _run(test)
+        left_out = [m for m in lines if "item is left out" in m["text"]]
+        self.assertEqual(len(odd), len(left_out))
+
+    def test_an_odd_body_of_a_listing_is_empty(self):
+        async def test(server, client):
+            for name, text in ODD_TEXTS.items():
+                odd = _change(ITEM, "body", text)
+                server.text = _list_of(orjson.dumps(FIRST), odd, orjson.dumps(LAST))
+                items = (await client.list("things")).unwrap().items
+                self.assertEqual(StoredObject("m", 6, ""), items[1], name)
+                self.assertEqual(StoredObject("z", 7, "last"), items[2], name)
+
+        _run(test)
+
+    def test_a_watch_goes_on_behind_an_odd_change(self):
+        odd = _make_odd_items()
+
+        async def test(server, client):
+            lines = [orjson.dumps(FIRST), *odd.values(), orjson.dumps(LAST)]
+            server.text = b"\n".join(lines) + b"\n"
+            changes = await asyncio.wait_for(_follow(client, 2), 3)
+            good = [ObjectChange("a", 5, "first"), ObjectChange("z", 7, "last")]
+            self.assertEqual(good, changes)
+            self.assertEqual(1, server.watches)
+
+        lines = _run(test)
+        left_out = [m for m in lines if "item is left out" in m["text"]]
+        self.assertEqual(len(odd), len(left_out))
+
+    def test_an_odd_body_of_a_change_is_empty(self):
+        async def test(server, client):
+            odd = [_change(ITEM, "body", text) for text in ODD_TEXTS.values()]
+            server.text = b"\n".join([*odd, orjson.dumps(LAST)]) + b"\n"
+            changes = await asyncio.wait_for(_follow(client, len(odd) + 1), 3)
+            self.assertEqual({ObjectChange("m", 6, "")}, set(changes[:-1]))
+            self.assertEqual(ObjectChange("z", 7, "last"), changes[-1])
+
+        _run(test)
+
+    def test_an_odd_row_hides_no_other_host(self):
+        odd = list(ODD_TEXTS.values())
+        for field in ("id", "kind", "address", "domain", "state"):
+            odd += [_change(HOST, field, text) for text in ODD_TEXTS.values()]
+        for text in (*ODD_VALUES.values(), b"null", b"[]", b"true"):
+            if text != ODD_VALUES["brackets in a text"]:
+                odd.append(_change(HOST, "incarnation", text))
+
+        async def test(server, client):
+            for text in odd:
+                rows = b",".join([text, orjson.dumps(HOST | {"id": "h2"})])
+                server.text = b'{"hosts":[%s]}' % rows
+                hosts = await client.list_hosts()
+                self.assertIsInstance(hosts, Ok, text[:80])
+                ids = [host.id for host in hosts.ok_value]
+                self.assertEqual(["h2"], ids, text[:80])
+
+        lines = _run(test)
+        left_out = [m for m in lines if "host is left out" in m["text"]]
+        self.assertEqual(len(odd), len(left_out))
