Follow a watch behind a change that is too long

A change of over 4 MiB (a body of 1 MB escaped six times, or a faulty one) ended the watch for good: the reader of lines raised LineTooLong, which is no client error of aiohttp and left the generator, so that the daemon no longer followed configurations. The client now splits the lines itself, keeps at most 4 MiB of one, and logs and leaves out a longer one.

tests/test_odd_objects.py, test_a_watch_goes_on_behind_an_endless_change: on the code before, it failed with LineTooLong; it passes now. The last change without the end of its line is read as before (a test that passes on both).

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -169,12 +169,9 @@
         url = f"{self._base}/watch/{quote(kind, safe='')}?after={after}"
         async with self._open_session().get(url, timeout=timeout) as response:
             response.raise_for_status()
-            while line := await response.content.readline(
-                max_line_length=MAX_WATCH_LINE_BYTES
-            ):
-                if line.strip():
-                    for change in read_each(_read_change, [line], skip):
-                        yield change
+            async for line in _read_lines(response.content, skip):
+                for change in read_each(_read_change, [line], skip):
+                    yield change
 
     async def _call(
         self,
@@ -336,6 +333,27 @@
     return value if isinstance(value, str) else read_integer(value)
 
 
+async def _read_lines(
+    content: aiohttp.StreamReader, skip: Callable[[str], None]
+) -> AsyncIterator[bytes]:
+    """Yield each whole line that is not empty; call ``skip`` for overlong ones."""
+    line = bytearray()
+    async for chunk in content.iter_any():
+        *ends, rest = chunk.split(b"\n")
+        for end in ends:
+            line += end
+            if len(line) > MAX_WATCH_LINE_BYTES:
+                skip(f"a line exceeds {MAX_WATCH_LINE_BYTES} bytes")
+            elif line.strip():
+                yield bytes(line)
+            line.clear()
+        line += rest
+        # One byte too many marks the line as overlong.
+        del line[MAX_WATCH_LINE_BYTES + 1 :]
+    if line.strip():
+        yield bytes(line)
+
+
 def _make_skip(kind: str) -> Callable[[str], None]:
     return lambda error: _log("item is left out", kind=kind, error=error)
 
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from galenapass.platform.messages import ObjectChange, StoredObject
-from galenapass.platform.object_client import ObjectClient
+from galenapass.platform.object_client import MAX_WATCH_LINE_BYTES, ObjectClient
 from tests.test_platform_odd_entries import ODD_VALUES, log_of
 
 FIRST = {"name": "a", "version": 5, "body": "first"}
@@ -45,6 +45,8 @@
 
     def __init__(self):
         self.text = b""
+        # Answer of the next watch, after the first one has ended.
+        self.rest = None
         self.watches = 0
 
     async def get(self, request):
@@ -55,7 +57,10 @@
         response = web.StreamResponse()
         await response.prepare(request)
         await response.write(self.text)
-        await asyncio.sleep(5)
+        if self.rest is None:
+            await asyncio.sleep(5)
+        else:
+            self.text = self.rest
         return response
 
 
@@ -146,6 +151,28 @@
 
         _run(test)
 
+    def test_a_watch_goes_on_behind_an_endless_change(self):
+        async def test(server, client):
+            for size in (MAX_WATCH_LINE_BYTES, 3 * MAX_WATCH_LINE_BYTES):
+                odd = _change(ITEM, "body", b'"%s"' % (b"x" * size))
+                lines = [orjson.dumps(FIRST), odd, orjson.dumps(LAST)]
+                server.text = b"\n".join(lines) + b"\n"
+                changes = await asyncio.wait_for(_follow(client, 2), 5)
+                self.assertEqual(["a", "z"], [change.name for change in changes])
+            self.assertEqual(2, server.watches)
+
+        lines = _run(test)
+        left_out = [m for m in lines if "item is left out" in m["text"]]
+        self.assertEqual(2, len(left_out))
+
+    def test_a_last_change_without_the_end_of_its_line_is_read(self):
+        async def test(server, client):
+            server.text, server.rest = orjson.dumps(FIRST), orjson.dumps(LAST)
+            changes = await asyncio.wait_for(_follow(client, 2), 3)
+            self.assertEqual(["a", "z"], [change.name for change in changes])
+
+        _run(test)
+
     def test_an_odd_row_hides_no_other_host(self):
         odd = list(ODD_TEXTS.values())
         for field in ("id", "kind", "address", "domain", "state"):
