Read a change that was cut off again

A watch that ended within a line could deliver a change with an empty body and its version, so that the whole change was never read: since odd changes are split, a line cut off behind a closing bracket in its body passed for a change with an odd body. Before that it failed to decode and was read again. A last line without its end is now read only if it is valid JSON, as the text of a JSON object has no valid beginning that is shorter; the next watch repeats any other.

tests/test_odd_objects.py, test_a_change_that_is_cut_off_is_read_again: it failed on the code before (an empty body) and passes now.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -14,6 +14,7 @@
 
 from galenapass.json_values import (
     DECODE_ERRORS,
+    decode_json,
     decode_members,
     describe_error,
     describe_value,
@@ -350,7 +351,8 @@
         line += rest
         # One byte too many marks the line as overlong.
         del line[MAX_WATCH_LINE_BYTES + 1 :]
-    if line.strip():
+    # The last line may have been cut off, which the next watch repeats.
+    if isinstance(decode_json(bytes(line)), Ok):
         yield bytes(line)
 
 
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -165,6 +165,17 @@
         left_out = [m for m in lines if "item is left out" in m["text"]]
         self.assertEqual(2, len(left_out))
 
+    def test_a_change_that_is_cut_off_is_read_again(self):
+        whole = orjson.dumps(ITEM | {"body": '{"a":{}}'})
+
+        async def test(server, client):
+            server.text, server.rest = whole[:-2], whole + b"\n"
+            changes = await asyncio.wait_for(_follow(client, 1), 3)
+            self.assertEqual([ObjectChange("m", 6, '{"a":{}}')], changes)
+            self.assertEqual(2, server.watches)
+
+        _run(test)
+
     def test_a_last_change_without_the_end_of_its_line_is_read(self):
         async def test(server, client):
             server.text, server.rest = orjson.dumps(FIRST), orjson.dumps(LAST)
