Follow the host list beside a daemon of an odd incarnation

A daemon's row with an incarnation that is no number raised ValueError in the reader of the host list. The task that repeats the read has no handler for it and ended (read in the code, not played), so that leaving targets and daemons were no longer followed. A negative or longer one reached the encoder of heartbeats, whose field has 64 bits. Daemons are now read one by one with the parser of numbers in headers (at most 18 digits); an odd one is logged and left out.

tests/test_odd_objects.py, TestHostListReader: it failed on the code before with "invalid literal for int()"; it passes now, as does test_presence.

--- a/src/galenapass/duties/host_list.py
+++ b/src/galenapass/duties/host_list.py
@@ -6,7 +6,9 @@
 from result import Err
 
 from galenapass.clocks import Clock
+from galenapass.json_values import describe_value, read_each
 from galenapass.logs import make_log
+from galenapass.platform.headers import parse_integer
 from galenapass.platform.messages import ListedHost
 from galenapass.platform.object_client import ObjectClient
 from galenapass.systems import presence
@@ -98,8 +100,17 @@
 
 
 def _select_daemons(rows: tuple[ListedHost, ...]) -> list[ListedDaemon]:
-    return [
-        ListedDaemon(row.id, row.address, row.domain, int(row.incarnation), row.leaving)
-        for row in rows
-        if row.kind == DAEMON
-    ]
+    daemons = [row for row in rows if row.kind == DAEMON]
+    return read_each(_read_daemon, daemons, _skip_daemon)
+
+
+def _read_daemon(row: ListedHost) -> ListedDaemon:
+    incarnation = parse_integer(str(row.incarnation))
+    if incarnation is None:
+        text = describe_value(row.incarnation)
+        raise ValueError(f"the incarnation of {describe_value(row.id)} is {text}")
+    return ListedDaemon(row.id, row.address, row.domain, incarnation, row.leaving)
+
+
+def _skip_daemon(error: str) -> None:
+    _log("daemon is left out", error=error)
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -9,9 +9,13 @@
 from result import Ok
 from testtools import TestCase
 
-from galenapass.platform.messages import ObjectChange, StoredObject
+from galenapass.clocks import ManualClock
+from galenapass.duties.host_list import HostListReader
+from galenapass.platform.messages import ListedHost, ObjectChange, StoredObject
 from galenapass.platform.object_client import MAX_WATCH_LINE_BYTES, ObjectClient
+from galenapass.tables.peer_messages import Drain
 from tests.test_platform_odd_entries import ODD_VALUES, log_of
+from tests.test_presence import Objects, make_world
 
 FIRST = {"name": "a", "version": 5, "body": "first"}
 LAST = {"name": "z", "version": 7, "body": "last"}
@@ -204,3 +208,29 @@
         lines = _run(test)
         left_out = [m for m in lines if "host is left out" in m["text"]]
         self.assertEqual(len(odd), len(left_out))
+
+
+class TestHostListReader(TestCase):
+    def test_an_odd_incarnation_hides_no_other_daemon_or_target(self):
+        odd = ("x", "", "-1", -1, "\u0661", "\u00b2", "9" * 25, "9" * 5_000, 1.5, None)
+        rows = [
+            ListedHost(f"odd-{number}", "daemon", "", "d", False, incarnation)
+            for number, incarnation in enumerate(odd)
+        ]
+        rows.append(ListedHost("entry-2", "daemon", "", "d", False, "3"))
+        rows.append(ListedHost("runner-1", "target", "", "d", True, "x"))
+        objects, daemons, announced = Objects(), [], []
+        objects.answer = Ok(tuple(rows))
+        reader = HostListReader(
+            make_world(),
+            ManualClock(),
+            objects,
+            lambda: True,
+            daemons.extend,
+            announced.append,
+        )
+        lines = log_of(lambda: asyncio.run(reader.read()))
+        self.assertEqual([("entry-2", 3)], [(d.id, d.incarnation) for d in daemons])
+        self.assertEqual([Drain("runner-1", 1)], announced)
+        left_out = [m for m in lines if "daemon is left out" in m["text"]]
+        self.assertEqual(len(odd), len(left_out))
