Refuse a slice with a claim of wrong types

A claim whose time is no number (or whose texts and status are of other types) passed the decoder and raised TypeError when its slice was written: the worker of the slice died with its queue, so each later call with a key of the slice waited 3 s and was refused until the daemon was restarted, and a finish of a call would have waited for ever. A time of null and one of "x" showed it: two begins each refused after the limit, "Task exception was never retrieved". The decoder now checks each part with json_values, and the slice is refused at once and left as it is, as for other malformed claims: a write without the odd claim would let its key run again.

tests/test_odd_objects.py, TestClaimStore: it failed on the code before (the first odd claim was accepted); it passes now, as do test_claims and test_claim_store.

--- a/src/galenapass/json_values.py
+++ b/src/galenapass/json_values.py
@@ -26,6 +26,7 @@
     "read_integer",
     "read_name",
     "read_number",
+    "read_text",
     "split_array",
     "split_elements",
     "split_members",
@@ -144,6 +145,13 @@
     return float(value)
 
 
+def read_text(value: Any) -> str:
+    """Return a text; raise ValueError for any other value."""
+    if not isinstance(value, str):
+        raise ValueError(f"{describe_value(value)} is no text")
+    return value
+
+
 def read_name(value: Any) -> str:
     """Return a text that can name an object; raise ValueError for any other value."""
     if not isinstance(value, str) or not value:
--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -21,6 +21,7 @@
     read_each,
     read_integer,
     read_name,
+    read_text,
     split_elements,
     split_members,
 )
@@ -312,7 +313,7 @@
 def _read_host(value: Any) -> ListedHost:
     row = split_members(value)
     kind, address, domain, state = (
-        _read_text(row[field]) for field in ("kind", "address", "domain", "state")
+        read_text(row[field]) for field in ("kind", "address", "domain", "state")
     )
     return ListedHost(
         id=read_name(row["id"]),
@@ -324,12 +325,6 @@
     )
 
 
-def _read_text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{describe_value(value)} is no text")
-    return value
-
-
 def _read_incarnation(value: Any) -> int | str:
     return value if isinstance(value, str) else read_integer(value)
 
--- a/src/galenapass/systems/claims.py
+++ b/src/galenapass/systems/claims.py
@@ -17,6 +17,12 @@
 import orjson
 
 from galenapass.dispatch import StoredAnswer
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    describe_error,
+    read_integer,
+    read_text,
+)
 from galenapass.tables.claims import ClaimEntry, ClaimSlice, ClaimState
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -200,8 +206,9 @@
     try:
         rows = orjson.loads(body)["claims"]
         entries = {key: _read_entry(row) for key, row in rows.items()}
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"malformed slice of claims: {error!r}") from error
+    except DECODE_ERRORS as error:
+        reason = describe_error(error)
+        raise ValueError(f"malformed slice of claims: {reason}") from error
     return ClaimSlice(version, entries)
 
 
@@ -233,5 +240,13 @@
     answer = None
     if rest:
         status, content_type, body = rest
-        answer = StoredAnswer(status, content_type, base64.b64decode(body))
-    return ClaimEntry(nonce, fingerprint, ClaimState(state), at, answer)
+        answer = StoredAnswer(
+            read_integer(status), read_text(content_type), base64.b64decode(body)
+        )
+    return ClaimEntry(
+        read_text(nonce),
+        read_text(fingerprint),
+        ClaimState(state),
+        read_integer(at),
+        answer,
+    )
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -9,11 +9,15 @@
 from result import Ok
 from testtools import TestCase
 
-from galenapass.clocks import ManualClock
+from galenapass.clocks import ManualClock, SystemClock
+from galenapass.duties.claim_store import ClaimStore
 from galenapass.duties.host_list import HostListReader
 from galenapass.platform.messages import ListedHost, ObjectChange, StoredObject
 from galenapass.platform.object_client import MAX_WATCH_LINE_BYTES, ObjectClient
+from galenapass.systems.claims import hash_key, name_slice
 from galenapass.tables.peer_messages import Drain
+from galenapass.verdicts import Run
+from tests.fake_objects import FakeObjects
 from tests.test_platform_odd_entries import ODD_VALUES, log_of
 from tests.test_presence import Objects, make_world
 
@@ -44,6 +48,23 @@
     return odd
 
 
+# Values that are no part of a claim.
+ODD = (None, True, 1.5, [], {})
+
+
+class ObjectStore:
+    """Store of slices that answers each call."""
+
+    def __init__(self):
+        self.objects = FakeObjects()
+
+    async def read(self, kind, name):
+        return self.objects.read(name)
+
+    async def write(self, kind, name, body, if_version=None):
+        return self.objects.write(name, body, if_version)
+
+
 class _Server:
     """Object API that answers with given texts."""
 
@@ -234,3 +255,32 @@
         self.assertEqual([Drain("runner-1", 1)], announced)
         left_out = [m for m in lines if "daemon is left out" in m["text"]]
         self.assertEqual(len(odd), len(left_out))
+
+
+class TestClaimStore(TestCase):
+    def test_a_slice_with_an_odd_claim_is_refused_and_not_written(self):
+        # Writing the slice without the odd claim would let its key run again.
+        good = ["n", "f", "claimed", 5]
+        odd = [[*good[:i], value, *good[i + 1 :]] for i in (0, 1, 3) for value in ODD]
+        odd += [[*good, status, "text/plain", "aGk="] for status in ODD]
+        odd += [[*good, 200, content_type, "aGk="] for content_type in ODD]
+        odd += [5, None, [], {}, ["n"], "", "x", [*good, 200, "text/plain", "a"]]
+
+        async def check():
+            for row in odd:
+                store = ObjectStore()
+                name = name_slice(hash_key("c", "s", "k"))
+                body = orjson.dumps({"claims": {"k": row}}).decode()
+                store.objects.write(name, body, None)
+                claims = ClaimStore(store, "h", SystemClock(), random.Random(1))
+                begun = asyncio.create_task(claims.begin("c", "s", "k", "f"))
+                await asyncio.wait({begun}, timeout=0.5)
+                self.assertTrue(begun.done(), row)
+                self.assertIs(Run.NOT_RUN, begun.result().unwrap_err().run, row)
+                self.assertEqual(body, store.objects.read(name).unwrap().body, row)
+                # The refused begin leaves no operation behind.
+                self.assertEqual(0, claims.count_waiting(), row)
+
+        lines = log_of(lambda: asyncio.run(check()))
+        failed = [m for m in lines if "failed to decode slice" in m["text"]]
+        self.assertEqual(len(odd), len(failed))
