Keep the configuration in force behind an odd one

A change of the current configuration whose body was no text came through the watch with an empty body (all odd bodies since, a body of null before that too, read in the code). An empty file is a valid configuration without targets, so every target would have been removed. An item whose body is no text is now logged and left out, as one without a name; only a deleted object needs none. The mechanism of the store client, whose empty spec is no valid JSON, does not fit here, as bodies are any text.

tests/test_odd_objects.py: TestConfigurationWatch and the two tests of odd items, which now hold odd bodies too, failed on the code before (an empty file was passed on) and pass now.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -77,8 +77,8 @@
     """Client of the object API on behalf of one host.
 
     Calls return a failure instead of raising an error. An item of a listing or a
-    watch whose name or version cannot be read is logged and left out; a body that
-    cannot be read is empty. ``count`` is called with the kind of each call when it is
+    watch that cannot be read is logged and left out; its body never becomes an empty
+    one, which can be valid. ``count`` is called with the kind of each call when it is
     sent.
     """
 
@@ -279,7 +279,7 @@
 def _read_stored(value: Any) -> StoredObject:
     data = split_members(value)
     name = read_name(data["name"])
-    return StoredObject(name, read_integer(data["version"]), _read_body(name, data))
+    return StoredObject(name, read_integer(data["version"]), read_text(data["body"]))
 
 
 def _read_change(line: bytes) -> ObjectChange:
@@ -287,7 +287,7 @@
     deleted = _read_flag(data.get("deleted", False))
     name, version = read_name(data["name"]), read_integer(data["version"])
     return ObjectChange(
-        name, version, "" if deleted else _read_body(name, data), deleted
+        name, version, "" if deleted else read_text(data["body"]), deleted
     )
 
 
@@ -297,14 +297,6 @@
     return value
 
 
-def _read_body(name: str, data: Mapping[str, Any]) -> str:
-    body = data.get("body")
-    if isinstance(body, str):
-        return body
-    _log("body is unreadable", object=name, error=f"it is {describe_value(body)}")
-    return ""
-
-
 def _read_hosts(response: _Response) -> tuple[ListedHost, ...]:
     rows = split_elements(decode_members(response.text)["hosts"])
     return tuple(read_each(_read_host, rows, _skip_host))
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -11,8 +11,9 @@
 
 from galenapass.clocks import ManualClock, SystemClock
 from galenapass.duties.claim_store import ClaimStore
+from galenapass.duties.configuration_watch import CURRENT, watch_configurations
 from galenapass.duties.host_list import HostListReader
-from galenapass.platform.messages import ListedHost, ObjectChange, StoredObject
+from galenapass.platform.messages import ListedHost, ObjectChange
 from galenapass.platform.object_client import MAX_WATCH_LINE_BYTES, ObjectClient
 from galenapass.systems.claims import hash_key, name_slice
 from galenapass.tables.peer_messages import Drain
@@ -36,9 +37,9 @@
 
 
 def _make_odd_items():
-    """Return the text of items whose name or version cannot be read."""
+    """Return the texts of items of which a part cannot be read."""
     odd = {f"whole: {name}": text for name, text in ODD_TEXTS.items()}
-    for field in ("name", "version"):
+    for field in ("name", "version", "body"):
         for name, text in ODD_TEXTS.items():
             if (field, name) != ("version", "number"):
                 odd[f"{field}: {name}"] = _change(ITEM, field, text)
@@ -140,17 +141,6 @@
         left_out = [m for m in lines if "item is left out" in m["text"]]
         self.assertEqual(len(odd), len(left_out))
 
-    def test_an_odd_body_of_a_listing_is_empty(self):
-        async def test(server, client):
-            for name, text in ODD_TEXTS.items():
-                odd = _change(ITEM, "body", text)
-                server.text = _list_of(orjson.dumps(FIRST), odd, orjson.dumps(LAST))
-                items = (await client.list("things")).unwrap().items
-                self.assertEqual(StoredObject("m", 6, ""), items[1], name)
-                self.assertEqual(StoredObject("z", 7, "last"), items[2], name)
-
-        _run(test)
-
     def test_a_watch_goes_on_behind_an_odd_change(self):
         odd = _make_odd_items()
 
@@ -166,13 +156,12 @@
         left_out = [m for m in lines if "item is left out" in m["text"]]
         self.assertEqual(len(odd), len(left_out))
 
-    def test_an_odd_body_of_a_change_is_empty(self):
+    def test_a_deleted_object_needs_no_body(self):
         async def test(server, client):
-            odd = [_change(ITEM, "body", text) for text in ODD_TEXTS.values()]
-            server.text = b"\n".join([*odd, orjson.dumps(LAST)]) + b"\n"
-            changes = await asyncio.wait_for(_follow(client, len(odd) + 1), 3)
-            self.assertEqual({ObjectChange("m", 6, "")}, set(changes[:-1]))
-            self.assertEqual(ObjectChange("z", 7, "last"), changes[-1])
+            gone = ITEM | {"deleted": True, "body": None}
+            server.text = orjson.dumps(gone) + b"\n"
+            changes = await asyncio.wait_for(_follow(client, 1), 3)
+            self.assertEqual([ObjectChange("m", 6, "", True)], changes)
 
         _run(test)
 
@@ -231,6 +220,30 @@
         self.assertEqual(len(odd), len(left_out))
 
 
+class TestConfigurationWatch(TestCase):
+    def test_an_odd_configuration_leaves_the_current_one_in_force(self):
+        # An empty file is a valid configuration, which names no target at all.
+        accepted = []
+
+        def accept(text, version):
+            accepted.append((text, version))
+            return True
+
+        async def test(server, client):
+            current = ITEM | {"name": CURRENT}
+            lines = [_change(current, "body", text) for text in ODD_TEXTS.values()]
+            lines.append(orjson.dumps(LAST | {"name": CURRENT}))
+            server.text = b"\n".join(lines) + b"\n"
+            watch = asyncio.create_task(watch_configurations(client, accept, lambda: 5))
+            await asyncio.wait({watch}, timeout=0.5)
+            self.assertFalse(watch.done())
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+            self.assertEqual([("last", 7)], accepted)
+
+        _run(test)
+
+
 class TestHostListReader(TestCase):
     def test_an_odd_incarnation_hides_no_other_daemon_or_target(self):
         odd = ("x", "", "-1", -1, "\u0661", "\u00b2", "9" * 25, "9" * 5_000, 1.5, None)
