--- a/src/galenapass/json_values.py
+++ b/src/galenapass/json_values.py
@@ -22,6 +22,7 @@
     "describe_error",
     "describe_value",
     "is_name",
+    "read_counter",
     "read_each",
     "read_integer",
     "read_name",
@@ -138,6 +139,13 @@
     return value
 
 
+def read_counter(value: Any) -> int:
+    """Return an integer of 64 bits from 0; raise ValueError for any other value."""
+    if read_integer(value) < 0:
+        raise ValueError(f"{describe_value(value)} is below 0")
+    return int(value)
+
+
 def read_number(value: Any) -> float:
     """Return a finite number; raise ValueError for any other value."""
     if type(value) not in (int, float) or not math.isfinite(value):
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -7,7 +7,7 @@
 import orjson
 from aiohttp import web
 from result import Ok
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
 from galenapass.clocks import ManualClock, SystemClock
 from galenapass.duties.claim_store import ClaimStore
@@ -16,6 +16,8 @@
 from galenapass.platform.messages import ListedHost, ObjectChange
 from galenapass.platform.object_client import MAX_WATCH_LINE_BYTES, ObjectClient
 from galenapass.systems.claims import hash_key, name_slice
+from galenapass.systems.orders_codec import decode_orders, encode_orders
+from galenapass.tables.orders import Intent, IntentPhase, OrderSender, OrdersObject
 from galenapass.tables.peer_messages import Drain
 from galenapass.verdicts import Run
 from tests.fake_objects import FakeObjects
@@ -297,3 +299,31 @@
         lines = log_of(lambda: asyncio.run(check()))
         failed = [m for m in lines if "failed to decode slice" in m["text"]]
         self.assertEqual(len(odd), len(failed))
+
+
+class TestOrders(TestCase):
+    def test_orders_of_wrong_types_are_refused(self):
+        intent = Intent("i", "t", "drain", "v", 1, IntentPhase.DRAINING, 1)
+        orders = OrdersObject(1, 1, (intent,), (OrderSender("t", "h", 1),))
+        self.assertEqual(orders, decode_orders(encode_orders(orders)))
+        good = orjson.loads(encode_orders(orders))
+        for value in (*ODD, -1):
+            rows = [good | {field: value} for field in ("fence", "epoch")]
+            for part in ("intents", "senders"):
+                for field in good[part][0]:
+                    odd = good[part][0] | {field: value}
+                    if value != -1 or isinstance(good[part][0][field], int):
+                        rows.append(good | {part: [odd]})
+            for row in rows:
+                with ExpectedException(ValueError):
+                    decode_orders(orjson.dumps(row).decode())
+
+    def test_orders_with_an_unknown_field_are_refused(self):
+        # A daemon that wrote them again would drop the field.
+        for part in ("intents", "senders"):
+            intent = Intent("i", "t", "drain", "v", 1, IntentPhase.DRAINING, 1)
+            orders = OrdersObject(1, 1, (intent,), (OrderSender("t", "h", 1),))
+            row = orjson.loads(encode_orders(orders))
+            row[part][0]["later"] = 1
+            with ExpectedException(ValueError):
+                decode_orders(orjson.dumps(row).decode())
