--- a/src/galenapass/client_runner.py
+++ b/src/galenapass/client_runner.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
-from galenapass.http_connections import ClientConnection, ClientServer, close_after
+from galenapass.http_connections import ClientServer, close_after, has_waiting_request
 
 __all__ = ["ClientRunner", "make_last_answer"]
 
@@ -45,10 +45,10 @@
         request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         response = await handler(request)
-        connection, transport = request.protocol, request.transport
+        transport = request.transport
         if not is_stopping() or transport is None or transport.is_closing():
             return response
-        if isinstance(connection, ClientConnection) and not connection.waiting:
+        if not has_waiting_request(request):
             response.force_close()
             await close_after(request, response)
         return response
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -17,10 +17,10 @@
 from galenapass.forwarding.stop_times import StopTimes
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
-    ClientConnection,
     ClientServer,
     close_after,
     cut_connection,
+    has_waiting_request,
 )
 from galenapass.logs import make_log
 from galenapass.metrics import Metrics
@@ -83,7 +83,7 @@
             raise
         finally:
             self.open -= 1
-        if self.stopping and not response.prepared and not _has_waiting_request(raw):
+        if self.stopping and not response.prepared and not has_waiting_request(raw):
             response.force_close()
         # A stream that began before the stop did not say that its connection closes.
         if self.stopping and response.keep_alive is False:
@@ -223,7 +223,7 @@
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status and headers of a stream."""
         self.response = web.StreamResponse(status=status, headers=headers)
-        if self._is_stopping() and not _has_waiting_request(self._raw):
+        if self._is_stopping() and not has_waiting_request(self._raw):
             self.response.force_close()
         self.began = True
         await self.response.prepare(self._raw)
@@ -259,11 +259,6 @@
     )
 
 
-def _has_waiting_request(raw: web.BaseRequest) -> bool:
-    """Return whether another request waits on the connection for its answer."""
-    return isinstance(raw.protocol, ClientConnection) and raw.protocol.waiting > 0
-
-
 async def _read_body(raw: web.BaseRequest, limit: int) -> bytes | None:
     """Return the whole body, or None if it is longer than ``limit`` bytes."""
     if not raw.body_exists:
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -17,6 +17,7 @@
     "ConnectionCounts",
     "close_after",
     "cut_connection",
+    "has_waiting_request",
 ]
 
 # Time for a client to close its side of a connection that is closed here. Data that
@@ -118,6 +119,11 @@
         ]
 
 
+def has_waiting_request(raw: web.BaseRequest) -> bool:
+    """Return whether another request waits on the connection for its answer."""
+    return isinstance(raw.protocol, ClientConnection) and raw.protocol.waiting > 0
+
+
 async def close_after(raw: web.BaseRequest, response: web.StreamResponse) -> None:
     """Write a response, and close its connection once the client has taken it."""
     transport = raw.transport
--- a/src/galenapass/json_values.py
+++ b/src/galenapass/json_values.py
@@ -24,6 +24,7 @@
     "is_name",
     "read_counter",
     "read_each",
+    "read_identifier",
     "read_integer",
     "read_name",
     "read_number",
@@ -167,6 +168,13 @@
     return value
 
 
+def read_identifier(value: Any) -> str:
+    """Return a name that ``is_name`` accepts; raise ValueError for any other value."""
+    if not is_name(value):
+        raise ValueError(f"the identifier is {describe_value(value)}")
+    return str(value)
+
+
 def is_name(value: Any) -> bool:
     """Return whether a value is a text that can be logged, sent and compared."""
     return (
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -4,7 +4,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
-from typing import Any
 
 import aiohttp
 import orjson
@@ -24,8 +23,7 @@
 from galenapass.json_values import (
     DECODE_ERRORS,
     describe_error,
-    describe_value,
-    is_name,
+    read_identifier,
     read_integer,
 )
 from galenapass.platform.headers import (
@@ -137,7 +135,7 @@
                     refusal = _make_refusal(response)
                 if refusal is not None:
                     return Err(replace(refusal, run=Run.NOT_RUN))
-                handle = _read_name(orjson.loads(body)["kv_handle"])
+                handle = read_identifier(orjson.loads(body)["kv_handle"])
                 return Ok(f"{target.address}/{handle}")
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             failure = classify_error(error)
@@ -244,7 +242,7 @@
                 # Each row has an empty string, part, token count and model.
                 rows = data["held"]
                 return Ok(
-                    tuple(Part(_read_name(r[1]), read_integer(r[2])) for r in rows)
+                    tuple(Part(read_identifier(r[1]), read_integer(r[2])) for r in rows)
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Err(classify_error(error))
@@ -352,12 +350,5 @@
         raise aiohttp.ClientPayloadError("the connection ended after the head")
 
 
-def _read_name(value: Any) -> str:
-    """Return a name; raise ValueError for what cannot be sent in a header."""
-    if not is_name(value):
-        raise ValueError(f"{describe_value(value)} is no name")
-    return str(value)
-
-
 def _make_unreadable(error: Exception) -> Verdict:
     return Verdict(Run.NOT_RUN, Reason.TARGET_FAILED, describe_error(error))
