--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -104,6 +104,7 @@
         try:
             body = await self._read_body(raw, table.limits.body_bytes)
         except TimeoutError:
+            _log("body is refused", request=metadata.attempt, path=raw.raw_path)
             return self._refuse(raw, _BODY_TOO_LATE, None)
         if body is None:
             return web.Response(status=413)
