Bound bodies on their way by the mechanism that bounds open requests

The end of a stop had two mechanisms: OpenRequests with its timers, and a second set of timers in the request handler for bodies, with its own conversion of the clock. The handler's was not set anew after a suspension of the host, as that of the requests is.

OpenRequests bounds both. The tests of stops are unchanged and pass; a suspended host now also answers for a body on its way (read, no test of its own).

--- a/src/galenapass/forwarding/open_requests.py
+++ b/src/galenapass/forwarding/open_requests.py
@@ -21,15 +21,17 @@
 class _OpenRequest:
     """Request with the timer that ends it.
 
-    ``next_stage`` is the stage that it waits for, None once nothing but the answer is
-    left to wait for.
+    ``request`` is None while its body is on its way. ``next_stage`` is the stage that
+    it waits for, None once nothing but the answer is left to wait for.
     """
 
     __slots__ = ("next_stage", "request", "timer")
 
-    def __init__(self, request: ForwardedRequest, next_stage: Stage):
+    def __init__(
+        self, request: ForwardedRequest | None = None, next_stage: Stage | None = None
+    ):
         self.request = request
-        self.next_stage: Stage | None = next_stage
+        self.next_stage = next_stage
         self.timer: asyncio.Timeout | None = None
 
 
@@ -45,11 +47,12 @@
         self._answer_times = answer_times
         self._stop_times: StopTimes | None = None
         self._open: dict[ForwardedRequest, _OpenRequest] = {}
+        self._bodies: set[_OpenRequest] = set()
 
     def begin_stop(self, times: StopTimes) -> None:
         """Bound the open requests and all later ones by a stop."""
         self._stop_times = times
-        for entry in self._open.values():
+        for entry in [*self._open.values(), *self._bodies]:
             self._set_timer(entry)
 
     @asynccontextmanager
@@ -65,6 +68,18 @@
         finally:
             del self._open[request]
 
+    @asynccontextmanager
+    async def bound_body(self) -> AsyncIterator[None]:
+        """Raise TimeoutError if a body is not whole as the answers of a stop end."""
+        entry = _OpenRequest()
+        self._bodies.add(entry)
+        try:
+            async with asyncio.timeout(None) as entry.timer:
+                self._set_timer(entry)
+                yield
+        finally:
+            self._bodies.discard(entry)
+
     def record_wait(self, request: ForwardedRequest, stage: Stage) -> None:
         """Record the stage that a request waits for."""
         self._change_stage(request, stage)
@@ -75,7 +90,8 @@
 
     def may_start(self, request: ForwardedRequest) -> bool:
         """Return whether the stage that a request waits for may begin now."""
-        return self._clock.monotonic() <= self._find_end(self._open[request])
+        end = self._find_end(self._open[request])
+        return end is None or self._clock.monotonic() <= end
 
     def make_verdict(self, request: ForwardedRequest) -> Verdict:
         """Return the verdict for a request that had to end."""
@@ -95,17 +111,20 @@
             self._set_timer(entry)
 
     def _set_timer(self, entry: _OpenRequest) -> None:
-        timer = entry.timer
-        if timer is None or timer.expired():
+        timer, end = entry.timer, self._find_end(entry)
+        if timer is None or timer.expired() or end is None:
             return
-        seconds = (self._find_end(entry) - self._clock.monotonic()).total_seconds()
+        seconds = (end - self._clock.monotonic()).total_seconds()
         timer.reschedule(asyncio.get_running_loop().time() + max(seconds, 0))
 
-    def _find_end(self, entry: _OpenRequest) -> timedelta:
-        deadline, times = entry.request.deadline, self._stop_times
-        if times is None or deadline <= times.answer_until:
-            return deadline
+    def _find_end(self, entry: _OpenRequest) -> timedelta | None:
+        """Return when a request must end, None for a body that no stop bounds."""
+        request, times = entry.request, self._stop_times
+        if request is None:
+            return None if times is None else times.answer_until
+        if times is None or request.deadline <= times.answer_until:
+            return request.deadline
         if entry.next_stage is None:
             return times.answer_until
-        expected = self._answer_times.expect(entry.request, entry.next_stage)
+        expected = self._answer_times.expect(request, entry.next_stage)
         return find_latest_start(times, expected)
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -126,6 +127,10 @@
         """Answer the open requests, and those still to come, within a stop."""
         self._open_requests.begin_stop(times)
 
+    def bound_body(self) -> AbstractAsyncContextManager[None]:
+        """Raise TimeoutError if a body is not whole as the answers of a stop end."""
+        return self._open_requests.bound_body()
+
     async def _try_targets(
         self,
         request: ForwardedRequest,
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -1,6 +1,5 @@
 """Handle HTTP requests of clients and write the responses."""
 
-import asyncio
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from random import Random
@@ -14,7 +13,6 @@
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
-from galenapass.forwarding.stop_times import StopTimes
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
     ClientServer,
@@ -62,15 +60,6 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
-        self._stop_times: StopTimes | None = None
-        self._body_timers: set[asyncio.Timeout] = set()
-
-    def begin_stop(self, times: StopTimes) -> None:
-        """Close connections by their next answers, and bound bodies on their way."""
-        self.stopping = True
-        self._stop_times = times
-        for timer in self._body_timers:
-            self._bound_body(timer)
 
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return its response."""
@@ -102,7 +91,8 @@
             return web.Response(status=404)
         metadata = self._decode_metadata(raw.headers)
         try:
-            body = await self._read_body(raw, table.limits.body_bytes)
+            async with self._relay.bound_body():
+                body = await _read_body(raw, table.limits.body_bytes)
         except TimeoutError:
             _log("body is refused", request=metadata.attempt, path=raw.raw_path)
             return self._refuse(raw, _BODY_TOO_LATE, None)
@@ -128,23 +118,6 @@
             return sink.response
         return self._refuse(raw, outcome.unwrap_err(), request)
 
-    async def _read_body(self, raw: web.BaseRequest, limit: int) -> bytes | None:
-        """Read a body; raise TimeoutError if it is not whole as the answers end."""
-        async with asyncio.timeout(None) as timer:
-            self._body_timers.add(timer)
-            try:
-                self._bound_body(timer)
-                return await _read_body(raw, limit)
-            finally:
-                self._body_timers.discard(timer)
-
-    def _bound_body(self, timer: asyncio.Timeout) -> None:
-        if self._stop_times is None or timer.expired():
-            return
-        time_left = self._stop_times.answer_until - self._clock.monotonic()
-        end = asyncio.get_running_loop().time() + time_left.total_seconds()
-        timer.reschedule(end)
-
     def _make_request(
         self,
         raw: web.BaseRequest,
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -219,7 +219,7 @@
     async def stop(self) -> None:
         """Answer open requests, refuse what would come too late, cancel all tasks."""
         times = plan_stop(self.clock.monotonic(), self.settings.grace_period)
-        self.request_handler.begin_stop(times)
+        self.request_handler.stopping = True
         self.relay.begin_stop(times)
         self.scheduler_selection.step_down()
         self.peering.announce_version()
