Ignore the signals of a daemon in one place as it ends

Each way out of the platform's daemon had to ignore the signals by itself, and the one for invalid settings did not: a signal then woke a loop that was closed. It happens once now, around all of them.

--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -46,7 +46,15 @@
     """
     BoundedLog(sys.stdout.fileno(), SystemClock()).open()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    sys.exit(asyncio.run(_serve(path, metrics_port, signals)))
+    sys.exit(asyncio.run(_run(path, metrics_port, signals)))
+
+
+async def _run(path: Path, metrics_port: int, signals: ProcessSignals) -> int:
+    try:
+        return await _serve(path, metrics_port, signals)
+    finally:
+        # Before the event loop is closed, which the signals would wake.
+        signals.ignore()
 
 
 async def _serve(path: Path, metrics_port: int, signals: ProcessSignals) -> int:
@@ -58,7 +66,6 @@
     signals.subscribe(signal.SIGHUP, lambda: loop.call_soon_threadsafe(changed.set))
     if signals.has_received(signal.SIGTERM) or signals.has_received(signal.SIGINT):
         _log("daemon is stopped before its start")
-        signals.ignore()
         return 0
     settings = read_host_settings(path)
     if settings.is_err():
@@ -77,7 +84,6 @@
     finally:
         settings_task.cancel()
         await daemon.stop()
-        signals.ignore()
     return 0
 
 
