--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -27,6 +27,8 @@
 __all__ = ["RequestHandler", "make_server"]
 
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
+# Clients choose the ids of their attempts.
+MAX_LOGGED_CHARACTERS = 64
 MAX_HEADER_LINE_BYTES = 65_536
 # Longer than any idle timeout that a configuration allows for clients.
 KEEPALIVE_TIMEOUT = timedelta(seconds=60)
@@ -99,6 +101,13 @@
         if body is None:
             return web.Response(status=413)
         request = self._make_request(raw, route, metadata, body, arrived)
+        if request.last_event is not None:
+            _log(
+                "stream is taken up",
+                request=request.id,
+                resumes=metadata.resumes[:MAX_LOGGED_CHARACTERS],
+                last_event=request.last_event,
+            )
         message = ClientRequest(
             metadata.attempt,
             raw.method,
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -38,13 +38,15 @@
 class RequestMetadata:
     """Request metadata from a client's headers.
 
-    ``patience`` is the client's time limit, counted from the arrival.
+    ``patience`` is the client's time limit, counted from the arrival. ``resumes`` is
+    the attempt that brought the first event of a stream which the client takes up.
     """
 
     attempt: str
     patience: timedelta | None
     last_event: int | None
     prompt: Prompt | None
+    resumes: str = ""
 
 
 @dataclass(slots=True, eq=False)
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -158,6 +158,8 @@
             request=request.id,
             target=target.id,
             service=request.service,
+            version=target.version,
+            resumes_at=request.last_event,
             source=send.source,
             why=send.slot.grant.why,
             left_ms=time_left // MILLISECOND,
--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -15,6 +15,7 @@
     "LAST_EVENT_ID",
     "NOT_RUN_STATUSES",
     "PREFILL_STAGE",
+    "RESUMES",
     "RETRY_AFTER",
     "SIGNATURE",
     "STAGE",
@@ -33,6 +34,8 @@
 INSTANCE_ID = "X-Galenapass-Instance-Id"
 RETRY_AFTER = "Retry-After"
 LAST_EVENT_ID = "Last-Event-Id"
+# Attempt that brought the first event of the stream that a client takes up.
+RESUMES = "Resumes"
 STAGE = "X-Galenapass-Stage"
 PREFILL_STAGE = "prefill"
 KV_SOURCE = "X-Galenapass-Kv-Source"
@@ -116,6 +119,7 @@
         patience=None if patience_ms is None else _make_patience(patience_ms),
         last_event=parse_integer(headers.get(LAST_EVENT_ID)),
         prompt=_decode_prompt(headers),
+        resumes=headers.get(RESUMES, ""),
     )
 
 
--- a/src/galenapass/platform/runners.py
+++ b/src/galenapass/platform/runners.py
@@ -40,6 +40,10 @@
     address = parse_ipv4_address(entry["address"])
     if isinstance(address, Err):
         return Err(f"address is {describe_value(entry['address'])}")
+    # Version of the runner's software; empty if it is not given.
+    version = entry.get("version", "")
+    if version != "" and not is_name(version):
+        return Err(f"version is {describe_value(version)}")
     # Start time in Unix milliseconds; distinguishes restarts under the same name.
     born = entry.get("born", 0)
     if type(born) is not int:
@@ -60,5 +64,6 @@
             state=state,
             incarnation=str(born),
             slots=slots,
+            version=version,
         )
     )
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -97,8 +97,9 @@
     work that the peers announced since the last report. ``*_changes`` list the
     starts and ends that the last report may not include yet; ``unreported_*`` sum
     those of this daemon. ``slots`` is the number of requests that the target runs at
-    once, 0 if unknown. ``listed_leaving`` is set when the platform's list shows the
-    target as leaving, ``reported_leaving`` when the target itself does.
+    once, 0 if unknown, ``version`` the version of its software, empty if unknown.
+    ``listed_leaving`` is set when the platform's list shows the target as leaving,
+    ``reported_leaving`` when the target itself does.
     """
 
     id: str
@@ -112,6 +113,7 @@
     state: TargetState = TargetState.SERVING
     incarnation: str = ""
     slots: int = 0
+    version: str = ""
     drain_epoch: int = 0
     listed_leaving: bool = False
     reported_leaving: bool = False
