Show that streams are joined from two software versions

Runners of two versions of one service serve side by side. Callers got streams whose first part one version had written and the rest the other, with status 200 and nothing in the answer to tell.

The stand-in runner has a version and can name it in its events, breaks off a share of its streams, and sends as many events as the query asks for.

The version of an entry is read nowhere, nor is Resumes.

--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 
 import orjson
@@ -41,20 +42,24 @@
 class RunnerFaults:
     """Active faults of a runner.
 
-    ``break_after`` closes a stream after that number of events, ``crash`` the
-    connection of each request, ``close_port`` also the port. ``wrong_id`` responds
-    with another attempt's id. ``leaving`` and ``rate_limit``, in requests a second, add
-    a header to each response, ``retry_after_seconds`` one to each refusal. The runner
-    crashes as it begins to answer a request with one of the ``crashing_parts`` in its
-    prompt, and is back after ``restart_seconds``, under its id if it ``keeps_id``. A
-    plain service answers ``body_bytes`` bytes.
+    ``break_after`` closes a share ``break_share`` of the streams after that number of
+    events, ``crash`` the connection of each request, ``close_port`` also the port.
+    ``marks_version`` adds the runner's version to the data of each event.
+    ``wrong_id`` responds with another attempt's id. ``leaving`` and ``rate_limit``, in
+    requests a second, add a header to each response, ``retry_after_seconds`` one to
+    each refusal. The runner crashes as it begins to answer a request with one of the
+    ``crashing_parts`` in its prompt, and is back after ``restart_seconds``, under its
+    id if it ``keeps_id``. A plain service answers ``body_bytes`` bytes.
 
     A request may ask for more: ``seconds`` in its query is the duration of a call, or
-    the time between the events of a stream, ``bytes`` the length of an answer.
+    the time between the events of a stream, ``bytes`` the length of an answer and
+    ``events`` the number of events of a stream.
     """
 
     shed: bool = False
     break_after: int | None = None
+    break_share: float = 1.0
+    marks_version: bool = False
     crash: bool = False
     close_port: bool = False
     wrong_id: bool = False
@@ -80,12 +85,14 @@
     ``received`` lists all requests that arrived, ``received_at`` their times in seconds
     of the event loop, ``ran`` the attempts that were run, ``crashed_at`` the times of
     its crashes. ``on_restart`` is called with its former id after each restart.
+    ``version`` is that of its software; None leaves it out of the entry.
     """
 
     id: str
     service: str
     zone: str = "zone-a"
     stage: str = ""
+    version: str | None = "v1"
     born: int = 1
     address: str = ""
     orders: int = 0
@@ -98,6 +105,7 @@
     accepted_orders: list[dict[str, Any]] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
     on_restart: Callable[[str], None] = lambda former: None
+    random: Random = field(default_factory=lambda: Random(0))
     _restart: asyncio.Task[None] | None = None
     _runner: web.AppRunner | None = None
     _site: web.TCPSite | None = None
@@ -108,13 +116,14 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
             "seq": 7,
             "born": self.born,
         }
+        if self.version is not None:
+            entry["version"] = self.version
         if self.stage:
             entry |= {"stage": self.stage, "models": [{"name": "m", "version": 1}]}
         return entry | changes
@@ -272,11 +281,15 @@
             await asyncio.sleep(self.faults.restart_seconds)
             return drop_connection(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for sent, number in enumerate(range(first, EVENTS + 1)):
-            if sent == self.faults.break_after:
+        last = int(request.query.get("events", EVENTS))
+        breaks = self.random.random() < self.faults.break_share
+        mark = f" {self.version}" if self.faults.marks_version else ""
+        for sent, number in enumerate(range(first, last + 1)):
+            if breaks and sent == self.faults.break_after:
                 await response.write(b"id: ")
                 return drop_connection(request)
             await asyncio.sleep(pause)
-            await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
+            event = f"id: {number}\ndata: t{number}{mark}\n\n"
+            await response.write(event.encode())
         await response.write_eof()
         return response
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -64,13 +64,15 @@
     def runners(self):
         return [
             self.prefill,
-            self.decode,
-            self.second_decode,
             self.plain,
             self.second_plain,
-            *self.more_decode,
+            *self.decode_runners,
         ]
 
+    @property
+    def decode_runners(self):
+        return [self.decode, self.second_decode, *self.more_decode]
+
     def register(self, runner, **changes):
         self.store.put("servers", runner.id, runner.entry(**changes))
 
@@ -90,6 +92,31 @@
         ) as response:
             return response.status, await response.read(), response.headers
 
+    async def send_stream(self, path, host=0, leave_after=None, **headers):
+        """Return the attempt's id, the status, the body and whether it is complete.
+
+        The connection is closed after ``leave_after`` events. Each prompt is another
+        one: equal ones that break off pass for crashing ones.
+        """
+        self._number += 1
+        attempt = f"a{self._number}"
+        all_headers = make_headers(attempt, 2500)
+        all_headers["X-Galenapass-Prompt-Prefix"] = f"{self._number:x}:1000,bb:200"
+        all_headers |= {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        url = f"http://127.0.0.1:{self.daemons[host].settings.front[1]}{path}"
+        body = b""
+        try:
+            async with self.client.post(url, headers=all_headers) as response:
+                async for piece in response.content.iter_any():
+                    body += piece
+                    if leave_after and body.count(b"\n\n") >= leave_after:
+                        return attempt, response.status, body, False
+        except aiohttp.ClientPayloadError:
+            return attempt, response.status, body, False
+        return attempt, response.status, body, True
+
     async def fetch_readiness(self):
         url = f"http://127.0.0.1:{self.settings.ready[1]}/readyz"
         async with self.client.get(url) as response:
@@ -106,13 +133,21 @@
     cached_prompts=None,
     domains=("zone-a",),
     more_decode=0,
+    versions=None,
 ):
-    """Yield a fleet with a daemon per domain, which have loaded routes and targets."""
+    """Yield a fleet with a daemon per domain, which have loaded routes and targets.
+
+    ``versions`` are the software versions of runners by id; their events name it.
+    """
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
     fleet.more_decode = [
         Runner(f"d{n}", "lm", stage="decode") for n in range(3, 3 + more_decode)
     ]
+    for target in fleet.runners:
+        if versions is not None and target.id in versions:
+            target.version = versions[target.id]
+            target.faults.marks_version = True
     runner = web.AppRunner(
         fleet.store.make_app(), access_log=None, shutdown_timeout=0.1
     )
