Keep a resumable stream to the software version that began it

Callers got streams joined from two software versions of a service, with status 200 and nothing in the answer to tell: within one answer, where the daemon sent a broken stream on to another target, and over the tries of a client that took it up. Cause: a target was chosen as if all targets of a service were equal; the version of an entry and the header that names the first attempt were read nowhere. Class: a choice made anew for work that has begun, without what the first choice bound it to.

Now the version (and service) is fixed at a stream's first event. Every slot request after that names it; the scheduler considers no other target that generates (prefilling is free), and what was granted or kept ready is checked once more right before it is sent, also against an entry that came back under the same id. What began where is kept until the client has stopped waiting: by the host, its schedulers (datagrams) and, gathered for 100 ms, one object a scheduler in the store, so that it outlives a kill of all hosts. Nothing is told or written while one version alone may have begun every open stream. A take-up whose origin is not known is refused at once (503, not run).

--- a/src/galenapass/forwarding/capacity.py
+++ b/src/galenapass/forwarding/capacity.py
@@ -39,7 +39,11 @@
     ) -> list[Target]:
         """Return the eligible targets of a slot request, in a role if given."""
         return self._list(
-            slot_request.service, role, slot_request.tried, slot_request.excluded
+            slot_request.service,
+            role,
+            slot_request.tried,
+            slot_request.excluded,
+            slot_request.version,
         )
 
     def list_permitted(self, slot_request: SlotRequest) -> list[Target]:
@@ -52,9 +56,14 @@
             return eligible
         return [t for t in eligible if self._permits.is_available(t)] or eligible
 
-    def list_serving(self, service: str, role: Role | None = None) -> list[Target]:
-        """Return all serving targets of a service, in a role if given."""
-        return self._list(service, role, frozenset(), frozenset())
+    def list_serving(
+        self, service: str, role: Role | None = None, version: str | None = None
+    ) -> list[Target]:
+        """Return all serving targets of a service, in a role if given.
+
+        ``version`` is as for ``placement.list_eligible``.
+        """
+        return self._list(service, role, frozenset(), frozenset(), version)
 
     def list_free(
         self, slot_request: SlotRequest, role: Role | None, view: View
@@ -64,7 +73,11 @@
         return [target for target in up if self._has_slot(slot_request, target)]
 
     def has_capacity(
-        self, slot_request: SlotRequest, choice: Choice, slots: SlotCounts | None
+        self,
+        slot_request: SlotRequest,
+        choice: Choice,
+        slots: SlotCounts | None,
+        view: View,
     ) -> bool:
         """Return whether a prompt may be prefilled now, given the decode ``slots``."""
         if not admission.has_capacity(self._fleet.load_of(choice.target)):
@@ -72,9 +85,17 @@
         if not self._permits.is_available(choice.target):
             return False
         if choice.target.role is Role.PREFILL:
-            return slots is None or slots.free > 0
+            if slots is not None and slots.free <= 0:
+                return False
+            return self._has_decode_slot(slot_request, view)
         return self._has_slot(slot_request, choice.target)
 
+    def _has_decode_slot(self, slot_request: SlotRequest, view: View) -> bool:
+        """Return whether the only version that may generate has a free slot."""
+        if slot_request.version is None:
+            return True
+        return bool(self.list_free(slot_request, Role.DECODE, view))
+
     def count_decode_slots(self, service: str, view: View) -> SlotCounts | None:
         """Return the decode slots of a service, None if unknown."""
         serving = self.list_serving(service)
@@ -111,12 +132,13 @@
         role: Role | None,
         tried: frozenset[str],
         excluded: frozenset[str],
+        version: str | None,
     ) -> list[Target]:
-        key = (service, role, tried, excluded)
+        key = (service, role, tried, excluded, version)
         if key not in self._eligible:
             targets = self._fleet.targets.values()
             self._eligible[key] = placement.list_eligible(
-                targets, service, role, tried, excluded
+                targets, service, role, tried, excluded, version
             )
         return self._eligible[key]
 
--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -26,6 +26,17 @@
 )
 from galenapass.forwarding.limit_sharing import LimitNotice
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.origin_messages import (
+    OriginQuery,
+    OriginReply,
+    StreamNotice,
+    decode_notice,
+    decode_query,
+    decode_reply,
+    encode_notice,
+    encode_query,
+    encode_reply,
+)
 from galenapass.forwarding.permits import Permit, PermitRequest
 from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
@@ -70,12 +81,14 @@
     """Request for the state of a scheduler; carries the known configuration version.
 
     ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
-    the store's epoch, None if unknown.
+    the store's epoch, None if unknown. ``knows_versions`` is whether the sender's build
+    knows software versions.
     """
 
     version: int
     limits: tuple[LimitNotice, ...] | None = ()
     epoch: int | None = None
+    knows_versions: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,13 +96,17 @@
     """Answer to a ping; ``is_fresh`` if the sender receives updates from the store.
 
     ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
-    the store's epoch, None if unknown.
+    the store's epoch, None if unknown. ``knows_versions`` is whether the sender's build
+    knows software versions, ``needs_records`` whether it is to be told where streams
+    begin.
     """
 
     version: int
     is_fresh: bool
     limits: tuple[LimitNotice, ...] | None = ()
     epoch: int | None = None
+    knows_versions: bool = True
+    needs_records: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,6 +147,9 @@
     | CrashReport
     | SoundParts
     | PartBlocks
+    | StreamNotice
+    | OriginQuery
+    | OriginReply
 )
 
 
@@ -187,6 +207,8 @@
         sorted(slot_request.excluded),
         slot_request.prefill_engine,
         slot_request.fingerprint,
+        # Earlier builds read no more than the fingerprint.
+        *([] if slot_request.version is None else [slot_request.version]),
     ]
 
 
@@ -194,7 +216,7 @@
     ticket, request, service, stage, soft_deadline, deadline, rank, prompt, parts = row[
         :9
     ]
-    tried, excluded, prefill_engine, fingerprint = row[9:]
+    tried, excluded, prefill_engine, fingerprint, *more = row[9:]
     if prompt is None and Stage(stage) is not Stage.CALL:
         raise ValueError("slot request for an engine has no prompt")
     return SlotRequest(
@@ -216,6 +238,7 @@
         frozenset(map(str, excluded)),
         str(prefill_engine),
         str(fingerprint),
+        str(more[0]) if more else None,
     )
 
 
@@ -230,6 +253,8 @@
         target.role.value,
         target.incarnation,
         target.slots,
+        # Earlier builds read no more than the slots.
+        *([target.version] if target.version else []),
     ]
     return [
         grant.ticket,
@@ -245,7 +270,7 @@
 
 def _decode_grant(host: str, row: list[Any], now: timedelta) -> Grant:
     ticket, target_row, cost, wait, uncached_tokens, fixed, why, cache_source = row
-    name, address, domain, kind, service, role, incarnation, slots = target_row
+    name, address, domain, kind, service, role, incarnation, slots, *more = target_row
     target = Target(
         str(name),
         str(address),
@@ -255,6 +280,7 @@
         Role(role),
         incarnation=str(incarnation),
         slots=read_integer(slots),
+        version=str(more[0]) if more else "",
     )
     return Grant(
         str(ticket),
@@ -406,6 +432,11 @@
     return read_integer(row[0]) if row and row[0] is not None else None
 
 
+def _decode_flag(row: list[Any]) -> bool:
+    """Decode a flag that ends a message; messages of earlier builds lack it."""
+    return bool(row) and row[0] is True
+
+
 def _decode_permit_request(host: str, row: list[Any], now: timedelta) -> PermitRequest:
     target, incarnation, count = row
     return PermitRequest((str(target), str(incarnation)), read_integer(count))
@@ -431,9 +462,13 @@
             ping.version,
             _encode_limits(ping.limits, now),
             ping.epoch,
+            ping.knows_versions,
         ],
         lambda host, row, now: Ping(
-            read_integer(row[0]), _decode_limits(row[1:], now), _decode_epoch(row[2:])
+            read_integer(row[0]),
+            _decode_limits(row[1:], now),
+            _decode_epoch(row[2:]),
+            _decode_flag(row[3:]),
         ),
     ),
     Pong: (
@@ -443,12 +478,16 @@
             pong.is_fresh,
             _encode_limits(pong.limits, now),
             pong.epoch,
+            pong.knows_versions,
+            pong.needs_records,
         ],
         lambda host, row, now: Pong(
             read_integer(row[0]),
             bool(row[1]),
             _decode_limits(row[2:], now),
             _decode_epoch(row[3:]),
+            _decode_flag(row[4:]),
+            _decode_flag(row[5:]),
         ),
     ),
     TargetLeaving: (
@@ -482,5 +521,20 @@
         encode_blocks,
         lambda host, row, now: decode_blocks(row, now),
     ),
+    StreamNotice: (
+        "streams",
+        encode_notice,
+        lambda host, row, now: decode_notice(row, now),
+    ),
+    OriginQuery: (
+        "origin?",
+        encode_query,
+        lambda host, row, now: decode_query(row, now),
+    ),
+    OriginReply: (
+        "origin",
+        encode_reply,
+        lambda host, row, now: decode_reply(row, now),
+    ),
 }
 _DECODERS = {kind: decode for kind, _, decode in _CODECS.values()}
--- /dev/null
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -0,0 +1,360 @@
+"""Find at which version a stream began, and keep that through the loss of hosts.
+
+While one version alone serves, nothing is told or written: every stream began at it.
+Otherwise hosts tell their schedulers the origins of streams in datagrams, and each
+scheduler publishes those of its hosts in the store, many at a time.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.host_objects import HostObject
+from galenapass.forwarding.hosts import HostObjects
+from galenapass.forwarding.origin_messages import (
+    OriginQuery,
+    OriginReply,
+    PublishedOrigins,
+    StreamNotice,
+    decode_published,
+    encode_published,
+    split_notice,
+)
+from galenapass.forwarding.routes import map_resumable
+from galenapass.forwarding.service_versions import (
+    ANOTHER_SERVICE,
+    STREAM_LIFETIME,
+    ServiceVersion,
+    VersionHistory,
+)
+from galenapass.forwarding.stream_origins import StreamOrigins, StreamRecord
+from galenapass.logs import make_log
+from galenapass.platform.messages import ObjectListing
+from galenapass.verdicts import Reason, Run, Verdict
+
+__all__ = ["STREAMS_KIND", "OriginHooks", "OriginSharing"]
+
+STREAMS_KIND = "streams"
+# Streams that begin within this time share a datagram.
+SHARE_DELAY = timedelta(milliseconds=10)
+# Streams that begin within this time share a write. What is not written when all hosts
+# are lost is not known afterwards; a stream lasts a few tenths of a second.
+PUBLISH_DELAY = timedelta(milliseconds=100)
+# Pause after the store did not answer.
+RETRY_DELAY = timedelta(milliseconds=500)
+# The store is read this often for a stream that is not known: the host where it began
+# may be about to publish it. Each wait for the store is bounded.
+READS = 2
+READ_INTERVAL = PUBLISH_DELAY + timedelta(milliseconds=50)
+READ_TIMEOUT = timedelta(milliseconds=500)
+# Wait for a scheduler's reply, which may have to read the store.
+REPLY_TIMEOUT = READS * READ_TIMEOUT
+OBSERVE_PERIOD = timedelta(milliseconds=100)
+RETRY_AFTER = timedelta(milliseconds=500)
+
+_log = make_log("streams")
+
+
+@dataclass(slots=True, frozen=True)
+class OriginHooks:
+    """Callbacks of the sharing of origins.
+
+    ``share`` tells the schedulers a notice, ``ask`` sends a query to one of them and
+    returns False if there is none. ``is_scheduler`` returns whether this host
+    schedules, ``is_view_fresh`` whether it receives updates from the store.
+    ``on_need`` is called when records become needed or needless, ``on_resumed`` with
+    how the origin of a stream was found.
+    """
+
+    share: Callable[[StreamNotice], None]
+    ask: Callable[[OriginQuery], bool]
+    is_scheduler: Callable[[], bool]
+    is_view_fresh: Callable[[], bool]
+    on_need: Callable[[], None] = lambda: None
+    on_resumed: Callable[[str], None] = lambda outcome: None
+
+
+class OriginSharing:
+    """Origins of streams as this host, its schedulers and the store know them.
+
+    ``needs_records`` is whether more than one version may have begun a stream of some
+    service: of a scheduler's own knowledge, or as its scheduler says.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        objects: HostObjects,
+        clock: Clock,
+        hooks: OriginHooks,
+        *,
+        is_first_start: bool,
+    ):
+        self.needs_records = True
+        self._fleet = fleet
+        self._objects = objects
+        self._object = HostObject(STREAMS_KIND, fleet.host, objects)
+        self._clock = clock
+        self._hooks = hooks
+        self._is_first_start = is_first_start
+        self._history = VersionHistory()
+        self._origins = StreamOrigins()
+        # Streams that began here, or at hosts that this one schedules for.
+        self._own: dict[int, None] = {}
+        self._untold: dict[int, None] = {}
+        self._is_flush_due = False
+        self._is_loaded = False
+        self._to_publish = asyncio.Event()
+        self._read_task: asyncio.Task[None] | None = None
+        self._read_at = timedelta(0)
+        self._replies: dict[int, asyncio.Future[ServiceVersion | None]] = {}
+        self._routes_version = 0
+        self._services_by_route: dict[tuple[str, str], frozenset[str]] = {}
+
+    # Origins
+
+    def record(
+        self, stream: int, origin: ServiceVersion, abandoned_at: timedelta
+    ) -> None:
+        """Record where a stream began, whose client stops waiting at a time."""
+        now = self._clock.monotonic()
+        until = min(abandoned_at, now + STREAM_LIFETIME)
+        changed = self._origins.record(StreamRecord(stream, origin, until), now)
+        if changed is not None:
+            self._history.record(origin, now)
+            self._add_own([stream], must_tell=True)
+
+    async def resolve(
+        self, stream: int, services: Sequence[str]
+    ) -> Result[ServiceVersion, Verdict]:
+        """Return where a stream began that a client resumes, or why it can't go on.
+
+        ``services`` are those to which the client's route leads.
+        """
+        origin, outcome = self._find(stream, services)
+        if origin is None and not self._hooks.is_scheduler():
+            origin, outcome = await self._ask(stream, services), "asked"
+        for _ in range(READS):
+            if origin is None and self._hooks.is_scheduler():
+                await self._read_again()
+                origin, outcome = self._find(stream, services)
+        if origin is not None and origin.service not in services:
+            origin, outcome = None, "the route leads elsewhere"
+        self._hooks.on_resumed(outcome)
+        return Err(_UNKNOWN_ORIGIN) if origin is None else Ok(origin)
+
+    def _find(
+        self, stream: int, services: Sequence[str]
+    ) -> tuple[ServiceVersion | None, str]:
+        """Return the origin of a stream, None if unknown, and how it was found."""
+        now = self._clock.monotonic()
+        record = self._origins.find(stream, now)
+        if record is not None:
+            return record.origin, "recorded"
+        if len(services) != 1:
+            return None, "unknown"
+        origin = self._find_only(services[0], now)
+        return origin, "unknown" if origin is None else "only version"
+
+    def _find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
+        """Return the version that began every open stream of a service, if certain."""
+        if not (self._hooks.is_scheduler() and self._hooks.is_view_fresh()):
+            return None
+        return self._history.find_only(service, now)
+
+    # Messages
+
+    def apply_notice(self, notice: StreamNotice, *, from_client: bool) -> None:
+        """Apply what another host tells; pass on what a client of this one tells."""
+        now = self._clock.monotonic()
+        changed = [r for r in notice.records if self._origins.record(r, now)]
+        for record in changed:
+            if record.origin is not None:
+                self._history.record(record.origin, now)
+        if from_client:
+            self._add_own([r.stream for r in changed], must_tell=True)
+
+    async def answer_query(self, query: OriginQuery) -> OriginReply:
+        """Return the reply to another host's query."""
+        resolved = await self.resolve(query.stream, query.services)
+        return OriginReply(query.stream, resolved.ok())
+
+    def apply_reply(self, reply: OriginReply) -> None:
+        """Apply a scheduler's reply to a query of this host."""
+        waiting = self._replies.get(reply.stream)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply.origin)
+
+    def set_need(self, needs_records: bool) -> None:
+        """Record whether this host's scheduler needs records."""
+        if not self._hooks.is_scheduler():
+            self._set_need(needs_records)
+
+    async def _ask(self, stream: int, services: Sequence[str]) -> ServiceVersion | None:
+        waiting = self._replies.get(stream)
+        if waiting is None:
+            waiting = asyncio.get_running_loop().create_future()
+            self._replies[stream] = waiting
+            waiting.add_done_callback(lambda _: self._replies.pop(stream, None))
+            if not self._hooks.ask(OriginQuery(stream, tuple(services))):
+                waiting.set_result(None)
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT.total_seconds()):
+                return await asyncio.shield(waiting)
+        except TimeoutError:
+            _log("no scheduler replies", stream=stream)
+            if not waiting.done():
+                waiting.set_result(None)
+            return None
+
+    def _add_own(self, streams: Sequence[int], *, must_tell: bool) -> None:
+        self._own.update(dict.fromkeys(streams))
+        if must_tell and self.needs_records and streams:
+            self._untold.update(dict.fromkeys(streams))
+            self._to_publish.set()
+            self._flush_soon()
+
+    def _flush_soon(self) -> None:
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(SHARE_DELAY.total_seconds(), self._flush)
+
+    def _flush(self) -> None:
+        self._is_flush_due = False
+        streams, self._untold = self._untold, {}
+        for notice in split_notice(
+            self._origins.select(streams, self._clock.monotonic())
+        ):
+            self._hooks.share(notice)
+
+    # Versions
+
+    async def run_observation(self) -> None:
+        """Follow the versions of the targets until cancelled."""
+        while True:
+            self.observe()
+            await asyncio.sleep(OBSERVE_PERIOD.total_seconds())
+
+    def observe(self) -> None:
+        """Record the versions in service, and whether records are needed now."""
+        now = self._clock.monotonic()
+        self._origins.forget_ended(now)
+        self._own = {s: None for s in self._own if self._origins.find(s, now)}
+        if not self._hooks.is_scheduler():
+            return
+        self._observe_routes(now)
+        if self._history.observe(self._fleet.targets.values(), now):
+            self._to_publish.set()
+        services = frozenset().union(*self._services_by_route.values())
+        self._set_need(any(self._find_only(name, now) is None for name in services))
+
+    def _observe_routes(self, now: timedelta) -> None:
+        """Record the services to which a route leads since its last configuration."""
+        if self._fleet.routes.version == self._routes_version:
+            return
+        before, self._services_by_route = (
+            self._services_by_route,
+            map_resumable(self._fleet.routes),
+        )
+        self._routes_version = self._fleet.routes.version
+        for route, services in self._services_by_route.items():
+            for service in services - before.get(route, services):
+                self._history.record(ServiceVersion(service, ANOTHER_SERVICE), now)
+                self._to_publish.set()
+
+    def _set_need(self, needs_records: bool) -> None:
+        if needs_records == self.needs_records:
+            return
+        self.needs_records = needs_records
+        _log("versions of streams are told", needed=needs_records)
+        self._hooks.on_need()
+        self._add_own(list(self._own), must_tell=True)
+
+    # Store
+
+    async def run_publishing(self) -> None:
+        """Load what was published, then publish until cancelled; for schedulers."""
+        while not await self._read():
+            await asyncio.sleep(RETRY_DELAY.total_seconds())
+        while True:
+            await self._to_publish.wait()
+            await asyncio.sleep(PUBLISH_DELAY.total_seconds())
+            self._to_publish.clear()
+            if not await self._publish():
+                self._to_publish.set()
+                await asyncio.sleep(RETRY_DELAY.total_seconds())
+
+    def publish_again(self) -> None:
+        """Publish what a restored store may lack."""
+        self._object.version = None
+        self._to_publish.set()
+
+    async def _publish(self) -> bool:
+        now = self._clock.monotonic()
+        records = self._origins.select(self._own, now) if self.needs_records else []
+        published = PublishedOrigins(records, self._history.list_rows(now))
+        body = encode_published(published, self._clock.now(), now)
+        return await self._object.write(body)
+
+    async def _read_again(self) -> None:
+        """Await the next read of the store, which all that wait share."""
+        if self._read_task is None:
+            self._read_task = asyncio.create_task(self._read_next())
+            self._read_task.add_done_callback(self._end_read)
+        await asyncio.wait((self._read_task,), timeout=READ_TIMEOUT.total_seconds())
+
+    async def _read_next(self) -> None:
+        now = self._clock.monotonic()
+        pause = self._read_at + READ_INTERVAL - now
+        await asyncio.sleep(max(pause.total_seconds(), 0))
+        self._read_at = self._clock.monotonic()
+        await self._read()
+
+    def _end_read(self, task: asyncio.Task[None]) -> None:
+        self._read_task = None
+        if not task.cancelled() and task.exception() is not None:
+            _log("read failed", error=repr(task.exception()))
+
+    async def _read(self) -> bool:
+        listing = await self._objects.list(STREAMS_KIND)
+        if isinstance(listing, Err):
+            _log("streams are not read", cause=listing.err_value.cause.value)
+            return False
+        self._apply_listing(listing.ok_value)
+        return True
+
+    def _apply_listing(self, listing: ObjectListing) -> None:
+        now, wall = self._clock.monotonic(), self._clock.now()
+        published = {
+            stored.name: decode_published(stored.body, wall, now)
+            for stored in listing.items
+        }
+        for host, origins in published.items():
+            for record in origins.records:
+                self._origins.record(record, now)
+            if host == self._fleet.host and not self._is_loaded:
+                # The next write replaces what this host wrote before its start.
+                self._add_own([r.stream for r in origins.records], must_tell=False)
+        if not self._is_loaded:
+            self._is_loaded = True
+            rows = [row for origins in published.values() for row in origins.versions]
+            self._history.load(rows, now, is_first_start=self._is_first_start)
+            for stored in listing.items:
+                if stored.name == self._fleet.host:
+                    self._object.version = stored.version
+            _log("streams are loaded", hosts=len(published), versions=len(rows))
+        self.observe()
+
+
+_UNKNOWN_ORIGIN = Verdict(
+    Run.NOT_RUN,
+    Reason.NO_TARGET,
+    "the version that began the stream is not known",
+    RETRY_AFTER,
+)
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -11,6 +12,7 @@
 from galenapass.clocks import Clock
 from galenapass.forwarding import announcements, fleet, workload
 from galenapass.forwarding.announcements import Announcement, Peers
+from galenapass.forwarding.background import BackgroundTasks
 from galenapass.forwarding.crash_evidence import CrashReport
 from galenapass.forwarding.crash_sharing import (
     CrashMessage,
@@ -30,6 +32,12 @@
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.limit_sharing import LimitNotice, LimitSharing
 from galenapass.forwarding.loads import PartDigest
+from galenapass.forwarding.origin_messages import (
+    OriginQuery,
+    OriginReply,
+    StreamNotice,
+)
+from galenapass.forwarding.origin_sharing import OriginSharing
 from galenapass.forwarding.permits import Permit, PermitRequest, Permits
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import Address
@@ -88,6 +96,7 @@
         permits: Permits,
         epochs: StoreEpochs,
         suspects: CrashSuspects,
+        origins: OriginSharing,
     ):
         self.endpoint = DatagramEndpoint(tables.host, clock, self._receive)
         self.slot_client = SlotClient(scheduler, scheduler_selection, self._send, clock)
@@ -104,6 +113,10 @@
         self._permits = permits
         self._epochs = epochs
         self._suspects = suspects
+        self._origins = origins
+        self._background = BackgroundTasks("peers")
+        # Hosts whose builds know software versions.
+        self._version_aware: set[str] = set()
         self._blocks_sent_at = timedelta(0)
         permits.connect(self, self._send, scheduler.wake)
         self._unannounced_parts: deque[tuple[str, PartDigest]] = deque(maxlen=4000)
@@ -129,6 +142,9 @@
             CrashReport: self._apply_crash_message,
             SoundParts: self._apply_crash_message,
             PartBlocks: self._apply_crash_message,
+            StreamNotice: self._apply_stream_notice,
+            OriginQuery: self._answer_origin_query,
+            OriginReply: lambda host, address, reply: self._origins.apply_reply(reply),
         }
 
     def announce_parts(self, target: Target, parts: tuple[PartDigest, ...]) -> None:
@@ -172,6 +188,22 @@
         for client in self._scheduler_selection.list_clients():
             self.endpoint.send(client, summary)
 
+    def share_streams(self, notice: StreamNotice) -> None:
+        """Tell the schedulers where streams began."""
+        if not self._scheduler_selection.is_scheduler:
+            for host in self._scheduler_selection.list_schedulers()[:1]:
+                self._send(host, notice)
+            return
+        for address in self._scheduler_selection.list_peers(self._peers):
+            self.endpoint.send(address, notice)
+
+    def ask_origin(self, query: OriginQuery) -> bool:
+        """Ask a scheduler where a stream began; return whether there is one."""
+        hosts = self._scheduler_selection.list_schedulers()[:1]
+        for host in hosts:
+            self._send(host, query)
+        return bool(hosts)
+
     def list_issuers(self) -> list[str]:
         """Return the schedulers that may issue permits, this host included.
 
@@ -284,6 +316,8 @@
 
     def _send(self, host: str, message: PeerMessage) -> None:
         address = self._scheduler_selection.find_address(host)
+        if isinstance(message, SlotRequest) and host not in self._version_aware:
+            message = replace(message, version=None)
         if address is not None:
             self.endpoint.send(address, message)
 
@@ -300,7 +334,10 @@
 
         def answer(result: Result[Grant, Verdict]) -> None:
             if isinstance(result, Ok):
-                self.endpoint.send(address, result.ok_value)
+                grant = result.ok_value
+                if host not in self._version_aware:
+                    grant = replace(grant, target=replace(grant.target, version=""))
+                self.endpoint.send(address, grant)
             else:
                 self.endpoint.send(
                     address, SlotRefusal(slot_request.ticket, result.err_value)
@@ -319,7 +356,26 @@
     ) -> None:
         self.slot_client.apply_reply(host, message)
 
+    def _apply_stream_notice(
+        self, host: str, address: Address, notice: StreamNotice
+    ) -> None:
+        self._origins.apply_notice(notice, from_client=host not in self._peers)
+
+    def _answer_origin_query(
+        self, host: str, address: Address, query: OriginQuery
+    ) -> None:
+        async def answer() -> None:
+            self.endpoint.send(address, await self._origins.answer_query(query))
+
+        self._background.spawn(answer())
+
+    def _record_awareness(self, host: str, knows_versions: bool) -> None:
+        (self._version_aware.add if knows_versions else self._version_aware.discard)(
+            host
+        )
+
     def _apply_ping(self, host: str, address: Address, ping: Ping) -> None:
+        self._record_awareness(host, ping.knows_versions)
         self._scheduler_selection.record_client(host, address)
         self._apply_limits(host, ping.limits)
         self._epochs.observe(ping.epoch, host)
@@ -341,6 +397,9 @@
 
     def _apply_pong(self, host: str, address: Address, pong: Pong) -> None:
         self._scheduler_selection.record_pong(host, pong.is_fresh)
+        self._record_awareness(host, pong.knows_versions)
+        if host in self._scheduler_selection.list_schedulers()[:1]:
+            self._origins.set_need(pong.needs_records)
         self._apply_limits(host, pong.limits)
         self._epochs.observe(pong.epoch, host)
         self._apply_version(pong.version)
@@ -384,7 +443,11 @@
         notices = self._limit_sharing.next_notices()
         is_fresh = self._scheduler_selection.is_fresh
         return Pong(
-            self._find_newest_version(), is_fresh, notices, self._epochs.current
+            self._find_newest_version(),
+            is_fresh,
+            notices,
+            self._epochs.current,
+            needs_records=self._origins.needs_records,
         )
 
     def _make_ping(self) -> Ping:
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -160,10 +160,12 @@
     role: Role | None,
     tried: Set[str],
     excluded: Set[str] = frozenset(),
+    version: str | None = None,
 ) -> list[Target]:
     """Return the serving targets of a service in a role, only untried ones if any.
 
-    ``excluded`` names targets that are never returned, even if no other is left.
+    ``excluded`` names targets that are never returned, even if no other is left. With a
+    ``version``, only its targets are, and engines that do nothing but prefill.
     """
     serving = [
         t
@@ -172,6 +174,7 @@
         and t.state is TargetState.SERVING
         and (role is None or t.role is role)
         and t.id not in excluded
+        and (version is None or t.version == version or t.role is Role.PREFILL)
     ]
     return [t for t in serving if t.id not in tried] or serving
 
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -20,6 +20,7 @@
 )
 from galenapass.forwarding.interfaces import Sink, TargetClient
 from galenapass.forwarding.open_requests import OpenRequests
+from galenapass.forwarding.origin_sharing import OriginSharing
 from galenapass.forwarding.progress import ProgressTimeouts
 from galenapass.forwarding.rate_limits import find_rate_limit, record_rate_limit
 from galenapass.forwarding.requests import ForwardedRequest
@@ -31,6 +32,7 @@
     Sender,
     classify_failure,
 )
+from galenapass.forwarding.service_versions import ServiceVersion
 from galenapass.forwarding.slot_client import Slot, SlotClient
 from galenapass.forwarding.slot_requests import Outcome, SlotRequest, Stage
 from galenapass.forwarding.stop_times import StopTimes
@@ -92,6 +94,7 @@
         on_left: Callable[[Target], None],
         on_limit_change: Callable[[], None],
         on_limited_send: Callable[[Target, Stage], None],
+        origins: OriginSharing,
     ):
         self.terms = terms
         self.daemons = DEFAULT_DAEMON_COUNT
@@ -103,7 +106,8 @@
         self._on_left = on_left
         self._on_limit_change = on_limit_change
         self._on_limited_send = on_limited_send
-        self._sender = Sender(target_client, suspects, clock)
+        self._origins = origins
+        self._sender = Sender(target_client, suspects, clock, self._record_stream_begin)
         self._answer_times = AnswerTimes()
         self._open_requests = OpenRequests(clock, self._answer_times)
         self._budgets: dict[str, Budget] = {}
@@ -113,12 +117,15 @@
         self, request: ForwardedRequest, message: ClientRequest, sink: Sink
     ) -> Result[None, Verdict]:
         """Answer a request through ``sink``; an error is the verdict for the client."""
-        now = self._clock.monotonic()
-        budget = self._find_budget(request)
-        retry_budgets.record_request(budget, now, self.terms)
         first_stage = Stage.PREFILL if self._generates(request) else Stage.CALL
         try:
             async with self._open_requests.bound(request, first_stage):
+                refusal = await self._find_origin(request)
+                if refusal is not None:
+                    return Err(refusal)
+                budget = self._find_budget(request)
+                now = self._clock.monotonic()
+                retry_budgets.record_request(budget, now, self.terms)
                 return await self._try_targets(request, message, sink, budget)
         except TimeoutError:
             return Err(self._open_requests.make_verdict(request))
@@ -131,6 +138,26 @@
         """Raise TimeoutError if a body is not whole as the answers of a stop end."""
         return self._open_requests.bound_body()
 
+    async def _find_origin(self, request: ForwardedRequest) -> Verdict | None:
+        """Find where a stream began that a client resumes, or why it can't go on."""
+        if request.last_event is None:
+            return None
+        services = [name for name, _ in request.route.split]
+        resolved = await self._origins.resolve(request.stream, services)
+        if isinstance(resolved, Err):
+            return resolved.err_value
+        request.origin = resolved.ok_value
+        request.service = request.origin.service
+        return None
+
+    def _record_stream_begin(self, request: ForwardedRequest, target: Target) -> None:
+        """Keep a stream that may be resumed to the version that makes its events."""
+        if request.route.repeat is not Repeat.RESUME:
+            return
+        if request.origin is None:
+            request.origin = ServiceVersion(target.service, target.version)
+        self._origins.record(request.stream, request.origin, request.abandoned_at)
+
     async def _try_targets(
         self,
         request: ForwardedRequest,
@@ -194,6 +221,9 @@
         standby: Standby,
     ) -> Result[None, Verdict]:
         send = standby.take()
+        if send is not None and not self._is_usable(request, send.slot.grant.target):
+            self._sender.discard(send)
+            send = None
         if send is None:
             prepared = await self._prepare(request, message)
             if isinstance(prepared, Err):
@@ -372,6 +402,7 @@
             None,
             frozenset(),
             self._list_unusable(request),
+            request.version,
         )
         return any(
             target.role is not Role.PREFILL
@@ -446,14 +477,29 @@
                 acquired.ok_value.end(Outcome.CANCELLED)
                 return Err(refusal)
             target = acquired.ok_value.grant.target
-            if target.id not in list_excluded(self._fleet, self._clock.monotonic()):
+            if self._is_usable(request, target, stage):
                 if find_rate_limit(self._fleet.rate_limits, target) is not None:
                     self._on_limited_send(target, stage)
                 return acquired
-            # The target was excluded while the slot request was in progress.
+            # The target was excluded, or replaced, while the request was in progress.
             acquired.ok_value.end(Outcome.CANCELLED)
         return Err(_NO_TARGET)
 
+    def _is_usable(
+        self, request: ForwardedRequest, target: Target, stage: Stage | None = None
+    ) -> bool:
+        """Return whether a request may go to a target that was granted to it.
+
+        At an engine that only prefills a stream doesn't go on.
+        """
+        if target.id in list_excluded(self._fleet, self._clock.monotonic()):
+            return False
+        known = self._fleet.targets.get(target.id, target)
+        if (known.incarnation, known.version) != (target.incarnation, target.version):
+            return False
+        only_prefills = stage is Stage.PREFILL and target.role is Role.PREFILL
+        return only_prefills or request.version in (None, target.version)
+
     def _make_slot_request(
         self, request: ForwardedRequest, stage: Stage, prefill_engine: str
     ) -> SlotRequest:
@@ -471,6 +517,7 @@
             self._list_unusable(request),
             prefill_engine,
             request.fingerprint,
+            request.version,
         )
 
     def _list_unusable(self, request: ForwardedRequest) -> frozenset[str]:
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -13,6 +13,7 @@
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
+from galenapass.forwarding.stream_origins import digest_stream
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
     ClientServer,
@@ -136,7 +137,9 @@
         arrived: timedelta,
     ) -> ForwardedRequest:
         patience = route.timeout if metadata.patience is None else metadata.patience
-        resumes = route.repeat is Repeat.RESUME
+        last_event = metadata.last_event if route.repeat is Repeat.RESUME else None
+        is_resumed = last_event is not None and metadata.resumes
+        first_attempt = metadata.resumes if is_resumed else metadata.attempt
         return ForwardedRequest(
             id=metadata.attempt,
             route=route,
@@ -146,7 +149,9 @@
             prompt=metadata.prompt,
             parts=digest_parts(metadata.prompt) if metadata.prompt else (),
             fingerprint=_make_fingerprint(raw, body),
-            last_event=metadata.last_event if resumes else None,
+            last_event=last_event,
+            stream=digest_stream(first_attempt),
+            abandoned_at=arrived + patience,
         )
 
     def _pick_service(self, route: Route) -> str:
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from galenapass.forwarding.routes import Repeat, Route
+from galenapass.forwarding.service_versions import ServiceVersion
 
 if TYPE_CHECKING:
     from galenapass.forwarding.loads import PartDigest
@@ -58,6 +59,10 @@
     client. ``parts`` are the parts of the prompt that engines cache, the part that is
     not shared last. ``tried`` holds the ids of targets to use last; ``target`` is the
     id of the one that works on it now, at which no second slot is requested.
+
+    ``stream`` is the digest of the attempt that brought the first event of its stream,
+    and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
+    when the client stops waiting, also at other hosts.
     """
 
     id: str
@@ -74,6 +79,14 @@
     last_event: int | None = None
     tried: set[str] = field(default_factory=set)
     target: str | None = None
+    stream: int = 0
+    origin: ServiceVersion | None = None
+    abandoned_at: timedelta = timedelta(0)
+
+    @property
+    def version(self) -> str | None:
+        """Return the only version at which it may go on, None for any."""
+        return None if self.origin is None else self.origin.version
 
     @property
     def shared_parts(self) -> "tuple[PartDigest, ...]":
--- a/src/galenapass/forwarding/routes.py
+++ b/src/galenapass/forwarding/routes.py
@@ -4,7 +4,15 @@
 from datetime import timedelta
 from enum import Enum
 
-__all__ = ["ClientLimits", "Repeat", "Route", "RouteTable", "Service", "find_route"]
+__all__ = [
+    "ClientLimits",
+    "Repeat",
+    "Route",
+    "RouteTable",
+    "Service",
+    "find_route",
+    "map_resumable",
+]
 
 
 class Repeat(Enum):
@@ -73,3 +81,16 @@
     """Return the route of a host whose prefix of the path is the longest."""
     matches = [r for r in table.routes.get(host, ()) if path.startswith(r.prefix)]
     return max(matches, key=lambda route: len(route.prefix), default=None)
+
+
+def map_resumable(table: RouteTable) -> dict[tuple[str, str], frozenset[str]]:
+    """Return the services of each route whose streams may be resumed.
+
+    The key is the route's host and prefix.
+    """
+    return {
+        (route.host, route.prefix): frozenset(name for name, _ in route.split)
+        for rows in table.routes.values()
+        for route in rows
+        if route.repeat is Repeat.RESUME
+    }
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -240,7 +240,11 @@
             return _TOO_LARGE
         if choice is None:
             return self._add_back_off(_NO_ENGINE, slot_request.service, view.now)
-        serving = self._capacity.list_serving(slot_request.service)
+        serving = self._capacity.list_serving(
+            slot_request.service, version=slot_request.version
+        )
+        if slot_request.version is not None and not _list_generating(serving):
+            return _NO_VERSION
         if placement.lacks_decode_engine(serving, view):
             decode = [t for t in serving if t.role is Role.DECODE]
             self._hooks.on_unreachable(decode or serving)
@@ -252,12 +256,12 @@
     ) -> bool:
         choice = self._waiting[slot_request.ticket].choice
         if choice is None or not self._capacity.has_capacity(
-            slot_request, choice, slots
+            slot_request, choice, slots, view
         ):
             return False
         choice = self._choose_current(slot_request, view)
         if choice is None or not self._capacity.has_capacity(
-            slot_request, choice, slots
+            slot_request, choice, slots, view
         ):
             return False
         if admission.is_unservable(slot_request, choice.finish_ms, view.now):
@@ -440,7 +444,17 @@
             self._timer = loop.call_later(QUEUE_PERIOD.total_seconds(), self.wake)
 
 
+def _list_generating(serving: list[Target]) -> list[Target]:
+    return [target for target in serving if target.role is not Role.PREFILL]
+
+
 _RETRY_AFTER = timedelta(milliseconds=500)
+_NO_VERSION = Verdict(
+    Run.NOT_RUN,
+    Reason.NO_TARGET,
+    "no target of the version that began the stream generates",
+    _RETRY_AFTER,
+)
 _NO_ENGINE = Verdict(Run.NOT_RUN, Reason.NO_TARGET, "no engine serves", _RETRY_AFTER)
 _NO_TARGET = Verdict(Run.NOT_RUN, Reason.NO_TARGET, "no target serves", _RETRY_AFTER)
 _NO_DECODE = Verdict(
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -1,6 +1,6 @@
 """Run a request at one target and relay its response to the client."""
 
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -58,12 +58,20 @@
 
 
 class Sender:
-    """Sender of requests to targets, which records how each send ended."""
+    """Sender of requests to targets, which records how each send ended.
+
+    ``on_stream_begin`` is called before the first event of an answer is passed on.
+    """
 
     def __init__(
-        self, target_client: TargetClient, suspects: CrashSuspects, clock: Clock
+        self,
+        target_client: TargetClient,
+        suspects: CrashSuspects,
+        clock: Clock,
+        on_stream_begin: Callable[[ForwardedRequest, Target], None],
     ):
         self._target_client = target_client
+        self._on_stream_begin = on_stream_begin
         self._suspects = suspects
         self._clock = clock
         self._background = BackgroundTasks("forwarding")
@@ -231,6 +239,7 @@
                 watch.record_progress()
                 send.slot.record_output()
                 if not sink.began:
+                    self._on_stream_begin(request, send.slot.grant.target)
                     await sink.begin(response.status, response.headers)
                 await sink.write(complete_events)
                 request.last_event = events.last
--- /dev/null
+++ b/src/galenapass/forwarding/service_versions.py
@@ -0,0 +1,106 @@
+"""Track which software versions the targets of each service have, and had before."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.tables.targets import Target
+
+__all__ = [
+    "ANOTHER_SERVICE",
+    "STREAM_LIFETIME",
+    "ServiceVersion",
+    "VersionHistory",
+    "VersionRow",
+]
+
+# Clients wait for seconds; a stream that began before this is over.
+STREAM_LIFETIME = timedelta(seconds=60)
+# In place of a version: open streams of a route to the service began at another one.
+ANOTHER_SERVICE = "another service"
+# Far more versions than serve within the lifetime of a stream.
+MAX_VERSIONS = 4096
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceVersion:
+    """Service and the version of the software of some of its targets."""
+
+    service: str
+    version: str
+
+
+@dataclass(slots=True, frozen=True)
+class VersionRow:
+    """Version in a history; ``left_at`` is None while a target has it."""
+
+    origin: ServiceVersion
+    left_at: timedelta | None
+
+
+class VersionHistory:
+    """Versions that may have begun a stream which is still open.
+
+    It is complete once the history of earlier starts was loaded, or after the lifetime
+    of a stream.
+    """
+
+    __slots__ = ("_complete_at", "_present", "_seen_at")
+
+    def __init__(self) -> None:
+        self._complete_at: timedelta | None = None
+        self._present: frozenset[ServiceVersion] = frozenset()
+        self._seen_at: dict[ServiceVersion, timedelta] = {}
+
+    def load(
+        self, rows: Iterable[VersionRow], now: timedelta, *, is_first_start: bool
+    ) -> None:
+        """Add what earlier starts and other hosts wrote.
+
+        A version that was present when its row was written may have been used up to
+        now. Without any row nothing is known of before, except at the first start.
+        """
+        rows = list(rows)
+        if self._complete_at is None:
+            is_known = is_first_start or bool(rows)
+            self._complete_at = now if is_known else now + STREAM_LIFETIME
+        for row in rows:
+            self.record(row.origin, now if row.left_at is None else row.left_at)
+
+    def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
+        """Record the versions of the known targets; return whether these changed."""
+        present = frozenset(ServiceVersion(t.service, t.version) for t in targets)
+        has_changed = present != self._present
+        for origin in present | self._present if has_changed else present:
+            self.record(origin, now)
+        self._present = present
+        return has_changed
+
+    def record(self, origin: ServiceVersion, at: timedelta) -> None:
+        """Record that a version was in use at a time."""
+        latest = max(at, self._seen_at.pop(origin, at))
+        self._seen_at[origin] = latest
+        while len(self._seen_at) > MAX_VERSIONS:
+            del self._seen_at[next(iter(self._seen_at))]
+
+    def find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
+        """Return the version that began each open stream of a service.
+
+        Return None if it may be one of several.
+        """
+        if self._complete_at is None or now < self._complete_at:
+            return None
+        found = [
+            origin
+            for origin, seen_at in self._seen_at.items()
+            if origin.service == service and now - seen_at < STREAM_LIFETIME
+        ]
+        return found[0] if len(found) == 1 else None
+
+    def list_rows(self, now: timedelta) -> list[VersionRow]:
+        """Return the versions that may have begun an open stream."""
+        return [
+            VersionRow(origin, None if origin in self._present else seen_at)
+            for origin, seen_at in self._seen_at.items()
+            if origin in self._present or now - seen_at < STREAM_LIFETIME
+        ]
--- a/src/galenapass/forwarding/slot_requests.py
+++ b/src/galenapass/forwarding/slot_requests.py
@@ -36,6 +36,7 @@
     ``ticket`` identifies the slot request in the whole fleet, ``request`` the request
     that it serves. ``tried`` names targets to use last, ``excluded`` those to avoid;
     ``prefill_engine`` is the engine that holds the KV cache of a prefilled prompt.
+    ``version`` is the only version whose targets may generate, None for any.
     """
 
     ticket: str
@@ -51,6 +52,7 @@
     excluded: frozenset[str] = frozenset()
     prefill_engine: str = ""
     fingerprint: str = ""
+    version: str | None = None
 
     @property
     def shared_parts(self) -> tuple[PartDigest, ...]:
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -91,6 +91,7 @@
     limited_sends: Counter
     store_restores: Counter
     crashed_requests: Counter
+    resumed_streams: Counter
 
 
 def make_metrics() -> Metrics:
@@ -111,6 +112,7 @@
         limited_sends=Counter(registry, "galenapass_limited_sends", "target", "stage"),
         store_restores=Counter(registry, "galenapass_store_restores"),
         crashed_requests=Counter(registry, "galenapass_crashed_requests", "target"),
+        resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -17,7 +17,9 @@
 from galenapass.forwarding.background import BackgroundTasks, keep_running
 from galenapass.forwarding.engine_states import EngineStateTracker
 from galenapass.forwarding.fleet import Fleet, record_target_parts
+from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HostRegistry
+from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.planning import RolePlanner
@@ -49,7 +51,6 @@
 from galenapass.platform.headers import decode_metadata
 from galenapass.platform.messages import (
     Failure,
-    FailureCause,
     ObjectChange,
     ObjectListing,
     StoredObject,
@@ -78,6 +79,9 @@
 MAX_BATCH_DELAY = timedelta(milliseconds=700)
 # Spreads the queries to the engines when several daemons start together.
 CACHE_LOAD_SPREAD_SECONDS = 0.4
+# Tries to publish crashes, and the pause between them.
+PUBLISH_TRIES = 3
+PUBLISH_PAUSE = timedelta(milliseconds=300)
 UPKEEP_PERIOD = timedelta(milliseconds=100)
 # The lease must exceed the minimum time between orders of two alternating holders.
 LEASE_TERMS = 2
@@ -127,6 +131,13 @@
             self._stop_scheduling,
             self._is_store_view_fresh,
         )
+        self.origins = OriginSharing(
+            self.fleet,
+            self.store,
+            self.clock,
+            self._make_origin_hooks(),
+            is_first_start=settings.is_first_start,
+        )
         self.peering = Peering(
             self.fleet,
             self.clock,
@@ -139,6 +150,7 @@
             permits,
             self.epochs,
             self.suspects,
+            self.origins,
         )
         self.split_goals = SplitGoals(
             self.fleet,
@@ -156,6 +168,7 @@
             self._handle_target_leaving,
             self.peering.announce_state,
             self._count_limited_send,
+            self.origins,
         )
         self.request_handler = RequestHandler(
             self.fleet,
@@ -189,7 +202,7 @@
         self.planner = self._make_planner()
         self._background = BackgroundTasks("daemon")
         self._announced_version = 0
-        self._crashes_version: int | None = None
+        self._crashes = HostObject(CRASHES_KIND, settings.host, self.store)
         self._targets_watch: StoreWatch | None = None
         self._store_watches: list[StoreWatch] = []
         self._tasks: list[asyncio.Task[Any]] = []
@@ -213,6 +226,7 @@
                 "scheduling": lambda: self.scheduler_selection.run(self._probe_store),
                 "pings": self.peering.run_pings,
                 "routes": lambda: self.poller.load_initial(self._needs_routes),
+                "versions": self.origins.run_observation,
             }
         )
 
@@ -301,6 +315,18 @@
             ),
         )
 
+    def _make_origin_hooks(self) -> OriginHooks:
+        return OriginHooks(
+            share=lambda notice: self.peering.share_streams(notice),
+            ask=lambda query: self.peering.ask_origin(query),
+            is_scheduler=lambda: self.scheduler_selection.is_scheduler,
+            is_view_fresh=self._is_store_view_fresh,
+            on_need=lambda: self.peering.announce_version(),
+            on_resumed=lambda outcome: self.metrics.resumed_streams.add(
+                1, {"origin": outcome}
+            ),
+        )
+
     def _make_planner(self) -> RolePlanner:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
@@ -376,6 +402,7 @@
                 "kept parts": self._load_cached_parts,
                 "check of routes": self.poller.poll,
                 "upkeep": self._run_upkeep,
+                "streams": self.origins.run_publishing,
             }
         )
 
@@ -420,7 +447,8 @@
         self.store_updates.handle_restore()
         for store_watch in self._store_watches:
             store_watch.list_again()
-        self._crashes_version = None
+        self._crashes.version = None
+        self.origins.publish_again()
         self._background.spawn(self.hosts.register_again())
         self._background.spawn(self.suspects.publish_again())
         self.peering.announce_state()
@@ -430,6 +458,7 @@
         self.scheduler_selection.targets_listed.set()
 
     def _handle_update(self) -> None:
+        self.origins.observe()
         self.scheduler.wake()
         if self.fleet.routes.version != self._announced_version:
             self._announced_version = self.fleet.routes.version
@@ -504,7 +533,7 @@
     def _apply_crashes_listing(self, listing: ObjectListing) -> None:
         for stored in listing.items:
             if stored.name == self.settings.host:
-                self._crashes_version = stored.version
+                self._crashes.version = stored.version
             self.suspects.apply_published(stored.body)
 
     def _apply_crashes_change(self, change: ObjectChange) -> None:
@@ -512,18 +541,10 @@
             self.suspects.apply_published(change.body)
 
     async def _publish_crashes(self, body: str) -> None:
-        for _ in range(3):
-            written = await self.store.write(
-                CRASHES_KIND, self.settings.host, body, self._crashes_version
-            )
-            if isinstance(written, Ok):
-                self._crashes_version = written.ok_value
+        for _ in range(PUBLISH_TRIES):
+            if await self._crashes.write(body):
                 return
-            failure = written.err_value
-            _log("crashes are not published", cause=failure.cause.value)
-            if failure.cause is FailureCause.CONFLICT:
-                self._crashes_version = failure.current
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(PUBLISH_PAUSE.total_seconds())
 
     def _apply_hosts(self, hosts: Hosts) -> None:
         self.relay.daemons = max(len(hosts), 1)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -81,6 +81,18 @@
     return CrashSuspects(host, World(host, "a"), clock, CrashHooks(publish, **outlets))
 
 
+class FakeOrigins:
+    """Origins of streams of which none is known, and nothing is told."""
+
+    needs_records = False
+
+    def record(self, stream, origin, abandoned_at):
+        pass
+
+    def set_need(self, needs_records):
+        pass
+
+
 def make_fleet(*targets, domain="a"):
     fleet = Fleet("host-1", domain)
     fleet.targets = {target.id: target for target in targets}
--- a/tests/test_forwarding_datagrams.py
+++ b/tests/test_forwarding_datagrams.py
@@ -184,7 +184,10 @@
     def test_messages_of_a_build_without_rate_limits_are_read(self):
         # As 840d00a wrote them.
         data = b'["h2",[["ping",7],["pong",7,true]]]'
-        expected = [Ping(7, None), Pong(7, True, None)]
+        expected = [
+            Ping(7, None, knows_versions=False),
+            Pong(7, True, None, knows_versions=False),
+        ]
         self.assertEqual(Ok(("h2", expected)), datagrams.decode_datagram(data, 0 * MS))
 
     def test_a_build_without_rate_limits_reads_pings_and_pongs(self):
@@ -199,7 +202,7 @@
 
     def test_messages_of_a_later_build_are_left_out(self):
         data = b'["h2",[["later",7],["ping",7]]]'
-        expected = [Ping(7, None)]
+        expected = [Ping(7, None, knows_versions=False)]
         self.assertEqual(Ok(("h2", expected)), datagrams.decode_datagram(data, 0 * MS))
 
     @given(st.binary(max_size=200))
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -17,7 +17,13 @@
 from galenapass.platform.messages import ObjectChange
 from galenapass.tables.crashes import Crash
 from galenapass.tables.targets import Role, TargetState
-from tests.forwarding_fakes import MS, make_fleet, make_suspects, make_target
+from tests.forwarding_fakes import (
+    MS,
+    FakeOrigins,
+    make_fleet,
+    make_suspects,
+    make_target,
+)
 
 
 class FakeDaemon:
@@ -42,6 +48,7 @@
             Permits("h1", self.fleet.rate_limits, self.clock),
             self.epochs,
             make_suspects("h1", self.clock),
+            FakeOrigins(),
         )
         self.peering.endpoint = self
 
--- a/tests/test_forwarding_stops.py
+++ b/tests/test_forwarding_stops.py
@@ -21,6 +21,7 @@
 from galenapass.verdicts import Reason, Run
 from tests.forwarding_fakes import (
     MS,
+    FakeOrigins,
     make_fleet,
     make_request,
     make_suspects,
@@ -230,6 +231,7 @@
             on_left=lambda target: None,
             on_limit_change=lambda: None,
             on_limited_send=lambda target, stage: None,
+            origins=FakeOrigins(),
         )
         for _ in range(8):
             self.assertTrue(self.serve(relay, clock).is_ok())
--- a/tests/test_forwarding_switching.py
+++ b/tests/test_forwarding_switching.py
@@ -136,7 +136,12 @@
         clock, steps = SystemClock(), Steps(Err(REFUSED))
 
         async def main():
-            sender = Sender(EagerTargetClient(), make_suspects("h1", clock), clock)
+            sender = Sender(
+                EagerTargetClient(),
+                make_suspects("h1", clock),
+                clock,
+                on_stream_begin=lambda request, target: None,
+            )
             grant = Grant("t1", make_target("d1"), 0.0, 0.0, 0, 0.0, "")
             slot = Slot(grant, Stage.DECODE, clock, lambda release: None)
             limit = 200 * MS
