Show that streams are joined from two versions after all hosts were killed

What a stream began at is known to nobody, before a kill and after it.

The soak's environment has decode engines of several versions, a release of a runner at another version under a new id, and a slow store; entries of runners that have ended do not come back with an older copy of the store.

--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -26,7 +26,10 @@
 BUDGET_RATIOS = (0.2, 0.1, 0.3)
 EVENT_INTERVAL_SECONDS = 0.02
 SLOW_RESPONSE_SECONDS = 1.0
+SLOW_STORE_SECONDS = 0.8
 LOST_RESPONSES = 3
+# Decode engines of a version while which its streams can go on.
+MIN_SERVING = 2
 HEARTBEAT_SECONDS = 0.5
 # Copies of the store, one a heartbeat; it is restored from the oldest.
 MAX_COPIES = 8
@@ -182,7 +185,8 @@
 class Environment:
     """The metadata store, the targets, the proxies and the daemons of a soak test.
 
-    ``configuration`` holds the operator's routes, to which each version adds one.
+    ``configuration`` holds the operator's routes, to which each version adds one. With
+    software ``versions``, two decode engines of each serve, whose events name it.
     """
 
     def __init__(
@@ -191,9 +195,12 @@
         daemons: int,
         grace_seconds: float = GRACE_SECONDS,
         configuration: dict[str, Any] = CONFIGURATION,
+        versions: Sequence[str] = (),
     ):
         self.store = MetadataStore()
-        self.runners = {runner.id: runner for runner in _make_runners()}
+        self.versions = list(versions)
+        runners = _make_versions(versions) if versions else _make_runners()
+        self.runners = {runner.id: runner for runner in runners}
         self.daemons = {
             daemon.name: daemon
             for daemon in (
@@ -268,6 +275,26 @@
         """Return the attempts that each target executed."""
         return {name: runner.ran for name, runner in self.runners.items()}
 
+    def is_served(self, mark: str) -> bool:
+        """Return whether two sound decode engines of a service and version serve."""
+        sound = [
+            runner
+            for name, runner in self.runners.items()
+            if runner.stage == "decode"
+            and f"{runner.service}-{runner.version}" == mark
+            and self._target_states.get(name) == "ready"
+            and not self._has_fault(name)
+        ]
+        return len(sound) >= MIN_SERVING
+
+    def _has_fault(self, name: str) -> bool:
+        runner, proxy = self.runners[name], self.proxies[name]
+        usual = RunnerFaults(
+            event_seconds=EVENT_INTERVAL_SECONDS,
+            marks_version=runner.faults.marks_version,
+        )
+        return runner.faults != usual or proxy.disturbance is not Disturbance.NONE
+
     def list_received(self) -> set[str]:
         """Return the attempts that targets received, also those they refused."""
         return {
@@ -323,6 +350,7 @@
             "garbage": (change(garbage=True), change(garbage=False)),
             "unavailable": (change(status=503), change(status=None)),
             "throttled": (change(status=429), change(status=None)),
+            "slow": (change(delay_seconds=SLOW_STORE_SECONDS), change(delay_seconds=0)),
             "lost answers": (change(lose_writes=LOST_RESPONSES), _do_nothing),
             "compaction": (self.store.compact, _do_nothing),
             "configuration": (self.publish_configuration, _do_nothing),
@@ -333,11 +361,16 @@
         """End an outage with an older copy, and write the operator's entry again."""
         self.store.faults.status = None
         self.store.restore(self._copies[0])
+        # Runners that have ended write no entries, so these lapse.
+        alive = {self.runners[name].id for name in self._target_states}
+        for name in self.store.objects.get("servers", {}).keys() - alive:
+            self.store.remove("servers", name)
         self._publish_current()
 
     def _find_runner_actions(self, runner: Runner) -> dict[str, Any]:
         faults, defaults = runner.faults, RunnerFaults()
-        proxy = self.proxies[runner.id]
+        name = _get_name(runner)
+        proxy = self.proxies[name]
 
         def change(field: str, value: Any) -> Any:
             return (
@@ -352,7 +385,21 @@
             proxy.disturb(Disturbance.NONE)
             self._register(runner)
 
+        def release() -> None:
+            """Start the runner again at another version, under an id of its own."""
+            self._remove(runner)
+            others = [v for v in self.versions if v != runner.version]
+            if others:
+                runner.version = others[runner.born % len(others)]
+                runner.id = f"{name}-{runner.born + 1}"
+            restart()
+
+        def end_entry() -> None:
+            self._remove(runner)
+            proxy.disturb(Disturbance.RESET)
+
         return {
+            "release": (end_entry, release),
             "shed": change("shed", True),
             "crash": change("crash", True),
             "break": change("break_after", 2),
@@ -385,12 +432,13 @@
                 self._register(self.runners[name], state)
 
     def _register(self, runner: Runner, state: str = "ready") -> None:
-        self._target_states[runner.id] = state
-        address = self.proxies[runner.id].address
+        name = _get_name(runner)
+        self._target_states[name] = state
+        address = self.proxies[name].address
         self.store.put("servers", runner.id, runner.entry(address=address, state=state))
 
     def _remove(self, runner: Runner) -> None:
-        if self._target_states.pop(runner.id, None) is not None:
+        if self._target_states.pop(_get_name(runner), None) is not None:
             self.store.remove("servers", runner.id)
 
     async def _start_proxy(self, name: str, target: str) -> None:
@@ -406,6 +454,26 @@
     ]
 
 
+def _make_versions(versions: Sequence[str]) -> list[Runner]:
+    """Return runners of software versions, whose events name theirs."""
+    runners = _make_runners()
+    runners += [
+        Runner(f"d{n}", "lm", DOMAINS[n % 2], stage="decode")
+        for n in range(2, 2 * len(versions))
+    ]
+    for stage in ("prefill", "decode"):
+        staged = [runner for runner in runners if runner.stage == stage]
+        for number, runner in enumerate(staged):
+            runner.version = versions[number % len(versions)]
+            runner.faults.marks_version = True
+    return runners
+
+
+def _get_name(runner: Runner) -> str:
+    """Return the name of a runner, which its id keeps over releases."""
+    return runner.id.partition("-")[0]
+
+
 def _split_component(component: str) -> tuple[str, str]:
     group, _, name = component.rpartition(" ")
     return group, name
--- a/stand_ins/metadata_store.py
+++ b/stand_ins/metadata_store.py
@@ -19,11 +19,12 @@
 
 @dataclass(slots=True)
 class StoreFaults:
-    """Active faults: a status for all calls, invalid bodies, lost responses."""
+    """Active faults: a status for all calls, invalid bodies, lost or late responses."""
 
     status: int | None = None
     garbage: bool = False
     lose_writes: int = 0
+    delay_seconds: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,8 +126,10 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def _apply_fault(self, request: web.Request) -> web.Response | None:
+    async def _apply_fault(self, request: web.Request) -> web.Response | None:
         self.calls.append((request.method, request.path))
+        if self.faults.delay_seconds:
+            await asyncio.sleep(self.faults.delay_seconds)
         if self.faults.garbage:
             return web.Response(body=b"\xff{not json", status=200)
         if self.faults.status is not None:
@@ -134,7 +137,7 @@
         return None
 
     async def _get_kind(self, request: web.Request) -> web.Response:
-        failure = self._apply_fault(request)
+        failure = await self._apply_fault(request)
         if failure is not None:
             return failure
         kind = request.match_info["kind"]
@@ -181,7 +184,7 @@
                 continue
 
     async def _get(self, request: web.Request) -> web.Response:
-        failure = self._apply_fault(request)
+        failure = await self._apply_fault(request)
         if failure is not None:
             return failure
         current = self._find(request)
@@ -190,7 +193,7 @@
         )
 
     async def _create(self, request: web.Request) -> web.Response:
-        failure = self._apply_fault(request)
+        failure = await self._apply_fault(request)
         if failure is not None:
             return failure
         body = orjson.loads(await request.read())
@@ -201,7 +204,7 @@
         return self._respond_to_write(request, self.put(kind, name, body["spec"]))
 
     async def _replace(self, request: web.Request) -> web.Response:
-        failure = self._apply_fault(request)
+        failure = await self._apply_fault(request)
         if failure is not None:
             return failure
         body = orjson.loads(await request.read())
@@ -217,7 +220,7 @@
         return self._respond_to_write(request, self.put(kind, name, body["spec"]))
 
     async def _delete(self, request: web.Request) -> web.Response:
-        failure = self._apply_fault(request)
+        failure = await self._apply_fault(request)
         if failure is not None:
             return failure
         current = self._find(request)
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -44,7 +44,8 @@
 
     ``break_after`` closes a share ``break_share`` of the streams after that number of
     events, ``crash`` the connection of each request, ``close_port`` also the port.
-    ``marks_version`` adds the runner's version to the data of each event.
+    ``marks_version`` adds the runner's service and version to the data of each
+    event.
     ``wrong_id`` responds with another attempt's id. ``leaving`` and ``rate_limit``, in
     requests a second, add a header to each response, ``retry_after_seconds`` one to
     each refusal. The runner crashes as it begins to answer a request with one of the
@@ -283,7 +284,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         last = int(request.query.get("events", EVENTS))
         breaks = self.random.random() < self.faults.break_share
-        mark = f" {self.version}" if self.faults.marks_version else ""
+        mark = f" {self.service}-{self.version}" if self.faults.marks_version else ""
         for sent, number in enumerate(range(first, last + 1)):
             if breaks and sent == self.faults.break_after:
                 await response.write(b"id: ")
