Decide on a crash once all hosts have reported it

Cause: each report on a crash was decided on as it came. Until the other hosts had reported, only one host's requests counted as running, so chance seemed less likely than it was, and the crashing part, which another host had sent, was no rival yet.

A crash now counts 250 ms after it became known, by which time reports lost once have been repeated, for its own decision and for those on other crashes. Reports that are heard and those read from the store take the same way.

Other tests decide after SETTLE_TIME, as the daemons now do; what they expect is unchanged.

--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -3,7 +3,8 @@
 A crash ends every request that ran, so one crash accuses all of their parts alike. A
 part is blocked once its presence in several crashes cannot be chance: parts that are
 often in whole answers are in most crashes too, and those of a whole answer that began
-after a crash did not cause it.
+after a crash did not cause it. What ran is known once all hosts have reported, so a
+crash counts from then on.
 
 Pure functions; times are monotonic.
 """
@@ -52,6 +53,8 @@
 MAX_STRIKES = 6
 # Crashes further apart have causes of their own.
 EVIDENCE_TIME = timedelta(minutes=10)
+# Hosts report a crash within this time of each other, with a report lost in between.
+SETTLE_TIME = timedelta(milliseconds=250)
 MAX_CRASHES = 256
 MAX_SOUND_PARTS = 8192
 MAX_BLOCKS = 256
@@ -248,9 +251,13 @@
 def block_parts(
     evidence: CrashEvidence, crash: Crash, now: timedelta
 ) -> list[PartBlock]:
-    """Block the parts in a crash that are now known to crash targets; return them."""
+    """Block the parts in a crash that are now known to crash targets; return them.
+
+    Blocks nothing before ``SETTLE_TIME`` has passed since the crash became known.
+    """
+    settled_by = now - SETTLE_TIME
     record = evidence.crashes.get(crash)
-    if record is None:
+    if record is None or record.known_at > settled_by:
         return []
     blocked = [
         _block(evidence, part, record.at, now)
@@ -258,7 +265,7 @@
         if _has_returned(evidence, part, record)
     ]
     scores = {
-        part: _score(evidence, part)
+        part: _score(evidence, part, settled_by)
         for part in record.sightings
         if part not in evidence.blocks
     }
@@ -328,11 +335,14 @@
         _forget_crash(evidence, crash)
 
 
-def _score(evidence: CrashEvidence, part: int) -> tuple[int, float]:
+def _score(
+    evidence: CrashEvidence, part: int, known_by: timedelta = timedelta.max
+) -> tuple[int, float]:
     """Return in how many crashes a part is, and the odds against chance as a logarithm.
 
-    Counted are crashes since the part was sound that no blocked part explains, each
-    with a request sent after the one before: crashes at the same moment are one event.
+    Counted are crashes known by a time, since the part was sound, that no blocked part
+    explains, each with a request sent after the one before: crashes at the same moment
+    are one event.
     """
     names = evidence.crashes_by_part.get(part, {})
     if len(names) < SUSPECT_CRASHES:
@@ -344,6 +354,8 @@
     )
     counted: list[_CrashRecord] = []
     for record in records:
+        if record.known_at > known_by:
+            continue
         if sound_at is not None and record.find_crash_time(part) < sound_at:
             continue
         if _has_blocked_part(evidence, record):
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -295,12 +295,24 @@
         now = self._clock.monotonic()
         for fingerprint in report.fingerprints:
             crashes.record_crash(self._world, fingerprint, report.crash, now)
+        is_first = report.crash not in self._evidence.crashes
         if not crash_evidence.record_report(self._evidence, report, now):
             return False
         crash_evidence.forget_old_crashes(self._evidence, now)
-        self._block(crash_evidence.block_parts(self._evidence, report.crash, now))
+        if is_first:
+            self._background.spawn(self._block_settled(report.crash))
+        else:
+            self._block_parts(report.crash)
         return True
 
+    async def _block_settled(self, crash: Crash) -> None:
+        await asyncio.sleep(crash_evidence.SETTLE_TIME.total_seconds())
+        self._block_parts(crash)
+
+    def _block_parts(self, crash: Crash) -> None:
+        now = self._clock.monotonic()
+        self._block(crash_evidence.block_parts(self._evidence, crash, now))
+
     def _apply_sound_parts(self, sound: SoundParts) -> bool:
         return bool(
             crash_evidence.record_sound_parts(
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -1,5 +1,6 @@
 """Check what daemons forward to peers that the store rejects."""
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -100,8 +101,12 @@
         report = CrashReport(
             Crash("e1", "17"), "lm", "h2", 0 * MS, 2, sightings, ("f",)
         )
-        daemon.receive(report)
-        daemon.receive(report)
+
+        async def receive_twice():
+            daemon.receive(report)
+            daemon.receive(report)
+
+        asyncio.run(receive_twice())
         to_peer, to_client = daemon.sent
         self.assertEqual(report, to_peer)
         self.assertEqual(report.crash, to_client.crash)
