Tell which parts in a crash are sound before it is decided on

Cause: a host judges a part by its own answers. With six hosts each has 10 to 20 of them when the crashes begin, and a part that 8 in 100 answers have is in none of some host's. There it is as suspect as the crashing part, though other hosts had whole answers with it. Hosts told of whole answers only what cleared a part of a crash that they already knew: an answer that ended before its host heard of the crash was told to nobody.

Halfway through the time in which a crash settles, hosts now tell which of its parts their whole answers had, those since the crash apart from those before it, in the message that existed for clearings. An answer before the crash clears nothing; it counts as one in the estimated share for 2 minutes, so that a part is not taken for one that is in no answers.

Three tests failed before: the sound part was blocked beside the crashing one ([7, 666]), and a part that another host had answered whole after each of four crashes was blocked; the third names the new function.

--- a/tests/test_forwarding_crash_evidence.py
+++ b/tests/test_forwarding_crash_evidence.py
@@ -210,6 +210,42 @@
         self.assertEqual([], self.settle(evidence, 5240))
 
 
+class TestSoundPartsOfOthers(TestCase):
+    """What other hosts' answers had, where this host has few answers."""
+
+    SOUND = 7
+
+    def report(self, evidence, *parts):
+        blocked = []
+        for n in range(5):
+            at = 2000 + 900 * n
+            present = dict.fromkeys(parts if n < 3 else parts[-1:], 1)
+            blocked += apply_report(evidence, make_report(n, at, present, requests=2))
+        return blocked
+
+    def test_a_part_that_answers_of_other_hosts_had_is_not_blocked_by_chance(self):
+        evidence = make_evidence(answers=20)
+        crash_evidence.record_sound_parts(evidence, (self.SOUND,), 1500 * MS)
+        self.assertEqual([CRASHING], self.report(evidence, self.SOUND, CRASHING))
+
+    def test_an_answer_of_long_ago_does_not_keep_a_part_from_being_blocked(self):
+        evidence = make_evidence(answers=20)
+        long_ago = 1500 * MS - crash_evidence.ANSWER_TIME
+        crash_evidence.record_sound_parts(evidence, (CRASHING,), long_ago)
+        self.assertEqual([CRASHING], self.report(evidence, CRASHING))
+
+    def test_parts_that_are_sound_since_a_crash_are_told_apart_from_those_before(self):
+        evidence = CrashEvidence()
+        answer(evidence, (FIRST, self.SOUND), 900)
+        answer(evidence, (8,), 950)
+        report = make_report(0, 1000, {FIRST: 3, self.SOUND: 1, 8: 1, CRASHING: 1})
+        crash_evidence.record_report(evidence, report, 1020 * MS)
+        answer(evidence, (FIRST,), 1100)
+        expected = [((FIRST,), 1100 * MS), ((self.SOUND, 8), 900 * MS)]
+        found = crash_evidence.list_sound_parts(evidence, report.crash)
+        self.assertEqual(expected, found)
+
+
 class TestEndOfBlocks(TestCase):
     def block(self):
         evidence = make_evidence()
