--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -3,7 +3,8 @@
 A crash ends every request that ran, so one crash accuses all of their parts alike. A
 part is blocked once its presence in several crashes cannot be chance: parts that are
 often in whole answers are in most crashes too, and those of a whole answer that began
-after a crash did not cause it.
+after a crash did not cause it. What ran is known once all hosts have reported, so a
+crash counts from then on.
 
 Pure functions; times are monotonic.
 """
@@ -28,6 +29,7 @@
     "forget_old_crashes",
     "is_suspected",
     "list_blocks",
+    "list_sound_parts",
     "name_crash",
     "record_answer",
     "record_sound_parts",
@@ -52,6 +54,8 @@
 MAX_STRIKES = 6
 # Crashes further apart have causes of their own.
 EVIDENCE_TIME = timedelta(minutes=10)
+# Hosts report a crash within this time of each other, with a report lost in between.
+SETTLE_TIME = timedelta(milliseconds=250)
 MAX_CRASHES = 256
 MAX_SOUND_PARTS = 8192
 MAX_BLOCKS = 256
@@ -132,9 +136,13 @@
     recent: deque[tuple[timedelta, tuple[int, ...]]] = field(default_factory=deque)
     counts: Counter[int] = field(default_factory=Counter)
 
-    def estimate_share(self, part: int) -> float:
-        """Return the share of answers with a part, above 0 and below 1."""
-        return (self.counts[part] + 0.5) / (len(self.recent) + 1)
+    def estimate_share(self, part: int, at_least: int = 0) -> float:
+        """Return the share of answers with a part, above 0 and below 1.
+
+        ``at_least`` answers with it are known, of this host or others.
+        """
+        count = max(self.counts[part], at_least)
+        return (count + 0.5) / (max(len(self.recent), count) + 1)
 
     def count_since(self, time: timedelta) -> int:
         count = 0
@@ -245,12 +253,34 @@
     return cleared
 
 
+def list_sound_parts(
+    evidence: CrashEvidence, crash: Crash
+) -> list[tuple[tuple[int, ...], timedelta]]:
+    """Return the parts in a crash that whole answers had, and when the first began.
+
+    Those of answers that began after the crash are apart from those before it.
+    """
+    record = evidence.crashes.get(crash)
+    if record is None:
+        return []
+    groups: dict[bool, dict[int, timedelta]] = {True: {}, False: {}}
+    for part in record.sightings:
+        sound_at = evidence.sound_at.get(part)
+        if sound_at is not None and record.at - sound_at <= ANSWER_TIME:
+            groups[sound_at > record.at][part] = sound_at
+    return [(tuple(group), min(group.values())) for group in groups.values() if group]
+
+
 def block_parts(
     evidence: CrashEvidence, crash: Crash, now: timedelta
 ) -> list[PartBlock]:
-    """Block the parts in a crash that are now known to crash targets; return them."""
+    """Block the parts in a crash that are now known to crash targets; return them.
+
+    Blocks nothing before ``SETTLE_TIME`` has passed since the crash became known.
+    """
+    settled_by = now - SETTLE_TIME
     record = evidence.crashes.get(crash)
-    if record is None:
+    if record is None or record.known_at > settled_by:
         return []
     blocked = [
         _block(evidence, part, record.at, now)
@@ -258,7 +288,7 @@
         if _has_returned(evidence, part, record)
     ]
     scores = {
-        part: _score(evidence, part)
+        part: _score(evidence, part, settled_by)
         for part in record.sightings
         if part not in evidence.blocks
     }
@@ -328,11 +358,14 @@
         _forget_crash(evidence, crash)
 
 
-def _score(evidence: CrashEvidence, part: int) -> tuple[int, float]:
+def _score(
+    evidence: CrashEvidence, part: int, known_by: timedelta = timedelta.max
+) -> tuple[int, float]:
     """Return in how many crashes a part is, and the odds against chance as a logarithm.
 
-    Counted are crashes since the part was sound that no blocked part explains, each
-    with a request sent after the one before: crashes at the same moment are one event.
+    Counted are crashes known by a time, since the part was sound, that no blocked part
+    explains, each with a request sent after the one before: crashes at the same moment
+    are one event.
     """
     names = evidence.crashes_by_part.get(part, {})
     if len(names) < SUSPECT_CRASHES:
@@ -344,6 +377,8 @@
     )
     counted: list[_CrashRecord] = []
     for record in records:
+        if record.known_at > known_by:
+            continue
         if sound_at is not None and record.find_crash_time(part) < sound_at:
             continue
         if _has_blocked_part(evidence, record):
@@ -354,7 +389,7 @@
     if not counted:
         return 0, 0.0
     answers = evidence.answers.get(counted[0].service, _Answers())
-    absent = math.log(1 - answers.estimate_share(part))
+    absent = math.log(1 - _estimate_share(evidence, part, counted[0]))
     # The part is in none of the answers that began since the first crash.
     score = -absent * answers.count_since(counted[0].find_crash_time(part))
     for record in counted:
@@ -363,8 +398,19 @@
 
 
 def _find_min_score(evidence: CrashEvidence, part: int, record: _CrashRecord) -> float:
+    share = _estimate_share(evidence, part, record)
+    return MIN_SCORE + math.log1p(share / RARE_SHARE)
+
+
+def _estimate_share(evidence: CrashEvidence, part: int, record: _CrashRecord) -> float:
+    """Return the share of answers with a part before a crash, above 0 and below 1.
+
+    This host may have few answers and none with a part that others' answers had.
+    """
     answers = evidence.answers.get(record.service, _Answers())
-    return MIN_SCORE + math.log1p(answers.estimate_share(part) / RARE_SHARE)
+    sound_at = evidence.sound_at.get(part)
+    is_sound = sound_at is not None and record.at - sound_at <= ANSWER_TIME
+    return answers.estimate_share(part, at_least=int(is_sound))
 
 
 def _has_blocked_part(evidence: CrashEvidence, record: _CrashRecord) -> bool:
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -21,6 +21,7 @@
     SoundParts,
     split_blocks,
     split_report,
+    split_sound_parts,
 )
 from galenapass.forwarding.published_crashes import (
     PublishedCrashes,
@@ -295,12 +296,30 @@
         now = self._clock.monotonic()
         for fingerprint in report.fingerprints:
             crashes.record_crash(self._world, fingerprint, report.crash, now)
+        is_first = report.crash not in self._evidence.crashes
         if not crash_evidence.record_report(self._evidence, report, now):
             return False
         crash_evidence.forget_old_crashes(self._evidence, now)
-        self._block(crash_evidence.block_parts(self._evidence, report.crash, now))
+        if is_first:
+            self._background.spawn(self._settle(report.crash))
+        else:
+            self._block_parts(report.crash)
         return True
 
+    async def _settle(self, crash: Crash) -> None:
+        """Tell which parts in a crash are sound, hear it from others, then decide."""
+        half_seconds = crash_evidence.SETTLE_TIME.total_seconds() / 2
+        await asyncio.sleep(half_seconds)
+        for parts, began_at in crash_evidence.list_sound_parts(self._evidence, crash):
+            for message in split_sound_parts(SoundParts(parts, began_at)):
+                self._share(message)
+        await asyncio.sleep(half_seconds)
+        self._block_parts(crash)
+
+    def _block_parts(self, crash: Crash) -> None:
+        now = self._clock.monotonic()
+        self._block(crash_evidence.block_parts(self._evidence, crash, now))
+
     def _apply_sound_parts(self, sound: SoundParts) -> bool:
         return bool(
             crash_evidence.record_sound_parts(
