Keep an engine of each software version that decodes

Callers that resume a stream while two software versions serve side by side found no target of the version that began it, or were sent to another one.

Cause: plan_change chose the engine to change by failure domain alone, so it could order the last engine of a version that decodes to prefill.

Change: an engine goes from decode to prefill only while another serving one of its version decodes, except where no engine prefills and no other one is free. An engine that is to decode is taken from a version that has two serving engines and none that decodes; if the split is met already, one is ordered if another version has two and no engine changes. A domain without one that decodes gets one only if another domain can give one back, so that the two goals don't undo each other: each order adds a version, or a domain without taking a version away. The reason stands in the logged `why`. With one version, known or not, the plan is the same as before.

An order for a version without one waits until the number of engines is stable.

--- a/src/galenapass/forwarding/roles.py
+++ b/src/galenapass/forwarding/roles.py
@@ -131,7 +131,8 @@
     goal = count_prefill_engines(len(engines), share)
     why = f"{len(prefill)} of {len(engines)} engines prefill, goal {goal}"
     if len(prefill) == goal:
-        return _plan_domain_coverage(prefill, decode, pending_roles)
+        change = _plan_version_coverage(prefill, decode, pending_roles, why)
+        return change or _plan_domain_coverage(prefill, decode, pending_roles)
     if len(prefill) < goal:
         change = _pick_from_largest_domain(
             decode, Role.PREFILL, pending_roles, why, is_urgent=not prefill
@@ -149,13 +150,17 @@
     why: str,
     is_urgent: bool,
 ) -> RoleChange | None:
-    """Choose an engine from the domain that has most engines in the old role."""
+    """Choose an engine from the domain that has most engines in the old role.
+
+    Only an urgent change takes the last one of a version, if no other engine is free.
+    """
     free = _list_free(source, pending_roles)
     count = _count_domains(source)
     if not _can_spare(free):
         return None
-    target = max(free, key=lambda t: count[t.domain])
-    return RoleChange(target, role, why, is_urgent)
+    candidates = _list_spare(free) or (free if is_urgent else [])
+    target = max(candidates, key=lambda t: count[t.domain], default=None)
+    return RoleChange(target, role, why, is_urgent) if target is not None else None
 
 
 def _pick_for_smallest_domain(
@@ -164,29 +169,63 @@
     pending_roles: dict[str, Role],
     why: str,
 ) -> RoleChange | None:
-    """Choose an engine to decode from the domain with the fewest decode engines."""
+    """Choose an engine to decode from the domain with the fewest decode engines.
+
+    Engines of versions that need one come first.
+    """
     free = _list_free(prefill, pending_roles)
     count = _count_domains(decode)
     if not _can_spare(free):
         return None
-    target = min(free, key=lambda t: count[t.domain])
+    uncovered = _list_uncovered_versions(prefill, decode)
+    target = min(free, key=lambda t: (t.version not in uncovered, count[t.domain]))
+    if target.version in uncovered:
+        why += f", no engine of version {target.version!r} decodes"
     return RoleChange(target, Role.DECODE, why, is_urgent=not decode)
 
 
+def _plan_version_coverage(
+    prefill: list[Target],
+    decode: list[Target],
+    pending_roles: dict[str, Role],
+    why: str,
+) -> RoleChange | None:
+    """Plan a decode engine for a version without one, if another version has two.
+
+    The reverse change then follows from the split. None is planned while an engine
+    changes.
+    """
+    versions = _list_uncovered_versions(prefill, decode)
+    is_changing = any(
+        t.id in pending_roles or t.state is TargetState.CHANGING
+        for t in (*prefill, *decode)
+    )
+    has_pair = max(_count_versions(decode).values(), default=0) > 1
+    if not versions or is_changing or not has_pair:
+        return None
+    candidates = [t for t in prefill if t.version == versions[0]]
+    return _pick_for_smallest_domain(candidates, decode, pending_roles, why)
+
+
 def _plan_domain_coverage(
     prefill: list[Target], decode: list[Target], pending_roles: dict[str, Role]
 ) -> RoleChange | None:
-    """Plan a decode engine for a domain without one, if another domain has two.
+    """Plan a decode engine for a domain without one, if another domain can spare one.
 
     The reverse change, in the domain with most decode engines, then follows from the
     split.
     """
     count = _count_domains(decode)
     uncovered = [t for t in prefill if not count[t.domain]]
-    if not uncovered or max(count.values(), default=0) < 2:
+    if not uncovered:
         return None
     why = f"no engine decodes in {uncovered[0].domain}"
-    return _pick_for_smallest_domain(uncovered, decode, pending_roles, why)
+    change = _pick_for_smallest_domain(uncovered, decode, pending_roles, why)
+    if change is None:
+        return None
+    versions = _count_versions([*decode, change.target])
+    is_reversible = any(count[t.domain] > 1 and versions[t.version] > 1 for t in decode)
+    return change if is_reversible else None
 
 
 def _can_spare(free: list[Target]) -> bool:
@@ -197,9 +236,30 @@
     return sum(target.state is TargetState.SERVING for target in free) > 1
 
 
+def _list_spare(free: list[Target]) -> list[Target]:
+    """Return the engines beside which another one of their role and version serves.
+
+    A stream goes on only at its software version. Load pattern: clients that resume
+    streams while two versions serve side by side.
+    """
+    serving = _count_versions(t for t in free if t.state is TargetState.SERVING)
+    return [target for target in free if serving[target.version] > 1]
+
+
+def _list_uncovered_versions(prefill: list[Target], decode: list[Target]) -> list[str]:
+    """Return the versions of which two engines or more serve and none decodes."""
+    covered = _count_versions(decode)
+    spare = _count_versions(_list_spare(prefill))
+    return sorted(version for version in spare if not covered[version])
+
+
 def _list_free(targets: list[Target], pending_roles: dict[str, Role]) -> list[Target]:
     return sorted((t for t in targets if t.id not in pending_roles), key=lambda t: t.id)
 
 
 def _count_domains(targets: list[Target]) -> Counter[str]:
     return Counter(target.domain for target in targets)
+
+
+def _count_versions(targets: Iterable[Target]) -> Counter[str]:
+    return Counter(target.version for target in targets)
