Decide once whether a request is answered by an engine

What callers saw (test): a stream whose engine was silent for 1.2 s was cut, or answered 502, although the engine was sound, if a new configuration no longer named its service.

Cause: each try asked the configuration that was in force at that moment whether the service is one of engines. A request that was prefilled as a prompt was then sent on as a plain call, also to engines that only prefill: these reject it, and the tries or the retry budget were spent.

The answer is now found once, in the configuration that also chose the route, and belongs to the request. A stop's expected times use it too.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -116,7 +116,7 @@
         now = self._clock.monotonic()
         budget = self._find_budget(request)
         retry_budgets.record_request(budget, now, self.terms)
-        first_stage = Stage.PREFILL if self._generates(request) else Stage.CALL
+        first_stage = Stage.PREFILL if request.is_generation else Stage.CALL
         try:
             async with self._open_requests.bound(request, first_stage):
                 return await self._try_targets(request, message, sink, budget)
@@ -214,21 +214,15 @@
         self, request: ForwardedRequest, message: ClientRequest
     ) -> Result[Send, Verdict]:
         """Acquire the slots of a send and have its prompt prefilled where needed."""
-        if self._generates(request):
+        if request.is_generation:
             return await self._prepare_generation(request, message)
         return await self._prepare_call(request)
 
-    def _generates(self, request: ForwardedRequest) -> bool:
-        """Return whether a model service answers the request."""
-        service = self._fleet.routes.services.get(request.service)
-        is_model = service is not None and service.is_model
-        return is_model and request.prompt is not None
-
     def _record_answer_time(
         self, request: ForwardedRequest, send: Send, started: timedelta
     ) -> None:
         """Learn how long the last stages of a request took."""
-        stage = Stage.DECODE if self._generates(request) else Stage.CALL
+        stage = Stage.DECODE if request.is_generation else Stage.CALL
         began = send.slot.first_output_at
         if stage is Stage.DECODE and send.source is None and began is not None:
             # Before its first output the engine read the prompt.
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -12,7 +12,13 @@
 from galenapass.forwarding.loads import digest_parts
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
-from galenapass.forwarding.routes import Repeat, Route, find_route
+from galenapass.forwarding.routes import (
+    Repeat,
+    Route,
+    RouteTable,
+    find_route,
+    is_model,
+)
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
     ClientServer,
@@ -98,7 +104,7 @@
             return self._refuse(raw, _BODY_TOO_LATE, None)
         if body is None:
             return web.Response(status=413)
-        request = self._make_request(raw, route, metadata, body, arrived)
+        request = self._make_request(raw, table, route, metadata, body, arrived)
         message = ClientRequest(
             metadata.attempt,
             raw.method,
@@ -121,6 +127,7 @@
     def _make_request(
         self,
         raw: web.BaseRequest,
+        table: RouteTable,
         route: Route,
         metadata: RequestMetadata,
         body: bytes,
@@ -128,15 +135,17 @@
     ) -> ForwardedRequest:
         patience = route.timeout if metadata.patience is None else metadata.patience
         resumes = route.repeat is Repeat.RESUME
+        service = self._pick_service(route)
         return ForwardedRequest(
             id=metadata.attempt,
             route=route,
-            service=self._pick_service(route),
+            service=service,
             arrived=arrived,
             deadline=arrived + min(patience, route.timeout),
             prompt=metadata.prompt,
             parts=digest_parts(metadata.prompt) if metadata.prompt else (),
             fingerprint=_make_fingerprint(raw, body),
+            is_generation=metadata.prompt is not None and is_model(table, service),
             last_event=metadata.last_event if resumes else None,
         )
 
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -54,8 +54,10 @@
     ``runs`` counts the sends that may have run, ``sends`` all sends except prefills and
     ``prefills`` the prefills; ``last_event`` is the id of the last event sent to the
     client. ``parts`` are the parts of the prompt that engines cache, the part that is
-    not shared last. ``tried`` holds the ids of targets to use last; ``target`` is the
-    id of the one that works on it now, at which no second slot is requested.
+    not shared last. ``is_generation`` tells whether an engine generates its answer, by
+    the configuration in force as it arrived. ``tried`` holds the ids of targets to use
+    last; ``target`` is the id of the one that works on it now, at which no second slot
+    is requested.
     """
 
     id: str
@@ -66,6 +68,7 @@
     prompt: Prompt | None
     parts: "tuple[PartDigest, ...]" = ()
     fingerprint: str = ""
+    is_generation: bool = False
     runs: int = 0
     sends: int = 0
     prefills: int = 0
--- a/src/galenapass/forwarding/routes.py
+++ b/src/galenapass/forwarding/routes.py
@@ -4,7 +4,15 @@
 from datetime import timedelta
 from enum import Enum
 
-__all__ = ["ClientLimits", "Repeat", "Route", "RouteTable", "Service", "find_route"]
+__all__ = [
+    "ClientLimits",
+    "Repeat",
+    "Route",
+    "RouteTable",
+    "Service",
+    "find_route",
+    "is_model",
+]
 
 
 class Repeat(Enum):
@@ -73,3 +81,9 @@
     """Return the route of a host whose prefix of the path is the longest."""
     matches = [r for r in table.routes.get(host, ()) if path.startswith(r.prefix)]
     return max(matches, key=lambda route: len(route.prefix), default=None)
+
+
+def is_model(table: RouteTable, service: str) -> bool:
+    """Return whether a service is known and its targets are engines."""
+    known = table.services.get(service)
+    return known is not None and known.is_model
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -50,6 +50,7 @@
         prompt=prompt,
         parts=digest_parts(prompt),
         fingerprint=name,
+        is_generation=True,
     )
 
 
