Give up a silent target only as the next one has not refused

What callers saw: a stream of a sound engine that was silent for 1.4 s was cut, where the engine to which it was moved refused it, broke off or sent no proof of its origin, and the retry budget allowed no further try. A silence is no fault of a target, so its answer must not end for it.

Cause: the silent target was given up once the next send was ready, which meant a slot and a prefilled prompt. Whether the next target accepts the request was known only after the connection to the first one was closed.

The next send is now on its way before the silent target is given up. A target that fails it within 0.2 s leaves the silent one awaited; two targets work on one request for no longer than that, where the users allow 0.4 s. A silent target that ends while the next send begins no longer cancels it. What was sent counts against the retry budget, as before.

Evidence: the three tests test_a_stream_is_not_lost_as_the_target_after_a_silent_one_* failed before with a stream that was cut (3 of 3 in one run) and pass now. test_a_stream_goes_on_as_a_silent_target_ends_while_the_next_begins fails if the next send is cancelled as the silent target ends (mutation, one run). Still open: a target that refuses later than 0.2 s.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -164,7 +164,7 @@
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
-            if not standby.is_ready:
+            if not await standby.settle():
                 standby.cancel()
                 now = self._clock.monotonic()
                 obstacle = retries.find_obstacle(request, failure, now)
@@ -343,14 +343,16 @@
         if not self._has_other_target(request, now):
             return None
         budget = self._find_budget(request)
-        count, prefills = request.next_retry_cost, request.prefills
+        count = request.next_retry_cost
+        sends, prefills = request.sends, request.prefills
         if not self._spend(request, budget, now):
             return None
 
         def give_back() -> None:
             # The first prefill of a request is free.
-            sent = request.prefills - max(prefills, 1)
-            retry_budgets.give_back(budget, now, count - max(sent, 0))
+            sent = max(request.prefills - max(prefills, 1), 0)
+            sent += request.sends - sends
+            retry_budgets.give_back(budget, now, max(count - sent, 0))
 
         return give_back
 
@@ -380,7 +382,10 @@
         if request.target is not None:
             # A request that may have crashed a target gets no second one.
             request.tried.add(request.target)
-        return await self._prepare(request, message)
+        prepared = await self._prepare(request, message)
+        if isinstance(prepared, Err):
+            return prepared
+        return await self._sender.begin(request, message, prepared.ok_value)
 
     async def _prefill(
         self, request: ForwardedRequest, message: ClientRequest, slot: Slot
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -1,7 +1,9 @@
 """Run a request at one target and relay its response to the client."""
 
+import asyncio
 from collections.abc import AsyncIterator, Coroutine
-from dataclasses import dataclass
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any
 
@@ -35,6 +37,10 @@
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "no progress for too long"
 )
 
+# Time for which the next target may refuse a request while the silent one still works
+# on it; two targets must not work on one request for 0.4 s.
+REFUSAL_TIME = timedelta(milliseconds=200)
+
 _log = make_log("forwarding")
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError)
 _OUTCOMES_BY_REASON = {
@@ -43,18 +49,50 @@
 }
 
 
+class Exchange:
+    """Request on its way to a target, and the response to it."""
+
+    __slots__ = ("_context", "_opening")
+
+    def __init__(
+        self, context: AbstractAsyncContextManager[Result[TargetResponse, Verdict]]
+    ):
+        self._context = context
+        self._opening = asyncio.ensure_future(context.__aenter__())
+
+    async def open(self) -> Result[TargetResponse, Verdict]:
+        """Return the response, whose body is still to be read."""
+        return await self._opening
+
+    async def find_failure(self, within: timedelta) -> Verdict | None:
+        """Return how the request failed, None if it has not within a time."""
+        await asyncio.wait((self._opening,), timeout=within.total_seconds())
+        if not self._opening.done():
+            return None
+        opened = self._opening.result()
+        return opened.err_value if isinstance(opened, Err) else _check(opened.ok_value)
+
+    async def close(self) -> None:
+        """End the exchange, whether or not the response has come."""
+        if not self._opening.done():
+            self._opening.cancel()
+            await asyncio.wait((self._opening,))
+        await self._context.__aexit__(None, None, None)
+
+
 @dataclass(slots=True, frozen=True)
 class Send:
     """Parameters of one send to the target of a slot.
 
     ``source`` is where the KV cache of a prefilled prompt is, ``prefill_engine`` the id
-    of the engine that holds it.
+    of the engine that holds it. ``exchange`` is set once the request is on its way.
     """
 
     slot: Slot
     source: str | None = None
     progress_timeouts: ProgressTimeouts = ProgressTimeouts()
     prefill_engine: str | None = None
+    exchange: Exchange | None = None
 
 
 class Sender:
@@ -75,8 +113,36 @@
     def discard(self, send: Send) -> None:
         """Release what a send that will not be run holds."""
         send.slot.end(Outcome.CANCELLED)
+        if send.exchange is not None:
+            self.spawn(send.exchange.close())
+        elif send.source is not None:
+            self.spawn(self._target_client.release_kv_cache(send.source))
+
+    async def begin(
+        self, request: ForwardedRequest, message: ClientRequest, send: Send
+    ) -> Result[Send, Verdict]:
+        """Send a request to its next target, while the present one is still awaited.
+
+        An error is the verdict of a target that failed it at once. Load pattern: silent
+        targets whose replacements are full. With the present target given up first, a
+        refusal would end the answer.
+        """
+        request.runs += 1
+        request.sends += 1
+        exchange = self._open_exchange(request, message, send)
+        begun = replace(send, exchange=exchange)
+        try:
+            failure = await exchange.find_failure(REFUSAL_TIME)
+        except BaseException:
+            self.discard(begun)
+            raise
+        if failure is None:
+            return Ok(begun)
+        self.spawn(exchange.close())
         if send.source is not None:
             self.spawn(self._target_client.release_kv_cache(send.source))
+        self._record_failed_send(request, send, failure)
+        return Err(failure)
 
     async def run(
         self,
@@ -91,10 +157,10 @@
         A silent target is given up once ``next_send`` is ready. It counts as failed, as
         one that is cut off or has lost its host is silent too.
         """
-        target = send.slot.grant.target
-        # Counted as a run until the target proves that it did not run the request.
-        request.runs += 1
-        request.sends += 1
+        if send.exchange is None:
+            # Counted as a run until the target proves that it did not run the request.
+            request.runs += 1
+            request.sends += 1
         try:
             outcome = await self._run_at_target(request, message, sink, send, next_send)
         except _CONNECTION_ERRORS as error:
@@ -111,7 +177,13 @@
             send.slot.end(Outcome.DONE)
             self._suspects.record_completion(request)
             return outcome
-        failure = outcome.err_value
+        self._record_failed_send(request, send, outcome.err_value)
+        return outcome
+
+    def _record_failed_send(
+        self, request: ForwardedRequest, send: Send, failure: Verdict
+    ) -> None:
+        target = send.slot.grant.target
         if failure.run is Run.NOT_RUN:
             request.runs -= 1
         send.slot.end(classify_failure(failure))
@@ -122,7 +194,6 @@
                     request, target, send.slot.started_at, send.slot.first_output_at
                 )
             )
-        return outcome
 
     async def _run_at_target(
         self,
@@ -149,6 +220,21 @@
         send: Send,
         watch: SilenceWatch,
     ) -> Result[None, Verdict]:
+        exchange = send.exchange or self._open_exchange(request, message, send)
+        try:
+            opened = await watch.read(exchange.open())
+            if isinstance(opened, Err):
+                return opened
+            response = opened.ok_value
+            if request.route.streams and response.status == 200:
+                return await self._relay_stream(request, sink, send, response, watch)
+            return await self._relay_whole(request, sink, send, response, watch)
+        finally:
+            await exchange.close()
+
+    def _open_exchange(
+        self, request: ForwardedRequest, message: ClientRequest, send: Send
+    ) -> Exchange:
         target = send.slot.grant.target
         time_left = request.deadline - self._clock.monotonic()
         once = request.route.repeat is Repeat.ONCE
@@ -162,25 +248,17 @@
             why=send.slot.grant.why,
             left_ms=time_left // MILLISECOND,
         )
-        run_context = self._target_client.run(
-            target,
-            message,
-            time_left,
-            priority=rank,
-            source=send.source,
-            last_event=request.last_event,
-            once=once,
+        return Exchange(
+            self._target_client.run(
+                target,
+                message,
+                time_left,
+                priority=rank,
+                source=send.source,
+                last_event=request.last_event,
+                once=once,
+            )
         )
-        opened = await watch.read(run_context.__aenter__())
-        try:
-            if isinstance(opened, Err):
-                return opened
-            response = opened.ok_value
-            if request.route.streams and response.status == 200:
-                return await self._relay_stream(request, sink, send, response, watch)
-            return await self._relay_whole(request, sink, send, response, watch)
-        finally:
-            await run_context.__aexit__(None, None, None)
 
     async def _relay_whole(
         self,
@@ -282,6 +360,14 @@
         yield chunk
 
 
+def _check(response: TargetResponse) -> Verdict | None:
+    """Return why a response does not replace the one of a silent target, else None."""
+    if response.status < 500:
+        return _check_origin(response)
+    detail = f"the target answered {response.status}"
+    return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
+
+
 def _check_origin(response: TargetResponse) -> Verdict | None:
     """Return why a response must not be relayed, or None if it proves its origin."""
     if response.signed:
--- a/src/galenapass/forwarding/switching.py
+++ b/src/galenapass/forwarding/switching.py
@@ -22,8 +22,8 @@
 
     ``reserve`` takes its cost from the retry budget and returns a function that gives
     back what was not sent, or None if the request may not be sent again now.
-    ``prepare`` acquires its slots and has its prompt prefilled; if it is cancelled it
-    releases them. ``discard`` releases a send that is not used.
+    ``prepare`` acquires its slots, has its prompt prefilled and sends it; if it is
+    cancelled it releases them. ``discard`` releases a send that is not used.
     """
 
     reserve: Callable[[], Callable[[], None] | None]
@@ -57,6 +57,12 @@
         await asyncio.wait((self._task,))
         return self.is_ready
 
+    async def settle(self) -> bool:
+        """Await a preparation that has begun; return whether a send is ready."""
+        if self._task is not None:
+            await asyncio.wait((self._task,))
+        return self.is_ready
+
     def take(self) -> Send | None:
         """Return the send that is ready, if any; the caller then owns it."""
         send, self._ready = self._ready, None
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -17,6 +17,7 @@
 PATIENT = CONFIGURATION | {"routes": ROUTES}
 # A pause that is longer than a silent target is waited for where another one is ready.
 PAUSE_SECONDS = 0.9
+SILENCE_SECONDS = 1.4
 
 
 def set_budget(fleet, retries):
@@ -54,6 +55,11 @@
     def __init__(self):
         self.attempts = []
         self.closed_at = []
+        self._ended = asyncio.Event()
+
+    def end(self):
+        """Break off the streams."""
+        self._ended.set()
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError):
@@ -71,7 +77,13 @@
                     "id: 1\ndata: t1\n\n"
                 ).encode()
             )
-            await reader.read()
+            waits = [
+                asyncio.create_task(work)
+                for work in (reader.read(), self._ended.wait())
+            ]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if self._ended.is_set():
+                writer.write(b"id: ")
         self.closed_at.append(asyncio.get_running_loop().time())
         writer.close()
 
@@ -90,6 +102,29 @@
             yield
 
 
+class PausingEngine(SilentEngine):
+    """Decode engine that sends one event, is silent for a while and then goes on."""
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            attempt = await read_head(reader)
+            if attempt is None:
+                writer.close()
+                return
+            self.attempts.append(attempt)
+            head = (
+                f"HTTP/1.1 200 OK\r\nX-Galenapass-Attempt-Id: {attempt}\r\n"
+                f"{SIGNATURE}: signed\r\nConnection: close\r\n\r\n"
+            )
+            first = b"id: 1\ndata: t1\n\n"
+            writer.write(head.encode() + first)
+            await asyncio.sleep(SILENCE_SECONDS)
+            writer.write(STREAM_BODY.removeprefix(first))
+            await writer.drain()
+        self.closed_at.append(asyncio.get_running_loop().time())
+        writer.close()
+
+
 class TestPauses(TestCase):
     def test_streams_that_pause_together_are_all_whole(self):
         # 22 of 24 streams were cut: all were given up at once, and the retry budget
@@ -143,6 +178,53 @@
 
         run(scenario, configuration=PATIENT)
 
+    def check_refused_switch(self, **faults):
+        """Check that a stream is whole whose next target fails while it is silent."""
+
+        async def scenario(fleet):
+            engine = PausingEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                # For one switch, which consists of a prefill and a send.
+                set_budget(fleet, 2)
+                for name, value in faults.items():
+                    setattr(fleet.second_decode.faults, name, value)
+                status, body, _ = await ask(fleet)
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual(1, len(engine.attempts))
+                self.assertEqual(2, len(fleet.prefill.received))
+                self.assertEqual(1, len(fleet.second_decode.received))
+                self.assertEqual(2, count_spent(fleet))
+                loads = fleet.daemon.fleet.loads
+                self.assertEqual(0, loads["d2"].sequences)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_refuses(self):
+        self.check_refused_switch(shed=True)
+
+    def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_breaks_off(self):
+        self.check_refused_switch(crash=True)
+
+    def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_is_unproven(self):
+        self.check_refused_switch(unsigned=True)
+
+    def test_a_stream_goes_on_as_a_silent_target_ends_while_the_next_begins(self):
+        async def scenario(fleet):
+            engine = SilentEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                set_budget(fleet, 2)
+                fleet.second_decode.faults.delay_seconds = 0.15
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: fleet.second_decode.received)
+                engine.end()
+                status, body, _ = await pending
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual((1, 1), (len(engine.attempts), count_runs(fleet)))
+
+        run(scenario, configuration=PATIENT)
+
     def test_a_call_is_awaited_while_no_other_target_is_there(self):
         # It was given up after 0.45 of its time and sent to the same target again.
         async def scenario(fleet):
