--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -25,7 +25,7 @@
 from galenapass.forwarding.rate_limits import find_rate_limit, record_rate_limit
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
-from galenapass.forwarding.routes import Repeat
+from galenapass.forwarding.routes import Repeat, is_model
 from galenapass.forwarding.sending import (
     SILENT_TARGET,
     Send,
@@ -117,7 +117,7 @@
         self, request: ForwardedRequest, message: ClientRequest, sink: Sink
     ) -> Result[None, Verdict]:
         """Answer a request through ``sink``; an error is the verdict for the client."""
-        first_stage = Stage.PREFILL if self._generates(request) else Stage.CALL
+        first_stage = Stage.PREFILL if request.is_generation else Stage.CALL
         try:
             async with self._open_requests.bound(request, first_stage):
                 refusal = await self._find_origin(request)
@@ -148,6 +148,8 @@
             return resolved.err_value
         request.origin = resolved.ok_value
         request.service = request.origin.service
+        is_engine = is_model(self._fleet.routes, request.service)
+        request.is_generation = request.prompt is not None and is_engine
         return None
 
     def _record_stream_begin(self, request: ForwardedRequest, target: Target) -> None:
@@ -191,7 +193,7 @@
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
-            if not standby.is_ready:
+            if not await standby.settle():
                 standby.cancel()
                 now = self._clock.monotonic()
                 obstacle = retries.find_obstacle(request, failure, now)
@@ -244,21 +246,15 @@
         self, request: ForwardedRequest, message: ClientRequest
     ) -> Result[Send, Verdict]:
         """Acquire the slots of a send and have its prompt prefilled where needed."""
-        if self._generates(request):
+        if request.is_generation:
             return await self._prepare_generation(request, message)
         return await self._prepare_call(request)
 
-    def _generates(self, request: ForwardedRequest) -> bool:
-        """Return whether a model service answers the request."""
-        service = self._fleet.routes.services.get(request.service)
-        is_model = service is not None and service.is_model
-        return is_model and request.prompt is not None
-
     def _record_answer_time(
         self, request: ForwardedRequest, send: Send, started: timedelta
     ) -> None:
         """Learn how long the last stages of a request took."""
-        stage = Stage.DECODE if self._generates(request) else Stage.CALL
+        stage = Stage.DECODE if request.is_generation else Stage.CALL
         began = send.slot.first_output_at
         if stage is Stage.DECODE and send.source is None and began is not None:
             # Before its first output the engine read the prompt.
@@ -379,14 +375,16 @@
         if not self._has_other_target(request, now):
             return None
         budget = self._find_budget(request)
-        count, prefills = request.next_retry_cost, request.prefills
+        count = request.next_retry_cost
+        sends, prefills = request.sends, request.prefills
         if not self._spend(request, budget, now):
             return None
 
         def give_back() -> None:
             # The first prefill of a request is free.
-            sent = request.prefills - max(prefills, 1)
-            retry_budgets.give_back(budget, now, count - max(sent, 0))
+            sent = max(request.prefills - max(prefills, 1), 0)
+            sent += request.sends - sends
+            retry_budgets.give_back(budget, now, max(count - sent, 0))
 
         return give_back
 
@@ -417,7 +415,10 @@
         if request.target is not None:
             # A request that may have crashed a target gets no second one.
             request.tried.add(request.target)
-        return await self._prepare(request, message)
+        prepared = await self._prepare(request, message)
+        if isinstance(prepared, Err):
+            return prepared
+        return await self._sender.begin(request, message, prepared.ok_value)
 
     async def _prefill(
         self, request: ForwardedRequest, message: ClientRequest, slot: Slot
--- a/src/galenapass/forwarding/routes.py
+++ b/src/galenapass/forwarding/routes.py
@@ -11,6 +11,7 @@
     "RouteTable",
     "Service",
     "find_route",
+    "is_model",
     "map_resumable",
 ]
 
@@ -83,6 +84,12 @@
     return max(matches, key=lambda route: len(route.prefix), default=None)
 
 
+def is_model(table: RouteTable, service: str) -> bool:
+    """Return whether a service is known and its targets are engines."""
+    known = table.services.get(service)
+    return known is not None and known.is_model
+
+
 def map_resumable(table: RouteTable) -> dict[tuple[str, str], frozenset[str]]:
     """Return the services of each route whose streams may be resumed.
 
