Use what a scheduler grants at a target that has restarted

Callers at a host that had scheduled once, and no longer did, got no answer from a target that had restarted under its id since: each of its grants was given back, and after three of them the request was refused. Cause: a granted target is compared with this host's own table, to see whether its id names another one by now; the table of a host that doesn't schedule isn't updated.

Now only a host that grants its own slots compares them: it follows the entries. The version of a stream is still checked on every grant.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -494,12 +494,19 @@
         """
         if target.id in list_excluded(self._fleet, self._clock.monotonic()):
             return False
-        known = self._fleet.targets.get(target.id, target)
-        if (known.incarnation, known.version) != (target.incarnation, target.version):
+        if self._slot_client.is_local and self._is_replaced(target):
             return False
         only_prefills = stage is Stage.PREFILL and target.role is Role.PREFILL
         return only_prefills or request.version in (None, target.version)
 
+    def _is_replaced(self, target: Target) -> bool:
+        """Return whether the id of a granted target names another one by now."""
+        known = self._fleet.targets.get(target.id, target)
+        return (known.incarnation, known.version) != (
+            target.incarnation,
+            target.version,
+        )
+
     def _make_slot_request(
         self, request: ForwardedRequest, stage: Stage, prefill_engine: str
     ) -> SlotRequest:
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -151,6 +151,11 @@
         self._clock = clock
         self._pending: dict[str, _PendingRequest] = {}
 
+    @property
+    def is_local(self) -> bool:
+        """Return whether this daemon grants its slots, at targets that it follows."""
+        return self._directory.is_scheduler
+
     async def acquire(self, slot_request: SlotRequest) -> Result[Slot, Verdict]:
         """Return a slot for a request, or the verdict that refuses it."""
         if self._directory.is_scheduler:
--- a/tests/test_forwarding_stops.py
+++ b/tests/test_forwarding_stops.py
@@ -177,6 +177,8 @@
 class FakeEngine:
     """Engine that reads prompts and generates; a manual clock passes meanwhile."""
 
+    is_local = True
+
     def __init__(self, clock, read_time, output_time):
         self._clock = clock
         self._read_time = read_time
