Load the versions that served while a host did not schedule

A client could get a stream joined from two software versions at a host that scheduled, ceased to and schedules again: it follows no targets in between, yet still held its history of versions for complete, so a stream that began at a version which came and left meanwhile was sent on to the only one it knew. What was published was loaded only once a process.

Now each time that a host begins to schedule, its history is incomplete until it has read what the others published.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -280,6 +280,9 @@
 
     async def run_publishing(self) -> None:
         """Load what was published, then publish until cancelled; for schedulers."""
+        # What other hosts saw while this one did not schedule.
+        self._is_loaded = False
+        self._history.restart()
         while not await self._read():
             await asyncio.sleep(RETRY_DELAY.total_seconds())
         while True:
@@ -345,6 +348,7 @@
             self._is_loaded = True
             rows = [row for origins in published.values() for row in origins.versions]
             self._history.load(rows, now, is_first_start=self._is_first_start)
+            self._is_first_start = False
             for stored in listing.items:
                 if stored.name == self._fleet.host:
                     self._object.version = stored.version
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -41,8 +41,8 @@
 class VersionHistory:
     """Versions that may have begun a stream which is still open.
 
-    It is complete once the history of earlier starts was loaded, or after the lifetime
-    of a stream.
+    It is complete once the history of earlier starts, and of other hosts, was loaded,
+    or after the lifetime of a stream.
     """
 
     __slots__ = ("_complete_at", "_present", "_seen_at")
@@ -52,6 +52,10 @@
         self._present: frozenset[ServiceVersion] = frozenset()
         self._seen_at: dict[ServiceVersion, timedelta] = {}
 
+    def restart(self) -> None:
+        """Begin again after a time in which the targets were not followed."""
+        self._complete_at, self._present = None, frozenset()
+
     def load(
         self, rows: Iterable[VersionRow], now: timedelta, *, is_first_start: bool
     ) -> None:
--- /dev/null
+++ b/tests/test_forwarding_origin_sharing.py
@@ -0,0 +1,152 @@
+"""Check how hosts find out, tell and publish where streams began."""
+
+import asyncio
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from result import Err, Ok
+from testtools import TestCase
+
+from galenapass.clocks import ManualClock
+from galenapass.forwarding import origin_sharing
+from galenapass.forwarding.origin_messages import (
+    PublishedOrigins,
+    decode_published,
+    encode_published,
+)
+from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
+from galenapass.forwarding.service_versions import (
+    STREAM_LIFETIME,
+    ServiceVersion,
+    VersionRow,
+)
+from galenapass.platform.messages import Failure, FailureCause, ObjectListing
+from tests.fake_objects import FakeObjects
+from tests.forwarding_fakes import MS, make_fleet, make_target
+
+SECOND = timedelta(seconds=1)
+OLD, NEW = ServiceVersion("lm", "v1"), ServiceVersion("lm", "v1.1")
+SERVICES = ("lm",)
+
+
+@dataclass
+class FakeStore:
+    """Store that can be away; ``lists`` counts its listings."""
+
+    objects: FakeObjects = field(default_factory=FakeObjects)
+    is_away: bool = False
+    lists: int = 0
+
+    async def write(self, kind, name, body, if_version=None):
+        await asyncio.sleep(0)
+        if self.is_away:
+            return Err(Failure(FailureCause.UNAVAILABLE))
+        return self.objects.write(name, body, if_version)
+
+    async def list(self, kind, *, stale=False):
+        self.lists += 1
+        await asyncio.sleep(0)
+        if self.is_away:
+            return Err(Failure(FailureCause.UNAVAILABLE))
+        items = tuple(self.objects.objects.values())
+        return Ok(ObjectListing(self.objects.version, items))
+
+    def publish(self, host, clock, records=(), versions=()):
+        """Store what another host published."""
+        published = PublishedOrigins(records, versions)
+        body = encode_published(published, clock.now(), clock.monotonic())
+        stored = self.objects.objects.get(host)
+        self.objects.write(host, body, stored and stored.version)
+
+    def read_published(self, host, clock):
+        """Return what a host has published."""
+        stored = self.objects.objects[host]
+        return decode_published(stored.body, clock.now(), clock.monotonic())
+
+
+class FakeHost:
+    """Sharing of origins of one host; ``shared`` and ``asked`` list its messages."""
+
+    def __init__(self, *versions, name="host-1", store=None, clock=None, **changes):
+        self.is_scheduler = self.is_view_fresh = True
+        self.shared, self.asked, self.outcomes, self.needs = [], [], [], []
+        self.schedulers = 1
+        self.clock = clock or ManualClock()
+        self.store = store or FakeStore()
+        self.fleet = make_fleet()
+        self.fleet.host = name
+        self.set_versions(*versions)
+        hooks = OriginHooks(
+            share=self.shared.append,
+            ask=self.ask,
+            is_scheduler=lambda: self.is_scheduler,
+            is_view_fresh=lambda: self.is_view_fresh,
+            on_need=lambda: self.needs.append(self.sharing.needs_records),
+            on_resumed=self.outcomes.append,
+        )
+        is_first_start = changes.get("is_first_start", True)
+        self.sharing = OriginSharing(
+            self.fleet, self.store, self.clock, hooks, is_first_start=is_first_start
+        )
+
+    def ask(self, query):
+        self.asked.append(query)
+        return bool(self.schedulers)
+
+    def set_versions(self, *versions):
+        targets = [make_target(f"e{n}", version=v) for n, v in enumerate(versions)]
+        self.fleet.targets = {target.id: target for target in targets}
+
+    async def publish(self):
+        """Run the publishing until it has nothing left to do."""
+        task = asyncio.create_task(self.sharing.run_publishing())
+        await asyncio.sleep(0.03)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def record(self, stream, origin, seconds=8):
+        until = self.clock.monotonic() + seconds * SECOND
+        self.sharing.record(stream, origin, until)
+
+
+class OriginCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        for name in ("SHARE_DELAY", "PUBLISH_DELAY", "RETRY_DELAY", "READ_INTERVAL"):
+            self.patch(origin_sharing, name, 1 * MS)
+        self.patch(origin_sharing, "REPLY_TIMEOUT", 50 * MS)
+
+
+class TestSchedulers(OriginCase):
+    def test_a_host_that_schedules_again_does_not_know_what_served_meanwhile(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            host.clock.advance(2 * STREAM_LIFETIME)
+            host.sharing.observe()
+            self.assertEqual(Ok(OLD), await host.sharing.resolve(1, SERVICES), "before")
+            host.is_scheduler = False
+            # Meanwhile v1.1 served and left, which another host has seen.
+            host.clock.advance(20 * SECOND)
+            left = VersionRow(NEW, host.clock.monotonic() - 5 * SECOND)
+            host.store.publish("host-2", host.clock, (), [VersionRow(OLD, None), left])
+            host.is_scheduler = True
+            await host.publish()
+            return await host.sharing.resolve(2, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
+
+    def test_a_host_that_schedules_again_is_uncertain_until_it_has_read(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            host.is_scheduler = False
+            host.sharing.observe()
+            host.clock.advance(20 * SECOND)
+            host.is_scheduler, host.store.is_away = True, True
+            await host.publish()
+            return await host.sharing.resolve(2, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
