Drop published versions that began no open stream

A host that started again refused, for the lifetime of a stream, the streams that clients took up there and that had begun at other hosts, although one version alone had served for hours. A published row tells how long before its writing a version had left, not when it was written, as wall clocks differ; read at a start it counts as just left. Rows were written when the targets' versions changed, so the row of the last release stayed for good. The other hosts tell nothing meanwhile: to them one version alone serves.

Now a version is dropped from the history, and the rows are written again, once no open stream can have begun at it: one more write a host and release.

--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -72,13 +72,27 @@
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
-        """Record the versions of the known targets; return whether these changed."""
+        """Record the versions of the known targets; return whether the rows changed."""
         present = frozenset(ServiceVersion(t.service, t.version) for t in targets)
         has_changed = present != self._present
         for origin in present | self._present if has_changed else present:
             self.record(origin, now)
         self._present = present
-        return has_changed
+        return self._forget_left(now) or has_changed
+
+    def _forget_left(self, now: timedelta) -> bool:
+        """Drop the versions that began no open stream; return whether there are any.
+
+        A row that was read counts from then on, so an old one must not stay published.
+        """
+        left = [
+            origin
+            for origin, seen_at in self._seen_at.items()
+            if now - seen_at >= STREAM_LIFETIME
+        ]
+        for origin in left:
+            del self._seen_at[origin]
+        return bool(left)
 
     def record(self, origin: ServiceVersion, at: timedelta) -> None:
         """Record that a version was in use at a time."""
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -71,6 +71,7 @@
         self.is_scheduler = self.is_view_fresh = True
         self.shared, self.asked, self.outcomes, self.needs = [], [], [], []
         self.schedulers = 1
+        self.publishing = None
         self.clock = clock or ManualClock()
         self.store = store or FakeStore()
         self.fleet = make_fleet()
@@ -98,11 +99,17 @@
         self.fleet.targets = {target.id: target for target in targets}
 
     async def publish(self):
-        """Run the publishing until it has nothing left to do."""
-        task = asyncio.create_task(self.sharing.run_publishing())
+        """Schedule, and wait until what there is to publish is published."""
+        self.is_scheduler = True
+        if self.publishing is None:
+            self.publishing = asyncio.create_task(self.sharing.run_publishing())
         await asyncio.sleep(0.03)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+
+    def stop_scheduling(self):
+        self.is_scheduler = False
+        self.publishing.cancel()
+        self.publishing = None
+        self.sharing.observe()
 
     def record(self, stream, origin, seconds=8):
         until = self.clock.monotonic() + seconds * SECOND
@@ -126,12 +133,11 @@
             host.clock.advance(2 * STREAM_LIFETIME)
             host.sharing.observe()
             self.assertEqual(Ok(OLD), await host.sharing.resolve(1, SERVICES), "before")
-            host.is_scheduler = False
+            host.stop_scheduling()
             # Meanwhile v1.1 served and left, which another host has seen.
             host.clock.advance(20 * SECOND)
             left = VersionRow(NEW, host.clock.monotonic() - 5 * SECOND)
             host.store.publish("host-2", host.clock, (), [VersionRow(OLD, None), left])
-            host.is_scheduler = True
             await host.publish()
             return await host.sharing.resolve(2, SERVICES)
 
@@ -142,11 +148,30 @@
 
         async def scenario():
             await host.publish()
-            host.is_scheduler = False
-            host.sharing.observe()
+            host.stop_scheduling()
             host.clock.advance(20 * SECOND)
-            host.is_scheduler, host.store.is_away = True, True
+            host.store.is_away = True
             await host.publish()
             return await host.sharing.resolve(2, SERVICES)
 
         self.assertIsInstance(asyncio.run(scenario()), Err)
+
+    def test_a_version_that_left_long_ago_costs_no_take_up_after_a_restart(self):
+        # Its row told no time since it was written, so it counted as just left.
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            host.set_versions("v1.1")
+            host.sharing.observe()
+            await host.publish()
+            host.clock.advance(STREAM_LIFETIME)
+            host.sharing.observe()
+            await host.publish()
+            restarted = FakeHost(
+                "v1.1", store=host.store, clock=host.clock, is_first_start=False
+            )
+            await restarted.publish()
+            return await restarted.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(NEW), asyncio.run(scenario()))
