Ask two schedulers where a stream began, and forget a query that ends

A take-up at a host that doesn't schedule was refused after 1 s if its first scheduler was lost, or answered that it didn't know, although the next one knew the stream; new streams go on to the second scheduler after 80 ms. And a client that left while its host asked left the query behind if no reply came: it was never dropped, and the next take-up of the stream waited for it in vain without asking.

Now two schedulers are asked; the first origin counts, and "unknown" once both say so. A query ends by a timer of its own.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -64,21 +64,29 @@
 class OriginHooks:
     """Callbacks of the sharing of origins.
 
-    ``share`` tells the schedulers a notice, ``ask`` sends a query to one of them and
-    returns False if there is none. ``is_scheduler`` returns whether this host
+    ``share`` tells the schedulers a notice, ``ask`` sends a query to some of them and
+    returns to how many. ``is_scheduler`` returns whether this host
     schedules, ``is_view_fresh`` whether it receives updates from the store.
     ``on_need`` is called when records become needed or needless, ``on_resumed`` with
     how the origin of a stream was found.
     """
 
     share: Callable[[StreamNotice], None]
-    ask: Callable[[OriginQuery], bool]
+    ask: Callable[[OriginQuery], int]
     is_scheduler: Callable[[], bool]
     is_view_fresh: Callable[[], bool]
     on_need: Callable[[], None] = lambda: None
     on_resumed: Callable[[str], None] = lambda outcome: None
 
 
+@dataclass(slots=True)
+class _PendingQuery:
+    """Query of this host; ``unanswered`` counts the schedulers still to reply."""
+
+    reply: asyncio.Future[ServiceVersion | None]
+    unanswered: int = 0
+
+
 class OriginSharing:
     """Origins of streams as this host, its schedulers and the store know them.
 
@@ -112,7 +120,7 @@
         self._to_publish = asyncio.Event()
         self._read_task: asyncio.Task[None] | None = None
         self._read_at = timedelta(0)
-        self._replies: dict[int, asyncio.Future[ServiceVersion | None]] = {}
+        self._queries: dict[int, _PendingQuery] = {}
         self._routes_version = 0
         self._services_by_route: dict[tuple[str, str], frozenset[str]] = {}
 
@@ -186,9 +194,13 @@
 
     def apply_reply(self, reply: OriginReply) -> None:
         """Apply a scheduler's reply to a query of this host."""
-        waiting = self._replies.get(reply.stream)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply.origin)
+        query = self._queries.get(reply.stream)
+        if query is None:
+            return
+        query.unanswered -= 1
+        if reply.origin is not None or query.unanswered <= 0:
+            query.unanswered = 0
+            self._end_query(reply.stream, query, reply.origin)
 
     def set_need(self, needs_records: bool) -> None:
         """Record whether this host's scheduler needs records."""
@@ -196,21 +208,28 @@
             self._set_need(needs_records)
 
     async def _ask(self, stream: int, services: Sequence[str]) -> ServiceVersion | None:
-        waiting = self._replies.get(stream)
-        if waiting is None:
-            waiting = asyncio.get_running_loop().create_future()
-            self._replies[stream] = waiting
-            waiting.add_done_callback(lambda _: self._replies.pop(stream, None))
-            if not self._hooks.ask(OriginQuery(stream, tuple(services))):
-                waiting.set_result(None)
-        try:
-            async with asyncio.timeout(REPLY_TIMEOUT.total_seconds()):
-                return await asyncio.shield(waiting)
-        except TimeoutError:
-            _log("no scheduler replies", stream=stream)
-            if not waiting.done():
-                waiting.set_result(None)
-            return None
+        query = self._queries.get(stream) or self._start_query(stream, services)
+        # Other take-ups of the stream may wait for the same reply.
+        return await asyncio.shield(query.reply)
+
+    def _start_query(self, stream: int, services: Sequence[str]) -> _PendingQuery:
+        loop = asyncio.get_running_loop()
+        query = _PendingQuery(loop.create_future())
+        self._queries[stream] = query
+        query.unanswered = self._hooks.ask(OriginQuery(stream, tuple(services)))
+        delay = REPLY_TIMEOUT if query.unanswered else timedelta(0)
+        loop.call_later(delay.total_seconds(), self._end_query, stream, query, None)
+        return query
+
+    def _end_query(
+        self, stream: int, query: _PendingQuery, origin: ServiceVersion | None
+    ) -> None:
+        if query.reply.done():
+            return
+        del self._queries[stream]
+        query.reply.set_result(origin)
+        if query.unanswered:
+            _log("schedulers do not reply", stream=stream, count=query.unanswered)
 
     def _add_own(self, streams: Sequence[int], *, must_tell: bool) -> None:
         self._own.update(dict.fromkeys(streams))
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -69,6 +69,8 @@
 BLOCKS_PERIOD = timedelta(seconds=1)
 # A slot request that is not decided by then is answered as pending.
 PENDING_DELAY = timedelta(milliseconds=20)
+# Schedulers that are asked where a stream began: one may be lost, or not know it yet.
+ASKED_SCHEDULERS = 2
 
 _log = make_log("peers")
 
@@ -197,12 +199,12 @@
         for address in self._scheduler_selection.list_peers(self._peers):
             self.endpoint.send(address, notice)
 
-    def ask_origin(self, query: OriginQuery) -> bool:
-        """Ask a scheduler where a stream began; return whether there is one."""
-        hosts = self._scheduler_selection.list_schedulers()[:1]
+    def ask_origin(self, query: OriginQuery) -> int:
+        """Ask schedulers where a stream began; return how many."""
+        hosts = self._scheduler_selection.list_schedulers()[:ASKED_SCHEDULERS]
         for host in hosts:
             self._send(host, query)
-        return bool(hosts)
+        return len(hosts)
 
     def list_issuers(self) -> list[str]:
         """Return the schedulers that may issue permits, this host included.
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -10,6 +10,8 @@
 from galenapass.clocks import ManualClock
 from galenapass.forwarding import origin_sharing
 from galenapass.forwarding.origin_messages import (
+    OriginQuery,
+    OriginReply,
     PublishedOrigins,
     decode_published,
     encode_published,
@@ -21,6 +23,7 @@
     VersionRow,
 )
 from galenapass.platform.messages import Failure, FailureCause, ObjectListing
+from galenapass.verdicts import Run
 from tests.fake_objects import FakeObjects
 from tests.forwarding_fakes import MS, make_fleet, make_target
 
@@ -92,7 +95,7 @@
 
     def ask(self, query):
         self.asked.append(query)
-        return bool(self.schedulers)
+        return self.schedulers
 
     def set_versions(self, *versions):
         targets = [make_target(f"e{n}", version=v) for n, v in enumerate(versions)]
@@ -175,3 +178,83 @@
             return await restarted.sharing.resolve(1, SERVICES)
 
         self.assertEqual(Ok(NEW), asyncio.run(scenario()))
+
+
+class TestQueries(OriginCase):
+    def make_client(self, schedulers=1):
+        host = FakeHost()
+        host.is_scheduler, host.schedulers = False, schedulers
+        return host
+
+    def test_a_client_that_leaves_leaves_no_query_behind(self):
+        host = self.make_client()
+
+        async def scenario():
+            asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            await asyncio.sleep(0)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            await asyncio.sleep(0.1)
+            again = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            await asyncio.sleep(0)
+            host.sharing.apply_reply(OriginReply(1, OLD))
+            return await again
+
+        self.assertEqual(Ok(OLD), asyncio.run(scenario()))
+        self.assertEqual(2, len(host.asked))
+
+    def test_one_scheduler_that_does_not_know_is_not_the_last_word(self):
+        host = self.make_client(schedulers=2)
+
+        async def scenario():
+            asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            await asyncio.sleep(0)
+            host.sharing.apply_reply(OriginReply(1, None))
+            await asyncio.sleep(0.01)
+            host.sharing.apply_reply(OriginReply(1, OLD))
+            return await asking
+
+        self.assertEqual(Ok(OLD), asyncio.run(scenario()))
+
+    def test_a_stream_that_no_scheduler_knows_is_refused_at_once(self):
+        host = self.make_client(schedulers=2)
+        self.patch(origin_sharing, "REPLY_TIMEOUT", 60 * SECOND)
+
+        async def scenario():
+            asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            await asyncio.sleep(0)
+            for _ in range(2):
+                host.sharing.apply_reply(OriginReply(1, None))
+            async with asyncio.timeout(5):
+                return await asking
+
+        verdict = asyncio.run(scenario()).unwrap_err()
+        self.assertIs(Run.NOT_RUN, verdict.run)
+
+    def test_silent_schedulers_hold_a_take_up_for_a_bounded_time(self):
+        host = self.make_client()
+        self.assertIsInstance(asyncio.run(host.sharing.resolve(1, SERVICES)), Err)
+
+    def test_a_host_without_a_scheduler_refuses_at_once(self):
+        host = self.make_client(schedulers=0)
+        self.patch(origin_sharing, "REPLY_TIMEOUT", 60 * SECOND)
+
+        async def scenario():
+            async with asyncio.timeout(5):
+                return await host.sharing.resolve(1, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
+
+    def test_take_ups_of_one_stream_share_a_query(self):
+        host = self.make_client()
+
+        async def scenario():
+            asking = [
+                asyncio.create_task(host.sharing.resolve(1, SERVICES)) for _ in "ab"
+            ]
+            await asyncio.sleep(0)
+            host.sharing.apply_reply(OriginReply(1, OLD))
+            return await asyncio.gather(*asking)
+
+        self.assertEqual([Ok(OLD)] * 2, asyncio.run(scenario()))
+        self.assertEqual([OriginQuery(1, SERVICES)], host.asked)
