Name versions in the grants of a scheduler that has just started

Streams of hosts that don't schedule were kept to no version, and so cut or refused when they broke off, if they began within a second after their scheduler had started again: it drops the version from a grant for a host until the host's next ping tells that its build knows versions, and the host then held the version for the empty one. Their take-ups got "no target of the version", with targets of it in service.

Now a slot request says itself that the host knows versions, to schedulers whose builds do; hosts know that from pings before the restart.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -208,7 +208,7 @@
         slot_request.prefill_engine,
         slot_request.fingerprint,
         # Earlier builds read no more than the fingerprint.
-        *([] if slot_request.version is None else [slot_request.version]),
+        *([slot_request.version] if slot_request.knows_versions else []),
     ]
 
 
@@ -238,7 +238,8 @@
         frozenset(map(str, excluded)),
         str(prefill_engine),
         str(fingerprint),
-        str(more[0]) if more else None,
+        str(more[0]) if more and more[0] is not None else None,
+        bool(more),
     )
 
 
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -319,7 +319,7 @@
     def _send(self, host: str, message: PeerMessage) -> None:
         address = self._scheduler_selection.find_address(host)
         if isinstance(message, SlotRequest) and host not in self._version_aware:
-            message = replace(message, version=None)
+            message = replace(message, version=None, knows_versions=False)
         if address is not None:
             self.endpoint.send(address, message)
 
@@ -333,6 +333,8 @@
         self, host: str, address: Address, slot_request: SlotRequest
     ) -> None:
         self._scheduler_selection.record_client(host, address)
+        if slot_request.knows_versions:
+            self._record_awareness(host, True)
 
         def answer(result: Result[Grant, Verdict]) -> None:
             if isinstance(result, Ok):
--- a/src/galenapass/forwarding/slot_requests.py
+++ b/src/galenapass/forwarding/slot_requests.py
@@ -36,7 +36,8 @@
     ``ticket`` identifies the slot request in the whole fleet, ``request`` the request
     that it serves. ``tried`` names targets to use last, ``excluded`` those to avoid;
     ``prefill_engine`` is the engine that holds the KV cache of a prefilled prompt.
-    ``version`` is the only version whose targets may generate, None for any.
+    ``version`` is the only version whose targets may generate, None for any;
+    ``knows_versions`` is whether the builds of both hosts know software versions.
     """
 
     ticket: str
@@ -53,6 +54,7 @@
     prefill_engine: str = ""
     fingerprint: str = ""
     version: str | None = None
+    knows_versions: bool = True
 
     @property
     def shared_parts(self) -> tuple[PartDigest, ...]:
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -1,5 +1,6 @@
 """Check what daemons forward to peers that the store rejects."""
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -7,11 +8,13 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
+from galenapass.forwarding import datagrams
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.crash_evidence import CrashReport, Sighting
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
+from galenapass.forwarding.slot_requests import Grant, SlotRequest, Stage
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.platform.messages import ObjectChange
@@ -73,6 +76,19 @@
     def record_pong(self, host, is_fresh):
         pass
 
+    def list_schedulers(self):
+        return ["h2"]
+
+    def find_address(self, host):
+        return ("10.0.0.2", 1)
+
+    def submit(self, slot_request, answer):
+        target = make_target("e1", Role.DECODE, version="v1")
+        answer(Ok(Grant(slot_request.ticket, target, 1.0, 0.0, 0, 0.0, "")))
+
+    def is_waiting(self, ticket):
+        return False
+
     def wake(self):
         pass
 
@@ -99,6 +115,43 @@
         self.assertEqual([Pong(6, False)], daemon.sent)
 
 
+class TestSoftwareVersions(TestCase):
+    slot_request = SlotRequest(
+        "t1", "r1", "lm", Stage.CALL, 0 * MS, 0 * MS, 0, version="v1"
+    )
+
+    def grant(self, slot_request):
+        """Return the target of the grant of a scheduler that has just started."""
+        daemon = FakeDaemon()
+
+        async def scenario():
+            daemon.receive(slot_request)
+
+        asyncio.run(scenario())
+        return daemon.sent[-1].target
+
+    def test_a_scheduler_that_has_restarted_names_the_version_that_it_grants(self):
+        # Its clients ping it a second later.
+        client = FakeDaemon()
+        client.receive(Pong(1, True))
+        client.peering._send("h2", replace(self.slot_request, version=None))
+        row = datagrams.encode_message(client.sent[-1], 0 * MS)
+        data = datagrams.encode_datagram("h1", [row])
+        _, (received,) = datagrams.decode_datagram(data, 0 * MS).unwrap()
+        self.assertEqual("v1", self.grant(received).version)
+
+    def test_a_host_of_an_earlier_build_gets_what_it_can_read(self):
+        client = FakeDaemon()
+        client.receive(Pong(1, True, knows_versions=False))
+        client.peering._send("h2", self.slot_request)
+        row = datagrams.encode_message(client.sent[-1], 0 * MS)
+        self.assertEqual(14, len(row))
+        data = datagrams.encode_datagram("h1", [row])
+        _, (received,) = datagrams.decode_datagram(data, 0 * MS).unwrap()
+        self.assertIsNone(received.version)
+        self.assertEqual("", self.grant(received).version)
+
+
 class TestCrashes(TestCase):
     def test_clients_of_a_scheduler_hear_which_crashes_are_known(self):
         # A host that knows of no earlier crash reports each one under the same name.
