Test how hosts tell, publish and find out where streams began

The tests of OriginSharing run it with a clock that is advanced by hand and a store that can be away: what is told and written while one version serves and once a second joins, restarts of all hosts, a restored store, failed writes, take-ups that wait for a read, and those refused at once. All pass on the code before this commit.

--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -13,19 +13,22 @@
     OriginQuery,
     OriginReply,
     PublishedOrigins,
+    StreamNotice,
     decode_published,
     encode_published,
 )
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
+from galenapass.forwarding.routes import RouteTable
 from galenapass.forwarding.service_versions import (
     STREAM_LIFETIME,
     ServiceVersion,
     VersionRow,
 )
+from galenapass.forwarding.stream_origins import StreamRecord
 from galenapass.platform.messages import Failure, FailureCause, ObjectListing
 from galenapass.verdicts import Run
 from tests.fake_objects import FakeObjects
-from tests.forwarding_fakes import MS, make_fleet, make_target
+from tests.forwarding_fakes import MS, make_fleet, make_route, make_target
 
 SECOND = timedelta(seconds=1)
 OLD, NEW = ServiceVersion("lm", "v1"), ServiceVersion("lm", "v1.1")
@@ -258,3 +261,239 @@
 
         self.assertEqual([Ok(OLD)] * 2, asyncio.run(scenario()))
         self.assertEqual([OriginQuery(1, SERVICES)], host.asked)
+
+
+class TestRecords(OriginCase):
+    def test_nothing_is_told_or_written_of_streams_while_one_version_serves(self):
+        host = FakeHost("v1", "v1")
+
+        async def scenario():
+            await host.publish()
+            host.sharing.observe()
+            host.record(1, OLD)
+            await asyncio.sleep(0.03)
+            return await host.sharing.resolve(2, SERVICES)
+
+        self.assertEqual(Ok(OLD), asyncio.run(scenario()))
+        self.assertEqual([], host.shared)
+        published = host.store.read_published("host-1", host.clock)
+        self.assertEqual([], list(published.records))
+        self.assertEqual(["only version"], host.outcomes)
+
+    def test_open_streams_are_told_and_published_once_a_second_version_joins(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            host.sharing.observe()
+            host.record(1, OLD)
+            host.set_versions("v1", "v1.1")
+            host.sharing.observe()
+            await host.publish()
+
+        asyncio.run(scenario())
+        record = StreamRecord(1, OLD, 8 * SECOND)
+        self.assertEqual([StreamNotice((record,))], host.shared)
+        published = host.store.read_published("host-1", host.clock)
+        self.assertEqual([record], list(published.records))
+        self.assertEqual([False, True], host.needs)
+
+    def test_what_a_client_of_this_host_tells_is_passed_on_and_published(self):
+        host = FakeHost("v1", "v1.1")
+        notice = StreamNotice((StreamRecord(1, NEW, 8 * SECOND),))
+
+        async def scenario():
+            await host.publish()
+            host.sharing.apply_notice(notice, from_client=True)
+            host.sharing.apply_notice(notice, from_client=True)
+            await host.publish()
+            return await host.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(NEW), asyncio.run(scenario()))
+        self.assertEqual([notice], host.shared)
+        published = host.store.read_published("host-1", host.clock)
+        self.assertEqual(notice.records, tuple(published.records))
+
+    def test_what_another_scheduler_tells_is_not_passed_on(self):
+        host = FakeHost("v1", "v1.1")
+        notice = StreamNotice((StreamRecord(1, NEW, 8 * SECOND),))
+
+        async def scenario():
+            await host.publish()
+            host.sharing.apply_notice(notice, from_client=False)
+            await host.publish()
+
+        asyncio.run(scenario())
+        self.assertEqual([], host.shared)
+
+    def test_a_version_that_a_peer_names_first_ends_certainty(self):
+        # Its watch of the store was faster than this host's.
+        host = FakeHost("v1")
+        notice = StreamNotice((StreamRecord(1, NEW, 8 * SECOND),))
+
+        async def scenario():
+            await host.publish()
+            host.sharing.apply_notice(notice, from_client=False)
+            return await host.sharing.resolve(2, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
+
+    def test_records_survive_the_restart_of_all_hosts(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            host.record(1, OLD)
+            await host.publish()
+            host.publishing.cancel()
+            host.clock.advance(2 * SECOND)
+            changes = {"store": host.store, "clock": host.clock}
+            for name in ("host-1", "host-2"):
+                started = FakeHost("v1", name=name, is_first_start=False, **changes)
+                await started.publish()
+                self.assertEqual(Ok(OLD), await started.sharing.resolve(1, SERVICES))
+                self.assertIsInstance(await started.sharing.resolve(2, SERVICES), Err)
+                # Its first write must not drop what it wrote before its start.
+                started.record(3, OLD)
+                await started.publish()
+            return host.store.read_published("host-1", host.clock)
+
+        published = asyncio.run(scenario())
+        self.assertEqual({1, 3}, {record.stream for record in published.records})
+
+    def test_records_are_written_again_to_a_restored_store(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            copy = host.store.objects.copy()
+            host.record(1, OLD)
+            await host.publish()
+            host.store.objects.restore(copy)
+            host.sharing.publish_again()
+            await host.publish()
+            return host.store.read_published("host-1", host.clock)
+
+        published = asyncio.run(scenario())
+        self.assertEqual([1], [record.stream for record in published.records])
+
+    def test_a_write_that_failed_is_made_up_for(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            host.store.is_away = True
+            host.record(1, OLD)
+            await host.publish()
+            host.store.is_away = False
+            await host.publish()
+            return host.store.read_published("host-1", host.clock)
+
+        published = asyncio.run(scenario())
+        self.assertEqual([1], [record.stream for record in published.records])
+
+
+class TestTakeUps(OriginCase):
+    def resolve(self, host, stream=1, services=SERVICES):
+        async def scenario():
+            await host.publish()
+            return await host.sharing.resolve(stream, services)
+
+        return asyncio.run(scenario())
+
+    def test_a_stream_is_unknown_without_updates_of_the_store(self):
+        host = FakeHost("v1")
+        host.is_view_fresh = False
+        self.assertIsInstance(self.resolve(host), Err)
+
+    def test_what_is_recorded_is_known_without_the_store(self):
+        host = FakeHost("v1", "v1.1")
+        host.is_view_fresh, host.store.is_away = False, True
+
+        async def scenario():
+            host.record(1, OLD)
+            return await host.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(OLD), asyncio.run(scenario()))
+        self.assertEqual(0, host.store.lists)
+
+    def test_a_stream_that_another_host_is_about_to_publish_is_found(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            while host.store.lists < 2:
+                await asyncio.sleep(0)
+            host.store.publish("host-2", host.clock, [StreamRecord(1, NEW, 8 * SECOND)])
+            return await asking
+
+        self.assertEqual(Ok(NEW), asyncio.run(scenario()))
+
+    def test_a_burst_of_unknown_take_ups_shares_the_reads(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            before = host.store.lists
+            found = await asyncio.gather(
+                *(host.sharing.resolve(stream, SERVICES) for stream in range(50))
+            )
+            return found, host.store.lists - before
+
+        found, reads = asyncio.run(scenario())
+        self.assertTrue(all(isinstance(each, Err) for each in found))
+        self.assertEqual(2, reads)
+
+    def test_a_store_that_does_not_answer_holds_a_take_up_for_a_bounded_time(self):
+        self.patch(origin_sharing, "READ_TIMEOUT", 20 * MS)
+        host = FakeHost("v1", "v1.1")
+
+        async def hang(kind, *, stale=False):
+            await asyncio.sleep(60)
+
+        async def scenario():
+            await host.publish()
+            host.store.list = hang
+            async with asyncio.timeout(5):
+                return await host.sharing.resolve(1, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
+
+    def test_a_route_that_leads_to_two_services_needs_a_record(self):
+        host = FakeHost("v1")
+        self.assertIsInstance(self.resolve(host, services=("lm", "desk")), Err)
+
+    def test_a_stream_of_a_service_that_the_route_has_left_is_refused(self):
+        host = FakeHost("v1")
+        notice = StreamNotice((StreamRecord(1, OLD, 8 * SECOND),))
+        host.sharing.apply_notice(notice, from_client=False)
+        self.assertIsInstance(self.resolve(host, services=("desk",)), Err)
+        self.assertEqual(["the route leads elsewhere"], host.outcomes)
+
+    def test_a_route_that_comes_from_another_service_ends_certainty(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            first = await host.sharing.resolve(1, SERVICES)
+            for version, service in ((2, "desk"), (3, "lm")):
+                route = make_route(split=((service, 1.0),))
+                host.fleet.routes = RouteTable(version, {"a.example": (route,)})
+                host.sharing.observe()
+            return first, await host.sharing.resolve(2, SERVICES)
+
+        first, later = asyncio.run(scenario())
+        self.assertEqual(Ok(OLD), first)
+        self.assertIsInstance(later, Err)
+
+    def test_targets_that_name_no_version_have_one_in_common(self):
+        host = FakeHost("", "")
+        self.assertEqual(Ok(ServiceVersion("lm", "")), self.resolve(host))
+
+    def test_unreadable_objects_of_other_hosts_hide_nothing(self):
+        host = FakeHost("v1", "v1.1")
+        for name, body in (("a", "7"), ("b", "{}"), ("c", "")):
+            host.store.objects.write(name, body, None)
+        host.store.publish("host-2", host.clock, [StreamRecord(1, NEW, 8 * SECOND)])
+        self.assertEqual(Ok(NEW), self.resolve(host))
