Refuse a stream of two versions without asking for it

A take-up that names an id under which streams of two versions began waited for two reads of the store, or for the schedulers, before it was refused: "two versions" and "not known" were told apart nowhere. What is known to be impossible is refused at once now, and counted as such.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -57,6 +57,9 @@
 OBSERVE_PERIOD = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(milliseconds=500)
 
+# How the origin of a stream was found, if it was not.
+_UNKNOWN = "unknown"
+
 _log = make_log("streams")
 
 
@@ -145,10 +148,11 @@
         ``services`` are those to which the client's route leads.
         """
         origin, outcome = self._find(stream, services)
-        if origin is None and not self._hooks.is_scheduler():
-            origin, outcome = await self._ask(stream, services), "asked"
+        if outcome == _UNKNOWN and not self._hooks.is_scheduler():
+            origin = await self._ask(stream, services)
+            outcome = _UNKNOWN if origin is None else "asked"
         for _ in range(READS):
-            if origin is None and self._hooks.is_scheduler():
+            if outcome == _UNKNOWN and self._hooks.is_scheduler():
                 await self._read_again()
                 origin, outcome = self._find(stream, services)
         if origin is not None and origin.service not in services:
@@ -163,11 +167,12 @@
         now = self._clock.monotonic()
         record = self._origins.find(stream, now)
         if record is not None:
-            return record.origin, "recorded"
+            outcome = "two versions" if record.origin is None else "recorded"
+            return record.origin, outcome
         if len(services) != 1:
-            return None, "unknown"
+            return None, _UNKNOWN
         origin = self._find_only(services[0], now)
-        return origin, "unknown" if origin is None else "only version"
+        return origin, _UNKNOWN if origin is None else "only version"
 
     def _find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
         """Return the version that began every open stream of a service, if certain."""
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -491,6 +491,21 @@
         host = FakeHost("", "")
         self.assertEqual(Ok(ServiceVersion("lm", "")), self.resolve(host))
 
+    def test_an_id_that_is_used_at_two_versions_is_refused_at_once(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            host.record(1, OLD)
+            host.record(1, NEW)
+            before = host.store.lists
+            found = await host.sharing.resolve(1, SERVICES)
+            return found, host.store.lists - before
+
+        found, reads = asyncio.run(scenario())
+        self.assertIsInstance(found, Err)
+        self.assertEqual(0, reads)
+
     def test_unreadable_objects_of_other_hosts_hide_nothing(self):
         host = FakeHost("v1", "v1.1")
         for name, body in (("a", "7"), ("b", "{}"), ("c", "")):
