--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -41,8 +41,8 @@
 class VersionHistory:
     """Versions that may have begun a stream which is still open.
 
-    It is complete once the history of earlier starts was loaded, or after the lifetime
-    of a stream.
+    It is complete once the history of earlier starts, and of other hosts, was loaded,
+    or after the lifetime of a stream.
     """
 
     __slots__ = ("_complete_at", "_present", "_seen_at")
@@ -52,6 +52,10 @@
         self._present: frozenset[ServiceVersion] = frozenset()
         self._seen_at: dict[ServiceVersion, timedelta] = {}
 
+    def restart(self) -> None:
+        """Begin again after a time in which the targets were not followed."""
+        self._complete_at, self._present = None, frozenset()
+
     def load(
         self, rows: Iterable[VersionRow], now: timedelta, *, is_first_start: bool
     ) -> None:
@@ -68,13 +72,27 @@
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
-        """Record the versions of the known targets; return whether these changed."""
+        """Record the versions of the known targets; return whether the rows changed."""
         present = frozenset(ServiceVersion(t.service, t.version) for t in targets)
         has_changed = present != self._present
         for origin in present | self._present if has_changed else present:
             self.record(origin, now)
         self._present = present
-        return has_changed
+        return self._forget_left(now) or has_changed
+
+    def _forget_left(self, now: timedelta) -> bool:
+        """Drop the versions that began no open stream; return whether there are any.
+
+        A row that was read counts from then on, so an old one must not stay published.
+        """
+        left = [
+            origin
+            for origin, seen_at in self._seen_at.items()
+            if now - seen_at >= STREAM_LIFETIME
+        ]
+        for origin in left:
+            del self._seen_at[origin]
+        return bool(left)
 
     def record(self, origin: ServiceVersion, at: timedelta) -> None:
         """Record that a version was in use at a time."""
