Let the attempt to connect end before a silent target is given up

Cause: the next target had 0.2 s to fail, and an attempt to connect has 0.25 s. It has 0.3 s now. Two targets then work on one request for 0.3 s, where the users allow 0.4 s. Test: an address at which nothing is accepted; with 0.2 s it fails (one run), now it passes (one run).

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -37,9 +37,10 @@
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "no progress for too long"
 )
 
-# Time for which the next target may refuse a request while the silent one still works
-# on it; two targets must not work on one request for 0.4 s.
-REFUSAL_TIME = timedelta(milliseconds=200)
+# Time for which the next target may fail a request while the silent one still works on
+# it: longer than an attempt to connect and below 0.4 s, for which two targets must
+# not work on one request.
+REFUSAL_TIME = timedelta(milliseconds=300)
 
 _log = make_log("forwarding")
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError)
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from datetime import timedelta
 
 from testtools import TestCase
@@ -125,6 +126,21 @@
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def accept_nothing():
+    """Yield an address at which attempts to connect get no answer."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        await asyncio.sleep(0.05)
+        yield "{}:{}".format(*listener.getsockname())
+
+
 class TestPauses(TestCase):
     def test_streams_that_pause_together_are_all_whole(self):
         # 22 of 24 streams were cut: all were given up at once, and the retry budget
@@ -209,6 +225,20 @@
     def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_is_unproven(self):
         self.check_refused_switch(unsigned=True)
 
+    def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_is_unreachable(self):
+        async def scenario(fleet):
+            engine = PausingEngine()
+            async with engine.replace(fleet, ["d1"]), accept_nothing() as address:
+                fleet.register(fleet.second_decode, zone="zone-b", address=address)
+                known = fleet.daemon.fleet.targets
+                await fleet.wait_for(lambda: known["d2"].address == address)
+                set_budget(fleet, 2)
+                status, body, _ = await ask(fleet)
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual(2, len(fleet.prefill.received))
+
+        run(scenario, configuration=PATIENT)
+
     def test_a_stream_goes_on_as_a_silent_target_ends_while_the_next_begins(self):
         async def scenario(fleet):
             engine = SilentEngine()
