Log which configuration a request came with and whether its answer was cut

The hypotheses on LOST beside a configuration differ in who ended a connection, when against the change, and whether the answer had begun. The line of a request's end named the version at its end alone, was the same for a refusal and for a cut answer, and there was none for a request whose client had left.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -1,5 +1,6 @@
 """Handle HTTP requests of clients and write the responses."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from random import Random
@@ -114,8 +115,13 @@
             body,
         )
         sink = ClientSink(raw, lambda: self.stopping)
-        outcome = await self._relay.serve(request, message, sink)
-        self._record_end(request, outcome.err() if outcome.is_err() else None)
+        try:
+            outcome = await self._relay.serve(request, message, sink)
+        except asyncio.CancelledError:
+            self._log_leaving_client(request, table.version, sink)
+            raise
+        verdict = outcome.err() if outcome.is_err() else None
+        self._record_end(request, table.version, verdict, is_cut=sink.began)
         if outcome.is_ok():
             assert sink.response is not None
             return sink.response
@@ -166,7 +172,29 @@
         late = verdict.reason is Reason.DEADLINE_PASSED
         return web.Response(status=504 if late else 502)
 
-    def _record_end(self, request: ForwardedRequest, verdict: Verdict | None) -> None:
+    def _log_leaving_client(
+        self, request: ForwardedRequest, arrived_version: int, sink: "ClientSink"
+    ) -> None:
+        took = self._clock.monotonic() - request.arrived
+        _log(
+            "client disconnected",
+            request=request.id,
+            route=request.route.name,
+            arrived_version=arrived_version,
+            version=self._fleet.routes.version,
+            took_ms=took // timedelta(milliseconds=1),
+            began=sink.began,
+            sends=request.sends,
+        )
+
+    def _record_end(
+        self,
+        request: ForwardedRequest,
+        arrived_version: int,
+        verdict: Verdict | None,
+        *,
+        is_cut: bool,
+    ) -> None:
         took = self._clock.monotonic() - request.arrived
         reason = verdict.reason if verdict else Reason.COMPLETED
         self._metrics.requests.add(1, {"reason": reason.value})
@@ -175,9 +203,11 @@
             "ended",
             request=request.id,
             route=request.route.name,
+            arrived_version=arrived_version,
             version=self._fleet.routes.version,
             took_ms=took // timedelta(milliseconds=1),
             reason=reason.value,
+            cut=is_cut and verdict is not None,
             run=verdict.run.value if verdict else Run.RAN.value,
             detail=verdict.detail if verdict else "",
             sends=request.sends,
--- a/tests/test_platform_configuration_changes.py
+++ b/tests/test_platform_configuration_changes.py
@@ -5,12 +5,13 @@
 from datetime import timedelta
 
 import aiohttp
+from eliot.testing import MemoryLogger, swap_logger
 from testtools import TestCase
 
 from galenapass.forwarding.retry_budgets import USABLE_SHARE, RetryBudgetTerms
 from stand_ins.platform_routes import CONFIGURATION, make_headers, make_route
 from stand_ins.runner import STREAM_BODY
-from tests.platform_fleet import run_fleet
+from tests.platform_fleet import run, run_fleet
 
 TIMEOUT_MS = 6000
 ROUTES = [route | {"timeout_ms": TIMEOUT_MS} for route in CONFIGURATION["routes"]]
@@ -29,10 +30,11 @@
 
 
 async def apply_change(fleet, **changes):
-    """Write the next version and wait until all daemons follow it."""
+    """Write the next version, wait until all daemons follow it, and return it."""
     version = change(fleet, **changes)
     tables = [daemon.fleet for daemon in fleet.daemons]
     await fleet.wait_for(lambda: all(t.routes.version == version for t in tables))
+    return version
 
 
 def make_routes(**changes):
@@ -269,3 +271,46 @@
             self.assertEqual([200] * 4, [status for status, _ in answers], name)
 
         self.check(scenario)
+
+
+class TestLog(TestCase):
+    def read_end(self, action, text):
+        """Return the log line of a stream that an action ends beside a change."""
+        logger = MemoryLogger()
+        previous = swap_logger(logger)
+        versions = []
+
+        async def scenario(fleet):
+            set_pauses(fleet, 0.2)
+            set_budget(fleet, 0)
+            versions.append(fleet.daemon.fleet.routes.version)
+            pending = asyncio.create_task(ask(fleet))
+            await fleet.wait_for(lambda: fleet.decode.ran + fleet.second_decode.ran)
+            await asyncio.sleep(0.3)
+            versions.append(await apply_change(fleet))
+            action(fleet, pending)
+            with self.assertRaises((aiohttp.ClientError, asyncio.CancelledError)):
+                await pending
+            await asyncio.sleep(0.1)
+
+        try:
+            run(scenario, configuration=PATIENT)
+        finally:
+            swap_logger(previous)
+        lines = [m for m in logger.messages if m.get("text") == text]
+        self.assertEqual(1, len(lines))
+        self.assertEqual(versions, [lines[0]["arrived_version"], lines[0]["version"]])
+        return lines[0]
+
+    def test_a_cut_answer_is_not_logged_like_a_refusal(self):
+        def crash(fleet, pending):
+            for runner in list_decode(fleet):
+                runner.crash()
+
+        self.assertTrue(self.read_end(crash, "entry: ended")["cut"])
+
+    def test_a_client_that_leaves_is_not_missing_in_the_log(self):
+        def leave(fleet, pending):
+            pending.cancel()
+
+        self.assertTrue(self.read_end(leave, "entry: client disconnected")["began"])
