Tell which parts in a crash are sound before it is decided on

Cause: a host judges a part by its own answers. With six hosts each has 10 to 20 of them when the crashes begin, and a part that 8 in 100 answers have is in none of some host's. There it is as suspect as the crashing part, though other hosts had whole answers with it. Hosts told of whole answers only what cleared a part of a crash that they already knew: an answer that ended before its host heard of the crash was told to nobody.

Halfway through the time in which a crash settles, hosts now tell which of its parts their whole answers had, those since the crash apart from those before it, in the message that existed for clearings. An answer before the crash clears nothing; it counts as one in the estimated share for 2 minutes, so that a part is not taken for one that is in no answers.

Three tests failed before: the sound part was blocked beside the crashing one ([7, 666]), and a part that another host had answered whole after each of four crashes was blocked; the third names the new function.

A time that is told late seems later, and an answer shortly before a crash could have cleared it at a host that was frozen; what is told of answers before a crash therefore names a time at least a minute before it, with a test that fails without.

--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -29,6 +29,7 @@
     "forget_old_crashes",
     "is_suspected",
     "list_blocks",
+    "list_sound_parts",
     "name_crash",
     "record_answer",
     "record_sound_parts",
@@ -55,6 +56,8 @@
 EVIDENCE_TIME = timedelta(minutes=10)
 # Hosts report a crash within this time of each other, with a report lost in between.
 SETTLE_TIME = timedelta(milliseconds=250)
+# A time that another host tells moves by less than this on its way.
+TRANSIT_TIME = timedelta(minutes=1)
 MAX_CRASHES = 256
 MAX_SOUND_PARTS = 8192
 MAX_BLOCKS = 256
@@ -135,9 +138,13 @@
     recent: deque[tuple[timedelta, tuple[int, ...]]] = field(default_factory=deque)
     counts: Counter[int] = field(default_factory=Counter)
 
-    def estimate_share(self, part: int) -> float:
-        """Return the share of answers with a part, above 0 and below 1."""
-        return (self.counts[part] + 0.5) / (len(self.recent) + 1)
+    def estimate_share(self, part: int, at_least: int = 0) -> float:
+        """Return the share of answers with a part, above 0 and below 1.
+
+        ``at_least`` answers with it are known, of this host or others.
+        """
+        count = max(self.counts[part], at_least)
+        return (count + 0.5) / (max(len(self.recent), count) + 1)
 
     def count_since(self, time: timedelta) -> int:
         count = 0
@@ -248,6 +255,33 @@
     return cleared
 
 
+def list_sound_parts(
+    evidence: CrashEvidence, crash: Crash
+) -> list[tuple[tuple[int, ...], timedelta]]:
+    """Return the parts in a crash that whole answers had, and a time since when.
+
+    Those of answers that began after the crash are apart from those before it, which
+    have a time that stays before the crash when it is told late.
+    """
+    record = evidence.crashes.get(crash)
+    if record is None:
+        return []
+    since: dict[int, timedelta] = {}
+    before: dict[int, timedelta] = {}
+    for part in record.sightings:
+        sound_at = evidence.sound_at.get(part)
+        if sound_at is None or record.at - sound_at > ANSWER_TIME:
+            continue
+        (since if sound_at > record.at else before)[part] = sound_at
+    sound = []
+    if since:
+        sound.append((tuple(since), min(since.values())))
+    if before:
+        told_at = min(*before.values(), record.at - TRANSIT_TIME)
+        sound.append((tuple(before), told_at))
+    return sound
+
+
 def block_parts(
     evidence: CrashEvidence, crash: Crash, now: timedelta
 ) -> list[PartBlock]:
@@ -366,7 +400,7 @@
     if not counted:
         return 0, 0.0
     answers = evidence.answers.get(counted[0].service, _Answers())
-    absent = math.log(1 - answers.estimate_share(part))
+    absent = math.log(1 - _estimate_share(evidence, part, counted[0]))
     # The part is in none of the answers that began since the first crash.
     score = -absent * answers.count_since(counted[0].find_crash_time(part))
     for record in counted:
@@ -375,8 +409,19 @@
 
 
 def _find_min_score(evidence: CrashEvidence, part: int, record: _CrashRecord) -> float:
+    share = _estimate_share(evidence, part, record)
+    return MIN_SCORE + math.log1p(share / RARE_SHARE)
+
+
+def _estimate_share(evidence: CrashEvidence, part: int, record: _CrashRecord) -> float:
+    """Return the share of answers with a part before a crash, above 0 and below 1.
+
+    This host may have few answers and none with a part that others' answers had.
+    """
     answers = evidence.answers.get(record.service, _Answers())
-    return MIN_SCORE + math.log1p(answers.estimate_share(part) / RARE_SHARE)
+    sound_at = evidence.sound_at.get(part)
+    is_sound = sound_at is not None and record.at - sound_at <= ANSWER_TIME
+    return answers.estimate_share(part, at_least=int(is_sound))
 
 
 def _has_blocked_part(evidence: CrashEvidence, record: _CrashRecord) -> bool:
--- a/src/galenapass/forwarding/crash_sharing.py
+++ b/src/galenapass/forwarding/crash_sharing.py
@@ -24,6 +24,7 @@
     "encode_sound_parts",
     "split_blocks",
     "split_report",
+    "split_sound_parts",
     "summarize",
 ]
 
@@ -72,6 +73,11 @@
     return [PartBlocks(chunk) for chunk in _split(tuple(blocks))]
 
 
+def split_sound_parts(sound: SoundParts) -> list[SoundParts]:
+    """Return messages with all of the parts that each fit into a datagram."""
+    return [SoundParts(chunk, sound.began_at) for chunk in _split(sound.parts)]
+
+
 def summarize(message: CrashMessage) -> CrashMessage | None:
     """Return what hosts that do not schedule need of a message, None if nothing.
 
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -21,6 +21,7 @@
     SoundParts,
     split_blocks,
     split_report,
+    split_sound_parts,
 )
 from galenapass.forwarding.published_crashes import (
     PublishedCrashes,
@@ -300,13 +301,19 @@
             return False
         crash_evidence.forget_old_crashes(self._evidence, now)
         if is_first:
-            self._background.spawn(self._block_settled(report.crash))
+            self._background.spawn(self._settle(report.crash))
         else:
             self._block_parts(report.crash)
         return True
 
-    async def _block_settled(self, crash: Crash) -> None:
-        await asyncio.sleep(crash_evidence.SETTLE_TIME.total_seconds())
+    async def _settle(self, crash: Crash) -> None:
+        """Tell which parts in a crash are sound, hear it from others, then decide."""
+        half_seconds = crash_evidence.SETTLE_TIME.total_seconds() / 2
+        await asyncio.sleep(half_seconds)
+        for parts, began_at in crash_evidence.list_sound_parts(self._evidence, crash):
+            for message in split_sound_parts(SoundParts(parts, began_at)):
+                self._share(message)
+        await asyncio.sleep(half_seconds)
         self._block_parts(crash)
 
     def _block_parts(self, crash: Crash) -> None:
--- a/tests/test_forwarding_crash_evidence.py
+++ b/tests/test_forwarding_crash_evidence.py
@@ -210,6 +210,59 @@
         self.assertEqual([], self.settle(evidence, 5240))
 
 
+class TestSoundPartsOfOthers(TestCase):
+    """What other hosts' answers had, where this host has few answers."""
+
+    SOUND = 7
+
+    def report(self, evidence, *parts):
+        blocked = []
+        for n in range(5):
+            at = 2000 + 900 * n
+            present = dict.fromkeys(parts if n < 3 else parts[-1:], 1)
+            blocked += apply_report(evidence, make_report(n, at, present, requests=2))
+        return blocked
+
+    def test_a_part_that_answers_of_other_hosts_had_is_not_blocked_by_chance(self):
+        evidence = make_evidence(answers=20)
+        crash_evidence.record_sound_parts(evidence, (self.SOUND,), 1500 * MS)
+        self.assertEqual([CRASHING], self.report(evidence, self.SOUND, CRASHING))
+
+    def test_an_answer_of_long_ago_does_not_keep_a_part_from_being_blocked(self):
+        evidence = make_evidence(answers=20)
+        long_ago = 1500 * MS - crash_evidence.ANSWER_TIME
+        crash_evidence.record_sound_parts(evidence, (CRASHING,), long_ago)
+        self.assertEqual([CRASHING], self.report(evidence, CRASHING))
+
+    def test_parts_that_are_sound_since_a_crash_are_told_apart_from_those_before(self):
+        evidence, at = CrashEvidence(), 100_000
+        answer(evidence, (FIRST, self.SOUND), at - 100)
+        answer(evidence, (8,), at - 50)
+        parts = {FIRST: 3, self.SOUND: 1, 8: 1, CRASHING: 1}
+        report = make_report(0, at, parts)
+        crash_evidence.record_report(evidence, report, (at + 20) * MS)
+        answer(evidence, (FIRST,), at + 100)
+        before = at * MS - crash_evidence.TRANSIT_TIME
+        expected = [((FIRST,), (at + 100) * MS), ((self.SOUND, 8), before)]
+        found = crash_evidence.list_sound_parts(evidence, report.crash)
+        self.assertEqual(expected, found)
+
+    def test_an_answer_before_a_crash_that_is_told_seconds_late_clears_nothing(self):
+        told = make_evidence()
+        answer(told, (CRASHING,), 1990)
+        report = make_report(0, 2000, {FIRST: 3, CRASHING: 1})
+        crash_evidence.record_report(told, report, 2020 * MS)
+        evidence, delay = make_evidence(), 8000 * MS
+        for n in range(5):
+            crash = make_report(n, 2000 + 900 * n, {FIRST: 3, CRASHING: 1})
+            crash_evidence.record_report(evidence, crash, crash.at)
+        sound = crash_evidence.list_sound_parts(told, report.crash)
+        self.assertIn(CRASHING, [part for parts, _ in sound for part in parts])
+        for parts, began_at in sound:
+            crash_evidence.record_sound_parts(evidence, parts, began_at + delay)
+        self.assertEqual([CRASHING], decide(evidence, crash, 9000 * MS))
+
+
 class TestEndOfBlocks(TestCase):
     def block(self):
         evidence = make_evidence()
--- a/tests/test_forwarding_suspects.py
+++ b/tests/test_forwarding_suspects.py
@@ -7,10 +7,14 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
-from galenapass.forwarding.crash_evidence import SETTLE_TIME, CrashReport
+from galenapass.forwarding.crash_evidence import SETTLE_TIME
 from galenapass.forwarding.crash_sharing import (
+    PartBlocks,
+    SoundParts,
     decode_report,
+    decode_sound_parts,
     encode_report,
+    encode_sound_parts,
     summarize,
 )
 from galenapass.forwarding.loads import digest_part
@@ -63,7 +67,7 @@
         return CrashSuspects(host, World(host, "a"), clock, hooks)
 
     def _share(self, sender, message):
-        if not isinstance(message, CrashReport):
+        if isinstance(message, PartBlocks):
             return
         then = self.clocks[sender].monotonic()
         for number, suspects in enumerate(self.suspects):
@@ -71,7 +75,11 @@
                 continue
             heard = summarize(message) if number in self.clients else message
             now = self.clocks[number].monotonic()
-            suspects.apply(decode_report(encode_report(heard, then), now))
+            if isinstance(heard, SoundParts):
+                row = encode_sound_parts(heard, then)
+                suspects.apply(decode_sound_parts(row, now))
+            elif heard is not None:
+                suspects.apply(decode_report(encode_report(heard, then), now))
 
     def advance(self, step):
         for clock in self.clocks:
@@ -224,3 +232,34 @@
                 self.assertEqual([n + 1, n + 1, 1], hosts.count_crashes())
 
         self.run_with_hosts(scenario, 0, 0, 0)
+
+
+class TestSoundParts(TestCase):
+    """Whole answers of one host speak for their parts at all hosts."""
+
+    def test_an_answer_that_ended_before_its_host_heard_of_a_crash_clears_its_parts(
+        self,
+    ):
+        async def scenario(hosts):
+            hosts.record_answers()
+            first, second = hosts.suspects
+            for _ in range(4):
+                hosts.advance(3 * SECONDS)
+                sent = hosts.find_times()
+                first.record_response(hosts.target, sent[0])
+                hosts.advance(100 * MS)
+                request = hosts.make_request("5ea99")
+                await first.check_for_crash(request, hosts.target, sent[0], None)
+                hosts.advance(80 * MS)
+                began_at = hosts.clocks[1].monotonic() - 50 * MS
+                second.record_answer(hosts.make_request("5ea99"), began_at)
+                await asyncio.sleep(REPORT_SECONDS)
+            self.assertEqual([4, 4], hosts.count_crashes())
+            self.assertEqual([[], []], await hosts.list_blocked())
+
+        async def run():
+            hosts = Hosts(0, 0)
+            with hosts.port:
+                await scenario(hosts)
+
+        asyncio.run(run())
