--- a/src/galenapass/forwarding/crash_evidence.py
+++ b/src/galenapass/forwarding/crash_evidence.py
@@ -56,6 +56,8 @@
 EVIDENCE_TIME = timedelta(minutes=10)
 # Hosts report a crash within this time of each other, with a report lost in between.
 SETTLE_TIME = timedelta(milliseconds=250)
+# A time that another host tells moves by less than this on its way.
+TRANSIT_TIME = timedelta(minutes=1)
 MAX_CRASHES = 256
 MAX_SOUND_PARTS = 8192
 MAX_BLOCKS = 256
@@ -256,19 +258,28 @@
 def list_sound_parts(
     evidence: CrashEvidence, crash: Crash
 ) -> list[tuple[tuple[int, ...], timedelta]]:
-    """Return the parts in a crash that whole answers had, and when the first began.
+    """Return the parts in a crash that whole answers had, and a time since when.
 
-    Those of answers that began after the crash are apart from those before it.
+    Those of answers that began after the crash are apart from those before it, which
+    have a time that stays before the crash when it is told late.
     """
     record = evidence.crashes.get(crash)
     if record is None:
         return []
-    groups: dict[bool, dict[int, timedelta]] = {True: {}, False: {}}
+    since: dict[int, timedelta] = {}
+    before: dict[int, timedelta] = {}
     for part in record.sightings:
         sound_at = evidence.sound_at.get(part)
-        if sound_at is not None and record.at - sound_at <= ANSWER_TIME:
-            groups[sound_at > record.at][part] = sound_at
-    return [(tuple(group), min(group.values())) for group in groups.values() if group]
+        if sound_at is None or record.at - sound_at > ANSWER_TIME:
+            continue
+        (since if sound_at > record.at else before)[part] = sound_at
+    sound = []
+    if since:
+        sound.append((tuple(since), min(since.values())))
+    if before:
+        told_at = min(*before.values(), record.at - TRANSIT_TIME)
+        sound.append((tuple(before), told_at))
+    return sound
 
 
 def block_parts(
