--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import zlib
 from datetime import timedelta
 
 import aiohttp
@@ -51,6 +52,7 @@
         self.plain = Runner("s1", "desk")
         self.second_plain = Runner("s2", "desk")
         self.more_decode = []
+        self.more_runners = []
         self.daemons = []
         self.settings = None
         self.client = None
@@ -67,6 +69,7 @@
             self.plain,
             self.second_plain,
             *self.decode_runners,
+            *self.more_runners,
         ]
 
     @property
@@ -95,13 +98,14 @@
     async def send_stream(self, path, host=0, leave_after=None, **headers):
         """Return the attempt's id, the status, the body and whether it is complete.
 
-        The connection is closed after ``leave_after`` events. Each prompt is another
-        one: equal ones that break off pass for crashing ones.
+        The connection is closed after ``leave_after`` events. Each path has a prompt
+        of its own: equal ones that break off pass for crashing ones.
         """
         self._number += 1
         attempt = f"a{self._number}"
         all_headers = make_headers(attempt, 2500)
-        all_headers["X-Galenapass-Prompt-Prefix"] = f"{self._number:x}:1000,bb:200"
+        part = f"{zlib.crc32(path.encode()):x}:1000"
+        all_headers["X-Galenapass-Prompt-Prefix"] = f"{part},bb:200"
         all_headers |= {
             name.replace("_", "-"): value for name, value in headers.items()
         }
@@ -134,16 +138,19 @@
     domains=("zone-a",),
     more_decode=0,
     versions=None,
+    more_runners=(),
 ):
     """Yield a fleet with a daemon per domain, which have loaded routes and targets.
 
     ``versions`` are the software versions of runners by id; their events name it.
+    ``more_runners`` are targets besides the usual ones.
     """
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
     fleet.more_decode = [
         Runner(f"d{n}", "lm", stage="decode") for n in range(3, 3 + more_decode)
     ]
+    fleet.more_runners = list(more_runners)
     for target in fleet.runners:
         if versions is not None and target.id in versions:
             target.version = versions[target.id]
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -1,34 +1,30 @@
 """Test that a stream goes on only at targets of the software version that began it."""
 
 import asyncio
-import re
+import contextlib
+import time
 
 from testtools import TestCase
 
-from stand_ins.runner import EVENTS
+from experiments.soak.stream_clients import list_events, list_versions
+from stand_ins.platform_routes import CONFIGURATION, make_route
+from stand_ins.runner import EVENTS, SIGNATURE, Runner
 from tests.platform_fleet import run
+from tests.test_platform_faults import raw_target, read_head
 
 # Two decode targets of each version.
 VERSIONS = {"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v2"}
+THREE_VERSIONS = VERSIONS | {"d5": "v3", "d6": "v3"}
+ONE_OF_EACH = {"d1": "v1", "d2": "v2"}
 TWO_HOSTS = ("zone-a", "zone-b")
 STREAMS = 24
 # Streams at a time; a target that breaks several off at once gets no more for a while.
 CONCURRENT = 3
-EVENT_SECONDS = 0.03
-EVENT = re.compile(rb"id: (\d+)\ndata: t(\d+) ?(\S*)\n\n")
-
-
-def list_versions(body):
-    """Return the versions that wrote a stream's events, in order."""
-    return list(dict.fromkeys(version for _, _, version in EVENT.findall(body)))
-
-
-def list_events(body):
-    """Return the numbers of a stream's events."""
-    return [int(number) for number, _, _ in EVENT.findall(body)]
-
-
+EVENT_SECONDS = 0.05
 ALL_EVENTS = list(range(1, EVENTS + 1))
+# What can't be served is refused at once; a busy machine needs some time for it.
+REFUSAL_SECONDS = 1.0
+UNKNOWN = "never-sent"
 
 
 async def repeat(send, count=STREAMS):
@@ -42,54 +38,397 @@
     return await asyncio.gather(*(send_one(number) for number in range(count)))
 
 
+def list_joined(bodies):
+    return [body for body in bodies if len(list_versions(body)) > 1]
+
+
+def pause_events(fleet):
+    for runner in (*fleet.decode_runners, *fleet.more_runners):
+        runner.faults.event_seconds = EVENT_SECONDS
+
+
+async def begin(fleet, path, host=0, **headers):
+    """Begin a stream and leave it; return the attempt and what came of it."""
+    attempt, status, body, _ = await fleet.send_stream(
+        path, host, leave_after=2, **headers
+    )
+    return attempt, status, body
+
+
+async def begin_at(fleet, version, name):
+    """Return path, attempt and body of a stream that a version began."""
+    paths = [f"/notes/{name}-{number}" for number in range(8)]
+    begun = await asyncio.gather(*(begin(fleet, path) for path in paths))
+    for path, (attempt, _, body) in zip(paths, begun, strict=True):
+        if list_versions(body) == [f"lm-{version}"]:
+            return path, attempt, body
+    raise AssertionError(f"no stream began at {version}")
+
+
+async def take_up(fleet, path, begun, host=1, **headers):
+    """Take a stream up; return attempt, status, what came of it and the seconds."""
+    started = time.monotonic()
+    events = list_events(begun)
+    all_headers = {"Last_Event_Id": str(events[-1]) if events else "0"} | headers
+    attempt, status, rest, _ = await fleet.send_stream(path, host, **all_headers)
+    return attempt, status, rest, time.monotonic() - started
+
+
+class VersionsCase(TestCase):
+    def check_refused(self, fleet, taken_up):
+        """Check that a take-up was refused at once and did not run."""
+        attempt, status, rest, seconds = taken_up
+        self.assertEqual((503, b""), (status, rest))
+        self.assertLess(seconds, REFUSAL_SECONDS)
+        ran = [name for runner in fleet.runners for name in runner.ran]
+        self.assertNotIn(attempt, ran)
+
+    def check_fits(self, begun, taken_up):
+        """Check that a take-up was refused or went on at the version that began."""
+        _, status, rest, _ = taken_up
+        self.assertIn(status, (200, 503))
+        self.assertEqual([], list_joined([begun + rest]))
+
+
 class TestOneAnswer(TestCase):
-    def test_order_a_stream_is_joined_from_two_versions_in_one_answer(self):
+    def check_answers(self, **options):
         async def scenario(fleet):
-            for runner in fleet.decode_runners:
+            for runner in (*fleet.decode_runners, *fleet.more_runners):
                 runner.faults.break_after = 2
                 runner.faults.break_share = 0.3
             answers = await repeat(lambda n: fleet.send_stream(f"/notes/{n}"))
             bodies = [body for *_, body, _ in answers]
-            joined = [body for body in bodies if len(list_versions(body)) > 1]
-            self.assertEqual([], joined)
+            self.assertEqual([], list_joined(bodies))
             for _, status, body, complete in answers:
                 whole = list_events(body) == ALL_EVENTS
                 self.assertEqual(status == 200 and complete, whole, body)
-            resumed = [
-                request
-                for runner in fleet.decode_runners
-                for request in runner.received
-                if "Last-Event-Id" in request.headers
-            ]
-            self.assertNotEqual([], resumed)
+            return fleet
 
-        run(scenario, more_decode=2, versions=VERSIONS)
+        fleets = []
 
+        async def keep(fleet):
+            fleets.append(await scenario(fleet))
+
+        run(keep, **options)
+        return fleets[0]
+
+    def test_order_a_stream_is_joined_from_two_versions_in_one_answer(self):
+        fleet = self.check_answers(more_decode=2, versions=VERSIONS)
+        resumed = [
+            request
+            for runner in fleet.decode_runners
+            for request in runner.received
+            if "Last-Event-Id" in request.headers
+        ]
+        self.assertNotEqual([], resumed)
+
+    def test_order_a_stream_is_joined_from_three_versions_in_one_answer(self):
+        self.check_answers(more_decode=4, versions=THREE_VERSIONS)
+
+    def test_order_a_stream_is_joined_while_one_target_of_each_version_serves(self):
+        second_prefill = Runner("e2", "lm", stage="prefill")
+        self.check_answers(
+            more_runners=[second_prefill],
+            versions=ONE_OF_EACH | {"e1": "v1", "e2": "v2"},
+        )
+
+    def test_order_a_stream_is_joined_with_an_entry_without_a_version(self):
+        self.check_answers(versions={"d1": None, "d2": "v1"})
+
+    def test_order_a_stream_goes_on_at_a_version_that_was_prepared_before_it(self):
+        # The first target is silent while the next send is prepared, brings an event
+        # and is silent again, or breaks off.
+        delays = [0.05 * number for number in range(STREAMS)]
+
+        begun = []
+
+        async def serve(reader, writer):
+            with contextlib.suppress(ConnectionError):
+                attempt = await read_head(reader)
+                if attempt is not None and delays:
+                    await asyncio.sleep(delays.pop(0))
+                    writer.write(
+                        (
+                            "HTTP/1.1 200 OK\r\n"
+                            f"X-Galenapass-Attempt-Id: {attempt}\r\n"
+                            f"{SIGNATURE}: signed\r\n\r\n"
+                            "id: 1\ndata: t1 lm-v1\n\n"
+                        ).encode()
+                    )
+                    await writer.drain()
+                    begun.append(attempt)
+                    if len(begun) % 2:
+                        await reader.read()
+            writer.close()
+
+        async def scenario(fleet):
+            async with raw_target(serve) as address:
+                fleet.store.remove("servers", "d1")
+                entry = fleet.decode.entry(address=address, born=7)
+                fleet.store.put("servers", "raw", entry)
+                known = fleet.daemon.fleet.targets
+                await fleet.wait_for(lambda: "raw" in known and "d1" not in known)
+                answers = await asyncio.gather(
+                    *(fleet.send_stream(f"/notes/{n}") for n in range(STREAMS))
+                )
+                bodies = [body for *_, body, _ in answers]
+                self.assertEqual([], list_joined(bodies))
+                for _, _, body, complete in answers:
+                    whole = list_events(body) == ALL_EVENTS
+                    self.assertFalse(complete and body and not whole, body)
+
+        run(scenario, versions=ONE_OF_EACH)
+
+
+class TestTakeUps(VersionsCase):
+    def check_take_ups(self, share=0.5, **options):
+        async def scenario(fleet):
+            pause_events(fleet)
+
+            async def send(number):
+                path = f"/notes/{number}"
+                attempt, status, begun = await begin(fleet, path)
+                taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+                return status, begun, taken_up
+
+            streams = await repeat(send)
+            for status, begun, taken_up in streams:
+                self.assertEqual(200, status)
+                self.check_fits(begun, taken_up)
+            went_on = [
+                list_events(begun + rest) == ALL_EVENTS
+                for _, begun, (_, _, rest, _) in streams
+            ]
+            self.assertGreaterEqual(sum(went_on), share * STREAMS)
+
+        run(scenario, domains=TWO_HOSTS, **options)
 
-class TestTakeUps(TestCase):
     def test_order_a_client_takes_a_stream_up_at_another_version(self):
+        self.check_take_ups(more_decode=2, versions=VERSIONS)
+
+    def test_order_a_client_takes_a_stream_up_at_one_of_three_versions(self):
+        self.check_take_ups(more_decode=4, versions=THREE_VERSIONS)
+
+    def test_order_a_client_takes_a_stream_up_without_a_version_in_the_entry(self):
+        versions = VERSIONS | {"d1": None, "d3": None}
+        self.check_take_ups(share=0.0, more_decode=2, versions=versions)
+
+    def test_order_a_client_takes_a_stream_up_at_another_service(self):
+        split = [{"service": name, "weight": 1} for name in ("lm", "lm2")]
+        route = make_route("/notes/", "streaming", "", resumable=True)
+        engine = {"kv_tokens": 500_000, "reconfig_s": 0.1}
+        configuration = CONFIGURATION | {
+            "routes": [route | {"traffic_split": split}],
+            "services": [{"name": name, "engine": engine} for name in ("lm", "lm2")],
+        }
+        others = [
+            Runner("e3", "lm2", stage="prefill"),
+            Runner("d8", "lm2", stage="decode"),
+            Runner("d9", "lm2", stage="decode"),
+        ]
+        versions = {"d1": "v1", "d2": "v1", "d8": "v1", "d9": "v1"}
+        self.check_take_ups(
+            configuration=configuration, more_runners=others, versions=versions
+        )
+
+    def play(self, scenario, **options):
+        """Run a scenario with two hosts and two targets of two versions."""
+
+        async def play(fleet):
+            pause_events(fleet)
+            await scenario(fleet)
+
+        usual = {"domains": TWO_HOSTS, "more_decode": 2, "versions": VERSIONS}
+        run(play, **(usual | options))
+
+    def test_order_a_second_take_up_that_names_the_first_attempt_goes_astray(self):
         async def scenario(fleet):
-            for runner in fleet.decode_runners:
-                runner.faults.event_seconds = EVENT_SECONDS
+            async def send(number):
+                path = f"/notes/{number}"
+                attempt, _, begun = await begin(fleet, path)
+                _, _, more, _ = await fleet.send_stream(
+                    path,
+                    host=1,
+                    leave_after=1,
+                    Last_Event_Id=str(list_events(begun)[-1]),
+                    Resumes=attempt,
+                )
+                taken_up = await take_up(fleet, path, begun + more, 0, Resumes=attempt)
+                self.check_fits(begun + more, taken_up)
+                return list_events(begun + more + taken_up[2]) == ALL_EVENTS
+
+            went_on = await repeat(send, 12)
+            self.assertGreaterEqual(sum(went_on), 6)
+
+        self.play(scenario)
 
-            async def take_up(number):
+    def test_order_a_take_up_that_names_a_later_attempt_goes_astray(self):
+        async def scenario(fleet):
+            for number in range(8):
                 path = f"/notes/{number}"
-                attempt, begun_status, begun, _ = await fleet.send_stream(
-                    path, leave_after=2
+                attempt, _, begun = await begin(fleet, path)
+                later, _, more, _ = await fleet.send_stream(
+                    path,
+                    host=1,
+                    leave_after=1,
+                    Last_Event_Id=str(list_events(begun)[-1]),
+                    Resumes=attempt,
+                )
+                taken_up = await take_up(fleet, path, begun + more, 0, Resumes=later)
+                self.check_fits(begun + more, taken_up)
+
+        self.play(scenario)
+
+    def test_order_a_stream_that_names_no_attempt_is_guessed(self):
+        async def scenario(fleet):
+            for version in ("v1", "v2"):
+                path, _, begun = await begin_at(fleet, version, version)
+                for host in (0, 1):
+                    taken_up = await take_up(fleet, path, begun, host)
+                    self.check_refused(fleet, taken_up)
+
+        self.play(scenario)
+
+    def test_order_a_stream_that_never_began_is_guessed(self):
+        async def scenario(fleet):
+            for runner in fleet.decode_runners:
+                runner.faults.shed = True
+            failed, status, _ = await begin(fleet, "/notes/1")
+            self.assertEqual(503, status)
+            for runner in fleet.decode_runners:
+                runner.faults.shed = False
+            for resumes in (UNKNOWN, failed, ""):
+                for host in (0, 1):
+                    taken_up = await take_up(
+                        fleet,
+                        "/notes/1",
+                        b"",
+                        host,
+                        Resumes=resumes,
+                        Last_Event_Id="2",
+                    )
+                    self.check_refused(fleet, taken_up)
+
+        self.play(scenario)
+
+    def test_order_a_take_up_goes_on_at_a_version_that_nobody_named(self):
+        async def scenario(fleet):
+            path, attempt, begun = await begin_at(fleet, "v1", "one")
+            _, another, _ = await begin_at(fleet, "v2", "two")
+            _, status, rest, _ = await take_up(fleet, path, begun, Resumes=another)
+            self.assertIn(status, (200, 503))
+            self.assertNotIn("lm-v1", list_versions(rest))
+            taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+            self.check_fits(begun, taken_up)
+
+        self.play(scenario)
+
+    def test_order_an_attempt_that_two_streams_used_is_guessed(self):
+        async def scenario(fleet):
+            paths = [f"/notes/{number}" for number in range(8)]
+            begun = await asyncio.gather(
+                *(
+                    begin(fleet, path, host % 2, X_Galenapass_Attempt_Id="same")
+                    for host, path in enumerate(paths)
+                )
+            )
+            bodies = [body for _, _, body in begun]
+            self.assertEqual(
+                ["lm-v1", "lm-v2"], sorted(list_versions(b"".join(bodies)))
+            )
+            for path, body in zip(paths, bodies, strict=True):
+                for host in (0, 1):
+                    taken_up = await take_up(fleet, path, body, host, Resumes="same")
+                    self.check_fits(body, taken_up)
+
+        self.play(scenario)
+
+    def test_order_an_odd_last_event_id_leads_to_another_version(self):
+        async def scenario(fleet):
+            path, attempt, begun = await begin_at(fleet, "v1", "odd")
+            for last in ("99", "-1", "0", "", "x", "9" * 400):
+                _, _, rest, _ = await take_up(
+                    fleet, path, begun, Resumes=attempt, Last_Event_Id=last
+                )
+                self.assertNotIn("lm-v2", list_versions(rest), last)
+            taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+            self.check_fits(begun, taken_up)
+
+        self.play(scenario)
+
+    def test_a_long_attempt_to_resume_ends_nothing_else(self):
+        async def scenario(fleet):
+            path, attempt, begun = await begin_at(fleet, "v1", "long")
+            for host in (0, 1):
+                _, status, rest, seconds = await take_up(
+                    fleet, path, begun, host, Resumes="a" * 10_240
                 )
-                last = str(list_events(begun)[-1])
-                _, status, rest, complete = await fleet.send_stream(
-                    path, host=1, Last_Event_Id=last, Resumes=attempt
+                self.assertIn(status, (400, 431, 503))
+                self.assertEqual([], list_events(rest))
+                self.assertLess(seconds, REFUSAL_SECONDS)
+            taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+            self.check_fits(begun, taken_up)
+
+        self.play(scenario)
+
+    def test_order_a_stream_goes_on_while_its_version_is_away(self):
+        async def scenario(fleet):
+            path, attempt, begun = await begin_at(fleet, "v1", "back")
+            for runner in (fleet.decode, fleet.more_decode[0]):
+                fleet.store.remove("servers", runner.id)
+            tables = [daemon.fleet.targets for daemon in fleet.daemons]
+            await fleet.wait_for(
+                lambda: not any({"d1", "d3"} & table.keys() for table in tables)
+            )
+            for host in (0, 1):
+                taken_up = await take_up(fleet, path, begun, host, Resumes=attempt)
+                self.check_refused(fleet, taken_up)
+            # A release back to the older version.
+            for runner in (fleet.decode, fleet.more_decode[0]):
+                runner.born += 1
+                runner.id = f"{runner.id}-{runner.born}"
+                fleet.register(runner)
+            await fleet.wait_for(
+                lambda: all({"d1-2", "d3-2"} <= table.keys() for table in tables)
+            )
+            taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+            self.check_fits(begun, taken_up)
+            path, attempt, begun = await begin_at(fleet, "v1", "again")
+            taken_up = await take_up(fleet, path, begun, Resumes=attempt)
+            self.check_fits(begun, taken_up)
+
+        self.play(scenario)
+
+    def test_order_a_stream_goes_on_at_its_target_that_is_back_at_another_version(self):
+        async def scenario(fleet):
+            path, attempt, begun = await begin_at(fleet, "v1", "id")
+            answer = asyncio.create_task(fleet.send_stream("/notes/open?events=20"))
+            await fleet.wait_for(lambda: len(fleet.daemon.fleet.targets) > 0)
+            await asyncio.sleep(3 * EVENT_SECONDS)
+            runner = fleet.decode
+            replace_entry = runner.on_restart
+
+            def release(former):
+                runner.version = "v2"
+                replace_entry(former)
+
+            runner.on_restart = release
+            runner.faults.keeps_id = True
+            runner.faults.restart_seconds = 0.3
+            runner.crash()
+            await fleet.wait_for(lambda: runner.version == "v2")
+            _, _, body, _ = await answer
+            self.assertEqual([], list_joined([body]))
+            tables = [daemon.fleet.targets for daemon in fleet.daemons]
+            await fleet.wait_for(
+                lambda: all(
+                    "d1" in table and table["d1"].incarnation == str(runner.born)
+                    for table in tables
                 )
-                return begun_status, begun, status, rest, complete
-
-            streams = await repeat(take_up)
-            bodies = [begun + rest for _, begun, _, rest, _ in streams]
-            joined = [body for body in bodies if len(list_versions(body)) > 1]
-            self.assertEqual([], joined)
-            self.assertEqual({200}, {status for status, *_ in streams})
-            self.assertLessEqual({s for _, _, s, _, _ in streams}, {200, 503})
-            went_on = [list_events(body) == ALL_EVENTS for body in bodies]
-            self.assertGreaterEqual(sum(went_on), STREAMS // 2)
-
-        run(scenario, domains=TWO_HOSTS, more_decode=2, versions=VERSIONS)
+            )
+            for host in (0, 1):
+                taken_up = await take_up(fleet, path, begun, host, Resumes=attempt)
+                self.check_fits(begun, taken_up)
+                self.assertEqual(503, taken_up[1])
+
+        self.play(scenario, more_decode=0, versions=ONE_OF_EACH)
