--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -13,6 +13,7 @@
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
 from galenapass.forwarding.routes import Repeat, Route, find_route
+from galenapass.forwarding.stream_origins import digest_stream
 from galenapass.forwarding.target_messages import ClientRequest
 from galenapass.http_connections import (
     ClientServer,
@@ -27,6 +28,8 @@
 __all__ = ["RequestHandler", "make_server"]
 
 DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
+# Clients choose the ids of their attempts.
+MAX_LOGGED_CHARACTERS = 64
 MAX_HEADER_LINE_BYTES = 65_536
 # Longer than any idle timeout that a configuration allows for clients.
 KEEPALIVE_TIMEOUT = timedelta(seconds=60)
@@ -99,6 +102,13 @@
         if body is None:
             return web.Response(status=413)
         request = self._make_request(raw, route, metadata, body, arrived)
+        if request.last_event is not None:
+            _log(
+                "stream is taken up",
+                request=request.id,
+                resumes=metadata.resumes[:MAX_LOGGED_CHARACTERS],
+                last_event=request.last_event,
+            )
         message = ClientRequest(
             metadata.attempt,
             raw.method,
@@ -127,7 +137,9 @@
         arrived: timedelta,
     ) -> ForwardedRequest:
         patience = route.timeout if metadata.patience is None else metadata.patience
-        resumes = route.repeat is Repeat.RESUME
+        last_event = metadata.last_event if route.repeat is Repeat.RESUME else None
+        is_resumed = last_event is not None and metadata.resumes
+        first_attempt = metadata.resumes if is_resumed else metadata.attempt
         return ForwardedRequest(
             id=metadata.attempt,
             route=route,
@@ -137,7 +149,9 @@
             prompt=metadata.prompt,
             parts=digest_parts(metadata.prompt) if metadata.prompt else (),
             fingerprint=_make_fingerprint(raw, body),
-            last_event=metadata.last_event if resumes else None,
+            last_event=last_event,
+            stream=digest_stream(first_attempt),
+            abandoned_at=arrived + patience,
         )
 
     def _pick_service(self, route: Route) -> str:
