Keep a stream to its version whatever the id of its last event is

A client that named the first attempt of its stream, and a last event that is no number, got a new run at any version: its header is passed on as it came, so the run may go on there.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -140,7 +140,7 @@
 
     async def _find_origin(self, request: ForwardedRequest) -> Verdict | None:
         """Find where a stream began that a client resumes, or why it can't go on."""
-        if request.last_event is None:
+        if not request.is_resumed:
             return None
         services = [name for name, _ in request.route.split]
         resolved = await self._origins.resolve(request.stream, services)
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -109,7 +109,7 @@
         if body is None:
             return web.Response(status=413)
         request = self._make_request(raw, table, route, metadata, body, arrived)
-        if request.last_event is not None:
+        if request.is_resumed:
             _log(
                 "stream is taken up",
                 request=request.id,
@@ -150,9 +150,10 @@
         arrived: timedelta,
     ) -> ForwardedRequest:
         patience = route.timeout if metadata.patience is None else metadata.patience
-        last_event = metadata.last_event if route.repeat is Repeat.RESUME else None
-        is_resumed = last_event is not None and metadata.resumes
-        first_attempt = metadata.resumes if is_resumed else metadata.attempt
+        may_resume = route.repeat is Repeat.RESUME
+        last_event = metadata.last_event if may_resume else None
+        # The id of the last event is passed on even where it is no number.
+        is_resumed = last_event is not None or (may_resume and bool(metadata.resumes))
         service = self._pick_service(route)
         return ForwardedRequest(
             id=metadata.attempt,
@@ -165,7 +166,8 @@
             fingerprint=_make_fingerprint(raw, body),
             is_generation=metadata.prompt is not None and is_model(table, service),
             last_event=last_event,
-            stream=digest_stream(first_attempt),
+            is_resumed=is_resumed,
+            stream=digest_stream(metadata.resumes or metadata.attempt),
             abandoned_at=arrived + patience,
         )
 
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -62,6 +62,7 @@
     last; ``target`` is the id of the one that works on it now, at which no second slot
     is requested.
 
+    ``is_resumed`` tells whether the client takes up a stream of an earlier attempt.
     ``stream`` is the digest of the attempt that brought the first event of its stream,
     and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
     when the client stops waiting, also at other hosts.
@@ -82,6 +83,7 @@
     last_event: int | None = None
     tried: set[str] = field(default_factory=set)
     target: str | None = None
+    is_resumed: bool = False
     stream: int = 0
     origin: ServiceVersion | None = None
     abandoned_at: timedelta = timedelta(0)
