Release targets at another software version in the soak, and take streams up

--releases N adds a second version, releases in turn and overlapping under new ids, kills of all daemons at once, planned work and store faults around them, and clients that take streams up with Resumes. Checked are ORDER for each stream over all tries, and LOST: away from faults the share that goes on is at least half of the share that begins.

--- a/experiments/soak/__main__.py
+++ b/experiments/soak/__main__.py
@@ -45,6 +45,12 @@
     show_default=True,
     help="Grace period of a stop in seconds.",
 )
+@click.option(
+    "--releases",
+    default=0,
+    show_default=True,
+    help="Number of releases of targets at another software version.",
+)
 @click.option(
     "--folder",
     type=click.Path(path_type=Path, file_okay=False),
@@ -60,6 +66,7 @@
     restores: int,
     stops: int,
     grace: float,
+    releases: int,
     folder: Path | None,
     regressions: bool,
 ) -> None:
@@ -67,7 +74,7 @@
     seeds = [time.time_ns() % 10**9 if seed is None else seed]
     if regressions:
         seeds = [int(section) for section in read_regressions()]
-        restores = stops = 0
+        restores = stops = releases = 0
     violation_count = 0
     for current_seed in seeds:
         click.echo(f"seed {current_seed}")
@@ -84,6 +91,7 @@
                 restores,
                 stops,
                 grace,
+                releases,
             )
         )
         click.echo(describe(report))
--- a/experiments/soak/faults.py
+++ b/experiments/soak/faults.py
@@ -11,6 +11,7 @@
     "STORE_FAULTS",
     "Fault",
     "plan_faults",
+    "plan_releases",
     "plan_restores",
     "plan_stops",
 ]
@@ -50,6 +51,9 @@
 # Share of the faults that are applied to each component of a group in turn.
 SERIES_SHARE = 0.15
 SERIES_GAP_SECONDS = 0.3
+RELEASE_SECONDS = (0.3, 1.5)
+# Time between the releases of two targets; several may overlap.
+RELEASE_GAP_SECONDS = (0.0, 1.2)
 # Longest pause until a stopped daemon is started again, or at once.
 RESTART_SECONDS = 1.0
 STOP_GAP_SECONDS = (0.3, 2.0)
@@ -90,6 +94,18 @@
 )
 
 
+# Faults around the release of a target, in which all daemons are killed at once.
+_RELEASE = (
+    _Companion("configuration", "store", 0.4, -0.5, 1.0),
+    _Companion("settings", "", 0.3, -0.5, 1.0),
+    _Companion("terminate", "", 0.2, -0.5, 1.0),
+    _Companion("slow", "store", 0.2, -0.5, 1.0, (0.5, 2.0)),
+    _Companion("unavailable", "store", 0.2, -0.5, 1.0, (0.3, 1.5)),
+)
+KILL_ALL_SHARE = 0.5
+KILL_SECONDS = (0.1, 1.0)
+
+
 @dataclass(slots=True, frozen=True)
 class Fault:
     """One fault; ``at`` in seconds from the start, ``duration`` in seconds.
@@ -176,6 +192,33 @@
     return sorted(timely, key=lambda fault: (fault.at, fault.component))
 
 
+def plan_releases(
+    seed: int, seconds: float, count: int, daemons: list[str], runners: list[str]
+) -> list[Fault]:
+    """Return ``count`` releases of one target or of several in turn, by start time.
+
+    Other planned work, faults of the store and kills of all daemons overlap them. They
+    are drawn apart from the other faults, whose plan does not depend on them.
+    """
+    random = Random(f"{seed}-releases")
+    faults: list[Fault] = []
+    for _ in range(count):
+        begin = random.uniform(0, seconds)
+        released = random.sample(runners, random.randint(1, len(runners)))
+        gap = random.uniform(*RELEASE_GAP_SECONDS)
+        for number, runner in enumerate(released):
+            at, pause = begin + number * gap, random.uniform(*RELEASE_SECONDS)
+            faults.append(Fault(at, pause, "release", runner))
+        if random.random() < KILL_ALL_SHARE:
+            at = begin + random.uniform(-1.0, 2.0)
+            pause = random.uniform(*KILL_SECONDS)
+            faults += [Fault(at, pause, "kill", daemon) for daemon in daemons]
+        daemon = random.choice(daemons)
+        faults += _draw_companions(random, _RELEASE, begin, 1.0, daemon, runners)
+    timely = [fault for fault in faults if 0 <= fault.at <= fault.end <= seconds]
+    return sorted(timely, key=lambda fault: (fault.at, fault.component))
+
+
 def _draw_companions(
     random: Random,
     companions: tuple[_Companion, ...],
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -13,8 +13,15 @@
 
 from experiments.soak.clients import Client
 from experiments.soak.environment import GRACE_SECONDS, Environment
-from experiments.soak.faults import Fault, plan_faults, plan_restores, plan_stops
+from experiments.soak.faults import (
+    Fault,
+    plan_faults,
+    plan_releases,
+    plan_restores,
+    plan_stops,
+)
 from experiments.soak.invariants import (
+    CONTACT_SECONDS,
     ROUTES,
     SLACK_SECONDS,
     Outcome,
@@ -23,12 +30,22 @@
     find_violations,
 )
 from experiments.soak.kept_clients import BEHAVIOURS, DEADLINE_SECONDS, KeptClient
+from experiments.soak.stream_clients import (
+    Stream,
+    StreamClient,
+    StreamTry,
+    find_joined,
+    find_refused_take_ups,
+    list_versions,
+    strip_marks,
+)
 from stand_ins.platform_routes import CONFIGURATION, HOST
 from stand_ins.runner import STREAM_BODY
 
 __all__ = ["Report", "describe", "run_soak", "wait_ready"]
 
 READY_SECONDS = 15.0
+VERSIONS = ("v1", "v2")
 # Time after the last fault until the configuration is in force, roles are stable and
 # entries are restored.
 RECOVERY_SECONDS = 8.0
@@ -41,13 +58,15 @@
 class Report:
     """Injected faults, outcomes of clients and violations of one soak test.
 
-    ``lag`` is the longest delay of the clients' event loop, in seconds.
+    ``lag`` is the longest delay of the clients' event loop, in seconds, ``taken_up``
+    the number of streams that clients took up.
     """
 
     faults: list[Fault]
     outcomes: list[Outcome]
     violations: list[str]
     lag: float
+    taken_up: int = 0
 
 
 async def run_soak(
@@ -60,17 +79,20 @@
     restore_count: int = 0,
     stop_count: int = 0,
     grace_seconds: float = GRACE_SECONDS,
+    release_count: int = 0,
 ) -> Report:
     """Inject the faults of a seed for ``seconds`` and check the invariants.
 
     The store also returns to an older copy ``restore_count`` times. With planned stops,
-    ``stop_count`` of them, half of the clients keep their connections.
+    ``stop_count`` of them, half of the clients keep their connections. With releases,
+    targets of two software versions serve and as many more clients take streams up.
     """
     environment = Environment(
         folder,
         daemon_count,
         grace_seconds,
-        _make_configuration() if stop_count else CONFIGURATION,
+        _make_configuration() if stop_count or release_count else CONFIGURATION,
+        VERSIONS if release_count else (),
     )
     faults = plan_faults(
         seed, seconds, fault_count, list(environment.daemons), list(environment.runners)
@@ -84,6 +106,10 @@
         list(environment.daemons),
         list(environment.runners),
     )
+    engines = [n for n, r in environment.runners.items() if r.stage == "decode"]
+    faults += plan_releases(
+        seed, seconds, release_count, list(environment.daemons), engines
+    )
     faults.sort(key=lambda fault: (fault.at, fault.component))
     addresses = {name: daemon.address for name, daemon in environment.daemons.items()}
     clients = [
@@ -94,6 +120,10 @@
         _make_kept_client(n, addresses, seed)
         for n in range(client_count - len(clients))
     ]
+    stream_clients = [
+        StreamClient(f"t{n}", addresses, Random(f"{seed}-t{n}"), environment.is_served)
+        for n in range(client_count if release_count else 0)
+    ]
     all_clients: list[Client | KeptClient] = [*clients, *kept_clients]
     lags: list[float] = []
     try:
@@ -105,6 +135,8 @@
             tasks.create_task(_measure_lags(lags, is_over))
             for any_client in all_clients:
                 tasks.create_task(any_client.run(started, is_over))
+            for stream_client in stream_clients:
+                tasks.create_task(stream_client.run(started, is_over))
             for fault in faults:
                 tasks.create_task(_inject(environment, fault, started))
         failures += await _check_recovery(environment, clients[0])
@@ -114,6 +146,8 @@
     outcomes = [
         outcome for any_client in all_clients for outcome in any_client.outcomes
     ]
+    streams = [stream for client in stream_clients for stream in client.streams]
+    failures += _check_streams(environment, streams, outcomes, faults, started)
     violations = find_violations(outcomes, environment.list_executed(), STREAM_BODY)
     violations = [
         violation
@@ -127,7 +161,52 @@
         faults,
         {name: runner.service for name, runner in environment.runners.items()},
     )
-    return Report(faults, outcomes, failures + violations, max(lags, default=0.0))
+    return Report(
+        faults,
+        outcomes,
+        failures + violations,
+        max(lags, default=0.0),
+        sum(any(one.resumes for one in stream.tries) for stream in streams),
+    )
+
+
+def _check_streams(
+    environment: Environment,
+    streams: list[Stream],
+    outcomes: list[Outcome],
+    faults: list[Fault],
+    started: float,
+) -> list[str]:
+    """Return the streams that were joined or that too seldom went on.
+
+    What was checked is taken from the attempts that ran and from the outcomes, which
+    are judged as those of targets of one version.
+    """
+    tries = {one.attempt for stream in streams for one in stream.tries}
+    for executed in environment.list_executed().values():
+        executed[:] = [attempt for attempt in executed if attempt not in tries]
+    violations = [
+        f"{outcome.attempt}: ORDER written by {list_versions(outcome.body)}"
+        for outcome in outcomes
+        if len(list_versions(outcome.body)) > 1 and ROUTES[outcome.route].streams
+    ]
+    for outcome in outcomes:
+        outcome.body = strip_marks(outcome.body)
+
+    def is_calm(one: StreamTry) -> bool:
+        return not any(
+            fault.component in ("store", one.daemon, f"link {one.daemon}")
+            and fault.kind != "configuration"
+            and fault.at <= one.ended - started
+            and one.began - started <= fault.end + CONTACT_SECONDS
+            for fault in faults
+        )
+
+    return [
+        *violations,
+        *find_joined(streams),
+        *find_refused_take_ups(streams, is_calm),
+    ]
 
 
 def _make_configuration() -> dict[str, Any]:
@@ -270,6 +349,7 @@
             f" at {fault.component}: {_count(overlapping)}"
         )
     lines += [f"BROKEN {violation}" for violation in report.violations]
+    lines.append(f"{report.taken_up} streams taken up")
     return "\n".join([*lines, f"{len(report.violations)} promises broken"])
 
 
--- a/experiments/soak/stream_clients.py
+++ b/experiments/soak/stream_clients.py
@@ -20,6 +20,7 @@
     "find_refused_take_ups",
     "list_events",
     "list_versions",
+    "strip_marks",
 ]
 
 STREAM_EVENTS = 12
@@ -169,6 +170,11 @@
         one.ended = time.monotonic()
 
 
+def strip_marks(body: bytes) -> bytes:
+    """Return the events of a stream without the versions that wrote them."""
+    return _EVENT.sub(rb"id: \1\ndata: t\2\n\n", body)
+
+
 def find_joined(streams: Iterable[Stream]) -> list[str]:
     """Return a description of each stream whose events do not fit together."""
     violations = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,13 @@
 from testtools import TestCase
 
 from experiments.soak.__main__ import read_regressions
-from experiments.soak.faults import Fault, plan_faults, plan_restores, plan_stops
+from experiments.soak.faults import (
+    Fault,
+    plan_faults,
+    plan_releases,
+    plan_restores,
+    plan_stops,
+)
 from experiments.soak.invariants import (
     Outcome,
     PlannedStop,
@@ -22,6 +28,7 @@
 SEED = 2026
 SECONDS = 8.0
 STOP_SEED, STOP_SECONDS, STOP_GRACE = 2026, 5.0, 4.0
+RELEASE_SEED, RELEASE_SECONDS = 1, 12.0
 DAEMONS, RUNNERS = ["front-0", "front-1"], ["p0", "d0", "s0"]
 
 
@@ -52,6 +59,13 @@
             self.assertLessEqual(restore.end, SECONDS)
             self.assertEqual([restore], plan_restores(seed, SECONDS, 1))
 
+    def test_a_seed_always_gives_the_same_releases_within_the_time(self):
+        for seed in range(50):
+            planned = plan_releases(seed, SECONDS, 3, DAEMONS, RUNNERS)
+            self.assertEqual(planned, plan_releases(seed, SECONDS, 3, DAEMONS, RUNNERS))
+            for fault in planned:
+                self.assertTrue(0 <= fault.at <= fault.end <= SECONDS)
+
     def test_stops_leave_the_plan_of_the_other_faults_as_it_is(self):
         for seed in range(50):
             planned = plan_stops(seed, SECONDS, 2, 3.0, DAEMONS, RUNNERS)
@@ -288,6 +302,22 @@
         self.assertEqual([], report.violations, describe(report))
         self.assertGreater(len(report.outcomes), 100)
 
+    def test_order_streams_are_joined_amid_releases_and_kills(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                run_soak(
+                    RELEASE_SEED,
+                    RELEASE_SECONDS,
+                    0,
+                    3,
+                    12,
+                    pathlib.Path(folder),
+                    release_count=3,
+                )
+            )
+        self.assertEqual([], report.violations, describe(report))
+        self.assertGreater(report.taken_up, 0)
+
     def test_callers_on_kept_connections_lose_nothing_in_planned_stops(self):
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(
