--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -438,7 +438,9 @@
         self.store.put("servers", runner.id, runner.entry(address=address, state=state))
 
     def _remove(self, runner: Runner) -> None:
-        if self._target_states.pop(_get_name(runner), None) is not None:
+        self._target_states.pop(_get_name(runner), None)
+        # An older copy of the store may not have the entry.
+        if runner.id in self.store.objects.get("servers", {}):
             self.store.remove("servers", runner.id)
 
     async def _start_proxy(self, name: str, target: str) -> None:
