Ask the store before a version counts as the only one

A client could get a stream joined from two software versions at a host that had been suspended, or silently cut off from the store: its view counts as fresh for seconds, and a stream that it did not know was taken to have begun at the only version that it knew of.

A take-up that is not recorded now waits for one read of the store, shared by all that wait; versions named there that this host has never seen count as in use. While the store does not answer, such a take-up is refused. What a host publishes is bounded, and hosts that do not schedule tell two schedulers, as with crashes. The two tests of TestStaleViews failed before.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -45,6 +45,8 @@
 # Streams that begin within this time share a write. What is not written when all hosts
 # are lost is not known afterwards; a stream lasts a few tenths of a second.
 PUBLISH_DELAY = timedelta(milliseconds=100)
+# An object of the store holds 1 MB, a record takes up to 30 bytes of it.
+MAX_PUBLISHED = 16_384
 # Pause after the store did not answer.
 RETRY_DELAY = timedelta(milliseconds=500)
 # The store is read this often for a stream that is not known: the host where it began
@@ -121,7 +123,7 @@
         self._is_flush_due = False
         self._is_loaded = False
         self._to_publish = asyncio.Event()
-        self._read_task: asyncio.Task[None] | None = None
+        self._read_task: asyncio.Task[bool] | None = None
         self._read_at = timedelta(0)
         self._queries: dict[int, _PendingQuery] = {}
         self._routes_version = 0
@@ -147,31 +149,35 @@
 
         ``services`` are those to which the client's route leads.
         """
-        origin, outcome = self._find(stream, services)
+        origin, outcome = self._find_recorded(stream)
         if outcome == _UNKNOWN and not self._hooks.is_scheduler():
             origin = await self._ask(stream, services)
             outcome = _UNKNOWN if origin is None else "asked"
         for _ in range(READS):
             if outcome == _UNKNOWN and self._hooks.is_scheduler():
-                await self._read_again()
-                origin, outcome = self._find(stream, services)
+                is_read = await self._read_again()
+                origin, outcome = self._find_recorded(stream)
+                if outcome == _UNKNOWN and is_read and len(services) == 1:
+                    origin, outcome = self._find_only_version(services[0])
         if origin is not None and origin.service not in services:
             origin, outcome = None, "the route leads elsewhere"
         self._hooks.on_resumed(outcome)
         return Err(_UNKNOWN_ORIGIN) if origin is None else Ok(origin)
 
-    def _find(
-        self, stream: int, services: Sequence[str]
-    ) -> tuple[ServiceVersion | None, str]:
+    def _find_recorded(self, stream: int) -> tuple[ServiceVersion | None, str]:
         """Return the origin of a stream, None if unknown, and how it was found."""
-        now = self._clock.monotonic()
-        record = self._origins.find(stream, now)
-        if record is not None:
-            outcome = "two versions" if record.origin is None else "recorded"
-            return record.origin, outcome
-        if len(services) != 1:
+        record = self._origins.find(stream, self._clock.monotonic())
+        if record is None:
             return None, _UNKNOWN
-        origin = self._find_only(services[0], now)
+        return record.origin, "two versions" if record.origin is None else "recorded"
+
+    def _find_only_version(self, service: str) -> tuple[ServiceVersion | None, str]:
+        """Return the only version of a service, right after the store was read.
+
+        Without that, a host that was cut off or suspended for a moment would not know
+        which versions have come since.
+        """
+        origin = self._find_only(service, self._clock.monotonic())
         return origin, _UNKNOWN if origin is None else "only version"
 
     def _find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
@@ -324,29 +330,37 @@
 
     async def _publish(self) -> bool:
         now = self._clock.monotonic()
-        records = self._origins.select(self._own, now) if self.needs_records else []
+        own = list(self._own)[-MAX_PUBLISHED:] if self.needs_records else []
+        records = self._origins.select(own, now)
         published = PublishedOrigins(records, self._history.list_rows(now))
         body = encode_published(published, self._clock.now(), now)
         return await self._object.write(body)
 
-    async def _read_again(self) -> None:
-        """Await the next read of the store, which all that wait share."""
+    async def _read_again(self) -> bool:
+        """Await the next read of the store, which all that wait share.
+
+        Return whether the store answered in time.
+        """
         if self._read_task is None:
             self._read_task = asyncio.create_task(self._read_next())
             self._read_task.add_done_callback(self._end_read)
-        await asyncio.wait((self._read_task,), timeout=READ_TIMEOUT.total_seconds())
+        task = self._read_task
+        await asyncio.wait((task,), timeout=READ_TIMEOUT.total_seconds())
+        return task.done() and not task.cancelled() and task.result()
 
-    async def _read_next(self) -> None:
+    async def _read_next(self) -> bool:
         now = self._clock.monotonic()
         pause = self._read_at + READ_INTERVAL - now
         await asyncio.sleep(max(pause.total_seconds(), 0))
         self._read_at = self._clock.monotonic()
-        await self._read()
+        try:
+            return await self._read()
+        except Exception as error:
+            _log("read failed", error=repr(error))
+            return False
 
-    def _end_read(self, task: asyncio.Task[None]) -> None:
+    def _end_read(self, task: asyncio.Task[bool]) -> None:
         self._read_task = None
-        if not task.cancelled() and task.exception() is not None:
-            _log("read failed", error=repr(task.exception()))
 
     async def _read(self) -> bool:
         listing = await self._objects.list(STREAMS_KIND)
@@ -368,9 +382,10 @@
             if host == self._fleet.host and not self._is_loaded:
                 # The next write replaces what this host wrote before its start.
                 self._add_own([r.stream for r in origins.records], must_tell=False)
+        rows = [row for origins in published.values() for row in origins.versions]
+        self._history.add_unseen(rows, now)
         if not self._is_loaded:
             self._is_loaded = True
-            rows = [row for origins in published.values() for row in origins.versions]
             self._history.load(rows, now, is_first_start=self._is_first_start)
             self._is_first_start = False
             for stored in listing.items:
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -193,7 +193,7 @@
     def share_streams(self, notice: StreamNotice) -> None:
         """Tell the schedulers where streams began."""
         if not self._scheduler_selection.is_scheduler:
-            for host in self._scheduler_selection.list_schedulers()[:1]:
+            for host in self._scheduler_selection.list_schedulers()[:2]:
                 self._send(host, notice)
             return
         for address in self._scheduler_selection.list_peers(self._peers):
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -71,6 +71,12 @@
         for row in rows:
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
+    def add_unseen(self, rows: Iterable[VersionRow], now: timedelta) -> None:
+        """Record the versions that this host has never seen, as in use now."""
+        for row in rows:
+            if row.origin not in self._seen_at and row.left_at is None:
+                self.record(row.origin, now)
+
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
         """Record the versions of the known targets; return whether the rows changed."""
         present = frozenset(ServiceVersion(t.service, t.version) for t in targets)
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -512,3 +512,33 @@
             host.store.objects.write(name, body, None)
         host.store.publish("host-2", host.clock, [StreamRecord(1, NEW, 8 * SECOND)])
         self.assertEqual(Ok(NEW), self.resolve(host))
+
+
+class TestStaleViews(OriginCase):
+    def test_order_a_host_with_a_stale_view_knows_only_the_older_version(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            # Meanwhile a version joined, began a stream and was published.
+            record = StreamRecord(1, NEW, host.clock.monotonic() + 8 * SECOND)
+            rows = (VersionRow(OLD, None), VersionRow(NEW, None))
+            host.store.publish("host-2", host.clock, [record], rows)
+            return [await host.sharing.resolve(stream, SERVICES) for stream in (1, 2)]
+
+        published, unknown = asyncio.run(scenario())
+        self.assertEqual(Ok(NEW), published)
+        self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
+
+    def test_order_no_version_is_the_only_one_while_the_store_does_not_answer(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            known = await host.sharing.resolve(1, SERVICES)
+            host.store.is_away = True
+            return known, await host.sharing.resolve(1, SERVICES)
+
+        known, unknown = asyncio.run(scenario())
+        self.assertEqual(Ok(OLD), known)
+        self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
