Leave no exchange that was never entered

What callers saw: nothing in an answer; a target ran a request whose client had left. The handler of that request waited for the head of its response and then ended with RuntimeError ("generator didn't stop") in place of the cancellation, so a deadline reached in that moment ended in 500.

Exchange.close then left the context, which contextlib does by running its generator up to the first yield: it sent the request. Found by reading, not seen in a play.

A context that was not entered, because that failed or was cancelled, is not left any more; its generator has nothing open.

Evidence: test_a_request_is_not_sent_as_its_client_leaves_before_it_is_on_its_way failed before with the RuntimeError and passes now. test_forwarding_switching.py and test_platform_silent_streams.py pass (one run each).

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -78,6 +78,9 @@
         if not self._opening.done():
             self._opening.cancel()
             await asyncio.wait((self._opening,))
+        if self._opening.cancelled() or self._opening.exception() is not None:
+            # It was not entered; to leave it would send the request.
+            return
         await self._context.__aexit__(None, None, None)
 
 
--- a/tests/test_forwarding_switching.py
+++ b/tests/test_forwarding_switching.py
@@ -11,7 +11,7 @@
 from galenapass.forwarding import retry_budgets, silence
 from galenapass.forwarding.progress import Progress, ProgressTimeouts
 from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
-from galenapass.forwarding.sending import Send, Sender
+from galenapass.forwarding.sending import Exchange, Send, Sender
 from galenapass.forwarding.silence import SilenceWatch, SilentTargetError
 from galenapass.forwarding.slot_client import Slot
 from galenapass.forwarding.slot_requests import Grant, Stage
@@ -154,6 +154,33 @@
         self.assertEqual((Ok(None), []), (asyncio.run(main()), steps.calls))
 
 
+class TestExchange(TestCase):
+    def test_a_request_is_not_sent_as_its_client_leaves_before_it_is_on_its_way(self):
+        # It was sent as the exchange was closed, and its response awaited.
+        sent = []
+
+        @contextlib.asynccontextmanager
+        async def run():
+            sent.append("r1")
+            yield Err(REFUSED)
+
+        async def exchange_once():
+            exchange = Exchange(run())
+            try:
+                await exchange.open()
+            finally:
+                await exchange.close()
+
+        async def main():
+            task = asyncio.create_task(exchange_once())
+            # In the pass of the event loop in which the exchange begins.
+            asyncio.get_running_loop().call_soon(task.cancel)
+            await asyncio.wait((task,))
+            return task.cancelled()
+
+        self.assertEqual((True, []), (asyncio.run(main()), sent))
+
+
 class TestStandby(TestCase):
     def test_a_send_that_is_not_used_is_released(self):
         async def main():
