Keep a send on its way whose target begins to leave

What callers saw (test): a stream whose engine was silent was cut, although the next engine had answered 200, as the head of that answer said that the engine leaves.

Cause: before a next send was used, its target was checked again. That was right while the send was only prepared. Since it is on its way by then, and a target that leaves or backs off gets no new work but ends what it has. The send was dropped and another one prepared, without asking whether the attempts of the route and the retry budget allow it.

A send on its way is always used now.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -223,9 +223,6 @@
         standby: Standby,
     ) -> Result[None, Verdict]:
         send = standby.take()
-        if send is not None and not self._is_usable(request, send.slot.grant.target):
-            self._sender.discard(send)
-            send = None
         if send is None:
             prepared = await self._prepare(request, message)
             if isinstance(prepared, Err):
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -255,6 +255,24 @@
 
         run(scenario, configuration=PATIENT)
 
+    def test_a_stream_is_not_lost_as_the_target_after_a_silent_one_leaves(self):
+        # Its answer, which says that it leaves, was dropped and the stream was cut.
+        async def scenario(fleet):
+            engine = SilentEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                set_budget(fleet, 2)
+                fleet.second_decode.faults.delay_seconds = 0.1
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: fleet.second_decode.received)
+                fleet.second_decode.faults.leaving = True
+                status, body, _ = await pending
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual((1, 1), (len(engine.attempts), count_runs(fleet)))
+                self.assertEqual(2, len(fleet.prefill.received))
+
+        run(scenario, configuration=PATIENT)
+
     def test_a_call_is_awaited_while_no_other_target_is_there(self):
         # It was given up after 0.45 of its time and sent to the same target again.
         async def scenario(fleet):
