Move the queries to schedulers into a module, and check the version of each send

Read-through: origin_sharing.py held two jobs; the queries of a host that does not schedule are a module of their own now. The number of schedulers that are told and asked is one constant. A send that is on its way as a silent target is given up is still used although its target begins to leave, but not if its target has another version than the stream: the check by version is apart from the one by use.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -25,6 +25,7 @@
     encode_published,
     split_notice,
 )
+from galenapass.forwarding.origin_queries import OriginQueries
 from galenapass.forwarding.routes import map_resumable
 from galenapass.forwarding.service_versions import (
     ANOTHER_SERVICE,
@@ -54,8 +55,6 @@
 READS = 2
 READ_INTERVAL = PUBLISH_DELAY + timedelta(milliseconds=50)
 READ_TIMEOUT = timedelta(milliseconds=500)
-# Wait for a scheduler's reply, which may have to read the store.
-REPLY_TIMEOUT = READS * READ_TIMEOUT
 OBSERVE_PERIOD = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(milliseconds=500)
 
@@ -70,10 +69,10 @@
     """Callbacks of the sharing of origins.
 
     ``share`` tells the schedulers a notice, ``ask`` sends a query to some of them and
-    returns to how many. ``is_scheduler`` returns whether this host
-    schedules, ``is_view_fresh`` whether it receives updates from the store.
-    ``on_need`` is called when records become needed or needless, ``on_resumed`` with
-    how the origin of a stream was found.
+    returns to how many. ``is_scheduler`` returns whether this host schedules,
+    ``is_view_fresh`` whether it receives updates from the store. ``on_need`` is called
+    when records become needed or needless, ``on_resumed`` with how the origin of a
+    stream was found.
     """
 
     share: Callable[[StreamNotice], None]
@@ -84,19 +83,12 @@
     on_resumed: Callable[[str], None] = lambda outcome: None
 
 
-@dataclass(slots=True)
-class _PendingQuery:
-    """Query of this host; ``unanswered`` counts the schedulers still to reply."""
-
-    reply: asyncio.Future[ServiceVersion | None]
-    unanswered: int = 0
-
-
 class OriginSharing:
     """Origins of streams as this host, its schedulers and the store know them.
 
     ``needs_records`` is whether more than one version may have begun a stream of some
-    service: of a scheduler's own knowledge, or as its scheduler says.
+    service: of a scheduler's own knowledge, or as its scheduler says. ``queries`` are
+    those of a host that does not schedule.
     """
 
     def __init__(
@@ -109,6 +101,7 @@
         is_first_start: bool,
     ):
         self.needs_records = True
+        self.queries = OriginQueries(hooks.ask)
         self._fleet = fleet
         self._objects = objects
         self._object = HostObject(STREAMS_KIND, fleet.host, objects)
@@ -125,7 +118,6 @@
         self._to_publish = asyncio.Event()
         self._read_task: asyncio.Task[bool] | None = None
         self._read_at = timedelta(0)
-        self._queries: dict[int, _PendingQuery] = {}
         self._routes_version = 0
         self._services_by_route: dict[tuple[str, str], frozenset[str]] = {}
 
@@ -151,7 +143,7 @@
         """
         origin, outcome = self._find_recorded(stream)
         if outcome == _UNKNOWN and not self._hooks.is_scheduler():
-            origin = await self._ask(stream, services)
+            origin = await self.queries.ask(stream, services)
             outcome = _UNKNOWN if origin is None else "asked"
         for _ in range(READS):
             if outcome == _UNKNOWN and self._hooks.is_scheduler():
@@ -203,45 +195,11 @@
         resolved = await self.resolve(query.stream, query.services)
         return OriginReply(query.stream, resolved.ok())
 
-    def apply_reply(self, reply: OriginReply) -> None:
-        """Apply a scheduler's reply to a query of this host."""
-        query = self._queries.get(reply.stream)
-        if query is None:
-            return
-        query.unanswered -= 1
-        if reply.origin is not None or query.unanswered <= 0:
-            query.unanswered = 0
-            self._end_query(reply.stream, query, reply.origin)
-
     def set_need(self, needs_records: bool) -> None:
         """Record whether this host's scheduler needs records."""
         if not self._hooks.is_scheduler():
             self._set_need(needs_records)
 
-    async def _ask(self, stream: int, services: Sequence[str]) -> ServiceVersion | None:
-        query = self._queries.get(stream) or self._start_query(stream, services)
-        # Other take-ups of the stream may wait for the same reply.
-        return await asyncio.shield(query.reply)
-
-    def _start_query(self, stream: int, services: Sequence[str]) -> _PendingQuery:
-        loop = asyncio.get_running_loop()
-        query = _PendingQuery(loop.create_future())
-        self._queries[stream] = query
-        query.unanswered = self._hooks.ask(OriginQuery(stream, tuple(services)))
-        delay = REPLY_TIMEOUT if query.unanswered else timedelta(0)
-        loop.call_later(delay.total_seconds(), self._end_query, stream, query, None)
-        return query
-
-    def _end_query(
-        self, stream: int, query: _PendingQuery, origin: ServiceVersion | None
-    ) -> None:
-        if query.reply.done():
-            return
-        del self._queries[stream]
-        query.reply.set_result(origin)
-        if query.unanswered:
-            _log("schedulers do not reply", stream=stream, count=query.unanswered)
-
     def _add_own(self, streams: Sequence[int], *, must_tell: bool) -> None:
         self._own.update(dict.fromkeys(streams))
         if must_tell and self.needs_records and streams:
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -69,8 +69,8 @@
 BLOCKS_PERIOD = timedelta(seconds=1)
 # A slot request that is not decided by then is answered as pending.
 PENDING_DELAY = timedelta(milliseconds=20)
-# Schedulers that are asked where a stream began: one may be lost, or not know it yet.
-ASKED_SCHEDULERS = 2
+# Schedulers that are told and asked where streams began: one may be lost.
+ORIGIN_SCHEDULERS = 2
 
 _log = make_log("peers")
 
@@ -146,7 +146,9 @@
             PartBlocks: self._apply_crash_message,
             StreamNotice: self._apply_stream_notice,
             OriginQuery: self._answer_origin_query,
-            OriginReply: lambda host, address, reply: self._origins.apply_reply(reply),
+            OriginReply: lambda host, address, reply: self._origins.queries.apply_reply(
+                reply
+            ),
         }
 
     def announce_parts(self, target: Target, parts: tuple[PartDigest, ...]) -> None:
@@ -193,7 +195,8 @@
     def share_streams(self, notice: StreamNotice) -> None:
         """Tell the schedulers where streams began."""
         if not self._scheduler_selection.is_scheduler:
-            for host in self._scheduler_selection.list_schedulers()[:2]:
+            hosts = self._scheduler_selection.list_schedulers()
+            for host in hosts[:ORIGIN_SCHEDULERS]:
                 self._send(host, notice)
             return
         for address in self._scheduler_selection.list_peers(self._peers):
@@ -201,7 +204,7 @@
 
     def ask_origin(self, query: OriginQuery) -> int:
         """Ask schedulers where a stream began; return how many."""
-        hosts = self._scheduler_selection.list_schedulers()[:ASKED_SCHEDULERS]
+        hosts = self._scheduler_selection.list_schedulers()[:ORIGIN_SCHEDULERS]
         for host in hosts:
             self._send(host, query)
         return len(hosts)
@@ -374,9 +377,10 @@
         self._background.spawn(answer())
 
     def _record_awareness(self, host: str, knows_versions: bool) -> None:
-        (self._version_aware.add if knows_versions else self._version_aware.discard)(
-            host
-        )
+        if knows_versions:
+            self._version_aware.add(host)
+        else:
+            self._version_aware.discard(host)
 
     def _apply_ping(self, host: str, address: Address, ping: Ping) -> None:
         self._record_awareness(host, ping.knows_versions)
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -223,6 +223,9 @@
         standby: Standby,
     ) -> Result[None, Verdict]:
         send = standby.take()
+        if send is not None and not _fits(request, send.slot.grant.target):
+            self._sender.discard(send)
+            send = None
         if send is None:
             prepared = await self._prepare(request, message)
             if isinstance(prepared, Err):
@@ -495,7 +498,7 @@
         if self._slot_client.is_local and self._is_replaced(target):
             return False
         only_prefills = stage is Stage.PREFILL and target.role is Role.PREFILL
-        return only_prefills or request.version in (None, target.version)
+        return only_prefills or _fits(request, target)
 
     def _is_replaced(self, target: Target) -> bool:
         """Return whether the id of a granted target names another one by now."""
@@ -555,6 +558,11 @@
             self._on_limit_change()
 
 
+def _fits(request: ForwardedRequest, target: Target) -> bool:
+    """Return whether a target may make the next event of a request's stream."""
+    return request.version in (None, target.version)
+
+
 _NO_TARGET = Verdict(
     Run.NOT_RUN,
     Reason.NO_TARGET,
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
-from galenapass.forwarding import origin_sharing
+from galenapass.forwarding import origin_queries, origin_sharing
 from galenapass.forwarding.origin_messages import (
     OriginQuery,
     OriginReply,
@@ -127,7 +127,7 @@
         super().setUp()
         for name in ("SHARE_DELAY", "PUBLISH_DELAY", "RETRY_DELAY", "READ_INTERVAL"):
             self.patch(origin_sharing, name, 1 * MS)
-        self.patch(origin_sharing, "REPLY_TIMEOUT", 50 * MS)
+        self.patch(origin_queries, "REPLY_TIMEOUT", 50 * MS)
 
 
 class TestSchedulers(OriginCase):
@@ -200,7 +200,7 @@
             await asyncio.sleep(0.1)
             again = asyncio.create_task(host.sharing.resolve(1, SERVICES))
             await asyncio.sleep(0)
-            host.sharing.apply_reply(OriginReply(1, OLD))
+            host.sharing.queries.apply_reply(OriginReply(1, OLD))
             return await again
 
         self.assertEqual(Ok(OLD), asyncio.run(scenario()))
@@ -212,22 +212,22 @@
         async def scenario():
             asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
             await asyncio.sleep(0)
-            host.sharing.apply_reply(OriginReply(1, None))
+            host.sharing.queries.apply_reply(OriginReply(1, None))
             await asyncio.sleep(0.01)
-            host.sharing.apply_reply(OriginReply(1, OLD))
+            host.sharing.queries.apply_reply(OriginReply(1, OLD))
             return await asking
 
         self.assertEqual(Ok(OLD), asyncio.run(scenario()))
 
     def test_a_stream_that_no_scheduler_knows_is_refused_at_once(self):
         host = self.make_client(schedulers=2)
-        self.patch(origin_sharing, "REPLY_TIMEOUT", 60 * SECOND)
+        self.patch(origin_queries, "REPLY_TIMEOUT", 60 * SECOND)
 
         async def scenario():
             asking = asyncio.create_task(host.sharing.resolve(1, SERVICES))
             await asyncio.sleep(0)
             for _ in range(2):
-                host.sharing.apply_reply(OriginReply(1, None))
+                host.sharing.queries.apply_reply(OriginReply(1, None))
             async with asyncio.timeout(5):
                 return await asking
 
@@ -240,7 +240,7 @@
 
     def test_a_host_without_a_scheduler_refuses_at_once(self):
         host = self.make_client(schedulers=0)
-        self.patch(origin_sharing, "REPLY_TIMEOUT", 60 * SECOND)
+        self.patch(origin_queries, "REPLY_TIMEOUT", 60 * SECOND)
 
         async def scenario():
             async with asyncio.timeout(5):
@@ -256,7 +256,7 @@
                 asyncio.create_task(host.sharing.resolve(1, SERVICES)) for _ in "ab"
             ]
             await asyncio.sleep(0)
-            host.sharing.apply_reply(OriginReply(1, OLD))
+            host.sharing.queries.apply_reply(OriginReply(1, OLD))
             return await asyncio.gather(*asking)
 
         self.assertEqual([Ok(OLD)] * 2, asyncio.run(scenario()))
