Release a next send as its silent target goes on in the same moment

What callers saw: nothing in an answer; two targets worked on one request.

Cause: a silent target is given up by a timer that ends the read of its answer. If output comes in the same pass of the event loop, the read ends first. Whole events released the next send, a head or a part of an event did not: it stayed at its target, 0.5 s later another one was prepared over it, and its slot and its connection were released by nobody (since the send is on its way).

A read that ends with output although the timer was set releases the next send.

Evidence: test_a_next_send_is_not_forgotten_as_a_part_of_an_event_comes failed before (0 releases) and passes now. test_forwarding_switching.py and test_platform_silent_streams.py pass (one run).

--- a/src/galenapass/forwarding/silence.py
+++ b/src/galenapass/forwarding/silence.py
@@ -64,7 +64,11 @@
         try:
             async with asyncio.timeout(None) as timer:
                 self._reading = timer
-                return await work
+                received = await work
+                if timer.when() is not None:
+                    # It came before the target could be given up.
+                    self._next_send.cancel()
+                return received
         except TimeoutError:
             if timer.expired():
                 raise SilentTargetError from None
--- a/tests/test_forwarding_switching.py
+++ b/tests/test_forwarding_switching.py
@@ -100,6 +100,36 @@
         self.assertEqual(["reserve", "give back"], steps.calls)
 
 
+class NextSendAsOutputComes:
+    """Next send that is ready in the same pass of the event loop as output comes."""
+
+    def __init__(self):
+        self.output = asyncio.get_running_loop().create_future()
+        self.cancelled = 0
+
+    async def prepare(self):
+        self.output.set_result(b"id: ")
+        return True
+
+    def cancel(self):
+        self.cancelled += 1
+
+
+class TestOutputAtTheSwitch(TestCase):
+    def test_a_next_send_is_not_forgotten_as_a_part_of_an_event_comes(self):
+        # It stayed at its target, and was prepared again after a pause.
+        async def main():
+            next_send = NextSendAsOutputComes()
+            progress = Progress(ProgressTimeouts(LIMIT, LIMIT), SystemClock())
+            watch = SilenceWatch(progress, next_send)
+            try:
+                return await watch.read(next_send.output), next_send.cancelled
+            finally:
+                watch.stop()
+
+        self.assertEqual((b"id: ", 1), asyncio.run(main()))
+
+
 class EagerTargetClient:
     """Client of a target that sends an event again shortly after the last was read."""
 
