Find ports for tests that are free for datagrams as well

A daemon of a test could not open its port for datagrams (OSError 98, once, in test_platform_daemon beside the tests of other processes): the port was looked for with a stream socket only, while another process held it for datagrams.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -106,15 +106,20 @@
 
 
 def find_free_port(ip: str = "127.0.0.1") -> int:
-    """Return a port that is free at the moment.
+    """Return a port that is free at the moment, for connections and datagrams.
 
     It is below the range of ephemeral ports, so that no outgoing connection takes it
     before the listening process has started. No port is returned twice.
     """
     candidates = [port for port in PORT_RANGE if port not in _allocated_ports]
     for port in random.sample(candidates, len(candidates)):
-        with contextlib.suppress(OSError), socket.socket() as probe:
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as probe,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram_probe,
+        ):
             probe.bind((ip, port))
+            datagram_probe.bind((ip, port))
             _allocated_ports.add(port)
             return port
     raise OSError(f"no port of {ip} is free")
