Do not take a version that left long ago for a new one

A client's take-up that is recorded nowhere was refused, and again for 60 s after each, where an object of a host that is gone names a version that left long ago. A version that can have no open stream is forgotten, and one that a read of the store names and this host has never seen counts as in use; what was forgotten counted as never seen. A host remembers the names of all versions that it recorded now.

--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -45,10 +45,12 @@
     or after the lifetime of a stream.
     """
 
-    __slots__ = ("_complete_at", "_present", "_seen_at")
+    __slots__ = ("_complete_at", "_known", "_present", "_seen_at")
 
     def __init__(self) -> None:
         self._complete_at: timedelta | None = None
+        # All versions that were ever recorded, also those that have left.
+        self._known: dict[ServiceVersion, None] = {}
         self._present: frozenset[ServiceVersion] = frozenset()
         self._seen_at: dict[ServiceVersion, timedelta] = {}
 
@@ -72,9 +74,12 @@
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
     def add_unseen(self, rows: Iterable[VersionRow], now: timedelta) -> None:
-        """Record the versions that this host has never seen, as in use now."""
+        """Record the versions that this host has never seen, as in use now.
+
+        Objects of hosts that are gone name versions that left long ago.
+        """
         for row in rows:
-            if row.origin not in self._seen_at and row.left_at is None:
+            if row.origin not in self._known and row.left_at is None:
                 self.record(row.origin, now)
 
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
@@ -104,8 +109,10 @@
         """Record that a version was in use at a time."""
         latest = max(at, self._seen_at.pop(origin, at))
         self._seen_at[origin] = latest
-        while len(self._seen_at) > MAX_VERSIONS:
-            del self._seen_at[next(iter(self._seen_at))]
+        self._known[origin] = None
+        for versions in (self._seen_at, self._known):
+            while len(versions) > MAX_VERSIONS:
+                del versions[next(iter(versions))]
 
     def find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
         """Return the version that began each open stream of a service.
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -542,3 +542,15 @@
         known, unknown = asyncio.run(scenario())
         self.assertEqual(Ok(OLD), known)
         self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
+
+    def test_lost_an_object_of_a_host_that_is_gone_makes_its_version_new_again(self):
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+
+        async def scenario():
+            await host.publish()
+            host.clock.advance(2 * STREAM_LIFETIME)
+            host.sharing.observe()
+            return [await host.sharing.resolve(n, SERVICES) for n in (1, 2)]
+
+        self.assertEqual([Ok(NEW), Ok(NEW)], asyncio.run(scenario()))
