--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -243,7 +243,8 @@
         serving = self._capacity.list_serving(
             slot_request.service, version=slot_request.version
         )
-        if slot_request.version is not None and not _list_generating(serving):
+        only_prefills = all(target.role is Role.PREFILL for target in serving)
+        if slot_request.version is not None and only_prefills:
             return _NO_VERSION
         if placement.lacks_decode_engine(serving, view):
             decode = [t for t in serving if t.role is Role.DECODE]
@@ -444,10 +445,6 @@
             self._timer = loop.call_later(QUEUE_PERIOD.total_seconds(), self.wake)
 
 
-def _list_generating(serving: list[Target]) -> list[Target]:
-    return [target for target in serving if target.role is not Role.PREFILL]
-
-
 _RETRY_AFTER = timedelta(milliseconds=500)
 _NO_VERSION = Verdict(
     Run.NOT_RUN,
