Change configurations in tests only once the requests have arrived

The tests now wait until the daemon counts the requests as open, which it does in the same step in which it finds their routes: what is queued, on a kept connection or without its body belongs to the older version in each run. What is required of the answers is unchanged.

--- a/tests/test_platform_configuration_changes.py
+++ b/tests/test_platform_configuration_changes.py
@@ -81,6 +81,11 @@
     await fleet.wait_for(lambda: sum(len(r.ran) for r in list_decode(fleet)) >= count)
 
 
+async def wait_for_arrivals(fleet, count=1):
+    """Wait until a daemon has found the routes of requests in progress."""
+    await fleet.wait_for(lambda: fleet.daemon.request_handler.open >= count)
+
+
 WITHOUT_ENGINES = {
     "routes": make_routes(notes={"service": "desk"}, once={"service": "desk"}),
     "services": [{"name": "desk"}],
@@ -192,7 +197,7 @@
             fleet.second_plain.faults.delay_seconds = 0.4
             paths = ["/notes/1", "/once/1", "/seats/1", "/hold/1"] * 4
             pending = [asyncio.create_task(ask(fleet, path)) for path in paths]
-            await asyncio.sleep(0.15)
+            await wait_for_arrivals(fleet, len(paths))
             await apply_change(fleet, **changes)
             answers = await asyncio.gather(*pending)
             self.assertLessEqual({s for s, _ in answers}, {200, 503}, name)
@@ -221,6 +226,7 @@
                 writer.write(head.encode() + b"x" * 500)
                 await asyncio.sleep(0.05)
                 if not number:
+                    await wait_for_arrivals(fleet)
                     await apply_change(fleet, **changes)
                 writer.write(b"x" * 1500)
                 answer = await reader.readuntil(b"\r\n\r\n")
@@ -254,7 +260,7 @@
                     runner.faults.delay_seconds = 0.2
                 self.assertEqual(200, await send("/seats/1", 0))
                 pending = asyncio.create_task(send("/hold/1", 1))
-                await asyncio.sleep(0.1)
+                await wait_for_arrivals(fleet)
                 await apply_change(fleet, **changes)
                 self.assertEqual(200, await pending, name)
                 await asyncio.sleep(0.3)
