Do not count a pause of the host as the silence of targets

What callers saw: requests refused with 503, 'no engine that decodes answers', and streams that found no next target, although all targets were sound, after the event loop of their host had stopped for 0.25 s or longer: for a large configuration, a garbage collection or a busy processor. Class: a timer that measures the one who waits as well as the one who is waited for.

Cause: after a pause the event loop runs timers that are due before what came in the pause has been read. limit_silence counts a pause as one tick of 25 ms, and a late tick half, so that passes of the loop follow it. It now limits attempts to connect (of all sessions, instead of the client library's timer), probes of crashes and of readiness, the wait for a scheduler's reply, for a refusal of the next send, and for a prefill. Deadlines of requests still count the pause.

Evidence: test_lost_as_a_host_pauses_while_it_connects_to_an_engine failed in 4 of 4 runs before ([200] * 6 != [503] * 6) and passes. A peer that is silent is given up after at most twice the time by a process that is always late.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -41,6 +41,7 @@
 from galenapass.forwarding.target_messages import ClientRequest, TargetNotice
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["Relay"]
@@ -435,7 +436,7 @@
         time_left = request.deadline - sent
         rank = admission.rank_prefill(request, grant.cost_ms, sent)
         try:
-            async with asyncio.timeout(min(expected, time_left).total_seconds()):
+            async with limit_silence(min(expected, time_left)):
                 prefilled = await self._target_client.prefill(
                     target, message, time_left, rank, grant.cache_source
                 )
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -25,6 +25,7 @@
 from galenapass.forwarding.target_messages import ClientRequest, TargetResponse
 from galenapass.logs import make_log
 from galenapass.tables.targets import Target
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["SILENT_TARGET", "Send", "Sender", "classify_failure"]
@@ -67,8 +68,10 @@
 
     async def find_failure(self, within: timedelta) -> Verdict | None:
         """Return how the request failed, None if it has not within a time."""
-        await asyncio.wait((self._opening,), timeout=within.total_seconds())
-        if not self._opening.done():
+        try:
+            async with limit_silence(within):
+                await asyncio.wait((self._opening,))
+        except TimeoutError:
             return None
         opened = self._opening.result()
         return opened.err_value if isinstance(opened, Err) else _check(opened.ok_value)
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -19,6 +19,7 @@
     Stage,
 )
 from galenapass.logs import make_log
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Verdict
 
 __all__ = ["SchedulerDirectory", "Slot", "SlotClient"]
@@ -275,8 +276,12 @@
     async def _wait_for_reply(
         self, pending: _PendingRequest, wait: timedelta
     ) -> tuple[str, Result[Grant, Verdict]] | None:
-        done, _ = await asyncio.wait((pending.reply,), timeout=wait.total_seconds())
-        return pending.reply.result() if done else None
+        try:
+            async with limit_silence(wait):
+                await asyncio.wait((pending.reply,))
+        except TimeoutError:
+            return None
+        return pending.reply.result()
 
     def _withdraw_from_silent(
         self, slot_request: SlotRequest, pending: _PendingRequest
--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -35,12 +35,13 @@
 from galenapass.tables.crashes import Crash
 from galenapass.tables.targets import Target
 from galenapass.tables.world import World
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["CrashHooks", "CrashSuspects"]
 
 # A healthy target accepts a connection within a few milliseconds.
-PROBE_TIMEOUT_SECONDS = 0.3
+PROBE_TIMEOUT = timedelta(milliseconds=300)
 # Far below the size limit of an object in the store; the latest matter most.
 MAX_PUBLISHED_SUSPECTS = 200
 MAX_PUBLISHED_REPORTS = 20
@@ -380,7 +381,7 @@
 async def _accepts_connections(target: Target) -> bool:
     ip, _, port = target.address.rpartition(":")
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+        async with limit_silence(PROBE_TIMEOUT):
             _, writer = await asyncio.open_connection(ip, int(port))
     except (OSError, TimeoutError):
         return False
--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -164,7 +164,7 @@
         self._count("watch")
         timeout = aiohttp.ClientTimeout(
             total=None,
-            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+            sock_connect=None,
             sock_read=WATCH_READ_TIMEOUT.total_seconds(),
         )
         skip = _make_skip(kind)
@@ -202,7 +202,7 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=make_connector(),
+                connector=make_connector(CONNECT_TIMEOUT),
                 headers=self._headers,
                 timeout=self._timeout,
                 middlewares=(_prevent_resend,),
@@ -231,9 +231,7 @@
 
 
 def _make_timeout(total: timedelta) -> aiohttp.ClientTimeout:
-    seconds = total.total_seconds()
-    connect = min(CONNECT_TIMEOUT.total_seconds(), seconds)
-    return aiohttp.ClientTimeout(total=seconds, sock_connect=connect)
+    return aiohttp.ClientTimeout(total=total.total_seconds(), sock_connect=None)
 
 
 def _make_path(kind: str, name: str) -> str:
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -50,7 +50,7 @@
 
 # Latency between domains is a few milliseconds: a runner that takes longer is gone or
 # overloaded, and a lost SYN is retransmitted only after a second.
-CONNECT_SECONDS = 0.25
+CONNECT_TIMEOUT = timedelta(milliseconds=250)
 # Runners close idle connections; one that was used recently is still open.
 KEEPALIVE_SECONDS = 4.0
 # A runner confirms an order at once; the role change itself takes seconds.
@@ -88,9 +88,9 @@
         self._clock = clock
         self._on_notice = on_notice
         self._pool = open_keepalive_session(
-            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_SECONDS
+            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_TIMEOUT
         )
-        self._unpooled = open_keepalive_session(once=True, connect=CONNECT_SECONDS)
+        self._unpooled = open_keepalive_session(once=True, connect=CONNECT_TIMEOUT)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -295,7 +295,8 @@
 
 
 def _limit(seconds: float | None) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
+    # The session limits the attempts to connect.
+    return aiohttp.ClientTimeout(total=seconds, sock_connect=None)
 
 
 def _check_attempt_id(
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -43,7 +43,7 @@
 STALE_READ_TIMEOUT = timedelta(seconds=0.8)
 # Added to the requested wait of a watch, as a slow store responds late.
 WATCH_SLACK = timedelta(seconds=2)
-CONNECT_SECONDS = 1.0
+CONNECT_TIMEOUT = timedelta(seconds=1)
 KEEPALIVE_SECONDS = 30.0
 _EPOCH = "Store-Era"
 
@@ -98,7 +98,7 @@
         self._store_availability = store_availability
         self._epochs = epochs
         self._session = open_keepalive_session(
-            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_SECONDS
+            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_TIMEOUT
         )
 
     async def close(self) -> None:
@@ -192,9 +192,7 @@
         self._count(call.name)
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
-        timeout = aiohttp.ClientTimeout(
-            total=call.seconds, sock_connect=CONNECT_SECONDS
-        )
+        timeout = aiohttp.ClientTimeout(total=call.seconds, sock_connect=None)
         try:
             async with self._session.request(
                 call.method,
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -4,13 +4,16 @@
 import functools
 import socket
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import Any
 
 import aiohttp
 from aiohttp import ClientHandlerType
 from aiohttp.client_middlewares import ClientMiddlewareType
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = [
@@ -27,7 +30,7 @@
     "read_body",
 ]
 
-CONNECT_TIMEOUT_SECONDS = 2.0
+CONNECT_TIMEOUT = timedelta(seconds=2)
 KEEPALIVE_SECONDS = 15.0
 # TCP keepalive closes a connection whose peer stops answering probes: a link that
 # fails silently never reports the end of a connection.
@@ -114,6 +117,19 @@
         super().feed_data(data, size)
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connector whose attempts to connect end only on silent targets."""
+
+    def __init__(self, connect: timedelta, **options: Any):
+        super().__init__(**options)
+        self._connect_timeout = connect
+
+    async def connect(self, *args: Any, **options: Any) -> Connection:
+        """Return a connection; raise TimeoutError for a silent target."""
+        async with limit_silence(self._connect_timeout):
+            return await super().connect(*args, **options)
+
+
 def make_response_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
     """Return the reader of the responses on one connection."""
     return _StrictResponseHandler(loop)
@@ -133,22 +149,27 @@
     *,
     once: bool,
     keep: float = KEEPALIVE_SECONDS,
-    connect: float = CONNECT_TIMEOUT_SECONDS,
+    connect: timedelta = CONNECT_TIMEOUT,
 ) -> aiohttp.ClientSession:
     """Return a session that never resends a request and detects silent links.
 
     ``once`` opens a connection per request; otherwise an idle connection stays open
-    for ``keep`` seconds. ``connect`` is the connect timeout in seconds.
+    for ``keep`` seconds. ``connect`` is the connect timeout.
     """
     options: dict[str, Any] = {"socket_factory": make_probed_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
-    return _open_session(make_connector(**options), _prevent_resend, connect=connect)
+    return _open_session(make_connector(connect, **options), _prevent_resend)
+
 
+def make_connector(
+    connect: timedelta = CONNECT_TIMEOUT, **options: Any
+) -> aiohttp.TCPConnector:
+    """Return a connector whose connections read each response for one request.
 
-def make_connector(**options: Any) -> aiohttp.TCPConnector:
-    """Return a connector whose connections read each response for one request."""
-    connector = aiohttp.TCPConnector(limit=0, **options)
+    ``connect`` is the connect timeout.
+    """
+    connector = _Connector(connect, limit=0, **options)
     # The library has no public setting for this; its version is pinned.
     factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
     connector._factory = factory
@@ -172,11 +193,11 @@
 def _open_session(
     connector: aiohttp.TCPConnector,
     *middlewares: ClientMiddlewareType,
-    connect: float = CONNECT_TIMEOUT_SECONDS,
 ) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
+        # The connector limits the attempts to connect.
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
         headers={"Accept-Encoding": "identity"},
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/src/galenapass/targets/probes.py
+++ b/src/galenapass/targets/probes.py
@@ -1,16 +1,19 @@
 """Probe targets for readiness and crashes."""
 
+from datetime import timedelta
+
 import aiohttp
 from result import Err, Ok, Result
 
 from galenapass.tables.targets import Target
 from galenapass.targets.connections import classify_error, open_session
 from galenapass.targets.engines import EngineClient
+from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Verdict
 
 __all__ = ["ProbeClient"]
 
-PROBE_TIMEOUT_SECONDS = 1.0
+PROBE_TIMEOUT = timedelta(seconds=1)
 
 
 class ProbeClient:
@@ -28,10 +31,12 @@
 
     async def fetch_ready(self, address: str) -> Result[bool, Verdict]:
         """Return whether a target reports that it accepts new requests."""
-        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         url = f"http://{address}/readyz"
         try:
-            async with self._session.get(url, timeout=timeout) as response:
+            async with (
+                limit_silence(PROBE_TIMEOUT),
+                self._session.get(url) as response,
+            ):
                 return Ok(response.status != 503)
         except (aiohttp.ClientError, OSError) as error:
             return Err(classify_error(error))
--- a/tests/test_platform_configuration_changes.py
+++ b/tests/test_platform_configuration_changes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from datetime import timedelta
 
 import aiohttp
@@ -19,6 +20,8 @@
 # A little longer than a silent target is waited for where another one is ready.
 SILENCE_SECONDS = 1.2
 MANY_ROUTES = 10_000
+# Longer than an attempt to connect may take.
+PAUSE_SECONDS = 0.4
 ANSWERS = frozenset({200, 404, 413, 502, 503, 504})
 
 
@@ -286,6 +289,35 @@
         self.check(scenario)
 
 
+class TestPauses(TestCase):
+    def check(self, path, list_targets):
+        """Send requests, whose host pauses once as it connects to a target."""
+
+        async def scenario(fleet):
+            ports = {int(t.address.partition(":")[2]) for t in list_targets(fleet)}
+            loop = asyncio.get_running_loop()
+            connect = loop.sock_connect
+            pauses = [PAUSE_SECONDS]
+
+            async def pause_and_connect(sock, address):
+                if address[1] in ports and pauses:
+                    loop.call_soon(time.sleep, pauses.pop())
+                return await connect(sock, address)
+
+            loop.sock_connect = pause_and_connect
+            answers = await asyncio.gather(*(ask(fleet, path) for _ in range(6)))
+            self.assertEqual([200] * 6, [status for status, _ in answers])
+            self.assertEqual([], pauses)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_lost_as_a_host_pauses_while_it_connects_to_an_engine(self):
+        self.check("/notes/1", lambda fleet: [fleet.prefill])
+
+    def test_lost_as_a_host_pauses_while_it_connects_to_a_service(self):
+        self.check("/hold/1", lambda fleet: [fleet.plain, fleet.second_plain])
+
+
 class TestLog(TestCase):
     def read_end(self, action, text):
         """Return the log line of a stream that an action ends beside a change."""
