Do not take one engine that fails for its whole failure domain

What callers saw: while one of two engines that decode had crashed, requests were refused at once with 503, 'no engine that decodes answers', although the other one was sound.

Cause: one attempt that reaches nobody counts for the failure domain as well, so that a cut is learned from one request, and lacks_decode_engine took each engine of such a domain for down. Class: evidence on one target that is applied to others.

A domain counts there only as far as its failures exceed those of each single target of the service. A second target that fails, or a failure at another service, still makes it count at once, so a cut domain costs one more attempt. The preference for other domains is unchanged.

All tests of forwarding, targets and the daemon pass.

Open: two engines of a domain that crash together still count as the domain until a third answers or a probe does.

--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -71,6 +71,8 @@
 DECODE_ENGINE_PREFILL_SPEED = 0.5
 # A target with at least this share of failing sends is considered down.
 DOWN_FAILURE_SHARE = 0.4
+# Difference up to which the failures of a domain are those of one of its targets.
+SHARE_TOLERANCE = 0.01
 # Time for which a request holds its slot, until one was measured.
 DEFAULT_HOLDING_MS = 1000.0
 # Bonus of the preferred engine of a prefix, so that daemons which place the same new
@@ -114,10 +116,14 @@
 
     def estimate_failure_share(self, target: Target) -> float:
         """Return the expected share of failing sends to a target."""
-        own = estimate_failures(self.load_of(target).failures, self.now)
+        own = self.estimate_own_failures(target)
         domain = estimate_failures(self.domain_failures.get(target.domain), self.now)
         return max(own, domain)
 
+    def estimate_own_failures(self, target: Target) -> float:
+        """Return the expected share of failing sends, whatever its domain does."""
+        return estimate_failures(self.load_of(target).failures, self.now)
+
     def is_down(self, target: Target) -> bool:
         """Return whether a target is considered down."""
         return self.estimate_failure_share(target) >= DOWN_FAILURE_SHARE
@@ -270,12 +276,23 @@
     """Return whether prefills would be wasted because every decode engine is down.
 
     Load pattern: a domain that is cut off while its engines only prefill, or the loss
-    of all decode engines.
+    of all decode engines. One that crashes beside sound ones is no reason to refuse.
     """
     roles = {target.role for target in serving}
     if Role.PREFILL not in roles or Role.MIXED in roles:
         return False
-    return all(view.is_down(t) for t in serving if t.role is Role.DECODE)
+    decode = [target for target in serving if target.role is Role.DECODE]
+    return all(_is_lost(target, serving, view) for target in decode)
+
+
+def _is_lost(target: Target, serving: list[Target], view: View) -> bool:
+    """Return whether a target fails, or its domain by more than one of its targets."""
+    if view.estimate_own_failures(target) >= DOWN_FAILURE_SHARE:
+        return True
+    neighbours = [other for other in serving if other.domain == target.domain]
+    explained = max(map(view.estimate_own_failures, neighbours), default=0.0)
+    share = view.estimate_failure_share(target)
+    return share >= DOWN_FAILURE_SHARE and share > explained + SHARE_TOLERANCE
 
 
 def has_slot(
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -148,6 +148,20 @@
         loads.record_reachability(cut, True, later)
         self.assertFalse(placement.lacks_decode_engine(serving, tables.view(later)))
 
+    def test_one_engine_that_fails_is_not_taken_for_its_domain(self):
+        tables = make_fleet(
+            *(make_target(f"d{n}", Role.DECODE, domain="b") for n in range(3)),
+            make_target("e1"),
+        )
+        serving = list(tables.targets.values())
+        cut = tables.domain_failures.setdefault("b", loads.FailureRate())
+        for name, is_lost in (("d0", False), ("d0", False), ("d1", True)):
+            failing = tables.load_of(tables.targets[name]).failures
+            loads.record_reachability(failing, False, NOW)
+            loads.record_reachability(cut, False, NOW)
+            view = tables.view(NOW)
+            self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
+
     def test_a_service_without_a_decode_engine_is_detected(self):
         tables = make_fleet(make_target("e1"))
         view = tables.view(NOW)
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -72,6 +72,20 @@
 
         run(scenario)
 
+    def test_lost_as_one_crashed_engine_counted_as_its_whole_domain(self):
+        # The engine that prefills and the other one that decodes were sound, and six
+        # requests were refused.
+        async def scenario(fleet):
+            fleet.decode.faults.restart_seconds = 10.0
+            fleet.decode.crash()
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(fleet.send("/notes/1", "POST") for _ in range(6))
+                )
+                self.assertEqual({200}, {status for status, _, _ in answers})
+
+        run(scenario)
+
     def test_another_target_at_the_address_runs_nothing(self):
         async def scenario(fleet):
             fleet.store.remove("servers", "s2")
