Do not let a large configuration stop the event loop

Seen: no request was lost, but a configuration of 10,000 routes stopped the event loop for longer than two targets may work on one request beyond the time that a next send has to fail (0.4 s - 0.3 s). Timers fire first after a stop, so a sound target can look like one that can't be reached. The stop came with each new version and, at hosts that schedule, with each read of the unchanged one, every second.

Cause: each answer of the store was parsed, encoded and parsed again, and all routes were decoded in one go, before the version was compared with the one in force. Besides, the set of services of all resumable routes was made anew each 0.1 s and with each change of a target.

Change: a body that was decoded before is dropped (a decoded version can't become newer); routes are decoded 500 at a time and other tasks run between (a thread would not help: the decoding holds the interpreter lock); an answer of the store that is the same as the last one for a large object is not parsed; the services of resumable routes are kept with the configuration.

What remains is one parse of the store's answer.

--- a/src/galenapass/forwarding/background.py
+++ b/src/galenapass/forwarding/background.py
@@ -1,16 +1,18 @@
 """Run background tasks and log their failures."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable, Coroutine, Generator
+from typing import Any, TypeVar
 
 from galenapass.logs import make_log
 
-__all__ = ["BackgroundTasks", "keep_running"]
+__all__ = ["BackgroundTasks", "keep_running", "run_in_steps"]
 
 # Keeps a duty that always fails at once from using a whole processor.
 RESTART_PAUSE_SECONDS = 0.5
 
+Returned = TypeVar("Returned")
+
 
 class BackgroundTasks:
     """Background tasks of one component.
@@ -36,6 +38,17 @@
             self._log("background task failed", error=repr(task.exception()))
 
 
+async def run_in_steps(steps: Generator[None, None, Returned]) -> Returned:
+    """Return what a long computation returns; other tasks run between its steps."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            returned: Returned = end.value
+            return returned
+        await asyncio.sleep(0)
+
+
 async def keep_running(
     component: str,
     name: str,
--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -120,6 +120,7 @@
         self._read_at = timedelta(0)
         self._routes_version = 0
         self._services_by_route: dict[tuple[str, str], frozenset[str]] = {}
+        self._services: frozenset[str] = frozenset()
 
     # Origins
 
@@ -239,8 +240,9 @@
         self._observe_routes(now)
         if self._history.observe(self._fleet.targets.values(), now):
             self._to_publish.set()
-        services = frozenset().union(*self._services_by_route.values())
-        self._set_need(any(self._find_only(name, now) is None for name in services))
+        self._set_need(
+            any(self._find_only(name, now) is None for name in self._services)
+        )
 
     def _observe_routes(self, now: timedelta) -> None:
         """Record the services to which a route leads since its last configuration."""
@@ -250,6 +252,7 @@
             self._services_by_route,
             map_resumable(self._fleet.routes),
         )
+        self._services = frozenset().union(*set(self._services_by_route.values()))
         self._routes_version = self._fleet.routes.version
         for route, services in self._services_by_route.items():
             for service in services - before.get(route, services):
--- a/src/galenapass/forwarding/routes.py
+++ b/src/galenapass/forwarding/routes.py
@@ -95,9 +95,13 @@
 
     The key is the route's host and prefix.
     """
-    return {
-        (route.host, route.prefix): frozenset(name for name, _ in route.split)
+    resumable = [
+        route
         for rows in table.routes.values()
         for route in rows
         if route.repeat is Repeat.RESUME
-    }
+    ]
+    # Thousands of routes may share a few splits.
+    splits = {route.split for route in resumable}
+    services = {split: frozenset(name for name, _ in split) for split in splits}
+    return {(route.host, route.prefix): services[route.split] for route in resumable}
--- a/src/galenapass/forwarding/store_updates.py
+++ b/src/galenapass/forwarding/store_updates.py
@@ -1,12 +1,14 @@
 """Apply changes of the store to the fleet's tables and log them."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Generator
 from datetime import timedelta
 
 from result import Err, Result
 
 from galenapass.clocks import Clock
 from galenapass.forwarding import fleet as tables
+from galenapass.forwarding.background import BackgroundTasks, run_in_steps
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.routes import RouteTable
 from galenapass.logs import make_log
@@ -15,9 +17,15 @@
 
 __all__ = ["StoreUpdates"]
 
+# Configurations that are not decoded again: the one in force, and the one before,
+# which a stale read may return for some seconds.
+KEPT_BODIES = 2
+
 _log = make_log("state")
 
-DecodeRoutes = Callable[[str, str], Result[RouteTable, str] | None]
+DecodeRoutes = Callable[
+    [str, str], Generator[None, None, Result[RouteTable, str]] | None
+]
 DecodeTarget = Callable[[str, str], Result[Target, str]]
 
 
@@ -25,8 +33,9 @@
     """Writer of the store's objects to the tables of routes and targets.
 
     The decoders get an object's name and body; ``decode_routes`` returns None for an
-    object that is no configuration. ``on_change`` is called after a change that may
-    affect the choice of a target, ``on_leaving`` with a target that starts to leave.
+    object that is no configuration, else it decodes it in steps. ``on_change`` is
+    called after a change that may affect the choice of a target, ``on_leaving`` with a
+    target that starts to leave.
     """
 
     def __init__(
@@ -44,6 +53,10 @@
         self._decode_target = decode_target
         self._on_change = on_change
         self._on_leaving = on_leaving
+        self._background = BackgroundTasks("state")
+        # Bodies of configurations that are being decoded, and of the last decoded ones.
+        self._decoding: list[str] = []
+        self._decoded: deque[str] = deque(maxlen=KEPT_BODIES)
 
     def apply_routes_listing(self, listing: ObjectListing) -> None:
         """Apply a listing of the configuration objects."""
@@ -56,10 +69,29 @@
             self.apply_routes(change.name, change.version, change.body)
 
     def apply_routes(self, name: str, revision: int, body: str) -> None:
-        """Apply a configuration if it is newer and valid."""
-        decoded = self._decode_routes(name, body)
-        if decoded is None:
+        """Apply a configuration if it is newer and valid, once it is decoded.
+
+        Load pattern: thousands of routes, which take longer to decode than an attempt
+        to connect to a target may last.
+        """
+        if body in self._decoded or body in self._decoding:
             return
+        steps = self._decode_routes(name, body)
+        if steps is not None:
+            self._decoding.append(body)
+            self._background.spawn(self._apply_routes(steps, revision, body))
+
+    async def _apply_routes(
+        self,
+        steps: Generator[None, None, Result[RouteTable, str]],
+        revision: int,
+        body: str,
+    ) -> None:
+        try:
+            decoded = await run_in_steps(steps)
+        finally:
+            self._decoding.remove(body)
+        self._decoded.append(body)
         if isinstance(decoded, Err):
             _log(
                 "configuration is unreadable",
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Generator
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -45,7 +45,7 @@
 from galenapass.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
-    decode_configuration,
+    decode_in_steps,
 )
 from galenapass.platform.configuration_poller import ConfigurationPoller
 from galenapass.platform.headers import decode_metadata
@@ -619,10 +619,20 @@
         return await self._store.write(kind, name, body, if_version)
 
 
-def _decode_routes(name: str, body: str) -> Result[RouteTable, str] | None:
-    if name != CONFIGURATION_NAME:
-        return None
-    return decode_json(body).and_then(decode_configuration)
+def _decode_routes(
+    name: str, body: str
+) -> Generator[None, None, Result[RouteTable, str]] | None:
+    return _decode_routes_body(body) if name == CONFIGURATION_NAME else None
+
+
+def _decode_routes_body(
+    body: str,
+) -> Generator[None, None, Result[RouteTable, str]]:
+    spec = decode_json(body)
+    yield
+    if isinstance(spec, Err):
+        return spec
+    return (yield from decode_in_steps(spec.ok_value))
 
 
 def _decode_target(name: str, body: str) -> Result[Target, str]:
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration object into routes and services."""
 
-from collections.abc import Mapping
+import itertools
+from collections.abc import Generator, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -22,11 +23,19 @@
     read_number,
 )
 
-__all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode_configuration"]
+__all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
+    "decode_configuration",
+    "decode_in_steps",
+]
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 
+# Routes that are decoded at a time, which takes a few milliseconds.
+ROUTES_PER_STEP = 500
+
 _MILLISECOND = timedelta(milliseconds=1)
 # Other kinds must not be repeated, except that a resumable stream may be resumed.
 _REPEATS_BY_KIND = {"idempotent": Repeat.ANY}
@@ -38,8 +47,23 @@
 
 def decode_configuration(spec: Any) -> Result[RouteTable, str]:
     """Return the configuration, or a description of the first error in the object."""
+    steps = decode_in_steps(spec)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            decoded: Result[RouteTable, str] = end.value
+            return decoded
+
+
+def decode_in_steps(spec: Any) -> Generator[None, None, Result[RouteTable, str]]:
+    """Decode a configuration as ``decode_configuration`` does, in short steps."""
     try:
-        routes = [_decode_route(row) for row in spec["routes"]]
+        routes: list[Route] = []
+        rows = iter(spec["routes"])
+        while step := list(itertools.islice(rows, ROUTES_PER_STEP)):
+            routes += map(_decode_route, step)
+            yield
         services = [_decode_service(row) for row in spec["services"]]
         return Ok(
             RouteTable(
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -45,6 +45,8 @@
 WATCH_SLACK = timedelta(seconds=2)
 CONNECT_SECONDS = 1.0
 KEEPALIVE_SECONDS = 30.0
+# Objects that take long to parse are parsed again only after a change.
+LARGE_OBJECT_BYTES = 65_536
 _EPOCH = "Store-Era"
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -84,7 +86,14 @@
     answer. An answer of an earlier epoch than the known one counts as lost.
     """
 
-    __slots__ = ("_base", "_count", "_epochs", "_session", "_store_availability")
+    __slots__ = (
+        "_base",
+        "_count",
+        "_epochs",
+        "_large_objects",
+        "_session",
+        "_store_availability",
+    )
 
     def __init__(
         self,
@@ -97,6 +106,8 @@
         self._count = count
         self._store_availability = store_availability
         self._epochs = epochs
+        # Last answer and object of each large object that is read, by kind and name.
+        self._large_objects: dict[tuple[str, str], tuple[bytes, StoredObject]] = {}
         self._session = open_keepalive_session(
             once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_SECONDS
         )
@@ -113,7 +124,7 @@
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
         result = await self._call(_Call("read", "GET", path, seconds=seconds))
-        return result.and_then(lambda data: _parse(_read_object, data, kind))
+        return result.and_then(lambda data: self._parse_object(kind, name, data))
 
     async def write(
         self, kind: str, name: str, body: str, if_version: int | None = None
@@ -179,6 +190,17 @@
             return Err(Failure(FailureCause.COMPACTED, detail="the store was restored"))
         return result.and_then(lambda data: _parse(_read_changes, data, kind))
 
+    def _parse_object(
+        self, kind: str, name: str, text: bytes
+    ) -> Result[StoredObject, Failure]:
+        known = self._large_objects.get((kind, name))
+        if known is not None and known[0] == text:
+            return Ok(known[1])
+        parsed: Result[StoredObject, Failure] = _parse(_read_object, text, kind)
+        if isinstance(parsed, Ok) and len(text) >= LARGE_OBJECT_BYTES:
+            self._large_objects[kind, name] = text, parsed.ok_value
+        return parsed
+
     async def _call(self, call: _Call) -> Result[bytes, Failure]:
         sent_at = self._store_availability.start()
         result = await self._send(call)
