Record a role order whose service is removed meanwhile

Seen: the planner failed with a KeyError and was started again 0.5 s later, without a record of the order: the engine could be ordered a second time.

Cause: the time that a change of role takes was looked up after the order, in the configuration of that moment, which may lack the service. It is looked up as the change is chosen now; no await lies between.

Evidence: test_a_service_that_is_removed_during_an_order fails before with "KeyError: 'lm'" in RolePlanner._record_outcome.

--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -14,6 +14,7 @@
 from galenapass.forwarding.engine_states import EngineStateClient
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.roles import EngineCount, RoleChange
+from galenapass.forwarding.routes import Service
 from galenapass.forwarding.target_messages import OrderOutcome
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target, TargetState
@@ -146,6 +147,8 @@
         if change is None:
             return False
         target = change.target
+        # A configuration without the service may come while the order is on its way.
+        service = self._fleet.routes.services[target.service]
         state = await self._client.fetch_state(target)
         now = self._clock.monotonic()
         if isinstance(state, Err) or state.ok_value.changing:
@@ -166,7 +169,7 @@
             orders=state.ok_value.orders,
             outcome=outcome.value,
         )
-        self._record_outcome(change, outcome, self._clock.monotonic())
+        self._record_outcome(change, service, outcome, self._clock.monotonic())
         if outcome is OrderOutcome.ACCEPTED:
             self._on_order(target, change.role)
         return True
@@ -203,9 +206,12 @@
         return is_settled or now >= first + MAX_JOIN_TIME
 
     def _record_outcome(
-        self, change: RoleChange, outcome: OrderOutcome, now: timedelta
+        self,
+        change: RoleChange,
+        service: Service,
+        outcome: OrderOutcome,
+        now: timedelta,
     ) -> None:
-        service = self._fleet.routes.services[change.target.service]
         change_time = service.reconfiguration + ENTRY_LAG
         delays = {
             OrderOutcome.ACCEPTED: (change.role, change_time),
--- a/tests/test_forwarding_planning.py
+++ b/tests/test_forwarding_planning.py
@@ -1,6 +1,7 @@
 """Check when engines are ordered to change their role."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Ok
@@ -177,3 +178,23 @@
         self.assertEqual(
             [Role.DECODE] * 2, [role for _, role in engines.accepted_orders]
         )
+
+    def test_a_service_that_is_removed_during_an_order(self):
+        # The planner failed and was started again without a record of the order. When
+        # the service was back, the engine was ordered once more.
+        engines = FakeEngines(*(make_target(f"p{n}") for n in range(3)))
+        routes = engines.fleet.routes
+        order = engines.order_role
+
+        async def remove_service(*args):
+            outcome = await order(*args)
+            engines.changes.clear()
+            engines.fleet.routes = replace(routes, services={})
+            return outcome
+
+        engines.order_role = remove_service
+        planner = self.make_planner(engines, 2 / 3)
+        self.simulate(engines, planner, seconds=1)
+        engines.fleet.routes = routes
+        self.simulate(engines, planner, seconds=2)
+        self.assertEqual([Role.DECODE], [role for _, role in engines.accepted_orders])
