Do not count a dropped send that never reached its target as a run

Seen: a stream whose silent target went on was cut when it broke off later, as "its runs are used up", though its next send had only waited for a connection that never came. A 500 of the silent target was passed on likewise.

Cause: a next send counts as a run from its begin, until its target proves that it did not run it; a dropped one was never asked. Whether a request has a connection was known to the client library only.

Change: the client of targets reports that a request has a connection, before any of it is written. A dropped send is ended at once, so that nothing is written later, and is no run if it has no connection or was refused as not run. One that may have reached its target stays a run: a route's `attempts` bounds the runners to which a request may be sent. It stays a send as well, for the retry budget.

Evidence: test_a_next_send_that_never_connected_is_no_run was cut before (ClientPayloadError). test_a_next_send_that_may_have_run_stays_a_run passed before and after: a third runner gets nothing.

--- a/src/galenapass/forwarding/interfaces.py
+++ b/src/galenapass/forwarding/interfaces.py
@@ -1,5 +1,6 @@
 """Interfaces through which the relay reaches targets and clients."""
 
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
 from typing import Protocol
@@ -40,8 +41,12 @@
         source: str | None,
         last_event: int | None,
         once: bool,
+        on_connection: Callable[[], None] | None = None,
     ) -> AbstractAsyncContextManager[Result[TargetResponse, Verdict]]:
-        """Send a request; the context yields its response."""
+        """Send a request; the context yields its response.
+
+        ``on_connection`` is called before anything is sent.
+        """
 
     async def release_kv_cache(self, source: str) -> None:
         """Free the KV cache of a prompt that will not be decoded."""
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -224,7 +224,7 @@
     ) -> Result[None, Verdict]:
         send = standby.take()
         if send is not None and not _fits(request, send.slot.grant.target):
-            self._sender.discard(send)
+            self._sender.discard(request, send)
             send = None
         if send is None:
             prepared = await self._prepare(request, message)
@@ -362,7 +362,7 @@
         steps = SwitchSteps(
             lambda: self._reserve_switch(request),
             lambda: self._prepare_switch(request, message),
-            self._sender.discard,
+            lambda send: self._sender.discard(request, send),
         )
         return Standby(request.id, steps)
 
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -51,14 +51,20 @@
 
 
 class Exchange:
-    """Request on its way to a target, and the response to it."""
+    """Request on its way to a target, and the response to it.
 
-    __slots__ = ("_context", "_opening")
+    ``is_connected`` returns whether the request may have been sent.
+    """
+
+    __slots__ = ("_context", "_is_connected", "_opening")
 
     def __init__(
-        self, context: AbstractAsyncContextManager[Result[TargetResponse, Verdict]]
+        self,
+        context: AbstractAsyncContextManager[Result[TargetResponse, Verdict]],
+        is_connected: Callable[[], bool] = lambda: True,
     ):
         self._context = context
+        self._is_connected = is_connected
         self._opening = asyncio.ensure_future(context.__aenter__())
 
     async def open(self) -> Result[TargetResponse, Verdict]:
@@ -73,6 +79,15 @@
         opened = self._opening.result()
         return opened.err_value if isinstance(opened, Err) else _check(opened.ok_value)
 
+    def cancel(self) -> bool:
+        """Send nothing more of the request; return whether it may have run."""
+        if not self._opening.done():
+            self._opening.cancel()
+        elif not self._opening.cancelled() and self._opening.exception() is None:
+            opened = self._opening.result()
+            return isinstance(opened, Ok) or opened.err_value.run is not Run.NOT_RUN
+        return self._is_connected()
+
     async def close(self) -> None:
         """End the exchange, whether or not the response has come."""
         if not self._opening.done():
@@ -122,10 +137,15 @@
         """Run a coroutine in the background."""
         self._background.spawn(work)
 
-    def discard(self, send: Send) -> None:
-        """Release what a send that will not be run holds."""
+    def discard(self, request: ForwardedRequest, send: Send) -> None:
+        """Release what a send that will not be run holds.
+
+        It remains a run unless it never reached its target, or was refused there.
+        """
         send.slot.end(Outcome.CANCELLED)
         if send.exchange is not None:
+            if not send.exchange.cancel():
+                request.runs -= 1
             self.spawn(send.exchange.close())
         elif send.source is not None:
             self.spawn(self._target_client.release_kv_cache(send.source))
@@ -146,7 +166,7 @@
         try:
             failure = await exchange.find_failure(REFUSAL_TIME)
         except BaseException:
-            self.discard(begun)
+            self.discard(request, begun)
             raise
         if failure is None:
             return Ok(begun)
@@ -262,6 +282,7 @@
             why=send.slot.grant.why,
             left_ms=time_left // MILLISECOND,
         )
+        connected = asyncio.Event()
         return Exchange(
             self._target_client.run(
                 target,
@@ -271,7 +292,9 @@
                 source=send.source,
                 last_event=request.last_event,
                 once=once,
-            )
+                on_connection=connected.set,
+            ),
+            connected.is_set,
         )
 
     async def _relay_whole(
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -156,6 +156,7 @@
         source: str | None,
         last_event: int | None,
         once: bool,
+        on_connection: Callable[[], None] | None = None,
     ) -> AsyncIterator[Result[TargetResponse, Verdict]]:
         """Send a request and yield its response, whose body is still to be read."""
         options = SendOptions(
@@ -174,6 +175,7 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 allow_redirects=False,
                 timeout=_limit(None),
+                trace_request_ctx=on_connection,
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             yield Err(classify_error(error))
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
@@ -138,12 +138,19 @@
     """Return a session that never resends a request and detects silent links.
 
     ``once`` opens a connection per request; otherwise an idle connection stays open
-    for ``keep`` seconds. ``connect`` is the connect timeout in seconds.
+    for ``keep`` seconds. ``connect`` is the connect timeout in seconds. A function
+    given as ``trace_request_ctx`` of a request is called once it has a connection,
+    before any of it is written.
     """
     options: dict[str, Any] = {"socket_factory": make_probed_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
-    return _open_session(make_connector(**options), _prevent_resend, connect=connect)
+    return _open_session(
+        make_connector(**options),
+        _prevent_resend,
+        connect=connect,
+        trace_configs=[_make_connection_trace()],
+    )
 
 
 def make_connector(**options: Any) -> aiohttp.TCPConnector:
@@ -173,6 +180,7 @@
     connector: aiohttp.TCPConnector,
     *middlewares: ClientMiddlewareType,
     connect: float = CONNECT_TIMEOUT_SECONDS,
+    trace_configs: list[aiohttp.TraceConfig] | None = None,
 ) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
@@ -181,9 +189,25 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         middlewares=middlewares,
+        trace_configs=trace_configs,
     )
 
 
+def _make_connection_trace() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_report_connection)
+    trace.on_connection_reuseconn.append(_report_connection)
+    return trace
+
+
+async def _report_connection(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    on_connection: Callable[[], None] | None = context.trace_request_ctx
+    if on_connection is not None:
+        on_connection()
+
+
 async def _prevent_resend(
     request: aiohttp.ClientRequest, send: ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/tests/test_forwarding_switching.py
+++ b/tests/test_forwarding_switching.py
@@ -211,6 +211,57 @@
         self.assertEqual((True, []), (asyncio.run(main()), sent))
 
 
+class TestDroppedSends(TestCase):
+    def drop(self, answer, *, connects):
+        """Return the runs of a request whose next send is dropped after an answer.
+
+        Without an answer, it is dropped while that is awaited.
+        """
+        opened = asyncio.Event()
+
+        class Client:
+            @contextlib.asynccontextmanager
+            async def run(self, target, message, time_left, **options):
+                if connects:
+                    options["on_connection"]()
+                opened.set()
+                if answer is None:
+                    await asyncio.sleep(60)
+                yield answer
+
+        async def main():
+            clock = SystemClock()
+            sender = Sender(
+                Client(), make_suspects("h1", clock), clock, lambda *stream: None
+            )
+            grant = Grant("t1", make_target("d1"), 0.0, 0.0, 0, 0.0, "")
+            slot = Slot(grant, Stage.DECODE, clock, lambda release: None)
+            request = make_request(arrived=clock.monotonic() / MS)
+            message = ClientRequest("r1", "POST", "/notes/1", "a.example", (), b"")
+            task = asyncio.create_task(sender.begin(request, message, Send(slot)))
+            await opened.wait()
+            # In the pass of the event loop in which an answer comes.
+            task.cancel()
+            await asyncio.wait((task,))
+            self.assertTrue(task.cancelled())
+            return request.runs
+
+        return asyncio.run(main())
+
+    def test_a_dropped_send_that_was_not_connected_is_no_run(self):
+        self.assertEqual(0, self.drop(None, connects=False))
+
+    def test_a_dropped_send_that_is_on_its_way_is_a_run(self):
+        self.assertEqual(1, self.drop(None, connects=True))
+
+    def test_a_dropped_send_that_was_refused_is_no_run(self):
+        self.assertEqual(0, self.drop(Err(REFUSED), connects=True))
+
+    def test_a_dropped_send_that_was_answered_is_a_run(self):
+        answer = Ok(TargetResponse(200, [], True, None))
+        self.assertEqual(1, self.drop(answer, connects=True))
+
+
 class TestStandby(TestCase):
     def test_a_send_that_is_not_used_is_released(self):
         async def main():
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -5,6 +5,7 @@
 import socket
 from datetime import timedelta
 
+import aiohttp
 from testtools import TestCase
 
 from galenapass.forwarding.retry_budgets import USABLE_SHARE, RetryBudgetTerms
@@ -126,6 +127,32 @@
         writer.close()
 
 
+class BreakingEngine(SilentEngine):
+    """Decode engine that is silent twice, with an event after each, and breaks off."""
+
+    def __init__(self):
+        super().__init__()
+        self.goes_on = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            attempt = await read_head(reader)
+            if attempt is None:
+                writer.close()
+                return
+            self.attempts.append(attempt)
+            head = (
+                f"HTTP/1.1 200 OK\r\nX-Galenapass-Attempt-Id: {attempt}\r\n"
+                f"{SIGNATURE}: signed\r\nConnection: close\r\n\r\n"
+            )
+            writer.write(head.encode() + b"id: 1\ndata: t1\n\n")
+            await self.goes_on.wait()
+            writer.write(b"id: 2\ndata: t2\n\n")
+            await self._ended.wait()
+            writer.write(b"id: ")
+        writer.close()
+
+
 @contextlib.asynccontextmanager
 async def accept_nothing():
     """Yield an address at which attempts to connect get no answer."""
@@ -273,6 +300,52 @@
 
         run(scenario, configuration=PATIENT)
 
+    def test_a_next_send_that_never_connected_is_no_run(self):
+        # The stream was cut as it broke off later: "its runs are used up".
+        async def scenario(fleet):
+            engine = BreakingEngine()
+            async with engine.replace(fleet, ["d1"]), accept_nothing() as address:
+                fleet.register(fleet.second_decode, zone="zone-b", address=address)
+                known = fleet.daemon.fleet.targets
+                await fleet.wait_for(lambda: known["d2"].address == address)
+                set_budget(fleet, 4)
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: len(fleet.prefill.received) == 2)
+                await asyncio.sleep(0.1)
+                engine.goes_on.set()
+                await asyncio.sleep(0.1)
+                fleet.register(fleet.second_decode)
+                await fleet.wait_for(lambda: known["d2"].address != address)
+                engine.end()
+                status, body, _ = await pending
+                self.assertEqual((200, STREAM_BODY), (status, body))
+                self.assertEqual((1, 1), (len(engine.attempts), count_runs(fleet)))
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_next_send_that_may_have_run_stays_a_run(self):
+        async def scenario(fleet):
+            fleet.more_decode[0].faults.delay_seconds = 0.0
+            engine = BreakingEngine()
+            async with engine.replace(fleet, ["d1", "d3"]):
+                await move_second_decode(fleet)
+                set_budget(fleet, 8)
+                fleet.second_decode.faults.delay_seconds = 0.2
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: fleet.second_decode.received)
+                engine.goes_on.set()
+                await asyncio.sleep(0.3)
+                fleet.register(fleet.more_decode[0])
+                await fleet.wait_for(lambda: "d3" in fleet.daemon.fleet.targets)
+                engine.end()
+                with self.assertRaises(aiohttp.ClientError):
+                    await pending
+                # Its route allows two runners.
+                self.assertEqual(1, len(fleet.second_decode.received))
+                self.assertEqual(0, len(fleet.more_decode[0].received))
+
+        run(scenario, configuration=PATIENT, more_decode=1)
+
     def test_a_call_is_awaited_while_no_other_target_is_there(self):
         # It was given up after 0.45 of its time and sent to the same target again.
         async def scenario(fleet):
