Free the KV cache of each prompt whose send did not fetch it

Seen: a next send that was dropped while it was on its way left the KV cache of its prompt at the engine that had prefilled it, until that freed it on its own. So did each send that failed, or whose client left, before any output.

Cause: the KV cache was freed only where a send was dropped before it was on its way, or failed at once as the next send of a silent target.

Change: each send that ends without success frees the KV cache of its prompt unless it had output, with which its engine is known to have fetched it.

Evidence: test_a_next_send_that_is_dropped_frees_its_kv_cache, test_a_send_that_is_refused_frees_its_kv_cache and test_a_client_that_leaves_before_an_answer_frees_its_kv_cache all fail before (TimeoutError: the handle is still there after 1 s).

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -147,8 +147,7 @@
             if not send.exchange.cancel():
                 request.runs -= 1
             self.spawn(send.exchange.close())
-        elif send.source is not None:
-            self.spawn(self._target_client.release_kv_cache(send.source))
+        self._release_kv_cache(send)
 
     async def begin(
         self, request: ForwardedRequest, message: ClientRequest, send: Send
@@ -171,8 +170,6 @@
         if failure is None:
             return Ok(begun)
         self.spawn(exchange.close())
-        if send.source is not None:
-            self.spawn(self._target_client.release_kv_cache(send.source))
         self._record_failed_send(request, send, failure)
         return Err(failure)
 
@@ -204,6 +201,7 @@
             # The client disconnected or the deadline passed; this is no failure of the
             # target.
             send.slot.end(Outcome.CANCELLED)
+            self._release_kv_cache(send)
             raise
         if isinstance(outcome, Ok):
             send.slot.end(Outcome.DONE)
@@ -219,6 +217,7 @@
         if failure.run is Run.NOT_RUN:
             request.runs -= 1
         send.slot.end(classify_failure(failure))
+        self._release_kv_cache(send)
         self.record_failure(request, target, failure)
         if failure.reason is Reason.TARGET_FAILED and failure.run is not Run.NOT_RUN:
             self.spawn(
@@ -227,6 +226,15 @@
                 )
             )
 
+    def _release_kv_cache(self, send: Send) -> None:
+        """Free the KV cache of a prompt unless its send has fetched it.
+
+        An engine that has sent output has the KV cache, one that was left before may
+        have it. To free one that was fetched has no effect.
+        """
+        if send.source is not None and send.slot.first_output_at is None:
+            self.spawn(self._target_client.release_kv_cache(send.source))
+
     async def _run_at_target(
         self,
         request: ForwardedRequest,
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -346,6 +346,59 @@
 
         run(scenario, configuration=PATIENT, more_decode=1)
 
+    def test_a_next_send_that_is_dropped_frees_its_kv_cache(self):
+        async def scenario(fleet):
+            engine = BreakingEngine()
+            async with engine.replace(fleet, ["d1"]):
+                await move_second_decode(fleet)
+                set_budget(fleet, 2)
+                fleet.second_decode.faults.delay_seconds = 0.2
+                pending = asyncio.create_task(ask(fleet))
+                await fleet.wait_for(lambda: fleet.second_decode.received)
+                (source,) = (
+                    request.headers["X-Galenapass-Kv-Source"]
+                    for request in fleet.second_decode.received
+                )
+                handle = source.rpartition("/")[2]
+                self.assertIn(handle, fleet.prefill.handles)
+                engine.goes_on.set()
+                await fleet.wait_for(lambda: handle not in fleet.prefill.handles, 1.0)
+                pending.cancel()
+
+        run(scenario, configuration=PATIENT)
+
+    def check_freed(self, ask_once, **faults):
+        """Check that the KV cache of a prompt is freed that was not taken."""
+
+        async def scenario(fleet):
+            for runner in (fleet.decode, fleet.second_decode):
+                for name, value in faults.items():
+                    setattr(runner.faults, name, value)
+            set_budget(fleet, 0)
+            await ask_once(fleet)
+            await fleet.wait_for(lambda: not fleet.prefill.handles, 1.0)
+
+        run(scenario, configuration=PATIENT)
+
+    def test_a_send_that_is_refused_frees_its_kv_cache(self):
+        async def ask_once(fleet):
+            status, _, _ = await ask(fleet)
+            self.assertEqual(503, status)
+            self.assertEqual(1, len(fleet.prefill.received))
+
+        self.check_freed(ask_once, shed=True)
+
+    def test_a_client_that_leaves_before_an_answer_frees_its_kv_cache(self):
+        async def ask_once(fleet):
+            pending = asyncio.create_task(ask(fleet))
+            await fleet.wait_for(
+                lambda: fleet.decode.received + fleet.second_decode.received
+            )
+            self.assertEqual(1, len(fleet.prefill.handles))
+            pending.cancel()
+
+        self.check_freed(ask_once, delay_seconds=3.0)
+
     def test_a_call_is_awaited_while_no_other_target_is_there(self):
         # It was given up after 0.45 of its time and sent to the same target again.
         async def scenario(fleet):
