--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -154,12 +154,18 @@
     """Return a session that never resends a request and detects silent links.
 
     ``once`` opens a connection per request; otherwise an idle connection stays open
-    for ``keep`` seconds. ``connect`` is the connect timeout.
+    for ``keep`` seconds. ``connect`` is the connect timeout. A function given as
+    ``trace_request_ctx`` of a request is called once it has a connection, before any
+    of it is written.
     """
     options: dict[str, Any] = {"socket_factory": make_probed_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
-    return _open_session(make_connector(connect, **options), _prevent_resend)
+    return _open_session(
+        make_connector(connect, **options),
+        _prevent_resend,
+        trace_configs=[_make_connection_trace()],
+    )
 
 
 def make_connector(
@@ -193,6 +199,7 @@
 def _open_session(
     connector: aiohttp.TCPConnector,
     *middlewares: ClientMiddlewareType,
+    trace_configs: list[aiohttp.TraceConfig] | None = None,
 ) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
@@ -202,9 +209,25 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         middlewares=middlewares,
+        trace_configs=trace_configs,
     )
 
 
+def _make_connection_trace() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_report_connection)
+    trace.on_connection_reuseconn.append(_report_connection)
+    return trace
+
+
+async def _report_connection(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    on_connection: Callable[[], None] | None = context.trace_request_ctx
+    if on_connection is not None:
+        on_connection()
+
+
 async def _prevent_resend(
     request: aiohttp.ClientRequest, send: ClientHandlerType
 ) -> aiohttp.ClientResponse:
