Send SIGHUP in the soak once the process can handle it

A settings change 0.3 s after the start of a process sent SIGHUP before its interpreter ran, and the default action ended it.

Cause: the soak took 0.3 s for the time that an interpreter needs. Its settings file is also read at its start.

A process that has logged its start gets the signal in any case, so that a handler that is missing or lost still ends it.

Test: the process is suspended 0.5 s after it was forked, as on a busy machine. The other new test has a process that has logged its start and handles nothing: ended with -1.

The test of SIGTERM during the start waited 0.3 s for an interpreter as well.

It was not run beside ten others.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import random
+import re
 import socket
 import sys
 from collections.abc import Mapping, Sequence
@@ -44,6 +45,18 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.child.pid, signal_number)
 
+    def handles(self, signal_number: int) -> bool:
+        """Return whether a signal would not have its default action.
+
+        A new process has the default actions until its interpreter sets others.
+        """
+        try:
+            text = Path(f"/proc/{self.pid}/status").read_text()
+        except FileNotFoundError:
+            return False
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)", text, re.MULTILINE)
+        return any(int(mask, 16) >> (signal_number - 1) & 1 for mask in masks)
+
     async def wait(self, seconds: float = STOP_SECONDS) -> int:
         """Wait for the exit status; raise TimeoutError after ``seconds``."""
         return await asyncio.wait_for(self.child.wait(), seconds)
--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -19,7 +19,7 @@
 from stand_ins.platform_routes import CONFIGURATION, make_route
 from stand_ins.runner import ATTEMPT, Runner, RunnerFaults
 
-__all__ = ["Daemon", "Environment"]
+__all__ = ["START_MESSAGE", "Daemon", "Environment", "hang_up"]
 
 DOMAINS = ("zone-a", "zone-b")
 GRACE_SECONDS = 4.0
@@ -33,8 +33,7 @@
 HEARTBEAT_SECONDS = 0.5
 # Copies of the store, one a heartbeat; it is restored from the oldest.
 MAX_COPIES = 8
-# Time that a busy machine needs to start a Python interpreter.
-INTERPRETER_SECONDS = 0.3
+POLL_SECONDS = 0.005
 START_MESSAGE = b"daemon starts"
 SETTINGS = """\
 node_name = "{name}"
@@ -68,8 +67,8 @@
     """Ports, files and process of one daemon; ``exit_errors`` lists unclean exits.
 
     ``signals_at`` are the monotonic times, in seconds, of SIGTERM to a running process,
-    ``paused_at`` and ``started_at`` those of the last pause and start; ``log_start`` is
-    the log's length in bytes before the last start.
+    ``paused_at`` that of the last pause; ``log_start`` is the log's length in bytes
+    before the last start.
     """
 
     name: str
@@ -85,7 +84,6 @@
     process: Process | None = None
     signals_at: list[float] = field(default_factory=list)
     paused_at: float = 0.0
-    started_at: float = 0.0
     log_start: int = 0
     exit_errors: list[str] = field(default_factory=list)
 
@@ -126,7 +124,6 @@
         if self.process is not None and self.process.status is None:
             return
         path = self.write_settings(store)
-        self.started_at = time.monotonic()
         self.log_start = self.log.stat().st_size if self.log.exists() else 0
         self.process = await start_process(
             self.name,
@@ -137,6 +134,10 @@
             variables={"GALENAPASS_CONFIG": str(path)},
         )
 
+    def has_started(self) -> bool:
+        """Return whether the process has logged that it starts."""
+        return START_MESSAGE in self.log.read_bytes()[self.log_start :]
+
     def send(self, signal_number: int) -> None:
         """Send a signal to the process."""
         if self.process is not None:
@@ -165,7 +166,7 @@
             )
             return
         expected = {0, -signal.SIGKILL}
-        if START_MESSAGE not in self.log.read_bytes()[self.log_start :]:
+        if not self.has_started():
             # It received SIGTERM before it had installed its signal handlers.
             expected.add(-signal.SIGTERM)
         if status not in expected:
@@ -340,7 +341,7 @@
             "kill": (lambda: daemon.send(signal.SIGKILL), restart),
             "terminate": (daemon.terminate, restart),
             "settings": (lambda: self._change_settings(daemon), _do_nothing),
-            "hangup": (lambda: _hang_up(daemon), _do_nothing),
+            "hangup": (lambda: hang_up(daemon), _do_nothing),
         }
 
     def _find_store_actions(self) -> dict[str, Any]:
@@ -417,11 +418,11 @@
             ),
         }
 
-    def _change_settings(self, daemon: Daemon) -> None:
+    async def _change_settings(self, daemon: Daemon) -> None:
         daemon.retry_slack += 1
         daemon.budget_ratio = BUDGET_RATIOS[daemon.retry_slack % len(BUDGET_RATIOS)]
         daemon.write_settings(self.proxies[daemon.name].address)
-        _hang_up(daemon)
+        await hang_up(daemon)
 
     async def _write_heartbeats(self) -> None:
         """Rewrite the targets' entries regularly, since orders change their roles."""
@@ -494,10 +495,20 @@
         setattr(faults, name, value)
 
 
-def _hang_up(daemon: Daemon) -> None:
-    # A process cannot handle a signal before its interpreter runs.
-    if time.monotonic() - daemon.started_at > INTERPRETER_SECONDS:
-        daemon.send(signal.SIGHUP)
+async def hang_up(daemon: Daemon) -> None:
+    """Send SIGHUP as soon as the process does not die of it.
+
+    No process can handle a signal before its interpreter runs. One that has logged
+    that it starts gets the signal in any case.
+    """
+    process = daemon.process
+    if process is None:
+        return
+    while process.status is None and not process.handles(signal.SIGHUP):
+        if daemon.has_started():
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    process.send(signal.SIGHUP)
 
 
 def _do_nothing() -> None:
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -15,6 +15,7 @@
 from experiments.soak.runs import wait_ready
 from stand_ins.platform_routes import CONFIGURATION
 from stand_ins.runner import STREAM_BODY
+from tests.platform_fleet import wait_for
 
 GRACE_SECONDS = 6.0
 DEADLINE_MS = 8000
@@ -265,7 +266,9 @@
             host.stop()
             await host.wait_exit()
             await host.environment.start_daemon(host.daemon.name)
-            # The interpreter runs, and the imports have begun.
+            process = host.daemon.process
+            await wait_for(lambda: process.handles(signal.SIGTERM))
+            # The imports have begun.
             await asyncio.sleep(0.3)
             started_at = time.monotonic()
             host.daemon.send(signal.SIGTERM)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import pathlib
-import re
 import signal
+import subprocess
+import sys
 import tempfile
 from datetime import timedelta
 
@@ -17,6 +18,29 @@
 from tests.test_platform_decoders import SETTINGS
 
 PERIOD = timedelta(milliseconds=20)
+QUICK_IMPORTS = {
+    "collections",
+    "collections.abc",
+    "enum",
+    "gc",
+    "os",
+    "signal",
+    "types",
+}
+# Start a daemon; list the modules that it imports before it handles SIGHUP.
+LIST_EARLY_IMPORTS = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if signal.getsignal(signal.SIGHUP) != signal.SIG_DFL:
+            sys.stdout.flush()
+            os._exit(0)
+        print(name)
+
+sys.meta_path.insert(0, Finder())
+runpy.run_module("galenapass.platform", run_name="__main__")
+"""
 
 
 class TestFollowing(TestCase):
@@ -107,7 +131,7 @@
                 variables={"GALENAPASS_CONFIG": str(path)},
             )
             try:
-                await wait_for(lambda: _ignores(process.pid, signal.SIGHUP))
+                await wait_for(lambda: process.handles(signal.SIGHUP))
                 process.send(signal.SIGHUP)
                 # The daemon exits, as it cannot bind the address of these settings.
                 return await process.wait(20.0)
@@ -118,9 +142,13 @@
             status = asyncio.run(scenario(pathlib.Path(folder)))
         self.assertEqual(EXIT_CANNOT_START, status)
 
-
-def _ignores(pid, number):
-    """Return whether a process ignores a signal."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    (ignored,) = re.findall(r"^SigIgn:\s*([0-9a-f]+)", status, re.MULTILINE)
-    return int(ignored, 16) >> (number - 1) & 1
+    def test_signals_are_handled_before_anything_else_is_imported(self):
+        found = subprocess.run(
+            [sys.executable, "-c", LIST_EARLY_IMPORTS],
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout.split()
+        self.assertIn("galenapass.process_signals", found)
+        others = {name for name in found if name.partition(".")[0] != "galenapass"}
+        self.assertLessEqual(others, QUICK_IMPORTS)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import pathlib
+import signal
+import sys
 import tempfile
 
 from testtools import TestCase
 
+from experiments.processes import Process
 from experiments.soak.__main__ import read_regressions
+from experiments.soak.environment import START_MESSAGE, Daemon, hang_up
 from experiments.soak.faults import (
     Fault,
     plan_faults,
@@ -43,6 +47,41 @@
     return Outcome("a1", route, "front-0", 1.0, 3.0, **values)
 
 
+class TestSignals(TestCase):
+    def test_a_hangup_of_a_process_whose_interpreter_does_not_run_yet_ends_it_not(self):
+        # Seed 25, beside other soaks: "front-1 stopped with status -1".
+        async def scenario(folder):
+            daemon = Daemon("front-1", "zone-a", folder)
+            await daemon.start(f"{daemon.ip}:1")
+            daemon.pause()
+            await asyncio.sleep(0.5)
+            hanging_up = asyncio.create_task(hang_up(daemon))
+            await asyncio.sleep(0.1)
+            daemon.send(signal.SIGCONT)
+            await hanging_up
+            self.assertTrue(daemon.process.handles(signal.SIGHUP))
+            await daemon.terminate()
+            self.assertEqual([], daemon.exit_errors)
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(scenario(pathlib.Path(folder)))
+
+    def test_a_hangup_reaches_a_daemon_that_has_started_without_handling_it(self):
+        async def scenario(folder):
+            daemon = Daemon("front-1", "zone-a", folder)
+            code = f"import time; print({START_MESSAGE!r}, flush=True); time.sleep(60)"
+            with daemon.log.open("wb") as log:
+                child = await asyncio.create_subprocess_exec(
+                    sys.executable, "-c", code, stdout=log
+                )
+            daemon.process = Process(daemon.name, child)
+            await hang_up(daemon)
+            self.assertEqual(-signal.SIGHUP, await daemon.process.wait())
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(scenario(pathlib.Path(folder)))
+
+
 class TestFaultPlan(TestCase):
     def test_a_seed_always_gives_the_same_faults_within_the_time(self):
         for seed in range(50):
