Keep a stream to what it is known to have begun at beside earlier builds

A stream could be joined from two versions in one answer while schedulers of builds before are in the fleet: their grants name no version, a host took each for the empty one, and two of these fit each other. Such a grant now has a version of its own that fits nothing, so that the answer ends visibly; nothing is recorded of the stream, so that a client's take-up goes on where one version alone serves. Grants that name a version are used as before, also before the first ping is answered.

Evidence: test_order_a_stream_goes_on_where_an_earlier_build_grants_a_slot failed before (AssertionError: True is not false) and passes.

--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -42,6 +42,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import Address
 from galenapass.forwarding.scheduling import Scheduler
+from galenapass.forwarding.service_versions import UNNAMED_VERSION
 from galenapass.forwarding.slot_client import SlotClient
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest
 from galenapass.forwarding.store_epochs import StoreEpochs
@@ -343,7 +344,7 @@
             if isinstance(result, Ok):
                 grant = result.ok_value
                 if host not in self._version_aware:
-                    grant = replace(grant, target=replace(grant.target, version=""))
+                    grant = _replace_version(grant, "")
                 self.endpoint.send(address, grant)
             else:
                 self.endpoint.send(
@@ -361,8 +362,14 @@
     def _apply_reply(
         self, host: str, address: Address, message: Grant | SlotRefusal | SlotPending
     ) -> None:
+        if isinstance(message, Grant) and not self._names_version(host, message):
+            message = _replace_version(message, UNNAMED_VERSION)
         self.slot_client.apply_reply(host, message)
 
+    def _names_version(self, host: str, grant: Grant) -> bool:
+        """Return whether a grant tells its target's version, which may be empty."""
+        return host in self._version_aware or grant.target.version != ""
+
     def _apply_stream_notice(
         self, host: str, address: Address, notice: StreamNotice
     ) -> None:
@@ -461,3 +468,7 @@
     def _make_ping(self) -> Ping:
         notices = self._limit_sharing.next_notices()
         return Ping(self._find_newest_version(), notices, self._epochs.current)
+
+
+def _replace_version(grant: Grant, version: str) -> Grant:
+    return replace(grant, target=replace(grant.target, version=version))
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -32,7 +32,7 @@
     Sender,
     classify_failure,
 )
-from galenapass.forwarding.service_versions import ServiceVersion
+from galenapass.forwarding.service_versions import UNNAMED_VERSION, ServiceVersion
 from galenapass.forwarding.slot_client import Slot, SlotClient
 from galenapass.forwarding.slot_requests import Outcome, SlotRequest, Stage
 from galenapass.forwarding.stop_times import StopTimes
@@ -43,7 +43,7 @@
 from galenapass.tables.targets import Role, Target
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["Relay"]
+__all__ = ["Relay", "fits_stream"]
 
 # A prefill times out after this multiple of its expected duration plus the slack. The
 # timeout is long enough to mean a dead engine: repeating a prefill that is only late
@@ -158,7 +158,8 @@
             return
         if request.origin is None:
             request.origin = ServiceVersion(target.service, target.version)
-        self._origins.record(request.stream, request.origin, request.abandoned_at)
+        if request.version != UNNAMED_VERSION:
+            self._origins.record(request.stream, request.origin, request.abandoned_at)
 
     async def _try_targets(
         self,
@@ -223,7 +224,7 @@
         standby: Standby,
     ) -> Result[None, Verdict]:
         send = standby.take()
-        if send is not None and not _fits(request, send.slot.grant.target):
+        if send is not None and not fits_stream(request, send.slot.grant.target):
             self._sender.discard(send)
             send = None
         if send is None:
@@ -498,7 +499,7 @@
         if self._slot_client.is_local and self._is_replaced(target):
             return False
         only_prefills = stage is Stage.PREFILL and target.role is Role.PREFILL
-        return only_prefills or _fits(request, target)
+        return only_prefills or fits_stream(request, target)
 
     def _is_replaced(self, target: Target) -> bool:
         """Return whether the id of a granted target names another one by now."""
@@ -558,9 +559,11 @@
             self._on_limit_change()
 
 
-def _fits(request: ForwardedRequest, target: Target) -> bool:
+def fits_stream(request: ForwardedRequest, target: Target) -> bool:
     """Return whether a target may make the next event of a request's stream."""
-    return request.version in (None, target.version)
+    return (
+        request.version is None or request.version == target.version != UNNAMED_VERSION
+    )
 
 
 _NO_TARGET = Verdict(
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ANOTHER_SERVICE",
     "STREAM_LIFETIME",
+    "UNNAMED_VERSION",
     "ServiceVersion",
     "VersionHistory",
     "VersionRow",
@@ -18,6 +19,8 @@
 STREAM_LIFETIME = timedelta(seconds=60)
 # In place of a version: open streams of a route to the service began at another one.
 ANOTHER_SERVICE = "another service"
+# In place of a version: builds that know no versions name none in what they grant.
+UNNAMED_VERSION = "unnamed version"
 # Far more versions than serve within the lifetime of a stream.
 MAX_VERSIONS = 4096
 
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -8,12 +8,13 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
-from galenapass.forwarding import datagrams
+from galenapass.forwarding import datagrams, relay
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.crash_evidence import CrashReport, Sighting
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
+from galenapass.forwarding.service_versions import ServiceVersion
 from galenapass.forwarding.slot_requests import Grant, SlotRequest, Stage
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
@@ -24,6 +25,7 @@
     MS,
     FakeOrigins,
     make_fleet,
+    make_request,
     make_suspects,
     make_target,
 )
@@ -151,6 +153,29 @@
         self.assertIsNone(received.version)
         self.assertEqual("", self.grant(received).version)
 
+    def test_order_a_stream_goes_on_where_an_earlier_build_grants_a_slot(self):
+        # Its grants name no version, so two of them tell nothing of each other.
+        client = FakeDaemon()
+        client.is_scheduler = False
+        client.receive(Pong(1, True, knows_versions=False))
+        targets = [make_target(name, Role.DECODE) for name in ("e1", "e2")]
+
+        async def acquire(target):
+            slot_client = client.peering.slot_client
+            acquiring = asyncio.create_task(slot_client.acquire(self.slot_request))
+            await asyncio.sleep(0)
+            client.receive(Grant("t1", target, 1.0, 0.0, 0, 0.0, ""))
+            return (await acquiring).unwrap().grant.target
+
+        async def scenario():
+            return [await acquire(target) for target in targets]
+
+        first, second = asyncio.run(scenario())
+        request = make_request()
+        self.assertTrue(relay.fits_stream(request, first))
+        request.origin = ServiceVersion("lm", first.version)
+        self.assertFalse(relay.fits_stream(request, second))
+
 
 class TestCrashes(TestCase):
     def test_clients_of_a_scheduler_hear_which_crashes_are_known(self):
