Count versions that came and left while a scheduler was cut off

A client's take-up that is recorded nowhere could go on at another version than the one that began it: at a scheduler that was cut off from the store for a moment, a version that joined and left meanwhile was not counted, nor one that this host had known before and that came back. What other schedulers published of them was read, but rows of versions that have left, and of versions seen before, were passed over, as objects of hosts that are gone name such for ever.

Which is which is told by the object now: rows count, once, if the object has changed since it was read last. What was heard like this is not published again; two hosts that read of each other would never forget a version.

Evidence: test_order_a_version_came_and_left_while_a_host_was_cut_off and test_order_a_known_version_came_back_while_a_host_was_cut_off failed before (Called Result.unwrap_err() on an Ok value) and pass. With what was heard published again test_lost_two_hosts_keep_a_version_that_has_left_in_memory fails; it passed before.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -32,6 +32,7 @@
     STREAM_LIFETIME,
     ServiceVersion,
     VersionHistory,
+    VersionRow,
 )
 from galenapass.forwarding.stream_origins import StreamOrigins, StreamRecord
 from galenapass.logs import make_log
@@ -115,6 +116,9 @@
         self._untold: dict[int, None] = {}
         self._is_flush_due = False
         self._is_loaded = False
+        # Versions of the hosts' objects that were read last; those of hosts that are
+        # gone name versions that left long ago.
+        self._read_versions: dict[str, int] = {}
         self._to_publish = asyncio.Event()
         self._read_task: asyncio.Task[bool] | None = None
         self._read_at = timedelta(0)
@@ -340,10 +344,15 @@
             if host == self._fleet.host and not self._is_loaded:
                 # The next write replaces what this host wrote before its start.
                 self._add_own([r.stream for r in origins.records], must_tell=False)
-        rows = [row for origins in published.values() for row in origins.versions]
-        self._history.add_unseen(rows, now)
-        if not self._is_loaded:
+        versions = {stored.name: stored.version for stored in listing.items}
+        changed = versions.items() - self._read_versions.items()
+        self._read_versions = versions
+        if self._is_loaded:
+            hosts = {name for name, _ in changed} - {self._fleet.host}
+            self._history.hear(_gather_rows(published, hosts), now)
+        else:
             self._is_loaded = True
+            rows = _gather_rows(published, published)
             self._history.load(rows, now, is_first_start=self._is_first_start)
             self._is_first_start = False
             for stored in listing.items:
@@ -353,6 +362,13 @@
         self.observe()
 
 
+def _gather_rows(
+    published: Mapping[str, PublishedOrigins], hosts: Iterable[str]
+) -> list[VersionRow]:
+    """Return the versions that some hosts saw."""
+    return [row for host in hosts for row in published[host].versions]
+
+
 _UNKNOWN_ORIGIN = Verdict(
     Run.NOT_RUN,
     Reason.NO_TARGET,
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -48,14 +48,15 @@
     or after the lifetime of a stream.
     """
 
-    __slots__ = ("_complete_at", "_known", "_present", "_seen_at")
+    __slots__ = ("_complete_at", "_heard_at", "_present", "_seen_at")
 
     def __init__(self) -> None:
         self._complete_at: timedelta | None = None
-        # All versions that were ever recorded, also those that have left.
-        self._known: dict[ServiceVersion, None] = {}
         self._present: frozenset[ServiceVersion] = frozenset()
         self._seen_at: dict[ServiceVersion, timedelta] = {}
+        # What other hosts wrote is not written again: two hosts that read of each
+        # other would never forget a version.
+        self._heard_at: dict[ServiceVersion, timedelta] = {}
 
     def restart(self) -> None:
         """Begin again after a time in which the targets were not followed."""
@@ -76,14 +77,11 @@
         for row in rows:
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
-    def add_unseen(self, rows: Iterable[VersionRow], now: timedelta) -> None:
-        """Record the versions that this host has never seen, as in use now.
-
-        Objects of hosts that are gone name versions that left long ago.
-        """
+    def hear(self, rows: Iterable[VersionRow], now: timedelta) -> None:
+        """Add what another host has written lately, like ``load``."""
         for row in rows:
-            if row.origin not in self._known and row.left_at is None:
-                self.record(row.origin, now)
+            at = now if row.left_at is None else row.left_at
+            _record_latest(self._heard_at, row.origin, at)
 
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
         """Record the versions of the known targets; return whether the rows changed."""
@@ -99,23 +97,14 @@
 
         A row that was read counts from then on, so an old one must not stay published.
         """
-        left = [
-            origin
-            for origin, seen_at in self._seen_at.items()
-            if now - seen_at >= STREAM_LIFETIME
-        ]
-        for origin in left:
-            del self._seen_at[origin]
-        return bool(left)
+        left, _ = (
+            _drop_ended(seen_at, now) for seen_at in (self._seen_at, self._heard_at)
+        )
+        return left
 
     def record(self, origin: ServiceVersion, at: timedelta) -> None:
         """Record that a version was in use at a time."""
-        latest = max(at, self._seen_at.pop(origin, at))
-        self._seen_at[origin] = latest
-        self._known[origin] = None
-        for versions in (self._seen_at, self._known):
-            while len(versions) > MAX_VERSIONS:
-                del versions[next(iter(versions))]
+        _record_latest(self._seen_at, origin, at)
 
     def find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
         """Return the version that began each open stream of a service.
@@ -124,12 +113,13 @@
         """
         if self._complete_at is None or now < self._complete_at:
             return None
-        found = [
+        found = {
             origin
-            for origin, seen_at in self._seen_at.items()
+            for times in (self._seen_at, self._heard_at)
+            for origin, seen_at in times.items()
             if origin.service == service and now - seen_at < STREAM_LIFETIME
-        ]
-        return found[0] if len(found) == 1 else None
+        }
+        return found.pop() if len(found) == 1 else None
 
     def list_rows(self, now: timedelta) -> list[VersionRow]:
         """Return the versions that may have begun an open stream."""
@@ -138,3 +128,20 @@
             for origin, seen_at in self._seen_at.items()
             if origin in self._present or now - seen_at < STREAM_LIFETIME
         ]
+
+
+def _record_latest(
+    times: dict[ServiceVersion, timedelta], origin: ServiceVersion, at: timedelta
+) -> None:
+    """Record that a version was in use at a time, if that is the latest so far."""
+    times[origin] = max(at, times.pop(origin, at))
+    while len(times) > MAX_VERSIONS:
+        del times[next(iter(times))]
+
+
+def _drop_ended(times: dict[ServiceVersion, timedelta], now: timedelta) -> bool:
+    """Drop the versions that began no open stream; return whether there are any."""
+    ended = [name for name, at in times.items() if now - at >= STREAM_LIFETIME]
+    for name in ended:
+        del times[name]
+    return bool(ended)
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -543,6 +543,64 @@
         self.assertEqual(Ok(OLD), known)
         self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
 
+    def resolve_later(self, host, rows):
+        """Resolve streams long after the start, as another host publishes rows."""
+
+        async def scenario():
+            await host.publish()
+            host.clock.advance(2 * STREAM_LIFETIME)
+            host.sharing.observe()
+            before = await host.sharing.resolve(1, SERVICES)
+            # This host was cut off from the store for a moment.
+            host.store.publish("host-2", host.clock, (), rows(host.clock.monotonic()))
+            return before, await host.sharing.resolve(2, SERVICES)
+
+        return asyncio.run(scenario())
+
+    def test_order_a_version_came_and_left_while_a_host_was_cut_off(self):
+        before, after = self.resolve_later(
+            FakeHost("v1"),
+            lambda now: (VersionRow(OLD, None), VersionRow(NEW, now - 2 * SECOND)),
+        )
+        self.assertEqual(Ok(OLD), before)
+        self.assertIs(Run.NOT_RUN, after.unwrap_err().run)
+
+    def test_order_a_known_version_came_back_while_a_host_was_cut_off(self):
+        host = FakeHost("v1", "v1.1")
+        host.sharing.observe()
+        host.set_versions("v1")
+        before, after = self.resolve_later(
+            host, lambda now: (VersionRow(OLD, None), VersionRow(NEW, None))
+        )
+        self.assertEqual(Ok(OLD), before)
+        self.assertIs(Run.NOT_RUN, after.unwrap_err().run)
+
+    def test_lost_two_hosts_keep_a_version_that_has_left_in_memory(self):
+        # Each would read of the other, a little later, when it left.
+        clock, store = ManualClock(), FakeStore()
+        hosts = [
+            FakeHost("v1", "v1.1", name=name, store=store, clock=clock)
+            for name in ("host-1", "host-2")
+        ]
+
+        async def scenario():
+            for host in hosts:
+                await host.publish()
+            for host in hosts:
+                host.set_versions("v1")
+                host.sharing.observe()
+            found = []
+            for second in range(70):
+                clock.advance(SECOND)
+                for host in hosts:
+                    host.record(100 + second, OLD)
+                    host.sharing.observe()
+                    found = [*found[-1:], await host.sharing.resolve(1, SERVICES)]
+                await asyncio.sleep(0.01)
+            return found
+
+        self.assertEqual([Ok(OLD)] * 2, asyncio.run(scenario()))
+
     def test_lost_an_object_of_a_host_that_is_gone_makes_its_version_new_again(self):
         host = FakeHost("v1.1")
         host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
