Tell and publish where a stream began at once after a pause

A client whose stream broke off as its host was killed could not take it up: the versions of streams that began in the last 10 ms (one host) or 100 ms (all) were not known, and each try got 503. Both delays ran from the first stream that waited; now they run from the last notice or write, so a stream that begins after a pause is told before its first event is passed on, and published as fast as the store takes it. The rates are bounded as before.

Evidence: test_a_host_that_is_lost_right_after_a_first_event_has_told_its_stream and test_the_first_stream_after_a_pause_is_published_at_once fail with the delays before (MismatchError) and pass.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -42,11 +42,12 @@
 __all__ = ["STREAMS_KIND", "OriginHooks", "OriginSharing"]
 
 STREAMS_KIND = "streams"
-# Streams that begin within this time share a datagram.
-SHARE_DELAY = timedelta(milliseconds=10)
-# Streams that begin within this time share a write. What is not written when all hosts
-# are lost is not known afterwards; a stream lasts a few tenths of a second.
-PUBLISH_DELAY = timedelta(milliseconds=100)
+# Least time from one notice to the next. What was not told when a host is lost is not
+# known afterwards, so the first stream after a pause is told at once.
+SHARE_INTERVAL = timedelta(milliseconds=10)
+# The same from one write to the next, for the loss of all hosts; a stream lasts a few
+# tenths of a second.
+PUBLISH_INTERVAL = timedelta(milliseconds=100)
 # An object of the store holds 1 MB, a record takes up to 30 bytes of it.
 MAX_PUBLISHED = 16_384
 # Pause after the store did not answer.
@@ -54,7 +55,7 @@
 # The store is read this often for a stream that is not known: the host where it began
 # may be about to publish it. Each wait for the store is bounded.
 READS = 2
-READ_INTERVAL = PUBLISH_DELAY + timedelta(milliseconds=50)
+READ_INTERVAL = PUBLISH_INTERVAL + timedelta(milliseconds=50)
 READ_TIMEOUT = timedelta(milliseconds=500)
 OBSERVE_PERIOD = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(milliseconds=500)
@@ -115,6 +116,7 @@
         self._own: dict[int, None] = {}
         self._untold: dict[int, None] = {}
         self._is_flush_due = False
+        self._flushed_at = timedelta(0)
         self._is_loaded = False
         # Versions of the hosts' objects that were read last; those of hosts that are
         # gone name versions that left long ago.
@@ -212,13 +214,19 @@
             self._flush_soon()
 
     def _flush_soon(self) -> None:
-        if not self._is_flush_due:
-            self._is_flush_due = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(SHARE_DELAY.total_seconds(), self._flush)
+        if self._is_flush_due:
+            return
+        pause = self._flushed_at + SHARE_INTERVAL - self._clock.monotonic()
+        if pause <= timedelta(0):
+            self._flush()
+            return
+        self._is_flush_due = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause.total_seconds(), self._flush)
 
     def _flush(self) -> None:
         self._is_flush_due = False
+        self._flushed_at = self._clock.monotonic()
         streams, self._untold = self._untold, {}
         for notice in split_notice(
             self._origins.select(streams, self._clock.monotonic())
@@ -277,10 +285,13 @@
         self._history.restart()
         while not await self._read():
             await asyncio.sleep(RETRY_DELAY.total_seconds())
+        published_at = self._clock.monotonic()
         while True:
             await self._to_publish.wait()
-            await asyncio.sleep(PUBLISH_DELAY.total_seconds())
+            pause = published_at + PUBLISH_INTERVAL - self._clock.monotonic()
+            await asyncio.sleep(max(pause.total_seconds(), 0))
             self._to_publish.clear()
+            published_at = self._clock.monotonic()
             if not await self._publish():
                 self._to_publish.set()
                 await asyncio.sleep(RETRY_DELAY.total_seconds())
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -125,7 +125,12 @@
 class OriginCase(TestCase):
     def setUp(self):
         super().setUp()
-        for name in ("SHARE_DELAY", "PUBLISH_DELAY", "RETRY_DELAY", "READ_INTERVAL"):
+        for name in (
+            "SHARE_INTERVAL",
+            "PUBLISH_INTERVAL",
+            "RETRY_DELAY",
+            "READ_INTERVAL",
+        ):
             self.patch(origin_sharing, name, 1 * MS)
         self.patch(origin_queries, "REPLY_TIMEOUT", 50 * MS)
 
@@ -298,6 +303,42 @@
         self.assertEqual([record], list(published.records))
         self.assertEqual([False, True], host.needs)
 
+    def test_a_host_that_is_lost_right_after_a_first_event_has_told_its_stream(self):
+        self.patch(origin_sharing, "SHARE_INTERVAL", 20 * MS)
+        host = FakeHost("v1", "v1.1")
+        host.clock.advance(SECOND)
+
+        async def scenario():
+            host.record(1, OLD)
+            at_once = list(host.shared)
+            for stream in (2, 3):
+                host.record(stream, NEW)
+            soon = list(host.shared)
+            await asyncio.sleep(0.05)
+            return at_once, soon
+
+        first = StreamNotice((StreamRecord(1, OLD, 9 * SECOND),))
+        at_once, soon = asyncio.run(scenario())
+        self.assertEqual(([first], [first]), (at_once, soon))
+        more = tuple(StreamRecord(stream, NEW, 9 * SECOND) for stream in (2, 3))
+        self.assertEqual([first, StreamNotice(more)], host.shared)
+
+    def test_the_first_stream_after_a_pause_is_published_at_once(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            self.patch(origin_sharing, "PUBLISH_INTERVAL", 60 * SECOND)
+            host.clock.advance(60 * SECOND)
+            host.record(1, OLD)
+            await host.publish()
+            host.record(2, OLD)
+            await host.publish()
+            return host.store.read_published("host-1", host.clock)
+
+        published = asyncio.run(scenario())
+        self.assertEqual([1], [record.stream for record in published.records])
+
     def test_what_a_client_of_this_host_tells_is_passed_on_and_published(self):
         host = FakeHost("v1", "v1.1")
         notice = StreamNotice((StreamRecord(1, NEW, 8 * SECOND),))
