Remove what lost hosts published of versions that have left

After a kill of all hosts, take-ups of streams that began at the only version in service were refused for 60 s if the store held the object of a host that is gone, or no longer schedules, and that names an older version: a scheduler that starts must count this version as just seen. Such objects stayed for ever, so each start was uncertain for a minute.

A scheduler that has forgotten a version, 60 s after it left, looks for objects that name such a one, and deletes those which are unchanged 60 s later, by their version in the store; streams in them have ended. A host that was only cut off creates its object again. One or two listings for each version that leaves, at most one such look each ten minutes.

--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -43,13 +43,18 @@
 
 
 class HostObjects(Protocol):
-    """Store client that writes and lists objects."""
+    """Store client that writes, deletes and lists objects."""
 
     async def write(
         self, kind: str, name: str, body: str, if_version: int | None = None
     ) -> Result[int, Failure]:
         """Replace the version ``if_version`` of an object, or create it when None."""
 
+    async def delete(
+        self, kind: str, name: str, if_version: int
+    ) -> Result[None, Failure]:
+        """Delete the version ``if_version`` of an object."""
+
     async def list(
         self, kind: str, *, stale: bool = False
     ) -> Result[ObjectListing, Failure]:
--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -57,6 +57,10 @@
 READS = 2
 READ_INTERVAL = PUBLISH_INTERVAL + timedelta(milliseconds=50)
 READ_TIMEOUT = timedelta(milliseconds=500)
+# An object that was not written for this long holds no open stream.
+REMOVAL_DELAY = STREAM_LIFETIME
+# Pause between two looks for objects of hosts that are gone.
+REMOVAL_PERIOD = timedelta(minutes=10)
 OBSERVE_PERIOD = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(milliseconds=500)
 
@@ -122,6 +126,7 @@
         # gone name versions that left long ago.
         self._read_versions: dict[str, int] = {}
         self._to_publish = asyncio.Event()
+        self._to_remove = asyncio.Event()
         self._read_task: asyncio.Task[bool] | None = None
         self._read_at = timedelta(0)
         self._routes_version = 0
@@ -251,6 +256,9 @@
         self._observe_routes(now)
         if self._history.observe(self._fleet.targets.values(), now):
             self._to_publish.set()
+        if self._history.forget_left(now):
+            self._to_publish.set()
+            self._to_remove.set()
         services = frozenset().union(*self._services_by_route.values())
         self._set_need(any(self._find_only(name, now) is None for name in services))
 
@@ -296,6 +304,40 @@
                 self._to_publish.set()
                 await asyncio.sleep(RETRY_DELAY.total_seconds())
 
+    async def run_removal(self) -> None:
+        """Remove what hosts that are gone have published, until cancelled.
+
+        The versions that they name would make each scheduler that starts uncertain.
+        """
+        while True:
+            await self._to_remove.wait()
+            self._to_remove.clear()
+            before = await self._find_stale()
+            if before:
+                await asyncio.sleep(REMOVAL_DELAY.total_seconds())
+                unchanged = before.items() & (await self._find_stale()).items()
+                for host, version in unchanged:
+                    removed = await self._objects.delete(STREAMS_KIND, host, version)
+                    _log("object of a host is removed", host=host, done=removed.is_ok())
+            await asyncio.sleep(REMOVAL_PERIOD.total_seconds())
+
+    async def _find_stale(self) -> dict[str, int]:
+        """Return the versions of objects that name versions which left long ago."""
+        now = self._clock.monotonic()
+        if not (self._hooks.is_view_fresh() and self._history.is_complete(now)):
+            return {}
+        listing = await self._objects.list(STREAMS_KIND)
+        if isinstance(listing, Err):
+            return {}
+        recent = {row.origin for row in self._history.list_rows(now)}
+        wall = self._clock.now()
+        return {
+            stored.name: stored.version
+            for stored in listing.ok_value.items
+            for row in decode_published(stored.body, wall, now).versions
+            if stored.name != self._fleet.host and row.origin not in recent
+        }
+
     def publish_again(self) -> None:
         """Publish what a restored store may lack."""
         self._object.version = None
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -90,28 +90,31 @@
         for origin in present | self._present if has_changed else present:
             self.record(origin, now)
         self._present = present
-        return self._forget_left(now) or has_changed
+        return has_changed
 
-    def _forget_left(self, now: timedelta) -> bool:
+    def forget_left(self, now: timedelta) -> bool:
         """Drop the versions that began no open stream; return whether there are any.
 
         A row that was read counts from then on, so an old one must not stay published.
         """
-        left, _ = (
-            _drop_ended(seen_at, now) for seen_at in (self._seen_at, self._heard_at)
-        )
-        return left
+        has_left = _drop_ended(self._seen_at, now)
+        _drop_ended(self._heard_at, now)
+        return has_left
 
     def record(self, origin: ServiceVersion, at: timedelta) -> None:
         """Record that a version was in use at a time."""
         _record_latest(self._seen_at, origin, at)
 
+    def is_complete(self, now: timedelta) -> bool:
+        """Return whether it holds each version that may have begun an open stream."""
+        return self._complete_at is not None and self._complete_at <= now
+
     def find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
         """Return the version that began each open stream of a service.
 
         Return None if it may be one of several.
         """
-        if self._complete_at is None or now < self._complete_at:
+        if not self.is_complete(now):
             return None
         found = {
             origin
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -403,6 +403,7 @@
                 "check of routes": self.poller.poll,
                 "upkeep": self._run_upkeep,
                 "streams": self.origins.run_publishing,
+                "streams of lost hosts": self.origins.run_removal,
             }
         )
 
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -49,6 +49,13 @@
             return Err(Failure(FailureCause.UNAVAILABLE))
         return self.objects.write(name, body, if_version)
 
+    async def delete(self, kind, name, if_version):
+        await asyncio.sleep(0)
+        if self.objects.objects[name].version != if_version:
+            return Err(Failure(FailureCause.CONFLICT))
+        del self.objects.objects[name]
+        return Ok(None)
+
     async def list(self, kind, *, stale=False):
         self.lists += 1
         await asyncio.sleep(0)
@@ -653,3 +660,65 @@
             return [await host.sharing.resolve(n, SERVICES) for n in (1, 2)]
 
         self.assertEqual([Ok(NEW), Ok(NEW)], asyncio.run(scenario()))
+
+
+class TestRemoval(OriginCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(origin_sharing, "REMOVAL_DELAY", 20 * MS)
+
+    def remove(self, host, change=lambda: None):
+        """Return the names of the objects some time after a version has left.
+
+        ``change`` is called between the two looks at the objects.
+        """
+
+        async def scenario():
+            await host.publish()
+            removing = asyncio.create_task(host.sharing.run_removal())
+            host.clock.advance(STREAM_LIFETIME)
+            host.sharing.observe()
+            await asyncio.sleep(0.03)
+            change()
+            await asyncio.sleep(0.1)
+            removing.cancel()
+            return set(host.store.objects.objects)
+
+        return asyncio.run(scenario())
+
+    def test_lost_an_object_of_a_host_that_is_gone_makes_each_start_uncertain(self):
+        # Take-ups that are recorded nowhere were refused for a minute.
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        self.remove(host)
+        restarted = FakeHost(
+            "v1.1", store=host.store, clock=host.clock, is_first_start=False
+        )
+
+        async def scenario():
+            await restarted.publish()
+            return await restarted.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(NEW), asyncio.run(scenario()))
+
+    def test_an_object_that_is_still_written_stays(self):
+        host = FakeHost("v1.1")
+        rows = (VersionRow(OLD, None),)
+        host.store.publish("gone", host.clock, (), rows)
+        host.store.publish("host-2", host.clock, (), rows)
+        names = self.remove(
+            host, lambda: host.store.publish("host-2", host.clock, (), rows)
+        )
+        self.assertEqual({"host-1", "host-2"}, names)
+
+    def test_an_object_that_names_versions_in_service_stays(self):
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        host.store.publish("host-2", host.clock, (), (VersionRow(NEW, None),))
+        self.assertEqual({"host-1", "host-2"}, self.remove(host))
+
+    def test_a_host_without_updates_of_the_store_removes_nothing(self):
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        host.is_view_fresh = False
+        self.assertEqual({"gone", "host-1"}, self.remove(host))
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import time
+from datetime import timedelta
 
 from testtools import TestCase
 
 from experiments.soak.stream_clients import list_events, list_versions
+from galenapass.forwarding import origin_sharing, service_versions
 from stand_ins.platform_routes import CONFIGURATION, make_route
 from stand_ins.runner import EVENTS, SIGNATURE, Runner
 from tests.platform_fleet import run
@@ -432,3 +434,29 @@
                 self.assertEqual(503, taken_up[1])
 
         self.play(scenario, more_decode=0, versions=ONE_OF_EACH)
+
+
+class TestLostHosts(VersionsCase):
+    def test_what_a_lost_host_wrote_of_an_older_version_is_removed(self):
+        for module, name in (
+            (origin_sharing, "REMOVAL_DELAY"),
+            (origin_sharing, "REMOVAL_PERIOD"),
+            (service_versions, "STREAM_LIFETIME"),
+        ):
+            self.patch(module, name, timedelta(seconds=1))
+
+        async def scenario(fleet):
+            row = [["lm", "v0"], None]
+            published = {"written_at": time.time(), "versions": [row], "streams": []}
+            fleet.store.put("streams", "gone", published)
+            # A host that starts to schedule reads it.
+            origins = fleet.daemon.origins
+            removing = asyncio.create_task(origins.run_publishing())
+            await fleet.wait_for(lambda: origins.needs_records)
+            await fleet.wait_for(lambda: "gone" not in fleet.store.objects["streams"])
+            removing.cancel()
+            names = set(fleet.store.objects["streams"])
+            self.assertEqual({fleet.settings.host}, names)
+            await fleet.wait_for(lambda: not origins.needs_records)
+
+        run(scenario, versions={"d1": "v1", "d2": "v1"})
