--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -32,6 +32,7 @@
     STREAM_LIFETIME,
     ServiceVersion,
     VersionHistory,
+    VersionRow,
 )
 from galenapass.forwarding.stream_origins import StreamOrigins, StreamRecord
 from galenapass.logs import make_log
@@ -41,11 +42,12 @@
 __all__ = ["STREAMS_KIND", "OriginHooks", "OriginSharing"]
 
 STREAMS_KIND = "streams"
-# Streams that begin within this time share a datagram.
-SHARE_DELAY = timedelta(milliseconds=10)
-# Streams that begin within this time share a write. What is not written when all hosts
-# are lost is not known afterwards; a stream lasts a few tenths of a second.
-PUBLISH_DELAY = timedelta(milliseconds=100)
+# Least time from one notice to the next. What was not told when a host is lost is not
+# known afterwards, so the first stream after a pause is told at once.
+SHARE_INTERVAL = timedelta(milliseconds=10)
+# The same from one write to the next, for the loss of all hosts; a stream lasts a few
+# tenths of a second.
+PUBLISH_INTERVAL = timedelta(milliseconds=100)
 # An object of the store holds 1 MB, a record takes up to 30 bytes of it.
 MAX_PUBLISHED = 16_384
 # Pause after the store did not answer.
@@ -53,8 +55,12 @@
 # The store is read this often for a stream that is not known: the host where it began
 # may be about to publish it. Each wait for the store is bounded.
 READS = 2
-READ_INTERVAL = PUBLISH_DELAY + timedelta(milliseconds=50)
+READ_INTERVAL = PUBLISH_INTERVAL + timedelta(milliseconds=50)
 READ_TIMEOUT = timedelta(milliseconds=500)
+# An object that was not written for this long holds no open stream.
+REMOVAL_DELAY = STREAM_LIFETIME
+# Pause between two looks for objects of hosts that are gone.
+REMOVAL_PERIOD = timedelta(minutes=10)
 OBSERVE_PERIOD = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(milliseconds=500)
 
@@ -114,8 +120,13 @@
         self._own: dict[int, None] = {}
         self._untold: dict[int, None] = {}
         self._is_flush_due = False
+        self._flushed_at = timedelta(0)
         self._is_loaded = False
+        # Versions of the hosts' objects that were read last; those of hosts that are
+        # gone name versions that left long ago.
+        self._read_versions: dict[str, int] = {}
         self._to_publish = asyncio.Event()
+        self._to_remove = asyncio.Event()
         self._read_task: asyncio.Task[bool] | None = None
         self._read_at = timedelta(0)
         self._routes_version = 0
@@ -209,13 +220,19 @@
             self._flush_soon()
 
     def _flush_soon(self) -> None:
-        if not self._is_flush_due:
-            self._is_flush_due = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(SHARE_DELAY.total_seconds(), self._flush)
+        if self._is_flush_due:
+            return
+        pause = self._flushed_at + SHARE_INTERVAL - self._clock.monotonic()
+        if pause <= timedelta(0):
+            self._flush()
+            return
+        self._is_flush_due = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause.total_seconds(), self._flush)
 
     def _flush(self) -> None:
         self._is_flush_due = False
+        self._flushed_at = self._clock.monotonic()
         streams, self._untold = self._untold, {}
         for notice in split_notice(
             self._origins.select(streams, self._clock.monotonic())
@@ -240,6 +257,9 @@
         self._observe_routes(now)
         if self._history.observe(self._fleet.targets.values(), now):
             self._to_publish.set()
+        if self._history.forget_left(now):
+            self._to_publish.set()
+            self._to_remove.set()
         self._set_need(
             any(self._find_only(name, now) is None for name in self._services)
         )
@@ -276,14 +296,51 @@
         self._history.restart()
         while not await self._read():
             await asyncio.sleep(RETRY_DELAY.total_seconds())
+        published_at = self._clock.monotonic()
         while True:
             await self._to_publish.wait()
-            await asyncio.sleep(PUBLISH_DELAY.total_seconds())
+            pause = published_at + PUBLISH_INTERVAL - self._clock.monotonic()
+            await asyncio.sleep(max(pause.total_seconds(), 0))
             self._to_publish.clear()
+            published_at = self._clock.monotonic()
             if not await self._publish():
                 self._to_publish.set()
                 await asyncio.sleep(RETRY_DELAY.total_seconds())
 
+    async def run_removal(self) -> None:
+        """Remove what hosts that are gone have published, until cancelled.
+
+        The versions that they name would make each scheduler that starts uncertain.
+        """
+        while True:
+            await self._to_remove.wait()
+            self._to_remove.clear()
+            before = await self._find_stale()
+            if before:
+                await asyncio.sleep(REMOVAL_DELAY.total_seconds())
+                unchanged = before.items() & (await self._find_stale()).items()
+                for host, version in unchanged:
+                    removed = await self._objects.delete(STREAMS_KIND, host, version)
+                    _log("object of a host is removed", host=host, done=removed.is_ok())
+            await asyncio.sleep(REMOVAL_PERIOD.total_seconds())
+
+    async def _find_stale(self) -> dict[str, int]:
+        """Return the versions of objects that name versions which left long ago."""
+        now = self._clock.monotonic()
+        if not (self._hooks.is_view_fresh() and self._history.is_complete(now)):
+            return {}
+        listing = await self._objects.list(STREAMS_KIND)
+        if isinstance(listing, Err):
+            return {}
+        recent = {row.origin for row in self._history.list_rows(now)}
+        wall = self._clock.now()
+        return {
+            stored.name: stored.version
+            for stored in listing.ok_value.items
+            for row in decode_published(stored.body, wall, now).versions
+            if stored.name != self._fleet.host and row.origin not in recent
+        }
+
     def publish_again(self) -> None:
         """Publish what a restored store may lack."""
         self._object.version = None
@@ -343,10 +400,15 @@
             if host == self._fleet.host and not self._is_loaded:
                 # The next write replaces what this host wrote before its start.
                 self._add_own([r.stream for r in origins.records], must_tell=False)
-        rows = [row for origins in published.values() for row in origins.versions]
-        self._history.add_unseen(rows, now)
-        if not self._is_loaded:
+        versions = {stored.name: stored.version for stored in listing.items}
+        changed = versions.items() - self._read_versions.items()
+        self._read_versions = versions
+        if self._is_loaded:
+            hosts = {name for name, _ in changed} - {self._fleet.host}
+            self._history.hear(_gather_rows(published, hosts), now)
+        else:
             self._is_loaded = True
+            rows = _gather_rows(published, published)
             self._history.load(rows, now, is_first_start=self._is_first_start)
             self._is_first_start = False
             for stored in listing.items:
@@ -356,6 +418,13 @@
         self.observe()
 
 
+def _gather_rows(
+    published: Mapping[str, PublishedOrigins], hosts: Iterable[str]
+) -> list[VersionRow]:
+    """Return the versions that some hosts saw."""
+    return [row for host in hosts for row in published[host].versions]
+
+
 _UNKNOWN_ORIGIN = Verdict(
     Run.NOT_RUN,
     Reason.NO_TARGET,
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ANOTHER_SERVICE",
     "STREAM_LIFETIME",
+    "UNNAMED_VERSION",
     "ServiceVersion",
     "VersionHistory",
     "VersionRow",
@@ -18,6 +19,8 @@
 STREAM_LIFETIME = timedelta(seconds=60)
 # In place of a version: open streams of a route to the service began at another one.
 ANOTHER_SERVICE = "another service"
+# In place of a version: builds that know no versions name none in what they grant.
+UNNAMED_VERSION = "unnamed version"
 # Far more versions than serve within the lifetime of a stream.
 MAX_VERSIONS = 4096
 
@@ -45,14 +48,15 @@
     or after the lifetime of a stream.
     """
 
-    __slots__ = ("_complete_at", "_known", "_present", "_seen_at")
+    __slots__ = ("_complete_at", "_heard_at", "_present", "_seen_at")
 
     def __init__(self) -> None:
         self._complete_at: timedelta | None = None
-        # All versions that were ever recorded, also those that have left.
-        self._known: dict[ServiceVersion, None] = {}
         self._present: frozenset[ServiceVersion] = frozenset()
         self._seen_at: dict[ServiceVersion, timedelta] = {}
+        # What other hosts wrote is not written again: two hosts that read of each
+        # other would never forget a version.
+        self._heard_at: dict[ServiceVersion, timedelta] = {}
 
     def restart(self) -> None:
         """Begin again after a time in which the targets were not followed."""
@@ -73,14 +77,11 @@
         for row in rows:
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
-    def add_unseen(self, rows: Iterable[VersionRow], now: timedelta) -> None:
-        """Record the versions that this host has never seen, as in use now.
-
-        Objects of hosts that are gone name versions that left long ago.
-        """
+    def hear(self, rows: Iterable[VersionRow], now: timedelta) -> None:
+        """Add what another host has written lately, like ``load``."""
         for row in rows:
-            if row.origin not in self._known and row.left_at is None:
-                self.record(row.origin, now)
+            at = now if row.left_at is None else row.left_at
+            _record_latest(self._heard_at, row.origin, at)
 
     def observe(self, targets: Iterable[Target], now: timedelta) -> bool:
         """Record the versions of the known targets; return whether the rows changed."""
@@ -89,44 +90,39 @@
         for origin in present | self._present if has_changed else present:
             self.record(origin, now)
         self._present = present
-        return self._forget_left(now) or has_changed
+        return has_changed
 
-    def _forget_left(self, now: timedelta) -> bool:
+    def forget_left(self, now: timedelta) -> bool:
         """Drop the versions that began no open stream; return whether there are any.
 
         A row that was read counts from then on, so an old one must not stay published.
         """
-        left = [
-            origin
-            for origin, seen_at in self._seen_at.items()
-            if now - seen_at >= STREAM_LIFETIME
-        ]
-        for origin in left:
-            del self._seen_at[origin]
-        return bool(left)
+        has_left = _drop_ended(self._seen_at, now)
+        _drop_ended(self._heard_at, now)
+        return has_left
 
     def record(self, origin: ServiceVersion, at: timedelta) -> None:
         """Record that a version was in use at a time."""
-        latest = max(at, self._seen_at.pop(origin, at))
-        self._seen_at[origin] = latest
-        self._known[origin] = None
-        for versions in (self._seen_at, self._known):
-            while len(versions) > MAX_VERSIONS:
-                del versions[next(iter(versions))]
+        _record_latest(self._seen_at, origin, at)
+
+    def is_complete(self, now: timedelta) -> bool:
+        """Return whether it holds each version that may have begun an open stream."""
+        return self._complete_at is not None and self._complete_at <= now
 
     def find_only(self, service: str, now: timedelta) -> ServiceVersion | None:
         """Return the version that began each open stream of a service.
 
         Return None if it may be one of several.
         """
-        if self._complete_at is None or now < self._complete_at:
+        if not self.is_complete(now):
             return None
-        found = [
+        found = {
             origin
-            for origin, seen_at in self._seen_at.items()
+            for times in (self._seen_at, self._heard_at)
+            for origin, seen_at in times.items()
             if origin.service == service and now - seen_at < STREAM_LIFETIME
-        ]
-        return found[0] if len(found) == 1 else None
+        }
+        return found.pop() if len(found) == 1 else None
 
     def list_rows(self, now: timedelta) -> list[VersionRow]:
         """Return the versions that may have begun an open stream."""
@@ -135,3 +131,20 @@
             for origin, seen_at in self._seen_at.items()
             if origin in self._present or now - seen_at < STREAM_LIFETIME
         ]
+
+
+def _record_latest(
+    times: dict[ServiceVersion, timedelta], origin: ServiceVersion, at: timedelta
+) -> None:
+    """Record that a version was in use at a time, if that is the latest so far."""
+    times[origin] = max(at, times.pop(origin, at))
+    while len(times) > MAX_VERSIONS:
+        del times[next(iter(times))]
+
+
+def _drop_ended(times: dict[ServiceVersion, timedelta], now: timedelta) -> bool:
+    """Drop the versions that began no open stream; return whether there are any."""
+    ended = [name for name, at in times.items() if now - at >= STREAM_LIFETIME]
+    for name in ended:
+        del times[name]
+    return bool(ended)
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -49,6 +49,13 @@
             return Err(Failure(FailureCause.UNAVAILABLE))
         return self.objects.write(name, body, if_version)
 
+    async def delete(self, kind, name, if_version):
+        await asyncio.sleep(0)
+        if self.objects.objects[name].version != if_version:
+            return Err(Failure(FailureCause.CONFLICT))
+        del self.objects.objects[name]
+        return Ok(None)
+
     async def list(self, kind, *, stale=False):
         self.lists += 1
         await asyncio.sleep(0)
@@ -125,7 +132,12 @@
 class OriginCase(TestCase):
     def setUp(self):
         super().setUp()
-        for name in ("SHARE_DELAY", "PUBLISH_DELAY", "RETRY_DELAY", "READ_INTERVAL"):
+        for name in (
+            "SHARE_INTERVAL",
+            "PUBLISH_INTERVAL",
+            "RETRY_DELAY",
+            "READ_INTERVAL",
+        ):
             self.patch(origin_sharing, name, 1 * MS)
         self.patch(origin_queries, "REPLY_TIMEOUT", 50 * MS)
 
@@ -298,6 +310,42 @@
         self.assertEqual([record], list(published.records))
         self.assertEqual([False, True], host.needs)
 
+    def test_a_host_that_is_lost_right_after_a_first_event_has_told_its_stream(self):
+        self.patch(origin_sharing, "SHARE_INTERVAL", 20 * MS)
+        host = FakeHost("v1", "v1.1")
+        host.clock.advance(SECOND)
+
+        async def scenario():
+            host.record(1, OLD)
+            at_once = list(host.shared)
+            for stream in (2, 3):
+                host.record(stream, NEW)
+            soon = list(host.shared)
+            await asyncio.sleep(0.05)
+            return at_once, soon
+
+        first = StreamNotice((StreamRecord(1, OLD, 9 * SECOND),))
+        at_once, soon = asyncio.run(scenario())
+        self.assertEqual(([first], [first]), (at_once, soon))
+        more = tuple(StreamRecord(stream, NEW, 9 * SECOND) for stream in (2, 3))
+        self.assertEqual([first, StreamNotice(more)], host.shared)
+
+    def test_the_first_stream_after_a_pause_is_published_at_once(self):
+        host = FakeHost("v1", "v1.1")
+
+        async def scenario():
+            await host.publish()
+            self.patch(origin_sharing, "PUBLISH_INTERVAL", 60 * SECOND)
+            host.clock.advance(60 * SECOND)
+            host.record(1, OLD)
+            await host.publish()
+            host.record(2, OLD)
+            await host.publish()
+            return host.store.read_published("host-1", host.clock)
+
+        published = asyncio.run(scenario())
+        self.assertEqual([1], [record.stream for record in published.records])
+
     def test_what_a_client_of_this_host_tells_is_passed_on_and_published(self):
         host = FakeHost("v1", "v1.1")
         notice = StreamNotice((StreamRecord(1, NEW, 8 * SECOND),))
@@ -543,6 +591,64 @@
         self.assertEqual(Ok(OLD), known)
         self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
 
+    def resolve_later(self, host, rows):
+        """Resolve streams long after the start, as another host publishes rows."""
+
+        async def scenario():
+            await host.publish()
+            host.clock.advance(2 * STREAM_LIFETIME)
+            host.sharing.observe()
+            before = await host.sharing.resolve(1, SERVICES)
+            # This host was cut off from the store for a moment.
+            host.store.publish("host-2", host.clock, (), rows(host.clock.monotonic()))
+            return before, await host.sharing.resolve(2, SERVICES)
+
+        return asyncio.run(scenario())
+
+    def test_order_a_version_came_and_left_while_a_host_was_cut_off(self):
+        before, after = self.resolve_later(
+            FakeHost("v1"),
+            lambda now: (VersionRow(OLD, None), VersionRow(NEW, now - 2 * SECOND)),
+        )
+        self.assertEqual(Ok(OLD), before)
+        self.assertIs(Run.NOT_RUN, after.unwrap_err().run)
+
+    def test_order_a_known_version_came_back_while_a_host_was_cut_off(self):
+        host = FakeHost("v1", "v1.1")
+        host.sharing.observe()
+        host.set_versions("v1")
+        before, after = self.resolve_later(
+            host, lambda now: (VersionRow(OLD, None), VersionRow(NEW, None))
+        )
+        self.assertEqual(Ok(OLD), before)
+        self.assertIs(Run.NOT_RUN, after.unwrap_err().run)
+
+    def test_lost_two_hosts_keep_a_version_that_has_left_in_memory(self):
+        # Each would read of the other, a little later, when it left.
+        clock, store = ManualClock(), FakeStore()
+        hosts = [
+            FakeHost("v1", "v1.1", name=name, store=store, clock=clock)
+            for name in ("host-1", "host-2")
+        ]
+
+        async def scenario():
+            for host in hosts:
+                await host.publish()
+            for host in hosts:
+                host.set_versions("v1")
+                host.sharing.observe()
+            found = []
+            for second in range(70):
+                clock.advance(SECOND)
+                for host in hosts:
+                    host.record(100 + second, OLD)
+                    host.sharing.observe()
+                    found = [*found[-1:], await host.sharing.resolve(1, SERVICES)]
+                await asyncio.sleep(0.01)
+            return found
+
+        self.assertEqual([Ok(OLD)] * 2, asyncio.run(scenario()))
+
     def test_lost_an_object_of_a_host_that_is_gone_makes_its_version_new_again(self):
         host = FakeHost("v1.1")
         host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
@@ -554,3 +660,65 @@
             return [await host.sharing.resolve(n, SERVICES) for n in (1, 2)]
 
         self.assertEqual([Ok(NEW), Ok(NEW)], asyncio.run(scenario()))
+
+
+class TestRemoval(OriginCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(origin_sharing, "REMOVAL_DELAY", 20 * MS)
+
+    def remove(self, host, change=lambda: None):
+        """Return the names of the objects some time after a version has left.
+
+        ``change`` is called between the two looks at the objects.
+        """
+
+        async def scenario():
+            await host.publish()
+            removing = asyncio.create_task(host.sharing.run_removal())
+            host.clock.advance(STREAM_LIFETIME)
+            host.sharing.observe()
+            await asyncio.sleep(0.03)
+            change()
+            await asyncio.sleep(0.1)
+            removing.cancel()
+            return set(host.store.objects.objects)
+
+        return asyncio.run(scenario())
+
+    def test_lost_an_object_of_a_host_that_is_gone_makes_each_start_uncertain(self):
+        # Take-ups that are recorded nowhere were refused for a minute.
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        self.remove(host)
+        restarted = FakeHost(
+            "v1.1", store=host.store, clock=host.clock, is_first_start=False
+        )
+
+        async def scenario():
+            await restarted.publish()
+            return await restarted.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(NEW), asyncio.run(scenario()))
+
+    def test_an_object_that_is_still_written_stays(self):
+        host = FakeHost("v1.1")
+        rows = (VersionRow(OLD, None),)
+        host.store.publish("gone", host.clock, (), rows)
+        host.store.publish("host-2", host.clock, (), rows)
+        names = self.remove(
+            host, lambda: host.store.publish("host-2", host.clock, (), rows)
+        )
+        self.assertEqual({"host-1", "host-2"}, names)
+
+    def test_an_object_that_names_versions_in_service_stays(self):
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        host.store.publish("host-2", host.clock, (), (VersionRow(NEW, None),))
+        self.assertEqual({"host-1", "host-2"}, self.remove(host))
+
+    def test_a_host_without_updates_of_the_store_removes_nothing(self):
+        host = FakeHost("v1.1")
+        host.store.publish("gone", host.clock, (), (VersionRow(OLD, None),))
+        host.is_view_fresh = False
+        self.assertEqual({"gone", "host-1"}, self.remove(host))
