Count only waiting and work as patience in the tests of resumed streams

Looked for first: a wake-up that is lost, or a wrong verdict of the relay.

The caller, the daemon and its target share the test's process, so a stop of it is no target's silence. The two generated tests run in a loop whose time is what it waited for events and what its thread worked, without garbage collections, and the daemon reads its deadline from that clock. The 5 s stay: a lost wake-up and a loop that spins still end in 504, each shown by a test. Not seen there any more is a call that blocks the loop without work; the other tests of this path keep the ordinary loop.

Test: test_504_a_process_that_is_stopped_has_not_waited fails in an ordinary loop with "MismatchError: 200 != 504".

--- a/tests/callers_fakes.py
+++ b/tests/callers_fakes.py
@@ -241,13 +241,16 @@
 class Harness:
     """Callers' application with fake collaborators."""
 
-    def __init__(self, routes=(), limits=None, patience=timedelta(seconds=5)):
+    def __init__(
+        self, routes=(), limits=None, patience=timedelta(seconds=5), clock=None
+    ):
         self.dispatcher = FakeDispatcher(routes)
         self.claims = FakeClaims()
         self.daemon_view = FakeDaemonView()
         self.limits = limits or Limits()
         self.streams = OpenStreams(self.limits)
         self.patience = patience
+        self.clock = clock or SystemClock()
         self.url = ""
 
     @contextlib.asynccontextmanager
@@ -258,7 +261,7 @@
             self.dispatcher,
             self.claims,
             self.daemon_view,
-            SystemClock(),
+            self.clock,
             self.limits,
             find_urgency=lambda caller, now, zone: (Urgency.NORMAL, self.patience),
             engines=engines,
--- a/tests/test_callers_streams.py
+++ b/tests/test_callers_streams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import time
+from datetime import timedelta
 
 import aiohttp
 import orjson
@@ -25,6 +27,7 @@
     route_to,
     serve,
 )
+from tests.patient_loops import LoopClock, run_patiently
 
 TOKENS = 6
 EVENT_NUMBERS = st.integers(0, TOKENS + 1)
@@ -49,6 +52,15 @@
 )
 
 
+async def wait_for_ever(request):
+    await asyncio.Event().wait()
+
+
+async def spin(request):
+    while True:
+        await asyncio.sleep(0)
+
+
 async def post_completion(harness, stream=True, **headers):
     body = {**BODY, "stream": stream}
     async with (
@@ -69,11 +81,41 @@
             yield harness, engine
 
 
+class TestPatience(TestCase):
+    """What counts as waiting in the tests that follow."""
+
+    def complete(self, handler):
+        async def check():
+            settings = {"clock": LoopClock(), "patience": timedelta(seconds=0.5)}
+            async with run_harness(handler, **settings) as (harness, _):
+                status, _, _ = await post_completion(harness)
+                return status
+
+        return run_patiently(check())
+
+    def test_a_wake_up_that_is_lost_ends_at_the_deadline(self):
+        self.assertEqual(504, self.complete(wait_for_ever))
+
+    def test_a_loop_that_does_not_come_to_an_end_ends_at_the_deadline(self):
+        self.assertEqual(504, self.complete(spin))
+
+    def test_504_a_process_that_is_stopped_has_not_waited(self):
+        # A whole CI beside other work: "no answer began in time" after 5 s.
+        async def stop(request):
+            time.sleep(1.0)
+            return await make_stream_handler(TOKENS)(request)
+
+        self.assertEqual(200, self.complete(stop))
+
+
 class TestResume(TestCase):
     @given(st.lists(FAILING_HANDLERS, max_size=4), COMPLETE_HANDLERS)
     def test_every_token_comes_once(self, failures, complete_handler):
         async def check():
-            async with run_harness(*failures, complete_handler) as (harness, engine):
+            async with run_harness(*failures, complete_handler, clock=LoopClock()) as (
+                harness,
+                engine,
+            ):
                 status, body, _ = await post_completion(harness)
                 self.assertEqual((200, make_complete_stream(TOKENS)), (status, body))
                 self.assertEqual(
@@ -82,7 +124,7 @@
                 self.assertEqual(1, harness.dispatcher.first_tokens)
                 self.assertEqual(0, harness.streams.requests)
 
-        asyncio.run(check())
+        run_patiently(check())
 
     def test_each_resumed_attempt_is_recorded(self):
         async def check():
@@ -99,7 +141,10 @@
     @given(st.lists(FAILING_HANDLERS, max_size=2), COMPLETE_HANDLERS)
     def test_one_answer_is_assembled(self, failures, complete_handler):
         async def check():
-            async with run_harness(*failures, complete_handler) as (harness, _):
+            async with run_harness(*failures, complete_handler, clock=LoopClock()) as (
+                harness,
+                _,
+            ):
                 status, body, headers = await post_completion(harness, stream=False)
                 self.assertEqual(200, status)
                 self.assertEqual("application/json", headers["Content-Type"])
@@ -109,7 +154,7 @@
                 self.assertEqual("stop", answer["choices"][0]["finish_reason"])
                 self.assertEqual(TOKENS, answer["usage"]["completion_tokens"])
 
-        asyncio.run(check())
+        run_patiently(check())
 
     def test_an_http_1_0_caller_gets_an_unchunked_stream(self):
         async def check():
