Test further ways of a stream to a second target

A stream whose version has only targets left that refuse it, a route that a configuration splits anew between two tries (its service has left, or has a weight of 1 in 1,001), and the time to retry of a take-up that is refused.

--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -18,6 +18,7 @@
 VERSIONS = {"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v2"}
 THREE_VERSIONS = VERSIONS | {"d5": "v3", "d6": "v3"}
 ONE_OF_EACH = {"d1": "v1", "d2": "v2"}
+TWO_SERVICES = {"d1": "v1", "d2": "v1", "d8": "v1", "d9": "v1"}
 TWO_HOSTS = ("zone-a", "zone-b")
 STREAMS = 24
 # Streams at a time; a target that breaks several off at once gets no more for a while.
@@ -29,6 +30,26 @@
 UNKNOWN = "never-sent"
 
 
+def split_route(**weights):
+    """Return a configuration whose route leads to services by weight."""
+    split = [{"service": name, "weight": each} for name, each in weights.items()]
+    route = make_route("/notes/", "streaming", "", resumable=True)
+    engine = {"kv_tokens": 500_000, "reconfig_s": 0.1}
+    return CONFIGURATION | {
+        "routes": [route | {"traffic_split": split}],
+        "services": [{"name": name, "engine": engine} for name in ("lm", "lm2")],
+    }
+
+
+def make_other_service():
+    """Return the targets of a second service of the route."""
+    return [
+        Runner("e3", "lm2", stage="prefill"),
+        Runner("d8", "lm2", stage="decode"),
+        Runner("d9", "lm2", stage="decode"),
+    ]
+
+
 async def repeat(send, count=STREAMS):
     """Return the results of ``count`` calls, a few at a time."""
     free = asyncio.Semaphore(CONCURRENT)
@@ -137,6 +158,20 @@
     def test_order_a_stream_is_joined_with_an_entry_without_a_version(self):
         self.check_answers(versions={"d1": None, "d2": "v1"})
 
+    def test_order_a_stream_goes_on_at_another_version_as_its_own_refuses(self):
+        async def scenario(fleet):
+            for runner in (fleet.decode, fleet.second_decode):
+                runner.faults.break_after = 2
+            for runner in fleet.more_decode:
+                runner.faults.shed = True
+            answers = await repeat(lambda n: fleet.send_stream(f"/notes/{n}"))
+            bodies = [body for *_, body, _ in answers]
+            self.assertEqual([], list_joined(bodies))
+            begun = {name for body in bodies for name in list_versions(body)}
+            self.assertEqual({"lm-v1", "lm-v2"}, begun)
+
+        run(scenario, more_decode=2, versions=VERSIONS)
+
     def test_order_a_stream_goes_on_at_a_version_that_was_prepared_before_it(self):
         # The first target is silent while the next send is prepared, brings an event
         # and is silent again, or breaks off.
@@ -216,23 +251,58 @@
         self.check_take_ups(share=0.0, more_decode=2, versions=versions)
 
     def test_order_a_client_takes_a_stream_up_at_another_service(self):
-        split = [{"service": name, "weight": 1} for name in ("lm", "lm2")]
-        route = make_route("/notes/", "streaming", "", resumable=True)
-        engine = {"kv_tokens": 500_000, "reconfig_s": 0.1}
-        configuration = CONFIGURATION | {
-            "routes": [route | {"traffic_split": split}],
-            "services": [{"name": name, "engine": engine} for name in ("lm", "lm2")],
-        }
-        others = [
-            Runner("e3", "lm2", stage="prefill"),
-            Runner("d8", "lm2", stage="decode"),
-            Runner("d9", "lm2", stage="decode"),
-        ]
-        versions = {"d1": "v1", "d2": "v1", "d8": "v1", "d9": "v1"}
         self.check_take_ups(
-            configuration=configuration, more_runners=others, versions=versions
+            configuration=split_route(lm=1, lm2=1),
+            more_runners=make_other_service(),
+            versions=TWO_SERVICES,
         )
 
+    def check_changed_split(self, check, **weights):
+        """Check a take-up after a configuration that splits the route anew."""
+
+        async def scenario(fleet):
+            begun = [
+                (path, *await begin(fleet, path))
+                for path in (f"/notes/{number}" for number in range(6))
+            ]
+            changed = split_route(**weights) | {"version": 9}
+            fleet.store.put("config", "main", changed)
+            tables = [daemon.fleet for daemon in fleet.daemons]
+            await fleet.wait_for(lambda: all(t.routes.version == 9 for t in tables))
+            for path, attempt, _, body in begun:
+                self.assertEqual(["lm-v1"], list_versions(body))
+                taken_up = await take_up(fleet, path, body, Resumes=attempt)
+                self.check_fits(body, taken_up)
+                check(fleet, taken_up)
+
+        self.play(
+            scenario,
+            more_decode=0,
+            configuration=split_route(lm=1),
+            more_runners=make_other_service(),
+            versions=TWO_SERVICES,
+        )
+
+    def test_order_a_route_leads_to_another_service_between_two_tries(self):
+        self.check_changed_split(self.check_refused, lm2=1)
+
+    def test_order_a_route_leads_mostly_to_another_service_between_two_tries(self):
+        def check_whole(fleet, taken_up):
+            self.assertEqual(ALL_EVENTS[2:], list_events(taken_up[2]))
+
+        self.check_changed_split(check_whole, lm=1, lm2=1000)
+
+    def test_a_stream_that_cannot_go_on_is_refused_with_a_time_to_retry(self):
+        async def scenario(fleet):
+            for host in (0, 1):
+                status, _, headers = await fleet.send(
+                    "/notes/1", "POST", host=host, Resumes=UNKNOWN, Last_Event_Id="2"
+                )
+                self.assertEqual(503, status)
+                self.assertIn("Retry-After", headers)
+
+        self.play(scenario)
+
     def play(self, scenario, **options):
         """Run a scenario with two hosts and two targets of two versions."""
 
