--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -506,6 +506,25 @@
         self.play(scenario, more_decode=0, versions=ONE_OF_EACH)
 
 
+class TestBriefVersions(VersionsCase):
+    def test_order_a_version_that_comes_and_goes_at_once_is_not_counted(self):
+        self.patch(service_versions, "STREAM_LIFETIME", timedelta(seconds=2))
+
+        async def scenario(fleet):
+            origins = fleet.daemon.origins
+            await fleet.wait_for(lambda: not origins.needs_records)
+            entry = fleet.decode.entry(version="v2", born=7)
+            fleet.store.put("servers", "d9", entry)
+            fleet.store.remove("servers", "d9")
+            await fleet.wait_for(lambda: origins.needs_records)
+            taken_up = await take_up(
+                fleet, "/notes/1", b"", 0, Resumes=UNKNOWN, Last_Event_Id="2"
+            )
+            self.check_refused(fleet, taken_up)
+
+        run(scenario, versions={"d1": "v1", "d2": "v1"})
+
+
 class TestLostHosts(VersionsCase):
     def test_what_a_lost_host_wrote_of_an_older_version_is_removed(self):
         for module, name in (
