Find a failure of the next send that comes as its time ends

What callers would see: a stream cut, as its silent target is given up for a next one whose refusal has come already.

A time-out of limit_silence cancels the wait although what is awaited may be done in the same pass of the event loop; asyncio.wait with a time returned it. find_failure then reported no failure.

The wait for a scheduler's reply has the same race and loses nothing by it: a host that replied counts as responsive, so its reply is read next.

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -1,6 +1,7 @@
 """Run a request at one target and relay its response to the client."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, replace
@@ -74,10 +75,11 @@
 
     async def find_failure(self, within: timedelta) -> Verdict | None:
         """Return how the request failed, None if it has not within a time."""
-        try:
+        with contextlib.suppress(TimeoutError):
             async with limit_silence(within):
                 await asyncio.wait((self._opening,))
-        except TimeoutError:
+        # It may fail in the pass of the event loop that ends the wait.
+        if not self._opening.done():
             return None
         opened = self._opening.result()
         return opened.err_value if isinstance(opened, Err) else _check(opened.ok_value)
--- /dev/null
+++ b/tests/test_forwarding_exchanges.py
@@ -0,0 +1,40 @@
+"""Check how a next send is awaited while the silent target still works."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from result import Err
+from testtools import TestCase
+
+from galenapass.forwarding.sending import Exchange
+from galenapass.verdicts import Reason, Run, Verdict
+
+REFUSAL = Verdict(Run.NOT_RUN, Reason.TARGET_REFUSED, "full")
+TICK_SECONDS = 0.025
+
+
+def open_exchange(opened):
+    """Return an exchange that is open once a future has its result."""
+
+    @asynccontextmanager
+    async def run():
+        yield await opened
+
+    return Exchange(run())
+
+
+class TestFindFailure(TestCase):
+    def test_a_failure_that_comes_as_the_time_ends_is_found(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            opened = loop.create_future()
+            exchange = open_exchange(opened)
+            # The result and the end of the time are due in the same pass.
+            loop.call_later(TICK_SECONDS / 5, time.sleep, TICK_SECONDS)
+            loop.call_later(TICK_SECONDS / 2, opened.set_result, Err(REFUSAL))
+            limit = timedelta(seconds=TICK_SECONDS)
+            self.assertEqual(REFUSAL, await exchange.find_failure(limit))
+
+        asyncio.run(main())
