See a cut domain at its second engine after many attempts at the first

What callers would see: prompts that are prefilled in vain and refused only after a connection timeout, each at one more engine of a domain that was cut off.

The failures of a domain had to exceed those of each of its targets by 0.01, but both are near 1 after five attempts at one engine: 0.990 and, with one at another engine, 0.996. The tolerance is relative to the share that doesn't fail now.

Evidence: test_a_cut_domain_is_seen_once_a_second_engine_fails failed before with five attempts ('True != False') and passes. Shown in the decision alone, where both engines fail within about 40 ms.

--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -71,7 +71,8 @@
 DECODE_ENGINE_PREFILL_SPEED = 0.5
 # A target with at least this share of failing sends is considered down.
 DOWN_FAILURE_SHARE = 0.4
-# Difference up to which the failures of a domain are those of one of its targets.
+# Difference up to which the failures of a domain are those of one of its targets,
+# relative to the share of sends that do not fail.
 SHARE_TOLERANCE = 0.01
 # Time for which a request holds its slot, until one was measured.
 DEFAULT_HOLDING_MS = 1000.0
@@ -292,7 +293,8 @@
     neighbours = [other for other in serving if other.domain == target.domain]
     explained = max(map(view.estimate_own_failures, neighbours), default=0.0)
     share = view.estimate_failure_share(target)
-    return share >= DOWN_FAILURE_SHARE and share > explained + SHARE_TOLERANCE
+    exceeds = share - explained > SHARE_TOLERANCE * (1 - explained)
+    return share >= DOWN_FAILURE_SHARE and exceeds
 
 
 def has_slot(
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -162,6 +162,26 @@
             view = tables.view(NOW)
             self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
 
+    def fail_engine(self, tables, name, count=1):
+        """Record attempts that reached nobody, as a scheduler does."""
+        target = tables.targets[name]
+        for _ in range(count):
+            loads.record_reachability(tables.load_of(target).failures, False, NOW)
+            loads.record_reachability(tables.domain_failures_of(target), False, NOW)
+
+    def test_a_cut_domain_is_seen_once_a_second_engine_fails(self):
+        # Many attempts at one engine were on their way as its domain was cut off.
+        for count in (1, 5, 20):
+            tables = make_fleet(
+                *(make_target(f"d{n}", Role.DECODE, domain="b") for n in range(3)),
+                make_target("e1"),
+            )
+            serving = list(tables.targets.values())
+            for name, attempts, is_lost in (("d0", count, False), ("d1", 1, True)):
+                self.fail_engine(tables, name, attempts)
+                view = tables.view(NOW)
+                self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
+
     def test_a_service_without_a_decode_engine_is_detected(self):
         tables = make_fleet(make_target("e1"))
         view = tables.view(NOW)
