Do not take a failing target of another version or service for its domain

What callers saw: streams that keep to a version, and all prompts where a target of another service had failed, refused at once with 503, 'no engine that decodes answers', beside sound engines.

The failures of a domain were compared with those of the targets that may serve this request only: a single target outside of them, of another version or service, explained nothing, so each engine of its domain counted as lost. All targets of the domain are compared now. A cut domain is seen at its second target of any kind. They are looked at only once all engines that decode may be down, once for all domains.

Evidence: test_one_target_elsewhere_in_a_domain_is_not_taken_for_it failed before ('True is not false') and passes.

--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -273,25 +273,33 @@
     return min(map(score, eligible), key=rank, default=None)
 
 
-def lacks_decode_engine(serving: list[Target], view: View) -> bool:
+def lacks_decode_engine(
+    serving: list[Target], view: View, targets: Iterable[Target] = ()
+) -> bool:
     """Return whether prefills would be wasted because every decode engine is down.
 
-    Load pattern: a domain that is cut off while its engines only prefill, or the loss
-    of all decode engines. One that crashes beside sound ones is no reason to refuse.
+    ``targets`` are all known targets. Load pattern: a domain that is cut off while its
+    engines only prefill, or the loss of all decode engines. One target that crashes
+    beside sound engines is no reason to refuse.
     """
     roles = {target.role for target in serving}
     if Role.PREFILL not in roles or Role.MIXED in roles:
         return False
     decode = [target for target in serving if target.role is Role.DECODE]
-    return all(_is_lost(target, serving, view) for target in decode)
+    if not all(map(view.is_down, decode)):
+        return False
+    explained = dict.fromkeys((target.domain for target in decode), 0.0)
+    for target in (*serving, *targets):
+        if target.domain in explained:
+            share = view.estimate_own_failures(target)
+            explained[target.domain] = max(explained[target.domain], share)
+    return all(_is_lost(target, explained[target.domain], view) for target in decode)
 
 
-def _is_lost(target: Target, serving: list[Target], view: View) -> bool:
+def _is_lost(target: Target, explained: float, view: View) -> bool:
     """Return whether a target fails, or its domain by more than one of its targets."""
     if view.estimate_own_failures(target) >= DOWN_FAILURE_SHARE:
         return True
-    neighbours = [other for other in serving if other.domain == target.domain]
-    explained = max(map(view.estimate_own_failures, neighbours), default=0.0)
     share = view.estimate_failure_share(target)
     exceeds = share - explained > SHARE_TOLERANCE * (1 - explained)
     return share >= DOWN_FAILURE_SHARE and exceeds
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -246,7 +246,8 @@
         only_prefills = all(target.role is Role.PREFILL for target in serving)
         if slot_request.version is not None and only_prefills:
             return _NO_VERSION
-        if placement.lacks_decode_engine(serving, view):
+        targets = self._fleet.targets.values()
+        if placement.lacks_decode_engine(serving, view, targets):
             decode = [t for t in serving if t.role is Role.DECODE]
             self._hooks.on_unreachable(decode or serving)
             return _NO_DECODE
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -182,6 +182,25 @@
                 view = tables.view(NOW)
                 self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
 
+    def test_one_target_elsewhere_in_a_domain_is_not_taken_for_it(self):
+        # The engines that decode were refused, as the only target that failed is none
+        # of them: one of another version, or of another service.
+        for changes in ({"version": "v1.1"}, {"role": Role.MIXED, "service": "desk"}):
+            values = {"role": Role.DECODE, "domain": "b", "version": "v1"}
+            tables = make_fleet(
+                make_target("e1", version="v1"),
+                make_target("d0", **values),
+                make_target("d1", **(values | changes)),
+            )
+            self.fail_engine(tables, "d1", 3)
+            serving = placement.list_eligible(
+                tables.targets.values(), "lm", None, set(), version="v1"
+            )
+            self.assertEqual(["e1", "d0"], [target.id for target in serving])
+            targets = tables.targets.values()
+            view = tables.view(NOW)
+            self.assertFalse(placement.lacks_decode_engine(serving, view, targets))
+
     def test_a_service_without_a_decode_engine_is_detected(self):
         tables = make_fleet(make_target("e1"))
         view = tables.view(NOW)
