--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -162,6 +162,45 @@
             view = tables.view(NOW)
             self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
 
+    def fail_engine(self, tables, name, count=1):
+        """Record attempts that reached nobody, as a scheduler does."""
+        target = tables.targets[name]
+        for _ in range(count):
+            loads.record_reachability(tables.load_of(target).failures, False, NOW)
+            loads.record_reachability(tables.domain_failures_of(target), False, NOW)
+
+    def test_a_cut_domain_is_seen_once_a_second_engine_fails(self):
+        # Many attempts at one engine were on their way as its domain was cut off.
+        for count in (1, 5, 20):
+            tables = make_fleet(
+                *(make_target(f"d{n}", Role.DECODE, domain="b") for n in range(3)),
+                make_target("e1"),
+            )
+            serving = list(tables.targets.values())
+            for name, attempts, is_lost in (("d0", count, False), ("d1", 1, True)):
+                self.fail_engine(tables, name, attempts)
+                view = tables.view(NOW)
+                self.assertEqual(is_lost, placement.lacks_decode_engine(serving, view))
+
+    def test_one_target_elsewhere_in_a_domain_is_not_taken_for_it(self):
+        # The engines that decode were refused, as the only target that failed is none
+        # of them: one of another version, or of another service.
+        for changes in ({"version": "v1.1"}, {"role": Role.MIXED, "service": "desk"}):
+            values = {"role": Role.DECODE, "domain": "b", "version": "v1"}
+            tables = make_fleet(
+                make_target("e1", version="v1"),
+                make_target("d0", **values),
+                make_target("d1", **(values | changes)),
+            )
+            self.fail_engine(tables, "d1", 3)
+            serving = placement.list_eligible(
+                tables.targets.values(), "lm", None, set(), version="v1"
+            )
+            self.assertEqual(["e1", "d0"], [target.id for target in serving])
+            targets = tables.targets.values()
+            view = tables.view(NOW)
+            self.assertFalse(placement.lacks_decode_engine(serving, view, targets))
+
     def test_a_service_without_a_decode_engine_is_detected(self):
         tables = make_fleet(make_target("e1"))
         view = tables.view(NOW)
