Do not record a target that is silent for a while as crashed

Seen: a target that was cut off for 1.2 s was recorded as crashed by each request that failed there. After two such silences equal requests were refused, after three a part of a prompt that other requests share.

Cause: a crash was recorded if a target did not accept a connection within 0.3 s of a failure. A closed port refuses a connection at once; silence proves nothing so soon, and a sound target may be silent for a second or so.

Change: a silent target is probed up to six times, 0.3 s each. One that refuses has crashed, as before at once, and so has one that stays silent. Where it accepts after a silence, an engine is asked for its incarnation: with another one it has restarted, and has crashed.

Evidence: three silences of 1.2 s under the same request and two others with a common part (test_a_target_that_is_silent_for_a_while_has_not_crashed). Before: three crashes, the equal request refused or the part blocked; now none. One that restarts in its silence, and one that stays silent, still count. Open: a silence longer than 1.8 s counts as a crash for good.

--- a/src/galenapass/forwarding/suspects.py
+++ b/src/galenapass/forwarding/suspects.py
@@ -41,6 +41,9 @@
 
 # A healthy target accepts a connection within a few milliseconds.
 PROBE_TIMEOUT_SECONDS = 0.3
+# Probes of a silent target. A sound one may be silent for a second or so; the last
+# probe that begins in this time may be lost.
+MAX_PROBES = 6
 # Far below the size limit of an object in the store; the latest matter most.
 MAX_PUBLISHED_SUSPECTS = 200
 MAX_PUBLISHED_REPORTS = 20
@@ -66,13 +69,15 @@
 
     ``publish`` writes to the store, ``share`` sends a message to the schedulers,
     ``on_block`` is called when prompt parts are newly blocked, ``on_crash`` for each
-    request that was running at a crashed target.
+    request that was running at a crashed target. ``find_incarnation`` returns what a
+    target says of itself, None if it does not.
     """
 
     publish: Callable[[str], Awaitable[None]]
     share: Callable[[CrashMessage], None] = lambda message: None
     on_block: Callable[[], None] = lambda: None
     on_crash: Callable[[Target], None] = lambda target: None
+    find_incarnation: Callable[[Target], Awaitable[str | None]] | None = None
 
 
 @dataclass(slots=True)
@@ -186,13 +191,14 @@
     ) -> None:
         """Record a crash if a target that failed a request accepts no connections.
 
+        One that is silent has crashed if it stays so, or restarted meanwhile.
         ``began_at`` is when the answer began, None if it has not.
         """
         failed_at = self._clock.monotonic()
         crash = self._name_crash(target, sent_at)
         known = self._own.get(crash)
         if known is None or failed_at - known.at > BEGIN_TIME:
-            if await self._accepts_connections(crash, target):
+            if await self._is_running(crash, target):
                 return
         now = self._clock.monotonic()
         if request.fingerprint and crashes.record_crash(
@@ -367,22 +373,38 @@
         suspect = self._world.crashes.suspects.get(request.fingerprint)
         return len(suspect.open_crashes) if suspect is not None else 0
 
-    async def _accepts_connections(self, crash: Crash, target: Target) -> bool:
+    async def _is_running(self, crash: Crash, target: Target) -> bool:
         """Probe a target; requests that fail at the same time share one probe."""
         probe = self._probes.get(crash)
         if probe is None:
-            probe = asyncio.create_task(_accepts_connections(target))
+            probe = asyncio.create_task(self._probe(target))
             self._probes[crash] = probe
             probe.add_done_callback(lambda task: self._probes.pop(crash, None))
         return await asyncio.shield(probe)
 
+    async def _probe(self, target: Target) -> bool:
+        """Return whether a target runs that may be silent for a while."""
+        find = self._hooks.find_incarnation
+        for number in range(MAX_PROBES):
+            accepts = await _accepts_connections(target)
+            if accepts is None:
+                continue
+            if not accepts or not number or find is None:
+                return accepts
+            # It may have restarted while it was silent.
+            return await find(target) in (None, target.incarnation)
+        return False
+
 
-async def _accepts_connections(target: Target) -> bool:
+async def _accepts_connections(target: Target) -> bool | None:
+    """Return whether a target accepts a connection, None if it is silent."""
     ip, _, port = target.address.rpartition(":")
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
             _, writer = await asyncio.open_connection(ip, int(port))
-    except (OSError, TimeoutError):
+    except TimeoutError:
+        return None
+    except OSError:
         return False
     writer.close()
     return True
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -60,7 +60,7 @@
 from galenapass.platform.settings import HostSettings
 from galenapass.platform.store_client import StoreClient
 from galenapass.tables.leases import Lease
-from galenapass.tables.targets import Role, Target
+from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
 
 __all__ = ["PlatformDaemon"]
@@ -313,8 +313,15 @@
             on_crash=lambda target: self.metrics.crashed_requests.add(
                 1, {"target": target.id}
             ),
+            find_incarnation=self._find_incarnation,
         )
 
+    async def _find_incarnation(self, target: Target) -> str | None:
+        if target.kind is not TargetKind.ENGINE:
+            return None
+        state = await self.runner_client.fetch_state(target)
+        return state.ok_value.incarnation if isinstance(state, Ok) else None
+
     def _make_origin_hooks(self) -> OriginHooks:
         return OriginHooks(
             share=lambda notice: self.peering.share_streams(notice),
--- a/tests/test_forwarding_suspects.py
+++ b/tests/test_forwarding_suspects.py
@@ -1,6 +1,7 @@
 """Check how hosts tell the crashes of one target apart."""
 
 import asyncio
+import contextlib
 import socket
 from datetime import UTC, datetime, timedelta
 
@@ -32,6 +33,34 @@
 PUBLISH_SECONDS = 0.3
 
 
+class SilentTarget:
+    """Target that answers no attempt to connect until it goes on."""
+
+    def __init__(self, name):
+        self._stack = contextlib.ExitStack()
+        self._listener = self._stack.enter_context(socket.socket())
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        address = "{}:{}".format(*self._listener.getsockname())
+        self.target = make_target(
+            name, role=Role.DECODE, address=address, incarnation="17"
+        )
+        for _ in range(4):
+            filler = self._stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+
+    async def go_on(self, after):
+        await asyncio.sleep(after)
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.close(), sock=self._listener
+        )
+        self._stack.callback(server.close)
+
+    def close(self):
+        self._stack.close()
+
+
 class Hosts:
     """Hosts that hear of crashes by datagrams, and from the store once it is back.
 
@@ -41,6 +70,7 @@
     """
 
     def __init__(self, *wall_errors):
+        self.incarnation = None
         self.suspects, self.clocks, self.published = [], [], {}
         self.deaf, self.clients = set(), set()
         for number, error in enumerate(wall_errors):
@@ -62,7 +92,14 @@
         async def publish(text):
             self.published[number] = text
 
-        hooks = CrashHooks(publish, share=lambda message: self._share(number, message))
+        async def find_incarnation(target):
+            return self.incarnation
+
+        hooks = CrashHooks(
+            publish,
+            share=lambda message: self._share(number, message),
+            find_incarnation=find_incarnation,
+        )
         host, clock = f"h{number}", self.clocks[number]
         return CrashSuspects(host, World(host, "a"), clock, hooks)
 
@@ -234,6 +271,64 @@
         self.run_with_hosts(scenario, 0, 0, 0)
 
 
+class TestSilence(TestCase):
+    """Targets are silent to requests and to probes."""
+
+    def silence(self, seconds, incarnation):
+        """Return how many crashes and blocked parts there are after three silences.
+
+        Three targets are silent one after another, while each works on the same
+        request and on two others with a common part. The second value tells whether
+        that request is refused; it is not if a blocked part explains the crashes.
+        """
+
+        async def run():
+            hosts = Hosts(0)
+            hosts.incarnation = incarnation
+            suspects, clock = hosts.suspects[0], hosts.clocks[0]
+            with hosts.port:
+                hosts.record_answers()
+                request = hosts.make_request(CRASHING)
+                request.fingerprint = "f1"
+                for number in range(3):
+                    silent = SilentTarget(f"s{number}")
+                    hosts.advance(3 * SECONDS)
+                    sent = clock.monotonic()
+                    hosts.advance(800 * MS)
+                    requests = [request] + [
+                        hosts.make_request(CRASHING) for _ in range(2)
+                    ]
+                    checks = [
+                        suspects.check_for_crash(r, silent.target, sent, None)
+                        for r in requests
+                    ]
+                    if seconds is not None:
+                        checks.append(silent.go_on(seconds))
+                    try:
+                        await asyncio.gather(*checks)
+                    finally:
+                        silent.close()
+                    await asyncio.sleep(REPORT_SECONDS)
+                    (blocked,) = await hosts.list_blocked()
+                refusal = suspects.check("f1", ())
+                return *hosts.count_crashes(), refusal is not None, len(blocked)
+
+        return asyncio.run(run())
+
+    def test_a_target_that_is_silent_for_a_while_has_not_crashed(self):
+        # Equal requests, and prompts with the common part, were refused.
+        self.assertEqual((0, False, 0), self.silence(1.2, "17"))
+
+    def test_a_target_that_is_silent_and_does_not_tell_its_incarnation(self):
+        self.assertEqual((0, False, 0), self.silence(0.5, None))
+
+    def test_a_target_that_restarts_in_silence_has_crashed(self):
+        self.assertEqual((3, False, 1), self.silence(0.5, "18"))
+
+    def test_a_target_that_stays_silent_counts_as_crashed(self):
+        self.assertEqual((3, False, 1), self.silence(None, None))
+
+
 class TestSoundParts(TestCase):
     """Whole answers of one host speak for their parts at all hosts."""
 
