Forget what a crashed target showed of its domain once it left or restarted

What callers would see: requests refused at once with 503, 'no engine that decodes answers', beside a sound engine, from the moment at which a crashed engine of its domain restarts, leaves or changes its role.

The failures of an engine end with its entry, those of its domain did not: nothing explained them any more. Besides, sends to it that had begun before ended as UNREACHABLE later and counted for the domain once more.

Failures of a domain that do not exceed those of one target are forgotten with it now, and attempts at a target that has left or restarted do not count for its domain. A domain in which a second target failed stays as it was.

Evidence: test_an_engine_that_left_is_not_taken_for_its_domain and test_a_target_that_left_shows_nothing_of_its_domain failed before ('True is not false', at 'restart') and pass; test_a_cut_domain_stays_cut_as_one_of_its_engines_leaves passed before and after.

--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -9,6 +9,8 @@
     Loads,
     PartDigest,
     PrefillRate,
+    estimate_failures,
+    exceeds_share,
     record_parts,
 )
 from galenapass.forwarding.placement import View
@@ -94,6 +96,11 @@
             load = self.loads[name] = Load()
         return load
 
+    def is_known(self, target: Target) -> bool:
+        """Return whether a target is there in this incarnation."""
+        known = self.targets.get(target.id)
+        return known is not None and known.incarnation == target.incarnation
+
     def domain_failures_of(self, target: Target) -> FailureRate:
         """Return the failure rate of a target's domain, zero on first use."""
         return self.domain_failures.setdefault(target.domain, FailureRate())
@@ -135,12 +142,14 @@
         return "joined"
     if known.incarnation != target.incarnation:
         # It has restarted, so its cache is empty and its load is gone.
+        _forget_domain_failures(fleet, known, now)
         fleet.loads.pop(target.id, None)
         fleet.leaving.pop(target.id, None)
         fleet.backing_off.pop(target.id, None)
         return "restarted"
     if known.state is not target.state or known.role is not target.role:
         # Failures and refusals in the old role or state do not apply to the new one.
+        _forget_domain_failures(fleet, known, now)
         load = fleet.load_of(target)
         load.failures, load.refusals = FailureRate(), FailureRate()
     if known.state is not target.state:
@@ -299,10 +308,21 @@
     return known is None or known.incarnation == incarnation
 
 
+def _forget_domain_failures(fleet: Fleet, target: Target, now: timedelta) -> None:
+    """Forget the failures of a domain that were those of one target, as they end."""
+    load = fleet.loads.get(target.id)
+    own = estimate_failures(load.failures, now) if load is not None else 0.0
+    domain = fleet.domain_failures_of(target)
+    if not exceeds_share(estimate_failures(domain, now), own):
+        domain.share = 0.0
+
+
 def _drop(fleet: Fleet, name: str, now: timedelta) -> str:
     fleet.missing.pop(name, None)
     fleet.entry_changed_at.pop(name, None)
-    fleet.removed[name] = (fleet.targets.pop(name).incarnation, now)
+    target = fleet.targets.pop(name)
+    _forget_domain_failures(fleet, target, now)
+    fleet.removed[name] = (target.incarnation, now)
     while len(fleet.removed) > MAX_LEAVING:
         del fleet.removed[next(iter(fleet.removed))]
     return TargetState.GONE.value
--- a/src/galenapass/forwarding/grants.py
+++ b/src/galenapass/forwarding/grants.py
@@ -174,7 +174,9 @@
         domain_failures = self._fleet.domain_failures_of(target)
         if release.outcome is Outcome.UNREACHABLE:
             loads.record_reachability(load.failures, False, now)
-            loads.record_reachability(domain_failures, False, now)
+            if self._fleet.is_known(target):
+                # One that has left or restarted shows nothing of its domain.
+                loads.record_reachability(domain_failures, False, now)
             return
         loads.record_outcome(load.refusals, release.outcome is Outcome.REFUSED, now)
         if release.outcome is Outcome.REFUSED:
--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -24,6 +24,7 @@
     "estimate_failures",
     "estimate_queue_delay",
     "estimate_work",
+    "exceeds_share",
     "forget_targets",
     "record_durations",
     "record_outcome",
@@ -57,6 +58,9 @@
 # A network partition fails every attempt, each of which costs a client a quarter of
 # a second, so few attempts have to suffice.
 REACHABILITY_WEIGHT = 0.6
+# Difference up to which two shares of failing sends are equal, relative to the share
+# that does not fail.
+SHARE_TOLERANCE = 0.01
 # Time constant after which an observed queueing delay is outdated.
 DELAY_DECAY = timedelta(milliseconds=400)
 # About three times the restart time of a target.
@@ -191,6 +195,11 @@
     )
 
 
+def exceeds_share(share: float, other: float) -> bool:
+    """Return whether a share of failing sends exceeds another one."""
+    return share - other > SHARE_TOLERANCE * (1 - other)
+
+
 def digest_parts(prompt: Prompt) -> tuple[PartDigest, ...]:
     """Return the digests of a prompt's parts in order, the request's own part last."""
     return tuple(digest_part(part) for part in prompt.parts)
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -23,6 +23,7 @@
     estimate_attention,
     estimate_failures,
     estimate_queue_delay,
+    exceeds_share,
 )
 from galenapass.forwarding.rate_limits import RateLimits, find_rate_limit
 from galenapass.forwarding.requests import Prompt
@@ -71,9 +72,6 @@
 DECODE_ENGINE_PREFILL_SPEED = 0.5
 # A target with at least this share of failing sends is considered down.
 DOWN_FAILURE_SHARE = 0.4
-# Difference up to which the failures of a domain are those of one of its targets,
-# relative to the share of sends that do not fail.
-SHARE_TOLERANCE = 0.01
 # Time for which a request holds its slot, until one was measured.
 DEFAULT_HOLDING_MS = 1000.0
 # Bonus of the preferred engine of a prefix, so that daemons which place the same new
@@ -301,8 +299,7 @@
     if view.estimate_own_failures(target) >= DOWN_FAILURE_SHARE:
         return True
     share = view.estimate_failure_share(target)
-    exceeds = share - explained > SHARE_TOLERANCE * (1 - explained)
-    return share >= DOWN_FAILURE_SHARE and exceeds
+    return share >= DOWN_FAILURE_SHARE and exceeds_share(share, explained)
 
 
 def has_slot(
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -1,5 +1,6 @@
 """Check each forwarding decision; they are pure functions over tables."""
 
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -201,6 +202,44 @@
             view = tables.view(NOW)
             self.assertFalse(placement.lacks_decode_engine(serving, view, targets))
 
+    def test_an_engine_that_left_is_not_taken_for_its_domain(self):
+        # It came back with its failures forgotten, which no target explained then.
+        def restart(tables, crashed):
+            again = replace(crashed, incarnation="2")
+            fleet.apply_target_entry(tables, again, NOW)
+
+        def leave(tables, crashed):
+            fleet.remove_target(tables, crashed.id, NOW)
+
+        def change_role(tables, crashed):
+            fleet.apply_target_entry(tables, replace(crashed, role=Role.PREFILL), NOW)
+
+        for change in (restart, leave, change_role):
+            tables = make_fleet(
+                make_target("e1", domain="b"),
+                make_target("d0", Role.DECODE, domain="b"),
+                make_target("d1", Role.DECODE, domain="b"),
+            )
+            self.fail_engine(tables, "d0", 3)
+            change(tables, tables.targets["d0"])
+            serving = list(tables.targets.values())
+            view = tables.view(NOW)
+            self.assertFalse(
+                placement.lacks_decode_engine(serving, view, serving), change
+            )
+
+    def test_a_cut_domain_stays_cut_as_one_of_its_engines_leaves(self):
+        tables = make_fleet(
+            make_target("e1"),
+            *(make_target(f"d{n}", Role.DECODE, domain="b") for n in range(3)),
+        )
+        self.fail_engine(tables, "d0", 3)
+        self.fail_engine(tables, "d1")
+        fleet.remove_target(tables, "d0", NOW)
+        serving = list(tables.targets.values())
+        view = tables.view(NOW)
+        self.assertTrue(placement.lacks_decode_engine(serving, view, serving))
+
     def test_a_service_without_a_decode_engine_is_detected(self):
         tables = make_fleet(make_target("e1"))
         view = tables.view(NOW)
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -1,6 +1,8 @@
 """Check which requests are granted slots at targets, in which order."""
 
 import asyncio
+import functools
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -11,6 +13,7 @@
 
 from galenapass.clocks import ManualClock
 from galenapass.forwarding import grants, loads
+from galenapass.forwarding.fleet import apply_target_entry, remove_target
 from galenapass.forwarding.loads import digest_parts
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.scheduling import Hooks, Scheduler
@@ -405,6 +408,28 @@
 
         run_with_scheduler(scenario, make_plain_target())
 
+    def test_a_target_that_left_shows_nothing_of_its_domain(self):
+        # Sends that had begun before it crashed end after its entry has changed.
+        def restart(fleet, crashed, now):
+            apply_target_entry(fleet, replace(crashed, incarnation="2"), now)
+
+        def leave(fleet, crashed, now):
+            remove_target(fleet, crashed.id, now)
+
+        async def check(harness, change):
+            harness.submit(make_slot_request("c1"))
+            await harness.settle()
+            now = harness.clock.monotonic()
+            change(harness.fleet, harness.fleet.targets["s1"], now)
+            harness.end("c1", Outcome.UNREACHABLE)
+            other = make_plain_target(name="other")
+            self.assertFalse(harness.fleet.view(now).is_down(other), change)
+
+        for change in (restart, leave):
+            run_with_scheduler(
+                functools.partial(check, change=change), make_plain_target()
+            )
+
     def test_prompts_are_refused_while_no_engine_decodes(self):
         unreachable = []
 
