Do not count a pause of the host as a store that lists no targets

What callers would see: requests refused for want of targets by a host that takes over its scheduling, as its schedulers are silent, and pauses meanwhile.

Evidence: test_targets_that_are_listed_after_a_pause_are_awaited failed before ('False is not true') and passes.

--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -11,6 +11,7 @@
 from galenapass.forwarding import schedulers
 from galenapass.forwarding.schedulers import Address, Contacts, Hosts
 from galenapass.logs import make_log
+from galenapass.timeouts import limit_silence
 
 __all__ = [
     "SchedulerSelection",
@@ -213,7 +214,7 @@
         """Schedule for this host itself, as no scheduler answers."""
         self._start_fallback("no scheduler answers")
         try:
-            async with asyncio.timeout(LISTING_TIMEOUT.total_seconds()):
+            async with limit_silence(LISTING_TIMEOUT):
                 await self.targets_listed.wait()
         except TimeoutError:
             # Scheduling goes on with the targets known before.
--- a/tests/test_forwarding_scheduler_selection.py
+++ b/tests/test_forwarding_scheduler_selection.py
@@ -1,6 +1,7 @@
 """Check which hosts schedule, and what a host does when no scheduler answers."""
 
 import asyncio
+import time
 from datetime import timedelta
 from random import Random
 
@@ -15,6 +16,7 @@
 from galenapass.forwarding.scheduler_selection import (
     CLIENT_TIMEOUT,
     FALLBACK_TIME,
+    LISTING_TIMEOUT,
     STALE_TIMEOUT,
     SchedulerSelection,
     SchedulingReason,
@@ -198,6 +200,27 @@
             scheduler_selection.step()
             self.assertFalse(scheduler_selection.is_scheduler)
 
+    def test_targets_that_are_listed_after_a_pause_are_awaited(self):
+        # The host scheduled without targets, and refused what it had.
+        selection, _, _ = self.make_selection()
+
+        async def list_targets():
+            await asyncio.sleep(0.02)
+            time.sleep(2 * LISTING_TIMEOUT.total_seconds())
+            # The answer that came in the pause takes a few passes of the loop to read.
+            for _ in range(10):
+                await asyncio.sleep(0)
+            selection.targets_listed.set()
+
+        async def main():
+            listing = asyncio.create_task(list_targets())
+            await selection.take_over()
+            is_listed = selection.targets_listed.is_set()
+            await listing
+            return is_listed
+
+        self.assertTrue(asyncio.run(main()))
+
     def test_a_host_that_stops_is_not_fresh(self):
         scheduler_selection, _, _ = self.make_selection()
         scheduler_selection.record_client("h1", ("10.0.0.1", 1))
