Bound how long a silent peer is awaited by a process that is often late

So a silent scheduler, whose replies have 0.4 s, holds requests for seconds at a host that is short of processor time. Besides, a second pause in the last 12.5 ms after an earlier one ended the wait at once, with an answer unread.

Each late tick counted as 12.5 ms, whatever it took, and each tick takes two passes; the half tick that lets answers be read followed only if no late tick came before.

A tick counts as it took, up to 50 ms; the first late one that leaves less than 12.5 ms leaves that much.

--- a/src/galenapass/timeouts.py
+++ b/src/galenapass/timeouts.py
@@ -7,8 +7,9 @@
 
 __all__ = ["limit_silence"]
 
-# A pause counts as this much time at most, however long it is.
 TICK = timedelta(milliseconds=25)
+# A pause counts as this much time at most, however long it is.
+MAX_PAUSE = timedelta(milliseconds=50)
 
 
 @asynccontextmanager
@@ -30,12 +31,13 @@
 class _Countdown:
     """Ticks until a timeout ends."""
 
-    __slots__ = ("_due", "_handle", "_left", "_loop", "_timeout")
+    __slots__ = ("_due", "_handle", "_is_extended", "_left", "_loop", "_timeout")
 
     def __init__(self, timeout: asyncio.Timeout, limit: timedelta):
         self._timeout = timeout
         self._loop = asyncio.get_running_loop()
         self._left = limit.total_seconds()
+        self._is_extended = False
         self._schedule()
 
     def stop(self) -> None:
@@ -46,12 +48,13 @@
         self._handle = self._loop.call_at(self._due, self._tick)
 
     def _tick(self) -> None:
-        now = self._loop.time()
-        tick = TICK.total_seconds()
-        is_late = now - self._due > tick
-        # A late tick counts half, so that another one follows it: what came during
-        # the pause takes a few passes of the loop to be read.
-        self._left -= tick / 2 if is_late else tick
+        now, tick = self._loop.time(), TICK.total_seconds()
+        late = now - self._due
+        self._left -= min(tick + late, MAX_PAUSE.total_seconds())
+        if self._left < tick / 2 and late > tick and not self._is_extended:
+            # What came during the pause takes a few passes of the loop to be read.
+            self._is_extended = True
+            self._left = tick / 2
         if self._left > 0:
             self._schedule()
         else:
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -1,6 +1,8 @@
 """Test that pauses of this process do not count as the silence of a peer."""
 
 import asyncio
+import contextlib
+import functools
 import socket
 import time
 from datetime import timedelta
@@ -39,6 +41,80 @@
         task.cancel()
 
 
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes only while it waits or is paused."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        select = self._selector.select
+
+        def skip_and_select(timeout=None):
+            self.now += timeout or 0.0
+            return select(0)
+
+        self._selector.select = skip_and_select
+
+    def time(self):
+        return self.now
+
+    def pause(self, seconds):
+        self.now += seconds
+
+
+def simulate(main):
+    """Return what a coroutine returns in simulated time, given its event loop."""
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        return runner.run(main(runner.get_loop()))
+
+
+class TestRepeatedPauses(TestCase):
+    def test_a_silent_peer_is_given_up_however_often_this_process_pauses(self):
+        for pause, factor in ((0.01, 2), (0.026, 2), (0.03, 2), (0.06, 4)):
+
+            async def main(loop, pause=pause):
+                async def work():
+                    while True:
+                        loop.pause(pause)
+                        await asyncio.sleep(0)
+
+                task = asyncio.create_task(work())
+                with contextlib.suppress(TimeoutError):
+                    async with limit_silence(LIMIT):
+                        await asyncio.Event().wait()
+                task.cancel()
+                return loop.time()
+
+            longest = factor * LIMIT.total_seconds()
+            self.assertLessEqual(simulate(main), longest, pause)
+
+    def test_an_answer_that_comes_during_any_pause_is_read(self):
+        async def main(loop, first, last):
+            async def answer():
+                await asyncio.sleep(first)
+                loop.pause(0.06)
+                await asyncio.sleep(last - loop.time())
+                loop.pause(0.6)
+                # What came in the pause takes a few passes of the loop to read.
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                answered.set()
+
+            answered = asyncio.Event()
+            task = asyncio.create_task(answer())
+            try:
+                async with limit_silence(LIMIT):
+                    await answered.wait()
+            except TimeoutError:
+                # The peer was silent until then.
+                self.assertLess(loop.time(), last, (first, last))
+            await task
+
+        for first in range(5, 50, 5):
+            for last in range(120, 270, 5):
+                simulate(functools.partial(main, first=first / 1000, last=last / 1000))
+
+
 class TestLimitSilence(TestCase):
     def test_a_silent_peer_is_given_up(self):
         took = asyncio.run(measure_limit())
