Replace the decode engines of a version as soon as hosts agree that they crashed

Schedulers now tell each other which targets they cannot reach, and probe what another one names or what is silent amid answers. Once most of those heard agree for 1.5 s, one of them in the engine's domain, or the entry lapses meanwhile, the version gets another decode engine at once. One host's view orders nothing, nor does that of all hosts outside a domain that is cut off. Lease, fence and the check before each order are as before; an engine that does not answer gets no order.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -40,6 +40,7 @@
 from galenapass.forwarding.permits import Permit, PermitRequest
 from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
+from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import (
     Grant,
     Outcome,
@@ -150,6 +151,7 @@
     | StreamNotice
     | OriginQuery
     | OriginReply
+    | SilentTargets
 )
 
 
@@ -438,6 +440,25 @@
     return bool(row) and row[0] is True
 
 
+def _encode_silent(silent: SilentTargets, now: timedelta) -> list[Any]:
+    rows = [
+        [target, incarnation, (now - since) // MILLISECOND]
+        for target, incarnation, since in silent.targets
+    ]
+    return [silent.domain, rows]
+
+
+def _decode_silent(host: str, row: list[Any], now: timedelta) -> SilentTargets:
+    domain, rows = row
+    return SilentTargets(
+        str(domain),
+        tuple(
+            (str(target), str(incarnation), now - read_integer(age) * MILLISECOND)
+            for target, incarnation, age in rows
+        ),
+    )
+
+
 def _decode_permit_request(host: str, row: list[Any], now: timedelta) -> PermitRequest:
     target, incarnation, count = row
     return PermitRequest((str(target), str(incarnation)), read_integer(count))
@@ -457,6 +478,7 @@
         lambda host, row, now: SlotPending(str(row[0])),
     ),
     SlotRelease: ("end", _encode_release, _decode_release),
+    SilentTargets: ("silent", _encode_silent, _decode_silent),
     Ping: (
         "ping",
         lambda ping, now: [
--- a/src/galenapass/forwarding/engine_states.py
+++ b/src/galenapass/forwarding/engine_states.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
 from galenapass.forwarding import loads
@@ -138,12 +138,13 @@
         state = await self._fetch_state(target)
         now = self._clock.monotonic()
         is_reachable = not isinstance(state, Err)
-        loads.record_reachability(
-            self._fleet.load_of(target).failures, is_reachable, now
-        )
-        loads.record_reachability(
-            self._fleet.domain_failures_of(target), is_reachable, now
-        )
+        load = self._fleet.load_of(target)
+        domain_failures = self._fleet.domain_failures_of(target)
+        if is_reachable:
+            loads.record_reachability(load.failures, True, now)
+            loads.record_reachability(domain_failures, True, now)
+        else:
+            loads.record_miss(load, domain_failures, now)
         _log("engine is probed", target=target.id, is_reachable=is_reachable)
         if isinstance(state, Err):
             return
@@ -152,9 +153,31 @@
         if self._is_changing(target.id):
             await self._poll_change(target)
 
-    async def _fetch_state(self, target: Target) -> Result[EngineState, Verdict]:
-        self._fleet.load_of(target).queried_at = self._clock.monotonic()
-        return await self._client.fetch_state(target)
+    async def confirm_silence(
+        self, targets: list[Target], silence: timedelta = timedelta(0)
+    ) -> None:
+        """Query engines whose answers are silent, or that another host cannot reach.
+
+        A failure tells nothing about their domain, as it may be a crash.
+        """
+        for target in targets:
+            state = await self._fetch_state(target, silence)
+            if isinstance(state, Ok):
+                self._apply_state(target.id, state.ok_value)
+
+    async def _fetch_state(
+        self, target: Target, silence: timedelta = timedelta(0)
+    ) -> Result[EngineState, Verdict]:
+        """Query an engine whose answers have been silent for a time."""
+        queried_at = self._clock.monotonic()
+        self._fleet.load_of(target).queried_at = queried_at
+        state = await self._client.fetch_state(target)
+        now, load = self._clock.monotonic(), self._fleet.load_of(target)
+        if isinstance(state, Ok):
+            loads.record_reach(load, now)
+        else:
+            loads.record_silence(load, now, now - queried_at + silence)
+        return state
 
     def _find_queried_at(self, target: Target) -> timedelta:
         """Return when an engine was last queried, the minimum time if never."""
--- a/src/galenapass/forwarding/grants.py
+++ b/src/galenapass/forwarding/grants.py
@@ -173,9 +173,10 @@
         target, load = granted.grant.target, granted.load
         domain_failures = self._fleet.domain_failures_of(target)
         if release.outcome is Outcome.UNREACHABLE:
-            loads.record_reachability(load.failures, False, now)
-            loads.record_reachability(domain_failures, False, now)
+            loads.record_miss(load, domain_failures, now)
             return
+        if release.outcome is not Outcome.FAILED:
+            loads.record_reach(load, now)
         loads.record_outcome(load.refusals, release.outcome is Outcome.REFUSED, now)
         if release.outcome is Outcome.REFUSED:
             self._record_refusal(granted, now)
--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -10,6 +10,7 @@
 from galenapass.tables.targets import Target
 
 __all__ = [
+    "MAX_ATTEMPT_AGE",
     "MIN_ENGINE_SAMPLES",
     "FailureRate",
     "Load",
@@ -26,11 +27,14 @@
     "estimate_work",
     "forget_targets",
     "record_durations",
+    "record_miss",
     "record_outcome",
     "record_parts",
     "record_prefill",
     "record_rate",
+    "record_reach",
     "record_reachability",
+    "record_silence",
     "record_service_rate",
     "smooth_base_ms",
     "smooth_rate",
@@ -57,6 +61,8 @@
 # A network partition fails every attempt, each of which costs a client a quarter of
 # a second, so few attempts have to suffice.
 REACHABILITY_WEIGHT = 0.6
+# A host that has not tried to reach a target since then knows nothing about it.
+MAX_ATTEMPT_AGE = timedelta(seconds=3)
 # Time constant after which an observed queueing delay is outdated.
 DELAY_DECAY = timedelta(milliseconds=400)
 # About three times the restart time of a target.
@@ -114,7 +120,9 @@
     which a request holds its slot. ``cached`` maps the digests of cached parts to
     their tokens, least recently used first, ``prefill_started_at`` to the time when
     their prefill was announced. ``queried_at`` is when the engine's state was last
-    requested.
+    requested. ``silent_since`` is when this daemon first failed to reach the target,
+    None if it reached it since, ``missed_at`` when it last failed and ``reached_at``
+    when it last reached it.
     """
 
     requests: int = 0
@@ -137,6 +145,9 @@
     prefill_started_at: dict[int, timedelta] = field(default_factory=dict)
     cached_tokens: int = 0
     queried_at: timedelta | None = None
+    silent_since: timedelta | None = None
+    missed_at: timedelta = timedelta(0)
+    reached_at: timedelta = timedelta(0)
 
     @property
     def sequences(self) -> int:
@@ -332,6 +343,30 @@
     _add_sample(failure_rate, failed, SAMPLE_WEIGHT, now)
 
 
+def record_miss(load: Load, domain_failures: FailureRate, now: timedelta) -> None:
+    """Record an attempt that did not reach a target."""
+    record_silence(load, now)
+    record_reachability(load.failures, False, now)
+    record_reachability(domain_failures, False, now)
+
+
+def record_silence(
+    load: Load, now: timedelta, silence: timedelta = timedelta(0)
+) -> None:
+    """Record that a target accepts no connections, after a ``silence`` of its answers.
+
+    Attempts that are far apart tell nothing about the time between them.
+    """
+    if load.silent_since is None or now - load.missed_at > MAX_ATTEMPT_AGE:
+        load.silent_since = now - silence
+    load.missed_at = now
+
+
+def record_reach(load: Load, now: timedelta) -> None:
+    """Record that a target was reached."""
+    load.silent_since, load.reached_at = None, now
+
+
 def record_reachability(
     failure_rate: FailureRate, reached: bool, now: timedelta
 ) -> None:
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -10,7 +10,7 @@
 from result import Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding import announcements, fleet, workload
+from galenapass.forwarding import announcements, fleet, silent_targets, workload
 from galenapass.forwarding.announcements import Announcement, Peers
 from galenapass.forwarding.background import BackgroundTasks
 from galenapass.forwarding.crash_evidence import CrashReport
@@ -42,6 +42,13 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import Address
 from galenapass.forwarding.scheduling import Scheduler
+from galenapass.forwarding.silent_targets import (
+    SilenceReport,
+    SilentTargets,
+    is_silent,
+    list_silent,
+    make_report,
+)
 from galenapass.forwarding.slot_client import SlotClient
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest
 from galenapass.forwarding.store_epochs import StoreEpochs
@@ -67,6 +74,8 @@
 ORDER_REPEAT_TIME = timedelta(milliseconds=600)
 # Schedulers are told the blocked parts again this often: one that starts knows none.
 BLOCKS_PERIOD = timedelta(seconds=1)
+# Schedulers are told the targets that do not answer this often, while there are any.
+SILENCE_PERIOD = timedelta(milliseconds=200)
 # A slot request that is not decided by then is answered as pending.
 PENDING_DELAY = timedelta(milliseconds=20)
 # Schedulers that are told and asked where streams began: one may be lost.
@@ -82,7 +91,8 @@
     number of earlier starts. ``on_version`` is called with the version of the
     configuration that a peer has, ``on_announcement`` with each announcement that is
     newer than the last of its host. ``list_split_goals`` returns the prefill shares to
-    announce.
+    announce, ``on_silent`` is called with targets that a peer cannot reach and that
+    this daemon has not been in contact with lately.
     """
 
     def __init__(
@@ -99,6 +109,7 @@
         epochs: StoreEpochs,
         suspects: CrashSuspects,
         origins: OriginSharing,
+        on_silent: Callable[[list[Target]], None] = lambda targets: None,
     ):
         self.endpoint = DatagramEndpoint(tables.host, clock, self._receive)
         self.slot_client = SlotClient(scheduler, scheduler_selection, self._send, clock)
@@ -116,6 +127,7 @@
         self._epochs = epochs
         self._suspects = suspects
         self._origins = origins
+        self._on_silent = on_silent
         self._background = BackgroundTasks("peers")
         # Hosts whose builds know software versions.
         self._version_aware: set[str] = set()
@@ -124,6 +136,9 @@
         self._unannounced_parts: deque[tuple[str, PartDigest]] = deque(maxlen=4000)
         self._leaving: dict[tuple[str, str], timedelta] = {}
         self._orders: dict[str, tuple[Role, timedelta]] = {}
+        self._silence_reports: dict[str, SilenceReport] = {}
+        self._silence_sent_at = timedelta(0)
+        self._told_silence = False
         self._announced_state: object = None
         self._announced_at = timedelta(0)
         self._newest_version = 0
@@ -146,6 +161,7 @@
             PartBlocks: self._apply_crash_message,
             StreamNotice: self._apply_stream_notice,
             OriginQuery: self._answer_origin_query,
+            SilentTargets: self._apply_silent,
             OriginReply: lambda host, address, reply: self._origins.queries.apply_reply(
                 reply
             ),
@@ -231,6 +247,26 @@
             service, [*own, *announcements.list_demand(self._peers, service)]
         )
 
+    def has_crashed(self, target: Target, min_silence: timedelta) -> bool:
+        """Return whether the schedulers agree that a target crashed."""
+        if not self._silence_reports:
+            return False
+        now = self._clock.monotonic()
+        reports = [
+            report
+            for host, report in self._silence_reports.items()
+            if host in self._peers
+        ]
+        reports.append(self._report_own(target, now))
+        hosts = 1 + len(self._peers)
+        return silent_targets.has_crashed(target, reports, hosts, min_silence, now)
+
+    def _report_own(self, target: Target, now: timedelta) -> SilenceReport:
+        load = self._fleet.loads.get(target.id)
+        at = load.silent_since if load is not None and is_silent(load, now) else None
+        since = {(target.id, target.incarnation): at} if at is not None else {}
+        return SilenceReport(self._fleet.domain, since, now)
+
     async def run_pings(self) -> None:
         """Ping the schedulers of this daemon until cancelled."""
         while True:
@@ -250,7 +286,9 @@
                 if self._limit_sharing.is_due() or self._epochs.is_new:
                     self._send_state(addresses)
                 self._send_blocks(addresses, now)
+                self._send_silent(addresses, now)
             for name in announcements.forget_silent(self._peers, now):
+                self._silence_reports.pop(name, None)
                 _log("peer is silent", peer=name)
             self._scheduler.set_peer_count(len(self._peers))
             self._scheduler.expire()
@@ -309,6 +347,17 @@
             for address in addresses:
                 self.endpoint.send(address, blocks)
 
+    def _send_silent(self, addresses: list[Address], now: timedelta) -> None:
+        """Tell the schedulers which targets do not answer, and once that all do."""
+        if now - self._silence_sent_at < SILENCE_PERIOD:
+            return
+        silent = list_silent(self._fleet, now)
+        if not silent.targets and not self._told_silence:
+            return
+        self._silence_sent_at, self._told_silence = now, bool(silent.targets)
+        for address in addresses:
+            self.endpoint.send(address, silent)
+
     def _measure_own(self, service: str) -> list[MeasuredDemand]:
         measured = self._scheduler.demand.get(service)
         if measured is None:
@@ -412,6 +461,16 @@
         self._epochs.observe(pong.epoch, host)
         self._apply_version(pong.version)
 
+    def _apply_silent(self, host: str, address: Address, silent: SilentTargets) -> None:
+        now = self._clock.monotonic()
+        self._silence_reports.pop(host, None)
+        if silent.targets:
+            self._silence_reports[host] = make_report(silent, now)
+        names = [name for name, _, _ in silent.targets]
+        unconfirmed = silent_targets.list_unconfirmed(self._fleet, names, now)
+        if unconfirmed:
+            self._on_silent(unconfirmed)
+
     def _apply_leaving(
         self, host: str, address: Address, leaving: TargetLeaving
     ) -> None:
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -14,6 +14,7 @@
 from galenapass.forwarding.engine_states import EngineStateClient
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.roles import EngineCount, RoleChange
+from galenapass.forwarding.silent_targets import is_silent
 from galenapass.forwarding.target_messages import OrderOutcome
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target, TargetState
@@ -31,6 +32,8 @@
 # Targets that start together register within a heartbeat, 1.2 s on the deployments.
 JOIN_SETTLE_TIME = timedelta(seconds=1.3)
 MAX_JOIN_TIME = timedelta(seconds=4)
+# A sound engine may be silent for a second and then go on.
+MIN_SILENCE = timedelta(seconds=1.5)
 # Engines answer a new holder's state queries within a few milliseconds.
 STATE_QUERY_TIME = timedelta(milliseconds=300)
 
@@ -52,7 +55,8 @@
     ``prefill_share`` returns the share of a service's engines that is to prefill, or
     None while its demand is unknown; ``refresh_state`` queries an engine and updates
     the table of targets; ``on_order`` is called with each order that an engine
-    accepted.
+    accepted. ``has_crashed`` returns whether the hosts agree that an engine crashed,
+    which the first of them has not reached for the given time.
     """
 
     def __init__(
@@ -64,6 +68,9 @@
         prefill_share: Callable[[str], float | None],
         refresh_state: Callable[[Target], Coroutine[Any, Any, None]],
         on_order: Callable[[Target, Role], None] = lambda target, role: None,
+        has_crashed: Callable[[Target, timedelta], bool] = (
+            lambda target, min_silence: False
+        ),
     ):
         self._fleet = fleet
         self._keeper = keeper
@@ -72,6 +79,13 @@
         self._prefill_share = prefill_share
         self._refresh_state = refresh_state
         self._on_order = on_order
+        self._has_crashed = has_crashed
+        # Crashed engines, their incarnation and the time, until they are reached again.
+        self._lost: dict[str, tuple[str, timedelta]] = {}
+        # Versions whose decode engines crashed, by service.
+        self._lost_versions: dict[str, set[str]] = {}
+        # Decode engines that most hosts cannot reach, whose entries have not lapsed.
+        self._silent: dict[str, Target] = {}
         self._background = BackgroundTasks("planner")
         self._lease_held_since: timedelta | None = None
         self._engine_counts: dict[str, EngineCount] = {}
@@ -125,11 +139,12 @@
         """Update the number of engines of each service, also without the lease."""
         now = self._clock.monotonic()
         targets = self._fleet.targets
+        self._update_lost()
         self._leaving |= {
             n for n, t in targets.items() if t.state is TargetState.LEAVING
         }
         for service in self._fleet.routes.services.values():
-            engines = roles.list_engines(targets.values(), service.name)
+            engines = roles.list_engines(self._list_present(), service.name)
             names = {target.id for target in engines}
             known = self._engines_by_service.get(service.name, names)
             is_permanent = names < known and known - names <= self._leaving
@@ -139,6 +154,56 @@
             )
             self._engines_by_service[service.name] = names
 
+    def _update_lost(self) -> None:
+        """Update which engines are lost: all of a role and version that crashed.
+
+        The loss of some of them is left to their entries, as a change of roles costs
+        more than engines that are missing for a few seconds.
+        """
+        targets = self._fleet.targets
+        self._lost = {
+            name: (incarnation, at)
+            for name, (incarnation, at) in self._lost.items()
+            if name in targets
+            and targets[name].incarnation == incarnation
+            and self._fleet.load_by_id(name).reached_at < at
+        }
+        former, self._silent = self._silent, {}
+        for service in self._fleet.routes.services.values():
+            engines = roles.list_engines(self._list_present(), service.name)
+            decode = [t for t in engines if t.role is Role.DECODE]
+            lost_versions = self._lost_versions.setdefault(service.name, set())
+            # The lapse of its entry confirms that a silent engine has crashed.
+            lost_versions |= {
+                target.version
+                for target in former.values()
+                if target.service == service.name and target.id not in targets
+            }
+            silent = {t.id: t for t in decode if self._has_crashed(t, timedelta(0))}
+            lost_versions -= {t.version for t in decode if t.id not in silent}
+            self._silent |= silent
+            for version in {t.version for t in decode}:
+                group = [t for t in decode if t.version == version]
+                if self._record_lost(group):
+                    lost_versions.add(version)
+            self._record_lost([t for t in engines if t.role is Role.PREFILL])
+
+    def _record_lost(self, group: list[Target]) -> bool:
+        """Record that engines of one role are lost if all of them have crashed."""
+        if not group or not all(
+            self._has_crashed(target, MIN_SILENCE) for target in group
+        ):
+            return False
+        now = self._clock.monotonic()
+        self._lost |= {target.id: (target.incarnation, now) for target in group}
+        names = sorted(target.id for target in group)
+        _log("engines are lost", role=group[0].role.value, targets=names)
+        return True
+
+    def _list_present(self) -> list[Target]:
+        """Return the targets that are not lost."""
+        return [t for t in self._fleet.targets.values() if t.id not in self._lost]
+
     async def _order_next(self) -> bool:
         """Send one order; return whether another one may follow at once."""
         await self._expire_orders()
@@ -219,15 +284,22 @@
         now = self._clock.monotonic()
         if not self._has_initial_targets(now):
             return None
-        pending_roles = {name: role for name, (role, _) in self._pending_orders.items()}
+        # An engine that does not answer gets no order, whether it crashed or not.
+        pending_roles = {
+            target.id: target.role
+            for target in self._list_present()
+            if is_silent(self._fleet.load_of(target), now)
+        }
+        pending_roles |= {n: role for n, (role, _) in self._pending_orders.items()}
         for service in self._fleet.routes.services.values():
             if not service.is_model:
                 continue
             change = roles.plan_change(
-                self._fleet.targets.values(),
+                self._list_present(),
                 service.name,
                 self._prefill_share(service.name),
                 pending_roles,
+                self._lost_versions.get(service.name, ()),
             )
             count = self._engine_counts.setdefault(service.name, EngineCount())
             if change is not None and roles.is_due(change, count):
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -95,6 +95,7 @@
         on_limit_change: Callable[[], None],
         on_limited_send: Callable[[Target, Stage], None],
         origins: OriginSharing,
+        on_silent: Callable[[str, timedelta], None] = lambda name, silence: None,
     ):
         self.terms = terms
         self.daemons = DEFAULT_DAEMON_COUNT
@@ -107,6 +108,7 @@
         self._on_limit_change = on_limit_change
         self._on_limited_send = on_limited_send
         self._origins = origins
+        self._on_silent = on_silent
         self._sender = Sender(target_client, suspects, clock, self._record_stream_begin)
         self._answer_times = AnswerTimes()
         self._open_requests = OpenRequests(clock, self._answer_times)
@@ -372,6 +374,8 @@
         Return a function that gives back what was not sent.
         """
         now = self._clock.monotonic()
+        if request.target is not None:
+            self._on_silent(request.target, STREAM_STALL_TIMEOUT)
         if not self._has_other_target(request, now):
             return None
         budget = self._find_budget(request)
--- a/src/galenapass/forwarding/roles.py
+++ b/src/galenapass/forwarding/roles.py
@@ -1,7 +1,7 @@
 """Decide how many engines of a service prefill and which one changes its role."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -115,12 +115,13 @@
     service: str,
     share: float | None,
     pending_roles: dict[str, Role],
+    lost_versions: Collection[str] = (),
 ) -> RoleChange | None:
     """Return the next change that brings a service nearer to its target split.
 
     Without a ``share`` of prefill engines the split stays, unless a role has no engine.
     ``pending_roles`` maps targets with a pending order to the role that they count in;
-    they get no other order.
+    they get no other order. ``lost_versions`` are those whose decode engines crashed.
     """
     engines = list_engines(targets, service)
     role_of = lambda target: pending_roles.get(target.id, target.role)  # noqa: E731
@@ -130,6 +131,9 @@
         share = len(prefill) / max(len(engines), 1)
     goal = count_prefill_engines(len(engines), share)
     why = f"{len(prefill)} of {len(engines)} engines prefill, goal {goal}"
+    change = _plan_lost_version(prefill, decode, pending_roles, lost_versions, why)
+    if change is not None:
+        return change
     if len(prefill) == goal:
         change = _plan_version_coverage(prefill, decode, pending_roles, why)
         return change or _plan_domain_coverage(prefill, decode, pending_roles)
@@ -184,6 +188,28 @@
     return RoleChange(target, Role.DECODE, why, is_urgent=not decode)
 
 
+def _plan_lost_version(
+    prefill: list[Target],
+    decode: list[Target],
+    pending_roles: dict[str, Role],
+    lost_versions: Collection[str],
+    why: str,
+) -> RoleChange | None:
+    """Plan a decode engine for a version whose decode engines have crashed.
+
+    Load pattern: two versions that serve side by side, and the crash of the only decode
+    engine of one. Clients resume its streams within seconds, only at their version.
+    """
+    versions = [
+        version
+        for version in _list_uncovered_versions(prefill, decode)
+        if version in lost_versions
+    ]
+    candidates = [t for t in prefill if t.version in versions[:1]]
+    change = _pick_for_smallest_domain(candidates, decode, pending_roles, why)
+    return replace(change, is_urgent=True) if change is not None else None
+
+
 def _plan_version_coverage(
     prefill: list[Target],
     decode: list[Target],
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -12,7 +12,7 @@
 
 from galenapass.clocks import BootClock
 from galenapass.duties.lease_keeper import LeaseKeeper
-from galenapass.forwarding import loads
+from galenapass.forwarding import loads, silent_targets
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.background import BackgroundTasks, keep_running
 from galenapass.forwarding.engine_states import EngineStateTracker
@@ -151,6 +151,9 @@
             self.epochs,
             self.suspects,
             self.origins,
+            lambda targets: self._background.spawn(
+                self.states.confirm_silence(targets)
+            ),
         )
         self.split_goals = SplitGoals(
             self.fleet,
@@ -169,6 +172,7 @@
             self.peering.announce_state,
             self._count_limited_send,
             self.origins,
+            self._handle_silence,
         )
         self.request_handler = RequestHandler(
             self.fleet,
@@ -310,9 +314,7 @@
             self._publish_crashes,
             share=lambda message: self.peering.share_crash_message(message),
             on_block=lambda: self.scheduler.check_waiting(),
-            on_crash=lambda target: self.metrics.crashed_requests.add(
-                1, {"target": target.id}
-            ),
+            on_crash=self._record_crash,
         )
 
     def _make_origin_hooks(self) -> OriginHooks:
@@ -347,6 +349,7 @@
             self.split_goals.plan_prefill_share,
             self.states.check,
             self._handle_order,
+            self.peering.has_crashed,
         )
 
     def _make_store_watches(self) -> list[StoreWatch]:
@@ -472,6 +475,12 @@
         self.peering.announce_leaving(target)
         self.scheduler.wake()
 
+    def _handle_silence(self, name: str, silence: timedelta) -> None:
+        now = self.clock.monotonic()
+        targets = silent_targets.list_unconfirmed(self.fleet, [name], now)
+        if targets:
+            self._background.spawn(self.states.confirm_silence(targets, silence))
+
     def _handle_order(self, target: Target, role: Role) -> None:
         self.peering.announce_order(target, role)
         self._background.spawn(self.states.track_order(target, role, own=True))
@@ -530,6 +539,11 @@
 
     # Crashes
 
+    def _record_crash(self, target: Target) -> None:
+        load = self.fleet.load_of(target)
+        loads.record_silence(load, self.clock.monotonic())
+        self.metrics.crashed_requests.add(1, {"target": target.id})
+
     def _apply_crashes_listing(self, listing: ObjectListing) -> None:
         for stored in listing.items:
             if stored.name == self.settings.host:
--- a/tests/test_forwarding_datagrams.py
+++ b/tests/test_forwarding_datagrams.py
@@ -29,6 +29,7 @@
 )
 from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
+from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import (
     Grant,
     Outcome,
@@ -147,6 +148,11 @@
     | grants
     | st.builds(SlotRefusal, names, verdicts)
     | st.builds(SlotPending, names)
+    | st.builds(
+        SilentTargets,
+        names,
+        st.lists(st.tuples(names, names, moments), max_size=3).map(tuple),
+    )
     | st.builds(
         SlotRelease,
         names,
--- a/tests/test_forwarding_engine_states.py
+++ b/tests/test_forwarding_engine_states.py
@@ -162,3 +162,17 @@
         engines.probe_unreachable()
         self.assertFalse(engines.lacks_decode_engine())
         self.assertEqual(1, engines.woken)
+
+    def test_a_silent_engine_is_confirmed_without_blaming_its_domain(self):
+        # Probes of crashed engines marked their domain down, and with it the engine
+        # that had taken over their role.
+        crashed = make_target("d1", Role.DECODE)
+        sound = make_target("d2", Role.DECODE)
+        engines = FakeEngines(crashed, sound)
+        engines.answers = {"d1": GONE, "d2": Ok(make_state())}
+        silence = 800 * MS
+        asyncio.run(engines.states.confirm_silence([crashed, sound], silence))
+        loads_by_id = engines.fleet.loads
+        self.assertEqual(engines.now - silence, loads_by_id["d1"].silent_since)
+        self.assertIsNone(loads_by_id["d2"].silent_since)
+        self.assertFalse(engines.fleet.view(engines.now).is_down(sound))
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -8,12 +8,13 @@
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock
-from galenapass.forwarding import datagrams
+from galenapass.forwarding import datagrams, loads
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.crash_evidence import CrashReport, Sighting
 from galenapass.forwarding.datagrams import Ping, Pong
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
+from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import Grant, SlotRequest, Stage
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
@@ -194,3 +195,54 @@
         cut_off.fleet.targets["e1"] = replace(target, incarnation="7")
         cut_off.receive(announcement)
         self.assertIs(TargetState.LEAVING, cut_off.fleet.targets["e1"].state)
+
+
+class TestSilentTargets(TestCase):
+    def make_daemon(self, hosts=("h2", "h3")):
+        """Return a daemon that hears other schedulers, and a target of domain a."""
+        daemon = FakeDaemon()
+        daemon.clock.advance(100_000 * MS)
+        for host in hosts:
+            daemon.peering._receive(host, ("10.0.0.2", 1), Announcement(host, 1, 1))
+        return daemon, daemon.fleet.targets["e1"]
+
+    def report(self, daemon, host, domain, silent_for=2000):
+        since = daemon.clock.monotonic() - silent_for * MS
+        message = SilentTargets(domain, (("e1", "", since),))
+        daemon.peering._receive(host, ("10.0.0.2", 1), message)
+
+    def has_crashed(self, daemon, target):
+        return daemon.peering.has_crashed(target, 1500 * MS)
+
+    def test_hosts_that_agree_find_a_crash(self):
+        daemon, target = self.make_daemon()
+        self.report(daemon, "h2", "b")
+        self.assertFalse(self.has_crashed(daemon, target))
+        loads.record_silence(daemon.fleet.load_of(target), daemon.clock.monotonic())
+        self.assertTrue(self.has_crashed(daemon, target))
+        loads.record_reach(daemon.fleet.load_of(target), daemon.clock.monotonic())
+        self.assertFalse(self.has_crashed(daemon, target))
+
+    def test_a_report_that_is_withdrawn_counts_no_more(self):
+        daemon, target = self.make_daemon()
+        self.report(daemon, "h2", "b")
+        self.report(daemon, "h3", "a")
+        self.assertTrue(self.has_crashed(daemon, target))
+        daemon.peering._receive("h3", ("10.0.0.2", 1), SilentTargets("a", ()))
+        self.assertFalse(self.has_crashed(daemon, target))
+
+    def test_a_host_that_is_not_heard_as_a_scheduler_has_no_say(self):
+        daemon, target = self.make_daemon(hosts=())
+        self.report(daemon, "h2", "b")
+        self.report(daemon, "h3", "a")
+        self.assertFalse(self.has_crashed(daemon, target))
+
+    def test_what_another_host_cannot_reach_is_probed_once(self):
+        daemon, target = self.make_daemon()
+        probed = []
+        daemon.peering._on_silent = probed.append
+        self.report(daemon, "h2", "b")
+        self.assertEqual([[target]], probed)
+        loads.record_silence(daemon.fleet.load_of(target), daemon.clock.monotonic())
+        self.report(daemon, "h2", "b")
+        self.assertEqual(1, len(probed))
--- a/tests/test_forwarding_planning.py
+++ b/tests/test_forwarding_planning.py
@@ -1,6 +1,7 @@
 """Check when engines are ordered to change their role."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Ok
@@ -57,7 +58,9 @@
         for name, (role, at) in list(self.changes.items()):
             if at <= self.now:
                 del self.changes[name]
-                self.fleet.targets[name] = make_target(name, role)
+                self.fleet.targets[name] = replace(
+                    self.fleet.targets[name], role=role, state=TargetState.SERVING
+                )
 
     async def check(self, target):
         state = (await self.fetch_state(target)).ok_value
@@ -66,8 +69,8 @@
             self.fleet.targets[target.id] = updated
 
 
-class TestPlanner(TestCase):
-    def make_planner(self, engines, share):
+class PlannerCase(TestCase):
+    def make_planner(self, engines, share, **options):
         return RolePlanner(
             engines.fleet,
             FakeLeaseKeeper(),
@@ -75,6 +78,7 @@
             engines,
             lambda service: share,
             engines.check,
+            **options,
         )
 
     def simulate(self, engines, planner, seconds):
@@ -87,6 +91,8 @@
 
         asyncio.run(run_steps())
 
+
+class TestPlanner(PlannerCase):
     def test_no_second_engine_is_ordered_during_a_long_change(self):
         # An engine with long outputs took 7 s to change. A second one was ordered after
         # 6 s and then back, which left one engine to decode.
@@ -177,3 +183,104 @@
         self.assertEqual(
             [Role.DECODE] * 2, [role for _, role in engines.accepted_orders]
         )
+
+
+class TestLostEngines(PlannerCase):
+    """Engines fall silent at once; their entries lapse three heartbeats later."""
+
+    def make_engines(self, *versions):
+        """Return three prefill engines and one decode engine of each version."""
+        return FakeEngines(
+            *(
+                make_target(f"{name}-{version}", role, version=version)
+                for version in versions
+                for name, role in (
+                    ("p0", Role.PREFILL),
+                    ("p1", Role.PREFILL),
+                    ("p2", Role.PREFILL),
+                    ("d0", Role.DECODE),
+                )
+            )
+        )
+
+    def play(self, engines, crashed, share=0.75):
+        """Return the versions and roles of the orders within a second of a crash."""
+        crashes = set()
+        planner = self.make_planner(
+            engines, share, has_crashed=lambda target, _: target.id in crashes
+        )
+        self.simulate(engines, planner, seconds=5)
+        self.assertEqual([], engines.accepted_orders)
+        crashes |= set(crashed)
+        self.simulate(engines, planner, seconds=1)
+        return planner, sorted(
+            (engines.fleet.targets[name].version, role)
+            for name, role in engines.accepted_orders
+        )
+
+    def test_lost_all_engines_that_decode_fall_silent_at_once(self):
+        engines = self.make_engines("v1", "v2")
+        _, orders = self.play(engines, ["d0-v1", "d0-v2"])
+        self.assertEqual([("v1", Role.DECODE), ("v2", Role.DECODE)], orders)
+
+    def test_lost_the_only_decode_engine_of_one_of_two_versions(self):
+        # The order was due 5 s after the entry had lapsed, when no client came back.
+        engines = self.make_engines("v1", "v2")
+        _, orders = self.play(engines, ["d0-v1"])
+        self.assertEqual([("v1", Role.DECODE)], orders)
+
+    def test_another_decode_engine_of_the_version_is_enough(self):
+        engines = self.make_engines("v1")
+        engines.fleet.targets["d1"] = make_target("d1", Role.DECODE, version="v1")
+        _, orders = self.play(engines, ["d0-v1"], share=0.6)
+        self.assertEqual([], orders)
+
+    def test_an_engine_that_does_not_answer_gets_no_order(self):
+        engines = self.make_engines("v1")
+        silent = engines.fleet.targets["p0-v1"]
+        engines.fleet.load_of(silent).silent_since = engines.now
+        engines.fleet.load_of(silent).missed_at = engines.now + timedelta(seconds=5)
+        self.play(engines, ["d0-v1"])
+        self.assertEqual([("p1-v1", Role.DECODE)], engines.accepted_orders)
+
+    def test_a_silent_engine_that_is_back_leads_to_one_order_and_its_reverse(self):
+        engines = self.make_engines("v1")
+        planner, orders = self.play(engines, ["d0-v1"])
+        self.assertEqual([("v1", Role.DECODE)], orders)
+        load = engines.fleet.load_by_id("d0-v1")
+        load.reached_at = engines.now
+        planner._has_crashed = lambda target, _: False
+        self.simulate(engines, planner, seconds=30)
+        self.assertEqual(
+            [Role.DECODE, Role.PREFILL], [role for _, role in engines.accepted_orders]
+        )
+
+    def test_an_entry_that_lapses_confirms_that_a_silent_engine_crashed(self):
+        # The hosts had agreed less than 1.5 s before.
+        engines = self.make_engines("v1", "v2")
+        silent = set()
+        planner = self.make_planner(
+            engines,
+            0.75,
+            has_crashed=lambda target, min_silence: (
+                target.id in silent and not min_silence
+            ),
+        )
+        self.simulate(engines, planner, seconds=5)
+        silent.add("d0-v1")
+        self.simulate(engines, planner, seconds=1)
+        self.assertEqual([], engines.accepted_orders)
+        del engines.fleet.targets["d0-v1"]
+        self.simulate(engines, planner, seconds=1)
+        self.assertEqual([Role.DECODE], [role for _, role in engines.accepted_orders])
+        (name,) = [name for name, _ in engines.accepted_orders]
+        self.assertEqual("v1", engines.fleet.targets[name].version)
+
+    def test_no_order_while_a_version_loses_its_entry_for_other_reasons(self):
+        # A runner may leave without a notice, and serves on for a while.
+        engines = self.make_engines("v1", "v2")
+        planner = self.make_planner(engines, 0.75)
+        self.simulate(engines, planner, seconds=5)
+        del engines.fleet.targets["d0-v1"]
+        self.simulate(engines, planner, seconds=2)
+        self.assertEqual([], engines.accepted_orders)
