Do not hold a domain for cut off because of a target that crashed

Each attempt to reach a crashed target counted against its domain as well, and a domain that is down makes each target in it count as down. Now a target that is tried again counts only if no other one of its domain has answered since the first attempt failed.

TestReachability.test_a_crashed_target_does_not_mark_its_domain_down fails without the condition; the domain that is cut off still counts as down.

--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -86,10 +86,14 @@
 
 @dataclass(slots=True)
 class FailureRate:
-    """Smoothed share of failed sends to a target or domain."""
+    """Smoothed share of failed sends to a target or domain.
+
+    ``reached_at`` is when it was last reached.
+    """
 
     share: float = 0.0
     updated_at: timedelta = timedelta(0)
+    reached_at: timedelta = timedelta(0)
 
 
 @dataclass(slots=True)
@@ -344,10 +348,16 @@
 
 
 def record_miss(load: Load, domain_failures: FailureRate, now: timedelta) -> None:
-    """Record an attempt that did not reach a target."""
+    """Record an attempt that did not reach a target.
+
+    Load pattern: targets that crashed. Other targets of their domain that answered
+    since then show that it is not cut off, so one that takes over a role is not down.
+    """
     record_silence(load, now)
     record_reachability(load.failures, False, now)
-    record_reachability(domain_failures, False, now)
+    since = load.silent_since
+    if since is None or domain_failures.reached_at <= since:
+        record_reachability(domain_failures, False, now)
 
 
 def record_silence(
@@ -372,6 +382,8 @@
 ) -> None:
     """Record an attempt to reach a target or domain, with a large weight."""
     _add_sample(failure_rate, not reached, REACHABILITY_WEIGHT, now)
+    if reached:
+        failure_rate.reached_at = now
 
 
 def _add_sample(
--- a/tests/test_forwarding_loads.py
+++ b/tests/test_forwarding_loads.py
@@ -201,3 +201,25 @@
         result = Replay().play(make_prefix_load(1, rate=10.0))
         self.assertEqual(0, result.refused)
         self.assertLess(result.late, 0.02 * result.on_time)
+
+
+class TestReachability(TestCase):
+    def test_a_crashed_target_does_not_mark_its_domain_down(self):
+        # Each attempt to reach crashed engines marked their domain down, and with it
+        # the engine that had taken over their role.
+        domain, load = loads.FailureRate(), loads.Load()
+        loads.record_miss(load, domain, 1000 * MS)
+        self.assertGreater(domain.share, placement.DOWN_FAILURE_SHARE)
+        for at in (1100, 1200):
+            loads.record_reachability(domain, True, at * MS)
+        loads.record_miss(load, domain, 1300 * MS)
+        self.assertLess(domain.share, placement.DOWN_FAILURE_SHARE)
+        self.assertEqual(1000 * MS, load.silent_since)
+
+    def test_a_domain_that_is_cut_off_is_down(self):
+        domain = loads.FailureRate()
+        for at in (1000, 1100):
+            loads.record_reachability(domain, True, at * MS)
+        for number in range(2):
+            loads.record_miss(loads.Load(), domain, (1200 + number) * MS)
+        self.assertGreater(domain.share, placement.DOWN_FAILURE_SHARE)
