Let resumed streams wait for an engine that changes its role

Hosts know when an engine that accepted an order serves again. A request that goes on only at one version now waits for such an engine of its version if that serves before the request's deadline, and is refused at once if not, or if none changes. New requests are refused at once, with the time at which it serves.

TestRoleChanges in test_forwarding_scheduling fails without the change.

--- a/src/galenapass/forwarding/engine_states.py
+++ b/src/galenapass/forwarding/engine_states.py
@@ -10,7 +10,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding import loads
-from galenapass.forwarding.fleet import Fleet, apply_target
+from galenapass.forwarding.fleet import Fleet, apply_target, record_change
 from galenapass.forwarding.target_messages import EngineState
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target, TargetState
@@ -101,7 +101,9 @@
         if known is None or known.role is role:
             return
         changing = replace(known, role=role, state=TargetState.CHANGING)
-        apply_target(self._fleet, changing, self._clock.monotonic())
+        now = self._clock.monotonic()
+        apply_target(self._fleet, changing, now)
+        record_change(self._fleet, changing, now)
         self._on_change()
         await asyncio.sleep(
             (ORDER_REPORT_DELAY if own else ENTRY_TIMEOUT).total_seconds()
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -14,7 +14,7 @@
 from galenapass.forwarding.placement import View
 from galenapass.forwarding.rate_limits import RateLimits
 from galenapass.forwarding.routes import RouteTable
-from galenapass.tables.targets import Target, TargetState
+from galenapass.tables.targets import Role, Target, TargetState
 
 __all__ = [
     "Fleet",
@@ -26,8 +26,10 @@
     "drop_overdue",
     "end_restore",
     "find_back_off",
+    "find_change_end",
     "list_excluded",
     "record_back_off",
+    "record_change",
     "record_leaving",
     "record_target_parts",
     "remove_target",
@@ -41,6 +43,8 @@
 # An entry that nobody writes again after a restore has expired by then: the store
 # removes it after three heartbeats, and a busy one a little later.
 STALE_ENTRY_TIME = timedelta(seconds=5)
+# An engine that changes its role first ends its work, within a second if it prefills.
+CHANGE_SLACK = timedelta(seconds=1)
 # Leaving and removed targets that are remembered; far more than a deployment replaces
 # at once.
 MAX_LEAVING = 4096
@@ -58,6 +62,7 @@
     each service's engines. ``leaving`` maps targets that reported that they leave to
     their incarnation, and ``backing_off`` those that accept no work from this daemon
     to when that ends; ``rate_limits`` holds the rate limits that targets named.
+    ``change_ends`` maps engines that accepted a role order to when they serve again.
 
     ``removed`` maps targets whose entries were removed to their incarnation and the
     time. After a restore of the store, until ``restored_until``, such targets are
@@ -79,6 +84,7 @@
     leaving: dict[str, str] = field(default_factory=dict)
     backing_off: dict[str, timedelta] = field(default_factory=dict)
     rate_limits: RateLimits = field(default_factory=dict)
+    change_ends: dict[str, timedelta] = field(default_factory=dict)
     removed: dict[str, tuple[str, timedelta]] = field(default_factory=dict)
     withheld: dict[str, Target] = field(default_factory=dict)
     restored_until: timedelta | None = None
@@ -227,6 +233,34 @@
     return max(min(ends), timedelta(0)) if ends else None
 
 
+def record_change(fleet: Fleet, target: Target, now: timedelta) -> None:
+    """Record that an engine accepted a role order and begins to change."""
+    service = fleet.routes.services.get(target.service)
+    if service is not None:
+        fleet.change_ends[target.id] = now + service.reconfiguration
+
+
+def find_change_end(
+    fleet: Fleet, service: str, version: str | None, now: timedelta
+) -> timedelta | None:
+    """Return when the next engine that is to decode serves, None if none changes.
+
+    With a ``version``, only its engines count. An engine ends its work before it
+    changes, so it may serve a little later.
+    """
+    ends = [
+        end
+        for target in fleet.targets.values()
+        if target.service == service
+        and target.role is Role.DECODE
+        and target.state is TargetState.CHANGING
+        and version in (None, target.version)
+        and (end := fleet.change_ends.get(target.id)) is not None
+        and end > now - CHANGE_SLACK
+    ]
+    return max(min(ends), now) if ends else None
+
+
 def start_return_grace(fleet: Fleet, now: timedelta) -> None:
     """Start the time in which entries that expired in an outage may come back."""
     fleet.grace_until = now + RETURN_GRACE
@@ -302,6 +336,7 @@
 def _drop(fleet: Fleet, name: str, now: timedelta) -> str:
     fleet.missing.pop(name, None)
     fleet.entry_changed_at.pop(name, None)
+    fleet.change_ends.pop(name, None)
     fleet.removed[name] = (fleet.targets.pop(name).incarnation, now)
     while len(fleet.removed) > MAX_LEAVING:
         del fleet.removed[next(iter(fleet.removed))]
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -17,7 +17,12 @@
 from galenapass.forwarding import admission, placement
 from galenapass.forwarding.admission import RetryTimes, SlotCounts
 from galenapass.forwarding.capacity import Capacity
-from galenapass.forwarding.fleet import Fleet, find_back_off, record_target_parts
+from galenapass.forwarding.fleet import (
+    Fleet,
+    find_back_off,
+    find_change_end,
+    record_target_parts,
+)
 from galenapass.forwarding.grants import RELEASE_SLACK, GrantTable
 from galenapass.forwarding.loads import PartDigest
 from galenapass.forwarding.permits import Permits
@@ -36,6 +41,8 @@
 # age grows in proportion to a queue longer than ``MAX_SHORT_QUEUE``.
 MAX_CHOICE_AGE = timedelta(milliseconds=50)
 MAX_SHORT_QUEUE = 20
+# Clients that wait for a role change return within this time after it.
+CHANGE_SPREAD = timedelta(milliseconds=400)
 # Minimum time between two passes over a queue longer than ``MAX_SHORT_QUEUE``.
 LONG_QUEUE_PERIOD = timedelta(milliseconds=5)
 
@@ -217,7 +224,9 @@
         left: dict[str, list[SlotRequest]] = {}
         for slot_request in admission.order_waiting(slot_requests, choose, view.now):
             refusal = self._check_prompt(slot_request, choose(slot_request), view)
-            if refusal is not None:
+            if refusal is not None and self._awaits_change(slot_request, view):
+                left.setdefault(slot_request.service, []).append(slot_request)
+            elif refusal is not None:
                 self._refuse(slot_request, refusal)
             elif not self._try_prefill(slot_request, view, free[slot_request.service]):
                 left.setdefault(slot_request.service, []).append(slot_request)
@@ -235,23 +244,40 @@
         self, slot_request: SlotRequest, choice: Choice | None, view: View
     ) -> Verdict | None:
         """Return the verdict that refuses a prompt, None if it may be prefilled."""
-        service = self._fleet.routes.services.get(slot_request.service)
-        if service is not None and 0 < service.cache_tokens < slot_request.all_tokens:
+        if self._is_too_large(slot_request):
             return _TOO_LARGE
         if choice is None:
-            return self._add_back_off(_NO_ENGINE, slot_request.service, view.now)
+            return self._find_retry(_NO_ENGINE, slot_request, view.now)
         serving = self._capacity.list_serving(
             slot_request.service, version=slot_request.version
         )
         only_prefills = all(target.role is Role.PREFILL for target in serving)
         if slot_request.version is not None and only_prefills:
-            return _NO_VERSION
+            return self._find_retry(_NO_VERSION, slot_request, view.now)
         if placement.lacks_decode_engine(serving, view):
             decode = [t for t in serving if t.role is Role.DECODE]
             self._hooks.on_unreachable(decode or serving)
-            return _NO_DECODE
+            return self._find_retry(_NO_DECODE, slot_request, view.now)
         return None
 
+    def _awaits_change(self, slot_request: SlotRequest, view: View) -> bool:
+        """Return whether a resumed stream waits for an engine that changes its role.
+
+        Load pattern: the loss of all decode engines of a version. A client that resumes
+        a stream has little time left, so it cannot return as late as the engine does.
+        """
+        if slot_request.version is None or self._is_too_large(slot_request):
+            return False
+        end = find_change_end(
+            self._fleet, slot_request.service, slot_request.version, view.now
+        )
+        return end is not None and end < slot_request.deadline
+
+    def _is_too_large(self, slot_request: SlotRequest) -> bool:
+        service = self._fleet.routes.services.get(slot_request.service)
+        cache_tokens = service.cache_tokens if service is not None else 0
+        return 0 < cache_tokens < slot_request.all_tokens
+
     def _try_prefill(
         self, slot_request: SlotRequest, view: View, slots: SlotCounts | None
     ) -> bool:
@@ -405,14 +431,29 @@
                 served.append(slot_request)
             else:
                 self._refuse(
-                    slot_request,
-                    self._add_back_off(_NO_TARGET, slot_request.service, view.now),
+                    slot_request, self._find_retry(_NO_TARGET, slot_request, view.now)
                 )
         return served
 
-    def _add_back_off(self, verdict: Verdict, service: str, now: timedelta) -> Verdict:
+    def _find_retry(
+        self, verdict: Verdict, slot_request: SlotRequest, now: timedelta
+    ) -> Verdict:
+        """Return a verdict with the time after which a target serves, if known.
+
+        Load pattern: the loss of all engines that decode. Clients that return before
+        another engine has changed its role use up their attempts.
+        """
+        service, version = slot_request.service, slot_request.version
         back_off = find_back_off(self._fleet, service, now)
-        return replace(verdict, retry_after=back_off) if back_off else verdict
+        if back_off:
+            return replace(verdict, retry_after=back_off)
+        change_end = find_change_end(self._fleet, service, version, now)
+        if change_end is None:
+            return verdict
+        at = change_end + self._random.random() * CHANGE_SPREAD
+        if at + CHANGE_SPREAD >= slot_request.deadline:
+            return verdict
+        return replace(verdict, retry_after=at - now)
 
     # Expiry
 
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -1,6 +1,7 @@
 """Check which requests are granted slots at targets, in which order."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -15,7 +16,7 @@
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.scheduling import Hooks, Scheduler
 from galenapass.forwarding.slot_requests import Outcome, SlotRelease, SlotRequest, Stage
-from galenapass.tables.targets import Role
+from galenapass.tables.targets import Role, TargetState
 from galenapass.verdicts import Reason, Run, Verdict
 from tests.forwarding_fakes import MS, make_fleet, make_prompt, make_target
 
@@ -417,3 +418,64 @@
         run_with_scheduler(
             scenario, make_target("e1"), on_unreachable=unreachable.append
         )
+
+
+class TestRoleChanges(TestCase):
+    """No engine decodes, and one changes its role to do so."""
+
+    def play(self, scenario, end):
+        """Run a scenario; the engine that is to decode serves ``end`` ms from now."""
+
+        async def play(harness):
+            if end is not None:
+                now = harness.clock.monotonic()
+                harness.fleet.change_ends["d1"] = now + end * MS
+            await scenario(harness)
+
+        changing = make_target(
+            "d1", Role.DECODE, state=TargetState.CHANGING, version="v1", slots=8
+        )
+        run_with_scheduler(play, make_target("e1"), make_target("e2"), changing)
+
+    def test_a_client_is_told_when_the_engine_serves(self):
+        # With 0.5 s the clients had used up their attempts before any engine decoded.
+        async def scenario(harness):
+            harness.submit(make_slot_request("r1", Stage.PREFILL, deadline=8000))
+            await harness.settle()
+            after = harness.refused()["r1"].retry_after
+            self.assertTrue(2500 * MS <= after <= 3000 * MS, after)
+
+        self.play(scenario, end=2500)
+
+    def test_a_resumed_stream_waits_for_the_engine(self):
+        async def scenario(harness):
+            take_up = make_slot_request(
+                "r1", Stage.PREFILL, deadline=4000, version="v1"
+            )
+            harness.submit(take_up)
+            await harness.settle()
+            self.assertEqual({}, harness.answers)
+            harness.clock.advance(2500 * MS)
+            target = harness.fleet.targets["d1"]
+            harness.fleet.targets["d1"] = replace(target, state=TargetState.SERVING)
+            harness.scheduler.wake()
+            await harness.settle()
+            self.assertEqual(["r1"], harness.granted())
+
+        self.play(scenario, end=2500)
+
+    def test_a_resumed_stream_is_refused_at_once_if_nothing_would_serve_in_time(self):
+        async def scenario(harness):
+            versions = {"r1": "v1", "r2": "v2"}
+            for name, version in versions.items():
+                harness.submit(
+                    make_slot_request(
+                        name, Stage.PREFILL, deadline=2000, version=version
+                    )
+                )
+            await harness.settle()
+            refused = harness.refused()
+            self.assertEqual([500 * MS] * 2, [v.retry_after for v in refused.values()])
+
+        self.play(scenario, end=2500)
+        self.play(scenario, end=None)
