Start streams that have begun before new requests

A waiting request that will be late goes behind all that will not, and a stream that is resumed is late by then. Streams that have begun now come first, in the queue of a scheduler and at engines: they are few and have little time left.

test_a_stream_that_has_begun_comes_before_new_ones fails without the change.

--- a/src/galenapass/forwarding/admission.py
+++ b/src/galenapass/forwarding/admission.py
@@ -64,6 +64,10 @@
     def rank(self) -> int:
         """Return the rank, 0 for the most urgent."""
 
+    @property
+    def version(self) -> str | None:
+        """Return the version that began its stream, None before its first event."""
+
 
 class RetryTimes:
     """Times at which refused clients are expected to retry.
@@ -135,20 +139,21 @@
 ) -> list[W]:
     """Order requests by soft deadline, those that will miss it last.
 
-    Load pattern: a burst beyond the capacity. Serving the oldest request first, or a
+    Load patterns: a burst beyond the capacity. Serving the oldest request first, or a
     long prompt before many short ones, would make every answer late. A rank counts as
-    time, so that no rank starves.
+    time, so that no rank starves. Clients that resume streams after a crash, beside
+    many new requests. Streams that have begun come first: they are few, late by then,
+    and have little time left.
     """
 
-    def score(request: W) -> tuple[bool, timedelta]:
+    def score(request: W) -> tuple[bool, bool, timedelta]:
         choice = choose(request)
         finish = choice.finish_ms + FIRST_OUTPUT_MS if choice is not None else 0.0
         cost = choice.cost_ms if choice is not None else 0.0
         is_late = now + timedelta(milliseconds=finish) >= request.soft_deadline
         delay = request.rank * RANK_STEP
-        return is_late, request.soft_deadline + delay + timedelta(
-            milliseconds=COST_WEIGHT * cost
-        )
+        due = request.soft_deadline + delay + timedelta(milliseconds=COST_WEIGHT * cost)
+        return request.version is None, is_late, due
 
     return sorted(waiting, key=score)
 
@@ -158,9 +163,10 @@
 
     Load pattern: prompts of very different length at a busy engine. A long prompt
     before many short ones makes them all late; a prompt that will be late anyway loses
-    little by waiting longer.
+    little by waiting longer, unless its stream has begun.
     """
-    if now + timedelta(milliseconds=cost_ms + FIRST_OUTPUT_MS) >= request.soft_deadline:
+    finish = now + timedelta(milliseconds=cost_ms + FIRST_OUTPUT_MS)
+    if request.version is None and finish >= request.soft_deadline:
         return len(PRIORITY_LEVELS_MS) + 1
     return bisect.bisect_left(PRIORITY_LEVELS_MS, cost_ms)
 
--- a/tests/test_forwarding_scheduling.py
+++ b/tests/test_forwarding_scheduling.py
@@ -479,3 +479,22 @@
 
         self.play(scenario, end=2500)
         self.play(scenario, end=None)
+
+    def test_a_stream_that_has_begun_comes_before_new_ones(self):
+        # Streams that had waited for the engine were late, and every new request came
+        # before them until their deadline.
+        async def scenario(harness):
+            for number in range(12):
+                harness.submit(make_slot_request(f"new{number}", Stage.PREFILL))
+            begun = make_slot_request(
+                "begun", Stage.PREFILL, soft_deadline=-1000, version="v1"
+            )
+            harness.submit(begun)
+            await harness.settle()
+            self.assertEqual("begun", harness.granted()[0])
+
+        run_with_scheduler(
+            scenario,
+            make_target("e1"),
+            make_target("d1", Role.DECODE, version="v1", slots=4),
+        )
