--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -10,6 +10,7 @@
 from galenapass.tables.targets import Target
 
 __all__ = [
+    "MAX_ATTEMPT_AGE",
     "MIN_ENGINE_SAMPLES",
     "FailureRate",
     "Load",
@@ -27,11 +28,14 @@
     "exceeds_share",
     "forget_targets",
     "record_durations",
+    "record_miss",
     "record_outcome",
     "record_parts",
     "record_prefill",
     "record_rate",
+    "record_reach",
     "record_reachability",
+    "record_silence",
     "record_service_rate",
     "smooth_base_ms",
     "smooth_rate",
@@ -61,6 +65,8 @@
 # Difference up to which two shares of failing sends are equal, relative to the share
 # that does not fail.
 SHARE_TOLERANCE = 0.01
+# A host that has not tried to reach a target since then knows nothing about it.
+MAX_ATTEMPT_AGE = timedelta(seconds=3)
 # Time constant after which an observed queueing delay is outdated.
 DELAY_DECAY = timedelta(milliseconds=400)
 # About three times the restart time of a target.
@@ -84,10 +90,14 @@
 
 @dataclass(slots=True)
 class FailureRate:
-    """Smoothed share of failed sends to a target or domain."""
+    """Smoothed share of failed sends to a target or domain.
+
+    ``reached_at`` is when it was last reached.
+    """
 
     share: float = 0.0
     updated_at: timedelta = timedelta(0)
+    reached_at: timedelta = timedelta(0)
 
 
 @dataclass(slots=True)
@@ -118,7 +128,9 @@
     which a request holds its slot. ``cached`` maps the digests of cached parts to
     their tokens, least recently used first, ``prefill_started_at`` to the time when
     their prefill was announced. ``queried_at`` is when the engine's state was last
-    requested.
+    requested. ``silent_since`` is when this daemon first failed to reach the target,
+    None if it reached it since, ``missed_at`` when it last failed and ``reached_at``
+    when it last reached it.
     """
 
     requests: int = 0
@@ -141,6 +153,9 @@
     prefill_started_at: dict[int, timedelta] = field(default_factory=dict)
     cached_tokens: int = 0
     queried_at: timedelta | None = None
+    silent_since: timedelta | None = None
+    missed_at: timedelta = timedelta(0)
+    reached_at: timedelta = timedelta(0)
 
     @property
     def sequences(self) -> int:
@@ -341,11 +356,43 @@
     _add_sample(failure_rate, failed, SAMPLE_WEIGHT, now)
 
 
+def record_miss(load: Load, domain_failures: FailureRate, now: timedelta) -> None:
+    """Record an attempt that did not reach a target.
+
+    Load pattern: targets that crashed. Other targets of their domain that answered
+    since then show that it is not cut off, so one that takes over a role is not down.
+    """
+    record_silence(load, now)
+    record_reachability(load.failures, False, now)
+    since = load.silent_since
+    if since is None or domain_failures.reached_at <= since:
+        record_reachability(domain_failures, False, now)
+
+
+def record_silence(
+    load: Load, now: timedelta, silence: timedelta = timedelta(0)
+) -> None:
+    """Record that a target accepts no connections, after a ``silence`` of its answers.
+
+    Attempts that are far apart tell nothing about the time between them.
+    """
+    if load.silent_since is None or now - load.missed_at > MAX_ATTEMPT_AGE:
+        load.silent_since = now - silence
+    load.missed_at = now
+
+
+def record_reach(load: Load, now: timedelta) -> None:
+    """Record that a target was reached."""
+    load.silent_since, load.reached_at = None, now
+
+
 def record_reachability(
     failure_rate: FailureRate, reached: bool, now: timedelta
 ) -> None:
     """Record an attempt to reach a target or domain, with a large weight."""
     _add_sample(failure_rate, not reached, REACHABILITY_WEIGHT, now)
+    if reached:
+        failure_rate.reached_at = now
 
 
 def _add_sample(
