Start processes in two tests with the default action of SIGHUP

Both tests set the default action now, and the second waits until the process has logged its start, as its name says.

--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -31,6 +31,9 @@
 LIST_EARLY_IMPORTS = """
 import os, runpy, signal, sys
 
+# The tests may run where it is ignored, which processes inherit.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
 class Finder:
     def find_spec(self, name, path=None, target=None):
         if signal.getsignal(signal.SIGHUP) != signal.SIG_DFL:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 from experiments.soak.proxies import Disturbance, Proxy
 from experiments.soak.runs import describe, run_soak
 from stand_ins.runner import STREAM_BODY
+from tests.platform_fleet import wait_for
 
 SEED = 2026
 SECONDS = 8.0
@@ -69,12 +70,19 @@
     def test_a_hangup_reaches_a_daemon_that_has_started_without_handling_it(self):
         async def scenario(folder):
             daemon = Daemon("front-1", "zone-a", folder)
-            code = f"import time; print({START_MESSAGE!r}, flush=True); time.sleep(60)"
+            # The tests may run where it is ignored, which processes inherit.
+            code = f"""
+import signal, time
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+print({START_MESSAGE!r}, flush=True)
+time.sleep(60)
+"""
             with daemon.log.open("wb") as log:
                 child = await asyncio.create_subprocess_exec(
                     sys.executable, "-c", code, stdout=log
                 )
             daemon.process = Process(daemon.name, child)
+            await wait_for(daemon.has_started)
             await hang_up(daemon)
             self.assertEqual(-signal.SIGHUP, await daemon.process.wait())
 
