--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -85,7 +85,7 @@
     for path, (attempt, _, body) in zip(paths, begun, strict=True):
         if list_versions(body) == [f"lm-{version}"]:
             return path, attempt, body
-    raise AssertionError(f"no stream began at {version}")
+    raise AssertionError(f"no stream began at {version}: {begun}")
 
 
 async def take_up(fleet, path, begun, host=1, **headers):
