Compact the history of the store in a test behind every watch

Traced with the log of the daemon: a watch that knows the newest revision is not ended by a compaction, so it waits on and meets no garbage within the test. A write of a kind that nobody watches now precedes the compaction, so that each watch has to list again.

--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -290,6 +290,8 @@
     def test_a_store_that_answers_garbage_is_logged_and_serving_goes_on(self):
         async def scenario(fleet):
             fleet.store.faults.garbage = True
+            # A watch that knows the newest revision would outlast the compaction.
+            fleet.store.put("unwatched", "newest", {})
             fleet.store.compact()
             await asyncio.sleep(0.8)
             status, _, _ = await fleet.send("/seats/1")
