Log and count what the retry budget decides

The budgets of a daemon's services move out of the relay into RetryAccounts, which logs each decision with its inputs and counts it in galenapass_retries_total. No decision changes: the tests of the relay pass as before.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding import admission, placement, retries, retry_budgets
+from galenapass.forwarding import admission, placement, retries
 from galenapass.forwarding.answer_times import AnswerTimes
 from galenapass.forwarding.fleet import (
     Fleet,
@@ -24,7 +24,7 @@
 from galenapass.forwarding.progress import ProgressTimeouts
 from galenapass.forwarding.rate_limits import find_rate_limit, record_rate_limit
 from galenapass.forwarding.requests import ForwardedRequest
-from galenapass.forwarding.retry_budgets import Budget, RetryBudgetTerms
+from galenapass.forwarding.retry_accounts import RetryAccounts
 from galenapass.forwarding.routes import Repeat, is_model
 from galenapass.forwarding.sending import (
     SILENT_TARGET,
@@ -58,9 +58,6 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
 # A repeatable call is moved to another target after this share of the time left.
 CALL_TIMEOUT_SHARE = 0.45
-# Daemons assumed until the host list is read: a daemon that has just started uses at
-# most 1/10 of the fixed part of the retry budget.
-DEFAULT_DAEMON_COUNT = 10
 # Grants tried per slot: a target may report that it is leaving, or ask for back-off,
 # while its slot is granted.
 MAX_GRANTS = 3
@@ -91,20 +88,19 @@
         slot_client: SlotClient,
         suspects: CrashSuspects,
         clock: Clock,
-        terms: RetryBudgetTerms,
+        retry_accounts: RetryAccounts,
         on_left: Callable[[Target], None],
         on_limit_change: Callable[[], None],
         on_limited_send: Callable[[Target, Stage], None],
         origins: OriginSharing,
         on_silent: Callable[[str, timedelta], None] = lambda name, silence: None,
     ):
-        self.terms = terms
-        self.daemons = DEFAULT_DAEMON_COUNT
         self._fleet = fleet
         self._target_client = target_client
         self._slot_client = slot_client
         self._suspects = suspects
         self._clock = clock
+        self._retry_accounts = retry_accounts
         self._on_left = on_left
         self._on_limit_change = on_limit_change
         self._on_limited_send = on_limited_send
@@ -113,7 +109,6 @@
         self._sender = Sender(target_client, suspects, clock, self._record_stream_begin)
         self._answer_times = AnswerTimes()
         self._open_requests = OpenRequests(clock, self._answer_times)
-        self._budgets: dict[str, Budget] = {}
         self._ticket_numbers = itertools.count()
 
     async def serve(
@@ -126,10 +121,8 @@
                 refusal = await self._find_origin(request)
                 if refusal is not None:
                     return Err(refusal)
-                budget = self._find_budget(request)
-                now = self._clock.monotonic()
-                retry_budgets.record_request(budget, now, self.terms)
-                return await self._try_targets(request, message, sink, budget)
+                self._retry_accounts.record_request(request)
+                return await self._try_targets(request, message, sink)
         except TimeoutError:
             return Err(self._open_requests.make_verdict(request))
 
@@ -169,11 +162,10 @@
         request: ForwardedRequest,
         message: ClientRequest,
         sink: Sink,
-        budget: Budget,
     ) -> Result[None, Verdict]:
         standby = self._make_standby(request, message)
         try:
-            return await self._try_each(request, message, sink, budget, standby)
+            return await self._try_each(request, message, sink, standby)
         finally:
             standby.cancel()
 
@@ -182,7 +174,6 @@
         request: ForwardedRequest,
         message: ClientRequest,
         sink: Sink,
-        budget: Budget,
         standby: Standby,
     ) -> Result[None, Verdict]:
         while True:
@@ -201,7 +192,7 @@
                 standby.cancel()
                 now = self._clock.monotonic()
                 obstacle = retries.find_obstacle(request, failure, now)
-                if obstacle is None and not self._spend(request, budget, now):
+                if obstacle is None and not self._retry_accounts.spend(request, now):
                     obstacle = "the retry budget is spent"
                 if obstacle is not None:
                     return Err(retries.make_final_verdict(request, failure, obstacle))
@@ -215,10 +206,6 @@
                 last_event=request.last_event,
             )
 
-    def _spend(self, request: ForwardedRequest, budget: Budget, now: timedelta) -> bool:
-        count = request.next_retry_cost
-        return retry_budgets.spend(budget, now, self.terms, self.daemons, count)
-
     async def _send(
         self,
         request: ForwardedRequest,
@@ -342,19 +329,14 @@
             STREAM_STALL_TIMEOUT + expected, STREAM_STALL_TIMEOUT, check
         )
 
-    def _find_budget(self, request: ForwardedRequest) -> Budget:
-        return self._budgets.setdefault(request.service, Budget())
-
     def _make_switch_check(self, request: ForwardedRequest) -> Callable[[], bool]:
         """Return a function that checks whether a request could be sent again now."""
-        budget = self._find_budget(request)
 
         def may_switch_target() -> bool:
             now = self._clock.monotonic()
             if retries.find_obstacle(request, SILENT_TARGET, now) is not None:
                 return False
-            count = request.next_retry_cost
-            return retry_budgets.can_spend(budget, now, self.terms, self.daemons, count)
+            return self._retry_accounts.can_spend(request)
 
         return may_switch_target
 
@@ -380,17 +362,16 @@
             self._on_silent(request.target, STREAM_STALL_TIMEOUT)
         if not self._has_other_target(request, now):
             return None
-        budget = self._find_budget(request)
         count = request.next_retry_cost
         sends, prefills = request.sends, request.prefills
-        if not self._spend(request, budget, now):
+        if not self._retry_accounts.spend(request, now):
             return None
 
         def give_back() -> None:
             # The first prefill of a request is free.
             sent = max(request.prefills - max(prefills, 1), 0)
             sent += request.sends - sends
-            retry_budgets.give_back(budget, now, max(count - sent, 0))
+            self._retry_accounts.give_back(request, now, max(count - sent, 0))
 
         return give_back
 
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -92,6 +92,7 @@
     store_restores: Counter
     crashed_requests: Counter
     resumed_streams: Counter
+    retries: Counter
 
 
 def make_metrics() -> Metrics:
@@ -113,6 +114,7 @@
         store_restores=Counter(registry, "galenapass_store_restores"),
         crashed_requests=Counter(registry, "galenapass_crashed_requests", "target"),
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
+        retries=Counter(registry, "galenapass_retries", "service", "decision"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -26,6 +26,7 @@
 from galenapass.forwarding.rate_limits import forget_rate_limits
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.request_handler import RequestHandler, make_server
+from galenapass.forwarding.retry_accounts import RetryAccounts
 from galenapass.forwarding.routes import RouteTable
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
@@ -161,13 +162,16 @@
             self.clock,
             is_first_start=settings.is_first_start,
         )
+        self.retry_accounts = RetryAccounts(
+            self.clock, settings.budget, self._count_retry
+        )
         self.relay = Relay(
             self.fleet,
             self.runner_client,
             self.peering.slot_client,
             self.suspects,
             self.clock,
-            settings.budget,
+            self.retry_accounts,
             self._handle_target_leaving,
             self.peering.announce_state,
             self._count_limited_send,
@@ -289,7 +293,7 @@
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply the settings that may change while the daemon runs."""
         self.settings = settings
-        self.relay.terms = settings.budget
+        self.retry_accounts.terms = settings.budget
         _log("settings reloaded", host=settings.host)
 
     # Components
@@ -394,7 +398,8 @@
 
     def _compute_batch_delay(self) -> timedelta:
         """Return how long to collect changes of runners before reading them."""
-        return min(BATCH_DELAY_PER_DAEMON * self.relay.daemons, MAX_BATCH_DELAY)
+        daemons = self.retry_accounts.daemons
+        return min(BATCH_DELAY_PER_DAEMON * daemons, MAX_BATCH_DELAY)
 
     # Scheduling
 
@@ -569,7 +574,7 @@
             await asyncio.sleep(PUBLISH_PAUSE.total_seconds())
 
     def _apply_hosts(self, hosts: Hosts) -> None:
-        self.relay.daemons = max(len(hosts), 1)
+        self.retry_accounts.daemons = max(len(hosts), 1)
         self.scheduler_selection.update_hosts(hosts)
 
     def _find_candidate_pause(self) -> timedelta:
@@ -618,6 +623,10 @@
         labels = {"target": target.id, "stage": stage.value}
         self.metrics.limited_sends.add(1, labels)
 
+    def _count_retry(self, service: str, is_allowed: bool) -> None:
+        decision = "allowed" if is_allowed else "refused"
+        self.metrics.retries.add(1, {"service": service, "decision": decision})
+
     def _count_call(self, call: str) -> None:
         self.metrics.platform_calls.add(1, {"call": call})
 
