Count the retries of a fleet whose hosts are all killed in a failing test

Three daemon processes, engines that refuse half of the requests, all hosts killed four times in 8 s.

--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -17,7 +17,7 @@
 from experiments.soak.proxies import Disturbance, Proxy
 from stand_ins.metadata_store import MetadataStore, StoreCopy, StoreFaults
 from stand_ins.platform_routes import CONFIGURATION, make_route
-from stand_ins.runner import ATTEMPT, Runner, RunnerFaults
+from stand_ins.runner import ATTEMPT, Arrival, Runner, RunnerFaults
 
 __all__ = ["START_MESSAGE", "Daemon", "Environment", "hang_up"]
 
@@ -304,6 +304,13 @@
             for request in runner.received
         }
 
+    def list_arrivals(self) -> dict[str, list[Arrival]]:
+        """Return the arrivals at the targets of each service."""
+        arrivals: dict[str, list[Arrival]] = {}
+        for runner in self.runners.values():
+            arrivals.setdefault(runner.service, []).extend(runner.arrivals)
+        return arrivals
+
     async def apply(self, fault: Fault) -> None:
         """Start a fault, wait for its duration and end it."""
         group, component = _split_component(fault.component)
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "ATTEMPT",
+    "Arrival",
     "EVENTS",
     "SIGNATURE",
     "STREAM_BODY",
@@ -38,10 +39,23 @@
     return {entry.partition(":")[0] for entry in entries[:-1]}
 
 
+@dataclass(slots=True)
+class Arrival:
+    """Arrival of an attempt at a runner; ``at`` is in seconds of the event loop.
+
+    ``is_prefilled`` is set once the runner has accepted it as a prefill.
+    """
+
+    attempt: str
+    at: float
+    is_prefilled: bool = False
+
+
 @dataclass(slots=True)
 class RunnerFaults:
     """Active faults of a runner.
 
+    ``shed`` refuses a share ``shed_share`` of the requests.
     ``break_after`` closes a share ``break_share`` of the streams after that number of
     events, ``crash`` the connection of each request, ``close_port`` also the port.
     ``marks_version`` adds the runner's service and version to the data of each
@@ -58,6 +72,7 @@
     """
 
     shed: bool = False
+    shed_share: float = 1.0
     break_after: int | None = None
     break_share: float = 1.0
     marks_version: bool = False
@@ -84,8 +99,9 @@
     """Runner of the platform; ``stage`` is empty for a plain service.
 
     ``received`` lists all requests that arrived, ``received_at`` their times in seconds
-    of the event loop, ``ran`` the attempts that were run, ``crashed_at`` the times of
-    its crashes and ``crashed_parts`` the parts of the prompts that it ran then.
+    of the event loop, ``arrivals`` what they were, ``ran`` the attempts that were run,
+    ``crashed_at`` the times of its crashes and ``crashed_parts`` the parts of the
+    prompts that it ran then.
     ``on_restart`` is called with its former id after each restart.
     ``version`` is that of its software; None leaves it out of the entry.
     """
@@ -101,6 +117,7 @@
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[web.Request] = field(default_factory=list)
     received_at: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     handles: set[str] = field(default_factory=set)
     cached_prompts: dict[str, int] = field(default_factory=dict)
@@ -226,7 +243,10 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         self.received.append(request)
-        self.received_at.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.received_at.append(now)
+        arrival = Arrival(request.headers.get(ATTEMPT, ""), now)
+        self.arrivals.append(arrival)
         await request.read()
         refusal = self._refuse(request)
         if refusal is not None:
@@ -238,6 +258,7 @@
             await asyncio.sleep(self.faults.delay_seconds)
         attempt = request.headers[ATTEMPT]
         if request.headers.get("X-Galenapass-Stage") == "prefill":
+            arrival.is_prefilled = True
             handle = f"handle-{len(self.received)}"
             self.handles.add(handle)
             return make_json_response({"kv_handle": handle, "tokens": 1, "version": 1})
@@ -275,7 +296,8 @@
             return web.Response(status=421)
         if self.faults.changing:
             return web.Response(status=503, headers={"X-Galenapass-Not-Executed": "1"})
-        if self.faults.shed or (source is not None and self.faults.lose_handles):
+        sheds = self.faults.shed and self.random.random() < self.faults.shed_share
+        if sheds or (source is not None and self.faults.lose_handles):
             return web.Response(status=503, headers={"X-Galenapass-Not-Executed": "1"})
         return None
 
