Keep one retry budget over all processes of a host

Cause: a budget lived as long as its process. Each life began with the whole fixed part and looked back over a window of its own, so four sets of processes in ten seconds took 151, 103, 79 and 87 sends, each within its own budget.

A process cannot know what the one before it has sent. So the sum over any processes is bounded: a request earns half of its share of a retry, which lapses after a window, so the retries of a window were earned in it or in the one before; and a process uses its host's part of the fixed number only after its first window, when the retries of the process before are past. Both hold for any number of kills, stops and replacements. A token bucket that begins empty was weighed for the fixed part too: a host of 77 would hold 1.3 of its 2.5 retries, less than the two sends of one retry of a generation.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -371,7 +371,7 @@
             # The first prefill of a request is free.
             sent = max(request.prefills - max(prefills, 1), 0)
             sent += request.sends - sends
-            self._retry_accounts.give_back(request, now, max(count - sent, 0))
+            self._retry_accounts.give_back(request, max(count - sent, 0))
 
         return give_back
 
--- a/src/galenapass/forwarding/retry_accounts.py
+++ b/src/galenapass/forwarding/retry_accounts.py
@@ -22,7 +22,8 @@
     """Retry budgets of one daemon.
 
     ``daemons`` is the number of daemons that share the budgets. ``on_decision`` is
-    called with a service and whether its budget allowed a retry.
+    called with a service and whether its budget allowed a retry. At the first start of
+    all daemons, ``is_first_start``, no earlier process has sent any retries.
     """
 
     def __init__(
@@ -30,12 +31,17 @@
         clock: Clock,
         terms: RetryBudgetTerms,
         on_decision: Callable[[str, bool], None] = lambda service, is_allowed: None,
+        *,
+        is_first_start: bool = False,
     ):
         self.terms = terms
         self.daemons = DEFAULT_DAEMON_COUNT
         self._clock = clock
         self._on_decision = on_decision
         self._started = clock.monotonic()
+        self.fixed_part_from = self._started
+        if not is_first_start:
+            self.fixed_part_from += terms.window
         self._budgets: dict[str, Budget] = {}
 
     def record_request(self, request: ForwardedRequest) -> None:
@@ -45,11 +51,12 @@
 
     def can_spend(self, request: ForwardedRequest) -> bool:
         """Return whether the budget allows a request to be sent again."""
+        now = self._clock.monotonic()
         return retry_budgets.can_spend(
             self._find_budget(request),
-            self._clock.monotonic(),
+            now,
             self.terms,
-            self.daemons,
+            self._find_fixed_part(now),
             request.next_retry_cost,
         )
 
@@ -60,26 +67,32 @@
         """
         budget = self._find_budget(request)
         cost = request.next_retry_cost
-        is_allowed = retry_budgets.spend(budget, now, self.terms, self.daemons, cost)
+        fixed_part = self._find_fixed_part(now)
+        is_allowed = retry_budgets.spend(budget, now, self.terms, fixed_part, cost)
         _log(
             "retry is allowed" if is_allowed else "retry is refused",
             request=request.id,
             service=request.service,
             cost=cost,
-            requests=len(budget.requests),
-            retries=len(budget.retries),
+            earned=round(budget.earned.total, 2),
+            fixed_part=round(fixed_part, 2),
+            used=round(budget.used.total, 2),
             daemons=self.daemons,
             process_age=(now - self._started).total_seconds(),
         )
         self._on_decision(request.service, is_allowed)
         return is_allowed
 
-    def give_back(
-        self, request: ForwardedRequest, spent_at: timedelta, count: int
-    ) -> None:
-        """Return up to ``count`` retries that were taken at a time and not sent."""
-        retry_budgets.give_back(self._find_budget(request), spent_at, count)
+    def give_back(self, request: ForwardedRequest, count: int) -> None:
+        """Return ``count`` retries that were taken and not sent."""
+        now = self._clock.monotonic()
+        retry_budgets.give_back(self._find_budget(request), now, count)
         _log("retries are given back", request=request.id, count=count)
 
+    def _find_fixed_part(self, now: timedelta) -> float:
+        return retry_budgets.compute_fixed_part(
+            self.terms, self.daemons, self.fixed_part_from, now
+        )
+
     def _find_budget(self, request: ForwardedRequest) -> Budget:
         return self._budgets.setdefault(request.service, Budget())
--- a/src/galenapass/forwarding/retry_budgets.py
+++ b/src/galenapass/forwarding/retry_budgets.py
@@ -1,7 +1,14 @@
 """Limit the retries of requests by a budget for each service.
 
-The budget of the fleet is a share of the requests in a time window plus a fixed number.
-A daemon may use the share of its own requests and an equal part of the fixed number.
+In any window the retries of the fleet are limited to a share of the requests in that
+window, or in the one before it, plus a fixed number. A daemon may be killed at any
+time, and the next process on its host does not know which retries it has sent. So the
+limits are kept by the sum over all processes of a host:
+
+- A request earns half of its share of a retry, which lapses after a window. The retries
+  of a window were earned in it or in the window before it.
+- A process uses its host's part of the fixed number only after its first window. The
+  retries of earlier processes are in other windows by then.
 """
 
 from collections import deque
@@ -10,16 +17,19 @@
 
 __all__ = [
     "Budget",
+    "LapsingAmounts",
     "RetryBudgetTerms",
     "can_spend",
+    "compute_fixed_part",
     "give_back",
     "record_request",
     "spend",
 ]
 
-# The rest stays unused, as daemons cannot see each other's retries at the edges of the
-# window.
-USABLE_SHARE = 0.85
+# Share that a request earns: the retries of one window may have been earned in two.
+EARNED_SHARE = 0.5
+# Sums of many earned amounts are this exact.
+_TOLERANCE = 1e-6
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,55 +44,103 @@
     window: timedelta = timedelta(seconds=10)
 
 
+@dataclass(slots=True)
+class LapsingAmounts:
+    """Amounts with the times at which they were added, oldest first, and their sum."""
+
+    entries: deque[tuple[timedelta, float]] = field(default_factory=deque)
+    total: float = 0.0
+
+
 @dataclass(slots=True)
 class Budget:
-    """Times of one service's requests and retries at this daemon."""
+    """Retries of one service at this daemon.
+
+    ``earned`` is what requests have earned and no retry has used, ``used`` what
+    retries have used of the fixed part in the last window.
+    """
+
+    earned: LapsingAmounts = field(default_factory=LapsingAmounts)
+    used: LapsingAmounts = field(default_factory=LapsingAmounts)
+
 
-    requests: deque[timedelta] = field(default_factory=deque)
-    retries: deque[timedelta] = field(default_factory=deque)
+def compute_fixed_part(
+    terms: RetryBudgetTerms, daemons: int, usable_from: timedelta, now: timedelta
+) -> float:
+    """Return a daemon's part of the fixed number of retries in a window.
+
+    It is 0 before ``usable_from``, when the first window of the process ends.
+    """
+    return terms.fixed / max(daemons, 1) if now >= usable_from else 0.0
 
 
 def record_request(budget: Budget, now: timedelta, terms: RetryBudgetTerms) -> None:
     """Count a client's request."""
-    budget.requests.append(now)
-    _drop_before(budget.requests, now - terms.window)
+    _lapse(budget.earned, now - terms.window)
+    _add(budget.earned, now, EARNED_SHARE * terms.share)
 
 
 def can_spend(
     budget: Budget,
     now: timedelta,
     terms: RetryBudgetTerms,
-    daemons: int,
+    fixed_part: float,
     count: int = 1,
 ) -> bool:
     """Return whether the budget allows ``count`` more retries."""
-    _drop_before(budget.requests, now - terms.window)
-    _drop_before(budget.retries, now - terms.window)
-    fixed = terms.fixed / max(daemons, 1)
-    allowed = USABLE_SHARE * (terms.share * len(budget.requests) + fixed)
-    return len(budget.retries) + count <= allowed
+    return count <= _find_balance(budget, now, terms, fixed_part) + _TOLERANCE
 
 
 def spend(
     budget: Budget,
     now: timedelta,
     terms: RetryBudgetTerms,
-    daemons: int,
+    fixed_part: float,
     count: int = 1,
 ) -> bool:
     """Take ``count`` retries from the budget; return whether it allowed them."""
-    if not can_spend(budget, now, terms, daemons, count):
+    if not can_spend(budget, now, terms, fixed_part, count):
         return False
-    budget.retries.extend([now] * count)
+    missing = _take_oldest(budget.earned, count)
+    if missing > 0:
+        _add(budget.used, now, missing)
     return True
 
 
-def give_back(budget: Budget, spent_at: timedelta, count: int) -> None:
-    """Return up to ``count`` retries that were taken at a time and not sent."""
-    for _ in range(min(count, budget.retries.count(spent_at))):
-        budget.retries.remove(spent_at)
+def give_back(budget: Budget, now: timedelta, count: int) -> None:
+    """Return ``count`` retries that were taken and not sent."""
+    _add(budget.earned, now, count)
+
+
+def _find_balance(
+    budget: Budget, now: timedelta, terms: RetryBudgetTerms, fixed_part: float
+) -> float:
+    _lapse(budget.earned, now - terms.window)
+    _lapse(budget.used, now - terms.window)
+    return budget.earned.total + max(fixed_part - budget.used.total, 0.0)
+
+
+def _add(amounts: LapsingAmounts, now: timedelta, amount: float) -> None:
+    amounts.entries.append((now, amount))
+    amounts.total += amount
+
+
+def _lapse(amounts: LapsingAmounts, before: timedelta) -> None:
+    while amounts.entries and amounts.entries[0][0] < before:
+        amounts.total -= amounts.entries.popleft()[1]
+    if not amounts.entries:
+        amounts.total = 0.0
 
 
-def _drop_before(times: deque[timedelta], before: timedelta) -> None:
-    while times and times[0] < before:
-        times.popleft()
+def _take_oldest(amounts: LapsingAmounts, count: float) -> float:
+    """Remove an amount, the oldest entries first; return what is missing of it."""
+    while count > 0 and amounts.entries:
+        at, amount = amounts.entries.popleft()
+        taken = min(amount, count)
+        amounts.total -= taken
+        count -= taken
+        if amount > taken:
+            amounts.entries.appendleft((at, amount - taken))
+    if not amounts.entries:
+        amounts.total = 0.0
+    return count
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -163,7 +163,10 @@
             is_first_start=settings.is_first_start,
         )
         self.retry_accounts = RetryAccounts(
-            self.clock, settings.budget, self._count_retry
+            self.clock,
+            settings.budget,
+            self._count_retry,
+            is_first_start=settings.is_first_start,
         )
         self.relay = Relay(
             self.fleet,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -58,6 +58,11 @@
         self.client = None
         self._number = 0
 
+    @property
+    def sent(self):
+        """Return the number of requests that were sent."""
+        return self._number
+
     @property
     def daemon(self):
         return self.daemons[0]
@@ -177,6 +182,8 @@
     )
     try:
         for daemon in fleet.daemons:
+            # As on hosts that have run for longer than the window of the retry budget.
+            daemon.retry_accounts.fixed_part_from = timedelta(0)
             await daemon.start()
         if settle:
             tables = [daemon.fleet for daemon in fleet.daemons]
