Give a host a part of the fixed retries only where all others count it

A host divided the fixed part of the retry budget by the hosts that it knew. One that started while the store was away knew itself only and used the whole fixed part (a daemon with no store: 1 daemon after 5 s); ten were assumed before any list; a host that joined took its part while the others' lists, read each 60 s, did not name it yet.

Now the registry tells how many hosts share: none is told before a list was read or once it is older than 90 s, and a host that joins has no part until every list that others go by names it. Its entry says that it is joining, so that the next process on the host waits as well. A host whose first registration failed is registered later. At the first start of all hosts an entry that is written within 2 s is in the first list of every host.

--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -9,6 +9,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from galenapass.clocks import Clock
 from galenapass.forwarding import schedulers
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.json_values import (
@@ -31,6 +32,13 @@
 # All daemons start within a third of a second, so the list is complete after this.
 INITIAL_LIST_DELAY = timedelta(seconds=3)
 LIST_PERIOD = timedelta(seconds=60)
+# A list of this age may lack hosts that have joined; a stale read may be older than it
+# seems by LIST_STALENESS.
+MAX_LIST_AGE = timedelta(seconds=90)
+LIST_STALENESS = timedelta(seconds=10)
+# At the first start of all hosts, an entry that is written within this time is in the
+# first list of every host.
+FIRST_REGISTRATION_TIME = timedelta(seconds=2)
 # Hosts that try to acquire the lease often; the other hosts do so rarely.
 FREQUENT_CANDIDATES = 2
 CANDIDATE_INTERVAL = timedelta(milliseconds=250)
@@ -67,6 +75,9 @@
     ``rank`` is this host's position in the order of lease candidates, which is the
     same on every host. ``is_known`` is set once a list was read. ``on_hosts`` is
     called with the known hosts.
+
+    A host is joining until the lists of all others name it. Its entry tells so, as the
+    next process on this host has to wait as well.
     """
 
     def __init__(
@@ -74,6 +85,7 @@
         host: str,
         entry: HostEntry,
         objects: HostObjects,
+        clock: Clock,
         random: Random,
         on_hosts: Callable[[Hosts], None],
     ):
@@ -82,8 +94,24 @@
         self._host = host
         self._entry = entry
         self._objects = objects
+        self._clock = clock
         self._random = random
         self._on_hosts = on_hosts
+        self._is_joining = True
+        self._registered_at: timedelta | None = None
+        self._listed_at: timedelta | None = None
+        self._host_count = 0
+
+    def count_sharing_hosts(self) -> int | None:
+        """Return among how many hosts to divide what is limited for all of them.
+
+        None if this host has no part in it: others may not count it, or it may not
+        count others.
+        """
+        if self._is_joining or self._listed_at is None:
+            return None
+        age = self._clock.monotonic() - self._listed_at
+        return self._host_count if age <= MAX_LIST_AGE else None
 
     async def run(self, *, first_start: bool) -> None:
         """Register this host, then list all hosts until cancelled.
@@ -91,15 +119,24 @@
         At the first start of all hosts the list is incomplete for a while; later it
         exists from an earlier start.
         """
-        if not first_start:
-            await self._list(stale=True)
+        started = self._clock.monotonic()
+        self._is_joining = not first_start
+        while not first_start and not await self._list(stale=True):
+            # The entry of an earlier process must be read before it is replaced.
+            await asyncio.sleep(INITIAL_LIST_DELAY.total_seconds())
         await asyncio.sleep(self._random.uniform(0, MAX_START_DELAY_SECONDS))
         await self._register()
+        if first_start:
+            registered_at = self._registered_at or self._clock.monotonic()
+            self._is_joining = registered_at - started > FIRST_REGISTRATION_TIME
+            if self._is_joining:
+                await self._register()
         pause = INITIAL_LIST_DELAY
         while True:
             await asyncio.sleep(pause.total_seconds())
             is_listed = await self._list(stale=pause == LIST_PERIOD)
             pause = LIST_PERIOD if is_listed else INITIAL_LIST_DELAY
+            await self._finish_joining()
 
     async def register_again(self) -> None:
         """Write this host's entry, which a restored store may lack."""
@@ -118,6 +155,7 @@
             "domain": self._entry.domain,
             "peers": f"{ip}:{port}",
             "power": self._entry.power,
+            "joining": self._is_joining,
         }
         body = orjson.dumps(own).decode()
         written = await self._objects.write(HOSTS_KIND, self._host, body)
@@ -125,6 +163,18 @@
             # An entry of an earlier start remains, or peers detect this host by its
             # datagrams.
             _log("host is not registered", cause=written.err_value.cause.value)
+        elif self._registered_at is None:
+            self._registered_at = self._clock.monotonic()
+
+    async def _finish_joining(self) -> None:
+        """Register a host that is not registered, or that all others list by now."""
+        if self._registered_at is None:
+            await self._register()
+            return
+        waited = self._clock.monotonic() - self._registered_at
+        if self._is_joining and waited > MAX_LIST_AGE + LIST_STALENESS:
+            self._is_joining = False
+            await self._register()
 
     async def _list(self, *, stale: bool) -> bool:
         listing = await self._objects.list(HOSTS_KIND, stale=stale)
@@ -138,6 +188,10 @@
     def _apply_listing(self, listing: ObjectListing) -> None:
         hosts = dict(_decode_entries(listing)) | {self._host: self._entry}
         self.is_known = True
+        self._listed_at = self._clock.monotonic()
+        self._host_count = len(hosts)
+        if self._registered_at is None:
+            self._is_joining = not _is_counted(listing, self._host)
         self.rank = _rank_lease_candidates(hosts).index(self._host)
         self._on_hosts(hosts)
         _log("hosts are listed", count=len(hosts), rank=self.rank)
@@ -159,6 +213,19 @@
     return sorted(ranked, key=lambda name: positions[name])
 
 
+def _is_counted(listing: ObjectListing, host: str) -> bool:
+    """Return whether an earlier process of a host has left an entry and had joined."""
+    for stored in listing.items:
+        if stored.name == host:
+            entry = decode_json(stored.body)
+            return isinstance(entry, Ok) and _has_joined(entry.ok_value)
+    return False
+
+
+def _has_joined(entry: object) -> bool:
+    return isinstance(entry, dict) and entry.get("joining") is not True
+
+
 def _decode_entries(listing: ObjectListing) -> Iterator[tuple[str, HostEntry]]:
     for stored in listing.items:
         entry = _decode_entry(stored)
--- a/src/galenapass/forwarding/retry_accounts.py
+++ b/src/galenapass/forwarding/retry_accounts.py
@@ -11,31 +11,29 @@
 
 __all__ = ["RetryAccounts"]
 
-# Daemons assumed until the host list is read: a daemon that has just started uses at
-# most 1/10 of the fixed part of the retry budget.
-DEFAULT_DAEMON_COUNT = 10
-
 _log = make_log("retries")
 
 
 class RetryAccounts:
     """Retry budgets of one daemon.
 
-    ``daemons`` is the number of daemons that share the budgets. ``on_decision`` is
-    called with a service and whether its budget allowed a retry. At the first start of
-    all daemons, ``is_first_start``, no earlier process has sent any retries.
+    ``count_daemons`` returns how many daemons share the budgets, None if this one has
+    no part in what they share. ``on_decision`` is called with a service and whether its
+    budget allowed a retry. At the first start of all daemons, ``is_first_start``, no
+    earlier process has sent any retries.
     """
 
     def __init__(
         self,
         clock: Clock,
         terms: RetryBudgetTerms,
+        count_daemons: Callable[[], int | None] = lambda: 1,
         on_decision: Callable[[str, bool], None] = lambda service, is_allowed: None,
         *,
         is_first_start: bool = False,
     ):
         self.terms = terms
-        self.daemons = DEFAULT_DAEMON_COUNT
+        self.count_daemons = count_daemons
         self._clock = clock
         self._on_decision = on_decision
         self._started = clock.monotonic()
@@ -77,7 +75,7 @@
             earned=round(budget.earned.total, 2),
             fixed_part=round(fixed_part, 2),
             used=round(budget.used.total, 2),
-            daemons=self.daemons,
+            daemons=self.count_daemons(),
             process_age=(now - self._started).total_seconds(),
         )
         self._on_decision(request.service, is_allowed)
@@ -91,7 +89,7 @@
 
     def _find_fixed_part(self, now: timedelta) -> float:
         return retry_budgets.compute_fixed_part(
-            self.terms, self.daemons, self.fixed_part_from, now
+            self.terms, self.count_daemons(), self.fixed_part_from, now
         )
 
     def _find_budget(self, request: ForwardedRequest) -> Budget:
--- a/src/galenapass/forwarding/retry_budgets.py
+++ b/src/galenapass/forwarding/retry_budgets.py
@@ -65,13 +65,19 @@
 
 
 def compute_fixed_part(
-    terms: RetryBudgetTerms, daemons: int, usable_from: timedelta, now: timedelta
+    terms: RetryBudgetTerms,
+    daemons: int | None,
+    usable_from: timedelta,
+    now: timedelta,
 ) -> float:
     """Return a daemon's part of the fixed number of retries in a window.
 
-    It is 0 before ``usable_from``, when the first window of the process ends.
+    It is 0 before ``usable_from``, when the first window of the process ends, and where
+    the number of daemons that share it is unknown.
     """
-    return terms.fixed / max(daemons, 1) if now >= usable_from else 0.0
+    if daemons is None or now < usable_from:
+        return 0.0
+    return terms.fixed / daemons
 
 
 def record_request(budget: Budget, now: timedelta, terms: RetryBudgetTerms) -> None:
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -78,6 +78,8 @@
 # maximum is a third of 2 s, the shortest time to stop using a draining runner.
 BATCH_DELAY_PER_DAEMON = timedelta(milliseconds=10)
 MAX_BATCH_DELAY = timedelta(milliseconds=700)
+# Daemons assumed until the host list is read.
+DEFAULT_DAEMON_COUNT = 10
 # Spreads the queries to the engines when several daemons start together.
 CACHE_LOAD_SPREAD_SECONDS = 0.4
 # Tries to publish crashes, and the pause between them.
@@ -165,6 +167,7 @@
         self.retry_accounts = RetryAccounts(
             self.clock,
             settings.budget,
+            lambda: self.hosts.count_sharing_hosts(),
             self._count_retry,
             is_first_start=settings.is_first_start,
         )
@@ -207,12 +210,14 @@
             settings.host,
             HostEntry(settings.domain, settings.peers, settings.power),
             self.store,
+            self.clock,
             self.random,
             self._apply_hosts,
         )
         self.planner = self._make_planner()
         self._background = BackgroundTasks("daemon")
         self._announced_version = 0
+        self.daemon_count = DEFAULT_DAEMON_COUNT
         self._crashes = HostObject(CRASHES_KIND, settings.host, self.store)
         self._targets_watch: StoreWatch | None = None
         self._store_watches: list[StoreWatch] = []
@@ -401,8 +406,7 @@
 
     def _compute_batch_delay(self) -> timedelta:
         """Return how long to collect changes of runners before reading them."""
-        daemons = self.retry_accounts.daemons
-        return min(BATCH_DELAY_PER_DAEMON * daemons, MAX_BATCH_DELAY)
+        return min(BATCH_DELAY_PER_DAEMON * self.daemon_count, MAX_BATCH_DELAY)
 
     # Scheduling
 
@@ -577,7 +581,7 @@
             await asyncio.sleep(PUBLISH_PAUSE.total_seconds())
 
     def _apply_hosts(self, hosts: Hosts) -> None:
-        self.retry_accounts.daemons = max(len(hosts), 1)
+        self.daemon_count = max(len(hosts), 1)
         self.scheduler_selection.update_hosts(hosts)
 
     def _find_candidate_pause(self) -> timedelta:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -184,6 +184,7 @@
         for daemon in fleet.daemons:
             # As on hosts that have run for longer than the window of the retry budget.
             daemon.retry_accounts.fixed_part_from = timedelta(0)
+            daemon.retry_accounts.count_daemons = lambda: len(domains)
             await daemon.start()
         if settle:
             tables = [daemon.fleet for daemon in fleet.daemons]
--- a/tests/test_forwarding_retry_budgets.py
+++ b/tests/test_forwarding_retry_budgets.py
@@ -34,9 +34,12 @@
         self.accounts = [self.start(is_first_start=True) for _ in range(self.count)]
 
     def start(self, *, is_first_start=False):
-        accounts = RetryAccounts(self.clock, self.terms, is_first_start=is_first_start)
-        accounts.daemons = self.count
-        return accounts
+        return RetryAccounts(
+            self.clock,
+            self.terms,
+            lambda: self.count,
+            is_first_start=is_first_start,
+        )
 
     def kill(self, hosts):
         for host in hosts:
@@ -123,6 +126,11 @@
         )
         self.assertEqual([0.0, 0.0, 29.0], [part(0), part(9), part(10)])
 
+    def test_budget_of_a_host_that_has_read_no_list_has_no_fixed_part(self):
+        late = 99 * SECOND
+        part = retry_budgets.compute_fixed_part(TERMS, None, 10 * SECOND, late)
+        self.assertEqual(0.0, part)
+
     def test_what_a_request_earned_lapses(self):
         budget = retry_budgets.Budget()
         for _ in range(20):
--- a/tests/test_platform_configuration_changes.py
+++ b/tests/test_platform_configuration_changes.py
@@ -75,9 +75,8 @@
 
 def set_budget(fleet, retries):
     """Let the daemon send ``retries`` more times in all."""
-    accounts = fleet.daemon.retry_accounts
-    fixed = retries * accounts.daemons
-    accounts.terms = RetryBudgetTerms(0.0, fixed, timedelta(seconds=60))
+    terms = RetryBudgetTerms(0.0, retries, timedelta(seconds=60))
+    fleet.daemon.retry_accounts.terms = terms
 
 
 async def wait_for_runs(fleet, count=1):
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -120,7 +120,7 @@
     """Wait until the hosts know of each other and of all targets."""
     await fleet.wait_for(
         lambda: all(
-            daemon.retry_accounts.daemons == len(fleet.daemons)
+            daemon.daemon_count == len(fleet.daemons)
             and len(daemon.fleet.targets) == len(fleet.store.objects["servers"])
             for daemon in fleet.daemons
         ),
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -154,8 +154,7 @@
         # exceeded the retry budget: 189 retries where 171 were allowed
         # (khomsabai-post trouble-1 --seed 88570483166).
         async def scenario(fleet):
-            fixed = 3 * fleet.daemon.retry_accounts.daemons
-            terms = RetryBudgetTerms(0.0, fixed, WINDOW)
+            terms = RetryBudgetTerms(0.0, 3, WINDOW)
             fleet.daemon.retry_accounts.terms = terms
             for runner in (fleet.decode, fleet.second_decode):
                 runner.faults.shed = True
--- a/tests/test_platform_rate_limits.py
+++ b/tests/test_platform_rate_limits.py
@@ -67,9 +67,7 @@
     async def settle(self, fleet):
         """Wait until the hosts know of each other."""
         await fleet.wait_for(
-            lambda: all(
-                daemon.retry_accounts.daemons == len(HOSTS) for daemon in fleet.daemons
-            ),
+            lambda: all(daemon.daemon_count == len(HOSTS) for daemon in fleet.daemons),
             seconds=15.0,
         )
 
--- a/tests/test_platform_silent_streams.py
+++ b/tests/test_platform_silent_streams.py
@@ -24,9 +24,8 @@
 
 def set_budget(fleet, retries):
     """Let the daemon send ``retries`` more times in all."""
-    accounts = fleet.daemon.retry_accounts
-    fixed = retries * accounts.daemons
-    accounts.terms = RetryBudgetTerms(0.0, fixed, timedelta(seconds=60))
+    terms = RetryBudgetTerms(0.0, retries, timedelta(seconds=60))
+    fleet.daemon.retry_accounts.terms = terms
 
 
 def set_pauses(fleet, seconds):
--- a/tests/test_platform_store_restore.py
+++ b/tests/test_platform_store_restore.py
@@ -20,7 +20,7 @@
 async def settle(fleet):
     hosts = len(fleet.daemons)
     await fleet.wait_for(
-        lambda: all(daemon.retry_accounts.daemons == hosts for daemon in fleet.daemons),
+        lambda: all(daemon.daemon_count == hosts for daemon in fleet.daemons),
         seconds=15.0,
     )
     await fleet.wait_for(lambda: count_holders(fleet) == 1, seconds=15.0)
