Take retries from the budget as they are sent

What a switch to another target did not use was given back with a new time, also sends that were on their way.

Now a decision reserves its cost, and each arrival that is no request's first is taken from the budget right before it is sent, prefills and standby sends too. A reservation blocks other decisions and holds no time; if what it was based on has lapsed, the request ends as refused. Nothing that was sent is given back.

test_budget_of_retries_that_wait_for_slots_is_that_of_their_arrival and a random one with waits up to 8 s keep to the rule's own count; the arrivals of one generation are paid once.

--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -125,6 +125,8 @@
                 return await self._try_targets(request, message, sink)
         except TimeoutError:
             return Err(self._open_requests.make_verdict(request))
+        finally:
+            self._retry_accounts.release(request)
 
     def begin_stop(self, times: StopTimes) -> None:
         """Answer the open requests, and those still to come, within a stop."""
@@ -192,7 +194,7 @@
                 standby.cancel()
                 now = self._clock.monotonic()
                 obstacle = retries.find_obstacle(request, failure, now)
-                if obstacle is None and not self._retry_accounts.spend(request, now):
+                if obstacle is None and not self._retry_accounts.reserve(request):
                     obstacle = "the retry budget is spent"
                 if obstacle is not None:
                     return Err(retries.make_final_verdict(request, failure, obstacle))
@@ -222,6 +224,9 @@
             if isinstance(prepared, Err):
                 return prepared
             send = prepared.ok_value
+            if not self._retry_accounts.charge(request):
+                self._sender.discard(request, send)
+                return Err(_BUDGET_SPENT)
         self._open_requests.record_start(request)
         started = self._clock.monotonic()
         outcome = await self._sender.run(request, message, sink, send, standby)
@@ -336,7 +341,7 @@
             now = self._clock.monotonic()
             if retries.find_obstacle(request, SILENT_TARGET, now) is not None:
                 return False
-            return self._retry_accounts.can_spend(request)
+            return self._retry_accounts.can_reserve(request)
 
         return may_switch_target
 
@@ -353,27 +358,18 @@
         return Standby(request.id, steps)
 
     def _reserve_switch(self, request: ForwardedRequest) -> Callable[[], None] | None:
-        """Take the cost of a switch from the retry budget, None if it is impossible.
+        """Reserve the cost of a switch in the retry budget, None if it is impossible.
 
-        Return a function that gives back what was not sent.
+        Return a function that releases what was not sent.
         """
         now = self._clock.monotonic()
         if request.target is not None:
             self._on_silent(request.target, STREAM_STALL_TIMEOUT)
         if not self._has_other_target(request, now):
             return None
-        count = request.next_retry_cost
-        sends, prefills = request.sends, request.prefills
-        if not self._retry_accounts.spend(request, now):
+        if not self._retry_accounts.reserve(request):
             return None
-
-        def give_back() -> None:
-            # The first prefill of a request is free.
-            sent = max(request.prefills - max(prefills, 1), 0)
-            sent += request.sends - sends
-            self._retry_accounts.give_back(request, max(count - sent, 0))
-
-        return give_back
+        return lambda: self._retry_accounts.release(request)
 
     def _has_other_target(self, request: ForwardedRequest, now: timedelta) -> bool:
         """Return whether a target that answers has a free slot, except the present one.
@@ -405,13 +401,20 @@
         prepared = await self._prepare(request, message)
         if isinstance(prepared, Err):
             return prepared
-        return await self._sender.begin(request, message, prepared.ok_value)
+        send = prepared.ok_value
+        if not self._retry_accounts.charge(request):
+            self._sender.discard(request, send)
+            return Err(_BUDGET_SPENT)
+        return await self._sender.begin(request, message, send)
 
     async def _prefill(
         self, request: ForwardedRequest, message: ClientRequest, slot: Slot
     ) -> Result[PrefilledPrompt, Verdict]:
         grant = slot.grant
         target = grant.target
+        if not self._retry_accounts.charge(request):
+            slot.end(Outcome.CANCELLED)
+            return Err(_BUDGET_SPENT)
         sent = self._clock.monotonic()
         request.prefills += 1
         self._open_requests.record_wait(request, Stage.DECODE)
@@ -438,6 +441,7 @@
             self._sender.record_failure(request, target, prefilled.err_value)
             return prefilled
         slot.end(Outcome.DONE)
+        request.has_prefilled = True
         took = self._clock.monotonic() - sent
         self._answer_times.record(request, Stage.PREFILL, took)
         return Ok(PrefilledPrompt(prefilled.ok_value, target))
@@ -558,3 +562,6 @@
     "no target accepts work from this daemon",
     timedelta(milliseconds=200),
 )
+_BUDGET_SPENT = Verdict(
+    Run.NOT_RUN, Reason.OVERLOADED, "the retry budget was spent while it waited"
+)
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -55,7 +55,9 @@
     """Request in progress, equal to itself only; times are monotonic.
 
     ``runs`` counts the sends that may have run, ``sends`` all sends except prefills and
-    ``prefills`` the prefills; ``last_event`` is the id of the last event sent to the
+    ``prefills`` the prefills, of which one was accepted if it ``has_prefilled``.
+    ``paid_retries`` were taken from the retry budget, ``reserved_retries`` are reserved
+    there; ``last_event`` is the id of the last event sent to the
     client. ``parts`` are the parts of the prompt that engines cache, the part that is
     not shared last. ``is_generation`` tells whether an engine generates its answer, by
     the configuration in force as it arrived. ``tried`` holds the ids of targets to use
@@ -80,6 +82,9 @@
     runs: int = 0
     sends: int = 0
     prefills: int = 0
+    has_prefilled: bool = False
+    paid_retries: int = 0
+    reserved_retries: int = 0
     last_event: int | None = None
     tried: set[str] = field(default_factory=set)
     target: str | None = None
@@ -106,6 +111,14 @@
         """
         return max((self.sends > 0) + (self.prefills > 0), 1)
 
+    @property
+    def next_arrival_retries(self) -> int:
+        """Return how many of its arrivals count as retries once it is sent once more.
+
+        All but the first do. The first prefill that a target accepts is no arrival.
+        """
+        return self.sends + self.prefills - self.has_prefilled
+
     @property
     def soft_deadline(self) -> timedelta:
         """Return the time at which the latency objective of the route ends."""
--- a/src/galenapass/forwarding/retry_accounts.py
+++ b/src/galenapass/forwarding/retry_accounts.py
@@ -47,10 +47,10 @@
         budget = self._find_budget(request)
         retry_budgets.record_request(budget, self._clock.monotonic(), self.terms)
 
-    def can_spend(self, request: ForwardedRequest) -> bool:
+    def can_reserve(self, request: ForwardedRequest) -> bool:
         """Return whether the budget allows a request to be sent again."""
         now = self._clock.monotonic()
-        return retry_budgets.can_spend(
+        return retry_budgets.can_reserve(
             self._find_budget(request),
             now,
             self.terms,
@@ -58,34 +58,70 @@
             request.next_retry_cost,
         )
 
-    def spend(self, request: ForwardedRequest, now: timedelta) -> bool:
-        """Take the cost of the next retry of a request; return whether it may be sent.
+    def reserve(self, request: ForwardedRequest) -> bool:
+        """Reserve the cost of a request's next retry; return whether it may be sent.
 
-        Log what the decision rests on.
+        This replaces an earlier reservation of the request. Log what the decision rests
+        on.
         """
+        self.release(request)
         budget = self._find_budget(request)
+        now = self._clock.monotonic()
         cost = request.next_retry_cost
         fixed_part = self._find_fixed_part(now)
-        is_allowed = retry_budgets.spend(budget, now, self.terms, fixed_part, cost)
+        is_allowed = retry_budgets.reserve(budget, now, self.terms, fixed_part, cost)
+        if is_allowed:
+            request.reserved_retries = cost
+        self._log_decision(
+            "retry is allowed" if is_allowed else "retry is refused", request, cost, now
+        )
+        self._on_decision(request.service, is_allowed)
+        return is_allowed
+
+    def charge(self, request: ForwardedRequest) -> bool:
+        """Pay for the next arrival of a request at a target, right before it is sent.
+
+        Return whether the budget allows it. A retry may have waited for a slot since it
+        was reserved, and the targets count it as it arrives.
+        """
+        count = request.next_arrival_retries - request.paid_retries
+        if count <= 0:
+            return True
+        budget = self._find_budget(request)
+        now = self._clock.monotonic()
+        fixed_part = self._find_fixed_part(now)
+        if not retry_budgets.spend(budget, now, self.terms, fixed_part, count):
+            self._log_decision("reserved retry has lapsed", request, count, now)
+            self._on_decision(request.service, False)
+            return False
+        request.paid_retries += count
+        self._release(request, min(count, request.reserved_retries))
+        return True
+
+    def release(self, request: ForwardedRequest) -> None:
+        """End the reservation of a request."""
+        self._release(request, request.reserved_retries)
+
+    def _release(self, request: ForwardedRequest, count: int) -> None:
+        retry_budgets.release(self._find_budget(request), count)
+        request.reserved_retries -= count
+
+    def _log_decision(
+        self, sentence: str, request: ForwardedRequest, cost: int, now: timedelta
+    ) -> None:
+        budget = self._find_budget(request)
         _log(
-            "retry is allowed" if is_allowed else "retry is refused",
+            sentence,
             request=request.id,
             service=request.service,
             cost=cost,
             earned=round(budget.earned.total, 2),
-            fixed_part=round(fixed_part, 2),
+            fixed_part=round(self._find_fixed_part(now), 2),
             used=round(budget.used.total, 2),
+            reserved=budget.reserved,
             daemons=self.count_daemons(),
             process_age=(now - self._started).total_seconds(),
         )
-        self._on_decision(request.service, is_allowed)
-        return is_allowed
-
-    def give_back(self, request: ForwardedRequest, count: int) -> None:
-        """Return ``count`` retries that were taken and not sent."""
-        now = self._clock.monotonic()
-        retry_budgets.give_back(self._find_budget(request), now, count)
-        _log("retries are given back", request=request.id, count=count)
 
     def _find_fixed_part(self, now: timedelta) -> float:
         return retry_budgets.compute_fixed_part(
--- a/src/galenapass/forwarding/retry_budgets.py
+++ b/src/galenapass/forwarding/retry_budgets.py
@@ -19,10 +19,11 @@
     "Budget",
     "LapsingAmounts",
     "RetryBudgetTerms",
-    "can_spend",
+    "can_reserve",
     "compute_fixed_part",
-    "give_back",
     "record_request",
+    "release",
+    "reserve",
     "spend",
 ]
 
@@ -57,11 +58,13 @@
     """Retries of one service at this daemon.
 
     ``earned`` is what requests have earned and no retry has used, ``used`` what
-    retries have used of the fixed part in the last window.
+    retries have used of the fixed part in the last window. ``reserved`` is the number
+    of retries that were decided and are not sent yet.
     """
 
     earned: LapsingAmounts = field(default_factory=LapsingAmounts)
     used: LapsingAmounts = field(default_factory=LapsingAmounts)
+    reserved: int = 0
 
 
 def compute_fixed_part(
@@ -86,15 +89,35 @@
     _add(budget.earned, now, EARNED_SHARE * terms.share)
 
 
-def can_spend(
+def can_reserve(
     budget: Budget,
     now: timedelta,
     terms: RetryBudgetTerms,
     fixed_part: float,
     count: int = 1,
 ) -> bool:
-    """Return whether the budget allows ``count`` more retries."""
-    return count <= _find_balance(budget, now, terms, fixed_part) + _TOLERANCE
+    """Return whether the budget allows ``count`` more retries besides the reserved."""
+    balance = _find_balance(budget, now, terms, fixed_part)
+    return budget.reserved + count <= balance + _TOLERANCE
+
+
+def reserve(
+    budget: Budget,
+    now: timedelta,
+    terms: RetryBudgetTerms,
+    fixed_part: float,
+    count: int = 1,
+) -> bool:
+    """Reserve ``count`` retries; return whether the budget allows them."""
+    if not can_reserve(budget, now, terms, fixed_part, count):
+        return False
+    budget.reserved += count
+    return True
+
+
+def release(budget: Budget, count: int) -> None:
+    """End the reservation of ``count`` retries, which were sent or are not needed."""
+    budget.reserved -= count
 
 
 def spend(
@@ -104,8 +127,11 @@
     fixed_part: float,
     count: int = 1,
 ) -> bool:
-    """Take ``count`` retries from the budget; return whether it allowed them."""
-    if not can_spend(budget, now, terms, fixed_part, count):
+    """Take ``count`` retries as they are sent; return whether the budget allows them.
+
+    What was reserved long ago may have lapsed.
+    """
+    if count > _find_balance(budget, now, terms, fixed_part) + _TOLERANCE:
         return False
     missing = _take_oldest(budget.earned, count)
     if missing > 0:
@@ -113,11 +139,6 @@
     return True
 
 
-def give_back(budget: Budget, now: timedelta, count: int) -> None:
-    """Return ``count`` retries that were taken and not sent."""
-    _add(budget.earned, now, count)
-
-
 def _find_balance(
     budget: Budget, now: timedelta, terms: RetryBudgetTerms, fixed_part: float
 ) -> float:
--- a/src/galenapass/forwarding/switching.py
+++ b/src/galenapass/forwarding/switching.py
@@ -20,8 +20,8 @@
 class SwitchSteps:
     """What the preparation of a next send consists of.
 
-    ``reserve`` takes its cost from the retry budget and returns a function that gives
-    back what was not sent, or None if the request may not be sent again now.
+    ``reserve`` reserves its cost in the retry budget and returns a function that
+    releases what was not sent, or None if the request may not be sent again now.
     ``prepare`` acquires its slots, has its prompt prefilled and sends it; if it is
     cancelled it releases them. ``discard`` releases a send that is not used.
     """
@@ -34,14 +34,14 @@
 class Standby:
     """Next send of one request, at most one at a time."""
 
-    __slots__ = ("_give_back", "_name", "_ready", "_steps", "_task")
+    __slots__ = ("_name", "_ready", "_release_unsent", "_steps", "_task")
 
     def __init__(self, name: str, steps: SwitchSteps):
         self._name = name
         self._steps = steps
         self._task: asyncio.Task[None] | None = None
         self._ready: Send | None = None
-        self._give_back: Callable[[], None] | None = None
+        self._release_unsent: Callable[[], None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -50,8 +50,8 @@
 
     async def prepare(self) -> bool:
         """Prepare the next send; return whether it is ready."""
-        self._give_back = self._steps.reserve()
-        if self._give_back is None:
+        self._release_unsent = self._steps.reserve()
+        if self._release_unsent is None:
             return False
         self._task = asyncio.create_task(self._prepare())
         await asyncio.wait((self._task,))
@@ -67,7 +67,7 @@
         """Return the send that is ready, if any; the caller then owns it."""
         send, self._ready = self._ready, None
         if send is not None:
-            self._give_back = None
+            self._release_unsent = None
         return send
 
     def cancel(self) -> None:
@@ -101,6 +101,6 @@
         self._ready = prepared.ok_value
 
     def _release_budget(self) -> None:
-        give_back, self._give_back = self._give_back, None
-        if give_back is not None:
-            give_back()
+        release_unsent, self._release_unsent = self._release_unsent, None
+        if release_unsent is not None:
+            release_unsent()
--- a/tests/test_forwarding_retry_budgets.py
+++ b/tests/test_forwarding_retry_budgets.py
@@ -45,21 +45,33 @@
         for host in hosts:
             self.accounts[host] = self.start()
 
-    def serve(self, host, cost=1):
-        """Send a request, and send it again as often as the budget allows."""
-        now = self.clock.monotonic()
+    def receive(self, host):
+        """Receive a request and send it once."""
         request = make_request(f"r{len(self.requests)}")
-        request.sends, request.prefills = 1, cost - 1
-        self.requests.append(now.total_seconds())
+        self.requests.append(self.clock.monotonic().total_seconds())
         self.accounts[host].record_request(request)
-        while self.accounts[host].spend(request, now):
-            self.retries += [now.total_seconds()] * request.next_retry_cost
+        return self.send(host, request)
+
+    def send(self, host, request):
+        """Send a request unless it would be a retry that the budget does not allow."""
+        if not self.accounts[host].charge(request):
+            return None
+        if request.sends:
+            self.retries.append(self.clock.monotonic().total_seconds())
+        request.sends += 1
+        return request
+
+    def serve(self, host):
+        """Send a request, and send it again as often as the budget allows."""
+        request = self.receive(host)
+        while self.accounts[host].reserve(request):
+            self.send(host, request)
 
     def measure_use(self):
         return measure_retry_use("lm", self.retries, self.requests, self.terms)
 
 
-def play_steadily(hosts, rate, seconds, kills=(), demand_from=0.0, cost=1):
+def play_steadily(hosts, rate, seconds, kills=(), demand_from=0.0):
     """Send requests evenly to the hosts in turn; return the hosts."""
     kills = sorted(kills)
     random = Random(43)
@@ -68,12 +80,8 @@
         while kills and kills[0] <= now:
             hosts.kill(range(hosts.count))
             kills.pop(0)
-        if now >= demand_from:
-            hosts.serve(random.randrange(hosts.count), cost)
-        else:
-            host = random.randrange(hosts.count)
-            hosts.requests.append(now)
-            hosts.accounts[host].record_request(make_request(f"r{number}"))
+        send = hosts.serve if now >= demand_from else hosts.receive
+        send(random.randrange(hosts.count))
         hosts.clock.advance(SECOND / rate)
     return hosts
 
@@ -112,13 +120,66 @@
                 hosts.kill([host])
                 continue
             for _ in range(repetitions):
-                if kind == "retry":
-                    hosts.serve(host, 1 + repetitions % 2)
-                else:
-                    hosts.requests.append(hosts.clock.monotonic().total_seconds())
-                    hosts.accounts[host].record_request(make_request())
+                send = hosts.serve if kind == "retry" else hosts.receive
+                send(host)
+        use = hosts.measure_use()
+        self.assertLessEqual(use.retries, use.allowed)
+
+    def test_budget_of_retries_that_wait_for_slots_is_that_of_their_arrival(self):
+        # 166 arrivals beyond the first, 98 allowed (virtual time, 64707f7).
+        for rate in (20, 130):
+            hosts, waiting = Hosts(1), []
+            for number in range(rate * 40):
+                request = hosts.receive(0)
+                if number >= rate * 20 and hosts.accounts[0].reserve(request):
+                    waiting.append(request)
+                if number == rate * 25:
+                    for request in waiting:
+                        hosts.send(0, request)
+                if number > rate * 25 and request.reserved_retries:
+                    hosts.send(0, request)
+                hosts.clock.advance(SECOND / rate)
+            use = hosts.measure_use()
+            self.assertLessEqual(use.retries, use.allowed)
+            self.assertGreater(use.share, 0.5)
+
+    @given(
+        st.lists(
+            st.tuples(st.booleans(), st.integers(0, 900), st.integers(0, 8000)),
+            max_size=150,
+        )
+    )
+    def test_the_fleet_stays_within_its_budget_whatever_waits(self, steps):
+        hosts, waiting = Hosts(1, RetryBudgetTerms(0.2, 12.0, 10 * SECOND)), []
+        for is_retried, pause, delay in steps:
+            hosts.clock.advance(pause * SECOND / 1000)
+            now = hosts.clock.monotonic()
+            for due, request in [one for one in waiting if one[0] <= now]:
+                waiting.remove((due, request))
+                hosts.send(0, request)
+                hosts.accounts[0].release(request)
+            request = hosts.receive(0)
+            if is_retried and hosts.accounts[0].reserve(request):
+                waiting.append((now + delay * SECOND / 1000, request))
         use = hosts.measure_use()
         self.assertLessEqual(use.retries, use.allowed)
+        reserved = sum(request.reserved_retries for _, request in waiting)
+        budget = hosts.accounts[0]._budgets.get("lm", retry_budgets.Budget())
+        self.assertEqual(reserved, budget.reserved)
+
+    def test_the_arrivals_of_a_generation_are_paid_once(self):
+        # Prefills: rejected, accepted, accepted; the output is refused in between.
+        request, paid = make_request(), []
+        accounts = Hosts(1).accounts[0]
+        for accepted in (False, True, None, True, None):
+            self.assertTrue(accounts.charge(request))
+            paid.append(request.paid_retries)
+            if accepted is None:
+                request.sends += 1
+            else:
+                request.prefills += 1
+                request.has_prefilled |= accepted
+        self.assertEqual([0, 1, 1, 2, 3], paid)
 
     def test_the_fixed_part_is_held_back_for_a_window(self):
         part = lambda now: retry_budgets.compute_fixed_part(  # noqa: E731
@@ -135,8 +196,10 @@
         budget = retry_budgets.Budget()
         for _ in range(20):
             retry_budgets.record_request(budget, 0 * SECOND, TERMS)
-        self.assertTrue(retry_budgets.can_spend(budget, 10 * SECOND, TERMS, 0.0, 2))
-        self.assertFalse(retry_budgets.can_spend(budget, 10.1 * SECOND, TERMS, 0.0, 1))
+        self.assertTrue(retry_budgets.can_reserve(budget, 10 * SECOND, TERMS, 0.0, 2))
+        self.assertFalse(
+            retry_budgets.can_reserve(budget, 10.1 * SECOND, TERMS, 0.0, 1)
+        )
 
     def test_a_retry_uses_the_oldest_requests_first(self):
         budget = retry_budgets.Budget()
@@ -144,4 +207,4 @@
             for _ in range(10):
                 retry_budgets.record_request(budget, at * SECOND, TERMS)
         self.assertTrue(retry_budgets.spend(budget, 6 * SECOND, TERMS, 0.0, 1))
-        self.assertTrue(retry_budgets.can_spend(budget, 15 * SECOND, TERMS, 0.0, 1))
+        self.assertTrue(retry_budgets.can_reserve(budget, 15 * SECOND, TERMS, 0.0, 1))
