Read the targets in the store before one version counts as the only one

A host that was out of step while targets of a new version joined let streams go on at another version than the one that began them (ORDER; a report from operators of a similar system). It could happen here: a host that schedules takes the only version that it and the published histories name for the origin of a stream that nobody has recorded.

Now the targets are read from the store itself, after the stream was taken up: a target must be there before a stream can begin at it. A read that other take-ups had begun before does not count.

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -37,6 +37,7 @@
 from galenapass.forwarding.stream_origins import StreamOrigins, StreamRecord
 from galenapass.logs import make_log
 from galenapass.platform.messages import ObjectListing
+from galenapass.tables.targets import Target
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["STREAMS_KIND", "OriginHooks", "OriginSharing"]
@@ -75,7 +76,8 @@
     """Callbacks of the sharing of origins.
 
     ``share`` tells the schedulers a notice, ``ask`` sends a query to some of them and
-    returns to how many. ``is_scheduler`` returns whether this host schedules,
+    returns to how many. ``list_targets`` returns the targets that are in the store now,
+    None if it does not answer. ``is_scheduler`` returns whether this host schedules,
     ``is_view_fresh`` whether it receives updates from the store. ``on_need`` is called
     when records become needed or needless, ``on_resumed`` with how the origin of a
     stream was found.
@@ -83,6 +85,7 @@
 
     share: Callable[[StreamNotice], None]
     ask: Callable[[OriginQuery], int]
+    list_targets: Callable[[], Awaitable[Iterable[Target] | None]]
     is_scheduler: Callable[[], bool]
     is_view_fresh: Callable[[], bool]
     on_need: Callable[[], None] = lambda: None
@@ -127,7 +130,7 @@
         self._read_versions: dict[str, int] = {}
         self._to_publish = asyncio.Event()
         self._to_remove = asyncio.Event()
-        self._read_task: asyncio.Task[bool] | None = None
+        self._read_task: asyncio.Task[timedelta | None] | None = None
         self._read_at = timedelta(0)
         self._routes_version = 0
         self._services_by_route: dict[tuple[str, str], frozenset[str]] = {}
@@ -153,15 +156,17 @@
 
         ``services`` are those to which the client's route leads.
         """
+        asked_at = self._clock.monotonic()
         origin, outcome = self._find_recorded(stream)
         if outcome == _UNKNOWN and not self._hooks.is_scheduler():
             origin = await self.queries.ask(stream, services)
             outcome = _UNKNOWN if origin is None else "asked"
         for _ in range(READS):
             if outcome == _UNKNOWN and self._hooks.is_scheduler():
-                is_read = await self._read_again()
+                read_at = await self._read_again()
                 origin, outcome = self._find_recorded(stream)
-                if outcome == _UNKNOWN and is_read and len(services) == 1:
+                is_current = read_at is not None and read_at >= asked_at
+                if outcome == _UNKNOWN and is_current and len(services) == 1:
                     origin, outcome = self._find_only_version(services[0])
         if origin is not None and origin.service not in services:
             origin, outcome = None, "the route leads elsewhere"
@@ -179,7 +184,8 @@
         """Return the only version of a service, right after the store was read.
 
         Without that, a host that was cut off or suspended for a moment would not know
-        which versions have come since.
+        which versions have come since. A read that was sent before the stream was taken
+        up may not show where it began.
         """
         origin = self._find_only(service, self._clock.monotonic())
         return origin, _UNKNOWN if origin is None else "only version"
@@ -354,32 +360,43 @@
         body = encode_published(published, self._clock.now(), now)
         return await self._object.write(body)
 
-    async def _read_again(self) -> bool:
+    async def _read_again(self) -> timedelta | None:
         """Await the next read of the store, which all that wait share.
 
-        Return whether the store answered in time.
+        Return when it began, None if the store did not answer in time.
         """
         if self._read_task is None:
             self._read_task = asyncio.create_task(self._read_next())
             self._read_task.add_done_callback(self._end_read)
         task = self._read_task
         await asyncio.wait((task,), timeout=READ_TIMEOUT.total_seconds())
-        return task.done() and not task.cancelled() and task.result()
+        return task.result() if task.done() and not task.cancelled() else None
 
-    async def _read_next(self) -> bool:
+    async def _read_next(self) -> timedelta | None:
         now = self._clock.monotonic()
         pause = self._read_at + READ_INTERVAL - now
         await asyncio.sleep(max(pause.total_seconds(), 0))
-        self._read_at = self._clock.monotonic()
+        began = self._read_at = self._clock.monotonic()
         try:
-            return await self._read()
+            is_read = await self._read() and await self._read_targets()
         except Exception as error:
             _log("read failed", error=repr(error))
-            return False
+            return None
+        return began if is_read else None
 
-    def _end_read(self, task: asyncio.Task[bool]) -> None:
+    def _end_read(self, task: asyncio.Task[timedelta | None]) -> None:
         self._read_task = None
 
+    async def _read_targets(self) -> bool:
+        """Record the versions in the store, of which no host may have told yet."""
+        targets = await self._hooks.list_targets()
+        if targets is None:
+            return False
+        now = self._clock.monotonic()
+        for target in targets:
+            self._history.record(ServiceVersion(target.service, target.version), now)
+        return True
+
     async def _read(self) -> bool:
         listing = await self._objects.list(STREAMS_KIND)
         if isinstance(listing, Err):
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -340,6 +340,7 @@
         return OriginHooks(
             share=lambda notice: self.peering.share_streams(notice),
             ask=lambda query: self.peering.ask_origin(query),
+            list_targets=self._list_stored_targets,
             is_scheduler=lambda: self.scheduler_selection.is_scheduler,
             is_view_fresh=self._is_store_view_fresh,
             on_need=lambda: self.peering.announce_version(),
@@ -348,6 +349,15 @@
             ),
         )
 
+    async def _list_stored_targets(self) -> list[Target] | None:
+        """Return the targets that are in the store now, None if it does not answer."""
+        listing = await self.store.list(RUNNERS_KIND)
+        if isinstance(listing, Err):
+            return None
+        decoded = (_decode_target(s.name, s.body) for s in listing.ok_value.items)
+        # The watch of the targets logs the entries that are unreadable.
+        return [target.ok_value for target in decoded if isinstance(target, Ok)]
+
     def _make_planner(self) -> RolePlanner:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -90,9 +90,13 @@
         self.fleet = make_fleet()
         self.fleet.host = name
         self.set_versions(*versions)
+        # The targets in the store, None for those that this host knows.
+        self.stored_targets = None
+        self.is_listing_slow = False
         hooks = OriginHooks(
             share=self.shared.append,
             ask=self.ask,
+            list_targets=self.list_targets,
             is_scheduler=lambda: self.is_scheduler,
             is_view_fresh=lambda: self.is_view_fresh,
             on_need=lambda: self.needs.append(self.sharing.needs_records),
@@ -107,6 +111,15 @@
         self.asked.append(query)
         return self.schedulers
 
+    async def list_targets(self):
+        if self.store.is_away:
+            return None
+        targets = self.stored_targets
+        targets = self.fleet.targets.values() if targets is None else targets
+        listed = list(targets)
+        await asyncio.sleep(0.05 if self.is_listing_slow else 0)
+        return listed
+
     def set_versions(self, *versions):
         targets = [make_target(f"e{n}", version=v) for n, v in enumerate(versions)]
         self.fleet.targets = {target.id: target for target in targets}
@@ -578,6 +591,34 @@
         self.assertEqual(Ok(NEW), published)
         self.assertIs(Run.NOT_RUN, unknown.unwrap_err().run)
 
+    def test_order_a_version_has_joined_that_no_host_has_told(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            host.stored_targets = [make_target("e1", version=v) for v in ("v1", "v1.1")]
+            return await host.sharing.resolve(1, SERVICES)
+
+        self.assertIs(Run.NOT_RUN, asyncio.run(scenario()).unwrap_err().run)
+
+    def test_order_a_version_has_joined_since_the_store_was_asked(self):
+        host = FakeHost("v1")
+
+        async def scenario():
+            await host.publish()
+            host.is_listing_slow = True
+            host.clock.advance(1 * SECOND)
+            earlier = asyncio.create_task(host.sharing.resolve(1, SERVICES))
+            await asyncio.sleep(0.02)
+            host.clock.advance(1 * SECOND)
+            host.stored_targets = [make_target("e1", version=v) for v in ("v1", "v1.1")]
+            later = await host.sharing.resolve(2, SERVICES)
+            return await earlier, later
+
+        earlier, later = asyncio.run(scenario())
+        self.assertEqual(Ok(OLD), earlier)
+        self.assertIs(Run.NOT_RUN, later.unwrap_err().run)
+
     def test_order_no_version_is_the_only_one_while_the_store_does_not_answer(self):
         host = FakeHost("v1")
 
