Check the retry budget in the soak, with kills of all daemons

The soak counted no arrivals, so no seed could break the retry budget. The first process of a daemon is told that it is the first start, as the platform does.

--- a/experiments/soak/__main__.py
+++ b/experiments/soak/__main__.py
@@ -51,6 +51,12 @@
     show_default=True,
     help="Number of releases of targets at another software version.",
 )
+@click.option(
+    "--kills",
+    default=0,
+    show_default=True,
+    help="Number of times all daemons are killed while targets refuse requests.",
+)
 @click.option(
     "--folder",
     type=click.Path(path_type=Path, file_okay=False),
@@ -67,6 +73,7 @@
     stops: int,
     grace: float,
     releases: int,
+    kills: int,
     folder: Path | None,
     regressions: bool,
 ) -> None:
@@ -74,7 +81,7 @@
     seeds = [time.time_ns() % 10**9 if seed is None else seed]
     if regressions:
         seeds = [int(section) for section in read_regressions()]
-        restores = stops = releases = 0
+        restores = stops = releases = kills = 0
     violation_count = 0
     for current_seed in seeds:
         click.echo(f"seed {current_seed}")
@@ -92,6 +99,7 @@
                 stops,
                 grace,
                 releases,
+                kills,
             )
         )
         click.echo(describe(report))
--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,7 @@
 from experiments.processes import Process, find_free_port, start_process
 from experiments.soak.faults import Fault
 from experiments.soak.proxies import Disturbance, Proxy
+from galenapass.forwarding.retry_budgets import RetryBudgetTerms
 from stand_ins.metadata_store import MetadataStore, StoreCopy, StoreFaults
 from stand_ins.platform_routes import CONFIGURATION, make_route
 from stand_ins.runner import ATTEMPT, Arrival, Runner, RunnerFaults
@@ -24,6 +26,7 @@
 DOMAINS = ("zone-a", "zone-b")
 GRACE_SECONDS = 4.0
 BUDGET_RATIOS = (0.2, 0.1, 0.3)
+BUDGET_WINDOW = timedelta(seconds=10)
 EVENT_INTERVAL_SECONDS = 0.02
 SLOW_RESPONSE_SECONDS = 1.0
 SLOW_STORE_SECONDS = 0.8
@@ -40,6 +43,7 @@
 ip = "{ip}"
 zone = "{domain}"
 heartbeat_ms = 500
+bootstrap = {bootstrap}
 internal_port_range = [{peers_port}, {peers_port}]
 [listen]
 front = "{ip}:{front_port}"
@@ -108,6 +112,7 @@
             name=self.name,
             ip=self.ip,
             domain=self.domain,
+            bootstrap=str(self.process is None).lower(),
             front_port=self.front_port,
             ready_port=self.ready_port,
             peers_port=self.peers_port,
@@ -217,6 +222,7 @@
         self.proxies: dict[str, Proxy] = {}
         self.version = 1
         self._configuration = configuration
+        self._largest_ratio = BUDGET_RATIOS[0]
         self._store_server: web.AppRunner | None = None
         self._target_states: dict[str, str] = {}
         self._heartbeats: asyncio.Task[None] | None = None
@@ -304,6 +310,12 @@
             for request in runner.received
         }
 
+    @property
+    def retry_terms(self) -> RetryBudgetTerms:
+        """Return the largest retry budget that the daemons' settings ever state."""
+        slack = max(daemon.retry_slack for daemon in self.daemons.values())
+        return RetryBudgetTerms(self._largest_ratio, slack, BUDGET_WINDOW)
+
     def list_arrivals(self) -> dict[str, list[Arrival]]:
         """Return the arrivals at the targets of each service."""
         arrivals: dict[str, list[Arrival]] = {}
@@ -386,6 +398,10 @@
                 lambda: setattr(faults, field, getattr(defaults, field)),
             )
 
+        def refuse(share: float | None) -> None:
+            faults.shed = share is not None
+            faults.shed_share = defaults.shed_share if share is None else share
+
         def restart() -> None:
             runner.born += 1
             runner.orders = 0
@@ -408,7 +424,8 @@
 
         return {
             "release": (end_entry, release),
-            "shed": change("shed", True),
+            "shed": (lambda: refuse(1.0), lambda: refuse(None)),
+            "shed half": (lambda: refuse(0.5), lambda: refuse(None)),
             "crash": change("crash", True),
             "break": change("break_after", 2),
             "slow": change("delay_seconds", SLOW_RESPONSE_SECONDS),
@@ -428,6 +445,7 @@
     async def _change_settings(self, daemon: Daemon) -> None:
         daemon.retry_slack += 1
         daemon.budget_ratio = BUDGET_RATIOS[daemon.retry_slack % len(BUDGET_RATIOS)]
+        self._largest_ratio = max(self._largest_ratio, daemon.budget_ratio)
         daemon.write_settings(self.proxies[daemon.name].address)
         await hang_up(daemon)
 
@@ -493,7 +511,7 @@
     """Return the field that a fault changes; faults of one field replace each other."""
     fields = {"unavailable": "status", "throttled": "status", "restore": "status"}
     fields |= {d.value: "disturbance" for d in Disturbance}
-    fields |= {"leave": "entry", "lapse": "entry"}
+    fields |= {"leave": "entry", "lapse": "entry", "shed half": "shed"}
     return fields.get(kind, kind)
 
 
--- a/experiments/soak/faults.py
+++ b/experiments/soak/faults.py
@@ -11,6 +11,7 @@
     "STORE_FAULTS",
     "Fault",
     "plan_faults",
+    "plan_kills",
     "plan_releases",
     "plan_restores",
     "plan_stops",
@@ -104,6 +105,15 @@
 )
 KILL_ALL_SHARE = 0.5
 KILL_SECONDS = (0.1, 1.0)
+# Around kills of all daemons while targets refuse a part of their requests.
+_KILL = (
+    _Companion("configuration", "store", 0.3, -0.5, 1.0),
+    _Companion("terminate", "", 0.3, -1.5, 0.0),
+    _Companion("unavailable", "store", 0.3, -0.5, 0.5, (0.5, 3.0)),
+    _Companion("slow", "store", 0.2, -0.5, 0.5, (0.5, 2.0)),
+    _Companion("pause", "", 0.3, 1.0, 2.5, (0.3, 2.0)),
+    _Companion("break", "runner", 0.4, -1.0, 1.0, (0.5, 2.0)),
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -219,6 +229,28 @@
     return sorted(timely, key=lambda fault: (fault.at, fault.component))
 
 
+def plan_kills(
+    seed: int, seconds: float, count: int, daemons: list[str], runners: list[str]
+) -> list[Fault]:
+    """Return ``count`` kills of all daemons at once, by start time.
+
+    The targets refuse half of their requests all the while, so that each process uses
+    up its retry budget. They are drawn apart from the other faults, whose
+    plan does not depend on them.
+    """
+    random = Random(f"{seed}-kills")
+    faults: list[Fault] = []
+    if count:
+        faults += [Fault(0.0, seconds, "shed half", runner) for runner in runners]
+    for _ in range(count):
+        at, pause = random.uniform(0, seconds), random.uniform(*KILL_SECONDS)
+        faults += [Fault(at, pause, "kill", daemon) for daemon in daemons]
+        daemon = random.choice(daemons)
+        faults += _draw_companions(random, _KILL, at, 1.0, daemon, runners)
+    timely = [fault for fault in faults if 0 <= fault.at <= fault.end <= seconds]
+    return sorted(timely, key=lambda fault: (fault.at, fault.component))
+
+
 def _draw_companions(
     random: Random,
     companions: tuple[_Companion, ...],
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -11,11 +11,13 @@
 
 import aiohttp
 
+from experiments.soak.arrivals import find_excess_retries
 from experiments.soak.clients import Client
 from experiments.soak.environment import GRACE_SECONDS, Environment
 from experiments.soak.faults import (
     Fault,
     plan_faults,
+    plan_kills,
     plan_releases,
     plan_restores,
     plan_stops,
@@ -80,12 +82,15 @@
     stop_count: int = 0,
     grace_seconds: float = GRACE_SECONDS,
     release_count: int = 0,
+    kill_count: int = 0,
 ) -> Report:
     """Inject the faults of a seed for ``seconds`` and check the invariants.
 
     The store also returns to an older copy ``restore_count`` times. With planned stops,
     ``stop_count`` of them, half of the clients keep their connections. With releases,
     targets of two software versions serve and as many more clients take streams up.
+    With kills, ``kill_count`` of them, all daemons are killed at once, while targets
+    refuse a part of their requests.
     """
     environment = Environment(
         folder,
@@ -110,6 +115,9 @@
     faults += plan_releases(
         seed, seconds, release_count, list(environment.daemons), engines
     )
+    faults += plan_kills(
+        seed, seconds, kill_count, list(environment.daemons), list(environment.runners)
+    )
     faults.sort(key=lambda fault: (fault.at, fault.component))
     addresses = {name: daemon.address for name, daemon in environment.daemons.items()}
     clients = [
@@ -148,6 +156,11 @@
     ]
     streams = [stream for client in stream_clients for stream in client.streams]
     failures += _check_streams(environment, streams, outcomes, faults, started)
+    failures += find_excess_retries(
+        environment.list_arrivals(),
+        _list_requests(outcomes, streams, started),
+        environment.retry_terms,
+    )
     violations = find_violations(outcomes, environment.list_executed(), STREAM_BODY)
     violations = [
         violation
@@ -170,6 +183,20 @@
     )
 
 
+def _list_requests(
+    outcomes: list[Outcome], streams: list[Stream], started: float
+) -> dict[str, list[float]]:
+    """Return when clients sent requests to each service, in monotonic seconds."""
+    requests: dict[str, list[float]] = {}
+    for outcome in outcomes:
+        service = ROUTES[outcome.route].service
+        requests.setdefault(service, []).append(started + outcome.began)
+    stream_service = ROUTES["notes"].service
+    tries = [one.began for stream in streams for one in stream.tries]
+    requests.setdefault(stream_service, []).extend(tries)
+    return requests
+
+
 def _check_streams(
     environment: Environment,
     streams: list[Stream],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,7 @@
 SEED = 2026
 SECONDS = 8.0
 STOP_SEED, STOP_SECONDS, STOP_GRACE = 2026, 5.0, 4.0
+KILL_SEED, KILL_SECONDS = 1, 15.0
 RELEASE_SEED, RELEASE_SECONDS = 1, 12.0
 DAEMONS, RUNNERS = ["front-0", "front-1"], ["p0", "d0", "s0"]
 
@@ -381,3 +382,19 @@
             )
         self.assertEqual([], report.violations, describe(report))
         self.assertGreater(len(report.outcomes), 100)
+
+    def test_budget_of_hosts_that_are_killed_amid_refusals_is_one_budget(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                run_soak(
+                    KILL_SEED,
+                    KILL_SECONDS,
+                    0,
+                    3,
+                    10,
+                    pathlib.Path(folder),
+                    kill_count=6,
+                )
+            )
+        self.assertEqual([], report.violations, describe(report))
+        self.assertGreater(len(report.outcomes), 100)
