Name what tells that a host is joining, and write the registration plainly

Read as a newcomer: a first start whose registration failed at once was corrected only by the next list.

--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -39,6 +39,8 @@
 # At the first start of all hosts, an entry that is written within this time is in the
 # first list of every host.
 FIRST_REGISTRATION_TIME = timedelta(seconds=2)
+# Field of an entry that tells whether its host is joining.
+_JOINING = "joining"
 # Hosts that try to acquire the lease often; the other hosts do so rarely.
 FREQUENT_CANDIDATES = 2
 CANDIDATE_INTERVAL = timedelta(milliseconds=250)
@@ -126,11 +128,11 @@
             await asyncio.sleep(INITIAL_LIST_DELAY.total_seconds())
         await asyncio.sleep(self._random.uniform(0, MAX_START_DELAY_SECONDS))
         await self._register()
-        if first_start:
-            registered_at = self._registered_at or self._clock.monotonic()
-            self._is_joining = registered_at - started > FIRST_REGISTRATION_TIME
-            if self._is_joining:
-                await self._register()
+        if first_start and not self._has_registered_by(
+            started + FIRST_REGISTRATION_TIME
+        ):
+            self._is_joining = True
+            await self._register()
         pause = INITIAL_LIST_DELAY
         while True:
             await asyncio.sleep(pause.total_seconds())
@@ -155,7 +157,7 @@
             "domain": self._entry.domain,
             "peers": f"{ip}:{port}",
             "power": self._entry.power,
-            "joining": self._is_joining,
+            _JOINING: self._is_joining,
         }
         body = orjson.dumps(own).decode()
         written = await self._objects.write(HOSTS_KIND, self._host, body)
@@ -166,6 +168,9 @@
         elif self._registered_at is None:
             self._registered_at = self._clock.monotonic()
 
+    def _has_registered_by(self, time: timedelta) -> bool:
+        return self._registered_at is not None and self._registered_at <= time
+
     async def _finish_joining(self) -> None:
         """Register a host that is not registered, or that all others list by now."""
         if self._registered_at is None:
@@ -214,7 +219,7 @@
 
 
 def _is_counted(listing: ObjectListing, host: str) -> bool:
-    """Return whether an earlier process of a host has left an entry and had joined."""
+    """Return whether an earlier process has left an entry and was not joining."""
     for stored in listing.items:
         if stored.name == host:
             entry = decode_json(stored.body)
@@ -223,7 +228,7 @@
 
 
 def _has_joined(entry: object) -> bool:
-    return isinstance(entry, dict) and entry.get("joining") is not True
+    return isinstance(entry, dict) and entry.get(_JOINING) is not True
 
 
 def _decode_entries(listing: ObjectListing) -> Iterator[tuple[str, HostEntry]]:
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -56,13 +56,12 @@
 
     ``runs`` counts the sends that may have run, ``sends`` all sends except prefills and
     ``prefills`` the prefills, of which one was accepted if it ``has_prefilled``.
-    ``paid_retries`` were taken from the retry budget, ``reserved_retries`` are reserved
-    there; ``last_event`` is the id of the last event sent to the
-    client. ``parts`` are the parts of the prompt that engines cache, the part that is
-    not shared last. ``is_generation`` tells whether an engine generates its answer, by
-    the configuration in force as it arrived. ``tried`` holds the ids of targets to use
-    last; ``target`` is the id of the one that works on it now, at which no second slot
-    is requested.
+    ``reserved_retries`` are reserved in the retry budget, ``paid_retries`` taken from
+    it; ``last_event`` is the id of the last event sent to the client. ``parts`` are the
+    parts of the prompt that engines cache, the part that is not shared last.
+    ``is_generation`` tells whether an engine generates its answer, by the configuration
+    in force as it arrived. ``tried`` holds the ids of targets to use last; ``target``
+    is the id of the one that works on it now, at which no second slot is requested.
 
     ``is_resumed`` tells whether the client takes up a stream of an earlier attempt.
     ``stream`` is the digest of the attempt that brought the first event of its stream,
