Let all engines of a version lapse in the test of a version that has left

The test lapsed the engines that generated as it was planned. Now every engine of the version lapses, whatever its role, so that the version has really left; what must not go on is the same.

--- a/tests/test_platform_killed_hosts.py
+++ b/tests/test_platform_killed_hosts.py
@@ -89,11 +89,11 @@
         return lambda: self.environment.apply(Fault(0.0, seconds, kind, component))
 
     def list_engines(self, version):
-        """Return the names of the decode engines of a version."""
+        """Return the names of the engines of a version, whose roles may change."""
         return [
             name
             for name, runner in self.environment.runners.items()
-            if runner.stage == "decode" and runner.version == version
+            if runner.stage and runner.version == version
         ]
 
 
