Begin in a stop only what is bounded to end in time

Cause: a late request was begun if answers of similar size before it had ended in time. Those say what is likely. An answer ends early far below its largest number of tokens, and a plain call says nothing of its length, so no number of short answers bounds the next one. With a long grace period "early" also lasted longer than the load balancer needs to look away: 7 s of 20 s.

Evidence: each request that begins in a stop, or is refused as too late, is now logged with its bound and what that follows from (deadline, likely, usual, bounded), the expected time and the time left.

Change: after the early time a stream, and a call that may run once, begins only if it must end in time: by its deadline, or, for streams, with the rest of its tokens at the slowest pace seen on top of the answers before. Each slot measures the pace of its output, without its one longest pause. A call that may be repeated still begins by the answers before it. What may have run is sent again in a stop if it is likely to end in time, as it is lost otherwise; before it was sent again at any time. The same check serves prompts, the stage after them, streams taken up, waits for a slot and retries. The early time is 2.8 s at most.

--- a/experiments/soak/raw_requests.py
+++ b/experiments/soak/raw_requests.py
@@ -33,11 +33,17 @@
 
 
 def make_request(
-    path: str, attempt: str, deadline_ms: int, method: str = "POST", body: bytes = b""
+    path: str,
+    attempt: str,
+    deadline_ms: int,
+    method: str = "POST",
+    body: bytes = b"",
+    output_tokens: int = 4,
 ) -> bytes:
     """Return the bytes of a request."""
+    headers = make_headers(attempt, deadline_ms, output_tokens)
     lines = [f"{method} {path} HTTP/1.1"]
-    lines += [f"{k}: {v}" for k, v in make_headers(attempt, deadline_ms).items()]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
--- a/src/galenapass/forwarding/answer_times.py
+++ b/src/galenapass/forwarding/answer_times.py
@@ -2,10 +2,11 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
+from galenapass.forwarding.output_pace import OutputPace
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.slot_requests import Stage
 
@@ -21,18 +22,36 @@
 # The longest of n answers is expected to be exceeded by this over n.
 UNSEEN_SAMPLES = 8.0
 
-_Sample = tuple[int, timedelta]
-
 
 @dataclass(slots=True, frozen=True)
 class ExpectedTime:
-    """Time that half of the answers take at most, and one that hardly any exceeds."""
+    """Time that half of the answers take at most, and one that hardly any exceeds.
+
+    ``limit`` is the time of the largest answer that the request allows, whatever the
+    answers before it were; None if only its deadline bounds it.
+    """
 
     median: timedelta
     longest: timedelta
+    limit: timedelta | None = None
 
     def __add__(self, other: "ExpectedTime") -> "ExpectedTime":
-        return ExpectedTime(self.median + other.median, self.longest + other.longest)
+        limit = None
+        if self.limit is not None and other.limit is not None:
+            limit = self.limit + other.limit
+        return ExpectedTime(
+            self.median + other.median, self.longest + other.longest, limit
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class _Sample:
+    """One answer; ``pace`` is the time of one of its ``events``, None if unknown."""
+
+    size: int
+    took: timedelta
+    events: int = 0
+    pace: timedelta | None = None
 
 
 class AnswerTimes:
@@ -46,11 +65,20 @@
     def __init__(self) -> None:
         self._samples: dict[tuple[str, Stage], deque[_Sample]] = {}
 
-    def record(self, request: ForwardedRequest, stage: Stage, took: timedelta) -> None:
-        """Record how long a stage of a request took."""
+    def record(
+        self,
+        request: ForwardedRequest,
+        stage: Stage,
+        took: timedelta,
+        pace: OutputPace | None = None,
+    ) -> None:
+        """Record how long a stage of a request took, and the pace of its output."""
         key = (request.service, stage)
         samples = self._samples.setdefault(key, deque(maxlen=MAX_SAMPLES))
-        samples.append((_measure_size(request, stage), took))
+        sample = _Sample(_measure_size(request, stage), took)
+        if pace is not None:
+            sample = _Sample(sample.size, took, pace.events, pace.find())
+        samples.append(sample)
 
     def expect(self, request: ForwardedRequest, stage: Stage) -> ExpectedTime | None:
         """Return how long a request takes from a stage to its end, None if unknown.
@@ -70,19 +98,42 @@
         if not samples:
             return None
         size = _measure_size(request, stage)
+        similar = _choose_similar(samples, size)
         durations = sorted(
-            took * max(size / sample_size, 1.0)
-            for sample_size, took in _choose_similar(samples, size)
+            sample.took * max(size / sample.size, 1.0) for sample in similar
         )
         count = len(durations)
         unseen = 1 + UNSEEN_SAMPLES / count
-        return ExpectedTime(durations[count // 2], durations[-1] * unseen)
+        longest = durations[-1] * unseen
+        limits = {
+            # A prompt is read whole, so the answers before show what is possible.
+            Stage.PREFILL: lambda: longest,
+            Stage.DECODE: lambda: _find_limit(samples, similar, size, unseen),
+            Stage.CALL: lambda: None,
+        }
+        return ExpectedTime(durations[count // 2], longest, limits[stage]())
+
+
+def _find_limit(
+    samples: Iterable[_Sample], similar: Sequence[_Sample], size: int, unseen: float
+) -> timedelta | None:
+    """Return how long an output of ``size`` tokens takes at the slowest pace seen.
+
+    An event holds one token or more. None if no pace is known.
+    """
+    paces = [sample.pace for sample in samples if sample.pace is not None]
+    if not paces:
+        return None
+    slowest = max(paces)
+    return unseen * max(
+        sample.took + slowest * max(size - sample.events, 0) for sample in similar
+    )
 
 
 def _choose_similar(samples: Iterable[_Sample], size: int) -> list[_Sample]:
     """Return the samples of similar size, or the nearest ones if there are none."""
     distances = sorted(
-        ((abs(math.log(sample[0] / size)), sample) for sample in samples),
+        ((abs(math.log(sample.size / size)), sample) for sample in samples),
         key=lambda pair: pair[0],
     )
     similar = [s for distance, s in distances if distance <= math.log(SIMILAR_FACTOR)]
--- a/src/galenapass/forwarding/open_requests.py
+++ b/src/galenapass/forwarding/open_requests.py
@@ -9,13 +9,22 @@
 from galenapass.forwarding.answer_times import AnswerTimes
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.slot_requests import Stage
-from galenapass.forwarding.stop_times import StopTimes, find_latest_start
+from galenapass.forwarding.stop_times import (
+    Certainty,
+    LatestStart,
+    StopTimes,
+    find_latest_start,
+)
+from galenapass.logs import make_log
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["OpenRequests"]
 
 # Another host can take the request at once, and only needs to be found.
 RETRY_ELSEWHERE = timedelta(milliseconds=50)
+MILLISECOND = timedelta(milliseconds=1)
+
+_log = make_log("forwarding")
 
 
 class _OpenRequest:
@@ -65,6 +74,10 @@
             async with asyncio.timeout(None) as entry.timer:
                 self._set_timer(entry)
                 yield
+        except TimeoutError:
+            if self._stop_times is not None and not request.runs:
+                self._log_start("request is too late for the stop", entry)
+            raise
         finally:
             del self._open[request]
 
@@ -84,14 +97,25 @@
         """Record the stage that a request waits for."""
         self._change_stage(request, stage)
 
-    def record_start(self, request: ForwardedRequest) -> None:
-        """Record that a request is sent to a target that may run it."""
-        self._change_stage(request, None)
+    def record_start(
+        self, request: ForwardedRequest, next_stage: Stage | None = None
+    ) -> None:
+        """Record that a request is sent to a target, and the stage that follows.
+
+        Without one the target may run it.
+        """
+        if self._stop_times is not None:
+            self._log_start("request begins in the stop", self._open[request])
+        self._change_stage(request, next_stage)
 
     def may_start(self, request: ForwardedRequest) -> bool:
         """Return whether the stage that a request waits for may begin now."""
-        end = self._find_end(self._open[request])
-        return end is None or self._clock.monotonic() <= end
+        entry = self._open[request]
+        latest = self._find_latest_start(entry)
+        if latest is None or self._clock.monotonic() <= latest.at:
+            return True
+        self._log_start("request is too late for the stop", entry)
+        return False
 
     def make_verdict(self, request: ForwardedRequest) -> Verdict:
         """Return the verdict for a request that had to end."""
@@ -105,8 +129,7 @@
 
     def _change_stage(self, request: ForwardedRequest, stage: Stage | None) -> None:
         entry = self._open[request]
-        # A request that may have run is not refused any more.
-        entry.next_stage = None if request.runs else stage
+        entry.next_stage = stage
         if self._stop_times is not None:
             self._set_timer(entry)
 
@@ -122,9 +145,54 @@
         request, times = entry.request, self._stop_times
         if request is None:
             return None if times is None else times.answer_until
-        if times is None or request.deadline <= times.answer_until:
+        if times is None:
             return request.deadline
-        if entry.next_stage is None:
-            return times.answer_until
+        latest = self._find_latest_start(entry)
+        # A request that may have run is not refused any more.
+        if latest is None or request.runs:
+            return min(request.deadline, times.answer_until)
+        return latest.at
+
+    def _find_latest_start(self, entry: _OpenRequest) -> LatestStart | None:
+        """Return when the stage that a request waits for must start in a stop.
+
+        None if it waits for none, or ends by its deadline.
+        """
+        request, times = entry.request, self._stop_times
+        if request is None or times is None or entry.next_stage is None:
+            return None
+        if request.deadline <= times.answer_until:
+            return None
         expected = self._answer_times.expect(request, entry.next_stage)
-        return find_latest_start(times, expected)
+        return find_latest_start(times, expected, _choose_certainty(request))
+
+    def _log_start(self, sentence: str, entry: _OpenRequest) -> None:
+        """Log what the latest start of a request in a stop follows from."""
+        request, times = entry.request, self._stop_times
+        assert request is not None and times is not None
+        latest, now = self._find_latest_start(entry), self._clock.monotonic()
+        duration = None if latest is None else latest.duration
+        _log(
+            sentence,
+            request=request.id,
+            stage=entry.next_stage.name if entry.next_stage else "",
+            bound="deadline" if latest is None else latest.certainty.value,
+            expected_ms=None if duration is None else duration // MILLISECOND,
+            left_ms=(times.answer_until - now) // MILLISECOND,
+            deadline_ms=(request.deadline - now) // MILLISECOND,
+            runs=request.runs,
+        )
+
+
+def _choose_certainty(request: ForwardedRequest) -> Certainty:
+    """Return how certain the end of a request that begins in a stop must be.
+
+    Its client can repeat a call that is cut off, but neither one that may run only once
+    nor a stream that has begun. One that may have run is lost in any case if it is not
+    sent again.
+    """
+    if request.runs:
+        return Certainty.LIKELY
+    if request.may_repeat and not request.route.streams:
+        return Certainty.USUAL
+    return Certainty.BOUNDED
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -257,7 +257,7 @@
             self._answer_times.record(request, Stage.PREFILL, began - started)
             started = began
         took = self._clock.monotonic() - started
-        self._answer_times.record(request, stage, took)
+        self._answer_times.record(request, stage, took, send.slot.pace)
 
     # Plain services
 
@@ -417,7 +417,7 @@
             return Err(_BUDGET_SPENT)
         sent = self._clock.monotonic()
         request.prefills += 1
-        self._open_requests.record_wait(request, Stage.DECODE)
+        self._open_requests.record_start(request, Stage.DECODE)
         expected = (
             grant.finish_ms * PREFILL_TIMEOUT_FACTOR * MILLISECOND
             + PREFILL_TIMEOUT_SLACK
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -360,10 +360,11 @@
             return Err(_UNSIGNED)
         events = EventStream(request.last_event)
         async for chunk in _read_chunks(response.chunks, watch):
+            events_before = events.events
             complete_events = events.feed(chunk)
             if complete_events:
                 watch.record_progress()
-                send.slot.record_output()
+                send.slot.record_output(events.events - events_before)
                 if not sink.began:
                     self._on_stream_begin(request, send.slot.grant.target)
                     await sink.begin(response.status, response.headers)
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -10,6 +10,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding.datagrams import PeerMessage, SlotPending, SlotRefusal
+from galenapass.forwarding.output_pace import OutputPace
 from galenapass.forwarding.scheduling import Scheduler
 from galenapass.forwarding.slot_requests import (
     Grant,
@@ -42,17 +43,17 @@
 class Slot:
     """Slot at a target, held until ``end`` releases it through ``release``.
 
-    ``stage`` is what the slot was requested for.
+    ``stage`` is what the slot was requested for, ``pace`` that of the output.
     """
 
     __slots__ = (
         "_clock",
-        "_first_output_at",
         "_is_ended",
         "_release",
         "_stage",
         "_started",
         "grant",
+        "pace",
     )
 
     def __init__(
@@ -67,8 +68,8 @@
         self._clock = clock
         self._release = release
         self._started = clock.monotonic()
-        self._first_output_at: timedelta | None = None
         self._is_ended = False
+        self.pace = OutputPace()
 
     @property
     def started_at(self) -> timedelta:
@@ -78,14 +79,15 @@
     @property
     def first_output_at(self) -> timedelta | None:
         """Return when the first output was recorded, None if there is none."""
-        return self._first_output_at
+        return self.pace.first_at
 
-    def record_output(self) -> None:
+    def record_output(self, events: int = 1) -> None:
         """Record output; the first output of a prefill slot ends its prefill."""
-        if self._first_output_at is not None or self._is_ended:
+        if self._is_ended:
             return
-        self._first_output_at = self._clock.monotonic()
-        if self._stage is Stage.PREFILL:
+        is_first = self.pace.first_at is None
+        self.pace.record(self._clock.monotonic(), events)
+        if is_first and self._stage is Stage.PREFILL:
             self._release(
                 SlotRelease(self.grant.ticket, Outcome.DONE, is_prefill_only=True)
             )
@@ -97,7 +99,7 @@
         self._is_ended = True
         now = self._clock.monotonic()
         took_ms = (now - self._started) / MILLISECOND
-        first_ms = ((self._first_output_at or now) - self._started) / MILLISECOND
+        first_ms = ((self.first_output_at or now) - self._started) / MILLISECOND
         self._release(
             SlotRelease(self.grant.ticket, outcome, took_ms, first_ms, False, events)
         )
--- a/src/galenapass/forwarding/stop_times.py
+++ b/src/galenapass/forwarding/stop_times.py
@@ -5,13 +5,16 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from galenapass.forwarding.answer_times import ExpectedTime
 
-__all__ = ["StopTimes", "find_latest_start", "plan_stop"]
+__all__ = ["Certainty", "LatestStart", "StopTimes", "find_latest_start", "plan_stop"]
 
-# Shares of the grace period. Until then the load balancer may send a refused client to
-# this host again.
+# A load balancer that asks once a second, and needs two misses, may send a refused
+# client to this host again until then.
+EARLY_TIME = timedelta(seconds=2.8)
+# Shares of the grace period.
 EARLY_SHARE = 0.35
 LISTEN_SHARE = 0.45
 # Connections without a request until then are closed; the others are told to close by
@@ -24,6 +27,18 @@
 DURATION_MARGIN = 1.25
 
 
+class Certainty(Enum):
+    """How certain it must be that an answer that is begun ends in time.
+
+    ``LIKELY`` compares with half of the answers before, ``USUAL`` with hardly any of
+    them taking longer, ``BOUNDED`` with the largest answer that was asked for.
+    """
+
+    LIKELY = "likely"
+    USUAL = "usual"
+    BOUNDED = "bounded"
+
+
 @dataclass(slots=True, frozen=True)
 class StopTimes:
     """Ends of the phases of a stop, each after the one before.
@@ -40,10 +55,22 @@
     exit_by: timedelta
 
 
+@dataclass(slots=True, frozen=True)
+class LatestStart:
+    """Time by which a request must start, and the expected time it follows from.
+
+    ``duration`` is None where nothing is known of the answer.
+    """
+
+    at: timedelta
+    certainty: Certainty
+    duration: timedelta | None = None
+
+
 def plan_stop(now: timedelta, grace_period: timedelta) -> StopTimes:
     """Return the times of a stop that begins now."""
     return StopTimes(
-        now + grace_period * EARLY_SHARE,
+        now + min(grace_period * EARLY_SHARE, EARLY_TIME),
         now + grace_period * LISTEN_SHARE,
         now + grace_period * IDLE_SHARE,
         now + grace_period * ANSWER_SHARE,
@@ -51,16 +78,30 @@
     )
 
 
-def find_latest_start(times: StopTimes, expected: ExpectedTime | None) -> timedelta:
+def find_latest_start(
+    times: StopTimes, expected: ExpectedTime | None, needed: Certainty
+) -> LatestStart:
     """Return when a request must start at the latest.
 
     An early one has to be answered in time more likely than not, as a refusal may cost
-    its client more; a later one in nearly all cases.
+    its client more; a later one with the certainty that is needed.
     """
     if expected is None:
-        return times.early_until
-    median, longest = (
-        times.answer_until - duration * DURATION_MARGIN
-        for duration in (expected.median, expected.longest)
-    )
-    return max(min(median, times.early_until), longest)
+        return LatestStart(times.early_until, Certainty.LIKELY)
+    likely = _start_before(times, expected.median)
+    if needed is not Certainty.LIKELY:
+        likely = min(likely, times.early_until)
+    early = LatestStart(likely, Certainty.LIKELY, expected.median)
+    duration = {
+        Certainty.LIKELY: expected.median,
+        Certainty.USUAL: expected.longest,
+        Certainty.BOUNDED: expected.limit,
+    }[needed]
+    if duration is None:
+        return early
+    late = LatestStart(_start_before(times, duration), needed, duration)
+    return max(early, late, key=lambda latest: latest.at)
+
+
+def _start_before(times: StopTimes, duration: timedelta) -> timedelta:
+    return times.answer_until - duration * DURATION_MARGIN
--- a/stand_ins/platform_routes.py
+++ b/stand_ins/platform_routes.py
@@ -39,12 +39,14 @@
 }
 
 
-def make_headers(attempt: str, deadline_ms: int) -> dict[str, str]:
-    """Return a client's headers for one attempt."""
+def make_headers(
+    attempt: str, deadline_ms: int, output_tokens: int = 4
+) -> dict[str, str]:
+    """Return a client's headers for one attempt of at most ``output_tokens``."""
     return {
         "Host": HOST,
         "X-Galenapass-Attempt-Id": attempt,
         "X-Galenapass-Deadline-Ms": str(deadline_ms),
-        "X-Galenapass-Token-Count": "1200,4",
+        "X-Galenapass-Token-Count": f"1200,{output_tokens}",
         "X-Galenapass-Prompt-Prefix": "aa:1000,bb:200",
     }
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -103,7 +103,8 @@
     ``crashed_at`` the times of its crashes and ``crashed_parts`` the parts of the
     prompts that it ran then.
     ``on_restart`` is called with its former id after each restart.
-    ``version`` is that of its software; None leaves it out of the entry.
+    ``version`` is that of its software; None leaves it out of the entry. ``slots`` is
+    the number of requests at once that its entry names.
     """
 
     id: str
@@ -111,6 +112,7 @@
     zone: str = "zone-a"
     stage: str = ""
     version: str | None = "v1"
+    slots: int = 8
     born: int = 1
     address: str = ""
     orders: int = 0
@@ -137,7 +139,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "slots": 8,
+            "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
             "seq": 7,
--- a/tests/test_forwarding_stops.py
+++ b/tests/test_forwarding_stops.py
@@ -10,13 +10,14 @@
 from galenapass.clocks import BootClock, ManualClock
 from galenapass.forwarding.answer_times import AnswerTimes, ExpectedTime
 from galenapass.forwarding.open_requests import OpenRequests
+from galenapass.forwarding.output_pace import OutputPace
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import Part, Prompt
 from galenapass.forwarding.retry_accounts import RetryAccounts
 from galenapass.forwarding.retry_budgets import RetryBudgetTerms
 from galenapass.forwarding.slot_client import Slot
 from galenapass.forwarding.slot_requests import Grant, Stage
-from galenapass.forwarding.stop_times import find_latest_start, plan_stop
+from galenapass.forwarding.stop_times import Certainty, find_latest_start, plan_stop
 from galenapass.forwarding.target_messages import ClientRequest, TargetResponse
 from galenapass.tables.targets import Role
 from galenapass.verdicts import Reason, Run
@@ -51,21 +52,97 @@
         self.assertEqual(sorted(ends), ends)
         self.assertLess(times.exit_by, 10 * SECOND)
 
+    def find(self, expected, needed=Certainty.USUAL, times=None):
+        return find_latest_start(times or self.times, expected, needed).at
+
     def test_a_short_request_may_start_late(self):
         expected = ExpectedTime(100 * MS, 200 * MS)
-        latest = find_latest_start(self.times, expected)
-        self.assertEqual(self.times.answer_until - 250 * MS, latest)
+        self.assertEqual(self.times.answer_until - 250 * MS, self.find(expected))
 
     def test_an_early_request_must_only_be_likely_to_end(self):
-        latest = find_latest_start(self.times, ExpectedTime(SECOND, 9 * SECOND))
+        latest = self.find(ExpectedTime(SECOND, 9 * SECOND))
         self.assertEqual(self.times.early_until, latest)
 
     def test_a_request_that_is_likely_to_be_cut_never_starts(self):
-        latest = find_latest_start(self.times, ExpectedTime(8 * SECOND, 9 * SECOND))
+        latest = self.find(ExpectedTime(8 * SECOND, 9 * SECOND))
         self.assertLess(latest, 0 * SECOND)
 
     def test_an_unknown_request_may_start_early(self):
-        self.assertEqual(self.times.early_until, find_latest_start(self.times, None))
+        self.assertEqual(self.times.early_until, self.find(None))
+
+    def test_usual_answers_do_not_bound_a_request_that_must_not_be_cut(self):
+        expected = ExpectedTime(100 * MS, 200 * MS)
+        latest = self.find(expected, Certainty.BOUNDED)
+        self.assertEqual(self.times.early_until, latest)
+
+    def test_a_request_that_must_not_be_cut_may_start_late_if_it_is_bounded(self):
+        expected = ExpectedTime(100 * MS, 200 * MS, 400 * MS)
+        latest = self.find(expected, Certainty.BOUNDED)
+        self.assertEqual(self.times.answer_until - 500 * MS, latest)
+
+    def test_a_request_that_may_have_run_must_only_be_likely_to_end(self):
+        expected = ExpectedTime(SECOND, 9 * SECOND)
+        latest = self.find(expected, Certainty.LIKELY)
+        self.assertEqual(self.times.answer_until - 1.25 * SECOND, latest)
+
+    def test_a_long_grace_period_does_not_prolong_the_early_time(self):
+        # The load balancer looks away after as long as with a short one.
+        times = plan_stop(0 * SECOND, 20 * SECOND)
+        self.assertLess(self.find(None, times=times), 3 * SECOND)
+
+
+def make_pace(events, gap, first=0 * SECOND):
+    """Return the pace of a stream with ``events`` events every ``gap``."""
+    pace = OutputPace()
+    for number in range(events):
+        pace.record(first + number * gap, 1)
+    return pace
+
+
+class TestOutputPace(TestCase):
+    def test_no_pace_is_known_of_events_that_came_together(self):
+        pace = OutputPace()
+        pace.record(SECOND, 3)
+        self.assertIsNone(pace.find())
+
+    def test_the_pace_is_the_time_of_one_event(self):
+        self.assertEqual(100 * MS, make_pace(5, 100 * MS).find())
+
+    def test_one_long_silence_does_not_slow_the_pace(self):
+        pace = make_pace(5, 100 * MS)
+        pace.record(3 * SECOND, 1)
+        self.assertEqual(100 * MS, pace.find())
+
+    def test_two_events_give_a_pace(self):
+        self.assertEqual(SECOND, make_pace(2, SECOND).find())
+
+
+class TestLimits(TestCase):
+    def expect(self, *samples, output=40, stage=Stage.DECODE):
+        times = AnswerTimes()
+        for size, took, pace in samples:
+            times.record(make_sized(size), stage, took, pace)
+        return times.expect(make_sized(output), stage).limit
+
+    def test_a_short_answer_does_not_bound_one_that_may_be_longer(self):
+        sample = (40, 300 * MS, make_pace(3, 100 * MS))
+        self.assertGreaterEqual(self.expect(*[sample] * 200), 4 * SECOND)
+
+    def test_a_whole_answer_bounds_one_of_its_size(self):
+        sample = (40, 4 * SECOND, make_pace(40, 100 * MS))
+        self.assertLess(self.expect(*[sample] * 200), 5 * SECOND)
+
+    def test_the_slowest_pace_counts(self):
+        fast = (40, 30 * MS, make_pace(3, 10 * MS))
+        slow = (40, 300 * MS, make_pace(3, 100 * MS))
+        limit = self.expect(slow, *[fast] * 200)
+        self.assertGreaterEqual(limit, 3.7 * SECOND)
+
+    def test_nothing_bounds_an_output_of_unknown_pace(self):
+        self.assertIsNone(self.expect((40, SECOND, make_pace(1, SECOND))))
+
+    def test_nothing_bounds_a_plain_call(self):
+        self.assertIsNone(self.expect((1, SECOND, None), stage=Stage.CALL))
 
 
 class TestAnswerTimes(TestCase):
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -31,11 +31,17 @@
         self._reader = reader
         self._writer = writer
 
-    def write(self, path, body=b"", cut=None):
+    def write(self, path, body=b"", cut=None, output_tokens=4):
         """Send a request, or its first ``cut`` bytes; return the exchange and rest."""
         exchange = Exchange(f"{self._name}-{len(self.exchanges)}", time.monotonic())
         self.exchanges.append(exchange)
-        data = make_request(path, exchange.attempt, DEADLINE_MS, body=body)
+        data = make_request(
+            path,
+            exchange.attempt,
+            DEADLINE_MS,
+            body=body,
+            output_tokens=output_tokens,
+        )
         with contextlib.suppress(OSError):
             self._writer.write(data[:cut])
         return exchange, b"" if cut is None else data[cut:]
@@ -50,9 +56,9 @@
         await read_answer(self._reader, exchange)
         return exchange
 
-    async def ask(self, path, body=b""):
+    async def ask(self, path, body=b"", output_tokens=4):
         """Send a request and read its answer."""
-        return await self.read(self.write(path, body)[0])
+        return await self.read(self.write(path, body, output_tokens=output_tokens)[0])
 
     async def close(self):
         self._writer.close()
@@ -157,6 +163,52 @@
         self.check_late_requests("/hold/1", call_seconds=2.0)
 
 
+class TestLongerThanUsual(TestCase):
+    # Later than the 3 s after SIGTERM in which a long run excuses a cut.
+    SENT_SECONDS = 3.1
+    USUAL_ANSWERS = 40
+
+    def ask_late(self, usual, late, output_tokens=4):
+        """Return the status of a late request, after usual ones before the stop."""
+        found = []
+
+        async def scenario(host):
+            caller = await host.connect()
+            for _ in range(self.USUAL_ANSWERS):
+                exchange = await caller.ask(usual, output_tokens=output_tokens)
+                self.assertEqual(200, exchange.status)
+            host.stop()
+            await host.wait_until(self.SENT_SECONDS)
+            exchange = await caller.ask(late, output_tokens=output_tokens)
+            found.append((exchange.status, exchange.is_whole))
+            self.assertEqual(0, await host.wait_exit())
+            self.assertEqual([], host.list_lost())
+
+        run(scenario)
+        return found[0]
+
+    def test_a_late_stream_is_refused_if_it_may_be_cut(self):
+        # Guards against streams cut at the end of a stop, as they were longer than all
+        # answers before them.
+        usual = "/notes/1?events=3&seconds=0.02"
+        late = "/notes/1?events=40&seconds=0.1"
+        self.assertEqual((503, True), self.ask_late(usual, late, output_tokens=140))
+
+    def test_a_late_stream_that_surely_ends_in_time_is_served(self):
+        usual = "/notes/1?events=3&seconds=0.02"
+        late = "/notes/1?events=20&seconds=0.04"
+        self.assertEqual((200, True), self.ask_late(usual, late, output_tokens=20))
+
+    def test_a_late_call_that_may_run_once_is_refused_if_it_may_be_cut(self):
+        # Guards against a 502 that leaves open whether the call ran.
+        late = self.ask_late("/hold/1?seconds=0.02", "/hold/1?seconds=4")
+        self.assertEqual((503, True), late)
+
+    def test_a_late_call_that_may_be_repeated_is_served(self):
+        late = self.ask_late("/seats/1?seconds=0.02", "/seats/1?seconds=0.5")
+        self.assertEqual((200, True), late)
+
+
 class TestOpenConnections(TestCase):
     def test_requests_sent_without_waiting_are_all_answered(self):
         async def scenario(host):
