Bound the memory of all answers that a host holds at once

Callers saw: three faulty targets that send without end, called by many clients at once, took the daemon over its memory limit; it ended, and with it the requests of all other clients.

Cause: each answer could hold 8 MB until it was whole, in two copies, whatever the others held; an announced length was not looked at before that much had come; prefills and reports could be as long. A client that did not read left its answer in the buffer of its connection.

Change: an answer of more than 64 KB needs one of the host's slots for large answers, a quarter of the memory that its settings name. Without one it is not read on. It keeps the slot until the client has taken it. Targets share the slots: one that waits for 0.5 s takes a slot from one that has two more, whose largest answer is given up as a failure of that target. Small answers never wait. A length over the limit ends the answer at its head. Prefills and reports are read up to 64 KB, lists of parts up to 1 MB, events up to 64 KB. Sockets to targets buffer 64 KB, the library 16 KB.

--- a/experiments/soak/environment.py
+++ b/experiments/soak/environment.py
@@ -25,6 +25,7 @@
 
 DOMAINS = ("zone-a", "zone-b")
 GRACE_SECONDS = 4.0
+MEMORY_MB = 300
 BUDGET_RATIOS = (0.2, 0.1, 0.3)
 BUDGET_WINDOW = timedelta(seconds=10)
 EVENT_INTERVAL_SECONDS = 0.02
@@ -48,6 +49,10 @@
 [listen]
 front = "{ip}:{front_port}"
 ready = "{ip}:{ready_port}"
+[limits]
+cpu_share = 1.0
+cores = 1
+memory_mb = {memory_mb}
 [bounds]
 budget_ratio = {budget_ratio}
 retry_slack = {retry_slack}
@@ -119,6 +124,7 @@
             retry_slack=self.retry_slack,
             budget_ratio=self.budget_ratio,
             grace=self.grace_seconds,
+            memory_mb=MEMORY_MB,
             store=store,
         )
         path.write_text(text)
--- a/src/galenapass/forwarding/events.py
+++ b/src/galenapass/forwarding/events.py
@@ -7,7 +7,7 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 # The largest events have a few thousand bytes; a longer one is no event stream.
-MAX_EVENT_BYTES = 1_000_000
+MAX_EVENT_BYTES = 64 * 2**10
 # A line of an event: a field or a comment. Error texts and HTTP heads have others.
 LINE = re.compile(rb"[A-Za-z][A-Za-z0-9_-]*:|:|(?:data|event|id|retry)$")
 
--- a/src/galenapass/forwarding/interfaces.py
+++ b/src/galenapass/forwarding/interfaces.py
@@ -61,9 +61,9 @@
     began: bool
 
     async def answer(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
+        self, status: int, headers: list[tuple[str, str]], body: bytes | bytearray
     ) -> None:
-        """Send a complete response."""
+        """Send a complete response; a large one has been taken when this returns."""
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status and headers of a stream."""
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -19,6 +19,7 @@
     record_leaving,
 )
 from galenapass.forwarding.interfaces import Sink, TargetClient
+from galenapass.forwarding.large_answers import LargeAnswers
 from galenapass.forwarding.open_requests import OpenRequests
 from galenapass.forwarding.origin_sharing import OriginSharing
 from galenapass.forwarding.progress import ProgressTimeouts
@@ -94,6 +95,7 @@
         on_limited_send: Callable[[Target, Stage], None],
         origins: OriginSharing,
         on_silent: Callable[[str, timedelta], None] = lambda name, silence: None,
+        large_answers: LargeAnswers | None = None,
     ):
         self._fleet = fleet
         self._target_client = target_client
@@ -106,7 +108,13 @@
         self._on_limited_send = on_limited_send
         self._origins = origins
         self._on_silent = on_silent
-        self._sender = Sender(target_client, suspects, clock, self._record_stream_begin)
+        self._sender = Sender(
+            target_client,
+            suspects,
+            clock,
+            self._record_stream_begin,
+            large_answers,
+        )
         self._answer_times = AnswerTimes()
         self._open_requests = OpenRequests(clock, self._answer_times)
         self._ticket_numbers = itertools.count()
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -10,6 +10,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.large_answers import SMALL_ANSWER_BYTES
 from galenapass.forwarding.loads import digest_parts
 from galenapass.forwarding.relay import Relay
 from galenapass.forwarding.requests import ForwardedRequest, RequestMetadata
@@ -244,14 +245,27 @@
         self._is_stopping = is_stopping
 
     async def answer(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
+        self, status: int, headers: list[tuple[str, str]], body: bytes | bytearray
     ) -> None:
-        """Set a complete response for the handler to return."""
-        self.response = web.Response(status=status, headers=headers, body=body)
-
-    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the status and headers of a stream."""
+        """Set a complete response for the handler to return.
+
+        A large one is sent here as fast as the client takes it.
+        """
+        if len(body) <= SMALL_ANSWER_BYTES:
+            body = bytes(body)
+            self.response = web.Response(status=status, headers=headers, body=body)
+            return
+        await self.begin(status, headers, len(body))
+        for start in range(0, len(body), SMALL_ANSWER_BYTES):
+            await self.write(bytes(body[start : start + SMALL_ANSWER_BYTES]))
+        await self.finish()
+
+    async def begin(
+        self, status: int, headers: list[tuple[str, str]], length: int | None = None
+    ) -> None:
+        """Send the status and headers of a stream, or of a body of known length."""
         self.response = web.StreamResponse(status=status, headers=headers)
+        self.response.content_length = length
         if self._is_stopping() and not has_waiting_request(self._raw):
             self.response.force_close()
         self.began = True
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -16,6 +16,12 @@
 from galenapass.forwarding.background import BackgroundTasks
 from galenapass.forwarding.events import EventStream
 from galenapass.forwarding.interfaces import Sink, TargetClient
+from galenapass.forwarding.large_answers import (
+    MAX_ANSWER_BYTES,
+    AnswerEvictedError,
+    HeldAnswer,
+    LargeAnswers,
+)
 from galenapass.forwarding.progress import Progress, ProgressTimeouts
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.routes import Repeat
@@ -32,9 +38,6 @@
 __all__ = ["SILENT_TARGET", "Send", "Sender", "classify_failure"]
 
 MILLISECOND = timedelta(milliseconds=1)
-# Largest answer that is not streamed. It is buffered until it is complete, so that a
-# truncated one is never relayed.
-MAX_ANSWER_BYTES = 8 * 2**20
 SILENT_TARGET = Verdict(
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "no progress for too long"
 )
@@ -139,8 +142,10 @@
         suspects: CrashSuspects,
         clock: Clock,
         on_stream_begin: Callable[[ForwardedRequest, Target], None],
+        large_answers: LargeAnswers | None = None,
     ):
         self._target_client = target_client
+        self._large_answers = large_answers or LargeAnswers()
         self._on_stream_begin = on_stream_begin
         self._suspects = suspects
         self._clock = clock
@@ -210,6 +215,8 @@
             outcome = Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail))
         except SilentTargetError:
             outcome = Err(SILENT_TARGET)
+        except AnswerEvictedError:
+            outcome = Err(_EVICTED)
         except BaseException:
             # The client disconnected or the deadline passed; this is no failure of the
             # target.
@@ -281,7 +288,10 @@
             response = opened.ok_value
             if request.route.streams and response.status == 200:
                 return await self._relay_stream(request, sink, send, response, watch)
-            return await self._relay_whole(request, sink, send, response, watch)
+            async with self._large_answers.hold(send.slot.grant.target.id) as held:
+                return await self._relay_whole(
+                    request, sink, send, response, watch, held
+                )
         finally:
             await exchange.close()
 
@@ -325,13 +335,18 @@
         send: Send,
         response: TargetResponse,
         watch: SilenceWatch,
+        held: HeldAnswer,
     ) -> Result[None, Verdict]:
+        if response.length is not None and response.length > MAX_ANSWER_BYTES:
+            return Err(_TOO_LONG)
         body = bytearray()
         async for chunk in _read_chunks(response.chunks, watch):
-            watch.record_progress()
-            body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
+            if len(body) + len(chunk) > MAX_ANSWER_BYTES:
                 return Err(_TOO_LONG)
+            await held.extend(len(body) + len(chunk))
+            body += chunk
+            # The target was not waited for while the answer waited for its slot.
+            watch.record_progress()
         refusal = _check_origin(response)
         if refusal is not None:
             return Err(refusal)
@@ -342,10 +357,9 @@
         if sink.began:
             detail = f"the target answered {response.status} to a resumed stream"
             return Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail))
-        if failed:
-            # The response is relayed, but still counts as a failure of the target.
-            send.slot.end(Outcome.FAILED)
-        await sink.answer(response.status, response.headers, bytes(body))
+        # A failure is relayed, but still counts as one. The client may take its time.
+        send.slot.end(Outcome.FAILED if failed else Outcome.DONE)
+        await sink.answer(response.status, response.headers, body)
         return Ok(None)
 
     async def _relay_stream(
@@ -441,6 +455,11 @@
 _UNSIGNED = Verdict(
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "the answer does not prove its origin"
 )
+_EVICTED = Verdict(
+    Run.MAY_HAVE_RUN,
+    Reason.TARGET_FAILED,
+    "the answers of other targets need the memory of this one",
+)
 _TOO_LONG = Verdict(
     Run.MAY_HAVE_RUN,
     Reason.TARGET_FAILED,
--- a/src/galenapass/forwarding/target_messages.py
+++ b/src/galenapass/forwarding/target_messages.py
@@ -65,13 +65,15 @@
 class TargetResponse:
     """Response of a target; ``chunks`` raises if the body is truncated.
 
-    ``signed`` is set if the response proves its origin.
+    ``signed`` is set if the response proves its origin; ``length`` is the number of
+    bytes that it announces, None if it announces none.
     """
 
     status: int
     headers: list[tuple[str, str]]
     signed: bool
     chunks: AsyncIterator[bytes]
+    length: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -19,6 +19,7 @@
 from galenapass.forwarding.fleet import Fleet, record_target_parts
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HostRegistry
+from galenapass.forwarding.large_answers import LargeAnswers, count_slots
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
@@ -183,6 +184,7 @@
             self._count_limited_send,
             self.origins,
             self._handle_silence,
+            LargeAnswers(count_slots(settings.memory)),
         )
         self.request_handler = RequestHandler(
             self.fleet,
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -58,7 +58,10 @@
 REPORT_SECONDS = 1.0
 # Bounds the cleanup after a client that disconnected.
 RELEASE_SECONDS = 1.0
-READ_CHUNK = 65_536
+# Sizes of the responses that are for this daemon.
+MAX_HANDLE_BYTES = 64 * 2**10
+MAX_REPORT_BYTES = 64 * 2**10
+MAX_PARTS_BYTES = 2**20
 
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Content-Type", "Accept", "Accept-Encoding")
 _ORDER_OUTCOMES = {
@@ -129,7 +132,7 @@
                 timeout=_limit(time_left.total_seconds()),
             ) as response:
                 self._report_notice(target, response, sent_at, message.attempt)
-                body = await read_body(response)
+                body = await read_body(response, MAX_HANDLE_BYTES)
                 refusal = _check_attempt_id(response, message, is_required=False)
                 if refusal is None and response.status != 200:
                     refusal = _make_refusal(response)
@@ -213,7 +216,7 @@
         try:
             async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
                 self._report_notice(target, response, sent_at)
-                data = orjson.loads(await read_body(response))
+                data = orjson.loads(await read_body(response, MAX_REPORT_BYTES))
                 return Ok(
                     EngineState(
                         # Number of orders accepted since the runner's start; the
@@ -240,7 +243,7 @@
         try:
             async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
                 self._report_notice(target, response, sent_at)
-                data = orjson.loads(await read_body(response))
+                data = orjson.loads(await read_body(response, MAX_PARTS_BYTES))
                 # Each row has an empty string, part, token count and model.
                 rows = data["held"]
                 return Ok(
@@ -333,6 +336,8 @@
         headers=filter_response_headers(response.headers.items()),
         signed=SIGNATURE in response.headers,
         chunks=_read_chunks(response),
+        # The response to a HEAD has none of the bytes that it announces.
+        length=None if response.method == "HEAD" else response.content_length,
     )
 
 
--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -14,6 +14,10 @@
 
 __all__ = ["HostSettings", "read_host_settings"]
 
+# Of the smallest hosts, where the settings name no limit.
+DEFAULT_MEMORY_BYTES = 160 * 10**6
+MEGABYTE = 10**6
+
 _MILLISECOND = timedelta(milliseconds=1)
 _SECOND = timedelta(seconds=1)
 
@@ -26,7 +30,8 @@
     ``peers`` for datagrams of other daemons. ``grace_period`` limits a stop until the
     process is killed; ``lease`` is the minimum time between orders of two alternating
     holders. ``is_first_start`` marks the first start of the whole system; ``power`` is
-    the host's processor capacity in cores.
+    the host's processor capacity in cores, ``memory`` the bytes above which the process
+    is killed.
     """
 
     host: str
@@ -40,6 +45,7 @@
     budget: RetryBudgetTerms
     is_first_start: bool = False
     power: float = 1.0
+    memory: int = DEFAULT_MEMORY_BYTES
 
 
 class _FieldError(ValueError):
@@ -80,9 +86,16 @@
         budget=budget,
         is_first_start=data.get("bootstrap") is True,
         power=_compute_power(data),
+        memory=_find_memory(data),
     )
 
 
+def _find_memory(data: Mapping[str, Any]) -> int:
+    if "memory_mb" not in data.get("limits", {}):
+        return DEFAULT_MEMORY_BYTES
+    return int(_get_float(data, "limits", "memory_mb") * MEGABYTE)
+
+
 def _compute_power(data: Mapping[str, Any]) -> float:
     """Return the host's share of a core times the relative speed of the core."""
     if "limits" not in data:
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -38,6 +38,10 @@
 PROBE_INTERVAL_SECONDS = 1
 MAX_UNANSWERED_PROBES = 2
 USER_TIMEOUT_MS = 1500
+# Received bytes that are not yet read, by the kernel and by the library: hosts have
+# hundreds of connections.
+SOCKET_BUFFER_BYTES = 64 * 2**10
+READER_BUFFER_BYTES = 16 * 2**10
 # Largest response that is read as a whole; the largest page of the platform's store
 # holds about 1 MB.
 MAX_BODY_BYTES = 8_000_000
@@ -188,6 +192,7 @@
     probed = socket.socket(family=family, type=kind, proto=protocol)
     probed.setblocking(False)
     probed.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    probed.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
     probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
@@ -208,6 +213,7 @@
         headers={"Accept-Encoding": "identity"},
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        read_bufsize=READER_BUFFER_BYTES,
         middlewares=middlewares,
         trace_configs=trace_configs,
     )
@@ -241,17 +247,22 @@
         raise LostConnectionError(f"{type(error).__name__}: {error}") from error
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return a whole body; raise LostConnectionError for one that is too large.
+async def read_body(
+    response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return a whole body; raise LostConnectionError for one over ``limit`` bytes.
 
     Load pattern: a faulty peer that sends bytes without end.
     """
+    if (response.content_length or 0) > limit:
+        response.close()
+        raise LostConnectionError(f"the body is over {limit} bytes")
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > limit:
             response.close()
-            raise LostConnectionError(f"the body is over {MAX_BODY_BYTES} bytes")
+            raise LostConnectionError(f"the body is over {limit} bytes")
     return bytes(body)
 
 
