Keep the early time of calls that may be repeated at a share of the grace period

A cut of such a call ends with a 502 that its client may repeat, so only streams and calls that may run once need the shorter time.

--- a/src/galenapass/forwarding/stop_times.py
+++ b/src/galenapass/forwarding/stop_times.py
@@ -11,10 +11,11 @@
 
 __all__ = ["Certainty", "LatestStart", "StopTimes", "find_latest_start", "plan_stop"]
 
-# A load balancer that asks once a second, and needs two misses, may send a refused
-# client to this host again until then.
-EARLY_TIME = timedelta(seconds=2.8)
-# Shares of the grace period.
+# A stream that is cut in a stop counts as lost if it was sent more than 3 s after the
+# stop began.
+EXCUSED_TIME = timedelta(seconds=2.8)
+# Shares of the grace period. Until then the load balancer may send a refused client to
+# this host again.
 EARLY_SHARE = 0.35
 LISTEN_SHARE = 0.45
 # Connections without a request until then are closed; the others are told to close by
@@ -43,11 +44,12 @@
 class StopTimes:
     """Ends of the phases of a stop, each after the one before.
 
-    A request is early until ``early_until``. ``listen_until`` ends new connections,
-    ``idle_until`` idle ones; all requests are answered by ``answer_until`` and written
-    by ``exit_by``.
+    A request is early until ``early_until``, or until ``excused_until`` if it must not
+    be cut off. ``listen_until`` ends new connections, ``idle_until`` idle ones; all
+    requests are answered by ``answer_until`` and written by ``exit_by``.
     """
 
+    excused_until: timedelta
     early_until: timedelta
     listen_until: timedelta
     idle_until: timedelta
@@ -70,7 +72,8 @@
 def plan_stop(now: timedelta, grace_period: timedelta) -> StopTimes:
     """Return the times of a stop that begins now."""
     return StopTimes(
-        now + min(grace_period * EARLY_SHARE, EARLY_TIME),
+        now + min(grace_period * EARLY_SHARE, EXCUSED_TIME),
+        now + grace_period * EARLY_SHARE,
         now + grace_period * LISTEN_SHARE,
         now + grace_period * IDLE_SHARE,
         now + grace_period * ANSWER_SHARE,
@@ -86,11 +89,14 @@
     An early one has to be answered in time more likely than not, as a refusal may cost
     its client more; a later one with the certainty that is needed.
     """
+    early_until = {
+        Certainty.LIKELY: times.answer_until,
+        Certainty.USUAL: times.early_until,
+        Certainty.BOUNDED: times.excused_until,
+    }[needed]
     if expected is None:
-        return LatestStart(times.early_until, Certainty.LIKELY)
-    likely = _start_before(times, expected.median)
-    if needed is not Certainty.LIKELY:
-        likely = min(likely, times.early_until)
+        return LatestStart(early_until, Certainty.LIKELY)
+    likely = min(_start_before(times, expected.median), early_until)
     early = LatestStart(likely, Certainty.LIKELY, expected.median)
     duration = {
         Certainty.LIKELY: expected.median,
