Bound what the product's own clients read of an answer

Callers would see what the flooded hosts of the platform's side showed: a daemon that ends for want of memory. Prefills, orders, states and loads of engines, and objects of the platform's API, were read whole, however long they were; answers of plain services held up to 1 MB each, whatever the others held.

Change: the three clients use the bounded read of the other side (64 KB for engines, 8 MB for objects), and plain services its slots for large answers. The announced length of a body is looked at in one place.

--- a/src/galenapass/forwarding/large_answers.py
+++ b/src/galenapass/forwarding/large_answers.py
@@ -7,8 +7,10 @@
 from datetime import timedelta
 
 from galenapass.logs import make_log
+from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = [
+    "EVICTED",
     "MAX_ANSWER_BYTES",
     "SMALL_ANSWER_BYTES",
     "AnswerEvictedError",
@@ -135,3 +137,11 @@
 def count_slots(memory_bytes: int) -> int:
     """Return how many large answers a process with this much memory may hold."""
     return max(int(memory_bytes * MEMORY_SHARE / MAX_ANSWER_BYTES), 1)
+
+
+EVICTED = Verdict(
+    Run.MAY_HAVE_RUN,
+    Reason.TARGET_FAILED,
+    "the answers of other targets need the memory of this one",
+)
+"""Verdict on a request whose answer was given up."""
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -17,6 +17,7 @@
 from galenapass.forwarding.events import EventStream
 from galenapass.forwarding.interfaces import Sink, TargetClient
 from galenapass.forwarding.large_answers import (
+    EVICTED,
     MAX_ANSWER_BYTES,
     AnswerEvictedError,
     HeldAnswer,
@@ -216,7 +217,7 @@
         except SilentTargetError:
             outcome = Err(SILENT_TARGET)
         except AnswerEvictedError:
-            outcome = Err(_EVICTED)
+            outcome = Err(EVICTED)
         except BaseException:
             # The client disconnected or the deadline passed; this is no failure of the
             # target.
@@ -455,11 +456,6 @@
 _UNSIGNED = Verdict(
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "the answer does not prove its origin"
 )
-_EVICTED = Verdict(
-    Run.MAY_HAVE_RUN,
-    Reason.TARGET_FAILED,
-    "the answers of other targets need the memory of this one",
-)
 _TOO_LONG = Verdict(
     Run.MAY_HAVE_RUN,
     Reason.TARGET_FAILED,
--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -34,7 +34,7 @@
     ObjectListing,
     StoredObject,
 )
-from galenapass.targets.connections import make_connector
+from galenapass.targets.connections import make_connector, read_body
 
 __all__ = ["CountCall", "ObjectClient", "ResponseLostError", "compute_retry_delay"]
 
@@ -191,7 +191,7 @@
                 method, self._base + path, headers=headers, data=data
             ) as response:
                 reply = _Response(
-                    response.status, response.headers, await response.read()
+                    response.status, response.headers, await read_body(response)
                 )
                 return Ok(parse(reply)) if reply.status == 200 else _map_error(reply)
         except _CONNECT_ERRORS as error:
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -41,6 +41,7 @@
 from galenapass.tables.targets import Role, Target
 from galenapass.targets.connections import (
     classify_error,
+    find_length,
     open_keepalive_session,
     read_body,
 )
@@ -336,8 +337,7 @@
         headers=filter_response_headers(response.headers.items()),
         signed=SIGNATURE in response.headers,
         chunks=_read_chunks(response),
-        # The response to a HEAD has none of the bytes that it announces.
-        length=None if response.method == "HEAD" else response.content_length,
+        length=find_length(response),
     )
 
 
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -21,6 +21,7 @@
     "MAX_BODY_BYTES",
     "classify_error",
     "classify_response",
+    "find_length",
     "make_connector",
     "make_probed_socket",
     "make_response_handler",
@@ -247,6 +248,14 @@
         raise LostConnectionError(f"{type(error).__name__}: {error}") from error
 
 
+def find_length(response: aiohttp.ClientResponse) -> int | None:
+    """Return the number of bytes that a response announces, None if it names none.
+
+    The response to a HEAD has none of the bytes that it announces.
+    """
+    return None if response.method == "HEAD" else response.content_length
+
+
 async def read_body(
     response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
 ) -> bytes:
@@ -254,7 +263,7 @@
 
     Load pattern: a faulty peer that sends bytes without end.
     """
-    if (response.content_length or 0) > limit:
+    if (find_length(response) or 0) > limit:
         response.close()
         raise LostConnectionError(f"the body is over {limit} bytes")
     body = bytearray()
--- a/src/galenapass/targets/engines.py
+++ b/src/galenapass/targets/engines.py
@@ -16,6 +16,7 @@
     classify_error,
     classify_response,
     open_session,
+    read_body,
 )
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -29,6 +30,8 @@
 
 CONTROL_TIMEOUT_SECONDS = 2.0
 READ_BUFFER_BYTES = 64 * 1024
+# Largest response of an engine that is no stream.
+MAX_RESPONSE_BYTES = 64 * 1024
 
 # Errors that a client call can raise; any other exception is a bug in this program.
 CLIENT_ERRORS = (aiohttp.ClientError, OSError)
@@ -145,7 +148,8 @@
             ) as response:
                 if response.status not in (202, 409):
                     return Err(classify_response(response.status, response.headers))
-                return _parse_order_answer(response.status, await response.read())
+                answer = await read_body(response, MAX_RESPONSE_BYTES)
+                return _parse_order_answer(response.status, answer)
         except CLIENT_ERRORS as error:
             return Err(classify_error(error))
 
@@ -159,7 +163,8 @@
             return posted
         try:
             async with posted.ok_value as response:
-                handle = orjson.loads(await response.read())["handle"]
+                answer = await read_body(response, MAX_RESPONSE_BYTES)
+                handle = orjson.loads(answer)["handle"]
         except CLIENT_ERRORS as error:
             return Err(classify_error(error))
         except (ValueError, KeyError, TypeError) as error:
@@ -190,7 +195,8 @@
             ) as response:
                 if response.status != 200:
                     return Err(classify_response(response.status, response.headers))
-                return Ok(parse(orjson.loads(await response.read())))
+                answer = await read_body(response, MAX_RESPONSE_BYTES)
+                return Ok(parse(orjson.loads(answer)))
         except CLIENT_ERRORS as error:
             return Err(classify_error(error))
         except (ValueError, KeyError, TypeError) as error:
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -8,9 +8,16 @@
 from yarl import URL
 
 from galenapass.dispatch import StoredAnswer
+from galenapass.forwarding.large_answers import (
+    EVICTED,
+    AnswerEvictedError,
+    HeldAnswer,
+    LargeAnswers,
+)
 from galenapass.targets.connections import (
     classify_error,
     classify_response,
+    find_length,
     open_single_use_session,
 )
 from galenapass.verdicts import Reason, Run, Verdict
@@ -36,9 +43,10 @@
 class PlainServiceClient:
     """Client for plain services."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_large_answers", "_session")
 
     def __init__(self) -> None:
+        self._large_answers = LargeAnswers()
         self._session = open_single_use_session()
 
     async def close(self) -> None:
@@ -61,7 +69,10 @@
                 refusal = classify_response(response.status, response.headers)
                 if refusal.run is Run.NOT_RUN:
                     return Err(refusal)
-                return await _read_response(response)
+                async with self._large_answers.hold(address) as held:
+                    return await _read_response(response, held)
+        except AnswerEvictedError:
+            return Err(EVICTED)
         except (aiohttp.ClientError, OSError) as error:
             return Err(classify_error(error))
 
@@ -76,13 +87,22 @@
 
 
 async def _read_response(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, held: HeldAnswer
 ) -> Result[StoredAnswer, Verdict]:
+    if (find_length(response) or 0) > MAX_RESPONSE_BYTES:
+        return Err(_TOO_LONG)
     body = bytearray()
     async for chunk in response.content.iter_any():
+        if len(body) + len(chunk) > MAX_RESPONSE_BYTES:
+            return Err(_TOO_LONG)
+        await held.extend(len(body) + len(chunk))
         body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            detail = f"the answer is longer than {MAX_RESPONSE_BYTES} bytes"
-            return Err(Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail))
     content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
     return Ok(StoredAnswer(response.status, content_type, bytes(body)))
+
+
+_TOO_LONG = Verdict(
+    Run.MAY_HAVE_RUN,
+    Reason.TARGET_FAILED,
+    f"the answer is longer than {MAX_RESPONSE_BYTES} bytes",
+)
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -8,18 +8,24 @@
 import tracemalloc
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
 
 from result import Err
 from testtools import TestCase
 
 from galenapass.clocks import ManualClock, SystemClock
+from galenapass.dispatch import Route
 from galenapass.forwarding.store_availability import StoreAvailability
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.target_messages import ClientRequest, OrderOutcome
+from galenapass.platform.object_client import ObjectClient
 from galenapass.platform.runner_client import RunnerClient
 from galenapass.platform.store_client import StoreClient
+from galenapass.tables.requests import Request
 from galenapass.tables.targets import Role
 from galenapass.targets.connections import MAX_BODY_BYTES
+from galenapass.targets.engines import EngineClient, Order
+from galenapass.targets.services import Call, PlainServiceClient
 from galenapass.verdicts import Run
 from tests.forwarding_fakes import make_target
 
@@ -153,6 +159,54 @@
     "write": lambda store: store.write("leases", "roles", "{}"),
 }
 
+REQUEST = Request("r1", "caller", "lm", 0 * SECOND, 20 * SECOND)
+CALL = Call("r1", "GET", "/seats/1", "text/plain", b"", None)
+ORDER = Order("o1", 1, "role", "decode")
+
+
+async def call_engine(address, call):
+    engines = EngineClient()
+    try:
+        return await call(engines, address)
+    finally:
+        await engines.close()
+
+
+async def open_engine_stream(engines, address):
+    route = Route("e2", "127.0.0.1:9", "e1", address)
+    try:
+        # The deadline of the request ends the wait for a head.
+        async with asyncio.timeout(1.0):
+            return await engines.open_stream(
+                route, "/v1/completions", b"{}", REQUEST, 0
+            )
+    except TimeoutError as error:
+        return Err(error)
+
+
+async def call_service(address):
+    services = PlainServiceClient()
+    try:
+        return await services.send(address, CALL, 1.0)
+    finally:
+        await services.close()
+
+
+async def call_objects(address):
+    objects = ObjectClient(address, "h", "d", lambda call: None, Random(1))
+    try:
+        return await objects.read("config", "main")
+    finally:
+        await objects.close()
+
+
+ENGINE_CALLS = {
+    "prefill": open_engine_stream,
+    "state": lambda engines, at: engines.fetch_state(at),
+    "load": lambda engines, at: engines.fetch_load(at),
+    "order": lambda engines, at: engines.send_order(at, ORDER),
+}
+
 
 class TestEndless(TestCase):
     @classmethod
@@ -193,6 +247,18 @@
                     flooded = functools.partial(call_store, call=call)
                     self.assertIsInstance(self.check(name, flooded), Err)
 
+    def test_a_call_of_the_own_interface_ends_as_a_failure(self):
+        # Guards against answers read whole, however long they are.
+        calls = {
+            name: functools.partial(call_engine, call=call)
+            for name, call in ENGINE_CALLS.items()
+        }
+        calls |= {"service": call_service, "objects": call_objects}
+        for name in ENDLESS:
+            for what, call in calls.items():
+                with self.subTest(name, call=what):
+                    self.assertIsInstance(self.check(name, call), Err)
+
     def test_an_order_leaves_open_whether_it_was_accepted(self):
         for name in HEADS:
             with self.subTest(name):
