--- a/tests/test_forwarding_stops.py
+++ b/tests/test_forwarding_stops.py
@@ -15,6 +15,7 @@
 from galenapass.forwarding.requests import Part, Prompt
 from galenapass.forwarding.retry_accounts import RetryAccounts
 from galenapass.forwarding.retry_budgets import RetryBudgetTerms
+from galenapass.forwarding.routes import Repeat
 from galenapass.forwarding.slot_client import Slot
 from galenapass.forwarding.slot_requests import Grant, Stage
 from galenapass.forwarding.stop_times import Certainty, find_latest_start, plan_stop
@@ -26,6 +27,7 @@
     FakeOrigins,
     make_fleet,
     make_request,
+    make_route,
     make_suspects,
     make_target,
 )
@@ -244,6 +246,39 @@
         verdict = self.run_bounded(clock, self.make_bounded(clock, 100), act)
         self.assertIs(Reason.DEADLINE_PASSED, verdict.reason)
 
+    def check_late_start(self, request):
+        """Return whether a request may start late, after 200 short answers."""
+        clock, times = ManualClock(), AnswerTimes()
+        for _ in range(200):
+            times.record(request, Stage.CALL, 100 * MS)
+        open_requests = self.make(clock, times)
+        open_requests.begin_stop(plan_stop(clock.monotonic(), 10 * SECOND))
+        clock.advance(6 * SECOND)
+
+        async def scenario():
+            async with open_requests.bound(request, Stage.CALL):
+                return open_requests.may_start(request)
+
+        return asyncio.run(scenario())
+
+    def test_a_late_call_may_start_by_the_answers_before_only_if_it_may_be_repeated(
+        self,
+    ):
+        for repeat, streams, may_start in (
+            (Repeat.ONCE, False, False),
+            (Repeat.ANY, False, True),
+            (Repeat.RESUME, True, False),
+        ):
+            with self.subTest(repeat, streams=streams):
+                route = make_route(repeat=repeat, streams=streams)
+                request = make_request(arrived=6000, patience=8000, route=route)
+                self.assertIs(may_start, self.check_late_start(request))
+
+    def test_what_may_have_run_is_sent_again_late_if_it_is_likely_to_end(self):
+        request = make_request(arrived=6000, patience=8000)
+        request.runs = 1
+        self.assertTrue(self.check_late_start(request))
+
     def test_a_late_request_may_not_start(self):
         clock = ManualClock()
         open_requests = self.make(clock)
--- a/tests/test_platform_planned_stops.py
+++ b/tests/test_platform_planned_stops.py
@@ -31,8 +31,11 @@
         self._reader = reader
         self._writer = writer
 
-    def write(self, path, body=b"", cut=None, output_tokens=4):
-        """Send a request, or its first ``cut`` bytes; return the exchange and rest."""
+    def write(self, path, body=b"", cut=None, output_tokens=4, fields=b""):
+        """Send a request, or its first ``cut`` bytes; return the exchange and rest.
+
+        ``fields`` are lines to add to its head.
+        """
         exchange = Exchange(f"{self._name}-{len(self.exchanges)}", time.monotonic())
         self.exchanges.append(exchange)
         data = make_request(
@@ -42,6 +45,7 @@
             body=body,
             output_tokens=output_tokens,
         )
+        data = data.replace(b"\r\n\r\n", b"\r\n" + fields + b"\r\n", 1)
         with contextlib.suppress(OSError):
             self._writer.write(data[:cut])
         return exchange, b"" if cut is None else data[cut:]
@@ -56,9 +60,9 @@
         await read_answer(self._reader, exchange)
         return exchange
 
-    async def ask(self, path, body=b"", output_tokens=4):
+    async def ask(self, path, body=b"", **options):
         """Send a request and read its answer."""
-        return await self.read(self.write(path, body, output_tokens=output_tokens)[0])
+        return await self.read(self.write(path, body, **options)[0])
 
     async def close(self):
         self._writer.close()
@@ -168,8 +172,11 @@
     SENT_SECONDS = 3.1
     USUAL_ANSWERS = 40
 
-    def ask_late(self, usual, late, output_tokens=4):
-        """Return the status of a late request, after usual ones before the stop."""
+    def ask_late(self, usual, late, output_tokens=4, fields=b"", prepare=None):
+        """Return the status of a late request, after usual ones before the stop.
+
+        ``prepare`` is called with the host right before it is sent.
+        """
         found = []
 
         async def scenario(host):
@@ -179,7 +186,11 @@
                 self.assertEqual(200, exchange.status)
             host.stop()
             await host.wait_until(self.SENT_SECONDS)
-            exchange = await caller.ask(late, output_tokens=output_tokens)
+            if prepare is not None:
+                prepare(host)
+            exchange = await caller.ask(
+                late, output_tokens=output_tokens, fields=fields
+            )
             found.append((exchange.status, exchange.is_whole))
             self.assertEqual(0, await host.wait_exit())
             self.assertEqual([], host.list_lost())
@@ -204,6 +215,37 @@
         late = self.ask_late("/hold/1?seconds=0.02", "/hold/1?seconds=4")
         self.assertEqual((503, True), late)
 
+    def test_a_stream_taken_up_late_is_refused_if_it_may_be_cut(self):
+        usual = "/notes/1?events=3&seconds=0.02"
+        late = "/notes/1?events=40&seconds=0.1"
+        fields = b"Last-Event-Id: 2\r\nResumes: c0-0\r\n"
+        self.assertEqual((503, True), self.ask_late(usual, late, 140, fields))
+
+    def test_a_stream_whose_prompt_is_read_late_is_refused_if_it_may_be_cut(self):
+        def slow_down(host):
+            for runner in host.environment.runners.values():
+                if runner.stage == "prefill":
+                    runner.faults.delay_seconds = 1.4
+
+        path = "/once/1?events=3&seconds=0.05"
+        late = self.ask_late(path, "/once/1?events=20&seconds=0.05", 20, b"", slow_down)
+        self.assertEqual((503, True), late)
+
+    def test_a_late_body_does_not_begin_a_call_that_may_be_cut(self):
+        async def scenario(host):
+            caller, late = await host.connect(), await host.connect()
+            for _ in range(self.USUAL_ANSWERS):
+                await caller.ask("/hold/1?seconds=0.02")
+            exchange, rest = late.write("/hold/1?seconds=4", b"x" * 1000, cut=-500)
+            host.stop()
+            await host.wait_until(self.SENT_SECONDS)
+            late.write_rest(exchange, rest)
+            await late.read(exchange)
+            self.assertEqual((503, True), (exchange.status, exchange.is_whole))
+            self.assertEqual(0, await host.wait_exit())
+
+        run(scenario)
+
     def test_a_late_call_that_may_be_repeated_is_served(self):
         late = self.ask_late("/seats/1?seconds=0.02", "/seats/1?seconds=0.5")
         self.assertEqual((200, True), late)
