Hold small answers without a timer

A small answer entered a generator and a timer of the event loop only to leave them; most answers of the deployments have 800 bytes. The context now begins to watch once the answer is large. tests/test_forwarding_large_answers.py and tests/test_platform_floods.py: 15 passed. What it saves is not told apart yet.

--- a/src/galenapass/forwarding/large_answers.py
+++ b/src/galenapass/forwarding/large_answers.py
@@ -2,9 +2,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from datetime import timedelta
+from types import TracebackType
 
 from galenapass.logs import make_log
 from galenapass.verdicts import Reason, Run, Verdict
@@ -40,21 +39,51 @@
 
 
 class HeldAnswer:
-    """Answer of one target that is being held; ``size`` is in bytes."""
+    """Answer of one target, held while its context is open; ``size`` is in bytes.
 
-    __slots__ = ("_answers", "size", "target", "timer")
+    The context raises AnswerEvictedError if the answer is given up.
+    """
+
+    __slots__ = ("_answers", "_timer", "size", "target")
 
     def __init__(self, answers: "LargeAnswers", target: str):
         self._answers = answers
+        self._timer: asyncio.Timeout | None = None
         self.size = 0
         self.target = target
-        self.timer: asyncio.Timeout | None = None
+
+    async def __aenter__(self) -> "HeldAnswer":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._timer is None:
+            return
+        try:
+            await self._timer.__aexit__(kind, error, trace)
+        except TimeoutError:
+            raise AnswerEvictedError from None
+        finally:
+            self._answers.release(self)
 
     async def extend(self, size: int) -> None:
         """Let the answer grow to a size; wait for a slot once it is large."""
         self.size = size
-        if size > SMALL_ANSWER_BYTES:
-            await self._answers.acquire(self)
+        if size <= SMALL_ANSWER_BYTES:
+            return
+        if self._timer is None:
+            self._timer = asyncio.timeout(None)
+            await self._timer.__aenter__()
+        await self._answers.acquire(self)
+
+    def evict(self) -> None:
+        """End the context with an error."""
+        if self._timer is not None and not self._timer.expired():
+            self._timer.reschedule(asyncio.get_running_loop().time())
 
 
 class LargeAnswers:
@@ -77,20 +106,14 @@
         """Return the number of slots in use."""
         return len(self._held)
 
-    @asynccontextmanager
-    async def hold(self, target: str) -> AsyncIterator[HeldAnswer]:
-        """Hold an answer of a target; raise AnswerEvictedError if it is given up."""
-        answer = HeldAnswer(self, target)
-        try:
-            async with asyncio.timeout(None) as answer.timer:
-                yield answer
-        except TimeoutError:
-            if answer.timer is not None and answer.timer.expired():
-                raise AnswerEvictedError from None
-            raise
-        finally:
-            self._held.discard(answer)
-            self._grant()
+    def hold(self, target: str) -> HeldAnswer:
+        """Return the context in which an answer of a target is held."""
+        return HeldAnswer(self, target)
+
+    def release(self, answer: HeldAnswer) -> None:
+        """Give back the slot of an answer, if it has one."""
+        self._held.discard(answer)
+        self._grant()
 
     async def acquire(self, answer: HeldAnswer) -> None:
         """Wait until an answer has a slot."""
@@ -125,8 +148,7 @@
         owned = [held for held in self._held if held.target == target]
         evicted = max(owned, key=lambda held: held.size)
         self._held.discard(evicted)
-        if evicted.timer is not None and not evicted.timer.expired():
-            evicted.timer.reschedule(asyncio.get_running_loop().time())
+        evicted.evict()
         _log("large answer is given up", target=target, bytes=evicted.size, held=count)
         self._grant()
 
