--- a/src/galenapass/forwarding/answer_times.py
+++ b/src/galenapass/forwarding/answer_times.py
@@ -75,10 +75,9 @@
         """Record how long a stage of a request took, and the pace of its output."""
         key = (request.service, stage)
         samples = self._samples.setdefault(key, deque(maxlen=MAX_SAMPLES))
-        sample = _Sample(_measure_size(request, stage), took)
-        if pace is not None:
-            sample = _Sample(sample.size, took, pace.events, pace.find())
-        samples.append(sample)
+        events, event_time = (0, None) if pace is None else (pace.events, pace.find())
+        size = _measure_size(request, stage)
+        samples.append(_Sample(size, took, events, event_time))
 
     def expect(self, request: ForwardedRequest, stage: Stage) -> ExpectedTime | None:
         """Return how long a request takes from a stage to its end, None if unknown.
--- a/src/galenapass/forwarding/open_requests.py
+++ b/src/galenapass/forwarding/open_requests.py
@@ -75,7 +75,8 @@
                 self._set_timer(entry)
                 yield
         except TimeoutError:
-            if self._stop_times is not None and not request.runs:
+            is_open = self._clock.monotonic() < request.deadline
+            if self._stop_times is not None and is_open and not request.runs:
                 self._log_start("request is too late for the stop", entry)
             raise
         finally:
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -342,9 +342,10 @@
             return Err(_TOO_LONG)
         body = bytearray()
         async for chunk in _read_chunks(response.chunks, watch):
-            if len(body) + len(chunk) > MAX_ANSWER_BYTES:
+            size = len(body) + len(chunk)
+            if size > MAX_ANSWER_BYTES:
                 return Err(_TOO_LONG)
-            await held.extend(len(body) + len(chunk))
+            await held.extend(size)
             body += chunk
             # The target was not waited for while the answer waited for its slot.
             watch.record_progress()
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -93,9 +93,10 @@
         return Err(_TOO_LONG)
     body = bytearray()
     async for chunk in response.content.iter_any():
-        if len(body) + len(chunk) > MAX_RESPONSE_BYTES:
+        size = len(body) + len(chunk)
+        if size > MAX_RESPONSE_BYTES:
             return Err(_TOO_LONG)
-        await held.extend(len(body) + len(chunk))
+        await held.extend(size)
         body += chunk
     content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
     return Ok(StoredAnswer(response.status, content_type, bytes(body)))
--- a/tests/test_platform_floods.py
+++ b/tests/test_platform_floods.py
@@ -15,7 +15,7 @@
 from stand_ins.platform_routes import CONFIGURATION, make_route
 from stand_ins.runner import SIGNATURE, Runner
 
-# The smallest limit of the memory of a process is that of the hosts of the platform.
+# Limit of the process on the hosts of the first deployments.
 MEMORY_LIMIT_KB = 300_000
 FLOOD_TARGETS = 3
 FLOOD_SLOTS = 64
