Do not give up a whole answer while its client takes it

Cause, traced beside 16 busy processes: once a target had waited 0.5 s for a slot, the largest answer of the other one was given up, also one of all its 6,000,000 bytes that was on its way to its client. Giving it up cut the answer, and it could not be sent again.

Change: a whole answer is not given up; its client takes it, or its deadline ends it.

--- a/src/galenapass/forwarding/large_answers.py
+++ b/src/galenapass/forwarding/large_answers.py
@@ -41,14 +41,16 @@
 class HeldAnswer:
     """Answer of one target, held while its context is open; ``size`` is in bytes.
 
-    The context raises AnswerEvictedError if the answer is given up.
+    One that ``is_whole`` is on its way to the client and is not given up. The context
+    raises AnswerEvictedError if the answer is given up.
     """
 
-    __slots__ = ("_answers", "_timer", "size", "target")
+    __slots__ = ("_answers", "_timer", "is_whole", "size", "target")
 
     def __init__(self, answers: "LargeAnswers", target: str):
         self._answers = answers
         self._timer: asyncio.Timeout | None = None
+        self.is_whole = False
         self.size = 0
         self.target = target
 
@@ -145,7 +147,9 @@
         target, count = max(counts.items(), key=lambda item: item[1])
         if answer in self._held or count < counts[answer.target] + 2:
             return
-        owned = [held for held in self._held if held.target == target]
+        owned = [h for h in self._held if h.target == target and not h.is_whole]
+        if not owned:
+            return
         evicted = max(owned, key=lambda held: held.size)
         self._held.discard(evicted)
         evicted.evict()
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -349,6 +349,7 @@
             body += chunk
             # The target was not waited for while the answer waited for its slot.
             watch.record_progress()
+        held.is_whole = True
         refusal = _check_origin(response)
         if refusal is not None:
             return Err(refusal)
--- a/tests/test_forwarding_large_answers.py
+++ b/tests/test_forwarding_large_answers.py
@@ -95,6 +95,21 @@
 
         self.run_with(3, scenario)
 
+    def test_whole_answers_are_not_given_up_while_their_clients_take_them(self):
+        async def scenario(answers, hold):
+            async with answers.hold("a") as first, answers.hold("a") as second:
+                for held in (first, second):
+                    await held.extend(LARGE)
+                    held.is_whole = True
+                waiting = hold("b")
+                await settle(0.1)
+                self.assertFalse(waiting.has_slot)
+            await settle()
+            self.assertTrue(waiting.has_slot)
+            await waiting.end()
+
+        self.run_with(2, scenario)
+
     def test_sound_answers_that_end_soon_are_not_given_up(self):
         async def scenario(answers, hold):
             first = [hold("a") for _ in range(3)]
