--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -90,10 +90,10 @@
 
     ``sequence`` is the number before that of the first announcement, higher than any
     number of earlier starts. ``on_version`` is called with the version of the
-    configuration that a peer has, ``on_announcement`` with each announcement that is
-    newer than the last of its host. ``list_split_goals`` returns the prefill shares to
-    announce, ``on_silent`` is called with targets that a peer cannot reach and that
-    this daemon has not been in contact with lately.
+    configuration that a peer has and that peer, ``on_announcement`` with each
+    announcement that is newer than the last of its host. ``list_split_goals`` returns
+    the prefill shares to announce, ``on_silent`` is called with targets that a peer
+    cannot reach and that this daemon has not been in contact with lately.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
         sequence: int,
         scheduler: Scheduler,
         scheduler_selection: SchedulerSelection,
-        on_version: Callable[[int], None],
+        on_version: Callable[[int, str], None],
         list_split_goals: Callable[[], Iterable[tuple[str, float]]],
         on_announcement: Callable[[Announcement], None],
         permits: Permits,
@@ -443,7 +443,7 @@
         self._scheduler_selection.record_client(host, address)
         self._apply_limits(host, ping.limits)
         self._epochs.observe(ping.epoch, host)
-        self._apply_version(ping.version)
+        self._apply_version(ping.version, host)
         self.endpoint.send(address, self._make_pong())
         for blocks in self._suspects.list_blocks():
             self.endpoint.send(address, blocks)
@@ -466,7 +466,7 @@
             self._origins.set_need(pong.needs_records)
         self._apply_limits(host, pong.limits)
         self._epochs.observe(pong.epoch, host)
-        self._apply_version(pong.version)
+        self._apply_version(pong.version, host)
 
     def _apply_silent(self, host: str, address: Address, silent: SilentTargets) -> None:
         now = self._clock.monotonic()
@@ -492,7 +492,7 @@
         if announcements.apply_announcement(
             self._fleet, self._peers, announcement, now
         ):
-            self._apply_version(announcement.version)
+            self._apply_version(announcement.version, host)
             self._on_announcement(announcement)
             self._scheduler.wake()
 
@@ -500,12 +500,12 @@
         if self._limit_sharing.apply(host, limits):
             self._scheduler.wake()
 
-    def _apply_version(self, version: int) -> None:
+    def _apply_version(self, version: int, host: str) -> None:
         """Report a newer configuration to clients, even if it cannot be read here.
 
         Load pattern: a store that rejects the schedulers of a host but not the host.
         """
-        self._on_version(version)
+        self._on_version(version, host)
         if version > self._find_newest_version():
             self._newest_version = version
             self.announce_version()
--- a/src/galenapass/forwarding/store_updates.py
+++ b/src/galenapass/forwarding/store_updates.py
@@ -61,16 +61,18 @@
     def apply_routes_listing(self, listing: ObjectListing) -> None:
         """Apply a listing of the configuration objects."""
         for stored in listing.items:
-            self.apply_routes(stored.name, stored.version, stored.body)
+            self.apply_routes(stored.name, stored.version, stored.body, "listing")
 
     def apply_routes_change(self, change: ObjectChange) -> None:
         """Apply a change of the configuration; a deletion has no effect."""
         if not change.deleted:
-            self.apply_routes(change.name, change.version, change.body)
+            self.apply_routes(change.name, change.version, change.body, "watch")
 
-    def apply_routes(self, name: str, revision: int, body: str) -> None:
+    def apply_routes(self, name: str, revision: int, body: str, source: str) -> None:
         """Apply a configuration if it is newer and valid, once it is decoded.
 
+        ``source`` names for the log how it came.
+
         Load pattern: thousands of routes, which take longer to decode than an attempt
         to connect to a target may last.
         """
@@ -78,6 +80,12 @@
             return
         steps = self._decode_routes(name, body)
         if steps is not None:
+            _log(
+                "configuration is received",
+                revision=revision,
+                source=source,
+                length=len(body),
+            )
             self._decoding.append(body)
             self._background.spawn(self._apply_routes(steps, revision, body))
 
@@ -87,10 +95,12 @@
         revision: int,
         body: str,
     ) -> None:
+        began = self._clock.monotonic()
         try:
             decoded = await run_in_steps(steps)
         finally:
             self._decoding.remove(body)
+        took = self._clock.monotonic() - began
         self._decoded.append(body)
         if isinstance(decoded, Err):
             _log(
@@ -108,6 +118,7 @@
             version=table.version,
             revision=revision,
             routes=sum(len(routes) for routes in table.routes.values()),
+            decoded_ms=took // timedelta(milliseconds=1),
         )
         self._on_change()
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -148,7 +148,7 @@
             self.incarnation * 1000,
             self.scheduler,
             self.scheduler_selection,
-            lambda version: self.poller.handle_peer_version(version),
+            lambda version, peer: self.poller.handle_peer_version(version, peer),
             self._list_split_goals,
             self._apply_announcement,
             permits,
@@ -207,6 +207,7 @@
             self.store,
             self.store_updates,
             lambda: self.scheduler_selection.is_scheduler,
+            self.clock,
         )
         self.hosts = HostRegistry(
             settings.host,
--- a/src/galenapass/platform/configuration_poller.py
+++ b/src/galenapass/platform/configuration_poller.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from result import Ok
+from result import Err
 
+from galenapass.clocks import Clock
 from galenapass.forwarding.background import BackgroundTasks
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.store_updates import StoreUpdates
+from galenapass.logs import make_log
 from galenapass.platform.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
 from galenapass.platform.store_client import StoreClient
 
@@ -25,6 +27,8 @@
 # Each version costs every host a call unless versions are batched.
 CATCH_UP_PAUSE = timedelta(milliseconds=400)
 
+_log = make_log("state")
+
 
 class ConfigurationPoller:
     """Reader of the configuration; ``is_watched`` returns whether a watch runs too."""
@@ -35,11 +39,14 @@
         store: StoreClient,
         store_updates: StoreUpdates,
         is_watched: Callable[[], bool],
+        clock: Clock,
     ):
         self._fleet = fleet
         self._store = store
         self._store_updates = store_updates
         self._is_watched = is_watched
+        self._clock = clock
+        self._heard_version = 0
         self._background = BackgroundTasks("daemon")
         self._is_reading = False
 
@@ -58,21 +65,37 @@
             was_answered = await self._read(stale=True)
             period = POLL_PERIOD if was_answered else POLL_RETRY_PERIOD
 
-    def handle_peer_version(self, version: int) -> None:
+    def handle_peer_version(self, version: int, peer: str) -> None:
         """Read the configuration if a peer's version is newer than the local one."""
+        if version > max(self._heard_version, self._fleet.routes.version):
+            self._heard_version = version
+            _log("configuration is announced", version=version, peer=peer)
         if version <= self._fleet.routes.version or self._is_reading:
             return
         self._is_reading = True
         self._background.spawn(self._catch_up())
 
     async def _read(self, *, stale: bool) -> bool:
+        began = self._clock.monotonic()
         read = await self._store.read(
             CONFIGURATION_KIND, CONFIGURATION_NAME, stale=stale
         )
-        if isinstance(read, Ok):
-            stored = read.ok_value
-            self._store_updates.apply_routes(stored.name, stored.version, stored.body)
-        return isinstance(read, Ok)
+        source = "stale read" if stale else "read"
+        if isinstance(read, Err):
+            took = self._clock.monotonic() - began
+            _log(
+                "configuration is not read",
+                source=source,
+                took_ms=took // timedelta(milliseconds=1),
+                cause=read.err_value.cause.value,
+                detail=read.err_value.detail,
+            )
+            return False
+        stored = read.ok_value
+        self._store_updates.apply_routes(
+            stored.name, stored.version, stored.body, source
+        )
+        return True
 
     async def _catch_up(self) -> None:
         try:
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -215,6 +215,7 @@
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
         timeout = aiohttp.ClientTimeout(total=call.seconds, sock_connect=None)
+        received = 0
         try:
             async with self._session.request(
                 call.method,
@@ -223,7 +224,10 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                text = await read_body(response)
+                try:
+                    text = await read_body(response)
+                finally:
+                    received = response.content.total_bytes
                 epoch = parse_integer(response.headers.get(_EPOCH))
                 if self._epochs.is_outdated(epoch):
                     detail = f"answered in epoch {epoch}, before a restore"
@@ -233,7 +237,8 @@
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
         except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
-            return Err(Failure(FailureCause.UNKNOWN, detail=describe_error(error)))
+            detail = f"{describe_error(error)} after {received} bytes of the body"
+            return Err(Failure(FailureCause.UNKNOWN, detail=detail))
 
 
 def _make_path(kind: str, name: str | None = None) -> str:
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -48,7 +48,7 @@
             1,
             self,
             self,
-            self.versions.append,
+            lambda version, host: self.versions.append(version),
             lambda: (),
             lambda announcement: None,
             Permits("h1", self.fleet.rate_limits, self.clock),
