--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -9,6 +9,7 @@
 __all__ = ["Disturbance", "Proxy"]
 
 CHUNK_BYTES = 65_536
+SLOW_CHUNK_BYTES = 8_192
 DELAY_SECONDS = 0.3
 
 
@@ -31,12 +32,15 @@
     """TCP proxy with one listening port and one target.
 
     Data that arrives while a direction is cut is dropped. Such a connection gets no
-    response even after the cut ends, as after a network partition.
+    response even after the cut ends, as after a network partition. The responses of all
+    connections share ``bytes_per_second``, None for no limit.
     """
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, bytes_per_second: float | None = None):
         self.disturbance = Disturbance.NONE
         self.address = ""
+        self.bytes_per_second = bytes_per_second
+        self._link = asyncio.Lock()
         self._target = split_address(target)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -75,7 +79,7 @@
             try:
                 await asyncio.gather(
                     self._forward(reader, sink, _REQUEST_DROPS),
-                    self._forward(source, writer, _RESPONSE_DROPS),
+                    self._forward(source, writer, _RESPONSE_DROPS, is_limited=True),
                 )
             finally:
                 self._writers.discard(sink)
@@ -92,11 +96,16 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         drops: frozenset[Disturbance],
+        *,
+        is_limited: bool = False,
     ) -> None:
         is_cut = False
-        while chunk := await reader.read(CHUNK_BYTES):
+        size = SLOW_CHUNK_BYTES if is_limited and self.bytes_per_second else CHUNK_BYTES
+        while chunk := await reader.read(size):
             if self.disturbance is Disturbance.DELAY:
                 await asyncio.sleep(DELAY_SECONDS)
+            if is_limited:
+                await self._pass_link(len(chunk))
             is_cut = is_cut or self.disturbance in drops
             if is_cut:
                 continue
@@ -105,3 +114,10 @@
         with contextlib.suppress(OSError):
             if writer.can_write_eof():
                 writer.write_eof()
+
+    async def _pass_link(self, size: int) -> None:
+        """Wait until so many bytes have passed the link."""
+        if self.bytes_per_second is None:
+            return
+        async with self._link:
+            await asyncio.sleep(size / self.bytes_per_second)
