Bound the silence of a read and not its transfer, and probe the store with a small object

Cause: a scheduler read the configuration by a watch, by a stale read each second and after each announcement. On its link of 5 Mbit/s these reads shared the bandwidth, and each was given up by its total time (0.8 or 2 s, the transfer included) with most of its bytes there, to begin anew. A failed probe also restarted the watches, with the answer on its way. Change: the time of a call of the store and of the object API bounds the silence; a transfer may take 15 s. The store's availability is probed by a stale read of the host's own small entry. A watch that was sent after the store answered again is not restarted; a single failure restarts those from before it, which the reads of the configuration covered until now.

--- a/src/galenapass/forwarding/hosts.py
+++ b/src/galenapass/forwarding/hosts.py
@@ -24,7 +24,7 @@
 from galenapass.platform.messages import Failure, ObjectListing, StoredObject
 from galenapass.settings.addresses import parse_ipv4_address
 
-__all__ = ["HostObjects", "HostRegistry"]
+__all__ = ["HOSTS_KIND", "HostObjects", "HostRegistry"]
 
 HOSTS_KIND = "hosts"
 # Longest random delay, so that daemons that start together do not write at once.
--- a/src/galenapass/forwarding/store_watches.py
+++ b/src/galenapass/forwarding/store_watches.py
@@ -73,6 +73,7 @@
         self._failures = 0
         self._answered_at: timedelta | None = None
         self._watch_task: asyncio.Task[Any] | None = None
+        self._watch_sent_at = timedelta(0)
 
     @property
     def is_fresh(self) -> bool:
@@ -81,13 +82,13 @@
             return False
         return self._clock.monotonic() - self._answered_at < self._wait + ANSWER_SLACK
 
-    def restart(self) -> None:
-        """Cancel a watch that waits, so that a new one begins.
+    def restart(self, since: timedelta = timedelta.max) -> None:
+        """Cancel a watch that was sent before ``since``, so that a new one begins.
 
         Load pattern: a store that was unavailable. It may have lost the watch without
         closing its connection, and with it the changes of several seconds.
         """
-        if self._watch_task is not None:
+        if self._watch_task is not None and self._watch_sent_at < since:
             self._watch_task.cancel()
 
     def list_again(self) -> None:
@@ -139,6 +140,7 @@
     async def _watch(self) -> Failure | None:
         assert self.version is not None
         call = self._store.watch(self.kind, self.version, self._wait)
+        self._watch_sent_at = self._clock.monotonic()
         self._watch_task = asyncio.ensure_future(call)
         try:
             await asyncio.wait((self._watch_task,))
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -18,7 +18,7 @@
 from galenapass.forwarding.engine_states import EngineStateTracker
 from galenapass.forwarding.fleet import Fleet, record_target_parts
 from galenapass.forwarding.host_objects import HostObject
-from galenapass.forwarding.hosts import HostRegistry
+from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peering import Peering
@@ -35,7 +35,7 @@
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.stop_times import plan_stop
-from galenapass.forwarding.store_availability import StoreAvailability
+from galenapass.forwarding.store_availability import StoreAvailability, run_probes
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.store_updates import StoreUpdates
 from galenapass.forwarding.store_watches import StoreWatch
@@ -53,6 +53,7 @@
 from galenapass.platform.headers import decode_metadata
 from galenapass.platform.messages import (
     Failure,
+    FailureCause,
     ObjectChange,
     ObjectListing,
     StoredObject,
@@ -105,7 +106,10 @@
         self.metrics = make_metrics()
         self.fleet = Fleet(settings.host, settings.domain)
         self.store_availability = StoreAvailability(
-            self.clock, self._handle_store_failure, self._handle_store_return
+            self.clock,
+            self._handle_store_failure,
+            self._handle_store_return,
+            self._restart_watches,
         )
         self.epochs = StoreEpochs(self.clock, self._handle_store_restore)
         self.store = StoreClient(
@@ -435,7 +439,7 @@
                 "announcements": self.peering.run_announcements,
                 "planner": lambda: self.planner.run(self._find_candidate_pause),
                 "kept parts": self._load_cached_parts,
-                "check of routes": self.poller.poll,
+                "probes of the store": lambda: run_probes(self._probe_store),
                 "upkeep": self._run_upkeep,
                 "streams": self.origins.run_publishing,
                 "streams of lost hosts": self.origins.run_removal,
@@ -469,8 +473,10 @@
 
     def _handle_store_return(self, since: timedelta) -> None:
         self.store_updates.handle_store_return(since)
+
+    def _restart_watches(self, since: timedelta) -> None:
         for store_watch in self._store_watches:
-            store_watch.restart()
+            store_watch.restart(since)
 
     def _handle_store_restore(self) -> None:
         """Give up what the store no longer knows, and list and write all of it again.
@@ -534,9 +540,9 @@
         return self.hosts.is_known and not self.scheduler_selection.is_scheduler
 
     async def _probe_store(self) -> bool:
-        """Return whether the store answers this host."""
-        read = await self.store.read(CONFIGURATION_KIND, CONFIGURATION_NAME, stale=True)
-        return isinstance(read, Ok)
+        """Return whether the store answers this host, by a read of a small object."""
+        read = await self.store.read(HOSTS_KIND, self.settings.host, stale=True)
+        return isinstance(read, Ok) or read.err_value.cause is FailureCause.NOT_FOUND
 
     # Upkeep
 
--- a/src/galenapass/platform/configuration_poller.py
+++ b/src/galenapass/platform/configuration_poller.py
@@ -16,10 +16,6 @@
 
 __all__ = ["ConfigurationPoller"]
 
-# A stale read costs a tenth of a call. It covers for a stalled watch, and is the first
-# to detect that the store became unavailable or available.
-POLL_PERIOD = timedelta(seconds=1)
-POLL_RETRY_PERIOD = timedelta(seconds=0.4)
 # A watch delivers a change a few milliseconds after the store confirmed it.
 MAX_WATCH_LAG = timedelta(milliseconds=200)
 # Between reads until the first configuration is loaded.
@@ -54,17 +50,9 @@
         """Read while ``is_needed`` returns True, until a configuration is loaded."""
         while not self._fleet.routes.version:
             if is_needed():
-                await self._read(stale=False)
+                await self._read()
             await asyncio.sleep(INITIAL_LOAD_PERIOD.total_seconds())
 
-    async def poll(self) -> None:
-        """Read the configuration periodically until cancelled, allowing stale reads."""
-        period = POLL_PERIOD
-        while True:
-            await asyncio.sleep(period.total_seconds())
-            was_answered = await self._read(stale=True)
-            period = POLL_PERIOD if was_answered else POLL_RETRY_PERIOD
-
     def handle_peer_version(self, version: int, peer: str) -> None:
         """Read the configuration if a peer's version is newer than the local one."""
         if version > max(self._heard_version, self._fleet.routes.version):
@@ -75,33 +63,29 @@
         self._is_reading = True
         self._background.spawn(self._catch_up())
 
-    async def _read(self, *, stale: bool) -> bool:
+    async def _read(self) -> None:
         began = self._clock.monotonic()
-        read = await self._store.read(
-            CONFIGURATION_KIND, CONFIGURATION_NAME, stale=stale
-        )
-        source = "stale read" if stale else "read"
+        read = await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
         if isinstance(read, Err):
             took = self._clock.monotonic() - began
             _log(
                 "configuration is not read",
-                source=source,
+                source="read",
                 took_ms=took // timedelta(milliseconds=1),
                 cause=read.err_value.cause.value,
                 detail=read.err_value.detail,
             )
-            return False
+            return
         stored = read.ok_value
         self._store_updates.apply_routes(
-            stored.name, stored.version, stored.body, source
+            stored.name, stored.version, stored.body, "read"
         )
-        return True
 
     async def _catch_up(self) -> None:
         try:
             if self._is_watched():
                 await asyncio.sleep(MAX_WATCH_LAG.total_seconds())
-            await self._read(stale=False)
+            await self._read()
             # Batch versions that follow in quick succession.
             await asyncio.sleep(CATCH_UP_PAUSE.total_seconds())
         finally:
--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -39,7 +39,10 @@
 __all__ = ["CountCall", "ObjectClient", "ResponseLostError", "compute_retry_delay"]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
+# Without a byte of the response, so that a large one may take longer on a slow link.
 CALL_TIMEOUT = timedelta(seconds=2)
+# For a response that arrives byte by byte.
+MAX_TRANSFER_TIME = timedelta(seconds=15)
 # The platform sends an empty line every 5 s to keep a watch alive.
 WATCH_READ_TIMEOUT = timedelta(seconds=15)
 FIRST_RETRY_DELAY = timedelta(milliseconds=200)
@@ -230,8 +233,12 @@
         raise ResponseLostError(repr(error)) from error
 
 
-def _make_timeout(total: timedelta) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=total.total_seconds(), sock_connect=None)
+def _make_timeout(silence: timedelta) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=(silence + MAX_TRANSFER_TIME).total_seconds(),
+        sock_connect=None,
+        sock_read=silence.total_seconds(),
+    )
 
 
 def _make_path(kind: str, name: str) -> str:
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -38,9 +38,13 @@
 
 __all__ = ["StoreClient"]
 
+# Without a byte of the response: a large one takes seconds on a slow link, and would
+# begin anew if the whole time were limited.
 CALL_TIMEOUT = timedelta(seconds=2)
-# A stale response that arrives later is too old to be of use.
+# A stale response that begins later is too old to be of use.
 STALE_READ_TIMEOUT = timedelta(seconds=0.8)
+# For a response that arrives byte by byte; the largest one takes 3 s at 5 Mbit/s.
+MAX_TRANSFER_TIME = timedelta(seconds=15)
 # Added to the requested wait of a watch, as a slow store responds late.
 WATCH_SLACK = timedelta(seconds=2)
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -74,6 +78,7 @@
     path: str
     body: Any = None
     seconds: float = CALL_TIMEOUT.total_seconds()
+    on_answer: Callable[[], None] = lambda: None
 
 
 class StoreClient:
@@ -117,13 +122,22 @@
         await self._session.close()
 
     async def read(
-        self, kind: str, name: str, *, stale: bool = False
+        self,
+        kind: str,
+        name: str,
+        *,
+        stale: bool = False,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[StoredObject, Failure]:
-        """Return one object; a ``stale`` read is cheap and may be seconds old."""
+        """Return one object; a ``stale`` read is cheap and may be seconds old.
+
+        ``on_answer`` is called once the response begins.
+        """
         query = "?serializable=1" if stale else ""
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
-        result = await self._call(_Call("read", "GET", path, seconds=seconds))
+        call = _Call("read", "GET", path, seconds=seconds, on_answer=on_answer)
+        result = await self._call(call)
         return result.and_then(lambda data: self._parse_object(kind, name, data))
 
     async def write(
@@ -214,7 +228,11 @@
         self._count(call.name)
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
-        timeout = aiohttp.ClientTimeout(total=call.seconds, sock_connect=None)
+        timeout = aiohttp.ClientTimeout(
+            total=call.seconds + MAX_TRANSFER_TIME.total_seconds(),
+            sock_connect=None,
+            sock_read=call.seconds,
+        )
         received = 0
         try:
             async with self._session.request(
@@ -224,6 +242,7 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
+                call.on_answer()
                 try:
                     text = await read_body(response)
                 finally:
--- a/tests/test_forwarding_store_availability.py
+++ b/tests/test_forwarding_store_availability.py
@@ -16,10 +16,13 @@
 class TestStoreAvailability(TestCase):
     def setUp(self):
         super().setUp()
-        self.failures, self.returns = [], []
+        self.failures, self.returns, self.recoveries = [], [], []
         self.clock = ManualClock()
         self.store_availability = StoreAvailability(
-            self.clock, lambda: self.failures.append(1), self.returns.append
+            self.clock,
+            lambda: self.failures.append(1),
+            self.returns.append,
+            self.recoveries.append,
         )
 
     def play(self, *calls):
@@ -40,6 +43,11 @@
         self.play((0, 1, False), (1, 2, False), (2, 5, True))
         self.assertEqual([2 * SECOND], self.returns)
 
+    def test_a_single_failure_restarts_the_watches_and_is_no_outage(self):
+        # A watch may have been lost in an outage that only one call met.
+        self.play((0, 1, False), (2, 3, True), (3, 4, True))
+        self.assertEqual(([], [2 * SECOND]), (self.returns, self.recoveries))
+
     def test_a_watch_that_fails_long_after_the_return_causes_no_second_return(self):
         # Watches lost in an outage failed 9 s after it. The second return kept entries
         # that were removed meanwhile for 2 s more (release-after-an-outage on
--- a/tests/test_forwarding_store_watches.py
+++ b/tests/test_forwarding_store_watches.py
@@ -120,6 +120,38 @@
         self.assertEqual([5], hung)
         self.assertEqual(["e1"], seen)
 
+    def test_a_watch_that_began_after_the_return_is_not_cancelled(self):
+        clock, hung = ManualClock(), []
+
+        class HangingStore(FakeStore):
+            async def watch(self, kind, after, wait):
+                hung.append(after)
+                await asyncio.sleep(60)
+
+        store_watch = StoreWatch(
+            HangingStore(clock, (1, Ok(ObjectListing(5, ())))),
+            "targets",
+            timedelta(seconds=8),
+            lambda listing: None,
+            lambda change: None,
+            clock,
+            Random(1),
+        )
+
+        async def play():
+            await store_watch.step()
+            watch = asyncio.create_task(store_watch.step())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            store_watch.restart(clock.monotonic())
+            ended, _ = await asyncio.wait((watch,), timeout=0.05)
+            self.assertEqual(set(), ended)
+            store_watch.restart(clock.monotonic() + timedelta(milliseconds=1))
+            self.assertIsNone(await asyncio.wait_for(watch, 5.0))
+
+        asyncio.run(play())
+        self.assertEqual([5], hung)
+
     def test_a_stopped_watch_cancels_its_call(self):
         ended = []
 
