Ask peers and the store at once for a version that a host does not have

Cause: a version had one source, the store, and one read at a time: a read that hung was waited for for 2 s, then came a pause of 0.4 s and the wait for the next notice of a peer, up to 1.2 s. A read that failed had no next try of its own, hosts that the store did not answer had no other source, and hosts whose schedulers were silent heard nothing for up to 4.8 s. Two versions that came in a row were decoded side by side. Change: hosts hand the configuration in force on to each other, compressed, by calls over TCP on the port of the datagrams. A host that is behind asks the strongest schedulers of its domain one after the other and, 0.3 s later, the store beside them; both again after a failure, and another read while none has begun. Without a word of a scheduler for 1.5 s it reads the store by itself. One configuration is decoded at a time, of those that wait the newest.

--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -53,13 +53,15 @@
     """State that decides whether a host schedules; times are monotonic.
 
     ``designated`` names the designated schedulers by domain. ``client_seen_at`` is when
-    another host last used this one as its scheduler, ``fresh_at`` when a scheduler last
-    reported that it receives updates from the store, ``fallback_until`` the end of the
-    time in which this host schedules only for itself.
+    another host last used this one as its scheduler, ``pong_at`` when a scheduler last
+    answered a ping, ``fresh_at`` when one last reported that it receives updates from
+    the store, ``fallback_until`` the end of the time in which this host schedules only
+    for itself.
     """
 
     hosts: Hosts | None = None
     client_seen_at: timedelta | None = None
+    pong_at: timedelta = timedelta(0)
     fresh_at: timedelta | None = None
     fallback_until: timedelta | None = None
     designated: dict[str, list[str]] = field(init=False, default_factory=dict)
@@ -155,6 +157,11 @@
         """Return whether this host schedules or has had an up-to-date scheduler."""
         return self.is_scheduler or self._state.fresh_at is not None
 
+    @property
+    def pong_at(self) -> timedelta:
+        """Return when a scheduler last answered a ping, 0 if never."""
+        return self._state.pong_at
+
     @property
     def ping_interval(self) -> timedelta:
         """Return the time until the next pings, with jitter."""
@@ -226,6 +233,20 @@
         """Return the hosts to send slot requests to, best first."""
         return schedulers.order_contacts(self._contacts)
 
+    def list_configuration_hosts(self) -> list[str]:
+        """Return the hosts of the domain that have new configurations first.
+
+        The strongest come first, as all hosts of the domain ask them at once.
+        """
+        hosts = self._state.hosts or {}
+        designated = self._state.designated.get(self._domain, [])
+        names = [n for n in self.list_schedulers() if n in designated]
+        return sorted(names, key=lambda name: -round(hosts[name].power, 1))
+
+    def knows_ip(self, ip: str) -> bool:
+        """Return whether an IP address is that of a known host."""
+        return any(address[0] == ip for address in self._addresses.values())
+
     def list_peers(self, active: Iterable[str]) -> list[Address]:
         """Return the addresses of the ``active`` and all designated schedulers."""
         names = set(active).union(*self._state.designated.values())
@@ -284,8 +305,9 @@
     def record_pong(self, host: str, is_fresh: bool) -> None:
         """Record whether a scheduler receives updates from the store."""
         self._contacts.get(host).is_fresh = is_fresh
+        self._state.pong_at = self._clock.monotonic()
         if is_fresh:
-            self._state.fresh_at = self._clock.monotonic()
+            self._state.fresh_at = self._state.pong_at
 
     def record_client(self, host: str, address: Address) -> None:
         """Record that another host uses this one as its scheduler."""
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -15,12 +15,21 @@
 from galenapass.forwarding import loads, silent_targets
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.background import BackgroundTasks, keep_running
+from galenapass.forwarding.configuration_follower import (
+    ConfigurationFollower,
+    ConfigurationSources,
+)
+from galenapass.forwarding.configuration_sharing import (
+    CONFIGURATION_CALL,
+    ConfigurationSharing,
+)
 from galenapass.forwarding.engine_states import EngineStateTracker
 from galenapass.forwarding.fleet import Fleet, record_target_parts
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
+from galenapass.forwarding.peer_calls import PeerServer
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.planning import RolePlanner
@@ -49,7 +58,6 @@
     CONFIGURATION_NAME,
     decode_in_steps,
 )
-from galenapass.platform.configuration_poller import ConfigurationPoller
 from galenapass.platform.headers import decode_metadata
 from galenapass.platform.messages import (
     Failure,
@@ -152,7 +160,7 @@
             self.incarnation * 1000,
             self.scheduler,
             self.scheduler_selection,
-            lambda version, peer: self.poller.handle_peer_version(version, peer),
+            lambda version, peer: self.follower.handle_peer_version(version, peer),
             self._list_split_goals,
             self._apply_announcement,
             permits,
@@ -206,13 +214,21 @@
             self._handle_update,
             self._handle_target_leaving,
         )
-        self.poller = ConfigurationPoller(
+        self.sharing = ConfigurationSharing(
             self.fleet,
-            self.store,
-            self.store_updates,
-            lambda: self.scheduler_selection.is_scheduler,
+            self.store_updates.configuration,
+            self.scheduler_selection.find_address,
+        )
+        self.follower = ConfigurationFollower(
+            self.fleet,
+            self.store_updates.configuration,
+            self._make_configuration_sources(),
             self.clock,
         )
+        self.peer_server = PeerServer(
+            {CONFIGURATION_CALL: self.sharing.answer},
+            self.scheduler_selection.knows_ip,
+        )
         self.hosts = HostRegistry(
             settings.host,
             HostEntry(settings.domain, settings.peers, settings.power),
@@ -242,13 +258,15 @@
             web.ServerRunner(self._client_server), self.settings.front
         )
         await self.peering.endpoint.open(self.settings.peers)
+        await self.peer_server.open(self.settings.peers)
         is_first = self.settings.is_first_start
         self._tasks += self._start_tasks(
             {
                 "hosts": lambda: self.hosts.run(first_start=is_first),
                 "scheduling": lambda: self.scheduler_selection.run(self._probe_store),
                 "pings": self.peering.run_pings,
-                "routes": lambda: self.poller.load_initial(self._needs_routes),
+                "routes": lambda: self.follower.load_initial(self._needs_routes),
+                "check of routes": self.follower.run_checks,
                 "versions": self.origins.run_observation,
             }
         )
@@ -302,6 +320,7 @@
         for runner in self._runners:
             await runner.cleanup()
         self.peering.endpoint.close()
+        self.peer_server.close()
         await self.runner_client.close()
         await self.store.close()
 
@@ -365,6 +384,18 @@
         # The watch of the targets logs the entries that are unreadable.
         return [target.ok_value for target in decoded if isinstance(target, Ok)]
 
+    def _make_configuration_sources(self) -> ConfigurationSources:
+        selection = self.scheduler_selection
+        return ConfigurationSources(
+            read_store=lambda on_answer: self.store.read(
+                CONFIGURATION_KIND, CONFIGURATION_NAME, on_answer=on_answer
+            ),
+            list_peers=selection.list_configuration_hosts,
+            ask_peer=self.sharing.fetch,
+            is_watched=lambda: selection.is_scheduler,
+            confirmed_at=lambda: selection.pong_at,
+        )
+
     def _make_planner(self) -> RolePlanner:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
