Log which targets a host does not reach

Change: each attempt to connect to a target is recorded; a host logs the first failure of an address, its next success, and when it takes itself for cut off. The sockets to targets can be replaced, which tests of cuts need. Result: no decision is changed.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -50,6 +50,7 @@
 from galenapass.forwarding.store_watches import StoreWatch
 from galenapass.forwarding.suspects import CrashHooks, CrashSuspects
 from galenapass.forwarding.target_messages import TargetNotice
+from galenapass.forwarding.target_paths import TargetPaths
 from galenapass.json_values import decode_json
 from galenapass.logs import make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
@@ -73,6 +74,7 @@
 from galenapass.tables.leases import Lease
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
+from galenapass.targets.connections import SocketFactory
 
 __all__ = ["PlatformDaemon"]
 
@@ -104,9 +106,17 @@
 
 
 class PlatformDaemon:
-    """Components of one daemon; needs a running event loop to be created."""
+    """Components of one daemon; needs a running event loop to be created.
 
-    def __init__(self, settings: HostSettings, metrics_port: int):
+    ``make_socket`` makes the sockets to targets, None for the usual ones.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        metrics_port: int,
+        make_socket: SocketFactory | None = None,
+    ):
         self.settings = settings
         self._metrics_port = metrics_port
         self.clock = BootClock()
@@ -123,7 +133,10 @@
         self.store = StoreClient(
             settings.store, self._count_call, self.store_availability, self.epochs
         )
-        self.runner_client = RunnerClient(self.clock, self._apply_notice)
+        self.paths = TargetPaths(self.clock)
+        self.runner_client = RunnerClient(
+            self.clock, self._apply_notice, self.paths.record_attempt, make_socket
+        )
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
             settings.host,
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -1,5 +1,6 @@
 """Send requests, prefills and role orders to runners over HTTP."""
 
+import functools
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -40,6 +41,8 @@
 from galenapass.platform.runners import ROLE_NAMES, ROLES_BY_NAME
 from galenapass.tables.targets import Role, Target
 from galenapass.targets.connections import (
+    OnConnect,
+    SocketFactory,
     classify_error,
     find_length,
     open_keepalive_session,
@@ -79,7 +82,8 @@
 
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
-    the target.
+    the target, ``on_connect`` the address of each attempt to connect and whether it
+    succeeded.
     """
 
     __slots__ = ("_clock", "_on_notice", "_pool", "_unpooled")
@@ -88,13 +92,19 @@
         self,
         clock: Clock,
         on_notice: Callable[[Target, TargetNotice], None] = lambda target, notice: None,
+        on_connect: OnConnect = lambda address, is_connected: None,
+        make_socket: SocketFactory | None = None,
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
-        self._pool = open_keepalive_session(
-            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_TIMEOUT
+        open_session = functools.partial(
+            open_keepalive_session,
+            connect=CONNECT_TIMEOUT,
+            make_socket=make_socket,
+            on_connect=on_connect,
         )
-        self._unpooled = open_keepalive_session(once=True, connect=CONNECT_TIMEOUT)
+        self._pool = open_session(once=False, keep=KEEPALIVE_SECONDS)
+        self._unpooled = open_session(once=True)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientHandlerType
 from aiohttp.client_middlewares import ClientMiddlewareType
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 
 from galenapass.timeouts import limit_silence
@@ -19,6 +20,8 @@
 __all__ = [
     "LostConnectionError",
     "MAX_BODY_BYTES",
+    "OnConnect",
+    "SocketFactory",
     "classify_error",
     "classify_response",
     "find_length",
@@ -51,6 +54,9 @@
 NOT_RUN_HEADER = "X-Run"
 NOT_RUN_VALUE = "not-run"
 
+OnConnect = Callable[[str, bool], None]
+SocketFactory = Callable[[Any], socket.socket]
+
 # Errors of the connect phase, before the request was sent. Connect timeouts have
 # their own class, so any other timeout occurred after the request was sent.
 _NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -123,16 +129,33 @@
 
 
 class _Connector(aiohttp.TCPConnector):
-    """Connector whose attempts to connect end only on silent targets."""
+    """Connector whose attempts to connect end only on silent targets.
+
+    ``on_connect`` gets the address of each attempt and whether it succeeded.
+    """
 
-    def __init__(self, connect: timedelta, **options: Any):
+    def __init__(self, connect: timedelta, on_connect: OnConnect, **options: Any):
         super().__init__(**options)
         self._connect_timeout = connect
+        self._on_connect = on_connect
 
-    async def connect(self, *args: Any, **options: Any) -> Connection:
+    async def connect(
+        self, req: ClientRequest, *args: Any, **options: Any
+    ) -> Connection:
         """Return a connection; raise TimeoutError for a silent target."""
-        async with limit_silence(self._connect_timeout):
-            return await super().connect(*args, **options)
+        try:
+            async with limit_silence(self._connect_timeout):
+                return await super().connect(req, *args, **options)
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            self._on_connect(_find_address(req), False)
+            raise
+
+    async def _create_connection(
+        self, req: ClientRequest, *args: Any, **options: Any
+    ) -> ResponseHandler:
+        handler = await super()._create_connection(req, *args, **options)
+        self._on_connect(_find_address(req), True)
+        return handler
 
 
 def make_response_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
@@ -155,32 +178,38 @@
     once: bool,
     keep: float = KEEPALIVE_SECONDS,
     connect: timedelta = CONNECT_TIMEOUT,
+    make_socket: SocketFactory | None = None,
+    on_connect: OnConnect = lambda address, is_connected: None,
 ) -> aiohttp.ClientSession:
     """Return a session that never resends a request and detects silent links.
 
     ``once`` opens a connection per request; otherwise an idle connection stays open
-    for ``keep`` seconds. ``connect`` is the connect timeout. A function given as
-    ``trace_request_ctx`` of a request is called once it has a connection, before any
-    of it is written.
+    for ``keep`` seconds. ``connect`` is the connect timeout, ``on_connect`` is called
+    with the address of each attempt to connect and whether it succeeded. A function
+    given as ``trace_request_ctx`` of a request is called once it has a connection,
+    before any of it is written.
     """
-    options: dict[str, Any] = {"socket_factory": make_probed_socket}
+    options: dict[str, Any] = {"socket_factory": make_socket or make_probed_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
     return _open_session(
-        make_connector(connect, **options),
+        make_connector(connect, on_connect, **options),
         _prevent_resend,
         trace_configs=[_make_connection_trace()],
     )
 
 
 def make_connector(
-    connect: timedelta = CONNECT_TIMEOUT, **options: Any
+    connect: timedelta = CONNECT_TIMEOUT,
+    on_connect: OnConnect = lambda address, is_connected: None,
+    **options: Any,
 ) -> aiohttp.TCPConnector:
     """Return a connector whose connections read each response for one request.
 
-    ``connect`` is the connect timeout.
+    ``connect`` is the connect timeout, ``on_connect`` gets the address of each attempt
+    to connect and whether it succeeded.
     """
-    connector = _Connector(connect, limit=0, **options)
+    connector = _Connector(connect, on_connect, limit=0, **options)
     # The library has no public setting for this; its version is pinned.
     factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
     connector._factory = factory
@@ -220,6 +249,10 @@
     )
 
 
+def _find_address(request: ClientRequest) -> str:
+    return f"{request.url.host}:{request.url.port}"
+
+
 def _make_connection_trace() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_report_connection)
