Show hosts that reach no target and do not serve their callers

Change: tests in which the paths of single hosts to the targets hang, are reset, or live on while new connections are refused or hang; one host, and all hosts of a failure domain.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -16,6 +16,7 @@
 from stand_ins.metadata_store import MetadataStore
 from stand_ins.platform_routes import CONFIGURATION, make_headers
 from stand_ins.runner import Runner
+from tests.target_links import TargetLinks
 
 
 def make_settings(store, name="front-1", domain="zone-a"):
@@ -54,6 +55,7 @@
         self.more_decode = []
         self.more_runners = []
         self.daemons = []
+        self.links = []
         self.settings = None
         self.client = None
         self._number = 0
@@ -144,11 +146,13 @@
     more_decode=0,
     versions=None,
     more_runners=(),
+    linked=False,
 ):
     """Yield a fleet with a daemon per domain, which have loaded routes and targets.
 
     ``versions`` are the software versions of runners by id; their events name it.
-    ``more_runners`` are targets besides the usual ones.
+    ``more_runners`` are targets besides the usual ones. If ``linked``, the paths of
+    each daemon to the targets can be disturbed by the fleet's ``links``.
     """
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
@@ -172,8 +176,16 @@
         fleet.register(target)
     if configuration is not None:
         fleet.store.put("config", "main", configuration)
+    if linked:
+        fleet.links = [TargetLinks() for _ in domains]
+        for links in fleet.links:
+            await links.start([target.address for target in fleet.runners])
     fleet.daemons = [
-        PlatformDaemon(make_settings(f"127.0.0.1:{port}", f"front-{n}", domain), 0)
+        PlatformDaemon(
+            make_settings(f"127.0.0.1:{port}", f"front-{n}", domain),
+            0,
+            fleet.links[n - 1].make_socket if linked else None,
+        )
         for n, domain in enumerate(domains, start=1)
     ]
     fleet.settings = fleet.daemon.settings
@@ -197,6 +209,8 @@
         await asyncio.gather(*(daemon.stop() for daemon in fleet.daemons))
         for daemon in fleet.daemons:
             await daemon.close()
+        for links in fleet.links:
+            await links.stop()
         for target in fleet.runners:
             await target.stop()
         await runner.cleanup()
--- /dev/null
+++ b/tests/test_platform_cut_off_hosts.py
@@ -0,0 +1,93 @@
+"""Test that hosts which reach no target serve their callers through other hosts."""
+
+import asyncio
+from collections import Counter
+
+from testtools import TestCase
+
+from experiments.soak.proxies import Disturbance
+from stand_ins.runner import STREAM_BODY
+from tests.platform_fleet import run
+
+# Two hosts in one failure domain and one in another.
+DOMAINS = ("zone-a", "zone-a", "zone-b")
+# From this time after a cut on, callers of the hosts that are cut off are to be served
+# at least two thirds as often as the others.
+CONTACT_SECONDS = 3.0
+MIN_SHARE = 2 / 3
+ROUNDS = 10
+
+
+async def send_each(fleet, host, number):
+    """Return which of a stream, a call that may run once and another are served."""
+    streamed, held, seen = await asyncio.gather(
+        fleet.send_stream(f"/notes/{number}", host=host),
+        fleet.send(f"/hold/{number}", "POST", b"{}", host=host),
+        fleet.send(f"/seats/{number}", host=host),
+    )
+    is_streamed = streamed[1] == 200 and streamed[2] == STREAM_BODY and streamed[3]
+    return [is_streamed, held[0] == 200, seen[0] == 200]
+
+
+async def measure_share(fleet, host):
+    """Return the share of requests at a host that are served, the least of all kinds."""
+    rounds = [
+        await send_each(fleet, host, f"{host}-{number}") for number in range(ROUNDS)
+    ]
+    return min(sum(served) / ROUNDS for served in zip(*rounds, strict=True))
+
+
+async def wait_for_contact(fleet, hosts):
+    """Send requests to hosts until they count."""
+    loop = asyncio.get_running_loop()
+    end, number = loop.time() + CONTACT_SECONDS, 0
+    while loop.time() < end:
+        number += 1
+        sends = (send_each(fleet, host, f"{host}-early-{number}") for host in hosts)
+        await asyncio.gather(*sends)
+        await asyncio.sleep(0.1)
+
+
+def cut(links, disturbance, *, hangs):
+    links.hangs, links.refuses = hangs, not hangs
+    links.disturb(disturbance)
+
+
+class TestCutOffHosts(TestCase):
+    def check(self, disturbance, *, hangs, hosts=(0,)):
+        async def scenario(fleet):
+            await send_each(fleet, 0, "first")
+            for host in hosts:
+                cut(fleet.links[host], disturbance, hangs=hangs)
+            await wait_for_contact(fleet, hosts)
+            others = [n for n in range(len(DOMAINS)) if n not in hosts]
+            expected = await measure_share(fleet, others[0])
+            self.assertEqual(1.0, expected)
+            for host in hosts:
+                share = await measure_share(fleet, host)
+                self.assertGreaterEqual(share, MIN_SHARE * expected)
+            self.check_runs(fleet)
+
+        run(scenario, domains=DOMAINS, linked=True)
+
+    def check_runs(self, fleet):
+        """Check that no call that may run once has run twice."""
+        for service in (fleet.plain, fleet.second_plain):
+            paths = {r.headers["X-Galenapass-Attempt-Id"]: r for r in service.received}
+            once = [a for a in service.ran if paths[a].path.startswith("/hold/")]
+            self.assertEqual([], [a for a, n in Counter(once).items() if n > 1])
+
+    def test_cut_whose_connections_hang(self):
+        self.check(Disturbance.SILENCE, hangs=True)
+
+    def test_cut_whose_connections_are_reset(self):
+        self.check(Disturbance.RESET, hangs=False)
+
+    def test_cut_whose_open_connections_live_on(self):
+        self.check(Disturbance.NONE, hangs=False)
+
+    def test_cut_whose_open_connections_live_on_while_new_ones_hang(self):
+        self.check(Disturbance.NONE, hangs=True)
+
+    def test_cut_of_all_hosts_of_a_domain(self):
+        self.check(Disturbance.SILENCE, hangs=True, hosts=(0, 1))
