--- a/tests/test_platform_cut_off_hosts.py
+++ b/tests/test_platform_cut_off_hosts.py
@@ -30,7 +30,7 @@
 
 
 async def measure_share(fleet, host):
-    """Return the share of requests at a host that are served, the least of all kinds."""
+    """Return the least share of a kind of request that is served at a host."""
     rounds = [
         await send_each(fleet, host, f"{host}-{number}") for number in range(ROUNDS)
     ]
