Reach targets through another host while this one is cut off from them

Cause: a host has one way to a target, its own connection, and a connection that fails shows it nothing but a target that is down. Change: where a connection to a target fails, and nothing was sent, another host is asked to connect (a tunnel: a call over TCP, then the bytes of one connection unchanged). So the request, its attempts, deadline, budget, slots and its answer stay with the host that has it, and a connection that ends, breaks off or is left by the client does so on the whole way. Hosts of the own domain and of another one are asked in turn; one that is cut off, stopping or told by the target to leave it alone says so at once. Role orders never take it.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -66,6 +66,7 @@
     "Pong",
     "SlotPending",
     "SlotRefusal",
+    "TargetBackOff",
     "TargetLeaving",
     "decode_datagram",
     "encode_datagram",
@@ -133,6 +134,17 @@
     incarnation: str
 
 
+@dataclass(slots=True, frozen=True)
+class TargetBackOff:
+    """Notice that a target wants nothing from the receiver for a time.
+
+    The receiver had connected to it for the sender.
+    """
+
+    target: str
+    duration: timedelta
+
+
 PeerMessage = (
     SlotRequest
     | Grant
@@ -142,6 +154,7 @@
     | Ping
     | Pong
     | TargetLeaving
+    | TargetBackOff
     | Announcement
     | PermitRequest
     | Permit
@@ -518,6 +531,13 @@
         lambda leaving, now: [leaving.target, leaving.incarnation],
         lambda host, row, now: TargetLeaving(str(row[0]), str(row[1])),
     ),
+    TargetBackOff: (
+        "rest",
+        lambda back_off, now: [back_off.target, back_off.duration // MILLISECOND],
+        lambda host, row, now: TargetBackOff(
+            str(row[0]), read_integer(row[1]) * MILLISECOND
+        ),
+    ),
     Announcement: ("news", _encode_announcement, _decode_announcement),
     PermitRequest: (
         "want",
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -29,6 +29,7 @@
     "end_restore",
     "find_back_off",
     "find_change_end",
+    "is_address_excluded",
     "list_excluded",
     "record_back_off",
     "record_change",
@@ -232,6 +233,16 @@
     return frozenset(fleet.backing_off) | leaving
 
 
+def is_address_excluded(fleet: Fleet, address: str, now: timedelta) -> bool:
+    """Return whether this daemon must not send to the target at an address."""
+    excluded = list_excluded(fleet, now)
+    return any(
+        target.address == address
+        and (target.id in excluded or target.state is TargetState.LEAVING)
+        for target in fleet.targets.values()
+    )
+
+
 def find_back_off(fleet: Fleet, service: str, now: timedelta) -> timedelta | None:
     """Return the time until the first back-off at a service ends, None without any."""
     ends = [
--- a/src/galenapass/forwarding/peer_calls.py
+++ b/src/galenapass/forwarding/peer_calls.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Coroutine, Mapping
 from datetime import timedelta
 from typing import Any
@@ -13,17 +15,21 @@
 from result import Err, Ok, Result
 
 from galenapass.forwarding.schedulers import Address
-from galenapass.json_values import DECODE_ERRORS, describe_error, read_name
+from galenapass.json_values import describe_error, read_name
 from galenapass.logs import make_log
 from galenapass.timeouts import limit_silence
 
-__all__ = ["PeerConnection", "PeerServer", "open_call"]
+__all__ = ["CONNECT_TIMEOUT", "PeerConnection", "PeerServer", "open_call"]
 
 # A host of the same region answers within a few milliseconds, and one whose processor
 # has a quota pauses for a part of each tenth of a second.
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
 REQUEST_TIMEOUT = timedelta(seconds=1)
 MAX_LINE_BYTES = 4096
+# Received bytes that are not yet read.
+BUFFER_BYTES = 65_536
+
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 _log = make_log("peers")
 
@@ -49,6 +55,8 @@
         """Return the next line; raise TimeoutError, OSError or ValueError."""
         async with limit_silence(within):
             line = await self.reader.readline()
+        if len(line) > MAX_LINE_BYTES:
+            raise ValueError(f"a line is over {MAX_LINE_BYTES} bytes")
         fields = orjson.loads(line)
         if not isinstance(fields, dict):
             raise ValueError("a line holds no object")
@@ -58,6 +66,12 @@
         """Close the connection at once."""
         self.writer.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection so that the peer gets an error and no end."""
+        connected = self.writer.get_extra_info("socket")
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.abort()
+
 
 PeerHandler = Callable[[dict[str, Any], PeerConnection], Coroutine[Any, Any, None]]
 
@@ -80,7 +94,7 @@
     async def open(self, address: Address) -> None:
         """Listen on a local address."""
         self._server = await asyncio.start_server(
-            self._serve, *address, limit=MAX_LINE_BYTES
+            self._serve, *address, limit=BUFFER_BYTES
         )
 
     def close(self) -> None:
@@ -97,7 +111,7 @@
         self._connections.add(connection)
         try:
             await self._answer(connection)
-        except (OSError, TimeoutError, *DECODE_ERRORS) as error:
+        except Exception as error:
             _log("call failed", peer=connection.host, error=describe_error(error))
             connection.abort()
         finally:
@@ -128,9 +142,7 @@
     """
     try:
         async with limit_silence(CONNECT_TIMEOUT):
-            reader, writer = await asyncio.open_connection(
-                *address, limit=MAX_LINE_BYTES
-            )
+            reader, writer = await asyncio.open_connection(*address, limit=BUFFER_BYTES)
     except (OSError, TimeoutError) as error:
         return Err(describe_error(error))
     connection = PeerConnection(reader, writer, host)
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -27,6 +27,7 @@
     Pong,
     SlotPending,
     SlotRefusal,
+    TargetBackOff,
     TargetLeaving,
 )
 from galenapass.forwarding.fleet import Fleet
@@ -54,6 +55,7 @@
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.suspects import CrashSuspects
+from galenapass.forwarding.target_messages import TargetNotice
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
@@ -154,6 +156,7 @@
             Ping: self._apply_ping,
             Pong: self._apply_pong,
             TargetLeaving: self._apply_leaving,
+            TargetBackOff: self._apply_back_off,
             Announcement: self._apply_announcement,
             PermitRequest: lambda host, address, request: self._permits.apply_request(
                 host, request
@@ -182,6 +185,13 @@
             for host in self._scheduler_selection.list_schedulers()[:1]:
                 self._send(host, leaving)
 
+    def share_notice(self, host: str, target: Target, notice: TargetNotice) -> None:
+        """Tell a host that connects to a target for this one what the target wants."""
+        if notice.leaving:
+            self._send(host, TargetLeaving(target.id, target.incarnation))
+        if notice.back_off is not None:
+            self._send(host, TargetBackOff(target.id, notice.back_off))
+
     def announce_order(self, target: Target, role: Role) -> None:
         """Announce that an engine accepted an order of a role."""
         self._orders[target.id] = (role, self._clock.monotonic())
@@ -490,6 +500,12 @@
             self._leaving[leaving.target, leaving.incarnation] = self._clock.monotonic()
             self._scheduler.wake()
 
+    def _apply_back_off(
+        self, host: str, address: Address, back_off: TargetBackOff
+    ) -> None:
+        until = self._clock.monotonic() + back_off.duration
+        fleet.record_back_off(self._fleet, back_off.target, until)
+
     def _apply_announcement(
         self, host: str, address: Address, announcement: Announcement
     ) -> None:
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -24,7 +24,11 @@
     ConfigurationSharing,
 )
 from galenapass.forwarding.engine_states import EngineStateTracker
-from galenapass.forwarding.fleet import Fleet, record_target_parts
+from galenapass.forwarding.fleet import (
+    Fleet,
+    is_address_excluded,
+    record_target_parts,
+)
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
@@ -51,6 +55,12 @@
 from galenapass.forwarding.suspects import CrashHooks, CrashSuspects
 from galenapass.forwarding.target_messages import TargetNotice
 from galenapass.forwarding.target_paths import TargetPaths
+from galenapass.forwarding.tunnels import (
+    TUNNEL_CALL,
+    TunnelClient,
+    TunnelServer,
+    connect_target,
+)
 from galenapass.json_values import decode_json
 from galenapass.logs import make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
@@ -74,7 +84,7 @@
 from galenapass.tables.leases import Lease
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
-from galenapass.targets.connections import SocketFactory
+from galenapass.targets.connections import SocketFactory, make_probed_socket
 
 __all__ = ["PlatformDaemon"]
 
@@ -108,14 +118,14 @@
 class PlatformDaemon:
     """Components of one daemon; needs a running event loop to be created.
 
-    ``make_socket`` makes the sockets to targets, None for the usual ones.
+    ``make_socket`` makes the sockets to targets.
     """
 
     def __init__(
         self,
         settings: HostSettings,
         metrics_port: int,
-        make_socket: SocketFactory | None = None,
+        make_socket: SocketFactory = make_probed_socket,
     ):
         self.settings = settings
         self._metrics_port = metrics_port
@@ -133,10 +143,28 @@
         self.store = StoreClient(
             settings.store, self._count_call, self.store_availability, self.epochs
         )
-        self.paths = TargetPaths(self.clock)
-        self.runner_client = RunnerClient(
-            self.clock, self._apply_notice, self.paths.record_attempt, make_socket
+        self.paths = TargetPaths(
+            settings.host, settings.domain, self.clock, self.random
+        )
+        self.tunnels = TunnelServer(
+            self.paths,
+            lambda address: connect_target(address, make_socket),
+            lambda address: is_address_excluded(
+                self.fleet, address, self.clock.monotonic()
+            ),
         )
+        self.runner_client = RunnerClient(
+            self.clock,
+            self._apply_notice,
+            self.paths,
+            TunnelClient(
+                settings.host,
+                self.paths,
+                lambda host: self.scheduler_selection.find_address(host),
+            ).open,
+            make_socket,
+        )
+        self._connect_target = lambda address: connect_target(address, make_socket)
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
             settings.host,
@@ -239,7 +267,7 @@
             self.clock,
         )
         self.peer_server = PeerServer(
-            {CONFIGURATION_CALL: self.sharing.answer},
+            {CONFIGURATION_CALL: self.sharing.answer, TUNNEL_CALL: self.tunnels.serve},
             self.scheduler_selection.knows_ip,
         )
         self.hosts = HostRegistry(
@@ -281,13 +309,14 @@
                 "routes": lambda: self.follower.load_initial(self._needs_routes),
                 "check of routes": self.follower.run_checks,
                 "versions": self.origins.run_observation,
+                "paths": lambda: self.paths.run_probes(self._probe_target),
             }
         )
 
     async def stop(self) -> None:
         """Answer open requests, refuse what would come too late, cancel all tasks."""
         times = plan_stop(self.clock.monotonic(), self.settings.grace_period)
-        self.request_handler.stopping = True
+        self.request_handler.stopping = self.tunnels.stopping = True
         self.relay.begin_stop(times)
         self.scheduler_selection.step_down()
         self.peering.announce_version()
@@ -314,7 +343,7 @@
             await asyncio.sleep(STOP_POLL.total_seconds())
 
     def _is_unconnected(self) -> bool:
-        return not self._client_server.count().connections
+        return not self._client_server.count().connections and not self.tunnels.open
 
     def _log_stop(self, sentence: str) -> None:
         counts = self._client_server.count()
@@ -553,6 +582,8 @@
     def _apply_notice(self, target: Target, notice: TargetNotice) -> None:
         self.suspects.record_response(target, notice.sent_at)
         self.relay.apply_notice(target, notice)
+        for peer in self.paths.list_used_peers(target.address):
+            self.peering.share_notice(peer, target, notice)
 
     def _handle_target_leaving(self, target: Target) -> None:
         self.peering.announce_leaving(target)
@@ -590,6 +621,15 @@
 
     # Upkeep
 
+    async def _probe_target(self, address: str) -> None:
+        try:
+            connected = await self._connect_target(address)
+        except OSError:
+            self.paths.record_attempt(address, False)
+            return
+        connected.close()
+        self.paths.record_attempt(address, True)
+
     async def _load_cached_parts(self) -> None:
         """Fetch the parts cached by this domain's engines before this daemon's start.
 
@@ -644,6 +684,7 @@
             await asyncio.sleep(PUBLISH_PAUSE.total_seconds())
 
     def _apply_hosts(self, hosts: Hosts) -> None:
+        self.paths.hosts = hosts
         self.daemon_count = max(len(hosts), 1)
         self.scheduler_selection.update_hosts(hosts)
 
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -1,10 +1,12 @@
 """Send requests, prefills and role orders to runners over HTTP."""
 
 import functools
-from collections.abc import AsyncIterator, Callable
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
+from typing import Any
 
 import aiohttp
 import orjson
@@ -21,6 +23,7 @@
     TargetNotice,
     TargetResponse,
 )
+from galenapass.forwarding.target_paths import TargetPaths
 from galenapass.json_values import (
     DECODE_ERRORS,
     describe_error,
@@ -41,10 +44,11 @@
 from galenapass.platform.runners import ROLE_NAMES, ROLES_BY_NAME
 from galenapass.tables.targets import Role, Target
 from galenapass.targets.connections import (
-    OnConnect,
+    NOT_SENT_ERRORS,
     SocketFactory,
     classify_error,
     find_length,
+    open_detour_session,
     open_keepalive_session,
     read_body,
 )
@@ -55,6 +59,8 @@
 # Latency between domains is a few milliseconds: a runner that takes longer is gone or
 # overloaded, and a lost SYN is retransmitted only after a second.
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
+# For some hosts to be asked, one after the other.
+DETOUR_TIMEOUT = timedelta(seconds=1.5)
 # Runners close idle connections; one that was used recently is still open.
 KEEPALIVE_SECONDS = 4.0
 # A runner confirms an order at once; the role change itself takes seconds.
@@ -77,39 +83,70 @@
 }
 
 
+async def _open_no_detour(address: str) -> socket.socket:
+    raise ConnectionError(f"no host is known that reaches {address}")
+
+
 class RunnerClient:
     """Client sessions to runners, with and without reuse of connections.
 
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
-    the target, ``on_connect`` the address of each attempt to connect and whether it
-    succeeded.
+    the target. ``paths`` tells which targets this host does not reach; ``open_detour``
+    opens a connection to the address of one through another host.
     """
 
-    __slots__ = ("_clock", "_on_notice", "_pool", "_unpooled")
+    __slots__ = ("_clock", "_detours", "_on_notice", "_paths", "_pool", "_unpooled")
 
     def __init__(
         self,
         clock: Clock,
         on_notice: Callable[[Target, TargetNotice], None] = lambda target, notice: None,
-        on_connect: OnConnect = lambda address, is_connected: None,
+        paths: TargetPaths | None = None,
+        open_detour: Callable[[str], Awaitable[socket.socket]] = _open_no_detour,
         make_socket: SocketFactory | None = None,
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
+        self._paths = paths
         open_session = functools.partial(
             open_keepalive_session,
             connect=CONNECT_TIMEOUT,
             make_socket=make_socket,
-            on_connect=on_connect,
+            on_connect=paths.record_attempt if paths is not None else None,
         )
         self._pool = open_session(once=False, keep=KEEPALIVE_SECONDS)
         self._unpooled = open_session(once=True)
+        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT)
 
     async def close(self) -> None:
         """Close every connection."""
-        await self._pool.close()
-        await self._unpooled.close()
+        for session in (self._pool, self._unpooled, self._detours):
+            await session.close()
+
+    async def _request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        once: bool = False,
+        **options: Any,
+    ) -> aiohttp.ClientResponse:
+        """Send a request to a target, through another host if there is no other way.
+
+        An attempt to connect that fails has sent nothing, so that a request that may
+        run once can take the other way after it.
+        """
+        url = _make_url(address, path)
+        if self._paths is None or not self._paths.needs_detour(address):
+            session = self._unpooled if once else self._pool
+            try:
+                return await session.request(method, url, **options)
+            except NOT_SENT_ERRORS:
+                if self._paths is None or not self._paths.may_detour(address):
+                    raise
+        return await self._detours.request(method, url, **options)
 
     async def prefill(
         self,
@@ -132,9 +169,10 @@
         )
         sent_at = self._clock.monotonic()
         try:
-            async with self._pool.request(
+            async with await self._request(
                 message.method,
-                _make_url(target.address, message.target),
+                target.address,
+                message.target,
                 headers=CIMultiDict(
                     encode_headers(message.headers, message.host, options)
                 ),
@@ -176,12 +214,13 @@
         options = SendOptions(
             target.id, time_left, priority, source=source, last_event=last_event
         )
-        session = self._unpooled if once else self._pool
         sent_at = self._clock.monotonic()
         try:
-            response = await session.request(
+            response = await self._request(
                 message.method,
-                _make_url(target.address, message.target),
+                target.address,
+                message.target,
+                once=once,
                 headers=CIMultiDict(
                     encode_headers(message.headers, message.host, options)
                 ),
@@ -212,9 +251,9 @@
     async def release_kv_cache(self, source: str) -> None:
         """Free the KV cache of a prompt whose request will not run."""
         address, _, handle = source.rpartition("/")
-        url = f"http://{address}/kv-handle/{handle}"
+        path, timeout = f"/kv-handle/{handle}", _limit(RELEASE_SECONDS)
         try:
-            async with self._pool.delete(url, timeout=_limit(RELEASE_SECONDS)):
+            async with await self._request("DELETE", address, path, timeout=timeout):
                 pass
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The runner frees it on its own after a few seconds.
@@ -222,10 +261,11 @@
 
     async def fetch_state(self, target: Target) -> Result[EngineState, Verdict]:
         """Return an engine's own state, a few hundred milliseconds old."""
-        url = f"http://{target.address}/report"
-        sent_at = self._clock.monotonic()
+        sent_at, timeout = self._clock.monotonic(), _limit(REPORT_SECONDS)
         try:
-            async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
+            async with await self._request(
+                "GET", target.address, "/report", timeout=timeout
+            ) as response:
                 self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response, MAX_REPORT_BYTES))
                 return Ok(
@@ -249,10 +289,11 @@
 
     async def fetch_parts(self, target: Target) -> Result[tuple[Part, ...], Verdict]:
         """Return the prompt parts that an engine caches; the call delays its work."""
-        url = f"http://{target.address}/kv-list"
-        sent_at = self._clock.monotonic()
+        sent_at, timeout = self._clock.monotonic(), _limit(REPORT_SECONDS)
         try:
-            async with self._pool.get(url, timeout=_limit(REPORT_SECONDS)) as response:
+            async with await self._request(
+                "GET", target.address, "/kv-list", timeout=timeout
+            ) as response:
                 self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response, MAX_PARTS_BYTES))
                 # Each row has an empty string, part, token count and model.
@@ -280,7 +321,11 @@
     async def order_role(
         self, target: Target, role: Role, holder: str, fence: int, orders: int
     ) -> OrderOutcome:
-        """Order a role change, provided the engine has accepted ``orders`` so far."""
+        """Order a role change, provided the engine has accepted ``orders`` so far.
+
+        It never takes another way: an order that another host sends counts as one of a
+        second holder.
+        """
         body = {
             "opcode": "stage",
             "stage": ROLE_NAMES[role],
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -20,14 +20,17 @@
 __all__ = [
     "LostConnectionError",
     "MAX_BODY_BYTES",
+    "NOT_SENT_ERRORS",
     "OnConnect",
     "SocketFactory",
     "classify_error",
     "classify_response",
+    "enable_probes",
     "find_length",
     "make_connector",
     "make_probed_socket",
     "make_response_handler",
+    "open_detour_session",
     "open_keepalive_session",
     "open_session",
     "open_single_use_session",
@@ -59,7 +62,7 @@
 
 # Errors of the connect phase, before the request was sent. Connect timeouts have
 # their own class, so any other timeout occurred after the request was sent.
-_NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 # Statuses with which a target rejects an invalid request.
 _CLIENT_ERROR_REASONS = {
     400: Reason.MALFORMED,
@@ -163,6 +166,41 @@
     return _StrictResponseHandler(loop)
 
 
+class _DetourConnector(_Connector):
+    """Connector whose connections are opened by a function of the target's address."""
+
+    def __init__(
+        self, open_path: Callable[[str], Awaitable[socket.socket]], connect: timedelta
+    ):
+        super().__init__(connect, _ignore_attempt, limit=0, force_close=True)
+        self._open_path = open_path
+
+    async def _create_connection(
+        self, req: ClientRequest, *args: Any, **options: Any
+    ) -> ResponseHandler:
+        try:
+            connected = await self._open_path(_find_address(req))
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        loop = asyncio.get_running_loop()
+        _, handler = await loop.create_connection(self._factory, sock=connected)
+        return handler
+
+
+def open_detour_session(
+    open_path: Callable[[str], Awaitable[socket.socket]], connect: timedelta
+) -> aiohttp.ClientSession:
+    """Return a session whose connections ``open_path`` opens, one for each request.
+
+    It gets the address of the target and raises OSError if there is none. ``connect``
+    is the connect timeout; ``trace_request_ctx`` as in ``open_keepalive_session``.
+    """
+    connector = _DetourConnector(open_path, connect)
+    _set_response_handler(connector)
+    traces = [_make_connection_trace()]
+    return _open_session(connector, _prevent_resend, trace_configs=traces)
+
+
 def open_session() -> aiohttp.ClientSession:
     """Return a session that reuses its connections and has no total timeout."""
     return _open_session(make_connector(keepalive_timeout=KEEPALIVE_SECONDS))
@@ -179,7 +217,7 @@
     keep: float = KEEPALIVE_SECONDS,
     connect: timedelta = CONNECT_TIMEOUT,
     make_socket: SocketFactory | None = None,
-    on_connect: OnConnect = lambda address, is_connected: None,
+    on_connect: OnConnect | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that never resends a request and detects silent links.
 
@@ -201,7 +239,7 @@
 
 def make_connector(
     connect: timedelta = CONNECT_TIMEOUT,
-    on_connect: OnConnect = lambda address, is_connected: None,
+    on_connect: OnConnect | None = None,
     **options: Any,
 ) -> aiohttp.TCPConnector:
     """Return a connector whose connections read each response for one request.
@@ -209,11 +247,16 @@
     ``connect`` is the connect timeout, ``on_connect`` gets the address of each attempt
     to connect and whether it succeeded.
     """
+    on_connect = on_connect or _ignore_attempt
     connector = _Connector(connect, on_connect, limit=0, **options)
+    _set_response_handler(connector)
+    return connector
+
+
+def _set_response_handler(connector: aiohttp.TCPConnector) -> None:
     # The library has no public setting for this; its version is pinned.
     factory: Any = functools.partial(make_response_handler, asyncio.get_running_loop())
     connector._factory = factory
-    return connector
 
 
 def make_probed_socket(info: Any) -> socket.socket:
@@ -221,16 +264,25 @@
     family, kind, protocol = info[0], info[1], info[2]
     probed = socket.socket(family=family, type=kind, proto=protocol)
     probed.setblocking(False)
-    probed.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     probed.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
-    probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
-    probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_UNANSWERED_PROBES)
-    probed.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    enable_probes(probed)
     return probed
 
 
+def enable_probes(connected: socket.socket) -> None:
+    """Make a silent peer cause an error within seconds."""
+    options = {
+        socket.TCP_NODELAY: 1,
+        socket.TCP_KEEPIDLE: PROBE_IDLE_SECONDS,
+        socket.TCP_KEEPINTVL: PROBE_INTERVAL_SECONDS,
+        socket.TCP_KEEPCNT: MAX_UNANSWERED_PROBES,
+        socket.TCP_USER_TIMEOUT: USER_TIMEOUT_MS,
+    }
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options.items():
+        connected.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _open_session(
     connector: aiohttp.TCPConnector,
     *middlewares: ClientMiddlewareType,
@@ -249,6 +301,10 @@
     )
 
 
+def _ignore_attempt(address: str, is_connected: bool) -> None:
+    return
+
+
 def _find_address(request: ClientRequest) -> str:
     return f"{request.url.host}:{request.url.port}"
 
@@ -275,7 +331,7 @@
     # exception class prevents that.
     try:
         return await send(request)
-    except _NOT_SENT_ERRORS:
+    except NOT_SENT_ERRORS:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise LostConnectionError(f"{type(error).__name__}: {error}") from error
@@ -311,7 +367,7 @@
 def classify_error(error: Exception) -> Verdict:
     """Return the verdict on a client error: whether the request may have run."""
     detail = f"{type(error).__name__}: {error}"
-    if isinstance(error, _NOT_SENT_ERRORS):
+    if isinstance(error, NOT_SENT_ERRORS):
         return Verdict(Run.NOT_RUN, Reason.TARGET_UNREACHABLE, detail)
     if isinstance(error, TimeoutError):
         return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_UNREACHABLE, detail)
--- a/tests/test_platform_cut_off_hosts.py
+++ b/tests/test_platform_cut_off_hosts.py
@@ -18,6 +18,14 @@
 ROUNDS = 10
 
 
+async def wait_for_hosts(fleet):
+    """Wait until each host has listed the others."""
+    daemons = fleet.daemons
+    await fleet.wait_for(
+        lambda: all(daemon.daemon_count == len(DOMAINS) for daemon in daemons), 10
+    )
+
+
 async def send_each(fleet, host, number):
     """Return which of a stream, a call that may run once and another are served."""
     streamed, held, seen = await asyncio.gather(
@@ -56,6 +64,7 @@
 class TestCutOffHosts(TestCase):
     def check(self, disturbance, *, hangs, hosts=(0,)):
         async def scenario(fleet):
+            await wait_for_hosts(fleet)
             await send_each(fleet, 0, "first")
             for host in hosts:
                 cut(fleet.links[host], disturbance, hangs=hangs)
