Leave the planner's lease to others while a host is cut off, test detours

Change: a holder that is cut off releases the lease and takes no part until it reaches a target again. Result: test_a_holder_that_reaches_no_engine_releases_the_lease; tests of tunnels, paths, a client that leaves, a host that stops, the end of a cut.

--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -57,7 +57,8 @@
     None while its demand is unknown; ``refresh_state`` queries an engine and updates
     the table of targets; ``on_order`` is called with each order that an engine
     accepted. ``has_crashed`` returns whether the hosts agree that an engine crashed,
-    which the first of them has not reached for the given time.
+    which the first of them has not reached for the given time; ``is_cut_off`` whether
+    this host reaches no engine.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         has_crashed: Callable[[Target, timedelta], bool] = (
             lambda target, min_silence: False
         ),
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
         self._fleet = fleet
         self._keeper = keeper
@@ -81,6 +83,7 @@
         self._refresh_state = refresh_state
         self._on_order = on_order
         self._has_crashed = has_crashed
+        self._is_cut_off = is_cut_off
         # Crashed engines, their incarnation and the time, until they are reached again.
         self._lost: dict[str, tuple[str, timedelta]] = {}
         # Versions whose decode engines crashed, by service.
@@ -114,10 +117,18 @@
             await self._keeper.release()
 
     async def step(self) -> None:
-        """Acquire or renew the lease, count engines and send the due orders."""
-        await self._keeper.step()
+        """Acquire or renew the lease, count engines and send the due orders.
+
+        A host whose orders would reach no engine leaves the lease to others.
+        """
+        is_cut_off = self._is_cut_off()
+        if not is_cut_off:
+            await self._keeper.step()
+        elif self._keeper.is_holder:
+            _log("lease is released, as no engine is reached")
+            await self._keeper.release()
         self._update_engine_counts()
-        if not self._keeper.is_holder:
+        if is_cut_off or not self._keeper.is_holder:
             self._lease_held_since = None
             return
         now = self._clock.monotonic()
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -459,6 +459,7 @@
             self.states.check,
             self._handle_order,
             self.peering.has_crashed,
+            lambda: self.paths.is_cut_off,
         )
 
     def _make_store_watches(self) -> list[StoreWatch]:
--- a/tests/test_forwarding_planning.py
+++ b/tests/test_forwarding_planning.py
@@ -205,6 +205,21 @@
         self.assertEqual([Role.DECODE], [role for _, role in engines.accepted_orders])
 
 
+class TestCutOffHolder(PlannerCase):
+    def test_a_holder_that_reaches_no_engine_releases_the_lease(self):
+        engines = FakeEngines(*(make_target(f"e{n}", Role.PREFILL) for n in range(4)))
+        planner = self.make_planner(engines, 0.5, is_cut_off=lambda: True)
+        released = []
+
+        async def release():
+            released.append(1)
+
+        planner._keeper.release = release
+        self.simulate(engines, planner, 20)
+        self.assertTrue(released)
+        self.assertEqual([], engines.accepted_orders)
+
+
 class TestLostEngines(PlannerCase):
     """Engines fall silent at once; their entries lapse three heartbeats later."""
 
--- a/tests/test_platform_cut_off_hosts.py
+++ b/tests/test_platform_cut_off_hosts.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from experiments.soak.proxies import Disturbance
+from galenapass.tables.targets import Role
 from stand_ins.runner import STREAM_BODY
 from tests.platform_fleet import run
 
@@ -100,3 +101,72 @@
 
     def test_cut_of_all_hosts_of_a_domain(self):
         self.check(Disturbance.SILENCE, hangs=True, hosts=(0, 1))
+
+
+class TestDetours(TestCase):
+    def play(self, scenario, domains=DOMAINS):
+        """Run a scenario whose first host is cut off and knows it."""
+
+        async def cut_first(fleet):
+            await wait_for_hosts(fleet)
+            cut(fleet.links[0], Disturbance.SILENCE, hangs=True)
+            await wait_for_contact(fleet, [0])
+            self.assertTrue(fleet.daemon.paths.is_cut_off)
+            await scenario(fleet)
+
+        run(cut_first, domains=domains, linked=True)
+
+    def test_end_of_a_cut_is_noticed_without_a_request(self):
+        async def scenario(fleet):
+            fleet.links[0].heal()
+            await fleet.wait_for(lambda: not fleet.daemon.paths.is_cut_off, 2.0)
+            self.assertEqual([True] * 3, await send_each(fleet, 0, "healed"))
+            self.assertEqual([0, 0], [d.tunnels.open for d in fleet.daemons[1:]])
+
+        self.play(scenario)
+
+    def test_gone_clients_of_a_host_that_is_cut_off_leave_the_target(self):
+        async def scenario(fleet):
+            peers = fleet.daemons[1:]
+            pending = asyncio.create_task(
+                fleet.send("/hold/long?seconds=2", "POST", b"{}")
+            )
+            await fleet.wait_for(lambda: any(peer.tunnels.open for peer in peers))
+            pending.cancel()
+            await fleet.wait_for(
+                lambda: not any(peer.tunnels.open for peer in peers), 0.5
+            )
+
+        self.play(scenario)
+
+    def test_lost_is_no_stream_through_a_host_that_stops(self):
+        async def scenario(fleet):
+            stream = asyncio.create_task(
+                fleet.send_stream("/notes/long?seconds=0.1&events=6")
+            )
+            peer = fleet.daemons[1]
+            await fleet.wait_for(lambda: peer.tunnels.open)
+            await peer.stop()
+            _, status, _, is_whole = await stream
+            self.assertEqual((200, True), (status, is_whole))
+            self.assertEqual([True] * 3, await send_each(fleet, 0, "later"))
+
+        # So that the host which stops is the one that is asked.
+        self.play(scenario, domains=("zone-a", "zone-a", "zone-b"))
+
+    def test_no_order_of_a_role_takes_a_detour(self):
+        async def scenario(fleet):
+            before = [len(target.accepted_orders) for target in fleet.runners]
+            await fleet.daemon.runner_client.order_role(
+                fleet.daemon.fleet.targets["d1"], Role.PREFILL, "front-1", 1, 0
+            )
+            after = [len(target.accepted_orders) for target in fleet.runners]
+            self.assertEqual(before, after)
+
+        self.play(scenario)
+
+    def test_a_host_that_is_cut_off_does_not_take_targets_for_crashed(self):
+        async def scenario(fleet):
+            self.assertEqual({}, fleet.store.objects.get("crashes", {}))
+
+        self.play(scenario)
