Let a sound target be silent for a second and a half

Cause: connections to targets had a user timeout of 1.5 s, which decides whatever the number of probes is: with the last byte at 0 s and a silence from 0.1 s on, the probe at 1 s is lost and the one at 2 s ends the connection and the work on it. Change: 3.5 s for connections to targets, so that two probes may be lost; the store and other hosts keep 1.5 s. The sessions of a daemon can be closed without its ports. A lost target is left after 4 s instead of 2 s.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -84,7 +84,7 @@
 from galenapass.tables.leases import Lease
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
-from galenapass.targets.connections import SocketFactory, make_probed_socket
+from galenapass.targets.connections import SocketFactory, make_target_socket
 
 __all__ = ["PlatformDaemon"]
 
@@ -125,7 +125,7 @@
         self,
         settings: HostSettings,
         metrics_port: int,
-        make_socket: SocketFactory = make_probed_socket,
+        make_socket: SocketFactory = make_target_socket,
     ):
         self.settings = settings
         self._metrics_port = metrics_port
@@ -361,6 +361,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        await self.close_sessions()
+
+    async def close_sessions(self) -> None:
+        """Close the connections to other hosts, targets and the store."""
         self.peering.endpoint.close()
         self.peer_server.close()
         await self.runner_client.close()
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -48,6 +48,7 @@
     SocketFactory,
     classify_error,
     find_length,
+    make_target_socket,
     open_detour_session,
     open_keepalive_session,
     read_body,
@@ -104,7 +105,7 @@
         on_notice: Callable[[Target, TargetNotice], None] = lambda target, notice: None,
         paths: TargetPaths | None = None,
         open_detour: Callable[[str], Awaitable[socket.socket]] = _open_no_detour,
-        make_socket: SocketFactory | None = None,
+        make_socket: SocketFactory = make_target_socket,
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -30,6 +30,7 @@
     "make_connector",
     "make_probed_socket",
     "make_response_handler",
+    "make_target_socket",
     "open_detour_session",
     "open_keepalive_session",
     "open_session",
@@ -44,7 +45,12 @@
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
 MAX_UNANSWERED_PROBES = 2
-USER_TIMEOUT_MS = 1500
+# Where it is set, this and not the number of probes ends a silent connection, at the
+# next probe after it.
+USER_TIMEOUT = timedelta(seconds=1.5)
+# A sound target may be silent for a second or so, in which two probes are lost; the
+# third one is answered.
+TARGET_USER_TIMEOUT = timedelta(seconds=3.5)
 # Received bytes that are not yet read, by the kernel and by the library: hosts have
 # hundreds of connections.
 SOCKET_BUFFER_BYTES = 64 * 2**10
@@ -166,6 +172,39 @@
     return _StrictResponseHandler(loop)
 
 
+def make_probed_socket(info: Any) -> socket.socket:
+    """Return a socket on which a silent peer causes an error within seconds."""
+    family, kind, protocol = info[0], info[1], info[2]
+    probed = socket.socket(family=family, type=kind, proto=protocol)
+    probed.setblocking(False)
+    probed.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    enable_probes(probed)
+    return probed
+
+
+def make_target_socket(info: Any) -> socket.socket:
+    """Return a socket to a target, whose short silences cause no error."""
+    probed = make_probed_socket(info)
+    enable_probes(probed, TARGET_USER_TIMEOUT)
+    return probed
+
+
+def enable_probes(
+    connected: socket.socket, user_timeout: timedelta = USER_TIMEOUT
+) -> None:
+    """Make a silent peer cause an error within seconds."""
+    options = {
+        socket.TCP_NODELAY: 1,
+        socket.TCP_KEEPIDLE: PROBE_IDLE_SECONDS,
+        socket.TCP_KEEPINTVL: PROBE_INTERVAL_SECONDS,
+        socket.TCP_KEEPCNT: MAX_UNANSWERED_PROBES,
+        socket.TCP_USER_TIMEOUT: user_timeout // timedelta(milliseconds=1),
+    }
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options.items():
+        connected.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class _DetourConnector(_Connector):
     """Connector whose connections are opened by a function of the target's address."""
 
@@ -216,7 +255,7 @@
     once: bool,
     keep: float = KEEPALIVE_SECONDS,
     connect: timedelta = CONNECT_TIMEOUT,
-    make_socket: SocketFactory | None = None,
+    make_socket: SocketFactory = make_probed_socket,
     on_connect: OnConnect | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that never resends a request and detects silent links.
@@ -227,7 +266,7 @@
     given as ``trace_request_ctx`` of a request is called once it has a connection,
     before any of it is written.
     """
-    options: dict[str, Any] = {"socket_factory": make_socket or make_probed_socket}
+    options: dict[str, Any] = {"socket_factory": make_socket}
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
     return _open_session(
@@ -259,30 +298,6 @@
     connector._factory = factory
 
 
-def make_probed_socket(info: Any) -> socket.socket:
-    """Return a socket on which a silent peer causes an error within seconds."""
-    family, kind, protocol = info[0], info[1], info[2]
-    probed = socket.socket(family=family, type=kind, proto=protocol)
-    probed.setblocking(False)
-    probed.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    enable_probes(probed)
-    return probed
-
-
-def enable_probes(connected: socket.socket) -> None:
-    """Make a silent peer cause an error within seconds."""
-    options = {
-        socket.TCP_NODELAY: 1,
-        socket.TCP_KEEPIDLE: PROBE_IDLE_SECONDS,
-        socket.TCP_KEEPINTVL: PROBE_INTERVAL_SECONDS,
-        socket.TCP_KEEPCNT: MAX_UNANSWERED_PROBES,
-        socket.TCP_USER_TIMEOUT: USER_TIMEOUT_MS,
-    }
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in options.items():
-        connected.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 def _open_session(
     connector: aiohttp.TCPConnector,
     *middlewares: ClientMiddlewareType,
