Close the sessions of a daemon as it exits

Cause: a stopped process left 'Unclosed client session' and connectors behind on standard error, as nobody closed them. Change: the daemon's program closes its connections after the stop.

--- a/src/galenapass/platform/daemon.py
+++ b/src/galenapass/platform/daemon.py
@@ -84,6 +84,7 @@
     finally:
         settings_task.cancel()
         await daemon.stop()
+        await daemon.close_sessions()
     return 0
 
 
