Bound the tunnels of a host, end no search for a newer version with an older read

Cause: found in a read of the change. Nothing bounded the connections that a host opens for others. A read that had begun before a newer version was announced ended the search for it until the next notice. A socket whose attempt to connect was cancelled was closed while the event loop still had its descriptor. Change: 128 tunnels with buffers of 16 KB; only a read from after the announcement proves that the store does not have the version; the descriptor is removed first. Result: tests of all but the last.

--- a/src/galenapass/forwarding/configuration_follower.py
+++ b/src/galenapass/forwarding/configuration_follower.py
@@ -61,8 +61,9 @@
 
 @dataclass(slots=True, eq=False)
 class _Read:
-    """Read of the store under way."""
+    """Read of the store under way; ``wanted`` is the version heard of as it began."""
 
+    wanted: int
     has_begun: bool = False
 
 
@@ -130,7 +131,7 @@
         return self._clock.monotonic() - confirmed_at >= MAX_UNCONFIRMED
 
     async def _check(self) -> None:
-        await self._read_store(_Read())
+        await self._read_store(_Read(self._heard_version))
 
     def _start(self) -> None:
         if not self._is_catching_up:
@@ -190,19 +191,20 @@
             while self.is_behind:
                 has_begun = any(read.has_begun for read in reads.values())
                 if not has_begun and len(reads) < MAX_READS:
-                    read = _Read()
+                    read = _Read(self._heard_version)
                     reads[asyncio.create_task(self._read_store(read))] = read
                 ended, _ = await asyncio.wait(
                     reads,
                     timeout=READ_INTERVAL.total_seconds(),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                answered = [reads.pop(task) for task in ended if task.result()]
                 for task in ended:
-                    del reads[task]
-                if any(task.result() for task in ended):
+                    reads.pop(task, None)
+                if any(read.wanted == self._heard_version for read in answered):
                     self._end_search()
                     return
-                if ended:
+                if ended and not answered:
                     await asyncio.sleep(pause.total_seconds())
                     pause = min(pause * 2, MAX_RETRY_PAUSE)
         finally:
--- a/src/galenapass/forwarding/peer_calls.py
+++ b/src/galenapass/forwarding/peer_calls.py
@@ -19,15 +19,21 @@
 from galenapass.logs import make_log
 from galenapass.timeouts import limit_silence
 
-__all__ = ["CONNECT_TIMEOUT", "PeerConnection", "PeerServer", "open_call"]
+__all__ = [
+    "BUFFER_BYTES",
+    "CONNECT_TIMEOUT",
+    "PeerConnection",
+    "PeerServer",
+    "open_call",
+]
 
 # A host of the same region answers within a few milliseconds, and one whose processor
 # has a quota pauses for a part of each tenth of a second.
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
 REQUEST_TIMEOUT = timedelta(seconds=1)
 MAX_LINE_BYTES = 4096
-# Received bytes that are not yet read.
-BUFFER_BYTES = 65_536
+# Received bytes that are not yet read, and written ones that are not yet sent.
+BUFFER_BYTES = 16_384
 
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -107,6 +113,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        writer.transport.set_write_buffer_limits(high=BUFFER_BYTES)
         connection = PeerConnection(reader, writer, "")
         self._connections.add(connection)
         try:
--- a/src/galenapass/forwarding/target_paths.py
+++ b/src/galenapass/forwarding/target_paths.py
@@ -40,13 +40,14 @@
 
     CUT_OFF = "cut off"
     STOPPING = "stopping"
+    BUSY = "busy"
     SILENT = "no answer"
     UNREACHABLE = "unreachable"
     EXCLUDED = "excluded"
 
 
 # Refusals that are due to the host and not to the target.
-_BLOCKING = frozenset({Refusal.CUT_OFF, Refusal.STOPPING, Refusal.SILENT})
+_BLOCKING = frozenset({Refusal.CUT_OFF, Refusal.STOPPING, Refusal.BUSY, Refusal.SILENT})
 
 
 @dataclass(slots=True)
--- a/src/galenapass/forwarding/tunnels.py
+++ b/src/galenapass/forwarding/tunnels.py
@@ -16,7 +16,11 @@
 import orjson
 from result import Err, Ok, Result
 
-from galenapass.forwarding.peer_calls import CONNECT_TIMEOUT, PeerConnection
+from galenapass.forwarding.peer_calls import (
+    BUFFER_BYTES,
+    CONNECT_TIMEOUT,
+    PeerConnection,
+)
 from galenapass.forwarding.schedulers import Address
 from galenapass.forwarding.target_paths import Refusal, TargetPaths
 from galenapass.json_values import DECODE_ERRORS, decode_json, read_name
@@ -38,8 +42,9 @@
 MAX_UNREACHABLE = 2
 # For the caller to close its end after the target has closed.
 CLOSE_TIMEOUT = timedelta(seconds=2)
-CHUNK_BYTES = 65_536
 MAX_ANSWER_BYTES = 256
+# Each takes two descriptors and up to 100 KB; the smallest hosts have 1,638 and 160 MB.
+MAX_TUNNELS = 128
 
 _OPENED = orjson.dumps({"opened": True}) + b"\n"
 
@@ -85,6 +90,7 @@
             await connection.send({"refused": opened.err_value.value})
             return
         reader, writer = opened.ok_value
+        writer.transport.set_write_buffer_limits(high=BUFFER_BYTES)
         self.open += 1
         try:
             enable_probes(connection.writer.get_extra_info("socket"))
@@ -104,11 +110,12 @@
             self._paths.record_attempt(address, False)
             return Err(Refusal.UNREACHABLE)
         self._paths.record_attempt(address, True)
-        return Ok(await asyncio.open_connection(sock=connected, limit=CHUNK_BYTES))
+        return Ok(await asyncio.open_connection(sock=connected, limit=BUFFER_BYTES))
 
     def _find_refusal(self, address: str) -> Refusal | None:
         reasons = (
             (self.stopping, Refusal.STOPPING),
+            (self.open >= MAX_TUNNELS, Refusal.BUSY),
             (self._paths.is_cut_off, Refusal.CUT_OFF),
             (self._is_excluded(address), Refusal.EXCLUDED),
             (self._paths.has_failed(address), Refusal.UNREACHABLE),
@@ -191,6 +198,8 @@
         async with limit_silence(CONNECT_TIMEOUT):
             await loop.sock_connect(connected, address)
     except BaseException:
+        # The loop would do so later, when the descriptor may be that of another socket.
+        loop.remove_writer(connected)
         connected.close()
         raise
     return connected
@@ -234,6 +243,6 @@
 
 
 async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while chunk := await reader.read(CHUNK_BYTES):
+    while chunk := await reader.read(BUFFER_BYTES):
         writer.write(chunk)
         await writer.drain()
--- a/tests/test_forwarding_configuration_follower.py
+++ b/tests/test_forwarding_configuration_follower.py
@@ -1,6 +1,7 @@
 """Test how a host asks peers and the store for a version that it does not have."""
 
 import asyncio
+import dataclasses
 
 from result import Err, Ok
 from testtools import TestCase
@@ -135,6 +136,27 @@
 
         self.assertEqual((1, False), asyncio.run(main()))
 
+    def test_a_read_from_before_an_announcement_does_not_end_the_search(self):
+        sources = FakeSources(reads=[make_stored(6), make_stored(7)])
+        read_store = sources.read_store
+
+        async def read_slowly(on_answer):
+            answer = await read_store(on_answer)
+            await asyncio.sleep(0.2)
+            return answer
+
+        async def main():
+            sources.follower.handle_peer_version(6, "h9")
+            await asyncio.sleep(0.4)
+            sources.follower.handle_peer_version(7, "h9")
+            await sources.wait_for_version(7)
+
+        sources.follower._sources = dataclasses.replace(
+            sources.follower._sources, read_store=read_slowly
+        )
+        asyncio.run(main())
+        self.assertEqual(2, sources.read_count)
+
     def test_a_known_version_is_not_read(self):
         sources = FakeSources(reads=[make_stored(3)])
 
--- a/tests/test_forwarding_target_paths.py
+++ b/tests/test_forwarding_target_paths.py
@@ -104,7 +104,7 @@
         self.assertEqual({"h2", "h3"}, first)
 
     def test_a_host_that_is_of_no_use_is_not_asked_for_a_while(self):
-        for refusal in (Refusal.CUT_OFF, Refusal.STOPPING, Refusal.SILENT):
+        for refusal in set(Refusal) - {Refusal.UNREACHABLE, Refusal.EXCLUDED}:
             self.paths.record_refusal("h2", refusal)
             self.assertNotIn("h2", self.paths.list_peers())
             self.clock.advance(BLOCK_TIME)
--- a/tests/test_forwarding_tunnels.py
+++ b/tests/test_forwarding_tunnels.py
@@ -14,6 +14,7 @@
 from galenapass.forwarding.schedulers import HostEntry
 from galenapass.forwarding.target_paths import TargetPaths
 from galenapass.forwarding.tunnels import (
+    MAX_TUNNELS,
     TUNNEL_CALL,
     TunnelClient,
     TunnelServer,
@@ -196,6 +197,12 @@
 
         self.check(prepare)
 
+    def test_a_host_with_too_many_tunnels_refuses(self):
+        def prepare(hosts, address):
+            hosts.tunnels["h2"].open = MAX_TUNNELS
+
+        self.check(prepare)
+
     def test_a_host_that_is_cut_off_refuses_so_that_there_is_one_hop(self):
         def prepare(hosts, address):
             for other in ("10.0.0.8:1", "10.0.0.9:1"):
