Take a next send without a connection for failed

Cause: a silent target is given up once the next one has not failed for 0.3 s, longer than an attempt to connect. With the way through another host an attempt may take up to 1.5 s, so the silent target could be given up for one that is never reached, and the answer cut. Change: a send that has no connection by then has failed, and its attempt ends before anything is sent.

--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -82,7 +82,8 @@
     async def find_failure(self, within: timedelta) -> Verdict | None:
         """Return how the request failed, None if it has not within a time.
 
-        Pauses of this process do not count, up to ``MAX_OVERLAP`` in all.
+        Without a connection by then it has failed, as nothing of it was sent. Pauses of
+        this process do not count, up to ``MAX_OVERLAP`` in all.
         """
         with contextlib.suppress(TimeoutError):
             async with (
@@ -92,7 +93,11 @@
                 await asyncio.wait((self._opening,))
         # It may fail in the pass of the event loop that ends the wait.
         if not self._opening.done():
-            return None
+            if self._is_connected():
+                return None
+            # It must not connect and send the request after all.
+            self._opening.cancel()
+            return _UNCONNECTED
         opened = self._opening.result()
         return opened.err_value if isinstance(opened, Err) else _check(opened.ok_value)
 
@@ -455,6 +460,9 @@
     return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
 
 
+_UNCONNECTED = Verdict(
+    Run.NOT_RUN, Reason.TARGET_UNREACHABLE, "no connection to the next target in time"
+)
 _UNSIGNED = Verdict(
     Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, "the answer does not prove its origin"
 )
--- a/tests/test_forwarding_exchanges.py
+++ b/tests/test_forwarding_exchanges.py
@@ -18,14 +18,14 @@
 TICK_SECONDS = 0.025
 
 
-def open_exchange(opened):
+def open_exchange(opened, is_connected=lambda: True):
     """Return an exchange that is open once a future has its result."""
 
     @asynccontextmanager
     async def run():
         yield await opened
 
-    return Exchange(run())
+    return Exchange(run(), is_connected)
 
 
 class TestFindFailure(TestCase):
@@ -44,6 +44,18 @@
 
         asyncio.run(main())
 
+    def test_a_next_send_without_a_connection_has_failed_and_sends_nothing(self):
+        # The way through another host takes longer than a target has to refuse.
+        async def main():
+            opened = asyncio.get_running_loop().create_future()
+            exchange = open_exchange(opened, lambda: False)
+            failure = await exchange.find_failure(timedelta(seconds=TICK_SECONDS))
+            self.assertIs(Run.NOT_RUN, failure.run)
+            await exchange.close()
+            self.assertTrue(opened.cancelled())
+
+        asyncio.run(main())
+
     def test_a_failure_that_comes_as_the_time_ends_is_found(self):
         async def main():
             loop = asyncio.get_running_loop()
