Bound the head of a response as before, and its transfer from there

Change: a response has to begin within the time of the call, 2 s at most and 0.8 s for stale reads, as it had before; its transfer may take 3.5 s from there.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -34,15 +34,18 @@
     ObjectListing,
     StoredObject,
 )
-from galenapass.targets.connections import make_connector, read_body
+from galenapass.targets.connections import (
+    limit_response,
+    make_connector,
+    make_silence_timeout,
+    read_body,
+)
 
 __all__ = ["CountCall", "ObjectClient", "ResponseLostError", "compute_retry_delay"]
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
-# Without a byte of the response, so that a large one may take longer on a slow link.
+# Until the response begins, and without a byte of it after that.
 CALL_TIMEOUT = timedelta(seconds=2)
-# Added for the transfer of a response.
-MAX_TRANSFER_TIME = timedelta(seconds=2.5)
 # The platform sends an empty line every 5 s to keep a watch alive.
 WATCH_READ_TIMEOUT = timedelta(seconds=15)
 FIRST_RETRY_DELAY = timedelta(milliseconds=200)
@@ -103,7 +106,7 @@
             self._headers["Authorization"] = f"Bearer {token}"
         self._count = count
         self._rng = rng
-        self._timeout = _make_timeout(timeout)
+        self._timeout = timeout.total_seconds()
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -190,9 +193,13 @@
         self._count(call)
         data = None if body is None else body.encode()
         try:
-            async with self._open_session().request(
-                method, self._base + path, headers=headers, data=data
-            ) as response:
+            async with (
+                limit_response(self._timeout) as begin_transfer,
+                self._open_session().request(
+                    method, self._base + path, headers=headers, data=data
+                ) as response,
+            ):
+                begin_transfer()
                 reply = _Response(
                     response.status, response.headers, await read_body(response)
                 )
@@ -207,7 +214,7 @@
             self._session = aiohttp.ClientSession(
                 connector=make_connector(CONNECT_TIMEOUT),
                 headers=self._headers,
-                timeout=self._timeout,
+                timeout=make_silence_timeout(self._timeout),
                 middlewares=(_prevent_resend,),
             )
         return self._session
@@ -233,14 +240,6 @@
         raise ResponseLostError(repr(error)) from error
 
 
-def _make_timeout(silence: timedelta) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(
-        total=(silence + MAX_TRANSFER_TIME).total_seconds(),
-        sock_connect=None,
-        sock_read=silence.total_seconds(),
-    )
-
-
 def _make_path(kind: str, name: str) -> str:
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -34,18 +34,20 @@
     StoredObject,
 )
 from galenapass.platform.object_client import CountCall
-from galenapass.targets.connections import open_keepalive_session, read_body
+from galenapass.targets.connections import (
+    limit_response,
+    make_silence_timeout,
+    open_keepalive_session,
+    read_body,
+)
 
 __all__ = ["StoreClient"]
 
-# Without a byte of the response: a large one takes seconds on a slow link, and would
-# begin anew if the whole time were limited.
+# Until the response begins, and without a byte of it after that: a large one takes
+# seconds on a slow link, and would begin anew if the whole time were limited.
 CALL_TIMEOUT = timedelta(seconds=2)
 # A stale response that begins later is too old to be of use.
 STALE_READ_TIMEOUT = timedelta(seconds=0.8)
-# Added for the transfer of a response; the largest one takes 1.7 s at 5 Mbit/s, and
-# twice as long beside another one.
-MAX_TRANSFER_TIME = timedelta(seconds=2.5)
 # Added to the requested wait of a watch, as a slow store responds late.
 WATCH_SLACK = timedelta(seconds=2)
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -229,20 +231,20 @@
         self._count(call.name)
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
-        timeout = aiohttp.ClientTimeout(
-            total=call.seconds + MAX_TRANSFER_TIME.total_seconds(),
-            sock_connect=None,
-            sock_read=call.seconds,
-        )
+        timeout = make_silence_timeout(call.seconds)
         received = 0
         try:
-            async with self._session.request(
-                call.method,
-                self._base + call.path,
-                data=data,
-                headers=headers,
-                timeout=timeout,
-            ) as response:
+            async with (
+                limit_response(call.seconds) as begin_transfer,
+                self._session.request(
+                    call.method,
+                    self._base + call.path,
+                    data=data,
+                    headers=headers,
+                    timeout=timeout,
+                ) as response,
+            ):
+                begin_transfer()
                 call.on_answer()
                 try:
                     text = await read_body(response)
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -3,7 +3,8 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Any
 
@@ -27,9 +28,11 @@
     "classify_response",
     "enable_probes",
     "find_length",
+    "limit_response",
     "make_connector",
     "make_probed_socket",
     "make_response_handler",
+    "make_silence_timeout",
     "make_target_socket",
     "open_detour_session",
     "open_keepalive_session",
@@ -58,6 +61,8 @@
 # Largest response that is read as a whole; the largest page of the platform's store
 # holds about 1 MB.
 MAX_BODY_BYTES = 8_000_000
+# The largest response takes 1.7 s at 5 Mbit/s, and twice as long beside another one.
+MAX_TRANSFER_TIME = timedelta(seconds=3.5)
 # Interim (1xx) responses before the final one; the known servers send at most one.
 MAX_INTERIM_RESPONSES = 16
 NOT_RUN_HEADER = "X-Run"
@@ -360,6 +365,25 @@
     return None if response.method == "HEAD" else response.content_length
 
 
+def make_silence_timeout(seconds: float) -> aiohttp.ClientTimeout:
+    """Return the timeouts of a request whose response may not be silent for longer."""
+    return aiohttp.ClientTimeout(total=None, sock_connect=None, sock_read=seconds)
+
+
+@asynccontextmanager
+async def limit_response(seconds: float) -> AsyncIterator[Callable[[], None]]:
+    """Raise TimeoutError unless a response begins in time and then ends in time.
+
+    The context yields a function to be called as the response begins; its transfer may
+    take ``MAX_TRANSFER_TIME`` from then on.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(seconds) as timeout:
+        yield lambda: timeout.reschedule(
+            loop.time() + MAX_TRANSFER_TIME.total_seconds()
+        )
+
+
 async def read_body(
     response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
 ) -> bytes:
