Connect to targets by one function for tunnels and probes

Cause: the same closure over the sockets of a daemon stood twice in its assembly. Change: one bound function serves both; behaviour is the same.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -1,6 +1,7 @@
 """Assemble a daemon on the platform, start it and stop it gracefully."""
 
 import asyncio
+import functools
 import time
 from collections.abc import Callable, Coroutine, Generator
 from datetime import timedelta
@@ -146,9 +147,12 @@
         self.paths = TargetPaths(
             settings.host, settings.domain, self.clock, self.random
         )
+        self._connect_target = functools.partial(
+            connect_target, make_socket=make_socket
+        )
         self.tunnels = TunnelServer(
             self.paths,
-            lambda address: connect_target(address, make_socket),
+            self._connect_target,
             lambda address: is_address_excluded(
                 self.fleet, address, self.clock.monotonic()
             ),
@@ -164,7 +168,6 @@
             ).open,
             make_socket,
         )
-        self._connect_target = lambda address: connect_target(address, make_socket)
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
             settings.host,
