Log whose an answer is, how it is framed and what answers nobody

The log could not tell the hypotheses of the incident on real machines apart: it named neither the framing of an answer nor the attempt that it bore, its place on its connection, or a prefill's handle beside them. `entry: ended` now tells these of the last answer, with the last event of a stream; an answer to a prefill without an id and a response that no request awaited get a line each, and the latter a counter. No decision changes.

--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -22,7 +22,7 @@
     is_model,
 )
 from galenapass.forwarding.stream_origins import digest_stream
-from galenapass.forwarding.target_messages import ClientRequest
+from galenapass.forwarding.target_messages import ClientRequest, ResponseIdentity
 from galenapass.http_connections import (
     ClientServer,
     close_after,
@@ -228,6 +228,8 @@
             run=verdict.run.value if verdict else Run.RAN.value,
             detail=verdict.detail if verdict else "",
             sends=request.sends,
+            last_event=request.last_event,
+            answer=_describe_answer(request.answer),
         )
 
 
@@ -302,6 +304,15 @@
     )
 
 
+def _describe_answer(identity: ResponseIdentity | None) -> str:
+    """Return whose a target's response is, its place on its connection and its end."""
+    if identity is None:
+        return ""
+    name = "unnamed" if identity.attempt is None else identity.attempt
+    end = identity.framing.value
+    return f"{name[:MAX_LOGGED_CHARACTERS]}, exchange {identity.exchange}, by {end}"
+
+
 async def _read_body(raw: web.BaseRequest, limit: int) -> bytes | None:
     """Return the whole body, or None if it is longer than ``limit`` bytes."""
     if not raw.body_exists:
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from galenapass.forwarding.loads import PartDigest
+    from galenapass.forwarding.target_messages import ResponseIdentity
 
 __all__ = ["ForwardedRequest", "Part", "Prompt", "RequestMetadata"]
 
@@ -66,7 +67,8 @@
     ``is_resumed`` tells whether the client takes up a stream of an earlier attempt.
     ``stream`` is the digest of the attempt that brought the first event of its stream,
     and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
-    when the client stops waiting, also at other hosts.
+    when the client stops waiting, also at other hosts. ``answer`` tells of the latest
+    response of a target to it.
     """
 
     id: str
@@ -91,6 +93,7 @@
     stream: int = 0
     origin: ServiceVersion | None = None
     abandoned_at: timedelta = timedelta(0)
+    answer: "ResponseIdentity | None" = None
 
     @property
     def version(self) -> str | None:
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -292,6 +292,7 @@
             if isinstance(opened, Err):
                 return opened
             response = opened.ok_value
+            request.answer = response.identity
             if request.route.streams and response.status == 200:
                 return await self._relay_stream(request, sink, send, response, watch)
             async with self._large_answers.hold(send.slot.grant.target.id) as held:
--- a/src/galenapass/forwarding/target_messages.py
+++ b/src/galenapass/forwarding/target_messages.py
@@ -10,7 +10,9 @@
 __all__ = [
     "ClientRequest",
     "EngineState",
+    "Framing",
     "OrderOutcome",
+    "ResponseIdentity",
     "TargetNotice",
     "TargetResponse",
 ]
@@ -61,6 +63,27 @@
     lifts_limit: bool = False
 
 
+class Framing(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseIdentity:
+    """What tells whose a response is and whether it is whole.
+
+    ``attempt`` is the one that it names, None if it names none; ``exchange`` its number
+    on its connection, 1 for the first.
+    """
+
+    attempt: str | None
+    exchange: int
+    framing: Framing
+
+
 @dataclass(slots=True, frozen=True)
 class TargetResponse:
     """Response of a target; ``chunks`` raises if the body is truncated.
@@ -74,6 +97,7 @@
     signed: bool
     chunks: AsyncIterator[bytes]
     length: int | None = None
+    identity: ResponseIdentity | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -93,6 +93,7 @@
     crashed_requests: Counter
     resumed_streams: Counter
     retries: Counter
+    unrequested_responses: Counter
 
 
 def make_metrics() -> Metrics:
@@ -115,6 +116,7 @@
         crashed_requests=Counter(registry, "galenapass_crashed_requests", "target"),
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
+        unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -85,6 +85,7 @@
 from galenapass.tables.leases import Lease
 from galenapass.tables.targets import Role, Target, TargetKind
 from galenapass.tables.world import World
+from galenapass.targets.connection_records import ConnectionRecords
 from galenapass.targets.connections import SocketFactory, make_target_socket
 
 __all__ = ["PlatformDaemon"]
@@ -167,6 +168,7 @@
                 lambda host: self.scheduler_selection.find_address(host),
             ).open,
             make_socket,
+            ConnectionRecords(lambda: self.metrics.unrequested_responses.add(1)),
         )
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -19,7 +19,9 @@
 from galenapass.forwarding.target_messages import (
     ClientRequest,
     EngineState,
+    Framing,
     OrderOutcome,
+    ResponseIdentity,
     TargetNotice,
     TargetResponse,
 )
@@ -30,6 +32,7 @@
     read_identifier,
     read_integer,
 )
+from galenapass.logs import make_log
 from galenapass.platform.headers import (
     ATTEMPT_ID,
     RETRY_AFTER,
@@ -43,6 +46,7 @@
 )
 from galenapass.platform.runners import ROLE_NAMES, ROLES_BY_NAME
 from galenapass.tables.targets import Role, Target
+from galenapass.targets.connection_records import Call, ConnectionRecords, bind_call
 from galenapass.targets.connections import (
     NOT_SENT_ERRORS,
     SocketFactory,
@@ -74,6 +78,7 @@
 MAX_REPORT_BYTES = 64 * 2**10
 MAX_PARTS_BYTES = 2**20
 
+_log = make_log("forwarding")
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Content-Type", "Accept", "Accept-Encoding")
 _ORDER_OUTCOMES = {
     200: OrderOutcome.ALREADY_HELD,
@@ -94,7 +99,8 @@
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
-    opens a connection to the address of one through another host.
+    opens a connection to the address of one through another host. ``records`` is told
+    of responses that no request awaited.
     """
 
     __slots__ = ("_clock", "_detours", "_on_notice", "_paths", "_pool", "_unpooled")
@@ -106,6 +112,7 @@
         paths: TargetPaths | None = None,
         open_detour: Callable[[str], Awaitable[socket.socket]] = _open_no_detour,
         make_socket: SocketFactory = make_target_socket,
+        records: ConnectionRecords | None = None,
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
@@ -115,10 +122,11 @@
             connect=CONNECT_TIMEOUT,
             make_socket=make_socket,
             on_connect=paths.record_attempt if paths is not None else None,
+            records=records,
         )
         self._pool = open_session(once=False, keep=KEEPALIVE_SECONDS)
         self._unpooled = open_session(once=True)
-        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT)
+        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT, records)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -132,6 +140,7 @@
         path: str,
         *,
         once: bool = False,
+        call: Call | None = None,
         **options: Any,
     ) -> aiohttp.ClientResponse:
         """Send a request to a target, through another host if there is no other way.
@@ -140,14 +149,15 @@
         run once can take the other way after it.
         """
         url = _make_url(address, path)
-        if self._paths is None or not self._paths.needs_detour(address):
-            session = self._unpooled if once else self._pool
-            try:
-                return await session.request(method, url, **options)
-            except NOT_SENT_ERRORS:
-                if self._paths is None or not self._paths.may_detour(address):
-                    raise
-        return await self._detours.request(method, url, **options)
+        with bind_call(call or Call()):
+            if self._paths is None or not self._paths.needs_detour(address):
+                session = self._unpooled if once else self._pool
+                try:
+                    return await session.request(method, url, **options)
+                except NOT_SENT_ERRORS:
+                    if self._paths is None or not self._paths.may_detour(address):
+                        raise
+            return await self._detours.request(method, url, **options)
 
     async def prefill(
         self,
@@ -168,12 +178,13 @@
             prefill=True,
             cache_source=cache_source,
         )
-        sent_at = self._clock.monotonic()
+        sent_at, call = self._clock.monotonic(), Call()
         try:
             async with await self._request(
                 message.method,
                 target.address,
                 message.target,
+                call=call,
                 headers=CIMultiDict(
                     encode_headers(message.headers, message.host, options)
                 ),
@@ -189,6 +200,14 @@
                 if refusal is not None:
                     return Err(replace(refusal, run=Run.NOT_RUN))
                 handle = read_identifier(orjson.loads(body)["kv_handle"])
+                if ATTEMPT_ID not in response.headers:
+                    _log(
+                        "prefill is answered without an id",
+                        request=message.attempt,
+                        target=target.id,
+                        handle=handle,
+                        exchange=call.exchange,
+                    )
                 return Ok(f"{target.address}/{handle}")
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             failure = classify_error(error)
@@ -215,13 +234,14 @@
         options = SendOptions(
             target.id, time_left, priority, source=source, last_event=last_event
         )
-        sent_at = self._clock.monotonic()
+        sent_at, call = self._clock.monotonic(), Call()
         try:
             response = await self._request(
                 message.method,
                 target.address,
                 message.target,
                 once=once,
+                call=call,
                 headers=CIMultiDict(
                     encode_headers(message.headers, message.host, options)
                 ),
@@ -240,7 +260,7 @@
             refusal = _check_attempt_id(response, message, is_required=not once)
             if refusal is None and is_not_run(response.status, response.headers):
                 refusal = _make_refusal(response)
-            yield Err(refusal) if refusal else Ok(_make_response(response))
+            yield Err(refusal) if refusal else Ok(_make_response(response, call))
         finally:
             # A response may arrive before a long request is sent completely; the
             # target would read the rest as the next request on that connection.
@@ -387,25 +407,30 @@
     return Verdict(run, Reason.TARGET_REFUSED, detail, retry_after)
 
 
-def _make_response(response: aiohttp.ClientResponse) -> TargetResponse:
+def _make_response(response: aiohttp.ClientResponse, call: Call) -> TargetResponse:
+    attempt = response.headers.get(ATTEMPT_ID)
     return TargetResponse(
         status=response.status,
         headers=filter_response_headers(response.headers.items()),
         signed=SIGNATURE in response.headers,
         chunks=_read_chunks(response),
         length=find_length(response),
+        identity=ResponseIdentity(attempt, call.exchange, _find_framing(response)),
     )
 
 
+def _find_framing(response: aiohttp.ClientResponse) -> Framing:
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    return Framing.CLOSE if response.content_length is None else Framing.LENGTH
+
+
 async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     """Yield the body; raise if the connection broke before its end.
 
     An empty body needs a length: without one the runner may have stopped before it.
     """
-    is_framed = (
-        response.content_length is not None
-        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
+    is_framed = _find_framing(response) is not Framing.CLOSE
     is_empty = True
     async for chunk in response.content.iter_any():
         is_empty = False
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -15,6 +15,11 @@
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 
+from galenapass.targets.connection_records import (
+    ConnectionRecord,
+    ConnectionRecords,
+    current_call,
+)
 from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -96,9 +101,18 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._record: ConnectionRecord | None = None
+        self._records: ConnectionRecords | None = None
         self._interim_count = 0
         self._is_awaiting = False
 
+    def bind_record(self, address: str, records: ConnectionRecords) -> ConnectionRecord:
+        """Return the record of this connection, which begins with its first request."""
+        if self._record is None:
+            self._record = ConnectionRecord(address)
+            self._records = records
+        return self._record
+
     def set_response_params(self, **params: Any) -> None:
         """Begin to await the response to the next request."""
         self._is_awaiting = True
@@ -110,6 +124,7 @@
             self._payload is None or self._payload.is_eof()
         )
         if data and is_idle:
+            self._report_unrequested("on an idle connection")
             self.abort()
             return
         super().data_received(data)
@@ -136,11 +151,16 @@
             return
         if not self._is_awaiting:
             # A second response to one request.
+            self._report_unrequested("together with the one before")
             self.force_close()
             return
         self._is_awaiting = is_interim
         super().feed_data(data, size)
 
+    def _report_unrequested(self, kind: str) -> None:
+        if self._record is not None and self._records is not None:
+            self._records.record_unrequested(self._record, kind)
+
 
 class _Connector(aiohttp.TCPConnector):
     """Connector whose attempts to connect end only on silent targets.
@@ -148,10 +168,17 @@
     ``on_connect`` gets the address of each attempt and whether it succeeded.
     """
 
-    def __init__(self, connect: timedelta, on_connect: OnConnect, **options: Any):
+    def __init__(
+        self,
+        connect: timedelta,
+        on_connect: OnConnect,
+        records: ConnectionRecords,
+        **options: Any,
+    ):
         super().__init__(**options)
         self._connect_timeout = connect
         self._on_connect = on_connect
+        self._records = records
 
     async def connect(
         self, req: ClientRequest, *args: Any, **options: Any
@@ -159,10 +186,14 @@
         """Return a connection; raise TimeoutError for a silent target."""
         try:
             async with limit_silence(self._connect_timeout):
-                return await super().connect(req, *args, **options)
+                connection = await super().connect(req, *args, **options)
         except (aiohttp.ClientConnectorError, TimeoutError):
             self._on_connect(_find_address(req), False)
             raise
+        call, handler = current_call(), connection.protocol
+        if call is not None and isinstance(handler, _StrictResponseHandler):
+            call.assign(handler.bind_record(_find_address(req), self._records))
+        return connection
 
     async def _create_connection(
         self, req: ClientRequest, *args: Any, **options: Any
@@ -214,9 +245,12 @@
     """Connector whose connections are opened by a function of the target's address."""
 
     def __init__(
-        self, open_path: Callable[[str], Awaitable[socket.socket]], connect: timedelta
+        self,
+        open_path: Callable[[str], Awaitable[socket.socket]],
+        connect: timedelta,
+        records: ConnectionRecords,
     ):
-        super().__init__(connect, _ignore_attempt, limit=0, force_close=True)
+        super().__init__(connect, _ignore_attempt, records, limit=0, force_close=True)
         self._open_path = open_path
 
     async def _create_connection(
@@ -232,14 +266,16 @@
 
 
 def open_detour_session(
-    open_path: Callable[[str], Awaitable[socket.socket]], connect: timedelta
+    open_path: Callable[[str], Awaitable[socket.socket]],
+    connect: timedelta,
+    records: ConnectionRecords | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session whose connections ``open_path`` opens, one for each request.
 
     It gets the address of the target and raises OSError if there is none. ``connect``
     is the connect timeout; ``trace_request_ctx`` as in ``open_keepalive_session``.
     """
-    connector = _DetourConnector(open_path, connect)
+    connector = _DetourConnector(open_path, connect, records or ConnectionRecords())
     _set_response_handler(connector)
     traces = [_make_connection_trace()]
     return _open_session(connector, _prevent_resend, trace_configs=traces)
@@ -262,6 +298,7 @@
     connect: timedelta = CONNECT_TIMEOUT,
     make_socket: SocketFactory = make_probed_socket,
     on_connect: OnConnect | None = None,
+    records: ConnectionRecords | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that never resends a request and detects silent links.
 
@@ -275,7 +312,7 @@
     # The library accepts only one of these options.
     options |= {"force_close": True} if once else {"keepalive_timeout": keep}
     return _open_session(
-        make_connector(connect, on_connect, **options),
+        make_connector(connect, on_connect, records, **options),
         _prevent_resend,
         trace_configs=[_make_connection_trace()],
     )
@@ -284,6 +321,7 @@
 def make_connector(
     connect: timedelta = CONNECT_TIMEOUT,
     on_connect: OnConnect | None = None,
+    records: ConnectionRecords | None = None,
     **options: Any,
 ) -> aiohttp.TCPConnector:
     """Return a connector whose connections read each response for one request.
@@ -292,7 +330,8 @@
     to connect and whether it succeeded.
     """
     on_connect = on_connect or _ignore_attempt
-    connector = _Connector(connect, on_connect, limit=0, **options)
+    records = records or ConnectionRecords()
+    connector = _Connector(connect, on_connect, records, limit=0, **options)
     _set_response_handler(connector)
     return connector
 
