--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -17,6 +17,8 @@
 BODY_BYTES = 30_000
 HELD_EVENTS = 3
 HELD_BYTES = 9_000
+BUFFER_BYTES = 65_536
+SMALL_BUFFER_BYTES = 4096
 REPORT = b'{"stage":"decode","models":[],"busy":false,"seq":7,"born":1}'
 
 WHOLE_STREAM = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
@@ -54,8 +56,9 @@
 
     ``options`` are ``service``, ``stream``, ``holds`` (wait for `go` within an answer),
     ``seconds`` (duration of an answer), ``closes_idle`` (close all idle connections
-    after an answer), ``max_connections`` and ``resets_new`` (reset each new connection
-    once a run has begun).
+    after an answer), ``max_connections``, ``resets_new`` (reset each new connection
+    once a run has begun), ``resets`` (reset the connection in place of the second part
+    of an answer) and ``unread`` (leave the body of a request in the socket).
     """
 
     def __init__(self, options):
@@ -91,7 +94,8 @@
         self.idle.discard(writer)
         method, path, _ = lines[0].split(" ")
         headers = dict(row.lower().split(": ", 1) for row in lines[1:] if ": " in row)
-        await reader.readexactly(int(headers.get("content-length", 0)))
+        if not self.options.get("unread"):
+            await reader.readexactly(int(headers.get("content-length", 0)))
         if "x-galenapass-attempt-id" not in headers:
             body = REPORT if path == "/report" else b""
             writer.write(
@@ -128,27 +132,43 @@
             write_record("held", attempt=attempt)
             await self.go.wait()
         await asyncio.sleep(self.options.get("seconds", 0))
+        if self.options.get("resets"):
+            set_reset(writer)
+            writer.transport.abort()
+            return
         writer.write(second)
         await writer.drain()
 
 
-async def main():
+async def serve_commands(serve, go=None, buffer_bytes=None):
+    """Obey the commands from the standard input until that ends.
+
+    ``buffer_bytes`` limits what is received of a connection and not yet read.
+    """
     options = json.loads(sys.argv[1])
-    target = RawTarget(options)
     reader = asyncio.StreamReader()
-    loop = asyncio.get_running_loop()
-    await loop.connect_read_pipe(
+    await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
     )
     write_record("ready")
     while line := (await reader.readline()).strip():
         if line == b"listen":
-            server = await asyncio.start_server(
-                target.serve, "127.0.0.1", options["port"], reuse_address=True
-            )
+            listening = socket.socket()
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if buffer_bytes is not None:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            listening.bind(("127.0.0.1", options["port"]))
+            limit = buffer_bytes or BUFFER_BYTES
+            server = await asyncio.start_server(serve, sock=listening, limit=limit)
             write_record("listening", port=server.sockets[0].getsockname()[1])
         elif line == b"go":
-            target.go.set()
+            go.set()
+
+
+async def main():
+    target = RawTarget(json.loads(sys.argv[1]))
+    buffer_bytes = SMALL_BUFFER_BYTES if target.options.get("unread") else None
+    await serve_commands(target.serve, target.go, buffer_bytes)
 
 
 if __name__ == "__main__":
--- a/tests/target_links.py
+++ b/tests/target_links.py
@@ -39,9 +39,7 @@
     async def start(self, addresses):
         """Set the paths to the targets at these addresses up."""
         for address in addresses:
-            proxy = Proxy(address)
-            await proxy.start()
-            self._proxies[split_address(address)] = proxy
+            await self.add(address)
         # A queue of new connections that is full lets further ones hang.
         self._silent.bind(("127.0.0.1", 0))
         self._silent.listen(BACKLOG)
@@ -54,6 +52,12 @@
         # A port that is bound and does not listen refuses connections.
         self._closed.bind(("127.0.0.1", 0))
 
+    async def add(self, address):
+        """Set the path to one more target up."""
+        proxy = Proxy(address)
+        await proxy.start()
+        self._proxies[split_address(address)] = proxy
+
     async def stop(self):
         for proxy in self._proxies.values():
             await proxy.stop()
--- a/tests/target_processes.py
+++ b/tests/target_processes.py
@@ -1,4 +1,4 @@
-"""Run the raw targets of a test as processes that can be killed."""
+"""Run the raw targets and peers of a test as processes that can be killed."""
 
 import asyncio
 import contextlib
@@ -6,22 +6,21 @@
 import json
 import sys
 
-from tests import raw_target
-
 START_SECONDS = 10.0
 
 _numbers = itertools.count(1)
 
 
 class TargetProcess:
-    """Process of a raw target, ``name`` in the store.
+    """Process of a raw target, ``name`` in the store, or of another ``module``.
 
     ``records`` is what it wrote so far, in order, ``replacement`` the process that has
     taken its port over.
     """
 
-    def __init__(self, name, options):
+    def __init__(self, name, options, module="tests.raw_target"):
         self.name = name
+        self.module = module
         self.options = options
         self.port = options.get("port", 0)
         self.records = []
@@ -41,11 +40,16 @@
         """Return the first record of a kind, None if there is none."""
         return next((r for r in self.records if r["kind"] == kind), None)
 
+    def count(self, kind):
+        """Return the number of records of a kind."""
+        return sum(r["kind"] == kind for r in self.records)
+
     async def start(self):
         """Start the process; it does not listen yet."""
         self._child = await asyncio.create_subprocess_exec(
             sys.executable,
-            raw_target.__file__,
+            "-m",
+            self.module,
             json.dumps({"port": self.port, **self.options}),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
@@ -89,14 +93,19 @@
 
 
 @contextlib.asynccontextmanager
-async def run_targets(fleet, count=2, **options):
-    """Yield targets that replace those of a service, or those that decode streams."""
+async def run_targets(fleet, count=2, on_start=None, **options):
+    """Yield targets that replace those of a service, or those that decode streams.
+
+    ``on_start`` is called with the address of each before it is in the store.
+    """
     model = fleet.decode if options["stream"] else fleet.plain
     targets = [TargetProcess(f"raw{next(_numbers)}", options) for _ in range(count)]
     try:
         for target in targets:
             await target.start()
             await target.listen()
+            if on_start is not None:
+                await on_start(target.address)
             entry = model.entry(address=target.address, born=5)
             fleet.store.put("servers", target.name, entry)
         stored = fleet.store.objects["servers"]
