Read a response as a request's own only where something proves it

Callers got streams that went on from another request's handle (MIXED), with another number of events, when a target answered a prefill twice. A response to a prefill needed no id, so the late second one was read as the answer to the next prefill on the kept connection; reports, lists of parts and notices of a target took whatever came next; two calls of one attempt bear the same id.

Now a connection has a record of its exchanges. A response is a request's own if it names its attempt, and no connection carries two calls of one attempt, or if it is the first on its connection. Prefills use a kept connection only where the target was seen to name attempts in answers to them; reports and lists, which bear no id, have a connection of their own. A target that answered twice gets new connections for three seconds. Notices are read from own responses only. A redirect is not followed: it would send a request to an address that was not chosen.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -168,7 +168,9 @@
                 lambda host: self.scheduler_selection.find_address(host),
             ).open,
             make_socket,
-            ConnectionRecords(lambda: self.metrics.unrequested_responses.add(1)),
+            ConnectionRecords(
+                self.clock, lambda: self.metrics.unrequested_responses.add(1)
+            ),
         )
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
+from enum import Enum
 from typing import Any
 
 import aiohttp
@@ -89,6 +90,26 @@
 }
 
 
+# Statuses of responses without a body.
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class CallKind(Enum):
+    """Kind of a call for a client's request, for which a target may name attempts."""
+
+    RUN = "run"
+    PREFILL = "prefill"
+
+    @property
+    def may_be_unnamed(self) -> bool:
+        """Return whether a sound response of this kind may name no attempt."""
+        return self is CallKind.PREFILL
+
+
+class UnprovedResponseError(aiohttp.ClientError):
+    """A response that may be one to another request."""
+
+
 async def _open_no_detour(address: str) -> socket.socket:
     raise ConnectionError(f"no host is known that reaches {address}")
 
@@ -99,11 +120,19 @@
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
-    opens a connection to the address of one through another host. ``records`` is told
-    of responses that no request awaited.
+    opens a connection to the address of one through another host. ``records`` are those
+    of all connections.
     """
 
-    __slots__ = ("_clock", "_detours", "_on_notice", "_paths", "_pool", "_unpooled")
+    __slots__ = (
+        "_clock",
+        "_detours",
+        "_on_notice",
+        "_paths",
+        "_pool",
+        "_records",
+        "_unpooled",
+    )
 
     def __init__(
         self,
@@ -117,16 +146,17 @@
         self._clock = clock
         self._on_notice = on_notice
         self._paths = paths
+        self._records = records or ConnectionRecords(clock)
         open_session = functools.partial(
             open_keepalive_session,
             connect=CONNECT_TIMEOUT,
             make_socket=make_socket,
             on_connect=paths.record_attempt if paths is not None else None,
-            records=records,
+            records=self._records,
         )
         self._pool = open_session(once=False, keep=KEEPALIVE_SECONDS)
         self._unpooled = open_session(once=True)
-        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT, records)
+        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT, self._records)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -139,17 +169,20 @@
         address: str,
         path: str,
         *,
+        call: Call,
         once: bool = False,
-        call: Call | None = None,
         **options: Any,
     ) -> aiohttp.ClientResponse:
         """Send a request to a target, through another host if there is no other way.
 
         An attempt to connect that fails has sent nothing, so that a request that may
-        run once can take the other way after it.
+        run once can take the other way after it. ``once`` opens a connection for it
+        alone, whose response needs no further proof.
         """
         url = _make_url(address, path)
-        with bind_call(call or Call()):
+        # A redirect would send the request to an address that was not chosen.
+        options["allow_redirects"] = False
+        with bind_call(call):
             if self._paths is None or not self._paths.needs_detour(address):
                 session = self._unpooled if once else self._pool
                 try:
@@ -159,6 +192,47 @@
                         raise
             return await self._detours.request(method, url, **options)
 
+    async def _send(
+        self,
+        kind: CallKind,
+        target: Target,
+        message: ClientRequest,
+        options: SendOptions,
+        call: Call,
+        **request_options: Any,
+    ) -> aiohttp.ClientResponse:
+        """Send a client's request; return the head of the response that is its own.
+
+        Raise UnprovedResponseError for a response that may be another one's. The target
+        may have run the request.
+        """
+        names = self._records.names_attempts(target.address, kind.value)
+        call.needs_new = names is not True if kind.may_be_unnamed else names is False
+        sent_at = self._clock.monotonic()
+        response = await self._request(
+            message.method,
+            target.address,
+            message.target,
+            call=call,
+            headers=CIMultiDict(encode_headers(message.headers, message.host, options)),
+            data=message.body or None,
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            **request_options,
+        )
+        named = response.headers.get(ATTEMPT_ID)
+        self._records.record_naming(target.address, kind.value, named is not None)
+        connection = call.connection
+        assert connection is not None
+        if not call.is_answered_by(named):
+            response.close()
+            if named is not None:
+                self._records.record_unrequested(connection, "in another's place")
+            raise UnprovedResponseError(
+                f"the response is for attempt {named or 'unknown'}"
+            )
+        self._report_notice(target, response, sent_at, message.attempt)
+        return response
+
     async def prefill(
         self,
         target: Target,
@@ -178,27 +252,19 @@
             prefill=True,
             cache_source=cache_source,
         )
-        sent_at, call = self._clock.monotonic(), Call()
+        call = Call(message.attempt)
         try:
-            async with await self._request(
-                message.method,
-                target.address,
-                message.target,
-                call=call,
-                headers=CIMultiDict(
-                    encode_headers(message.headers, message.host, options)
-                ),
-                data=message.body or None,
-                skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            async with await self._send(
+                CallKind.PREFILL,
+                target,
+                message,
+                options,
+                call,
                 timeout=_limit(time_left.total_seconds()),
             ) as response:
-                self._report_notice(target, response, sent_at, message.attempt)
                 body = await read_body(response, MAX_HANDLE_BYTES)
-                refusal = _check_attempt_id(response, message, is_required=False)
-                if refusal is None and response.status != 200:
-                    refusal = _make_refusal(response)
-                if refusal is not None:
-                    return Err(replace(refusal, run=Run.NOT_RUN))
+                if response.status != 200:
+                    return Err(replace(_make_refusal(response), run=Run.NOT_RUN))
                 handle = read_identifier(orjson.loads(body)["kv_handle"])
                 if ATTEMPT_ID not in response.headers:
                     _log(
@@ -234,33 +300,26 @@
         options = SendOptions(
             target.id, time_left, priority, source=source, last_event=last_event
         )
-        sent_at, call = self._clock.monotonic(), Call()
+        call = Call(message.attempt)
         try:
-            response = await self._request(
-                message.method,
-                target.address,
-                message.target,
+            response = await self._send(
+                CallKind.RUN,
+                target,
+                message,
+                options,
+                call,
                 once=once,
-                call=call,
-                headers=CIMultiDict(
-                    encode_headers(message.headers, message.host, options)
-                ),
-                data=message.body or None,
-                skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-                allow_redirects=False,
                 timeout=_limit(None),
                 trace_request_ctx=on_connection,
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             yield Err(classify_error(error))
             return
-        self._report_notice(target, response, sent_at, message.attempt)
         try:
-            # A kept connection may hold a response to an earlier request.
-            refusal = _check_attempt_id(response, message, is_required=not once)
-            if refusal is None and is_not_run(response.status, response.headers):
-                refusal = _make_refusal(response)
-            yield Err(refusal) if refusal else Ok(_make_response(response, call))
+            if is_not_run(response.status, response.headers):
+                yield Err(_make_refusal(response))
+            else:
+                yield Ok(_make_response(response, call))
         finally:
             # A response may arrive before a long request is sent completely; the
             # target would read the rest as the next request on that connection.
@@ -270,11 +329,16 @@
                 response.close()
 
     async def release_kv_cache(self, source: str) -> None:
-        """Free the KV cache of a prompt whose request will not run."""
+        """Free the KV cache of a prompt whose request will not run.
+
+        Nothing follows from the response, so that it may be another one's.
+        """
         address, _, handle = source.rpartition("/")
         path, timeout = f"/kv-handle/{handle}", _limit(RELEASE_SECONDS)
         try:
-            async with await self._request("DELETE", address, path, timeout=timeout):
+            async with await self._request(
+                "DELETE", address, path, call=Call(), timeout=timeout
+            ):
                 pass
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The runner frees it on its own after a few seconds.
@@ -285,7 +349,12 @@
         sent_at, timeout = self._clock.monotonic(), _limit(REPORT_SECONDS)
         try:
             async with await self._request(
-                "GET", target.address, "/report", timeout=timeout
+                "GET",
+                target.address,
+                "/report",
+                call=Call(),
+                once=True,
+                timeout=timeout,
             ) as response:
                 self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response, MAX_REPORT_BYTES))
@@ -313,7 +382,12 @@
         sent_at, timeout = self._clock.monotonic(), _limit(REPORT_SECONDS)
         try:
             async with await self._request(
-                "GET", target.address, "/kv-list", timeout=timeout
+                "GET",
+                target.address,
+                "/kv-list",
+                call=Call(),
+                once=True,
+                timeout=timeout,
             ) as response:
                 self._report_notice(target, response, sent_at)
                 data = orjson.loads(await read_body(response, MAX_PARTS_BYTES))
@@ -381,23 +455,6 @@
     return aiohttp.ClientTimeout(total=seconds, sock_connect=None)
 
 
-def _check_attempt_id(
-    response: aiohttp.ClientResponse, message: ClientRequest, *, is_required: bool
-) -> Verdict | None:
-    """Return a verdict if a response belongs to another request, else None.
-
-    ``is_required`` is set if a response without an id may belong to another one.
-    """
-    named_attempt = response.headers.get(ATTEMPT_ID)
-    if named_attempt == message.attempt:
-        return None
-    if named_attempt is None and not is_required:
-        return None
-    response.close()
-    detail = f"the response is for attempt {named_attempt or 'unknown'}"
-    return Verdict(Run.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail)
-
-
 def _make_refusal(response: aiohttp.ClientResponse) -> Verdict:
     run = Run.MAY_HAVE_RUN
     if is_not_run(response.status, response.headers):
@@ -422,6 +479,8 @@
 def _find_framing(response: aiohttp.ClientResponse) -> Framing:
     if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
         return Framing.CHUNKS
+    if response.method == "HEAD" or response.status in _BODYLESS_STATUSES:
+        return Framing.LENGTH
     return Framing.CLOSE if response.content_length is None else Framing.LENGTH
 
 
--- a/src/galenapass/targets/connection_records.py
+++ b/src/galenapass/targets/connection_records.py
@@ -1,42 +1,97 @@
-"""Record what was exchanged on the connections to targets."""
+"""Record what was exchanged on the connections to targets.
 
+A response that comes on a connection of its own belongs to the request sent there. On a
+connection that was used before, it may be the second response to an earlier request, so
+it has to name its own.
+"""
+
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TypeVar
 
+from galenapass.clocks import Clock
 from galenapass.logs import make_log
 
-__all__ = ["Call", "ConnectionRecord", "ConnectionRecords", "bind_call", "current_call"]
+__all__ = [
+    "Call",
+    "ConnectionRecord",
+    "ConnectionRecords",
+    "bind_call",
+    "current_call",
+]
+
+# A second response comes up to two seconds after the first.
+STUTTER_TIME = timedelta(seconds=3)
+# Requests on one connection while one of them may be sent again.
+MAX_ATTEMPTS = 256
+# Addresses whose targets are remembered; the fleets have a few hundred.
+MAX_ADDRESSES = 4096
+
+KeyT = TypeVar("KeyT")
+ValueT = TypeVar("ValueT")
 
 _log = make_log("connections")
 
 
 @dataclass(slots=True, eq=False)
 class ConnectionRecord:
-    """One connection to a target; ``exchanges`` counts the requests sent on it."""
+    """One connection to a target; times are those of the event loop, in seconds.
+
+    ``via`` is the address of the host that it leads through, empty for none.
+    ``exchanges`` counts the requests sent on it, ``attempts`` are those of the latest.
+    ``ended_at`` is when it ended, None before; ``ended_here`` tells whether this host
+    ended it, ``was_reset`` whether it ended with an error. ``received_at`` is when
+    bytes last came.
+    """
 
     address: str
+    via: str = ""
     exchanges: int = 0
+    attempts: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_ATTEMPTS))
+    ended_at: float | None = None
+    ended_here: bool = False
+    was_reset: bool = False
+    received_at: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether neither side has ended it."""
+        return self.ended_at is None
 
 
 @dataclass(slots=True, eq=False)
 class Call:
     """Request that is about to be sent to a target.
 
-    Once it has a connection, ``connection`` is the record of that and ``exchange`` its
-    number on it, 1 for the first.
+    ``attempt`` is the id that its response is to name, empty for none. With
+    ``needs_new`` it is sent on a new connection. Once it has one, ``connection`` is its
+    record and ``exchange`` the call's number on it, 1 for the first.
     """
 
+    attempt: str = ""
+    needs_new: bool = False
     connection: ConnectionRecord | None = None
     exchange: int = 0
 
     def assign(self, connection: ConnectionRecord) -> None:
         """Send the request as the next one on a connection."""
         connection.exchanges += 1
+        if self.attempt:
+            connection.attempts.append(self.attempt)
         self.connection = connection
         self.exchange = connection.exchanges
 
+    def is_answered_by(self, named: str | None) -> bool:
+        """Return whether a response that names an attempt is proved to be its own.
+
+        No connection carries two requests of one attempt.
+        """
+        return self.exchange == 1 if named is None else named == self.attempt
+
 
 class ConnectionRecords:
     """Records of one host's connections to targets, by the targets' addresses.
@@ -44,11 +99,48 @@
     ``on_unrequested`` is called for each response that no request awaited.
     """
 
-    def __init__(self, on_unrequested: Callable[[], None] = lambda: None):
+    def __init__(self, clock: Clock, on_unrequested: Callable[[], None] = lambda: None):
+        self._clock = clock
         self._on_unrequested = on_unrequested
+        self._open: dict[tuple[str, str], set[ConnectionRecord]] = {}
+        self._stuttered_at: dict[str, timedelta] = {}
+        self._naming: dict[tuple[str, str], bool] = {}
+
+    # Connections
+
+    def add(self, connection: ConnectionRecord) -> None:
+        """Record that a connection is open."""
+        path = connection.address, connection.via
+        self._open.setdefault(path, set()).add(connection)
+
+    def remove(self, connection: ConnectionRecord) -> None:
+        """Record that a connection has ended."""
+        path = connection.address, connection.via
+        connections = self._open.get(path, set())
+        connections.discard(connection)
+        if not connections:
+            self._open.pop(path, None)
+
+    def list_others(self, connection: ConnectionRecord) -> list[ConnectionRecord]:
+        """Return the other open connections to the same target, on the same path."""
+        path = connection.address, connection.via
+        return [other for other in self._open.get(path, ()) if other is not connection]
+
+    def may_carry(self, connection: ConnectionRecord | None, call: Call) -> bool:
+        """Return whether a call may be sent on a connection that was used before."""
+        if call.needs_new:
+            return False
+        if connection is None:
+            return True
+        if call.attempt and call.attempt in connection.attempts:
+            return False
+        return not self._has_stuttered(connection.address)
+
+    # Targets
 
     def record_unrequested(self, connection: ConnectionRecord, kind: str) -> None:
-        """Record that bytes came on a connection that no request awaited."""
+        """Record that a response came that no request awaited."""
+        _keep_latest(self._stuttered_at, connection.address, self._clock.monotonic())
         self._on_unrequested()
         _log(
             "response without a request",
@@ -57,13 +149,34 @@
             kind=kind,
         )
 
+    def _has_stuttered(self, address: str) -> bool:
+        """Return whether second responses may be on their way from a target."""
+        at = self._stuttered_at.get(address)
+        return at is not None and self._clock.monotonic() - at < STUTTER_TIME
+
+    def record_naming(self, address: str, kind: str, is_named: bool) -> None:
+        """Record whether a response to a kind of call named its attempt."""
+        _keep_latest(self._naming, (address, kind), is_named)
+
+    def names_attempts(self, address: str, kind: str) -> bool | None:
+        """Return whether responses to a kind of call name attempts, None if unknown."""
+        return self._naming.get((address, kind))
+
+
+def _keep_latest(known: dict[KeyT, ValueT], key: KeyT, value: ValueT) -> None:
+    """Set a value and drop the oldest one of too many."""
+    known.pop(key, None)
+    known[key] = value
+    if len(known) > MAX_ADDRESSES:
+        known.pop(next(iter(known)))
+
 
 _call: ContextVar[Call | None] = ContextVar("call", default=None)
 
 
 @contextmanager
 def bind_call(call: Call) -> Iterator[None]:
-    """Have requests that are sent in this context recorded as ``call``."""
+    """Have the request that is sent in this context recorded as ``call``."""
     token = _call.set(call)
     try:
         yield
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -15,7 +15,9 @@
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 
+from galenapass.clocks import BootClock
 from galenapass.targets.connection_records import (
+    Call,
     ConnectionRecord,
     ConnectionRecords,
     current_call,
@@ -106,13 +108,40 @@
         self._interim_count = 0
         self._is_awaiting = False
 
+    @property
+    def record(self) -> ConnectionRecord | None:
+        """Return the record of this connection, None if it has none."""
+        return self._record
+
     def bind_record(self, address: str, records: ConnectionRecords) -> ConnectionRecord:
-        """Return the record of this connection, which begins with its first request."""
+        """Return the record of this connection, which begins now if it had none."""
         if self._record is None:
-            self._record = ConnectionRecord(address)
+            self._record = ConnectionRecord(address, _find_via(self.transport, address))
             self._records = records
+            records.add(self._record)
         return self._record
 
+    def close(self) -> None:
+        """Close the connection from this side."""
+        self._record_own_end()
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection from this side, without its pending writes."""
+        self._record_own_end()
+        super().abort()
+
+    def _record_own_end(self) -> None:
+        if self._record is not None and self._record.is_open:
+            self._record.ended_here = True
+            self._record_end()
+
+    def _record_end(self) -> None:
+        if self._record is None or self._records is None or not self._record.is_open:
+            return
+        self._record.ended_at = self._loop.time()
+        self._records.remove(self._record)
+
     def set_response_params(self, **params: Any) -> None:
         """Begin to await the response to the next request."""
         self._is_awaiting = True
@@ -127,10 +156,20 @@
             self._report_unrequested("on an idle connection")
             self.abort()
             return
+        if self._record is not None:
+            self._record.received_at = self._loop.time()
         super().data_received(data)
 
+    def eof_received(self) -> None:
+        """Process the end of what the peer sends."""
+        self._record_end()
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Process the end of the connection; an error cuts the body off."""
+        if self._record is not None and self._record.is_open:
+            self._record.was_reset = exc is not None
+            self._record_end()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             error = aiohttp.ClientPayloadError(f"the connection was lost: {exc}")
@@ -180,6 +219,28 @@
         self._on_connect = on_connect
         self._records = records
 
+    async def _get(self, key: Any, traces: Any) -> Connection | None:
+        """Return an idle connection that may carry the call that is being sent."""
+        call, idle = current_call(), self._conns.get(key)
+        if call is None or not idle:
+            return await super()._get(key, traces)
+        fit = [entry for entry in idle if self._is_fit(entry[0], call)]
+        if not fit:
+            return None
+        unfit = [entry for entry in idle if entry not in fit]
+        # The library uses the first that is still open.
+        idle.clear()
+        idle.extend(fit)
+        try:
+            return await super()._get(key, traces)
+        finally:
+            if unfit:
+                self._conns[key].extend(unfit)
+
+    def _is_fit(self, handler: ResponseHandler, call: Call) -> bool:
+        record = getattr(handler, "record", None)
+        return self._records.may_carry(record, call)
+
     async def connect(
         self, req: ClientRequest, *args: Any, **options: Any
     ) -> Connection:
@@ -275,7 +336,9 @@
     It gets the address of the target and raises OSError if there is none. ``connect``
     is the connect timeout; ``trace_request_ctx`` as in ``open_keepalive_session``.
     """
-    connector = _DetourConnector(open_path, connect, records or ConnectionRecords())
+    connector = _DetourConnector(
+        open_path, connect, records or ConnectionRecords(BootClock())
+    )
     _set_response_handler(connector)
     traces = [_make_connection_trace()]
     return _open_session(connector, _prevent_resend, trace_configs=traces)
@@ -330,7 +393,7 @@
     to connect and whether it succeeded.
     """
     on_connect = on_connect or _ignore_attempt
-    records = records or ConnectionRecords()
+    records = records or ConnectionRecords(BootClock())
     connector = _Connector(connect, on_connect, records, limit=0, **options)
     _set_response_handler(connector)
     return connector
@@ -364,6 +427,13 @@
     return
 
 
+def _find_via(transport: asyncio.BaseTransport | None, address: str) -> str:
+    """Return the peer of a connection that does not lead straight to an address."""
+    peer = None if transport is None else transport.get_extra_info("peername")
+    name = "" if peer is None else f"{peer[0]}:{peer[1]}"
+    return "" if name == address else name
+
+
 def _find_address(request: ClientRequest) -> str:
     return f"{request.url.host}:{request.url.port}"
 
