Report bytes that are no rest of a body to the reader of the body

A chunked answer with an invalid chunk, as a second answer between its chunks leaves, was awaited until the deadline of its request: the client library closes the connection and reports the fault to the reader of the next head alone. The body fails at once now.

--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -120,8 +120,7 @@
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
-    opens a connection to the address of one through another host. ``records`` are those
-    of all connections.
+    opens a connection to the address of one through another host. ``records`` are those of all connections.
     """
 
     __slots__ = (
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -159,6 +159,21 @@
         if self._record is not None:
             self._record.received_at = self._loop.time()
         super().data_received(data)
+        error = self.exception()
+        if error is not None:
+            self._process_fault(error)
+
+    def _process_fault(self, error: BaseException) -> None:
+        """Process received bytes that are no response, or no rest of one.
+
+        The library reports them to the reader of the next head, and not to that of the
+        body.
+        """
+        payload = self._payload
+        if payload is None or payload.is_eof():
+            return
+        if payload.exception() is None:
+            payload.set_exception(aiohttp.ClientPayloadError(str(error)), error)
 
     def eof_received(self) -> None:
         """Process the end of what the peer sends."""
