Find second responses inside the bodies of responses

Callers got a 200 of the right length with bytes of another answer in it, or two answers in one body (MIXED), from targets that answer twice: a late answer on a kept connection came inside the body of the next one, or followed an answer without a length before the close. A body on a connection that was used before, or without a length, is searched for the head of a response to a request of that connection, which may begin in one part of the body and go on in the next. A body that is followed by bytes that are no response was displaced by others. Bodies that quote responses to other requests are passed on as before.

--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -34,6 +34,7 @@
     read_integer,
 )
 from galenapass.logs import make_log
+from galenapass.platform.embedded_responses import EmbeddedResponses
 from galenapass.platform.headers import (
     ATTEMPT_ID,
     RETRY_AFTER,
@@ -120,7 +121,8 @@
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
-    opens a connection to the address of one through another host. ``records`` are those of all connections.
+    opens a connection to the address of one through another host. ``records`` are those
+    of all connections.
     """
 
     __slots__ = (
@@ -222,6 +224,8 @@
         self._records.record_naming(target.address, kind.value, named is not None)
         connection = call.connection
         assert connection is not None
+        if named is None:
+            connection.has_unnamed = True
         if not call.is_answered_by(named):
             response.close()
             if named is not None:
@@ -469,7 +473,7 @@
         status=response.status,
         headers=filter_response_headers(response.headers.items()),
         signed=SIGNATURE in response.headers,
-        chunks=_read_chunks(response),
+        chunks=_read_chunks(response, call),
         length=find_length(response),
         identity=ResponseIdentity(attempt, call.exchange, _find_framing(response)),
     )
@@ -483,16 +487,27 @@
     return Framing.CLOSE if response.content_length is None else Framing.LENGTH
 
 
-async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def _read_chunks(
+    response: aiohttp.ClientResponse, call: Call
+) -> AsyncIterator[bytes]:
     """Yield the body; raise if the connection broke before its end.
 
     An empty body needs a length: without one the runner may have stopped before it.
     """
+    connection = call.connection
+    assert connection is not None
+    embedded = EmbeddedResponses(connection)
     is_framed = _find_framing(response) is not Framing.CLOSE
+    is_reused = call.exchange > 1
+    may_hold_others = is_reused or not is_framed
     is_empty = True
     async for chunk in response.content.iter_any():
+        if may_hold_others and embedded.is_in(chunk):
+            raise UnprovedResponseError("the body holds another response")
         is_empty = False
         yield chunk
+    if is_reused and (embedded.is_cut() or connection.is_garbled):
+        raise UnprovedResponseError("the body is followed by no response")
     if is_empty and not is_framed:
         raise aiohttp.ClientPayloadError("the connection ended after the head")
 
--- a/src/galenapass/targets/connection_records.py
+++ b/src/galenapass/targets/connection_records.py
@@ -45,7 +45,8 @@
     ``exchanges`` counts the requests sent on it, ``attempts`` are those of the latest.
     ``ended_at`` is when it ended, None before; ``ended_here`` tells whether this host
     ended it, ``was_reset`` whether it ended with an error. ``received_at`` is when
-    bytes last came.
+    bytes last came. ``has_unnamed`` is set if a response named no attempt,
+    ``is_garbled`` if one was followed by bytes that are no response.
     """
 
     address: str
@@ -56,6 +57,8 @@
     ended_here: bool = False
     was_reset: bool = False
     received_at: float = 0.0
+    has_unnamed: bool = False
+    is_garbled: bool = False
 
     @property
     def is_open(self) -> bool:
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -170,9 +170,12 @@
         body.
         """
         payload = self._payload
-        if payload is None or payload.is_eof():
+        if payload is None:
             return
-        if payload.exception() is None:
+        if payload.is_eof():
+            if self._record is not None:
+                self._record.is_garbled = True
+        elif payload.exception() is None:
             payload.set_exception(aiohttp.ClientPayloadError(str(error)), error)
 
     def eof_received(self) -> None:
