Check all lines of an event

The check for lines that are no fields ended at the id of an event, so that the head of another response after it was passed on as a part of the event.

--- a/src/galenapass/forwarding/events.py
+++ b/src/galenapass/forwarding/events.py
@@ -58,13 +58,16 @@
         return True
 
     def _parse_id(self, event: bytes) -> int | None:
+        """Return the id of an event; set ``fault`` for a line that is no field."""
+        event_id = None
         for line in event.split(b"\n"):
             if line and not LINE.match(line):
                 self.fault = f"a line that is no field: {line[:40]!r}"
                 return None
             if line.startswith(ID_FIELD):
                 digits = line[len(ID_FIELD) :].strip()
-                if digits.isdigit():
-                    return int(digits)
-                self.fault = f"an unreadable event id: {digits[:40]!r}"
-        return None
+                if not digits.isdigit():
+                    self.fault = f"an unreadable event id: {digits[:40]!r}"
+                    return None
+                event_id = int(digits)
+        return event_id
