Prove that a target outlives a response that ends with its connection

A response with neither a length nor chunks ends with its connection. A process that is killed ends all its connections with FIN, as a sound end is; the host vouched for it by ending its own answer.

With the head of such a response the host opens another connection to the same process, on the same path, on which nothing is sent. If that is still open 50 ms after the end, the response is whole. If it ended with the response, or nothing accepts a new one, the response is broken off: a stream that may be resumed goes on elsewhere, another one is cut visibly, a call is sent again if it may be, and ends with 502 otherwise. A process that was started again at the same address is not taken for the one before. Framed responses cost nothing more; events are not held back, only the end.

--- a/src/galenapass/forwarding/tunnels.py
+++ b/src/galenapass/forwarding/tunnels.py
@@ -55,11 +55,7 @@
 
 async def connect_target(address: str, make_socket: SocketFactory) -> socket.socket:
     """Return a socket that is connected to a target; raise OSError."""
-    parsed = parse_ipv4_address(address)
-    if isinstance(parsed, Err):
-        raise OSError(f"no address: {address}")
-    target = parsed.ok_value.ip, parsed.ok_value.port
-    return await _connect(target, make_socket)
+    return await _connect(_parse(address), make_socket)
 
 
 class TunnelServer:
@@ -139,12 +135,17 @@
         self._paths = paths
         self._find_address = find_address
 
-    async def open(self, address: str) -> socket.socket:
+    async def open(self, address: str, via: str = "") -> socket.socket:
         """Return a socket that leads to a target through a host that reaches it.
 
-        Raise ConnectionError if no host that was asked reaches it; nothing was sent to
-        the target then.
+        It leads through the host at the address ``via`` if that is not empty. Raise
+        ConnectionError if no host that was asked reaches it; nothing was sent to the
+        target then.
         """
+        if via:
+            return (await self._ask_at(_parse(via), address)).unwrap_or_raise(
+                ConnectionError
+            )
         failed: list[str] = []
         for peer in self._paths.list_peers():
             opened = await self._ask(peer, address)
@@ -168,6 +169,11 @@
         peer_address = self._find_address(peer)
         if peer_address is None:
             return Err(Refusal.SILENT)
+        return await self._ask_at(peer_address, address)
+
+    async def _ask_at(
+        self, peer_address: Address, address: str
+    ) -> Result[socket.socket, Refusal]:
         call = {"host": self._host, "call": TUNNEL_CALL, "address": address}
         loop = asyncio.get_running_loop()
         try:
@@ -190,6 +196,13 @@
         return Err(_read_refusal(answer))
 
 
+def _parse(text: str) -> Address:
+    parsed = parse_ipv4_address(text)
+    if isinstance(parsed, Err):
+        raise OSError(f"no address: {text}")
+    return parsed.ok_value.ip, parsed.ok_value.port
+
+
 async def _connect(address: Address, make_socket: SocketFactory) -> socket.socket:
     info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", address)
     connected = make_socket(info)
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -27,6 +27,7 @@
     TargetResponse,
 )
 from galenapass.forwarding.target_paths import TargetPaths
+from galenapass.forwarding.tunnels import connect_target
 from galenapass.json_values import (
     DECODE_ERRORS,
     describe_error,
@@ -57,8 +58,10 @@
     make_target_socket,
     open_detour_session,
     open_keepalive_session,
+    open_witness,
     read_body,
 )
+from galenapass.targets.end_proofs import EndProof, Witness
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["RunnerClient"]
@@ -94,6 +97,8 @@
 # Statuses of responses without a body.
 _BODYLESS_STATUSES = frozenset({204, 304})
 
+OpenDetour = Callable[[str, str], Awaitable[socket.socket]]
+
 
 class CallKind(Enum):
     """Kind of a call for a client's request, for which a target may name attempts."""
@@ -111,7 +116,7 @@
     """A response that may be one to another request."""
 
 
-async def _open_no_detour(address: str) -> socket.socket:
+async def _open_no_detour(address: str, via: str) -> socket.socket:
     raise ConnectionError(f"no host is known that reaches {address}")
 
 
@@ -121,14 +126,16 @@
     A request that may run only once uses a new connection, as the runner may close a
     reused one at that moment. ``on_notice`` receives what a target's response says of
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
-    opens a connection to the address of one through another host. ``records`` are those
-    of all connections.
+    opens a connection to the address of one through another host, that at a second
+    address if it is not empty. ``records`` are those of all connections.
     """
 
     __slots__ = (
         "_clock",
         "_detours",
+        "_make_socket",
         "_on_notice",
+        "_open_detour",
         "_paths",
         "_pool",
         "_records",
@@ -140,13 +147,15 @@
         clock: Clock,
         on_notice: Callable[[Target, TargetNotice], None] = lambda target, notice: None,
         paths: TargetPaths | None = None,
-        open_detour: Callable[[str], Awaitable[socket.socket]] = _open_no_detour,
+        open_detour: OpenDetour = _open_no_detour,
         make_socket: SocketFactory = make_target_socket,
         records: ConnectionRecords | None = None,
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
         self._paths = paths
+        self._open_detour = open_detour
+        self._make_socket = make_socket
         self._records = records or ConnectionRecords(clock)
         open_session = functools.partial(
             open_keepalive_session,
@@ -157,7 +166,9 @@
         )
         self._pool = open_session(once=False, keep=KEEPALIVE_SECONDS)
         self._unpooled = open_session(once=True)
-        self._detours = open_detour_session(open_detour, DETOUR_TIMEOUT, self._records)
+        self._detours = open_detour_session(
+            lambda address: open_detour(address, ""), DETOUR_TIMEOUT, self._records
+        )
 
     async def close(self) -> None:
         """Close every connection."""
@@ -318,12 +329,16 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             yield Err(classify_error(error))
             return
+        framing = _find_framing(response)
+        proof = None if framing is not Framing.CLOSE else self._prove_end(call)
         try:
             if is_not_run(response.status, response.headers):
                 yield Err(_make_refusal(response))
             else:
-                yield Ok(_make_response(response, call))
+                yield Ok(_make_response(response, call, proof))
         finally:
+            if proof is not None:
+                proof.close()
             # A response may arrive before a long request is sent completely; the
             # target would read the rest as the next request on that connection.
             if response.status == 200 and response.content.is_eof():
@@ -331,6 +346,21 @@
             else:
                 response.close()
 
+    def _prove_end(self, call: Call) -> EndProof:
+        """Begin to prove that a response ends where its connection does."""
+        connection = call.connection
+        assert connection is not None
+
+        async def open_another() -> Witness:
+            address, via = connection.address, connection.via
+            if via:
+                connected = await self._open_detour(address, via)
+            else:
+                connected = await connect_target(address, self._make_socket)
+            return await open_witness(connected, address, self._records)
+
+        return EndProof(self._records, connection, open_another)
+
     async def release_kv_cache(self, source: str) -> None:
         """Free the KV cache of a prompt whose request will not run.
 
@@ -467,13 +497,15 @@
     return Verdict(run, Reason.TARGET_REFUSED, detail, retry_after)
 
 
-def _make_response(response: aiohttp.ClientResponse, call: Call) -> TargetResponse:
+def _make_response(
+    response: aiohttp.ClientResponse, call: Call, proof: EndProof | None
+) -> TargetResponse:
     attempt = response.headers.get(ATTEMPT_ID)
     return TargetResponse(
         status=response.status,
         headers=filter_response_headers(response.headers.items()),
         signed=SIGNATURE in response.headers,
-        chunks=_read_chunks(response, call),
+        chunks=_read_chunks(response, call, proof),
         length=find_length(response),
         identity=ResponseIdentity(attempt, call.exchange, _find_framing(response)),
     )
@@ -488,18 +520,18 @@
 
 
 async def _read_chunks(
-    response: aiohttp.ClientResponse, call: Call
+    response: aiohttp.ClientResponse, call: Call, proof: EndProof | None
 ) -> AsyncIterator[bytes]:
     """Yield the body; raise if the connection broke before its end.
 
     An empty body needs a length: without one the runner may have stopped before it.
+    Without a length or ``proof`` of the end, the runner may have been killed.
     """
     connection = call.connection
     assert connection is not None
     embedded = EmbeddedResponses(connection)
-    is_framed = _find_framing(response) is not Framing.CLOSE
     is_reused = call.exchange > 1
-    may_hold_others = is_reused or not is_framed
+    may_hold_others = is_reused or proof is not None
     is_empty = True
     async for chunk in response.content.iter_any():
         if may_hold_others and embedded.is_in(chunk):
@@ -508,8 +540,12 @@
         yield chunk
     if is_reused and (embedded.is_cut() or connection.is_garbled):
         raise UnprovedResponseError("the body is followed by no response")
-    if is_empty and not is_framed:
+    if proof is None:
+        return
+    if is_empty:
         raise aiohttp.ClientPayloadError("the connection ended after the head")
+    if not await proof.is_given():
+        raise aiohttp.ClientPayloadError("the target ended with its response")
 
 
 def _make_unreadable(error: Exception) -> Verdict:
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -22,6 +22,7 @@
     ConnectionRecords,
     current_call,
 )
+from galenapass.targets.end_proofs import Witness
 from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -45,6 +46,7 @@
     "open_keepalive_session",
     "open_session",
     "open_single_use_session",
+    "open_witness",
     "read_body",
 ]
 
@@ -287,6 +289,17 @@
     return _StrictResponseHandler(loop)
 
 
+async def open_witness(
+    connected: socket.socket, address: str, records: ConnectionRecords
+) -> Witness:
+    """Return a connected socket as a connection to an address that is only watched."""
+    loop = asyncio.get_running_loop()
+    transport, handler = await loop.create_connection(
+        lambda: _StrictResponseHandler(loop), sock=connected
+    )
+    return Witness(handler.bind_record(address, records), transport)
+
+
 def make_probed_socket(info: Any) -> socket.socket:
     """Return a socket on which a silent peer causes an error within seconds."""
     family, kind, protocol = info[0], info[1], info[2]
