--- a/tests/target_processes.py
+++ b/tests/target_processes.py
@@ -4,7 +4,10 @@
 import contextlib
 import itertools
 import json
+import os
+import socket
 import sys
+import time
 
 START_SECONDS = 10.0
 
@@ -77,6 +80,24 @@
             self._child.kill()
         await self._child.wait()
 
+    def kill_and_replace(self, other):
+        """Kill the process and let another one listen at its port, in one go.
+
+        This process reads nothing meanwhile, as on a busy host.
+        """
+        self._child.kill()
+        # A thread of the event loop may have waited for it first.
+        with contextlib.suppress(ChildProcessError):
+            os.waitid(os.P_PID, self._child.pid, os.WEXITED | os.WNOWAIT)
+        other.tell("listen")
+        end = time.monotonic() + START_SECONDS
+        while time.monotonic() < end:
+            with contextlib.suppress(ConnectionRefusedError):
+                socket.create_connection(("127.0.0.1", self.port)).close()
+                return
+            time.sleep(0.001)
+        raise TimeoutError(f"nothing listens at {self.port}")
+
     async def stop(self):
         if self.replacement is not None:
             await self.replacement.stop()
