Reset the caller of a tunnel unless the target has closed its end

A host that passes an answer on ended the other host's connection with FIN when its sending side failed first, or when it stopped, so that an answer without a length ended as a whole one there. Only the target's own end is passed on as an end now.

--- a/src/galenapass/forwarding/tunnels.py
+++ b/src/galenapass/forwarding/tunnels.py
@@ -233,22 +233,23 @@
 ) -> None:
     """Pass bytes on between a caller and a target until either end closes.
 
-    A connection that the target resets is reset for the caller too, as the end of an
-    answer may be that of its connection.
+    The caller's connection is reset unless the target has closed its own, as the end of
+    an answer may be that of its connection.
     """
     sending = asyncio.create_task(_copy(connection.reader, writer))
     receiving = asyncio.create_task(_copy(reader, connection.writer))
     try:
         await asyncio.wait((sending, receiving), return_when=asyncio.FIRST_COMPLETED)
-        if sending.done():
-            # The caller has left, so that the target is to stop its work.
-            return
-        if receiving.exception() is not None:
+        if not receiving.done() or receiving.exception() is not None:
+            # The caller has left, or the target did not end its answer.
             connection.reset()
             return
         with contextlib.suppress(OSError):
             connection.writer.write_eof()
             await asyncio.wait((sending,), timeout=CLOSE_TIMEOUT.total_seconds())
+    except BaseException:
+        connection.reset()
+        raise
     finally:
         for task in (sending, receiving):
             task.cancel()
