Take no part of a store's answer for the whole

Cause: an answer without a length or chunks ends with its connection, also when the sender was killed on the way (FIN). The reader of JSON repairs texts of which a part is unreadable, so that a cut text was read as an object without a readable spec, a list without its last objects, or an accepted write; two answers before the close were read as one object. Change: a success without a length or chunks counts only if its text is valid JSON as a whole, which no part of an object is; otherwise its result is unknown. Refusals keep the meaning of their status.

--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -34,6 +34,7 @@
     StoredObject,
 )
 from galenapass.platform.object_client import CountCall
+from galenapass.targets.answer_ends import is_delimited, is_whole_json
 from galenapass.targets.connections import (
     limit_response,
     make_silence_timeout,
@@ -255,6 +256,10 @@
                     detail = f"answered in epoch {epoch}, before a restore"
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
                 self._epochs.observe(epoch, "store")
+                is_whole = is_delimited(response) or is_whole_json(text)
+                if text and response.status in _SUCCESS_STATUSES and not is_whole:
+                    detail = f"no whole text in {received} bytes without a length"
+                    return Err(Failure(FailureCause.UNKNOWN, detail=detail))
                 return _decode_response(response.status, text)
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
