Take no part of an answer of the object API for the whole

Cause: as in the store's client, a read or a list without a length or chunks that ended early was taken for whole: a configuration with its last lines missing, a list without its last items. Change: a success of a read or list without a length or chunks counts only if its text is a whole JSON object or array. Writes are answered by their head.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -34,6 +34,7 @@
     ObjectListing,
     StoredObject,
 )
+from galenapass.targets.answer_ends import is_delimited, is_whole_json
 from galenapass.targets.connections import (
     limit_response,
     make_connector,
@@ -203,7 +204,13 @@
                 reply = _Response(
                     response.status, response.headers, await read_body(response)
                 )
-                return Ok(parse(reply)) if reply.status == 200 else _map_error(reply)
+                if reply.status != 200:
+                    return _map_error(reply)
+                is_whole = is_delimited(response) or is_whole_json(reply.text)
+                if method == "GET" and not is_whole:
+                    detail = f"no whole text in {len(reply.text)} bytes, no length"
+                    return Err(Failure(FailureCause.UNKNOWN, detail=detail))
+                return Ok(parse(reply))
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
         except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
