Take no answer of the store to another call for one's own

Cause: answers of the store bear no mark of their call, so that a second answer to a former call, or one that comes late on a kept connection, was read as the next call's: an object of another name, a lease that looks written though another write or read was answered, a deletion, a listing or a watch from before a known change. Change: an answer counts only if it names the asked object, shows the spec that was written (where it shows one) and a revision that is later than any known before the call (or the unchanged one); a listing is no older than what the store has shown, a watch no older than where it begins. Otherwise the result is unknown and the connection is closed; a watch lists again, and a second low revision in a row is believed, as a restored store that names no epoch gives one. No calls or connections are added.

--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import aiohttp
@@ -15,6 +15,7 @@
 from galenapass.json_values import (
     DECODE_ERRORS,
     Unreadable,
+    decode_json,
     decode_members,
     describe_error,
     describe_value,
@@ -72,6 +73,10 @@
 _SUCCESS_STATUSES = frozenset({200, 201})
 _UNANSWERED_CAUSES = frozenset({FailureCause.UNAVAILABLE, FailureCause.UNKNOWN})
 
+Value = TypeVar("Value")
+# Objects, the store's revision and whether there are more objects.
+_Page = tuple[list[StoredObject], int, bool]
+
 _log = make_log("store")
 
 
@@ -83,6 +88,19 @@
     body: Any = None
     seconds: float = CALL_TIMEOUT.total_seconds()
     on_answer: Callable[[], None] = lambda: None
+    # Of the object that a conflict names.
+    object_name: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class _Answer:
+    status: int
+    text: bytes
+    close: Callable[[], None]
+
+
+class _CompactedError(ValueError):
+    """Answer to a watch that does not continue from its version."""
 
 
 class StoreClient:
@@ -93,12 +111,18 @@
     watch whose name cannot be read is left out. ``count`` is called with the kind of
     each call; ``store_availability`` records the result, ``epochs`` the epoch of each
     answer. An answer of an earlier epoch than the known one counts as lost.
+
+    Answers bear no mark of their call, and a second one to a former call may come late.
+    An answer that names another object, or an older state than the store has shown, is
+    none to the call: its result is unknown, and the connection is closed.
     """
 
     __slots__ = (
         "_base",
         "_count",
         "_epochs",
+        "_known_epoch",
+        "_known_revision",
         "_large_objects",
         "_session",
         "_store_availability",
@@ -115,6 +139,9 @@
         self._count = count
         self._store_availability = store_availability
         self._epochs = epochs
+        # The highest revision in an answer that is not stale, and its epoch.
+        self._known_revision = 0
+        self._known_epoch: int | None = None
         # Last answer and object of each large object that is read, by kind and name.
         self._large_objects: dict[tuple[str, str], tuple[bytes, StoredObject]] = {}
         self._session = open_keepalive_session(
@@ -141,28 +168,32 @@
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
         call = _Call("read", "GET", path, seconds=seconds, on_answer=on_answer)
-        result = await self._call(call)
-        return result.and_then(lambda data: self._parse_object(kind, name, data))
+        return await self._call(call, lambda text: self._read_object(kind, name, text))
 
     async def write(
         self, kind: str, name: str, body: str, if_version: int | None = None
     ) -> Result[int, Failure]:
         """Replace version ``if_version``, or create if None; return the new version."""
-        spec = orjson.Fragment(body)
+        wrapped = _make_object(name, orjson.Fragment(body), if_version)
         if if_version is None:
-            call = _Call("create", "POST", _make_path(kind), _make_object(name, spec))
+            path, call_name, method = _make_path(kind), "create", "POST"
         else:
-            wrapped = _make_object(name, spec, if_version)
-            call = _Call("write", "PUT", _make_path(kind, name), wrapped)
-        result = await self._call(call)
-        return result.and_then(lambda data: _parse(_read_written, data, kind))
+            path, call_name, method = _make_path(kind, name), "write", "PUT"
+        call = _Call(call_name, method, path, wrapped, object_name=name)
+        known = self._find_known_revision()
+        written = await self._call(
+            call, lambda text: _read_written(text, name, body, if_version, known)
+        )
+        self._record_revision(written)
+        return written
 
     async def delete(
         self, kind: str, name: str, if_version: int
     ) -> Result[None, Failure]:
         """Delete an object if its version is ``if_version``."""
         path = f"{_make_path(kind, name)}?revision={if_version}"
-        return (await self._call(_Call("delete", "DELETE", path))).map(lambda _: None)
+        call = _Call("delete", "DELETE", path, object_name=name)
+        return await self._call(call, lambda text: _check_deleted(text, name))
 
     async def list(
         self, kind: str, *, stale: bool = False
@@ -174,8 +205,7 @@
         epoch: int | None = None
         while True:
             path = _make_path(kind) + query.rstrip("?&")
-            result = await self._call(_Call("list", "GET", path))
-            page = result.and_then(lambda data: _parse(_read_page, data, kind))
+            page = await self._read_page(kind, path, stale=stale)
             if isinstance(page, Err):
                 return page
             if items and self._epochs.current != epoch:
@@ -202,33 +232,67 @@
         path = f"{_make_path(kind)}?watch={after}&wait_ms={wait_ms}"
         seconds = (wait + WATCH_SLACK).total_seconds()
         epoch = self._epochs.current
-        result = await self._call(_Call("watch", "GET", path, seconds=seconds))
+        call = _Call("watch", "GET", path, seconds=seconds)
+        result = await self._call(call, lambda text: _read_changes(text, kind, after))
         if self._epochs.current != epoch:
             # The version to watch after belongs to the earlier epoch.
             return Err(Failure(FailureCause.COMPACTED, detail="the store was restored"))
-        return result.and_then(lambda data: _parse(_read_changes, data, kind))
+        self._record_revision(result.map(lambda changes: changes[0]))
+        return result
 
-    def _parse_object(
-        self, kind: str, name: str, text: bytes
-    ) -> Result[StoredObject, Failure]:
+    async def _read_page(
+        self, kind: str, path: str, *, stale: bool
+    ) -> Result[_Page, Failure]:
+        known = 0 if stale else self._find_known_revision()
+        call = _Call("list", "GET", path)
+        page = await self._call(call, lambda text: _read_page(text, kind, known))
+        if not stale:
+            self._record_revision(page.map(lambda values: values[1]))
+        return page
+
+    def _find_known_revision(self) -> int:
+        """Return a revision that the answer to a call sent now cannot be older than."""
+        if self._known_epoch != self._epochs.current:
+            self._known_revision, self._known_epoch = 0, self._epochs.current
+        return self._known_revision
+
+    def _record_revision(self, result: Result[int, Failure]) -> None:
+        known = self._find_known_revision()
+        if isinstance(result, Ok):
+            self._known_revision = max(known, result.ok_value)
+        elif result.err_value.cause is FailureCause.UNKNOWN:
+            # A store that names no epoch may have been restored.
+            self._known_revision = 0
+
+    def _read_object(self, kind: str, name: str, text: bytes) -> StoredObject:
         known = self._large_objects.get((kind, name))
         if known is not None and known[0] == text:
-            return Ok(known[1])
-        parsed: Result[StoredObject, Failure] = _parse(_read_object, text, kind)
-        if isinstance(parsed, Ok) and len(text) >= LARGE_OBJECT_BYTES:
-            self._large_objects[kind, name] = text, parsed.ok_value
-        return parsed
-
-    async def _call(self, call: _Call) -> Result[bytes, Failure]:
+            return known[1]
+        stored = _read_stored(decode_members(text))
+        if stored.name != name:
+            raise ValueError(f"answer names {describe_value(stored.name)}")
+        if len(text) >= LARGE_OBJECT_BYTES:
+            self._large_objects[kind, name] = text, stored
+        return stored
+
+    async def _call(
+        self, call: _Call, read: Callable[[bytes], Value]
+    ) -> Result[Value, Failure]:
         sent_at = self._store_availability.start()
-        result = await self._send(call)
+        sent = await self._send(call)
+        result = sent.and_then(lambda answer: _decode_answer(answer, call.object_name))
         if isinstance(result, Err) and result.err_value.cause in _UNANSWERED_CAUSES:
             self._store_availability.record_failure(sent_at)
         else:
             self._store_availability.record_answer(sent_at)
-        return result
-
-    async def _send(self, call: _Call) -> Result[bytes, Failure]:
+        value = result.and_then(lambda text: _parse(read, text))
+        if isinstance(sent, Ok) and isinstance(value, Err):
+            answer, cause = sent.ok_value, value.err_value.cause
+            if isinstance(result, Ok) or cause is FailureCause.UNKNOWN:
+                answer.close()
+        return value
+
+    async def _send(self, call: _Call) -> Result[_Answer, Failure]:
         self._count(call.name)
         data = None if call.body is None else orjson.dumps(call.body)
         headers = {"Content-Type": "application/json"} if data else None
@@ -260,7 +324,7 @@
                 if text and response.status in _SUCCESS_STATUSES and not is_whole:
                     detail = f"no whole text in {received} bytes without a length"
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
-                return _decode_response(response.status, text)
+                return Ok(_Answer(response.status, text, _make_close(response)))
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
         except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
@@ -280,27 +344,46 @@
     return {"metadata": metadata, "spec": spec}
 
 
-def _decode_response(status: int, text: bytes) -> Result[bytes, Failure]:
-    if status in _SUCCESS_STATUSES:
-        return Ok(text)
-    cause = _CAUSES_BY_STATUS.get(status, FailureCause.UNKNOWN)
-    detail = f"{status} {text[:200].decode(errors='replace')}"
-    return Err(Failure(cause, _read_current_version(text), detail))
+def _make_close(response: aiohttp.ClientResponse) -> Callable[[], None]:
+    """Return a function that closes a connection which was released already.
+
+    Another call may have been sent on it since; what would answer that one is unknown.
+    """
+    # The library has no public access to it; its version is pinned.
+    protocol = response._protocol
+    return lambda: None if protocol is None else protocol.abort()
+
+
+def _decode_answer(answer: _Answer, name: str | None) -> Result[bytes, Failure]:
+    if answer.status in _SUCCESS_STATUSES:
+        return Ok(answer.text)
+    cause = _CAUSES_BY_STATUS.get(answer.status, FailureCause.UNKNOWN)
+    detail = f"{answer.status} {answer.text[:200].decode(errors='replace')}"
+    current = None
+    if cause is FailureCause.CONFLICT:
+        try:
+            current = _read_conflict(answer.text, name)
+        except ValueError as error:
+            cause, detail = FailureCause.UNKNOWN, describe_error(error)
+    return Err(Failure(cause, current, detail))
 
 
-def _read_current_version(text: bytes) -> int | None:
+def _read_conflict(text: bytes, name: str | None) -> int | None:
     """Return the object's version that a conflict reports, or None if unreadable."""
     try:
-        return _read_version(decode_members(text))
+        data = decode_members(text)
+        version = _read_version(data)
     except DECODE_ERRORS:
         return None
+    _check_name(data, name)
+    return version
 
 
-def _parse(
-    read: Callable[[bytes, str], Any], text: bytes, kind: str
-) -> Result[Any, Failure]:
+def _parse(read: Callable[[bytes], Value], text: bytes) -> Result[Value, Failure]:
     try:
-        return Ok(read(text, kind))
+        return Ok(read(text))
+    except _CompactedError as error:
+        return Err(Failure(FailureCause.COMPACTED, detail=describe_error(error)))
     except DECODE_ERRORS as error:
         detail = f"unreadable: {describe_error(error)}"
         return Err(Failure(FailureCause.UNKNOWN, detail=detail))
@@ -310,12 +393,39 @@
     return read_integer(split_members(data["metadata"])["revision"])
 
 
-def _read_written(text: bytes, kind: str) -> int:
-    return _read_version(decode_members(text))
+def _read_written(
+    text: bytes, name: str, body: str, if_version: int | None, known: int
+) -> int:
+    """Return the version that a write led to; raise ValueError if it shows none.
+
+    ``known`` is a revision that the store had before the write.
+    """
+    data = decode_members(text)
+    _check_name(data, name)
+    version, spec = _read_version(data), data.get("spec")
+    # A write that changes nothing leaves the version as it is.
+    if version <= known and version != if_version:
+        raise ValueError(f"version {version} is not later than revision {known}")
+    is_named = spec is not None and not isinstance(spec, Unreadable)
+    if is_named and spec != orjson.loads(body):
+        raise ValueError("the spec is not the one that was written")
+    return version
+
+
+def _check_deleted(text: bytes, name: str) -> None:
+    """Raise ValueError if the answer to a deletion is one to another call."""
+    data = decode_json(text).ok()
+    if isinstance(data, dict):
+        if "items" in data or "events" in data:
+            raise ValueError("answer to another call")
+        _check_name(data, name)
 
 
-def _read_object(text: bytes, kind: str) -> StoredObject:
-    return _read_stored(decode_members(text))
+def _check_name(data: Mapping[str, Any], name: str | None) -> None:
+    """Raise ValueError if an object has another name than the one of the call."""
+    found = split_members(data.get("metadata", {})).get("name", name)
+    if name is not None and found != name:
+        raise ValueError(f"answer names {describe_value(found)}")
 
 
 def _read_stored(value: Any) -> StoredObject:
@@ -334,21 +444,30 @@
         return _UNREADABLE
 
 
-def _read_page(text: bytes, kind: str) -> tuple[list[StoredObject], int, bool]:
+def _read_page(text: bytes, kind: str, known: int) -> _Page:
+    """Return a page; ``known`` is a revision that the store had before the call."""
     data = decode_members(text)
+    current = read_integer(data["current_rev"])
+    if current < known:
+        raise ValueError(f"revision {current} is older than {known}")
     elements = split_elements(data["items"])
     stored = read_each(_read_stored, elements, _make_skip(kind))
     has_more = bool(data["has_more"])
     if has_more and elements and not stored:
         raise ValueError("a page has no name after which to continue")
-    return stored, read_integer(data["current_rev"]), has_more
+    return stored, current, has_more
 
 
-def _read_changes(text: bytes, kind: str) -> tuple[int, tuple[ObjectChange, ...]]:
+def _read_changes(
+    text: bytes, kind: str, after: int
+) -> tuple[int, tuple[ObjectChange, ...]]:
     data = decode_members(text)
+    current = read_integer(data["current_rev"])
+    if current < after:
+        raise _CompactedError(f"revision {current} is older than {after}")
     elements = split_elements(data["events"])
     changes = read_each(_read_change, elements, _make_skip(kind))
-    return read_integer(data["current_rev"]), tuple(changes)
+    return current, tuple(changes)
 
 
 def _read_change(value: Any) -> ObjectChange:
--- a/tests/test_store_second_answers.py
+++ b/tests/test_store_second_answers.py
@@ -144,3 +144,176 @@
             lambda store: store.write("leases", "roles", "{}", 5),
         )
         self.assertIs(FailureCause.UNAVAILABLE, result.err_value.cause)
+
+
+class TestSecondAnswers(TestCase):
+    """A second answer to a former call comes as the next call awaits its own."""
+
+    def run_pair(self, first, second, *scripts):
+        """Return the results of two calls and the requests on each connection."""
+
+        async def scenario():
+            async with open_store(*scripts) as (store, server):
+                results = await first(store), await second(store)
+                # The connection that had a second answer is not used again.
+                await first(store)
+                return (*results, server.requests)
+
+        return asyncio.run(scenario())
+
+    def assert_not_read(self, first, second, *answers):
+        """Assert that the second call does not take the answer to the first one."""
+        former, result, requests = self.run_pair(first, second, *answers)
+        self.assertIsInstance(former, Ok)
+        self.assertIsInstance(result, Err, result)
+        self.assertIs(FailureCause.UNKNOWN, result.err_value.cause)
+        self.assertEqual([2, 1], requests)
+
+    def test_a_read_of_another_object(self):
+        answer = [(0, make_answer(make_object("h1", 5, {})))]
+        self.assert_not_read(
+            lambda store: store.read("hosts", "h1"),
+            lambda store: store.read("leases", "roles"),
+            answer,
+            answer,
+        )
+
+    def test_a_read_before_a_write_of_the_same_object(self):
+        answer = [(0, make_answer(make_object("roles", 5, {"holder": "h2"})))]
+        self.assert_not_read(
+            lambda store: store.read("leases", "roles"),
+            lambda store: store.write("leases", "roles", '{"holder":"h1"}', 5),
+            answer,
+            answer,
+        )
+
+    def test_a_write_before_a_write_of_the_same_object(self):
+        answer = [(0, make_answer(make_object("roles", 5, {"term": 1})))]
+        self.assert_not_read(
+            lambda store: store.write("leases", "roles", '{"term":1}', 4),
+            lambda store: store.write("leases", "roles", '{"term":2}', 5),
+            answer,
+            answer,
+        )
+
+    def test_a_write_before_a_write_of_an_object_of_the_same_name(self):
+        answer = [(0, make_answer(make_object("h1", 5, {})))]
+        self.assert_not_read(
+            lambda store: store.write("hosts", "h1", "{}"),
+            lambda store: store.write("crashes", "h1", "{}"),
+            answer,
+            answer,
+        )
+
+    def test_a_write_before_the_creation_of_another_object(self):
+        answer = [(0, make_answer(make_object("roles", 5, {})))]
+        self.assert_not_read(
+            lambda store: store.write("leases", "roles", "{}", 4),
+            lambda store: store.write("hosts", "h1", "{}"),
+            answer,
+            answer,
+        )
+
+    def test_a_read_before_a_deletion_of_another_object(self):
+        answer = [(0, make_answer(make_object("roles", 5, {})))]
+        self.assert_not_read(
+            lambda store: store.read("leases", "roles"),
+            lambda store: store.delete("streams", "h1", 4),
+            answer,
+            answer,
+        )
+
+    def test_a_conflict_of_another_object(self):
+        stored = make_object("h2", 7, {})
+        self.assert_not_read(
+            lambda store: store.read("hosts", "h2"),
+            lambda store: store.write("hosts", "h1", "{}", 5),
+            [(0, make_answer(stored))],
+            [(0, make_answer(stored, b"409 Conflict"))],
+        )
+
+    def test_a_list_from_before_a_known_change(self):
+        page = make_page(5, make_object("s1", 4, {}))
+        written = make_answer(make_object("h1", 8, {}))
+
+        async def write_and_list(store):
+            await store.write("hosts", "h1", "{}")
+            return await store.list("servers")
+
+        async def scenario():
+            listed = [(0, make_answer(page))]
+            scripts = listed, [(0, written)], listed
+            async with open_store(*scripts) as (store, server):
+                first = await store.list("servers")
+                second = await write_and_list(store)
+                third = await store.list("servers")
+                return first, second, third
+
+        first, second, third = asyncio.run(scenario())
+        self.assertIsInstance(first, Ok)
+        self.assertIsInstance(second, Err)
+        self.assertIs(FailureCause.UNKNOWN, second.err_value.cause)
+        # The store was restored if it says so on another connection as well.
+        self.assertIsInstance(third, Ok)
+
+    def test_a_watch_from_before_the_known_version(self):
+        events = {"events": [], "current_rev": 5}
+        answers = [[(0, make_answer(events))]] * 2
+
+        async def scenario():
+            async with open_store(*answers) as (store, server):
+                first = await store.watch("servers", 4, WAIT)
+                second = await store.watch("servers", 8, WAIT)
+                return first, second
+
+        first, second = asyncio.run(scenario())
+        self.assertEqual(Ok((5, ())), first)
+        # Also the answer of a restored store that names no epoch.
+        self.assertIsInstance(second, Err)
+        self.assertIs(FailureCause.COMPACTED, second.err_value.cause)
+
+    def test_a_list_before_a_watch(self):
+        answer = [(0, make_answer(make_page(5)))]
+        self.assert_not_read(
+            lambda store: store.list("servers"),
+            lambda store: store.watch("servers", 5, WAIT),
+            answer,
+            answer,
+        )
+
+
+class TestSoundAnswers(TestCase):
+    def call(self, call, answer):
+        async def scenario():
+            async with open_store([(0, answer)]) as (store, server):
+                return await call(store)
+
+        return asyncio.run(scenario())
+
+    def test_a_write_that_changes_nothing_is_accepted(self):
+        result = self.call(
+            lambda store: store.write("leases", "roles", '{"a":[1.0,null]}', 5),
+            make_answer(make_object("roles", 5, {"a": [1, None]})),
+        )
+        self.assertEqual(Ok(5), result)
+
+    def test_a_write_whose_answer_names_only_the_revision_is_accepted(self):
+        result = self.call(
+            lambda store: store.write("leases", "roles", "{}", 5),
+            make_answer({"metadata": {"revision": 6}}),
+        )
+        self.assertEqual(Ok(6), result)
+
+    def test_a_deletion_without_a_body_is_accepted(self):
+        result = self.call(
+            lambda store: store.delete("streams", "h1", 5),
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        )
+        self.assertEqual(Ok(None), result)
+
+    def test_a_conflict_without_a_body_is_one(self):
+        result = self.call(
+            lambda store: store.write("hosts", "h1", "{}"),
+            b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+        )
+        self.assertIs(FailureCause.CONFLICT, result.err_value.cause)
