Take no answer of an engine to another request for the request's

Cause: requests, prefills and orders of the product's own engines shared kept connections, and nothing tied an answer to its request. A second answer that came late was read as the next one's: a stream went on from the handle of another request, a refusal of another request ("not run") let a request run twice, an order looked accepted. Change: an answer that names another request is rejected with the verdict "may have run" and its connection is closed. Engines that name requests keep their connections; at others each request has a connection of its own, which proves as much. Orders have one of their own. The stand-in engine names the request. An engine that names requests gets one connection more for each process that calls it.

--- a/src/galenapass/targets/engines.py
+++ b/src/galenapass/targets/engines.py
@@ -12,10 +12,12 @@
 from galenapass.dispatch import Route
 from galenapass.tables.requests import Request
 from galenapass.tables.targets import LoadReport
+from galenapass.targets.answer_ends import make_abort
 from galenapass.targets.connections import (
     classify_error,
     classify_response,
     open_session,
+    open_single_use_session,
     read_body,
 )
 from galenapass.verdicts import Reason, Run, Verdict
@@ -36,6 +38,8 @@
 # Errors that a client call can raise; any other exception is a bug in this program.
 CLIENT_ERRORS = (aiohttp.ClientError, OSError)
 
+_REQUEST_ID = "X-Request-Id"
+
 T = TypeVar("T")
 
 
@@ -80,16 +84,25 @@
 
 
 class EngineClient:
-    """Client for all engines; one instance serves the whole daemon."""
+    """Client for all engines; one instance serves the whole daemon.
+
+    A second answer to a former request may come late, where the next one is expected.
+    Requests use a connection again only at an engine that names them in its answers;
+    at another one each has a connection of its own, and so has each order.
+    """
 
-    __slots__ = ("_session",)
+    __slots__ = ("_naming", "_session", "_single_use_session")
 
     def __init__(self) -> None:
         self._session = open_session()
+        self._single_use_session = open_single_use_session()
+        # Addresses of engines whose last answer named its request.
+        self._naming: set[str] = set()
 
     async def close(self) -> None:
         """Close every connection."""
         await self._session.close()
+        await self._single_use_session.close()
 
     async def open_stream(
         self, route: Route, path: str, body: bytes, request: Request, resume_after: int
@@ -140,7 +153,7 @@
             }
         )
         try:
-            async with self._session.post(
+            async with self._single_use_session.post(
                 f"http://{address}/orders",
                 data=body,
                 headers={"Content-Type": "application/json"},
@@ -174,8 +187,10 @@
     async def _post(
         self, address: str, path: str, body: bytes, headers: dict[str, str]
     ) -> Result[aiohttp.ClientResponse, Verdict]:
+        is_naming = address in self._naming
+        session = self._session if is_naming else self._single_use_session
         try:
-            response = await self._session.post(
+            response = await session.post(
                 f"http://{address}{path}",
                 data=body,
                 headers=headers,
@@ -183,6 +198,15 @@
             )
         except CLIENT_ERRORS as error:
             return Err(classify_error(error))
+        named = response.headers.get(_REQUEST_ID)
+        if named is None:
+            self._naming.discard(address)
+        if named != headers[_REQUEST_ID] and (is_naming or named is not None):
+            make_abort(response)()
+            response.close()
+            return Err(_FOREIGN)
+        if named is not None:
+            self._naming.add(address)
         if response.status == 200:
             return Ok(response)
         response.close()
@@ -210,11 +234,18 @@
 def _make_request_headers(request: Request) -> dict[str, str]:
     return {
         "Content-Type": "application/json",
-        "X-Request-Id": request.id,
+        _REQUEST_ID: request.id,
         "X-Priority": str(int(request.urgency)),
     }
 
 
+_FOREIGN = Verdict(
+    Run.MAY_HAVE_RUN,
+    Reason.TARGET_FAILED,
+    "the answer is not known to be the request's",
+)
+
+
 def _mark_may_have_run(verdict: Verdict) -> Verdict:
     # The prompt was prefilled, even when the decode target refused the request.
     return replace(verdict, run=Run.MAY_HAVE_RUN)
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -39,6 +39,7 @@
     app = web.Application(client_max_size=BODY_LIMIT_BYTES)
     app[ENGINE] = engine
     app.cleanup_ctx.append(_open_session)
+    app.on_response_prepare.append(_name_request)
     app.add_routes(
         [
             web.post("/v1/chat/completions", complete),
@@ -57,6 +58,11 @@
     return app
 
 
+async def _name_request(request: web.Request, response: web.StreamResponse) -> None:
+    if "X-Request-Id" in request.headers:
+        response.headers["X-Request-Id"] = request.headers["X-Request-Id"]
+
+
 async def _open_session(app: web.Application) -> AsyncIterator[None]:
     timeout = aiohttp.ClientTimeout(total=KV_FETCH_TIMEOUT_SECONDS)
     app[SESSION] = aiohttp.ClientSession(timeout=timeout)
