Claim no end of a plain service's answer that is not proven

Cause: an answer of a plain service without a length or chunks ends with its connection, also when the service was killed on the way (FIN). The caller got it with a length, and that of a call with a key was stored and replayed as whole. Change: such an answer is passed on without a length or chunks, and ends with the caller's connection, unless it is a whole JSON text or has no body. It is not stored: the call counts as one that may have run.

--- a/src/galenapass/callers/calls.py
+++ b/src/galenapass/callers/calls.py
@@ -146,7 +146,8 @@
 ) -> None:
     """Store the outcome of a claim without letting a slow store delay the answer."""
     if isinstance(outcome, Ok):
-        closing = context.claims.finish(claim, outcome.ok_value)
+        answer = outcome.ok_value
+        closing = context.claims.finish(claim, answer if answer.is_whole else None)
     elif outcome.err_value.run is Run.NOT_RUN:
         closing = context.claims.release(claim)
     else:
@@ -224,10 +225,31 @@
     )
 
 
-def _make_response(outcome: Result[StoredAnswer, Verdict]) -> web.Response:
+class _OpenEndedResponse(web.StreamResponse):
+    """Response whose body ends with its connection, as that of the target did."""
+
+    # The library would add chunks otherwise, whose end says that the body is whole.
+    _length_check = False
+
+    def __init__(self, answer: StoredAnswer):
+        super().__init__(
+            status=answer.status, headers={"Content-Type": answer.content_type}
+        )
+        self._rest = answer.body
+        self.force_close()
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Send the body and end the response."""
+        rest, self._rest = self._rest, b""
+        await super().write_eof(rest + data)
+
+
+def _make_response(outcome: Result[StoredAnswer, Verdict]) -> web.StreamResponse:
     if isinstance(outcome, Err):
         return make_problem_response(outcome.err_value)
     answer = outcome.ok_value
+    if not answer.is_whole:
+        return _OpenEndedResponse(answer)
     return web.Response(
         status=answer.status,
         body=answer.body,
--- a/src/galenapass/dispatch.py
+++ b/src/galenapass/dispatch.py
@@ -51,11 +51,15 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredAnswer:
-    """Whole response of a plain service; stored if its call has an idempotency key."""
+    """Response of a plain service; stored if its call has an idempotency key.
+
+    One that is not known to be whole is passed on and not stored.
+    """
 
     status: int
     content_type: str
     body: bytes
+    is_whole: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/targets/services.py
+++ b/src/galenapass/targets/services.py
@@ -14,6 +14,7 @@
     HeldAnswer,
     LargeAnswers,
 )
+from galenapass.targets.answer_ends import is_delimited, is_whole_json
 from galenapass.targets.connections import (
     classify_error,
     classify_response,
@@ -26,6 +27,7 @@
 
 MAX_RESPONSE_BYTES = 1_000_000
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
+_BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,7 +101,14 @@
         await held.extend(size)
         body += chunk
     content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
-    return Ok(StoredAnswer(response.status, content_type, bytes(body)))
+    is_whole = (
+        is_delimited(response) or _has_no_body(response) or is_whole_json(bytes(body))
+    )
+    return Ok(StoredAnswer(response.status, content_type, bytes(body), is_whole))
+
+
+def _has_no_body(response: aiohttp.ClientResponse) -> bool:
+    return response.method == "HEAD" or response.status in _BODILESS_STATUSES
 
 
 _TOO_LONG = Verdict(
