Reset a stream without chunks that is given up

Cause: a caller that speaks HTTP/1.0 gets a stream without chunks, which is whole where its connection ends. A stream that was given up (a caller that does not read, a stop) was closed without an error and looked whole. Change: such a connection is reset. Result: the test of TestCompletions in tests/test_call_answer_ends.py failed before and passes; test_callers_streams and test_callers_faults pass. A host that is killed closes its connections without an error all the same: the [DONE] of a stream is what tells then.

--- a/src/galenapass/callers/sinks.py
+++ b/src/galenapass/callers/sinks.py
@@ -1,6 +1,8 @@
 """Write the events of a completion to the caller, as a stream or as one answer."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -14,6 +16,8 @@
 
 Write = Callable[[bytes], Awaitable[None]]
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream; charset=utf-8",
     "Cache-Control": "no-cache",
@@ -64,8 +68,13 @@
 
     def _abort(self) -> None:
         transport = self._request.transport
-        if isinstance(transport, asyncio.Transport):
-            transport.abort()
+        if not isinstance(transport, asyncio.Transport):
+            return
+        if self._write is None:
+            # A body without chunks is whole where its connection ends without an error.
+            connected = transport.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        transport.abort()
 
 
 def _make_chunk_writer(request: web.Request) -> Write:
--- a/tests/test_call_answer_ends.py
+++ b/tests/test_call_answer_ends.py
@@ -2,9 +2,21 @@
 
 import asyncio
 
+import orjson
 from testtools import TestCase
 
-from tests.callers_fakes import HEADERS, Harness, route_to
+from galenapass.verdicts import Reason, Run, Verdict
+from tests.callers_fakes import (
+    BODY,
+    CHAT,
+    HEADERS,
+    FakeEngine,
+    Harness,
+    make_event,
+    make_stream_handler,
+    route_to,
+    serve,
+)
 
 KEY = b"Idempotency-Key: seat-7\r\n"
 
@@ -84,3 +96,28 @@
         [(head, rest)] = self.call(b"HTTP/1.1 204 No Content\r\n\r\n")
         self.assertTrue(head.startswith(b"http/1.1 204"), head)
         self.assertEqual(b"", rest)
+
+
+class TestCompletions(TestCase):
+    def test_a_stream_without_chunks_that_is_given_up_does_not_look_whole(self):
+        async def check():
+            engine = FakeEngine(make_stream_handler(5, last_event=2, end="hang"))
+            async with (
+                serve(engine.app) as address,
+                Harness([route_to(address)]).run() as harness,
+            ):
+                host, port = harness.url.removeprefix("http://").split(":")
+                reader, writer = await asyncio.open_connection(host, port)
+                body = orjson.dumps({**BODY, "stream": True})
+                key = HEADERS["Authorization"]
+                head = f"POST {CHAT} HTTP/1.0\r\nAuthorization: {key}\r\n"
+                writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode())
+                writer.write(body)
+                await reader.readuntil(make_event(2, 5))
+                stalled = Verdict(Run.MAY_HAVE_RUN, Reason.CANCELLED, "stalled")
+                harness.streams.abort_all_attempts(stalled)
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read()
+                writer.close()
+
+        asyncio.run(check())
