Keep the calls of each kind of object on connections of their own

Cause: a list or watch names no kind in its answer, so that the late second answer to a list or watch of one kind was read as that of another kind on the same kept connection: a list of targets without targets, a watch that continues after changes it never saw. Change: the store's client keeps one pool of connections for each kind of object. A late answer there is one of the same kind, and the checks of names and revisions tell it from the call's own.

--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -1,5 +1,6 @@
 """Call the platform's metadata store over HTTP."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -35,7 +36,7 @@
     StoredObject,
 )
 from galenapass.platform.object_client import CountCall
-from galenapass.targets.answer_ends import is_delimited, is_whole_json
+from galenapass.targets.answer_ends import is_delimited, is_whole_json, make_abort
 from galenapass.targets.connections import (
     limit_response,
     make_silence_timeout,
@@ -82,6 +83,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _Call:
+    kind: str
     name: str
     method: str
     path: str
@@ -96,7 +98,7 @@
 class _Answer:
     status: int
     text: bytes
-    close: Callable[[], None]
+    abort: Callable[[], None]
 
 
 class _CompactedError(ValueError):
@@ -124,7 +126,7 @@
         "_known_epoch",
         "_known_revision",
         "_large_objects",
-        "_session",
+        "_sessions",
         "_store_availability",
     )
 
@@ -144,13 +146,12 @@
         self._known_epoch: int | None = None
         # Last answer and object of each large object that is read, by kind and name.
         self._large_objects: dict[tuple[str, str], tuple[bytes, StoredObject]] = {}
-        self._session = open_keepalive_session(
-            once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_TIMEOUT
-        )
+        # By kind: nothing but a list's or watch's connection tells the kind of it.
+        self._sessions: dict[str, aiohttp.ClientSession] = {}
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        await asyncio.gather(*(s.close() for s in self._sessions.values()))
 
     async def read(
         self,
@@ -167,7 +168,7 @@
         query = "?serializable=1" if stale else ""
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
-        call = _Call("read", "GET", path, seconds=seconds, on_answer=on_answer)
+        call = _Call(kind, "read", "GET", path, seconds=seconds, on_answer=on_answer)
         return await self._call(call, lambda text: self._read_object(kind, name, text))
 
     async def write(
@@ -179,7 +180,7 @@
             path, call_name, method = _make_path(kind), "create", "POST"
         else:
             path, call_name, method = _make_path(kind, name), "write", "PUT"
-        call = _Call(call_name, method, path, wrapped, object_name=name)
+        call = _Call(kind, call_name, method, path, wrapped, object_name=name)
         known = self._find_known_revision()
         written = await self._call(
             call, lambda text: _read_written(text, name, body, if_version, known)
@@ -192,7 +193,7 @@
     ) -> Result[None, Failure]:
         """Delete an object if its version is ``if_version``."""
         path = f"{_make_path(kind, name)}?revision={if_version}"
-        call = _Call("delete", "DELETE", path, object_name=name)
+        call = _Call(kind, "delete", "DELETE", path, object_name=name)
         return await self._call(call, lambda text: _check_deleted(text, name))
 
     async def list(
@@ -232,7 +233,7 @@
         path = f"{_make_path(kind)}?watch={after}&wait_ms={wait_ms}"
         seconds = (wait + WATCH_SLACK).total_seconds()
         epoch = self._epochs.current
-        call = _Call("watch", "GET", path, seconds=seconds)
+        call = _Call(kind, "watch", "GET", path, seconds=seconds)
         result = await self._call(call, lambda text: _read_changes(text, kind, after))
         if self._epochs.current != epoch:
             # The version to watch after belongs to the earlier epoch.
@@ -244,12 +245,19 @@
         self, kind: str, path: str, *, stale: bool
     ) -> Result[_Page, Failure]:
         known = 0 if stale else self._find_known_revision()
-        call = _Call("list", "GET", path)
+        call = _Call(kind, "list", "GET", path)
         page = await self._call(call, lambda text: _read_page(text, kind, known))
         if not stale:
             self._record_revision(page.map(lambda values: values[1]))
         return page
 
+    def _find_session(self, kind: str) -> aiohttp.ClientSession:
+        if kind not in self._sessions:
+            self._sessions[kind] = open_keepalive_session(
+                once=False, keep=KEEPALIVE_SECONDS, connect=CONNECT_TIMEOUT
+            )
+        return self._sessions[kind]
+
     def _find_known_revision(self) -> int:
         """Return a revision that the answer to a call sent now cannot be older than."""
         if self._known_epoch != self._epochs.current:
@@ -289,7 +297,7 @@
         if isinstance(sent, Ok) and isinstance(value, Err):
             answer, cause = sent.ok_value, value.err_value.cause
             if isinstance(result, Ok) or cause is FailureCause.UNKNOWN:
-                answer.close()
+                answer.abort()
         return value
 
     async def _send(self, call: _Call) -> Result[_Answer, Failure]:
@@ -301,7 +309,7 @@
         try:
             async with (
                 limit_response(call.seconds) as begin_transfer,
-                self._session.request(
+                self._find_session(call.kind).request(
                     call.method,
                     self._base + call.path,
                     data=data,
@@ -324,7 +332,7 @@
                 if text and response.status in _SUCCESS_STATUSES and not is_whole:
                     detail = f"no whole text in {received} bytes without a length"
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
-                return Ok(_Answer(response.status, text, _make_close(response)))
+                return Ok(_Answer(response.status, text, make_abort(response)))
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
         except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
@@ -344,16 +352,6 @@
     return {"metadata": metadata, "spec": spec}
 
 
-def _make_close(response: aiohttp.ClientResponse) -> Callable[[], None]:
-    """Return a function that closes a connection which was released already.
-
-    Another call may have been sent on it since; what would answer that one is unknown.
-    """
-    # The library has no public access to it; its version is pinned.
-    protocol = response._protocol
-    return lambda: None if protocol is None else protocol.abort()
-
-
 def _decode_answer(answer: _Answer, name: str | None) -> Result[bytes, Failure]:
     if answer.status in _SUCCESS_STATUSES:
         return Ok(answer.text)
