Show no operators' file that may be cut off

Cause: the tool took an answer without a length or chunks for whole where its connection ended, so that it could show an operators' file without its last lines, under its version, to be edited and applied. Change: a file or document that is neither delimited nor a whole JSON text ends with a failure.

--- a/src/galenapass/tool/clients.py
+++ b/src/galenapass/tool/clients.py
@@ -11,6 +11,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from galenapass.targets.answer_ends import is_delimited, is_whole_json
 from galenapass.tool.options import Connection
 from galenapass.tool.output import Exit, Failure
 from galenapass.verdicts import Run
@@ -77,7 +78,12 @@
                 data=None if body is None else body.encode(),
             ) as response,
         ):
-            return Ok(await _read_response(response))
+            answer = await _read_response(response)
+            is_whole = is_delimited(response) or is_whole_json(answer.body)
+            if method == "GET" and response.status == 200 and not is_whole:
+                message = f"{connection.name} ended the answer before it was whole"
+                return Err(Failure(Exit.FAILED, message, Run.MAY_HAVE_RUN))
+            return Ok(answer)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return Err(describe_error(connection.name, error))
 
