Accept no write of an object by the answer to another call

Cause: answers of the object API name neither their object nor their call. The late second answer to a former write or read was read as the acceptance of the next write: a claim or a lease that is not stored looked written, so that a keyed call could run twice. Change: versions are one counter that each write increments, so a write counts only if its version is later than any known before it was sent. Otherwise its result is unknown, the connection is closed, and the known version is forgotten, as the platform may have begun anew. Result: three tests of TestSecondAnswers in tests/test_object_second_answers.py failed before and pass, the fourth (versions that rise are accepted on one connection) passes before and after; test_platform_object_client, test_odd_objects, test_claims, test_claim_store, test_leases and test_stand_in_platform pass.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -34,7 +34,7 @@
     ObjectListing,
     StoredObject,
 )
-from galenapass.targets.answer_ends import is_delimited, is_whole_json
+from galenapass.targets.answer_ends import is_delimited, is_whole_json, make_abort
 from galenapass.targets.connections import (
     limit_response,
     make_connector,
@@ -87,9 +87,20 @@
     watch that cannot be read is logged and left out; its body never becomes an empty
     one, which can be valid. ``count`` is called with the kind of each call when it is
     sent.
+
+    Answers bear no mark of their call, and a second one to a former call may come late.
+    A write counts only if its version is later than any known before it.
     """
 
-    __slots__ = ("_base", "_count", "_headers", "_rng", "_session", "_timeout")
+    __slots__ = (
+        "_base",
+        "_count",
+        "_headers",
+        "_known_version",
+        "_rng",
+        "_session",
+        "_timeout",
+    )
 
     def __init__(
         self,
@@ -108,6 +119,8 @@
         self._count = count
         self._rng = rng
         self._timeout = timeout.total_seconds()
+        # The latest version in an answer, of any object.
+        self._known_version = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -118,9 +131,11 @@
 
     async def read(self, kind: str, name: str) -> Result[StoredObject, Failure]:
         """Return one object."""
-        return await self._call(
+        read = await self._call(
             "read", "GET", _make_path(kind, name), lambda r: _read_single(name, r)
         )
+        self._record_version(read.map(lambda stored: stored.version))
+        return read
 
     async def write(
         self, kind: str, name: str, body: str, if_version: int | None = None
@@ -128,7 +143,12 @@
         """Replace version ``if_version``, or create if None; return the new version."""
         condition = _make_condition(if_version)
         path = _make_path(kind, name)
-        return await self._call("write", "PUT", path, _require_version, condition, body)
+        known = self._known_version
+        written = await self._call(
+            "write", "PUT", path, lambda r: _read_written(known, r), condition, body
+        )
+        self._record_version(written)
+        return written
 
     async def delete(
         self, kind: str, name: str, if_version: int
@@ -141,7 +161,9 @@
     async def list(self, kind: str) -> Result[ObjectListing, Failure]:
         """Return every object of a kind."""
         path = f"/objects/{quote(kind, safe='')}"
-        return await self._call("list", "GET", path, lambda r: _read_listing(kind, r))
+        found = await self._call("list", "GET", path, lambda r: _read_listing(kind, r))
+        self._record_version(found.map(lambda listing: listing.version))
+        return found
 
     async def list_hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
         """Return the platform's list of live and leaving hosts, which lags behind."""
@@ -165,6 +187,13 @@
             attempt += 1
             await asyncio.sleep(pause.total_seconds())
 
+    def _record_version(self, result: Result[int, Failure]) -> None:
+        if isinstance(result, Ok):
+            self._known_version = max(self._known_version, result.ok_value)
+        elif result.err_value.cause is FailureCause.UNKNOWN:
+            # The platform may have begun anew.
+            self._known_version = 0
+
     async def _watch_once(
         self, kind: str, after: int
     ) -> AsyncGenerator[ObjectChange, None]:
@@ -210,7 +239,11 @@
                 if method == "GET" and not is_whole:
                     detail = f"no whole text in {len(reply.text)} bytes, no length"
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
-                return Ok(parse(reply))
+                try:
+                    return Ok(parse(reply))
+                except DECODE_ERRORS:
+                    make_abort(response)()
+                    raise
         except _CONNECT_ERRORS as error:
             return Err(Failure(FailureCause.UNAVAILABLE, detail=describe_error(error)))
         except (*_TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
@@ -271,6 +304,13 @@
     return version
 
 
+def _read_written(known: int, response: _Response) -> int:
+    version = _require_version(response)
+    if version <= known:
+        raise ValueError(f"version {version} is not later than {known}")
+    return version
+
+
 def _read_etag(response: _Response) -> int | None:
     digits = response.headers.get("ETag", "").strip('"')
     return int(digits) if digits.isdigit() else None
--- a/tests/test_object_second_answers.py
+++ b/tests/test_object_second_answers.py
@@ -9,6 +9,7 @@
 
 from galenapass.platform.messages import FailureCause
 from galenapass.platform.object_client import ObjectClient
+from tests.test_platform_kept_connections import serve
 
 
 def call_ending_platform(answer, call):
@@ -37,6 +38,14 @@
     return b'HTTP/1.1 200 OK\r\nETag: "5"\r\n\r\n' + body
 
 
+def make_written(version, body=b""):
+    return b'HTTP/1.1 200 OK\r\nETag: "%d"\r\nContent-Length: %d\r\n\r\n%b' % (
+        version,
+        len(body),
+        body,
+    )
+
+
 class TestCutAnswers(TestCase):
     def assert_unknown(self, result):
         self.assertIsInstance(result, Err, result)
@@ -72,3 +81,68 @@
             lambda objects: objects.write("leases", "a", "text", 4),
         )
         self.assertEqual(Ok(5), result)
+
+
+class TestSecondAnswers(TestCase):
+    """A second answer to a former call comes as the next call awaits its own."""
+
+    def run_calls(self, answers, *calls):
+        """Return the results of calls and the requests on each connection."""
+
+        async def scenario():
+            scripts = [[(0, answer)] for answer in answers]
+            async with serve(*scripts) as (server, address):
+                objects = ObjectClient(
+                    address, "h1", "north", lambda call: None, random.Random(1)
+                )
+                results = [await call(objects) for call in calls]
+                await objects.close()
+            return results, server.requests
+
+        return asyncio.run(scenario())
+
+    def test_a_write_is_not_accepted_by_the_answer_to_another(self):
+        answers = [make_written(8), make_written(8)]
+        results, requests = self.run_calls(
+            answers,
+            lambda objects: objects.write("claims", "s1", "{}", 4),
+            lambda objects: objects.write("claims", "s2", "{}", 5),
+            lambda objects: objects.write("claims", "s1", "{}", 8),
+        )
+        self.assertEqual(Ok(8), results[0])
+        self.assertIsInstance(results[1], Err, results[1])
+        self.assertIs(FailureCause.UNKNOWN, results[1].err_value.cause)
+        # The connection that had a second answer is not used again.
+        self.assertEqual([2, 1], requests)
+
+    def test_a_write_is_not_accepted_by_the_answer_to_a_read(self):
+        answers = [make_written(8, b"{}"), make_written(8, b"{}")]
+        results, _ = self.run_calls(
+            answers,
+            lambda objects: objects.read("leases", "north"),
+            lambda objects: objects.write("leases", "north", "{}", 8),
+        )
+        self.assertIsInstance(results[0], Ok)
+        self.assertIsInstance(results[1], Err, results[1])
+        self.assertIs(FailureCause.UNKNOWN, results[1].err_value.cause)
+
+    def test_a_platform_that_began_anew_is_believed_at_the_second_write(self):
+        answers = [make_written(8), make_written(2)]
+        results, requests = self.run_calls(
+            answers,
+            lambda objects: objects.write("claims", "s1", "{}", 4),
+            lambda objects: objects.write("claims", "s1", "{}"),
+            lambda objects: objects.write("claims", "s1", "{}"),
+        )
+        self.assertIsInstance(results[1], Err)
+        self.assertIsInstance(results[2], Ok)
+
+    def test_each_later_version_is_accepted(self):
+        results, requests = self.run_calls(
+            [make_written(8), make_written(9), make_written(12)],
+            lambda objects: objects.write("claims", "s1", "{}", 4),
+            lambda objects: objects.write("claims", "s1", "{}", 8),
+            lambda objects: objects.write("claims", "s2", "{}"),
+        )
+        self.assertEqual([Ok(8), Ok(9), Ok(12)], results)
+        self.assertEqual([3], requests)
