Keep a slot whose grant is answered twice

Cause: a host repeats its slot request while its scheduler is slow, and the scheduler answers both with the same grant. The second one found no waiting request, so the host withdrew it, which released the slot that its request was using: the scheduler granted the place of a running request again and learned nothing from its end. Change: a second grant of the same host and target is ignored while its slot is in use; one at another target, or after the end, is withdrawn as before.

--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -153,6 +153,8 @@
         self._send = send
         self._clock = clock
         self._pending: dict[str, _PendingRequest] = {}
+        # Host and target of each slot in use that another host granted, by ticket.
+        self._in_use: dict[str, tuple[str, str]] = {}
 
     @property
     def is_local(self) -> bool:
@@ -176,7 +178,10 @@
         """Apply a scheduler's reply to a slot request of this daemon."""
         pending = self._pending.get(message.ticket)
         if pending is None or pending.reply.done():
-            if isinstance(message, Grant):
+            if not isinstance(message, Grant):
+                return
+            # A scheduler answers a repeated slot request with the same grant again.
+            if self._in_use.get(message.ticket) != (host, message.target.id):
                 # Another scheduler was faster, or the slot request was abandoned.
                 self._send(host, SlotRelease(message.ticket, Outcome.CANCELLED))
             return
@@ -184,6 +189,7 @@
         if isinstance(message, SlotRefusal):
             pending.reply.set_result((host, Err(message.verdict)))
         elif isinstance(message, Grant):
+            self._in_use[message.ticket] = host, message.target.id
             pending.reply.set_result((host, Ok(message)))
 
     async def _acquire_locally(
@@ -222,6 +228,8 @@
             replying_host, result = reply
         finally:
             del self._pending[slot_request.ticket]
+            if replying_host is None:
+                self._in_use.pop(slot_request.ticket, None)
             for host in pending.hosts:
                 if host != replying_host:
                     self._send(
@@ -229,6 +237,8 @@
                     )
 
         def release(message: SlotRelease) -> None:
+            if not message.is_prefill_only:
+                self._in_use.pop(message.ticket, None)
             self._send(replying_host, message)
 
         return result.map(
--- a/tests/test_forwarding_scheduler_selection.py
+++ b/tests/test_forwarding_scheduler_selection.py
@@ -318,6 +318,32 @@
         self.assertIsInstance(self.acquire(fake), Ok)
         self.assertEqual(["a1", "a1"], tickets)
 
+    def test_a_second_answer_does_not_release_the_slot_in_use(self):
+        # A scheduler that was slow answers the request and its repetition.
+        fake = FakeSchedulers()
+        fake.hosts = ["s1"]
+        grant = self.grant(fake)
+        fake.reactions["s1"] = lambda *message: (grant(*message), grant(*message))
+        slot = self.acquire(fake).unwrap()
+        grant("s1", make_slot_request("a1"))
+        self.assertEqual([], fake.releases())
+        slot.end(Outcome.DONE)
+        self.assertEqual([Outcome.DONE], [m.outcome for _, m in fake.releases()])
+        # The scheduler granted a slot anew for a repetition that came late.
+        grant("s1", make_slot_request("a1"))
+        self.assertIs(Outcome.CANCELLED, fake.releases()[-1][1].outcome)
+
+    def test_a_second_answer_at_another_target_is_released(self):
+        # The scheduler has started again since, and knows nothing of the first one.
+        fake = FakeSchedulers()
+        fake.hosts = ["s1"]
+        fake.reactions["s1"] = self.grant(fake)
+        self.acquire(fake).unwrap()
+        fake.slot_client.apply_reply("s1", make_grant("a1", "t2"))
+        self.assertEqual(
+            [("s1", SlotRelease("a1", Outcome.CANCELLED))], fake.releases()
+        )
+
     def test_the_slower_of_two_grants_is_released(self):
         fake = FakeSchedulers()
 
