Log the answers of the store that are rejected

Cause: an answer to another call, or an unreadable one, left no line in the log unless its caller wrote one, so that a log could not tell whether such answers came. Change: both clients of the store log each rejected answer with its call and the reason. The connection is closed after such an answer only, not after a status like 500, which needs no new connection.

--- a/src/galenapass/platform/object_client.py
+++ b/src/galenapass/platform/object_client.py
@@ -241,7 +241,9 @@
                     return Err(Failure(FailureCause.UNKNOWN, detail=detail))
                 try:
                     return Ok(parse(reply))
-                except DECODE_ERRORS:
+                except DECODE_ERRORS as error:
+                    detail = describe_error(error)
+                    _log("answer is rejected", call=call, path=path, detail=detail)
                     make_abort(response)()
                     raise
         except _CONNECT_ERRORS as error:
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -72,6 +72,8 @@
     503: FailureCause.UNAVAILABLE,
 }
 _SUCCESS_STATUSES = frozenset({200, 201})
+# Of answers whose bodies show whether they are the call's.
+_CHECKED_STATUSES = _SUCCESS_STATUSES | {409}
 _UNANSWERED_CAUSES = frozenset({FailureCause.UNAVAILABLE, FailureCause.UNKNOWN})
 
 Value = TypeVar("Value")
@@ -168,7 +170,9 @@
         query = "?serializable=1" if stale else ""
         timeout = STALE_READ_TIMEOUT if stale else CALL_TIMEOUT
         path, seconds = _make_path(kind, name) + query, timeout.total_seconds()
-        call = _Call(kind, "read", "GET", path, seconds=seconds, on_answer=on_answer)
+        call = _Call(
+            kind, "read", "GET", path, None, seconds, on_answer, object_name=name
+        )
         return await self._call(call, lambda text: self._read_object(kind, name, text))
 
     async def write(
@@ -295,9 +299,7 @@
             self._store_availability.record_answer(sent_at)
         value = result.and_then(lambda text: _parse(read, text))
         if isinstance(sent, Ok) and isinstance(value, Err):
-            answer, cause = sent.ok_value, value.err_value.cause
-            if isinstance(result, Ok) or cause is FailureCause.UNKNOWN:
-                answer.abort()
+            _reject(call, sent.ok_value, value.err_value)
         return value
 
     async def _send(self, call: _Call) -> Result[_Answer, Failure]:
@@ -340,6 +342,22 @@
             return Err(Failure(FailureCause.UNKNOWN, detail=detail))
 
 
+def _reject(call: _Call, answer: _Answer, failure: Failure) -> None:
+    """Close the connection of an answer that is unreadable or to another call."""
+    is_conflict = failure.cause is FailureCause.CONFLICT
+    if answer.status not in _CHECKED_STATUSES or is_conflict:
+        return
+    _log(
+        "answer is rejected",
+        call=call.name,
+        kind=call.kind,
+        name=call.object_name,
+        status=answer.status,
+        detail=failure.detail,
+    )
+    answer.abort()
+
+
 def _make_path(kind: str, name: str | None = None) -> str:
     path = f"/objects/{quote(kind, safe='')}"
     return path if name is None else f"{path}/{quote(name, safe='')}"
--- a/tests/test_store_second_answers.py
+++ b/tests/test_store_second_answers.py
@@ -14,6 +14,7 @@
 from galenapass.platform.messages import FailureCause
 from galenapass.platform.store_client import StoreClient
 from tests.test_platform_kept_connections import serve
+from tests.test_platform_odd_entries import log_of
 
 WAIT = timedelta(seconds=1)
 
@@ -178,6 +179,20 @@
             answer,
         )
 
+    def test_a_rejected_answer_is_logged(self):
+        answer = [(0, make_answer(make_object("h1", 5, {})))]
+        logged = log_of(
+            lambda: self.run_pair(
+                lambda store: store.read("hosts", "h1"),
+                lambda store: store.read("hosts", "h2"),
+                answer,
+                answer,
+            )
+        )
+        [rejected] = [m for m in logged if m["text"] == "store: answer is rejected"]
+        self.assertEqual("h2", rejected["name"])
+        self.assertIn("'h1'", rejected["detail"])
+
     def test_a_read_before_a_write_of_the_same_object(self):
         answer = [(0, make_answer(make_object("roles", 5, {"holder": "h2"})))]
         self.assert_not_read(
