Close the connection of an engine's report that cannot be read

Cause: an answer to another call, read where a report was expected, was rejected by its fields, but its connection stayed open, so that each later answer there came one call late. Change: the connection is closed. Result: test_a_report_that_answers_another_call_ends_its_connection failed before and passes; test_targets, test_platform_endless and test_observer pass.

--- a/src/galenapass/targets/engines.py
+++ b/src/galenapass/targets/engines.py
@@ -220,11 +220,14 @@
                 if response.status != 200:
                     return Err(classify_response(response.status, response.headers))
                 answer = await read_body(response, MAX_RESPONSE_BYTES)
-                return Ok(parse(orjson.loads(answer)))
+                try:
+                    return Ok(parse(orjson.loads(answer)))
+                except (ValueError, KeyError, TypeError) as error:
+                    # It may be the answer to another call.
+                    make_abort(response)()
+                    return Err(_classify_content_error(error))
         except CLIENT_ERRORS as error:
             return Err(classify_error(error))
-        except (ValueError, KeyError, TypeError) as error:
-            return Err(_classify_content_error(error))
 
 
 def _make_control_timeout() -> aiohttp.ClientTimeout:
--- a/tests/test_target_second_answers.py
+++ b/tests/test_target_second_answers.py
@@ -4,6 +4,7 @@
 import contextlib
 from datetime import timedelta
 
+import orjson
 from result import Err, Ok
 from testtools import TestCase
 
@@ -12,6 +13,7 @@
 from galenapass.targets.engines import EngineClient, Order, OrderAnswer, OrderOutcome
 from galenapass.verdicts import Reason, Run
 from tests.test_platform_kept_connections import serve
+from tests.test_targets import STATE
 
 PATH = "/v1/completions"
 
@@ -157,3 +159,19 @@
         answers, requests = asyncio.run(scenario())
         self.assertEqual([Ok(OrderAnswer(OrderOutcome.ACCEPTED))] * 2, answers)
         self.assertEqual([1, 1], requests)
+
+    def test_a_report_that_answers_another_call_ends_its_connection(self):
+        async def scenario():
+            answers = [make_answer(None, orjson.dumps(STATE))] * 3
+            scripts = [[(0, answer)] for answer in answers]
+            async with open_engines(*scripts) as (engines, server, address):
+                state = await engines.fetch_state(address)
+                load = await engines.fetch_load(address)
+                again = await engines.fetch_state(address)
+                return state, load, again, server.requests
+
+        state, load, again, requests = asyncio.run(scenario())
+        self.assertIsInstance(state, Ok)
+        self.assertIsInstance(load, Err)
+        self.assertEqual(state, again)
+        self.assertEqual([2, 1], requests)
