Take the first answer of a restored store

Change: the bound is forgotten with its epoch before it is compared. Result: TestRestores in tests/test_store_second_answers.py failed before and passes; the test files of the store client pass.

--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -187,7 +187,10 @@
         call = _Call(kind, call_name, method, path, wrapped, object_name=name)
         known = self._find_known_revision()
         written = await self._call(
-            call, lambda text: _read_written(text, name, body, if_version, known)
+            call,
+            lambda text: _read_written(
+                text, name, body, if_version, self._find_bound(known)
+            ),
         )
         self._record_revision(written)
         return written
@@ -250,7 +253,9 @@
     ) -> Result[_Page, Failure]:
         known = 0 if stale else self._find_known_revision()
         call = _Call(kind, "list", "GET", path)
-        page = await self._call(call, lambda text: _read_page(text, kind, known))
+        page = await self._call(
+            call, lambda text: _read_page(text, kind, self._find_bound(known))
+        )
         if not stale:
             self._record_revision(page.map(lambda values: values[1]))
         return page
@@ -268,6 +273,11 @@
             self._known_revision, self._known_epoch = 0, self._epochs.current
         return self._known_revision
 
+    def _find_bound(self, known: int) -> int:
+        """Return the bound of an answer, from the known revision as it was sent."""
+        # An answer that is the first of a later epoch has no bound.
+        return min(known, self._find_known_revision())
+
     def _record_revision(self, result: Result[int, Failure]) -> None:
         known = self._find_known_revision()
         if isinstance(result, Ok):
--- a/tests/test_store_second_answers.py
+++ b/tests/test_store_second_answers.py
@@ -377,3 +377,28 @@
         )
         self.assertIsInstance(second, Ok)
         self.assertEqual([2], requests)
+
+
+class TestRestores(TestCase):
+    def test_a_lower_revision_of_a_later_epoch_is_no_second_answer(self):
+        def name_epoch(answer, epoch):
+            line = b"HTTP/1.1 200 OK\r\n"
+            return answer.replace(line, b"%bStore-Era: %d\r\n" % (line, epoch))
+
+        page = name_epoch(make_answer(make_page(8)), 1)
+        written = name_epoch(make_answer(make_object("h1", 3, {})), 2)
+        later_page = name_epoch(make_answer(make_page(2)), 3)
+        scripts = [[(0, answer)] for answer in (page, written, later_page)]
+
+        async def scenario():
+            async with open_store(*scripts) as (store, server):
+                return [
+                    await store.list("hosts"),
+                    await store.write("hosts", "h1", "{}"),
+                    await store.list("hosts"),
+                ]
+
+        listed, written, relisted = asyncio.run(scenario())
+        self.assertIsInstance(listed, Ok)
+        self.assertEqual(Ok(3), written)
+        self.assertIsInstance(relisted, Ok)
