--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -1,15 +1,19 @@
 """Serve a stand-in for a runner of the platform: an engine or a plain service."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import orjson
 from aiohttp import web
+from aiohttp.typedefs import Handler
+from multidict import CIMultiDict
 
-from stand_ins.serving import drop_connection, make_json_response, split_address
+from stand_ins.runner_answers import Framing, RawResponse, Repeat, break_connection
+from stand_ins.serving import make_json_response, split_address
 
 __all__ = [
     "ATTEMPT",
@@ -66,6 +70,16 @@
     ``crashing_parts`` in its prompt, and is back after ``restart_seconds``, under its
     id if it ``keeps_id``. A plain service answers ``body_bytes`` bytes.
 
+    A runner that ``stutters`` writes a share ``stutter_share`` of its answers twice on
+    their connection, the second time after ``stutter_seconds``, drawn between the two;
+    without ``repeats_id``, the second one lacks the attempt's id. ``unframed`` answers
+    have neither length nor chunks and end with their connection. An answer to a prefill
+    bears the attempt's id if the runner ``names_prefills``. Connections that the runner
+    breaks end with a FIN, as those of a killed process do, or with a reset if it
+    ``resets`` them. The second half of a plain answer follows ``split_seconds`` after
+    the first. If the runner ``marks_runs``, signatures name the run, and bodies the run
+    and its attempt.
+
     A request may ask for more: ``seconds`` in its query is the duration of a call, or
     the time between the events of a stream, ``bytes`` the length of an answer and
     ``events`` the number of events of a stream.
@@ -92,6 +106,20 @@
     restart_seconds: float = 1.0
     keeps_id: bool = False
     body_bytes: int | None = None
+    stutters: bool = False
+    stutter_share: float = 1.0
+    stutter_seconds: tuple[float, float] = (0.0, 0.0)
+    repeats_id: bool = True
+    unframed: bool = False
+    names_prefills: bool = False
+    resets: bool = False
+    split_seconds: float = 0.0
+    marks_runs: bool = False
+
+    @property
+    def needs_raw_bytes(self) -> bool:
+        """Return whether answers are written as no HTTP server writes them."""
+        return self.stutters or self.unframed or self.split_seconds > 0
 
 
 @dataclass(slots=True)
@@ -103,6 +131,8 @@
     ``crashed_at`` the times of its crashes and ``crashed_parts`` the parts of the
     prompts that it ran then.
     ``on_restart`` is called with its former id after each restart.
+    ``on_record`` is called with each handle, run and piece of an answer before it is
+    sent.
     ``version`` is that of its software; None leaves it out of the entry. ``slots`` is
     the number of requests at once that its entry names.
     """
@@ -127,11 +157,16 @@
     crashed_at: list[float] = field(default_factory=list)
     crashed_parts: list[set[str]] = field(default_factory=list)
     on_restart: Callable[[str], None] = lambda former: None
+    on_record: Callable[[dict[str, Any]], None] = lambda record: None
     random: Random = field(default_factory=lambda: Random(0))
     _running: list[set[str]] = field(default_factory=list)
     _restart: asyncio.Task[None] | None = None
     _runner: web.AppRunner | None = None
     _site: web.TCPSite | None = None
+    _locks: WeakKeyDictionary[asyncio.Transport, asyncio.Lock] = field(
+        default_factory=WeakKeyDictionary
+    )
+    _copies: set[asyncio.Task[None]] = field(default_factory=set)
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return the runner's entry in the store; ``changes`` replace its fields."""
@@ -151,9 +186,9 @@
             entry |= {"stage": self.stage, "models": [{"name": "m", "version": 1}]}
         return entry | changes
 
-    async def start(self) -> None:
-        """Listen on a free loopback port and set ``address``."""
-        app = web.Application(client_max_size=2**23)
+    async def start(self, listen: str = "127.0.0.1:0") -> None:
+        """Listen on an address, port 0 for a free one, and set ``address``."""
+        app = web.Application(client_max_size=2**23, middlewares=[self._write_raw])
         app.on_response_prepare.append(self._add_notices)
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._apply_order)
@@ -164,7 +199,7 @@
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        self._site = web.TCPSite(self._runner, *split_address(listen))
         await self._site.start()
         ip, port = self._runner.addresses[0][:2]
         self.address = f"{ip}:{port}"
@@ -173,6 +208,8 @@
         """Close the port and all connections."""
         if self._restart is not None:
             self._restart.cancel()
+        for copy in self._copies:
+            copy.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -190,8 +227,7 @@
         server = self._runner.server
         assert server is not None
         for connection in list(server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+            break_connection(connection.transport, resets=self.faults.resets)
         self.handles.clear()
         await asyncio.sleep(self.faults.restart_seconds)
         former = self.id
@@ -211,6 +247,64 @@
         if self.faults.rate_limit is not None:
             response.headers["Server-Limit"] = str(self.faults.rate_limit)
 
+    @web.middleware
+    async def _write_raw(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Write the answer as raw bytes if a fault asks for that."""
+        response = await handler(request)
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return response
+        if isinstance(response, web.Response) and self.faults.needs_raw_bytes:
+            body = response.body
+            assert body is None or isinstance(body, bytes)
+            body = body or b""
+            raw = await self._open_raw(request, response.status, response.headers, body)
+            middle = len(body) // 2 if self.faults.split_seconds else len(body)
+            await raw.prepare(request)
+            await raw.write(body[:middle])
+            if middle < len(body):
+                await asyncio.sleep(self.faults.split_seconds)
+                await raw.write(body[middle:])
+            response = raw
+        if isinstance(response, RawResponse):
+            await response.write_eof()
+            if response.repeat is not None and response.framing is not Framing.CLOSE:
+                copy = asyncio.create_task(response.write_copy())
+                self._copies.add(copy)
+                copy.add_done_callback(self._copies.discard)
+        return response
+
+    async def _open_raw(
+        self,
+        request: web.Request,
+        status: int,
+        headers: Mapping[str, str],
+        body: bytes | None = None,
+    ) -> RawResponse:
+        """Return a raw response, in chunks or without length unless there is a body."""
+        framing = Framing.CHUNKS if body is None else Framing.LENGTH
+        if self.faults.unframed:
+            framing = Framing.CLOSE
+        own = CIMultiDict(headers)
+        if body is not None:
+            own["Content-Length"] = str(len(body))
+        repeat = None
+        if self.faults.stutters and self.random.random() < self.faults.stutter_share:
+            delay = self.random.uniform(*self.faults.stutter_seconds)
+            repeat = Repeat(delay, None if self.faults.repeats_id else ATTEMPT)
+        assert request.transport is not None
+        lock = self._locks.setdefault(request.transport, asyncio.Lock())
+        response = RawResponse(status, own, framing, lock, repeat)
+        await self._add_notices(request, response)
+        return response
+
+    def _drop(self, request: web.Request) -> web.Response:
+        """Break the caller's connection; the returned response is never sent."""
+        break_connection(request.transport, resets=self.faults.resets)
+        return web.Response(status=500)
+
     async def _report(self, request: web.Request) -> web.Response:
         return make_json_response(
             {
@@ -261,33 +355,78 @@
         attempt = request.headers[ATTEMPT]
         if request.headers.get("X-Galenapass-Stage") == "prefill":
             arrival.is_prefilled = True
-            handle = f"handle-{len(self.received)}"
+            handle = f"handle-{len(self.received)}-{attempt}"
             self.handles.add(handle)
-            return make_json_response({"kv_handle": handle, "tokens": 1, "version": 1})
+            self.on_record({"kind": "prefill", "attempt": attempt, "handle": handle})
+            prefilled = make_json_response(
+                {"kv_handle": handle, "tokens": 1, "version": 1}
+            )
+            if self.faults.names_prefills:
+                prefilled.headers[ATTEMPT] = attempt
+            return prefilled
         self.ran.append(attempt)
+        run = f"{self.id}.{self.born}.{len(self.ran)}"
+        pieces = self._make_pieces(request, run)
+        self._record_run(request, run, pieces)
         if self.faults.crash or self.faults.close_port:
             if self.faults.close_port and self._site is not None:
                 await self._site.stop()
-            return drop_connection(request)
+            return self._drop(request)
         headers = {ATTEMPT: "another" if self.faults.wrong_id else attempt}
         if not self.faults.unsigned:
-            headers[SIGNATURE] = f"signed-by-{self.id}"
+            signer = run if self.faults.marks_runs else self.id
+            headers[SIGNATURE] = f"signed-by-{signer}"
         seconds = request.query.get("seconds")
         if not self.stage:
             await asyncio.sleep(float(seconds or 0))
-            body = f"{self.id} {request.method} {request.raw_path}".encode()
-            body = body.rjust(int(request.query.get("bytes", 0)))
-            if self.faults.body_bytes is not None:
-                body = bytes(self.faults.body_bytes)
+            self.on_record({"kind": "sent", "run": run, "piece": 0})
+            body = pieces[0].encode()
             return web.Response(status=self.faults.status, headers=headers, body=body)
         pause = self.faults.event_seconds if seconds is None else float(seconds)
         parts = list_parts(request)
         self._running.append(parts)
         try:
-            return await self._stream(request, headers, pause)
+            return await self._stream(request, headers, pause, run, pieces)
         finally:
             self._running.remove(parts)
 
+    def _make_pieces(self, request: web.Request, run: str) -> list[str]:
+        """Return the events of a stream after the caller's last, or a plain body."""
+        if not self.stage:
+            return [self._make_body(request, run)]
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        last = int(request.query.get("events", EVENTS))
+        mark = f" {self.service}-{self.version}" if self.faults.marks_version else ""
+        if self.faults.marks_runs:
+            mark += f" {run} {request.headers[ATTEMPT]}"
+        return [
+            f"id: {number}\ndata: t{number}{mark}\n\n"
+            for number in range(first, last + 1)
+        ]
+
+    def _make_body(self, request: web.Request, run: str) -> str:
+        if self.faults.body_bytes is not None:
+            return "\0" * self.faults.body_bytes
+        size = int(request.query.get("bytes", 0))
+        if not self.faults.marks_runs:
+            return f"{self.id} {request.method} {request.raw_path}".rjust(size)
+        line = f"{run} {request.headers[ATTEMPT]} {request.method} {request.raw_path}\n"
+        return line * (size // len(line) + 1)
+
+    def _record_run(self, request: web.Request, run: str, pieces: list[str]) -> None:
+        self.on_record(
+            {
+                "kind": "run",
+                "run": run,
+                "attempt": request.headers[ATTEMPT],
+                "method": request.method,
+                "path": request.raw_path,
+                "source": request.headers.get("X-Galenapass-Kv-Source"),
+                "last_event": int(request.headers.get("Last-Event-Id", "0")),
+                "pieces": pieces,
+            }
+        )
+
     def _refuse(self, request: web.Request) -> web.Response | None:
         expected = request.headers.get("X-Galenapass-Expect-Instance")
         if expected not in (None, self.id):
@@ -304,26 +443,30 @@
         return None
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str], pause: float
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        pause: float,
+        run: str,
+        events: list[str],
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
+        if self.faults.needs_raw_bytes:
+            response = await self._open_raw(request, 200, headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
         if list_parts(request) & self.faults.crashing_parts:
             await asyncio.sleep(CRASH_SECONDS)
             self.crash()
             await asyncio.sleep(self.faults.restart_seconds)
-            return drop_connection(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        last = int(request.query.get("events", EVENTS))
+            return self._drop(request)
         breaks = self.random.random() < self.faults.break_share
-        mark = f" {self.service}-{self.version}" if self.faults.marks_version else ""
-        for sent, number in enumerate(range(first, last + 1)):
+        for sent, event in enumerate(events):
             if breaks and sent == self.faults.break_after:
                 await response.write(b"id: ")
-                return drop_connection(request)
+                return self._drop(request)
             await asyncio.sleep(pause)
-            event = f"id: {number}\ndata: t{number}{mark}\n\n"
+            self.on_record({"kind": "sent", "run": run, "piece": sent})
             await response.write(event.encode())
         await response.write_eof()
         return response
