--- a/experiments/soak/raw_requests.py
+++ b/experiments/soak/raw_requests.py
@@ -39,9 +39,12 @@
     method: str = "POST",
     body: bytes = b"",
     output_tokens: int = 4,
+    prompt: str | None = None,
 ) -> bytes:
-    """Return the bytes of a request."""
+    """Return the bytes of a request; ``prompt`` are the parts of its own prompt."""
     headers = make_headers(attempt, deadline_ms, output_tokens)
+    if prompt is not None:
+        headers["X-Galenapass-Prompt-Prefix"] = prompt
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
--- a/experiments/soak/runs.py
+++ b/experiments/soak/runs.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 
 from experiments.soak.arrivals import find_excess_retries
 from experiments.soak.clients import Client
-from experiments.soak.environment import GRACE_SECONDS, Environment
+from experiments.soak.environment import GRACE_SECONDS, Daemon, Environment
 from experiments.soak.faults import (
     Fault,
     plan_faults,
@@ -56,6 +56,10 @@
 POLL_SECONDS = 0.05
 
 
+class _HasDaemons(Protocol):
+    daemons: dict[str, Daemon]
+
+
 @dataclass(slots=True)
 class Report:
     """Injected faults, outcomes of clients and violations of one soak test.
@@ -276,7 +280,7 @@
 
 
 async def wait_ready(
-    environment: Environment, seconds: float = READY_SECONDS
+    environment: _HasDaemons, seconds: float = READY_SECONDS
 ) -> list[str]:
     """Wait until every daemon is ready; return a failure for each that is not."""
     not_ready = set(environment.daemons)
