--- a/experiments/soak/platform_faults.py
+++ b/experiments/soak/platform_faults.py
@@ -9,11 +9,13 @@
 __all__ = ["draw_runner_faults", "plan_daemon_stops", "plan_runner_kills"]
 
 STUTTER_SECONDS = (0.0, 2.0)
-STUTTER_SHARE = (0.2, 0.8)
+# Share of the runners whose answers to prefills bear the id of the attempt.
+NAMED_SHARE = 0.25
+STUTTER_SHARE = (0.5, 1.0)
 # Pause amid an answer of a plain service, and of an engine to a prefill.
 SPLIT_SECONDS = (0.1, 0.3, 0.6)
 PREFILL_SPLIT_SECONDS = (0.0, 0.0, 0.1)
-PREFILL_SECONDS = (0.0, 0.1, 0.3)
+PREFILL_SECONDS = (0.1, 0.3)
 # Mean time between kills of runners, and between stops of daemons; by seed.
 KILL_GAP_SECONDS = (0.4, 2.0)
 DOWN_SECONDS = (0.3, 2.0)
@@ -35,7 +37,7 @@
     split_seconds = PREFILL_SPLIT_SECONDS if stage else SPLIT_SECONDS
     faults: dict[str, Any] = {
         "marks_runs": True,
-        "names_prefills": random.random() < 0.5,
+        "names_prefills": random.random() < NAMED_SHARE,
         "split_seconds": random.choice(split_seconds),
     }
     if stage == "prefill":
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -15,7 +15,7 @@
 from stand_ins.runner import ATTEMPT, SIGNATURE
 from stand_ins.runner_answers import Framing
 
-SEEDS = (1, 8)
+SEEDS = (9, 14)
 SECONDS = 8.0
 PATHS = {"notes": "POST", "once": "POST", "hold": "POST", "seats": "GET"}
 
