Prove the end of a response against slow readers, lost packets and freezes

A review of the proof found five ways in which a cut response without a length still passed for whole: a witness that ended before bytes which were only read late, another connection whose own end was unread, a witness whose FIN was lost, a target replaced before the proof began, and one replaced while this host was frozen.

--- a/src/galenapass/targets/connection_records.py
+++ b/src/galenapass/targets/connection_records.py
@@ -5,6 +5,7 @@
 it has to name its own.
 """
 
+import asyncio
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -39,31 +40,27 @@
 
 @dataclass(slots=True, eq=False)
 class ConnectionRecord:
-    """One connection to a target; times are those of the event loop, in seconds.
+    """One connection to a target.
 
     ``via`` is the address of the host that it leads through, empty for none.
     ``exchanges`` counts the requests sent on it, ``attempts`` are those of the latest.
-    ``ended_at`` is when it ended, None before; ``ended_here`` tells whether this host
-    ended it, ``was_reset`` whether it ended with an error. ``received_at`` is when
-    bytes last came. ``has_unnamed`` is set if a response named no attempt,
-    ``is_garbled`` if one was followed by bytes that are no response.
+    ``is_open`` is cleared as it ends, ``ended_here`` tells whether this host ended it,
+    ``was_reset`` whether it ended with an error. ``has_unnamed`` is set if a response
+    named no attempt, ``is_garbled`` if one was followed by bytes that no request
+    awaits, ``is_overdue`` if one had ended long before its head was read here.
     """
 
     address: str
     via: str = ""
+    transport: asyncio.BaseTransport | None = None
     exchanges: int = 0
     attempts: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_ATTEMPTS))
-    ended_at: float | None = None
+    is_open: bool = True
     ended_here: bool = False
     was_reset: bool = False
-    received_at: float = 0.0
     has_unnamed: bool = False
     is_garbled: bool = False
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether neither side has ended it."""
-        return self.ended_at is None
+    is_overdue: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -105,30 +102,9 @@
     def __init__(self, clock: Clock, on_unrequested: Callable[[], None] = lambda: None):
         self._clock = clock
         self._on_unrequested = on_unrequested
-        self._open: dict[tuple[str, str], set[ConnectionRecord]] = {}
         self._stuttered_at: dict[str, timedelta] = {}
         self._naming: dict[tuple[str, str], bool] = {}
 
-    # Connections
-
-    def add(self, connection: ConnectionRecord) -> None:
-        """Record that a connection is open."""
-        path = connection.address, connection.via
-        self._open.setdefault(path, set()).add(connection)
-
-    def remove(self, connection: ConnectionRecord) -> None:
-        """Record that a connection has ended."""
-        path = connection.address, connection.via
-        connections = self._open.get(path, set())
-        connections.discard(connection)
-        if not connections:
-            self._open.pop(path, None)
-
-    def list_others(self, connection: ConnectionRecord) -> list[ConnectionRecord]:
-        """Return the other open connections to the same target, on the same path."""
-        path = connection.address, connection.via
-        return [other for other in self._open.get(path, ()) if other is not connection]
-
     def may_carry(self, connection: ConnectionRecord | None, call: Call) -> bool:
         """Return whether a call may be sent on a connection that was used before."""
         if call.needs_new:
--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -22,7 +22,8 @@
     ConnectionRecords,
     current_call,
 )
-from galenapass.targets.end_proofs import Witness
+from galenapass.targets.end_proofs import SETTLE_TIME, Witness
+from galenapass.targets.tcp_states import has_ended_before
 from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Reason, Run, Verdict
 
@@ -118,9 +119,9 @@
     def bind_record(self, address: str, records: ConnectionRecords) -> ConnectionRecord:
         """Return the record of this connection, which begins now if it had none."""
         if self._record is None:
-            self._record = ConnectionRecord(address, _find_via(self.transport, address))
+            via = _find_via(self.transport, address)
+            self._record = ConnectionRecord(address, via, self.transport)
             self._records = records
-            records.add(self._record)
         return self._record
 
     def close(self) -> None:
@@ -136,13 +137,7 @@
     def _record_own_end(self) -> None:
         if self._record is not None and self._record.is_open:
             self._record.ended_here = True
-            self._record_end()
-
-    def _record_end(self) -> None:
-        if self._record is None or self._records is None or not self._record.is_open:
-            return
-        self._record.ended_at = self._loop.time()
-        self._records.remove(self._record)
+            self._record.is_open = False
 
     def set_response_params(self, **params: Any) -> None:
         """Begin to await the response to the next request."""
@@ -155,11 +150,11 @@
             self._payload is None or self._payload.is_eof()
         )
         if data and is_idle:
+            if self._record is not None:
+                self._record.is_garbled = True
             self._report_unrequested("on an idle connection")
             self.abort()
             return
-        if self._record is not None:
-            self._record.received_at = self._loop.time()
         super().data_received(data)
         error = self.exception()
         if error is not None:
@@ -182,14 +177,15 @@
 
     def eof_received(self) -> None:
         """Process the end of what the peer sends."""
-        self._record_end()
+        if self._record is not None:
+            self._record.is_open = False
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Process the end of the connection; an error cuts the body off."""
         if self._record is not None and self._record.is_open:
             self._record.was_reset = exc is not None
-            self._record_end()
+            self._record.is_open = False
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             error = aiohttp.ClientPayloadError(f"the connection was lost: {exc}")
@@ -214,6 +210,11 @@
             self.force_close()
             return
         self._is_awaiting = is_interim
+        message = data[0]
+        if self._record is not None and not message.chunked:
+            self._record.is_overdue = "Content-Length" not in message.headers and (
+                has_ended_before(self.transport, SETTLE_TIME)
+            )
         super().feed_data(data, size)
 
     def _report_unrequested(self, kind: str) -> None:
