Close the gaps in the search of bodies and in the use of connections

A second answer to a DELETE names no attempt, one may have no header, and a body may end within its status line: all three are found now, the last one by what follows the body within 100 ms. A connection that cannot be used again, as its target names no attempts, is closed and not kept for four seconds (30 were left after 30 prefills). A refusal without a length opens no witness. Readiness probes of the product have a connection each: a late answer to the one before was read as theirs.

--- a/src/galenapass/platform/embedded_responses.py
+++ b/src/galenapass/platform/embedded_responses.py
@@ -7,8 +7,12 @@
 
 __all__ = ["EmbeddedResponses"]
 
-# Status line and name of the first header.
-_HEAD_START = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n[A-Za-z0-9-]+:")
+# Status line, and the name of the first header or the end of the head.
+_HEAD_START = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[A-Za-z0-9-]+:|\r\n)")
+# The first bytes of a status line, or more of it, at the end of a body.
+_CUT_START = re.compile(
+    rb"HTTP(?:/(?:1(?:\.(?:[01][^\r\n]*\r?\n?[A-Za-z0-9-]*)?)?)?)?\Z"
+)
 _HEAD_END = b"\r\n\r\n"
 _ATTEMPT = re.compile(rb"(?i:\r\n%b):[ \t]*([^\r\n]*?)[ \t]*\r\n" % ATTEMPT_ID.encode())
 # The longest start of a head that a match needs; most status lines have 15 bytes.
@@ -37,15 +41,18 @@
                 # The rest of the head is still to come.
                 self._rest = data[start.start() :]
                 return False
-            if self._is_own(data[start.start() : end + len(_HEAD_END)]):
+            # One that is too long is no head.
+            if end >= 0 and self._is_own(data[start.start() : end + len(_HEAD_END)]):
                 return True
         self._rest = data[-_MAX_START_BYTES:]
         return False
 
-    def is_cut(self) -> bool:
-        """Return whether the body has ended within the head of a response."""
+    def may_be_cut(self) -> bool:
+        """Return whether the body has ended like one within the head of a response."""
         start = _HEAD_START.search(self._rest)
-        return start is not None and _HEAD_END not in self._rest[start.start() :]
+        if start is not None:
+            return _HEAD_END not in self._rest[start.start() :]
+        return _CUT_START.search(self._rest) is not None
 
     def _is_own(self, head: bytes) -> bool:
         """Return whether a head is one to a request of the connection."""
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -1,5 +1,6 @@
 """Send requests, prefills and role orders to runners over HTTP."""
 
+import asyncio
 import functools
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -76,6 +77,8 @@
 # A runner confirms an order at once; the role change itself takes seconds.
 ORDER_SECONDS = 1.5
 REPORT_SECONDS = 1.0
+# From the end of a body with a second response in it to the bytes that this displaced.
+REST_TIME = timedelta(milliseconds=100)
 # Bounds the cleanup after a client that disconnected.
 RELEASE_SECONDS = 1.0
 # Sizes of the responses that are for this daemon.
@@ -198,11 +201,13 @@
             if self._paths is None or not self._paths.needs_detour(address):
                 session = self._unpooled if once else self._pool
                 try:
-                    return await session.request(method, url, **options)
+                    response = await session.request(method, url, **options)
+                    return _record_name(response, call)
                 except NOT_SENT_ERRORS:
                     if self._paths is None or not self._paths.may_detour(address):
                         raise
-            return await self._detours.request(method, url, **options)
+            response = await self._detours.request(method, url, **options)
+            return _record_name(response, call)
 
     async def _send(
         self,
@@ -220,6 +225,8 @@
         """
         names = self._records.names_attempts(target.address, kind.value)
         call.needs_new = names is not True if kind.may_be_unnamed else names is False
+        # A connection that can't be used again is not kept.
+        request_options["once"] = request_options.get("once") or names is False
         sent_at = self._clock.monotonic()
         response = await self._request(
             message.method,
@@ -235,8 +242,6 @@
         self._records.record_naming(target.address, kind.value, named is not None)
         connection = call.connection
         assert connection is not None
-        if named is None:
-            connection.has_unnamed = True
         if not call.is_answered_by(named):
             response.close()
             if named is not None:
@@ -329,10 +334,11 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             yield Err(classify_error(error))
             return
-        framing = _find_framing(response)
-        proof = None if framing is not Framing.CLOSE else self._prove_end(call)
+        is_refused = is_not_run(response.status, response.headers)
+        needs_proof = not is_refused and _find_framing(response) is Framing.CLOSE
+        proof = self._prove_end(call) if needs_proof else None
         try:
-            if is_not_run(response.status, response.headers):
+            if is_refused:
                 yield Err(_make_refusal(response))
             else:
                 yield Ok(_make_response(response, call, proof))
@@ -359,7 +365,7 @@
                 connected = await connect_target(address, self._make_socket)
             return await open_witness(connected, address, self._records)
 
-        return EndProof(self._records, connection, open_another)
+        return EndProof(connection, open_another)
 
     async def release_kv_cache(self, source: str) -> None:
         """Free the KV cache of a prompt whose request will not run.
@@ -483,6 +489,14 @@
     return URL(f"http://{address}{target}", encoded=True)
 
 
+def _record_name(
+    response: aiohttp.ClientResponse, call: Call
+) -> aiohttp.ClientResponse:
+    if call.connection is not None and ATTEMPT_ID not in response.headers:
+        call.connection.has_unnamed = True
+    return response
+
+
 def _limit(seconds: float | None) -> aiohttp.ClientTimeout:
     # The session limits the attempts to connect.
     return aiohttp.ClientTimeout(total=seconds, sock_connect=None)
@@ -538,7 +552,10 @@
             raise UnprovedResponseError("the body holds another response")
         is_empty = False
         yield chunk
-    if is_reused and (embedded.is_cut() or connection.is_garbled):
+    if is_reused and embedded.may_be_cut():
+        # The rest of the body is then on its way.
+        await asyncio.sleep(REST_TIME.total_seconds())
+    if is_reused and connection.is_garbled:
         raise UnprovedResponseError("the body is followed by no response")
     if proof is None:
         return
--- a/src/galenapass/targets/probes.py
+++ b/src/galenapass/targets/probes.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from galenapass.tables.targets import Target
-from galenapass.targets.connections import classify_error, open_session
+from galenapass.targets.connections import classify_error, open_single_use_session
 from galenapass.targets.engines import EngineClient
 from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Verdict
@@ -23,7 +23,7 @@
 
     def __init__(self, engines: EngineClient):
         self._engines = engines
-        self._session = open_session()
+        self._session = open_single_use_session()
 
     async def close(self) -> None:
         """Close every connection."""
