Add the types that organisations, usage and sizes share

Cause: the configuration, the settings and the targets' entries hold keys of organisations, duties, bounds of sizes and notices that nothing decodes. Change: the adapter decodes them into types that the parts to come share; a slot request names the organisation of its caller. Nothing reads them yet.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -222,11 +222,18 @@
         sorted(slot_request.excluded),
         slot_request.prefill_engine,
         slot_request.fingerprint,
-        # Earlier builds read no more than the fingerprint.
-        *([slot_request.version] if slot_request.knows_versions else []),
+        *_encode_late_fields(slot_request),
     ]
 
 
+def _encode_late_fields(slot_request: SlotRequest) -> list[Any]:
+    """Return the fields after the fingerprint, which earlier builds do not read."""
+    if not slot_request.knows_versions:
+        return []
+    organisation = slot_request.organisation
+    return [slot_request.version, *([organisation] if organisation else [])]
+
+
 def _decode_slot_request(host: str, row: list[Any], now: timedelta) -> SlotRequest:
     ticket, request, service, stage, soft_deadline, deadline, rank, prompt, parts = row[
         :9
@@ -255,6 +262,7 @@
         str(fingerprint),
         str(more[0]) if more and more[0] is not None else None,
         bool(more),
+        str(more[1]) if len(more) > 1 else "",
     )
 
 
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -525,6 +525,7 @@
             prefill_engine,
             request.fingerprint,
             request.version,
+            organisation=request.organisation,
         )
 
     def _list_unusable(self, request: ForwardedRequest) -> frozenset[str]:
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -68,7 +68,8 @@
     ``stream`` is the digest of the attempt that brought the first event of its stream,
     and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
     when the client stops waiting, also at other hosts. ``answer`` tells of the latest
-    response of a target to it.
+    response of a target to it. ``organisation`` is the name of the caller's, empty if
+    unknown.
     """
 
     id: str
@@ -94,6 +95,7 @@
     origin: ServiceVersion | None = None
     abandoned_at: timedelta = timedelta(0)
     answer: "ResponseIdentity | None" = None
+    organisation: str = ""
 
     @property
     def version(self) -> str | None:
--- a/src/galenapass/forwarding/routes.py
+++ b/src/galenapass/forwarding/routes.py
@@ -1,14 +1,18 @@
 """Routes, services and client limits of a configuration."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
+from galenapass.systems.identities import Identities
+
 __all__ = [
     "ClientLimits",
     "Repeat",
     "Route",
     "RouteTable",
+    "Scaling",
     "Service",
     "find_route",
     "is_model",
@@ -24,18 +28,36 @@
     ONCE = "at most one run"
 
 
+@dataclass(slots=True, frozen=True)
+class Scaling:
+    """Bounds and prices of a service whose number of targets can be ordered.
+
+    The bounds hold for each failure domain. A new target serves after ``start_time``.
+    ``prices`` are those of a second of a target by domain; a target that may be
+    reclaimed costs ``reclaimable_price`` of that, None if there are none.
+    """
+
+    min_targets: int
+    max_targets: int
+    start_time: timedelta
+    reclaimable_price: float | None = None
+    prices: Mapping[str, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True, frozen=True)
 class Service:
     """Service of a configuration.
 
     ``reconfiguration`` is how long an engine takes to change its role, ``cache_tokens``
-    the size of its KV cache in tokens.
+    the size of its KV cache in tokens. ``scaling`` is None if the number of its targets
+    is fixed.
     """
 
     name: str
     is_model: bool
     reconfiguration: timedelta = timedelta(seconds=3)
     cache_tokens: int = 0
+    scaling: Scaling | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,7 +66,8 @@
 
     ``split`` lists services with their weights; ``attempts`` is the maximum number of
     runs of one request; ``rank`` is the urgency, 0 the most urgent;
-    ``latency_objective`` is the time within which an answer has its full value.
+    ``latency_objective`` is the time within which an answer has its full value. The
+    requests of an ``is_public`` route need no key of an organisation.
     """
 
     name: str
@@ -57,6 +80,7 @@
     latency_objective: timedelta
     rank: int
     attempts: int
+    is_public: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,12 +94,16 @@
 
 @dataclass(slots=True, frozen=True)
 class RouteTable:
-    """Routes, services and limits of one configuration; version 0 means none."""
+    """Routes, services and limits of one configuration; version 0 means none.
+
+    ``identities`` is None if the configuration names no organisations.
+    """
 
     version: int = 0
     routes: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     limits: ClientLimits = field(default_factory=ClientLimits)
+    identities: Identities | None = None
 
 
 def find_route(table: RouteTable, host: str, path: str) -> Route | None:
--- a/src/galenapass/forwarding/slot_requests.py
+++ b/src/galenapass/forwarding/slot_requests.py
@@ -38,6 +38,7 @@
     ``prefill_engine`` is the engine that holds the KV cache of a prefilled prompt.
     ``version`` is the only version whose targets may generate, None for any;
     ``knows_versions`` is whether the builds of both hosts know software versions.
+    ``organisation`` is the caller's, empty if unknown.
     """
 
     ticket: str
@@ -55,6 +56,7 @@
     fingerprint: str = ""
     version: str | None = None
     knows_versions: bool = True
+    organisation: str = ""
 
     @property
     def shared_parts(self) -> tuple[PartDigest, ...]:
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -12,6 +12,7 @@
     Repeat,
     Route,
     RouteTable,
+    Scaling,
     Service,
 )
 from galenapass.json_values import (
@@ -22,6 +23,7 @@
     read_integer,
     read_number,
 )
+from galenapass.systems.identities import Identities, Organisation, digest_key
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -71,6 +73,7 @@
                 routes=_group_by_host(routes),
                 services={service.name: service for service in services},
                 limits=_decode_limits(spec.get("limits") or {}),
+                identities=_decode_identities(spec.get("tenants")),
             )
         )
     except DECODE_ERRORS as error:
@@ -101,6 +104,7 @@
         latency_objective=_read_duration(latency_objective, _MILLISECOND),
         rank=read_integer(row.get("priority") or 0),
         attempts=max(read_integer(row.get("attempts") or 1), 1),
+        is_public=row.get("public") is True,
     )
 
 
@@ -119,16 +123,55 @@
 def _decode_service(row: Mapping[str, Any]) -> Service:
     engine = row.get("engine")
     if not engine:
-        return Service(_read_name(row["name"]), is_model=False)
+        return Service(
+            _read_name(row["name"]),
+            is_model=False,
+            scaling=_decode_scaling(row.get("scale")),
+        )
     reconfiguration = engine.get("reconfig_s") or 0
     return Service(
         _read_name(row["name"]),
         is_model=True,
         reconfiguration=_read_duration(reconfiguration, timedelta(seconds=1)),
         cache_tokens=_read_count(engine.get("kv_tokens") or 0),
+        scaling=_decode_scaling(row.get("scale")),
+    )
+
+
+def _decode_scaling(row: Mapping[str, Any] | None) -> Scaling | None:
+    if not row:
+        return None
+    spot_price = row.get("spot_price")
+    prices = row.get("zone_prices") or {}
+    return Scaling(
+        min_targets=_read_count(row.get("min") or 0),
+        max_targets=_read_count(row["max"]),
+        start_time=_read_duration(row.get("boot_s") or 0, timedelta(seconds=1)),
+        reclaimable_price=None if spot_price is None else _read_weight(spot_price),
+        prices={_read_name(zone): _read_weight(p) for zone, p in prices.items()},
     )
 
 
+def _decode_identities(rows: Any) -> Identities | None:
+    """Return the organisations by the digests of their keys, None if there are none.
+
+    Other hosts pass a configuration on with ``key_digests`` in place of the keys.
+    """
+    if not rows:
+        return None
+    organisations: dict[str, Organisation] = {}
+    for row in rows:
+        priority = row.get("priority")
+        organisation = Organisation(
+            _read_name(row["name"]),
+            None if priority is None else read_integer(priority),
+        )
+        digests = [*map(digest_key, row.get("api_keys") or ())]
+        digests += row.get("key_digests") or ()
+        organisations |= dict.fromkeys(digests, organisation)
+    return Identities(organisations)
+
+
 def _decode_limits(row: Mapping[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     idle = row.get("idle_timeout_ms")
--- a/src/galenapass/platform/runners.py
+++ b/src/galenapass/platform/runners.py
@@ -1,6 +1,7 @@
 """Decode the entries that runners register in the platform's store."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import Any
 
 from result import Err, Ok, Result
@@ -19,6 +20,8 @@
 ROLES_BY_NAME = {name: role for role, name in ROLE_NAMES.items()}
 # Above any runner's number of concurrent requests.
 MAX_SLOTS = 1_000_000
+# One day: above any runner's notice, and larger numbers overflow a timedelta.
+MAX_TIME_LEFT_MS = 86_400_000
 _STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
 
@@ -65,5 +68,15 @@
             incarnation=str(born),
             slots=slots,
             version=version,
+            is_reclaimable=entry.get("spot") is True,
+            time_left=_read_time_left(entry.get("leaves_ms")),
         )
     )
+
+
+def _read_time_left(value: Any) -> timedelta | None:
+    """Return how long a leaving runner still runs, None if that is not known."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_TIME_LEFT_MS:
+        return None
+    return timedelta(milliseconds=value)
--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -2,13 +2,14 @@
 
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 from result import Err, Ok, Result
 
+from galenapass.forwarding.operations import Duty, OperationsTerms
 from galenapass.forwarding.retry_budgets import RetryBudgetTerms
 from galenapass.settings.schema import Fault
 
@@ -20,6 +21,7 @@
 
 _MILLISECOND = timedelta(milliseconds=1)
 _SECOND = timedelta(seconds=1)
+_DUTIES = {"usage_report": Duty.USAGE, "autoscale": Duty.SIZES}
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +33,7 @@
     process is killed; ``lease`` is the minimum time between orders of two alternating
     holders. ``is_first_start`` marks the first start of the whole system; ``power`` is
     the host's processor capacity in cores, ``memory`` the bytes above which the process
-    is killed.
+    is killed. ``operations`` is None if the platform asks for no duty.
     """
 
     host: str
@@ -46,6 +48,7 @@
     is_first_start: bool = False
     power: float = 1.0
     memory: int = DEFAULT_MEMORY_BYTES
+    operations: OperationsTerms | None = None
 
 
 class _FieldError(ValueError):
@@ -87,6 +90,26 @@
         is_first_start=data.get("bootstrap") is True,
         power=_compute_power(data),
         memory=_find_memory(data),
+        operations=_decode_operations(data),
+    )
+
+
+def _decode_operations(data: Mapping[str, Any]) -> OperationsTerms | None:
+    """Return the terms of the duties; duties of other names belong to later builds."""
+    names = data.get("cloud", {}).get("duties") or ()
+    duties = frozenset(_DUTIES[name] for name in names if name in _DUTIES)
+    if not duties:
+        return None
+    terms = OperationsTerms(_get_text(data, "cloud", "address"), duties)
+    if "duty_per_s" in data["cloud"]:
+        rate = _get_float(data, "cloud", "duty_per_s")
+        terms = replace(terms, calls_per_second=rate)
+    if Duty.USAGE not in duties:
+        return terms
+    return replace(
+        terms,
+        window=_get_float(data, "bounds", "report_window_s") * _SECOND,
+        lateness=_get_float(data, "bounds", "usage_late_s") * _SECOND,
     )
 
 
--- a/src/galenapass/tables/targets.py
+++ b/src/galenapass/tables/targets.py
@@ -98,6 +98,8 @@
     starts and ends that the last report may not include yet; ``unreported_*`` sum
     those of this daemon. ``slots`` is the number of requests that the target runs at
     once, 0 if unknown, ``version`` the version of its software, empty if unknown.
+    The platform may reclaim an ``is_reclaimable`` target at any time; ``time_left`` is
+    how long one that leaves still runs, by its entry, None if unknown.
     ``listed_leaving`` is set when the platform's list shows the target as leaving,
     ``reported_leaving`` when the target itself does.
     """
@@ -114,6 +116,8 @@
     incarnation: str = ""
     slots: int = 0
     version: str = ""
+    is_reclaimable: bool = False
+    time_left: timedelta | None = None
     drain_epoch: int = 0
     listed_leaving: bool = False
     reported_leaving: bool = False
