Take a response without a valid status for none

Cause: the HTTP library's parser passes on any three digits as a status, so a target's 000, 099, 600 or 999 reached callers as an answer, with its body. Ruled out: a 200 without a length whose target resets the connection while the upload is still written, and interim answers without end, failed as they should on all paths. Change: the reader of responses closes a connection whose head has a status outside 100 to 599; the request may have run.

--- a/src/galenapass/targets/connections.py
+++ b/src/galenapass/targets/connections.py
@@ -75,6 +75,8 @@
 MAX_TRANSFER_TIME = timedelta(seconds=3.5)
 # Interim (1xx) responses before the final one; the known servers send at most one.
 MAX_INTERIM_RESPONSES = 16
+# A response with another status is none; the library's parser passes on any number.
+STATUSES = range(100, 600)
 NOT_RUN_HEADER = "X-Run"
 NOT_RUN_VALUE = "not-run"
 
@@ -194,15 +196,14 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the parsed head of a response."""
-        is_interim = 100 <= data[0].code < 200
+        status = data[0].code
+        if status not in STATUSES:
+            self._reject(f"the status is {status}")
+            return
+        is_interim = 100 <= status < 200
         self._interim_count = self._interim_count + 1 if is_interim else 0
         if self._interim_count > MAX_INTERIM_RESPONSES:
-            if self.transport is not None:
-                self.transport.close()
-            error = aiohttp.ClientPayloadError(
-                f"over {MAX_INTERIM_RESPONSES} interim answers"
-            )
-            self.set_exception(error)
+            self._reject(f"over {MAX_INTERIM_RESPONSES} interim answers")
             return
         if not self._is_awaiting:
             # A second response to one request.
@@ -217,6 +218,12 @@
             )
         super().feed_data(data, size)
 
+    def _reject(self, fault: str) -> None:
+        """Close the connection, whose head is that of no response."""
+        if self.transport is not None:
+            self.transport.close()
+        self.set_exception(aiohttp.ClientPayloadError(fault))
+
     def _report_unrequested(self, kind: str) -> None:
         if self._record is not None and self._records is not None:
             self._records.record_unrequested(self._record, kind)
