Identify the organisation that calls by its key

Cause: each request passed its caller's key to the target, and keys that no version of the configuration held were served. Change: where the configuration names organisations, a request is looked up by the digest of its key before its body is read. An unknown key gets 401, or 503 from a host that may be behind once it has asked for the newer version. Targets get the organisation's name in place of the key, the rank counts its priority first, and configurations are kept and handed on with digests. A malformed head is answered and logged without its text. An empty list of organisations lets no one in.

--- a/src/galenapass/callers/keys.py
+++ b/src/galenapass/callers/keys.py
@@ -1,6 +1,5 @@
 """Authenticate callers by their keys and check which services they may use."""
 
-import hashlib
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
@@ -8,6 +7,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from galenapass.systems.identities import digest_authorization
 from galenapass.tables.configurations import Caller, Configuration, Service
 from galenapass.tables.targets import TargetKind
 from galenapass.verdicts import Reason, Run, Verdict
@@ -49,9 +49,8 @@
             callers = configuration.callers.values()
             callers_by_hash = {caller.key_hash: caller for caller in callers}
             indexed_configuration = configuration
-        caller = callers_by_hash.get(
-            _hash_key(request.headers.get("Authorization", ""))
-        )
+        authorization = request.headers.get("Authorization", "")
+        caller = callers_by_hash.get(digest_authorization(authorization, SCHEME))
         if caller is None:
             detail = "the key is missing or unknown"
             return Err(Verdict(Run.NOT_RUN, Reason.UNAUTHENTICATED, detail))
@@ -95,10 +94,3 @@
         detail = "this host takes no new work"
         return Verdict(Run.NOT_RUN, Reason.STOPPING, detail, RETRY_AFTER)
     return None
-
-
-def _hash_key(authorization: str) -> str:
-    scheme, _, key = authorization.partition(" ")
-    if scheme.lower() != SCHEME:
-        return ""
-    return hashlib.sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
--- a/src/galenapass/forwarding/configuration_follower.py
+++ b/src/galenapass/forwarding/configuration_follower.py
@@ -15,7 +15,12 @@
 from galenapass.logs import make_log
 from galenapass.platform.messages import Failure, StoredObject
 
-__all__ = ["ConfigurationFollower", "ConfigurationSources"]
+__all__ = [
+    "ConfigurationFollower",
+    "ConfigurationSources",
+    "VersionKnowledge",
+    "is_newest",
+]
 
 # A watch delivers a change a few milliseconds after the store confirmed it.
 MAX_WATCH_LAG = timedelta(milliseconds=200)
@@ -33,6 +38,18 @@
 # answer a ping within 1.2 s.
 MAX_UNCONFIRMED = timedelta(seconds=1.5)
 CHECK_PERIOD = timedelta(milliseconds=250)
+# Time for which the version in force counts as the newest. A ping is sent at least each
+# 1.2 s and answered within 0.1 s; the scheduler that answers may itself have been cut
+# off from the store for 1.8 s. Together they take about the 3 s in which a host has to
+# apply a version.
+MAX_PONG_AGE = timedelta(seconds=1.3)
+MAX_WATCH_AGE = timedelta(seconds=1.8)
+MAX_READ_AGE = timedelta(seconds=2)
+# From asking the schedulers to reading the store, as long as none has answered.
+CONFIRMATION_LEAD = timedelta(milliseconds=100)
+CONFIRMATION_POLL = timedelta(milliseconds=20)
+# Between two reads of the store that only confirm a version.
+CONFIRMATION_READ_PERIOD = timedelta(seconds=1)
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -48,6 +65,10 @@
     ``ask_peer`` asks one of them; it returns None if that host has no newer one.
     ``is_watched`` is whether a watch delivers it too, ``confirmed_at`` when a scheduler
     last told the newest version that it knows, 0 if never.
+
+    ``fresh_at`` is since when no version can be unknown to a scheduler that answered,
+    and ``watched_at`` since when none can be unknown to the watch, 0 if any can.
+    ``request_versions`` asks the schedulers for their versions.
     """
 
     read_store: Callable[
@@ -57,6 +78,40 @@
     ask_peer: Callable[[str], Coroutine[Any, Any, Result[StoredObject | None, str]]]
     is_watched: Callable[[], bool]
     confirmed_at: Callable[[], timedelta]
+    fresh_at: Callable[[], timedelta] = lambda: timedelta(0)
+    watched_at: Callable[[], timedelta] = lambda: timedelta(0)
+    request_versions: Callable[[], None] = lambda: None
+
+
+@dataclass(slots=True, frozen=True)
+class VersionKnowledge:
+    """What a host knows of the newest version; times are monotonic, 0 if never.
+
+    ``heard_version`` is the newest that it was told of. No version from before
+    ``fresh_at`` was unknown to a scheduler, none from before ``watched_at`` to this
+    host's watch, and none from before ``read_at`` to a read of the store.
+    """
+
+    version: int
+    heard_version: int
+    fresh_at: timedelta
+    watched_at: timedelta
+    read_at: timedelta
+
+
+def is_newest(knowledge: VersionKnowledge, now: timedelta) -> bool:
+    """Return whether the version in force is the newest but for the last moments.
+
+    Load pattern: hosts that are cut off from the store and the schedulers. They hear
+    of no version, so that silence does not show that there is none.
+    """
+    ages = (
+        (knowledge.fresh_at, MAX_PONG_AGE),
+        (knowledge.watched_at, MAX_WATCH_AGE),
+        (knowledge.read_at, MAX_READ_AGE),
+    )
+    is_known = any(at and now - at < max_age for at, max_age in ages)
+    return is_known and 0 < knowledge.version >= knowledge.heard_version
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +145,24 @@
         self._heard_from = ""
         self._is_catching_up = False
         self._read_at = timedelta(0)
+        self._confirmed_by_read_at = timedelta(0)
+        self._confirmation: asyncio.Task[None] | None = None
+
+    @property
+    def is_newest(self) -> bool:
+        """Return whether the version in force is the newest but for the last moments.
+
+        A host told of a newer version has to apply it within a few seconds.
+        """
+        is_watched = self._sources.is_watched()
+        knowledge = VersionKnowledge(
+            self._fleet.routes.version,
+            self._heard_version,
+            self._sources.fresh_at(),
+            self._sources.watched_at() if is_watched else timedelta(0),
+            self._confirmed_by_read_at,
+        )
+        return is_newest(knowledge, self._clock.monotonic())
 
     @property
     def is_behind(self) -> bool:
@@ -105,6 +178,34 @@
         if version and self.is_behind:
             self._start()
 
+    async def confirm(self, within: timedelta) -> bool:
+        """Return whether the version in force is the newest, and ask if unknown.
+
+        Load pattern: many requests with unknown keys at a host that is behind. One
+        search serves all of them.
+        """
+        if self.is_newest:
+            return True
+        if self._confirmation is None or self._confirmation.done():
+            self._confirmation = asyncio.create_task(self._seek_newest(within))
+        await asyncio.wait((self._confirmation,))
+        return self.is_newest
+
+    async def _seek_newest(self, within: timedelta) -> None:
+        began = self._clock.monotonic()
+        self._sources.request_versions()
+        if self.is_behind:
+            self._start()
+        while not self.is_newest:
+            now = self._clock.monotonic()
+            if now - began >= within:
+                return
+            is_due = now - self._read_at >= CONFIRMATION_READ_PERIOD
+            if now - began >= CONFIRMATION_LEAD and is_due and not self.is_behind:
+                self._read_at = now
+                self._background.spawn(self._check())
+            await asyncio.sleep(CONFIRMATION_POLL.total_seconds())
+
     async def load_initial(self, is_needed: Callable[[], bool]) -> None:
         """Read while ``is_needed`` returns True, until a configuration is loaded."""
         while not self._fleet.routes.version:
@@ -235,6 +336,7 @@
         self._read_at = max(self._read_at, began)
         self._updates.apply(answer.ok_value, "read")
         await self._updates.settle()
+        self._confirmed_by_read_at = max(self._confirmed_by_read_at, began)
         return True
 
     def _log_failure(self, source: str, began: timedelta, detail: str) -> None:
--- a/src/galenapass/forwarding/configuration_updates.py
+++ b/src/galenapass/forwarding/configuration_updates.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Err, Result
@@ -42,7 +42,8 @@
 
     ``decode`` gets an object's name and body and decodes it in steps; it returns None
     for an object that is no configuration. ``on_change`` is called once a configuration
-    is in force; ``in_force`` is its object, None before the first one.
+    is in force; ``in_force`` is its object, None before the first one. ``replace_keys``
+    replaces the keys in a body by digests, so that none is kept or handed on.
 
     One configuration is decoded at a time, and of those that wait only the newest: two
     that share the processor would both be late.
@@ -54,8 +55,10 @@
         clock: Clock,
         decode: DecodeRoutes,
         on_change: Callable[[], None],
+        replace_keys: Callable[[str], str],
     ):
         self.in_force: StoredObject | None = None
+        self._replace_keys = replace_keys
         self._fleet = fleet
         self._clock = clock
         self._decode = decode
@@ -73,6 +76,7 @@
         ``source`` names for the log how it came. Load pattern: thousands of routes,
         which take longer to decode than an attempt to connect to a target may last.
         """
+        stored = replace(stored, body=self._replace_keys(stored.body))
         if self._is_known(stored.body):
             return
         steps = self._decode(stored.name, stored.body)
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -287,6 +287,11 @@
                 self._send(host, self._make_ping())
             await asyncio.sleep(self._scheduler_selection.ping_interval.total_seconds())
 
+    def request_versions(self) -> None:
+        """Ping the schedulers of this daemon now."""
+        for host in self._scheduler_selection.list_extra_pings():
+            self._send(host, self._make_ping())
+
     async def run_announcements(self) -> None:
         """Send announcements until cancelled, while scheduling for other hosts."""
         while True:
--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -7,8 +7,15 @@
 
 import xxhash
 from aiohttp import web
+from result import Err
 
+from galenapass.callers.problems import make_problem_response
 from galenapass.clocks import Clock
+from galenapass.forwarding.caller_finder import (
+    CallerFinder,
+    KeyProblem,
+    make_key_refusal,
+)
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.large_answers import SMALL_ANSWER_BYTES
 from galenapass.forwarding.loads import digest_parts
@@ -18,7 +25,6 @@
     Repeat,
     Route,
     RouteTable,
-    find_route,
     is_model,
 )
 from galenapass.forwarding.stream_origins import digest_stream
@@ -42,6 +48,9 @@
 # Longer than any idle timeout that a configuration allows for clients.
 KEEPALIVE_TIMEOUT = timedelta(seconds=60)
 
+# Of the challenge that a response about a key has to contain.
+KEY_SCHEME = "Token"
+
 _log = make_log("entry")
 
 DecodeMetadata = Callable[[Mapping[str, str]], RequestMetadata]
@@ -62,7 +71,9 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        caller_finder: CallerFinder,
     ):
+        self._caller_finder = caller_finder
         self.stopping = False
         self.open = 0
         self._fleet = fleet
@@ -96,11 +107,15 @@
         if not table.version:
             return self._refuse(raw, _NO_ROUTES, None)
         host = raw.headers.get("Host", "").split(":")[0].lower()
-        route = find_route(table, host, _extract_path(raw.raw_path))
+        path = _extract_path(raw.raw_path)
+        found = await self._caller_finder.find(raw.headers, host, path)
+        table, route = found.table, found.route
         if route is None:
             _log("no route", host=host, path=raw.raw_path, version=table.version)
             return web.Response(status=404)
         metadata = self._decode_metadata(raw.headers)
+        if isinstance(found.caller, Err):
+            return self._refuse_key(found.caller.err_value, route, table, metadata)
         try:
             async with self._relay.bound_body():
                 body = await _read_body(raw, table.limits.body_bytes)
@@ -110,6 +125,8 @@
         if body is None:
             return web.Response(status=413)
         request = self._make_request(raw, table, route, metadata, body, arrived)
+        request.organisation = found.organisation or ""
+        request.caller_rank = found.rank
         if request.is_resumed:
             _log(
                 "stream is taken up",
@@ -124,6 +141,7 @@
             raw.headers.get("Host", ""),
             tuple(raw.headers.items()),
             body,
+            found.organisation,
         )
         sink = ClientSink(raw, lambda: self.stopping)
         try:
@@ -179,6 +197,26 @@
             return names[0]
         return self._random.choices(names, weights)[0]
 
+    def _refuse_key(
+        self,
+        problem: KeyProblem,
+        route: Route,
+        table: RouteTable,
+        metadata: RequestMetadata,
+    ) -> web.StreamResponse:
+        self._metrics.refused_keys.add(1, {"reason": problem.value})
+        _log(
+            "request is refused for its key",
+            request=metadata.attempt[:MAX_LOGGED_CHARACTERS],
+            route=route.name,
+            version=table.version,
+            reason=problem.value,
+        )
+        response = make_problem_response(make_key_refusal(problem))
+        if response.status == 401:
+            response.headers["WWW-Authenticate"] = KEY_SCHEME
+        return response
+
     def _refuse(
         self, raw: web.BaseRequest, verdict: Verdict, request: ForwardedRequest | None
     ) -> web.StreamResponse:
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -69,7 +69,8 @@
     and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
     when the client stops waiting, also at other hosts. ``answer`` tells of the latest
     response of a target to it. ``organisation`` is the name of the caller's, empty if
-    unknown.
+    unknown; ``caller_rank`` takes its priority into account, None without
+    organisations.
     """
 
     id: str
@@ -96,6 +97,7 @@
     abandoned_at: timedelta = timedelta(0)
     answer: "ResponseIdentity | None" = None
     organisation: str = ""
+    caller_rank: int | None = None
 
     @property
     def version(self) -> str | None:
@@ -130,8 +132,8 @@
 
     @property
     def rank(self) -> int:
-        """Return the urgency of its route; 0 is the most urgent."""
-        return self.route.rank
+        """Return its urgency, that of its organisation first; 0 is the most urgent."""
+        return self.route.rank if self.caller_rank is None else self.caller_rank
 
     @property
     def may_repeat(self) -> bool:
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -56,7 +56,8 @@
     another host last used this one as its scheduler, ``pong_at`` when a scheduler last
     answered a ping, ``fresh_at`` when one last reported that it receives updates from
     the store, ``fallback_until`` the end of the time in which this host schedules only
-    for itself.
+    for itself. ``confirmed_at`` is when the last ping was sent that such a report
+    answered.
     """
 
     hosts: Hosts | None = None
@@ -64,6 +65,7 @@
     pong_at: timedelta = timedelta(0)
     fresh_at: timedelta | None = None
     fallback_until: timedelta | None = None
+    confirmed_at: timedelta = timedelta(0)
     designated: dict[str, list[str]] = field(init=False, default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -129,6 +131,7 @@
         self._contacts = Contacts()
         self._addresses: dict[str, Address] = {}
         self._pinged_at: dict[str, timedelta] = {}
+        self._asked_at: dict[str, timedelta] = {}
         self._clients: dict[str, tuple[Address, timedelta]] = {}
         self._stale_since: timedelta | None = None
         self._is_stopping = False
@@ -162,6 +165,14 @@
         """Return when a scheduler last answered a ping, 0 if never."""
         return self._state.pong_at
 
+    @property
+    def confirmed_at(self) -> timedelta:
+        """Return since when no change of the store can be unknown, 0 if never.
+
+        It is the time of a ping, as a pong may have waited while the host was frozen.
+        """
+        return self._state.confirmed_at
+
     @property
     def ping_interval(self) -> timedelta:
         """Return the time until the next pings, with jitter."""
@@ -289,8 +300,27 @@
         due = [*self.list_schedulers()[:PINGED_CANDIDATES], *unresponsive]
         now = self._clock.monotonic()
         self._pinged_at = dict.fromkeys(due, now)
+        self._asked_at = self._pinged_at.copy()
         return due
 
+    def list_extra_pings(self) -> list[str]:
+        """Return the hosts to ping beside the due pings, as their view is needed now.
+
+        These pings do not count as unanswered. Load pattern: a store that rejects the
+        schedulers of one domain; one of another domain is asked too.
+        """
+        designated = self._state.designated
+        own = self.list_schedulers()[:PINGED_CANDIDATES]
+        if self.is_scheduler:
+            # A host that does not schedule would begin to.
+            own = [name for name in own if name in designated.get(self._domain, [])]
+        others = [
+            n for d, names in designated.items() if d != self._domain for n in names
+        ]
+        hosts = own + ([self._random.choice(others)] if others else [])
+        self._asked_at |= dict.fromkeys(hosts, self._clock.monotonic())
+        return hosts
+
     def find_address(self, host: str) -> Address | None:
         """Return the address on which a host listens, None if unknown."""
         return self._addresses.get(host)
@@ -308,6 +338,8 @@
         self._state.pong_at = self._clock.monotonic()
         if is_fresh:
             self._state.fresh_at = self._state.pong_at
+            asked_at = self._asked_at.get(host, timedelta(0))
+            self._state.confirmed_at = max(self._state.confirmed_at, asked_at)
 
     def record_client(self, host: str, address: Address) -> None:
         """Record that another host uses this one as its scheduler."""
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -308,7 +308,7 @@
         target = send.slot.grant.target
         time_left = request.deadline - self._clock.monotonic()
         once = request.route.repeat is Repeat.ONCE
-        rank = request.route.rank if request.prompt is not None else None
+        rank = request.rank if request.prompt is not None else None
         _log(
             "runs",
             request=request.id,
--- a/src/galenapass/forwarding/store_availability.py
+++ b/src/galenapass/forwarding/store_availability.py
@@ -57,6 +57,11 @@
         """Return whether no call has failed since the last answer."""
         return not self._failures
 
+    @property
+    def answered_at(self) -> timedelta:
+        """Return when the last of the calls that were answered was sent, 0 if none."""
+        return self._last_answered_sent_at
+
     def start(self) -> timedelta:
         """Return the time at which a call is sent, to be passed when it ends."""
         return self._clock.monotonic()
--- a/src/galenapass/forwarding/store_updates.py
+++ b/src/galenapass/forwarding/store_updates.py
@@ -29,7 +29,8 @@
     The decoders get an object's name and body; ``decode_routes`` returns None for an
     object that is no configuration, else it decodes it in steps. ``on_change`` is
     called after a change that may affect the choice of a target, ``on_leaving`` with a
-    target that starts to leave. ``configuration`` applies the configurations.
+    target that starts to leave. ``configuration`` applies the configurations, in whose
+    bodies ``replace_keys`` replaces the keys of callers.
     """
 
     def __init__(
@@ -40,6 +41,8 @@
         decode_target: DecodeTarget,
         on_change: Callable[[], None],
         on_leaving: Callable[[Target], None] = lambda target: None,
+        *,
+        replace_keys: Callable[[str], str],
     ):
         self._fleet = fleet
         self._clock = clock
@@ -47,7 +50,7 @@
         self._on_change = on_change
         self._on_leaving = on_leaving
         self.configuration = ConfigurationUpdates(
-            fleet, clock, decode_routes, on_change
+            fleet, clock, decode_routes, on_change, replace_keys
         )
 
     def apply_routes_listing(self, listing: ObjectListing) -> None:
--- a/src/galenapass/forwarding/target_messages.py
+++ b/src/galenapass/forwarding/target_messages.py
@@ -35,6 +35,8 @@
     """Client request, which is sent to targets unchanged.
 
     ``target`` is the path and query as received, ``headers`` holds all headers.
+    ``organisation`` takes the place of what the headers say of the caller, empty if it
+    is unknown; None leaves them as they are.
     """
 
     attempt: str
@@ -43,6 +45,7 @@
     host: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    organisation: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from aiohttp import HttpVersion11, web
+from aiohttp.http_exceptions import BadHttpMethod, HttpProcessingError
 
 from galenapass.logs import make_log
 
@@ -67,6 +68,26 @@
             _close_sending_side(self.transport)
         self._close_when_written()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that failed, without what a malformed one contains.
+
+        The text of such an error repeats the head of the request, and with it its key.
+        """
+        if isinstance(exc, HttpProcessingError):
+            _log("request is malformed", error=type(exc).__name__)
+            message = "the request is malformed"
+            exc = BadHttpMethod("") if isinstance(exc, BadHttpMethod) else None
+        response: web.StreamResponse = super().handle_error(
+            request, status, exc, message
+        )
+        return response
+
     def _close_when_written(self) -> None:
         delay, act = LINGER_TIME, self.force_close
         if self.unwritten:
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -94,6 +94,7 @@
     resumed_streams: Counter
     retries: Counter
     unrequested_responses: Counter
+    refused_keys: Counter
 
 
 def make_metrics() -> Metrics:
@@ -117,6 +118,7 @@
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
         unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
+        refused_keys=Counter(registry, "galenapass_refused_keys", "reason"),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -16,6 +16,7 @@
 from galenapass.forwarding import loads, silent_targets
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.background import BackgroundTasks, keep_running
+from galenapass.forwarding.caller_finder import KEY_WAIT, CallerFinder
 from galenapass.forwarding.configuration_follower import (
     ConfigurationFollower,
     ConfigurationSources,
@@ -69,8 +70,9 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     decode_in_steps,
+    replace_keys,
 )
-from galenapass.platform.headers import decode_metadata
+from galenapass.platform.headers import decode_key, decode_metadata
 from galenapass.platform.messages import (
     Failure,
     FailureCause,
@@ -171,6 +173,7 @@
             ConnectionRecords(
                 self.clock, lambda: self.metrics.unrequested_responses.add(1)
             ),
+            lambda: self.fleet.routes.identities is not None,
         )
         self.incarnation = time.time_ns() // 1_000_000
         self.suspects = CrashSuspects(
@@ -253,6 +256,9 @@
             self.clock,
             self.random,
             self.metrics,
+            CallerFinder(
+                self.fleet, decode_key, lambda: self.follower.confirm(KEY_WAIT)
+            ),
         )
         self.store_updates = StoreUpdates(
             self.fleet,
@@ -261,6 +267,7 @@
             _decode_target,
             self._handle_update,
             self._handle_target_leaving,
+            replace_keys=replace_keys,
         )
         self.sharing = ConfigurationSharing(
             self.fleet,
@@ -447,8 +454,16 @@
             ask_peer=self.sharing.fetch,
             is_watched=lambda: selection.is_scheduler,
             confirmed_at=lambda: selection.pong_at,
+            fresh_at=lambda: selection.confirmed_at,
+            watched_at=self._find_watched_at,
+            request_versions=lambda: self.peering.request_versions(),
         )
 
+    def _find_watched_at(self) -> timedelta:
+        """Return since when no change of the store can be unknown, 0 if any can."""
+        are_fresh = all(watch.is_fresh for watch in self._store_watches)
+        return self.store_availability.answered_at if are_fresh else timedelta(0)
+
     def _make_planner(self) -> RolePlanner:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+import orjson
 from result import Err, Ok, Result
 
 from galenapass.forwarding.routes import (
@@ -30,11 +31,15 @@
     "CONFIGURATION_NAME",
     "decode_configuration",
     "decode_in_steps",
+    "replace_keys",
 ]
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 
+_KEYS = "api_keys"
+_KEY_DIGESTS = "key_digests"
+
 # Routes that are decoded at a time, which takes a few milliseconds.
 ROUTES_PER_STEP = 500
 
@@ -157,7 +162,7 @@
 
     Other hosts pass a configuration on with ``key_digests`` in place of the keys.
     """
-    if not rows:
+    if rows is None:
         return None
     organisations: dict[str, Organisation] = {}
     for row in rows:
@@ -166,12 +171,38 @@
             _read_name(row["name"]),
             None if priority is None else read_integer(priority),
         )
-        digests = [*map(digest_key, row.get("api_keys") or ())]
-        digests += row.get("key_digests") or ()
-        organisations |= dict.fromkeys(digests, organisation)
+        row = _digest_keys(row)
+        organisations |= dict.fromkeys(row.get(_KEY_DIGESTS) or (), organisation)
     return Identities(organisations)
 
 
+def replace_keys(body: str) -> str:
+    """Return the text of a configuration with digests in place of keys."""
+    if f'"{_KEYS}"' not in body:
+        return body
+    try:
+        spec = orjson.loads(body)
+        spec["tenants"] = [_digest_keys(row) for row in spec.get("tenants") or ()]
+    except DECODE_ERRORS:
+        # It cannot be decoded either.
+        return ""
+    return orjson.dumps(spec).decode()
+
+
+def _digest_keys(row: Mapping[str, Any]) -> dict[str, Any]:
+    """Return an organisation with the digests of its keys in their place."""
+    digests = [*map(digest_key, _read_list(row.get(_KEYS)))]
+    digests += _read_list(row.get(_KEY_DIGESTS))
+    kept = {name: value for name, value in row.items() if name != _KEYS}
+    return kept | {_KEY_DIGESTS: digests}
+
+
+def _read_list(value: Any) -> list[Any]:
+    if value is not None and not isinstance(value, list):
+        raise TypeError("the keys are no list")
+    return value or []
+
+
 def _decode_limits(row: Mapping[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     idle = row.get("idle_timeout_ms")
--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -7,9 +7,11 @@
 
 from galenapass.forwarding.requests import Part, Prompt, RequestMetadata
 from galenapass.forwarding.target_messages import TargetNotice
+from galenapass.systems.identities import digest_authorization
 
 __all__ = [
     "ATTEMPT_ID",
+    "Headers",
     "INSTANCE_ID",
     "KV_SOURCE",
     "LAST_EVENT_ID",
@@ -20,11 +22,13 @@
     "SIGNATURE",
     "STAGE",
     "SendOptions",
+    "decode_key",
     "decode_metadata",
     "decode_notice",
     "encode_headers",
     "filter_response_headers",
     "is_not_run",
+    "name_organisation",
     "parse_integer",
     "parse_seconds",
 ]
@@ -43,6 +47,9 @@
 _DEADLINE = "X-Galenapass-Deadline-Ms"
 _EXPECT_INSTANCE = "X-Galenapass-Expect-Instance"
 _PRIORITY = "X-Galenapass-Request-Priority"
+_AUTHORIZATION = "Authorization"
+_KEY_SCHEME = "token"
+_ORGANISATION = "X-Galenapass-Tenant"
 _CACHE_SOURCE = "Kv-Fetch"
 _NOT_EXECUTED = "X-Galenapass-Not-Executed"
 _LEAVING = "Server-Leaving"
@@ -123,6 +130,18 @@
     )
 
 
+def decode_key(headers: Mapping[str, str]) -> str:
+    """Return the digest of the key in a client's headers, empty without one."""
+    return digest_authorization(headers.get(_AUTHORIZATION, ""), _KEY_SCHEME)
+
+
+def name_organisation(headers: Headers, organisation: str) -> Headers:
+    """Replace what a client's headers say of it by the name of its organisation."""
+    dropped = {_AUTHORIZATION.lower(), _ORGANISATION.lower()}
+    pairs = [pair for pair in headers if pair[0].lower() not in dropped]
+    return [*pairs, (_ORGANISATION, organisation)] if organisation else pairs
+
+
 def _make_patience(milliseconds: int) -> timedelta:
     return timedelta(seconds=min(milliseconds / 1000, _MAX_SECONDS))
 
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -41,11 +41,13 @@
     ATTEMPT_ID,
     RETRY_AFTER,
     SIGNATURE,
+    Headers,
     SendOptions,
     decode_notice,
     encode_headers,
     filter_response_headers,
     is_not_run,
+    name_organisation,
     parse_seconds,
 )
 from galenapass.platform.runners import ROLE_NAMES, ROLES_BY_NAME
@@ -131,11 +133,13 @@
     the target. ``paths`` tells which targets this host does not reach; ``open_detour``
     opens a connection to the address of one through another host, that at a second
     address if it is not empty. ``records`` are those of all connections.
+    ``hides_callers`` returns whether no target may get a client's key by now.
     """
 
     __slots__ = (
         "_clock",
         "_detours",
+        "_hides_callers",
         "_make_socket",
         "_on_notice",
         "_open_detour",
@@ -153,8 +157,10 @@
         open_detour: OpenDetour = _open_no_detour,
         make_socket: SocketFactory = make_target_socket,
         records: ConnectionRecords | None = None,
+        hides_callers: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
+        self._hides_callers = hides_callers
         self._on_notice = on_notice
         self._paths = paths
         self._open_detour = open_detour
@@ -228,12 +234,15 @@
         # A connection that can't be used again is not kept.
         request_options["once"] = request_options.get("once") or names is False
         sent_at = self._clock.monotonic()
+        headers: Headers = message.headers
+        if message.organisation is not None or self._hides_callers():
+            headers = name_organisation(headers, message.organisation or "")
         response = await self._request(
             message.method,
             target.address,
             message.target,
             call=call,
-            headers=CIMultiDict(encode_headers(message.headers, message.host, options)),
+            headers=CIMultiDict(encode_headers(headers, message.host, options)),
             data=message.body or None,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
             **request_options,
--- a/src/galenapass/systems/identities.py
+++ b/src/galenapass/systems/identities.py
@@ -8,7 +8,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["Identities", "Organisation", "digest_key", "find_organisation"]
+__all__ = [
+    "Identities",
+    "Organisation",
+    "digest_authorization",
+    "digest_key",
+    "find_organisation",
+]
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +37,17 @@
     return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
+def digest_authorization(authorization: str, scheme: str) -> str:
+    """Return the digest of the key that a header holds, empty if it holds none.
+
+    ``authorization`` is the header's value, ``scheme`` the name before the key in lower
+    case.
+    """
+    given, _, key = authorization.strip().partition(" ")
+    key = key.strip()
+    return digest_key(key) if key and given.lower() == scheme else ""
+
+
 def find_organisation(identities: Identities, digest: str) -> Organisation | None:
     """Return the organisation that holds the key of a digest, None if unknown."""
     return identities.organisations.get(digest)
--- a/tests/test_forwarding_configuration_follower.py
+++ b/tests/test_forwarding_configuration_follower.py
@@ -38,7 +38,7 @@
         self.fleet = Fleet("h1", "zone-a")
         self.fleet.routes = RouteTable(version=3)
         updates = ConfigurationUpdates(
-            self.fleet, self.clock, self.decode, lambda: None
+            self.fleet, self.clock, self.decode, lambda: None, str
         )
         self.follower = ConfigurationFollower(
             self.fleet,
--- a/tests/test_forwarding_configuration_sharing.py
+++ b/tests/test_forwarding_configuration_sharing.py
@@ -25,7 +25,7 @@
 def make_sharing(version, address, body=None):
     fleet = Fleet("h1", "zone-a", routes=RouteTable(version=version))
     updates = ConfigurationUpdates(
-        fleet, ManualClock(), lambda name, body: None, lambda: None
+        fleet, ManualClock(), lambda name, body: None, lambda: None, str
     )
     if body is not None:
         updates.in_force = StoredObject("main", 31, body)
--- a/tests/test_forwarding_configuration_updates.py
+++ b/tests/test_forwarding_configuration_updates.py
@@ -21,7 +21,7 @@
         self.begun, self.applied = [], []
         self.fleet = Fleet("h1", "zone-a")
         self.updates = ConfigurationUpdates(
-            self.fleet, ManualClock(), self.decode, self.record
+            self.fleet, ManualClock(), self.decode, self.record, str
         )
 
     def decode(self, name, body):
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -234,6 +234,7 @@
             lambda name, body: Ok(leaving),
             lambda: None,
             daemon.peering.announce_leaving,
+            replace_keys=str,
         )
         daemon.fleet.targets["e1"] = replace(target, incarnation="7")
         store_updates.apply_target_change(ObjectChange("e1", 9, "{}", False))
--- a/tests/test_platform_large_configurations.py
+++ b/tests/test_platform_large_configurations.py
@@ -195,7 +195,12 @@
                 }
             )
             store_updates = StoreUpdates(
-                fleet, ManualClock(), decoder, lambda name, body: None, lambda: None
+                fleet,
+                ManualClock(),
+                decoder,
+                lambda name, body: None,
+                lambda: None,
+                replace_keys=str,
             )
             for body in bodies:
                 change = ObjectChange(CONFIGURATION_NAME, 7, body)
