--- a/experiments/soak/platform_processes.py
+++ b/experiments/soak/platform_processes.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -66,10 +66,21 @@
 
 
 class PlatformProcesses:
-    """The metadata store in this process, and runners and daemons as processes."""
-
-    def __init__(self, folder: Path, random: Random, daemons: int, runners: int):
+    """The metadata store in this process, and runners and daemons as processes.
+
+    ``changes`` replace fields of the configuration.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        random: Random,
+        daemons: int,
+        runners: int,
+        changes: Mapping[str, Any] | None = None,
+    ):
         self.store = MetadataStore()
+        self._changes = {"routes": ROUTES, **(changes or {})}
         self.folder = folder
         self.runners = {}
         for n in range(runners):
@@ -96,7 +107,7 @@
         await web.TCPSite(self._server, "127.0.0.1", 0).start()
         ip, port = self._server.addresses[0][:2]
         self._address = f"{ip}:{port}"
-        self.store.put("config", "main", CONFIGURATION | {"routes": ROUTES})
+        self.store.put("config", "main", CONFIGURATION | self._changes)
         await asyncio.gather(*(r.start(self._address) for r in self.runners.values()))
         await asyncio.gather(*(d.start(self._address) for d in self.daemons.values()))
 
--- a/stand_ins/platform_routes.py
+++ b/stand_ins/platform_routes.py
@@ -2,7 +2,13 @@
 
 from typing import Any
 
-__all__ = ["CONFIGURATION", "HOST", "make_headers", "make_route"]
+__all__ = [
+    "CONFIGURATION",
+    "HOST",
+    "make_headers",
+    "make_organisations",
+    "make_route",
+]
 
 HOST = "a.example"
 
@@ -39,6 +45,20 @@
 }
 
 
+def make_organisations(
+    version: int, keys: dict[str, list[str]], public: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return a version of the example whose organisations have ``keys`` by name.
+
+    The routes named ``public`` need no key.
+    """
+    routes = [
+        route | {"public": route["name"] in public} for route in CONFIGURATION["routes"]
+    ]
+    tenants = [{"name": name, "api_keys": own} for name, own in keys.items()]
+    return CONFIGURATION | {"version": version, "routes": routes, "tenants": tenants}
+
+
 def make_headers(
     attempt: str, deadline_ms: int, output_tokens: int = 4
 ) -> dict[str, str]:
--- a/stand_ins/runner.py
+++ b/stand_ins/runner.py
@@ -43,6 +43,14 @@
     return {entry.partition(":")[0] for entry in entries[:-1]}
 
 
+def _describe_caller(request: web.Request) -> dict[str, list[str]]:
+    """Return what the headers of a request say of its caller, for the record."""
+    return {
+        "organisation": request.headers.getall("X-Galenapass-Tenant", []),
+        "authorization": request.headers.getall("Authorization", []),
+    }
+
+
 @dataclass(slots=True)
 class Arrival:
     """Arrival of an attempt at a runner; ``at`` is in seconds of the event loop.
@@ -357,7 +365,8 @@
             arrival.is_prefilled = True
             handle = f"handle-{len(self.received)}-{attempt}"
             self.handles.add(handle)
-            self.on_record({"kind": "prefill", "attempt": attempt, "handle": handle})
+            prefill = {"kind": "prefill", "attempt": attempt, "handle": handle}
+            self.on_record(prefill | _describe_caller(request))
             prefilled = make_json_response(
                 {"kv_handle": handle, "tokens": 1, "version": 1}
             )
@@ -424,6 +433,7 @@
                 "source": request.headers.get("X-Galenapass-Kv-Source"),
                 "last_event": int(request.headers.get("Last-Event-Id", "0")),
                 "pieces": pieces,
+                **_describe_caller(request),
             }
         )
 
