--- a/experiments/soak/platform_answers.py
+++ b/experiments/soak/platform_answers.py
@@ -14,6 +14,7 @@
 
     ``status`` is 0 without a head, ``end`` is how the end of the body was told, None if
     it never was. ``is_malformed`` is set if the bytes are no answer of the protocol.
+    ``key`` is that of the request, empty for none.
     """
 
     attempt: str
@@ -27,6 +28,7 @@
     body: bytes = b""
     end: Framing | None = None
     is_malformed: bool = False
+    key: str = ""
 
     @property
     def stays_open(self) -> bool:
--- a/experiments/soak/platform_clients.py
+++ b/experiments/soak/platform_clients.py
@@ -31,15 +31,23 @@
 class PlatformClient:
     """Client that keeps its connection; ``strays`` are bytes without a request.
 
-    Each stray is the attempt before, the daemon and the bytes.
+    Each stray is the attempt before, the daemon and the bytes. ``draw_key`` returns the
+    key of a request, empty for none.
     """
 
-    def __init__(self, name: str, addresses: dict[str, str], random: Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        addresses: dict[str, str],
+        random: Random,
+        draw_key: Callable[[], str] = str,
+    ) -> None:
         self.name = name
         self.answers: list[Answer] = []
         self.strays: list[tuple[str, str, bytes]] = []
         self._addresses = addresses
         self._random = random
+        self._draw_key = draw_key
 
     async def run(self, started: float, is_over: Callable[[], bool]) -> None:
         """Send requests until the end; ``started`` is in monotonic seconds."""
@@ -109,6 +117,7 @@
         # Equal prompts that break off would pass for ones that crash their runners.
         own_part = f"{zlib.crc32(attempt.encode()):x}"
         tokens = random.randint(*PROMPT_TOKENS)
+        key = self._draw_key()
         request = make_request(
             path,
             attempt,
@@ -116,5 +125,6 @@
             route.method,
             output_tokens=events,
             prompt=f"aa:1000,{own_part}:{tokens}",
+            key=key,
         )
-        return Answer(attempt, name, path, daemon, 0.0), request
+        return Answer(attempt, name, path, daemon, 0.0, key=key), request
--- a/experiments/soak/platform_processes.py
+++ b/experiments/soak/platform_processes.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -16,7 +16,7 @@
 from experiments.soak.faults import Fault
 from experiments.soak.platform_faults import draw_runner_faults
 from stand_ins.metadata_store import MetadataStore
-from stand_ins.platform_routes import CONFIGURATION
+from stand_ins.platform_routes import CONFIGURATION, list_organisations
 
 __all__ = ["PlatformProcesses", "RunnerProcess"]
 
@@ -68,7 +68,8 @@
 class PlatformProcesses:
     """The metadata store in this process, and runners and daemons as processes.
 
-    ``changes`` replace fields of the configuration.
+    ``organisations`` are the keys of organisations by name, None if the configuration
+    names none.
     """
 
     def __init__(
@@ -77,10 +78,12 @@
         random: Random,
         daemons: int,
         runners: int,
-        changes: Mapping[str, Any] | None = None,
+        organisations: dict[str, list[str]] | None = None,
     ):
         self.store = MetadataStore()
-        self._changes = {"routes": ROUTES, **(changes or {})}
+        self._configuration = CONFIGURATION | {"routes": ROUTES}
+        if organisations is not None:
+            self._configuration["tenants"] = list_organisations(organisations)
         self.folder = folder
         self.runners = {}
         for n in range(runners):
@@ -107,7 +110,7 @@
         await web.TCPSite(self._server, "127.0.0.1", 0).start()
         ip, port = self._server.addresses[0][:2]
         self._address = f"{ip}:{port}"
-        self.store.put("config", "main", CONFIGURATION | self._changes)
+        self.store.put("config", "main", self._configuration)
         await asyncio.gather(*(r.start(self._address) for r in self.runners.values()))
         await asyncio.gather(*(d.start(self._address) for d in self.daemons.values()))
 
--- a/experiments/soak/raw_requests.py
+++ b/experiments/soak/raw_requests.py
@@ -40,9 +40,15 @@
     body: bytes = b"",
     output_tokens: int = 4,
     prompt: str | None = None,
+    key: str = "",
 ) -> bytes:
-    """Return the bytes of a request; ``prompt`` are the parts of its own prompt."""
+    """Return the bytes of a request; ``prompt`` are the parts of its own prompt.
+
+    ``key`` is that of its organisation, empty for none.
+    """
     headers = make_headers(attempt, deadline_ms, output_tokens)
+    if key:
+        headers["Authorization"] = f"Token {key}"
     if prompt is not None:
         headers["X-Galenapass-Prompt-Prefix"] = prompt
     lines = [f"{method} {path} HTTP/1.1"]
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -182,11 +182,13 @@
         return body
     try:
         spec = orjson.loads(body)
-        spec["tenants"] = [_digest_keys(row) for row in spec.get("tenants") or ()]
+        if spec.get("tenants") is None:
+            return body
+        spec["tenants"] = [_digest_keys(row) for row in spec["tenants"]]
+        return orjson.dumps(spec).decode()
     except DECODE_ERRORS:
         # It cannot be decoded either.
         return ""
-    return orjson.dumps(spec).decode()
 
 
 def _digest_keys(row: Mapping[str, Any]) -> dict[str, Any]:
