--- a/src/galenapass/forwarding/request_handler.py
+++ b/src/galenapass/forwarding/request_handler.py
@@ -73,7 +73,6 @@
         metrics: Metrics,
         caller_finder: CallerFinder,
     ):
-        self._caller_finder = caller_finder
         self.stopping = False
         self.open = 0
         self._fleet = fleet
@@ -82,6 +81,7 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._caller_finder = caller_finder
 
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return its response."""
@@ -103,8 +103,7 @@
 
     async def _answer(self, raw: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
-        table = self._fleet.routes
-        if not table.version:
+        if not self._fleet.routes.version:
             return self._refuse(raw, _NO_ROUTES, None)
         host = raw.headers.get("Host", "").split(":")[0].lower()
         path = _extract_path(raw.raw_path)
