--- a/experiments/soak/platform_processes.py
+++ b/experiments/soak/platform_processes.py
@@ -16,7 +16,7 @@
 from experiments.soak.faults import Fault
 from experiments.soak.platform_faults import draw_runner_faults
 from stand_ins.metadata_store import MetadataStore
-from stand_ins.platform_routes import CONFIGURATION
+from stand_ins.platform_routes import CONFIGURATION, list_organisations
 
 __all__ = ["PlatformProcesses", "RunnerProcess"]
 
@@ -66,10 +66,24 @@
 
 
 class PlatformProcesses:
-    """The metadata store in this process, and runners and daemons as processes."""
-
-    def __init__(self, folder: Path, random: Random, daemons: int, runners: int):
+    """The metadata store in this process, and runners and daemons as processes.
+
+    ``organisations`` are the keys of organisations by name, None if the configuration
+    names none.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        random: Random,
+        daemons: int,
+        runners: int,
+        organisations: dict[str, list[str]] | None = None,
+    ):
         self.store = MetadataStore()
+        self._configuration = CONFIGURATION | {"routes": ROUTES}
+        if organisations is not None:
+            self._configuration["tenants"] = list_organisations(organisations)
         self.folder = folder
         self.runners = {}
         for n in range(runners):
@@ -96,7 +110,7 @@
         await web.TCPSite(self._server, "127.0.0.1", 0).start()
         ip, port = self._server.addresses[0][:2]
         self._address = f"{ip}:{port}"
-        self.store.put("config", "main", CONFIGURATION | {"routes": ROUTES})
+        self.store.put("config", "main", self._configuration)
         await asyncio.gather(*(r.start(self._address) for r in self.runners.values()))
         await asyncio.gather(*(d.start(self._address) for d in self.daemons.values()))
 
--- a/stand_ins/platform_routes.py
+++ b/stand_ins/platform_routes.py
@@ -2,7 +2,14 @@
 
 from typing import Any
 
-__all__ = ["CONFIGURATION", "HOST", "make_headers", "make_route"]
+__all__ = [
+    "CONFIGURATION",
+    "HOST",
+    "list_organisations",
+    "make_headers",
+    "make_organisations",
+    "make_route",
+]
 
 HOST = "a.example"
 
@@ -39,6 +46,25 @@
 }
 
 
+def make_organisations(
+    version: int, keys: dict[str, list[str]], public: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return a version of the example whose organisations have ``keys`` by name.
+
+    The routes named ``public`` need no key.
+    """
+    routes = [
+        route | {"public": route["name"] in public} for route in CONFIGURATION["routes"]
+    ]
+    changes = {"version": version, "tenants": list_organisations(keys)}
+    return CONFIGURATION | {"routes": routes} | changes
+
+
+def list_organisations(keys: dict[str, list[str]]) -> list[dict[str, Any]]:
+    """Return the organisations of a configuration, which have ``keys`` by name."""
+    return [{"name": name, "api_keys": own} for name, own in keys.items()]
+
+
 def make_headers(
     attempt: str, deadline_ms: int, output_tokens: int = 4
 ) -> dict[str, str]:
