Count the requests of each organisation by window of true time

Nothing counts what each organisation uses. A host counts a request once, as its first event or the head of its answer comes; a call as it was sent, also if its client has left. The sums of a window belong to one process of one host and only grow. They are told by datagram, at most each 0.5 s and only when changed, to a scheduler of the host's domain and to one of another, which confirm them, and schedulers tell them to the holder of the duty over TCP. Nothing of this is made unless a caller asks for it.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -12,6 +12,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from galenapass.forwarding import usage_messages
 from galenapass.forwarding.announcements import Announcement, TargetWork
 from galenapass.forwarding.crash_evidence import CrashReport
 from galenapass.forwarding.crash_sharing import (
@@ -48,6 +49,7 @@
     SlotRequest,
     Stage,
 )
+from galenapass.forwarding.usage_messages import UsageNotice, UsageReply
 from galenapass.forwarding.workload import DecodeStatistics, MeasuredDemand
 from galenapass.json_values import (
     DECODE_ERRORS,
@@ -165,6 +167,8 @@
     | OriginQuery
     | OriginReply
     | SilentTargets
+    | UsageNotice
+    | UsageReply
 )
 
 
@@ -587,5 +591,15 @@
         encode_reply,
         lambda host, row, now: decode_reply(row, now),
     ),
+    UsageNotice: (
+        "usage",
+        usage_messages.encode_notice,
+        lambda host, row, now: usage_messages.decode_notice(row, now),
+    ),
+    UsageReply: (
+        "usage-known",
+        usage_messages.encode_reply,
+        lambda host, row, now: usage_messages.decode_reply(row, now),
+    ),
 }
 _DECODERS = {kind: decode for kind, _, decode in _CODECS.values()}
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -56,6 +56,8 @@
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.suspects import CrashSuspects
 from galenapass.forwarding.target_messages import TargetNotice
+from galenapass.forwarding.usage_messages import UsageNotice, UsageReply
+from galenapass.forwarding.usage_sharing import UsageSharing
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
@@ -137,6 +139,8 @@
         self._version_aware: set[str] = set()
         self._blocks_sent_at = timedelta(0)
         permits.connect(self, self._send, scheduler.wake)
+        # None if the settings ask for no reports of usage.
+        self.usage: UsageSharing | None = None
         self._unannounced_parts: deque[tuple[str, PartDigest]] = deque(maxlen=4000)
         self._leaving: dict[tuple[str, str], timedelta] = {}
         self._orders: dict[str, tuple[Role, timedelta]] = {}
@@ -168,11 +172,17 @@
             StreamNotice: self._apply_stream_notice,
             OriginQuery: self._answer_origin_query,
             SilentTargets: self._apply_silent,
+            UsageNotice: lambda host, address, notice: self._apply_usage(host, notice),
+            UsageReply: lambda host, address, reply: self._apply_usage(host, reply),
             OriginReply: lambda host, address, reply: self._origins.queries.apply_reply(
                 reply
             ),
         }
 
+    def send_usage(self, host: str, message: UsageNotice | UsageReply) -> None:
+        """Tell another host of the usage of organisations."""
+        self._send(host, message)
+
     def announce_parts(self, target: Target, parts: tuple[PartDigest, ...]) -> None:
         """Announce prompt parts whose prefill a target begins."""
         self._unannounced_parts.extend((target.id, part) for part in parts)
@@ -483,6 +493,14 @@
         self._epochs.observe(pong.epoch, host)
         self._apply_version(pong.version, host)
 
+    def _apply_usage(self, host: str, message: UsageNotice | UsageReply) -> None:
+        if self.usage is None:
+            return
+        if isinstance(message, UsageNotice):
+            self.usage.apply_notice(host, message)
+        else:
+            self.usage.apply_reply(host, message)
+
     def _apply_silent(self, host: str, address: Address, silent: SilentTargets) -> None:
         now = self._clock.monotonic()
         self._silence_reports.pop(host, None)
--- a/src/galenapass/forwarding/relay.py
+++ b/src/galenapass/forwarding/relay.py
@@ -40,6 +40,7 @@
 from galenapass.forwarding.suspects import CrashSuspects
 from galenapass.forwarding.switching import Standby, SwitchSteps
 from galenapass.forwarding.target_messages import ClientRequest, TargetNotice
+from galenapass.forwarding.usage_sharing import BeginRecorder
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
 from galenapass.timeouts import limit_silence
@@ -79,7 +80,8 @@
 
     ``on_left`` is called with a target that reports that it is leaving,
     ``on_limit_change`` when a target names another rate limit or none,
-    ``on_limited_send`` before each send to a target that limits its rate.
+    ``on_limited_send`` before each send to a target that limits its rate; ``begins``
+    counts the requests that begin to run.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         origins: OriginSharing,
         on_silent: Callable[[str, timedelta], None] = lambda name, silence: None,
         large_answers: LargeAnswers | None = None,
+        begins: BeginRecorder | None = None,
     ):
         self._fleet = fleet
         self._target_client = target_client
@@ -114,6 +117,7 @@
             clock,
             self._record_stream_begin,
             large_answers,
+            begins,
         )
         self._answer_times = AnswerTimes()
         self._open_requests = OpenRequests(clock, self._answer_times)
--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -69,7 +69,7 @@
     and ``origin`` the version that made that event, None before it; ``abandoned_at`` is
     when the client stops waiting, also at other hosts. ``answer`` tells of the latest
     response of a target to it. ``organisation`` is the name of the caller's, empty if
-    unknown.
+    unknown; ``has_begun`` is set once its use is counted.
     """
 
     id: str
@@ -96,6 +96,7 @@
     abandoned_at: timedelta = timedelta(0)
     answer: "ResponseIdentity | None" = None
     organisation: str = ""
+    has_begun: bool = False
 
     @property
     def version(self) -> str | None:
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -243,6 +243,10 @@
         names = [n for n in self.list_schedulers() if n in designated]
         return sorted(names, key=lambda name: -round(hosts[name].power, 1))
 
+    def list_designated(self) -> dict[str, list[str]]:
+        """Return the designated schedulers by failure domain."""
+        return self._state.designated
+
     def knows_ip(self, ip: str) -> bool:
         """Return whether an IP address is that of a known host."""
         return any(address[0] == ip for address in self._addresses.values())
--- a/src/galenapass/forwarding/sending.py
+++ b/src/galenapass/forwarding/sending.py
@@ -31,6 +31,7 @@
 from galenapass.forwarding.slot_requests import Outcome
 from galenapass.forwarding.suspects import CrashSuspects
 from galenapass.forwarding.target_messages import ClientRequest, TargetResponse
+from galenapass.forwarding.usage_sharing import BeginRecorder
 from galenapass.logs import make_log
 from galenapass.tables.targets import Target
 from galenapass.timeouts import limit_silence
@@ -61,18 +62,21 @@
 class Exchange:
     """Request on its way to a target, and the response to it.
 
-    ``is_connected`` returns whether the request may have been sent.
+    ``is_connected`` returns whether the request may have been sent, ``find_sent_at``
+    since when, None if unknown.
     """
 
-    __slots__ = ("_context", "_is_connected", "_opening")
+    __slots__ = ("_context", "_is_connected", "_opening", "find_sent_at")
 
     def __init__(
         self,
         context: AbstractAsyncContextManager[Result[TargetResponse, Verdict]],
         is_connected: Callable[[], bool] = lambda: True,
+        find_sent_at: Callable[[], timedelta | None] = lambda: None,
     ):
         self._context = context
         self._is_connected = is_connected
+        self.find_sent_at = find_sent_at
         self._opening = asyncio.ensure_future(context.__aenter__())
 
     async def open(self) -> Result[TargetResponse, Verdict]:
@@ -139,7 +143,8 @@
 class Sender:
     """Sender of requests to targets, which records how each send ended.
 
-    ``on_stream_begin`` is called before the first event of an answer is passed on.
+    ``on_stream_begin`` is called before the first event of an answer is passed on;
+    ``begins`` counts the requests that begin to run.
     """
 
     def __init__(
@@ -149,7 +154,9 @@
         clock: Clock,
         on_stream_begin: Callable[[ForwardedRequest, Target], None],
         large_answers: LargeAnswers | None = None,
+        begins: BeginRecorder | None = None,
     ):
+        self._begins = begins
         self._target_client = target_client
         self._large_answers = large_answers or LargeAnswers()
         self._on_stream_begin = on_stream_begin
@@ -287,12 +294,16 @@
         watch: SilenceWatch,
     ) -> Result[None, Verdict]:
         exchange = send.exchange or self._open_exchange(request, message, send)
+        may_have_run = True
+        self._watch_call(request)
         try:
             opened = await watch.read(exchange.open())
             if isinstance(opened, Err):
+                may_have_run = opened.err_value.run is not Run.NOT_RUN
                 return opened
             response = opened.ok_value
             request.answer = response.identity
+            self._record_head(request, response, exchange)
             if request.route.streams and response.status == 200:
                 return await self._relay_stream(request, sink, send, response, watch)
             async with self._large_answers.hold(send.slot.grant.target.id) as held:
@@ -300,8 +311,37 @@
                     request, sink, send, response, watch, held
                 )
         finally:
+            # A call that was sent runs also if its client leaves before the answer.
+            self._end_call(request, exchange if may_have_run else None)
             await exchange.close()
 
+    def _watch_call(self, request: ForwardedRequest) -> None:
+        if self._begins is not None and not request.is_generation:
+            self._begins.watch_call(request)
+
+    def _record_head(
+        self, request: ForwardedRequest, response: TargetResponse, exchange: Exchange
+    ) -> None:
+        """Count a request whose answer begins, unless it begins with its first event.
+
+        A call began as it was sent, to a slot that was free.
+        """
+        if self._begins is None:
+            return
+        if not request.is_generation:
+            self._end_call(request, exchange)
+        elif not request.route.streams and response.status == 200:
+            self._begins.record_begin(request, self._clock.monotonic())
+
+    def _end_call(self, request: ForwardedRequest, exchange: Exchange | None) -> None:
+        """Count a call if it was sent, and is not known to have been refused."""
+        if self._begins is None or request.is_generation:
+            return
+        sent_at = None if exchange is None else exchange.find_sent_at()
+        if sent_at is not None:
+            self._begins.record_begin(request, sent_at)
+        self._begins.end_call(request)
+
     def _open_exchange(
         self, request: ForwardedRequest, message: ClientRequest, send: Send
     ) -> Exchange:
@@ -320,7 +360,7 @@
             why=send.slot.grant.why,
             left_ms=time_left // MILLISECOND,
         )
-        connected = asyncio.Event()
+        connections: list[timedelta] = []
         return Exchange(
             self._target_client.run(
                 target,
@@ -330,9 +370,10 @@
                 source=send.source,
                 last_event=request.last_event,
                 once=once,
-                on_connection=connected.set,
+                on_connection=lambda: connections.append(self._clock.monotonic()),
             ),
-            connected.is_set,
+            lambda: bool(connections),
+            lambda: connections[-1] if connections else None,
         )
 
     async def _relay_whole(
@@ -386,6 +427,8 @@
             events_before = events.events
             complete_events = events.feed(chunk)
             if complete_events:
+                if self._begins is not None and request.is_generation:
+                    self._begins.record_begin(request, self._clock.monotonic())
                 watch.record_progress()
                 send.slot.record_output(events.events - events_before)
                 if not sink.began:
--- /dev/null
+++ b/src/galenapass/forwarding/usage_sharing.py
@@ -0,0 +1,385 @@
+"""Record the usage of organisations and share it with schedulers of two domains.
+
+A host tells its counts by datagram to a scheduler of its own domain and to one of
+another, so that they survive it and either domain. The holder of the duty collects
+them from all schedulers over TCP.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, Protocol
+
+import orjson
+import xxhash
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.forwarding import usage_counts
+from galenapass.forwarding.peer_calls import PeerConnection, open_call
+from galenapass.forwarding.requests import ForwardedRequest
+from galenapass.forwarding.schedulers import Address
+from galenapass.forwarding.true_time import TrueTime
+from galenapass.forwarding.usage_counts import Source, SourceCounts, UsageTable
+from galenapass.forwarding.usage_messages import (
+    UsageNotice,
+    UsageReply,
+    UsageRow,
+    decode_counts,
+    encode_counts,
+)
+from galenapass.json_values import DECODE_ERRORS, describe_error, read_integer
+from galenapass.logs import make_log
+from galenapass.timeouts import limit_silence
+
+__all__ = [
+    "USAGE_CALL",
+    "BeginRecorder",
+    "SchedulerHosts",
+    "UsageSharing",
+    "choose_receivers",
+]
+
+USAGE_CALL = "usage"
+STEP_PERIOD = timedelta(milliseconds=500)
+# Windows that ended longer ago are forgotten: far longer than the store is away.
+KEEP_TIME = timedelta(seconds=120)
+# Rows that fit into one datagram of usual size, and datagrams to a receiver in a step.
+MAX_ROWS = 32
+MAX_NOTICES = 40
+# Notices without a reply after which another scheduler is told, and for how long.
+MAX_UNANSWERED = 3
+FAILED_TIME = timedelta(seconds=5)
+# Without any byte of the answer to a call.
+ANSWER_TIMEOUT = timedelta(milliseconds=600)
+# Counts of 1,000 organisations at 410 hosts in twelve windows, decompressed.
+MAX_BODY_BYTES = 64 * 2**20
+
+_log = make_log("usage")
+
+
+class BeginRecorder(Protocol):
+    """Recorder of the requests that begin to run."""
+
+    def watch_call(self, request: ForwardedRequest) -> None:
+        """Expect that a call may turn out to have begun from now on."""
+
+    def record_begin(self, request: ForwardedRequest, at: timedelta) -> None:
+        """Count a request that began at a monotonic time, once."""
+
+    def end_call(self, request: ForwardedRequest) -> None:
+        """Stop expecting the begin of a call."""
+
+
+class SchedulerHosts(Protocol):
+    """Schedulers of all domains, and where hosts listen."""
+
+    def list_designated(self) -> Mapping[str, list[str]]:
+        """Return the designated schedulers by failure domain."""
+
+    def find_address(self, host: str) -> Address | None:
+        """Return the address on which a host listens, None if unknown."""
+
+
+@dataclass(slots=True)
+class _Receiver:
+    """What another host is known to have of this process's counts.
+
+    ``through`` is the time that it knows the counts to be complete up to. Once the
+    ``pending`` notices are confirmed they are up to ``pending_through``, which becomes
+    ``confirmed_through``, for a later notice to tell.
+    """
+
+    start: int | None = None
+    acknowledged: dict[tuple[int, str], int] = field(default_factory=dict)
+    through: timedelta = timedelta(0)
+    pending: dict[int, UsageNotice] = field(default_factory=dict)
+    pending_through: timedelta = timedelta(0)
+    confirmed_through: timedelta = timedelta(0)
+    unanswered: int = 0
+    failed_until: timedelta | None = None
+
+
+def choose_receivers(
+    designated: Mapping[str, list[str]],
+    host: str,
+    domain: str,
+    is_failed: Callable[[str], bool],
+) -> list[str]:
+    """Return a scheduler of the own domain and one of another, by chance of the name.
+
+    Load pattern: hundreds of hosts. Each scheduler is told by its share of them. With
+    one domain, or all others failed, both are of the own one.
+    """
+
+    def rotate(names: list[str]) -> list[str]:
+        usable = [name for name in names if name != host and not is_failed(name)]
+        offset = xxhash.xxh64_intdigest(host.encode()) % max(len(usable), 1)
+        return usable[offset:] + usable[:offset]
+
+    own = rotate(designated.get(domain, []))
+    others = rotate(
+        [
+            name
+            for other, names in sorted(designated.items())
+            if other != domain
+            for name in names
+        ]
+    )
+    return [*own[:1], *others[:1], *own[1:], *others[1:]][:2]
+
+
+class UsageSharing:
+    """Usage of the organisations at this host, and what other hosts told of theirs.
+
+    ``start`` is the start of this process in milliseconds since 1970, ``send`` sends a
+    datagram to a host. ``on_request`` is called with the organisation of each request
+    that is counted.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        domain: str,
+        start: int,
+        window: timedelta,
+        clock: Clock,
+        hosts: SchedulerHosts,
+        send: Callable[[str, UsageNotice | UsageReply], None],
+        on_request: Callable[[str], None] = lambda organisation: None,
+    ):
+        self.table = UsageTable()
+        self.time = TrueTime(clock)
+        self.window = window
+        self.source: Source = (host, start)
+        self._domain = domain
+        self._clock = clock
+        self._hosts = hosts
+        self._send = send
+        self._on_request = on_request
+        self._receivers: dict[str, _Receiver] = {}
+        self._sequence = 0
+        # Requests that began before the true time was known.
+        self._unassigned: list[tuple[timedelta, str]] = []
+        self._open_calls: dict[ForwardedRequest, timedelta] = {}
+
+    # Requests
+
+    def watch_call(self, request: ForwardedRequest) -> None:
+        """Expect that a call may turn out to have begun from now on."""
+        if request.organisation and not request.has_begun:
+            self._open_calls[request] = self._clock.monotonic()
+
+    def record_begin(self, request: ForwardedRequest, at: timedelta) -> None:
+        """Count a request that began at a monotonic time, once.
+
+        A stream that its client takes up began before.
+        """
+        self.end_call(request)
+        if request.has_begun or request.is_resumed or not request.organisation:
+            return
+        request.has_begun = True
+        self._on_request(request.organisation)
+        self._unassigned.append((at, request.organisation))
+        if self.time.is_settled:
+            self._assign()
+
+    def end_call(self, request: ForwardedRequest) -> None:
+        """Stop expecting the begin of a call."""
+        self._open_calls.pop(request, None)
+
+    def _assign(self) -> None:
+        """Assign the requests that began to their windows of true time."""
+        for at, organisation in self._unassigned:
+            window = usage_counts.find_window(at + self.time.offset, self.window)
+            if not usage_counts.add_request(
+                self.table, self.source, window, organisation
+            ):
+                _log("request began in a closed window", window=window)
+        self._unassigned.clear()
+
+    def _find_through(self) -> timedelta:
+        """Return the true time up to which the own counts are complete."""
+        if self._unassigned:
+            return min(at for at, _ in self._unassigned) + self.time.offset
+        begins = min(self._open_calls.values(), default=self._clock.monotonic())
+        return begins + self.time.offset
+
+    # Datagrams
+
+    async def run(self) -> None:
+        """Share the counts until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_PERIOD.total_seconds())
+            self.step()
+
+    def step(self) -> None:
+        """Update the true time, and tell two schedulers what they do not have."""
+        self.time.update()
+        if self.time.is_settled:
+            self._assign()
+        through = self._find_through()
+        usage_counts.record_through(self.table, self.source, through)
+        old = usage_counts.find_window(self.time.now() - KEEP_TIME, self.window)
+        usage_counts.forget_windows(self.table, old, self.time.now())
+        now = self._clock.monotonic()
+        for name in self._choose_receivers(now):
+            self._tell(name, through, now)
+
+    def _choose_receivers(self, now: timedelta) -> list[str]:
+        def is_failed(name: str) -> bool:
+            receiver = self._receivers.get(name)
+            until = None if receiver is None else receiver.failed_until
+            return until is not None and now < until
+
+        designated = self._hosts.list_designated()
+        return choose_receivers(designated, self.source[0], self._domain, is_failed)
+
+    def _tell(self, name: str, through: timedelta, now: timedelta) -> None:
+        receiver = self._receivers.setdefault(name, _Receiver())
+        if receiver.unanswered >= MAX_UNANSWERED:
+            _log("scheduler does not confirm usage", peer=name)
+            receiver.failed_until = now + FAILED_TIME
+            receiver.unanswered = 0
+            receiver.pending.clear()
+            return
+        rows = self._list_unacknowledged(receiver)
+        is_window_told = receiver.through // self.window >= through // self.window
+        if not rows and is_window_told:
+            return
+        receiver.unanswered += 1
+        chunks = [rows[n : n + MAX_ROWS] for n in range(0, len(rows), MAX_ROWS)]
+        is_whole = len(chunks) <= MAX_NOTICES
+        # One of several datagrams may be lost.
+        told = through if len(chunks) <= 1 else receiver.confirmed_through
+        receiver.pending.clear()
+        receiver.pending_through = through if is_whole else receiver.confirmed_through
+        for chunk in chunks[:MAX_NOTICES] or [[]]:
+            self._sequence += 1
+            notice = UsageNotice(
+                self.source[1],
+                self._sequence,
+                now,
+                self.time.read_own_clock(),
+                told,
+                tuple(chunk),
+            )
+            receiver.pending[notice.sequence] = notice
+            self._send(name, notice)
+
+    def _list_unacknowledged(self, receiver: _Receiver) -> list[UsageRow]:
+        kept = set(self.table.counts)
+        receiver.acknowledged = {
+            key: count for key, count in receiver.acknowledged.items() if key[0] in kept
+        }
+        return [
+            (window, organisation, count)
+            for window, sources in sorted(self.table.counts.items())
+            for organisation, count in sources.get(self.source, {}).items()
+            if receiver.acknowledged.get((window, organisation)) != count
+        ]
+
+    def apply_notice(self, host: str, notice: UsageNotice) -> None:
+        """Apply the counts of another host, and reply."""
+        source = (host, notice.start)
+        for window, organisation, count in notice.rows:
+            usage_counts.merge_counts(self.table, source, window, {organisation: count})
+        usage_counts.record_through(self.table, source, notice.through)
+        self.time.apply_clock(host, notice.own_clock)
+        reply = UsageReply(
+            self.source[1],
+            notice.sequence,
+            notice.sent_at,
+            self.time.now(),
+            self.time.weight,
+        )
+        self._send(host, reply)
+
+    def apply_reply(self, host: str, reply: UsageReply) -> None:
+        """Record what a receiver has, and its time."""
+        receiver = self._receivers.setdefault(host, _Receiver())
+        if receiver.start != reply.start:
+            # Another process, which knows nothing of the former one's table.
+            receiver.start = reply.start
+            receiver.acknowledged.clear()
+            receiver.through = receiver.confirmed_through = timedelta(0)
+            receiver.pending_through = timedelta(0)
+        notice = receiver.pending.pop(reply.sequence, None)
+        if notice is None:
+            return
+        receiver.unanswered = 0
+        receiver.through = max(receiver.through, notice.through)
+        for window, organisation, count in notice.rows:
+            receiver.acknowledged[window, organisation] = count
+        if not receiver.pending:
+            receiver.confirmed_through = receiver.pending_through
+        self.time.apply_reply(host, reply.time, reply.weight, notice.sent_at)
+
+    # Calls
+
+    async def answer(self, fields: dict[str, Any], connection: PeerConnection) -> None:
+        """Send the counts of the windows after the last one that is closed."""
+        after = read_integer(fields["after"])
+        self.prepare_table(after)
+        rows = encode_counts(usage_counts.list_counts(self.table, after))
+        payload = zlib.compress(orjson.dumps(rows), 1)
+        await connection.send({"length": len(payload)}, payload)
+
+    def prepare_table(self, closed: int) -> None:
+        """Complete the own counts; forget the windows whose reports were written."""
+        self.table.written = max(self.table.written, closed)
+        usage_counts.forget_windows(self.table, closed, self.time.now())
+        usage_counts.record_through(self.table, self.source, self._find_through())
+
+    async def collect(self, after: int) -> list[str]:
+        """Merge what all schedulers know; return those that did not answer."""
+        self.prepare_table(after)
+        names = {n for names in self._hosts.list_designated().values() for n in names}
+        names.discard(self.source[0])
+        fetched = await asyncio.gather(*(self._fetch(n, after) for n in sorted(names)))
+        return [name for name in fetched if name is not None]
+
+    async def _fetch(self, host: str, after: int) -> str | None:
+        """Merge what a scheduler knows; return its name if it did not answer."""
+        address = self._hosts.find_address(host)
+        if address is None:
+            return host
+        opened = await open_call(address, self.source[0], USAGE_CALL, {"after": after})
+        if isinstance(opened, Err):
+            return host
+        connection = opened.ok_value
+        try:
+            read = await _read_answer(connection)
+        finally:
+            connection.abort()
+        if isinstance(read, Err):
+            _log("usage of a scheduler is unknown", peer=host, error=read.err_value)
+            return host
+        for item in read.ok_value:
+            for window, counts in item.counts.items():
+                usage_counts.merge_counts(self.table, item.source, window, counts)
+            usage_counts.record_through(self.table, item.source, item.through)
+        return None
+
+
+async def _read_answer(
+    connection: PeerConnection,
+) -> Result[list[SourceCounts], str]:
+    try:
+        head = await connection.receive(ANSWER_TIMEOUT)
+        payload = bytearray()
+        while len(payload) < read_integer(head["length"]):
+            async with limit_silence(ANSWER_TIMEOUT):
+                chunk = await connection.reader.read(65_536)
+            if not chunk:
+                return Err("the answer was cut off")
+            payload += chunk
+        inflater = zlib.decompressobj()
+        body = inflater.decompress(payload, MAX_BODY_BYTES)
+        if not inflater.eof:
+            return Err("the answer is too large")
+        return Ok(decode_counts(orjson.loads(body)))
+    except (OSError, TimeoutError, zlib.error, *DECODE_ERRORS) as error:
+        return Err(describe_error(error))
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -94,6 +94,8 @@
     resumed_streams: Counter
     retries: Counter
     unrequested_responses: Counter
+    usage_requests: Counter
+    usage_reports: Counter
 
 
 def make_metrics() -> Metrics:
@@ -117,6 +119,8 @@
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
         unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
+        usage_requests=Counter(registry, "galenapass_usage_requests", "organisation"),
+        usage_reports=Counter(registry, "galenapass_usage_reports", "outcome"),
     )
 
 
