Report the usage of each window exactly once

The holder of the planner's lease closes a window once all hosts told their counts up to its end, or shortly before it is due, writes the report to the store with a conditional create, and sends it as written until the platform accepts it. The next holder sends what is written. Reports tell up to which window all were accepted, so that an object that a frozen holder creates late is known for what it is. A call begins and ends within the lease, and an open one is reset before the lease is released. Started only if the settings name the duty; `galenapass usage`, two metrics and a log line for each report.

--- a/src/galenapass/cli.py
+++ b/src/galenapass/cli.py
@@ -7,6 +7,7 @@
 from galenapass.tool.configuration_commands import apply, show
 from galenapass.tool.fleet import roles, status, targets
 from galenapass.tool.offline import check, hash_key, reference
+from galenapass.tool.usage import usage
 
 __all__ = ["main"]
 
@@ -25,7 +26,18 @@
   fish  _GALENAPASS_COMPLETE=fish_source galenapass | source
 """
 
-COMMANDS = (check, apply, show, status, targets, roles, ask, hash_key, reference)
+COMMANDS = (
+    check,
+    apply,
+    show,
+    status,
+    targets,
+    roles,
+    usage,
+    ask,
+    hash_key,
+    reference,
+)
 
 
 @click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
--- a/src/galenapass/duties/lease_keeper.py
+++ b/src/galenapass/duties/lease_keeper.py
@@ -1,7 +1,8 @@
 """Acquire, renew and release a lease that the platform stores."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from typing import Any, Protocol
 
 from result import Result
@@ -48,10 +49,11 @@
 class LeaseKeeper:
     """One daemon's lease, with the calls that acquire, renew and release it.
 
-    ``find_epoch`` returns the store's epoch, 0 while it is unknown.
+    ``find_epoch`` returns the store's epoch, 0 while it is unknown. The functions in
+    ``before_release`` end what only the holder may do, before another one may begin.
     """
 
-    __slots__ = ("_clock", "_find_epoch", "_objects", "lease")
+    __slots__ = ("_clock", "_find_epoch", "_objects", "before_release", "lease")
 
     def __init__(
         self,
@@ -64,6 +66,7 @@
         self._clock = clock
         self._objects = objects
         self._find_epoch = find_epoch
+        self.before_release: list[Callable[[], Awaitable[None]]] = []
 
     @property
     def fence(self) -> int | None:
@@ -76,6 +79,11 @@
         """Return whether this daemon holds a valid lease now."""
         return leases.is_valid(self.lease, self._clock.monotonic())
 
+    @property
+    def time_left(self) -> timedelta:
+        """Return how long the lease remains valid, 0 unless it is valid now."""
+        return leases.find_time_left(self.lease, self._clock.monotonic())
+
     def apply_epoch(self) -> None:
         """Give the lease up if the store was restored."""
         leases.apply_epoch(self.lease, self._find_epoch(), self._clock.monotonic())
@@ -94,6 +102,10 @@
     async def release(self) -> None:
         """Release the lease, or let it expire when the release times out."""
         effect = step_lease(self.lease, StopLease(), self._clock.monotonic())
+        # Also where no release can be written, as while a renewal is open.
+        self.lease.valid_until = None
+        for end in self.before_release:
+            await end()
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_SECONDS):
                 await self._perform_effects(effect)
--- /dev/null
+++ b/src/galenapass/duties/usage_reports.py
@@ -0,0 +1,367 @@
+"""Report the usage of each window exactly once while this host holds the lease.
+
+A report is written to the store before it is first sent, and then sent as written by
+whoever holds the lease, until the platform accepts it. So no two counts are sent for a
+window, whichever process, call or answer is lost.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any, Protocol
+
+import orjson
+from result import Err, Ok, Result
+
+from galenapass.clocks import Clock
+from galenapass.duties.duty_calls import DutyCalls
+from galenapass.duties.lease_keeper import LeaseObjects
+from galenapass.forwarding import usage_counts
+from galenapass.forwarding.operations import CallOutcome, OperationsTerms
+from galenapass.forwarding.usage_sharing import UsageSharing
+from galenapass.json_values import (
+    DECODE_ERRORS,
+    decode_json,
+    describe_error,
+    read_counter,
+    read_integer,
+    read_name,
+)
+from galenapass.logs import make_log
+from galenapass.platform.messages import Failure, FailureCause, ObjectListing
+
+__all__ = ["USAGE_KIND", "Closing", "UsageObjects", "UsageReports", "decide_closing"]
+
+USAGE_KIND = "usage"
+STEP_PERIOD = timedelta(milliseconds=250)
+# Hosts tell their counts every 0.5 s.
+SETTLE_TIME = timedelta(milliseconds=700)
+# Between two collections while hosts are missing.
+COLLECT_PERIOD = timedelta(milliseconds=500)
+# Share of the lateness after which a window is closed without the missing hosts. The
+# rest is for the write and for calls to a platform that is slow or throttles.
+FORCED_SHARE = 0.65
+# Windows that ended earlier and were never written are not caught up: their counts are
+# forgotten.
+CATCH_UP_TIME = timedelta(seconds=110)
+# Accepted windows that operators are shown.
+HISTORY = 24
+FIRST_RETRY_DELAY = timedelta(milliseconds=300)
+MAX_RETRY_DELAY = timedelta(seconds=2)
+
+_log = make_log("usage")
+
+
+class Closing(Enum):
+    """What to do with a window that has not been written yet."""
+
+    WAIT = "wait"
+    CLOSE = "close"
+    FORCE = "close without the missing hosts"
+
+
+class UsageObjects(LeaseObjects, Protocol):
+    """Object store that also lists and deletes."""
+
+    async def list(self, kind: str) -> Result[ObjectListing, Failure]:
+        """Return every object of a kind."""
+
+    async def delete(
+        self, kind: str, name: str, if_version: int
+    ) -> Result[None, Failure]:
+        """Delete the version ``if_version`` of an object."""
+
+
+@dataclass(slots=True)
+class Report:
+    """Report that is in the store; times are monotonic.
+
+    As it was written, all windows up to ``accepted_through`` were accepted. Their
+    objects may be gone, and one that appears again is a late write of another host.
+    """
+
+    counts: Mapping[str, int]
+    accepted_through: int
+    version: int = 0
+    is_accepted: bool = False
+    attempts: int = 0
+    retry_at: timedelta = timedelta(0)
+
+
+def decide_closing(
+    end: timedelta, lateness: timedelta, is_complete: bool, now: timedelta
+) -> Closing:
+    """Return whether to close a window that ended at a true time.
+
+    Load pattern: a partitioned or frozen host, whose counts come late or never.
+    """
+    if is_complete and now >= end:
+        return Closing.CLOSE
+    return Closing.FORCE if now >= end + lateness * FORCED_SHARE else Closing.WAIT
+
+
+class UsageReports:
+    """Duty to report the usage of each window.
+
+    ``is_first_start`` tells that no window before the start of this process was used.
+    ``on_outcome`` is called with the outcome of each call.
+    """
+
+    def __init__(
+        self,
+        terms: OperationsTerms,
+        calls: DutyCalls,
+        objects: UsageObjects,
+        sharing: UsageSharing,
+        clock: Clock,
+        *,
+        is_first_start: bool = False,
+        on_outcome: Callable[[str], None] = lambda outcome: None,
+    ):
+        self._terms = terms
+        self._calls = calls
+        self._objects = objects
+        self._sharing = sharing
+        self._clock = clock
+        self._first = self._find_window() if is_first_start else None
+        self._on_outcome = on_outcome
+        self._loaded_fence: int | None = None
+        self._next = 0
+        self._reports: dict[int, Report] = {}
+        self._history: deque[tuple[int, Mapping[str, int]]] = deque(maxlen=HISTORY)
+        self._collected_at: timedelta | None = None
+
+    def list_reports(self) -> list[dict[str, Any]]:
+        """Return the windows that are known here, with their state, for operators."""
+        table = self._sharing.table
+        rows: dict[int, tuple[str, Mapping[str, int]]] = {
+            window: ("open", usage_counts.sum_window(table, window))
+            for window in table.counts
+        }
+        rows |= {w: ("written", report.counts) for w, report in self._reports.items()}
+        rows |= {window: ("accepted", counts) for window, counts in self._history}
+        return [
+            {"window": window, "state": state, "counts": counts}
+            for window, (state, counts) in sorted(rows.items())
+        ]
+
+    async def run(self) -> None:
+        """Close windows and send their reports until cancelled."""
+        closing = asyncio.ensure_future(self._repeat(self.step_windows))
+        sending = asyncio.ensure_future(self._repeat(self.step_reports))
+        try:
+            await asyncio.gather(closing, sending)
+        finally:
+            closing.cancel()
+            sending.cancel()
+
+    async def _repeat(self, step: Callable[[], Any]) -> None:
+        while True:
+            await step()
+            await asyncio.sleep(STEP_PERIOD.total_seconds())
+
+    # Windows
+
+    async def step_windows(self) -> None:
+        """Write the reports of the windows that can be closed."""
+        fence = self._calls.fence
+        if fence is None or not self._sharing.time.is_settled:
+            return
+        if fence != self._loaded_fence:
+            if not await self._load():
+                return
+            self._loaded_fence = fence
+        while self._calls.fence == fence and await self._close_next():
+            pass
+
+    async def _load(self) -> bool:
+        """Read what earlier holders wrote; return whether the store answered."""
+        listing = await self._objects.list(USAGE_KIND)
+        if isinstance(listing, Err):
+            return False
+        stored: dict[int, Report] = {}
+        for item in listing.ok_value.items:
+            decoded = _decode_report(item.name, item.body)
+            if isinstance(decoded, Err):
+                _log("report is unreadable", name=item.name, error=decoded.err_value)
+                continue
+            window, report = decoded.ok_value
+            known = self._reports.get(window)
+            report.version = item.version
+            report.is_accepted = known is not None and known.is_accepted
+            stored[window] = report
+        newest = max(stored, default=-1)
+        if newest < 0:
+            await self._collect()
+        accepted = max((r.accepted_through for r in stored.values()), default=-1)
+        for window, report in stored.items():
+            report.is_accepted |= window <= accepted
+        # What is missing below was accepted, and removed by another holder. What is
+        # missing above was lost as the store was restored.
+        lost = {w: r for w, r in self._reports.items() if w > newest}
+        self._reports = stored | lost
+        self._next = self._find_next(max([newest, *lost]))
+        _log("reports are read", count=len(stored), next=self._next)
+        return True
+
+    def _find_next(self, newest: int) -> int:
+        """Return the first window to write after the newest one that was written."""
+        now = self._sharing.time.now()
+        table = self._sharing.table
+        written = max(newest, self._next - 1, table.written)
+        oldest = usage_counts.find_window(now - CATCH_UP_TIME, self._sharing.window)
+        if written < 0:
+            first = self._first if self._first is not None else self._find_window()
+            return max(min([first, *table.counts]), oldest)
+        if written + 1 < oldest:
+            _log("windows are not reported", first=written + 1, last=oldest - 1)
+        return max(written + 1, oldest)
+
+    def _find_window(self) -> int:
+        return usage_counts.find_window(self._sharing.time.now(), self._sharing.window)
+
+    async def _close_next(self) -> bool:
+        """Close the next window; return whether it was, so that another may be."""
+        window = self._next
+        end = usage_counts.find_end(window, self._sharing.window)
+        now = self._sharing.time.now()
+        if now < end + SETTLE_TIME:
+            return False
+        await self._collect()
+        now = self._sharing.time.now()
+        missing = usage_counts.list_missing(self._sharing.table, end, now)
+        closing = decide_closing(end, self._terms.lateness, not missing, now)
+        if closing is Closing.WAIT:
+            return False
+        report = await self._write(window)
+        if report is None:
+            return False
+        self._reports[window] = report
+        self._next = window + 1
+        usage_counts.forget_windows(self._sharing.table, window, now)
+        _log(
+            "window is closed",
+            window=window,
+            requests=sum(report.counts.values()),
+            organisations=len(report.counts),
+            missing=missing,
+            late_ms=(now - end) // timedelta(milliseconds=1),
+        )
+        return True
+
+    async def _collect(self) -> None:
+        now = self._clock.monotonic()
+        if self._collected_at is not None and now - self._collected_at < COLLECT_PERIOD:
+            return
+        self._collected_at = now
+        silent = await self._sharing.collect(self._next - 1)
+        if silent:
+            _log("schedulers do not tell usage", peers=silent)
+
+    async def _write(self, window: int) -> Report | None:
+        """Write a report unless one is there; return the one in the store, if known.
+
+        A write without an answer may take effect later; only the first one does.
+        """
+        waiting = [w for w, report in self._reports.items() if not report.is_accepted]
+        counts = usage_counts.sum_window(self._sharing.table, window)
+        report = Report(counts, min(waiting, default=window) - 1)
+        body = _encode_report(report)
+        written = await self._objects.write(USAGE_KIND, str(window), body)
+        if isinstance(written, Ok):
+            report.version = written.ok_value
+            return report
+        failure = written.err_value
+        if failure.cause not in (FailureCause.CONFLICT, FailureCause.UNKNOWN):
+            _log("report is not written", window=window, cause=failure.cause.value)
+            return None
+        read = await self._objects.read(USAGE_KIND, str(window))
+        if isinstance(read, Err):
+            _log("report is not known", window=window, cause=read.err_value.cause.value)
+            return None
+        decoded = _decode_report(read.ok_value.name, read.ok_value.body)
+        if isinstance(decoded, Err):
+            _log("report is unreadable", window=window, error=decoded.err_value)
+            return None
+        report = decoded.ok_value[1]
+        report.version = read.ok_value.version
+        return report
+
+    # Reports
+
+    async def step_reports(self) -> None:
+        """Send the report that is due first, and remove those that are over."""
+        if self._calls.fence is None or self._calls.fence != self._loaded_fence:
+            return
+        now = self._clock.monotonic()
+        due = [
+            window
+            for window, report in self._reports.items()
+            if not report.is_accepted and report.retry_at <= now
+        ]
+        if due:
+            await self._send(min(due))
+        else:
+            await self._remove_one()
+
+    async def _send(self, window: int) -> None:
+        report = self._reports[window]
+        outcome = await self._calls.report_usage(window, report.counts)
+        if outcome is None:
+            return
+        self._on_outcome(outcome.value)
+        report.attempts += 1
+        report.is_accepted = outcome is CallOutcome.ACCEPTED
+        if report.is_accepted:
+            self._history.append((window, report.counts))
+        delay = min(FIRST_RETRY_DELAY * 2 ** min(report.attempts, 8), MAX_RETRY_DELAY)
+        report.retry_at = self._clock.monotonic() + delay
+        _log(
+            "usage is reported" if report.is_accepted else "usage is not accepted",
+            window=window,
+            requests=sum(report.counts.values()),
+            outcome=outcome.value,
+            attempts=report.attempts,
+        )
+
+    async def _remove_one(self) -> None:
+        """Remove a report that a later one tells to be accepted.
+
+        The newest one shows the next holder where to go on.
+        """
+        if not self._reports:
+            return
+        window = min(self._reports)
+        if window > self._reports[max(self._reports)].accepted_through:
+            return
+        report = self._reports[window]
+        deleted = await self._objects.delete(USAGE_KIND, str(window), report.version)
+        if isinstance(deleted, Ok):
+            del self._reports[window]
+            return
+        cause = deleted.err_value.cause
+        _log("report is not removed", window=window, cause=cause.value)
+        if cause is FailureCause.NOT_FOUND:
+            del self._reports[window]
+        elif cause is FailureCause.CONFLICT and deleted.err_value.current is not None:
+            report.version = deleted.err_value.current
+
+
+def _encode_report(report: Report) -> str:
+    fields = {"counts": report.counts, "accepted": report.accepted_through}
+    return orjson.dumps(fields).decode()
+
+
+def _decode_report(name: str, body: str) -> Result[tuple[int, Report], str]:
+    try:
+        data = decode_json(body).unwrap_or_raise(ValueError)
+        counts = {
+            read_name(organisation): read_counter(count)
+            for organisation, count in data["counts"].items()
+        }
+        return Ok((int(name), Report(counts, read_integer(data["accepted"]))))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -8,11 +8,14 @@
 from random import Random
 from typing import Any
 
+import orjson
 from aiohttp import web
 from result import Err, Ok, Result
 
 from galenapass.clocks import BootClock
+from galenapass.duties.duty_calls import DutyCalls
 from galenapass.duties.lease_keeper import LeaseKeeper
+from galenapass.duties.usage_reports import UsageReports
 from galenapass.forwarding import loads, silent_targets
 from galenapass.forwarding.announcements import Announcement
 from galenapass.forwarding.background import BackgroundTasks, keep_running
@@ -33,6 +36,7 @@
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
+from galenapass.forwarding.operations import Duty
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peer_calls import PeerServer
 from galenapass.forwarding.peering import Peering
@@ -62,6 +66,7 @@
     TunnelServer,
     connect_target,
 )
+from galenapass.forwarding.usage_sharing import USAGE_CALL, UsageSharing
 from galenapass.json_values import decode_json
 from galenapass.logs import make_log
 from galenapass.metrics import CONTENT_TYPE_LATEST, make_metrics, render_metrics
@@ -78,6 +83,7 @@
     ObjectListing,
     StoredObject,
 )
+from galenapass.platform.operations_client import HttpOperationsClient
 from galenapass.platform.runner_client import RunnerClient
 from galenapass.platform.runners import RUNNERS_KIND, decode_runner
 from galenapass.platform.settings import HostSettings
@@ -219,6 +225,7 @@
                 self.states.confirm_silence(targets)
             ),
         )
+        self.usage = self.peering.usage = self._make_usage()
         self.split_goals = SplitGoals(
             self.fleet,
             self.peering.measure_demand,
@@ -245,6 +252,7 @@
             self.origins,
             self._handle_silence,
             LargeAnswers(count_slots(settings.memory)),
+            self.usage,
         )
         self.request_handler = RequestHandler(
             self.fleet,
@@ -274,7 +282,8 @@
             self.clock,
         )
         self.peer_server = PeerServer(
-            {CONFIGURATION_CALL: self.sharing.answer, TUNNEL_CALL: self.tunnels.serve},
+            {CONFIGURATION_CALL: self.sharing.answer, TUNNEL_CALL: self.tunnels.serve}
+            | ({USAGE_CALL: self.usage.answer} if self.usage is not None else {}),
             self.scheduler_selection.knows_ip,
         )
         self.hosts = HostRegistry(
@@ -286,6 +295,7 @@
             self._apply_hosts,
         )
         self.planner = self._make_planner()
+        self.usage_reports = self._make_usage_reports()
         self._background = BackgroundTasks("daemon")
         self._announced_version = 0
         self.daemon_count = DEFAULT_DAEMON_COUNT
@@ -317,6 +327,7 @@
                 "check of routes": self.follower.run_checks,
                 "versions": self.origins.run_observation,
                 "paths": lambda: self.paths.run_probes(self._probe_target),
+                **({"usage": self.usage.run} if self.usage is not None else {}),
             }
         )
 
@@ -455,7 +466,7 @@
         lease = Lease(LEASE_NAME, settings.host, self.incarnation, term)
         if settings.is_first_start:
             lease.fresh_until = self.clock.monotonic() + term
-        keeper = LeaseKeeper(
+        self.lease_keeper = LeaseKeeper(
             lease,
             self.clock,
             _StaleReadStore(self.store),
@@ -463,7 +474,7 @@
         )
         return RolePlanner(
             self.fleet,
-            keeper,
+            self.lease_keeper,
             self.runner_client,
             self.clock,
             self.split_goals.plan_prefill_share,
@@ -473,6 +484,45 @@
             lambda: self.paths.is_cut_off,
         )
 
+    def _make_usage(self) -> UsageSharing | None:
+        settings, terms = self.settings, self.settings.operations
+        if terms is None or Duty.USAGE not in terms.duties:
+            return None
+        return UsageSharing(
+            settings.host,
+            settings.domain,
+            self.incarnation,
+            terms.window,
+            self.clock,
+            self.scheduler_selection,
+            self.peering.send_usage,
+            lambda name: self.metrics.usage_requests.add(1, {"organisation": name}),
+        )
+
+    def _make_usage_reports(self) -> UsageReports | None:
+        settings, terms = self.settings, self.settings.operations
+        if terms is None or self.usage is None:
+            return None
+        calls = DutyCalls(
+            settings.host,
+            self.lease_keeper,
+            HttpOperationsClient(terms.address, self.clock, self._count_call),
+            self.clock,
+            terms.calls_per_second,
+            settings.lease,
+        )
+        return UsageReports(
+            terms,
+            calls,
+            self.store,
+            self.usage,
+            self.clock,
+            is_first_start=settings.is_first_start,
+            on_outcome=lambda outcome: self.metrics.usage_reports.add(
+                1, {"outcome": outcome}
+            ),
+        )
+
     def _make_store_watches(self) -> list[StoreWatch]:
         self._targets_watch = StoreWatch(
             self.store,
@@ -528,6 +578,11 @@
                 "upkeep": self._run_upkeep,
                 "streams": self.origins.run_publishing,
                 "streams of lost hosts": self.origins.run_removal,
+                **(
+                    {"usage reports": self.usage_reports.run}
+                    if self.usage_reports is not None
+                    else {}
+                ),
             }
         )
 
@@ -711,6 +766,8 @@
         await self._listen(web.AppRunner(app, access_log=None), self.settings.ready)
         app = web.Application()
         app.router.add_get("/metrics", self._serve_metrics)
+        if self.usage_reports is not None:
+            app.router.add_get("/usage", self._serve_usage)
         address = (self.settings.front[0], self._metrics_port)
         await self._listen(web.AppRunner(app, access_log=None), address)
 
@@ -718,6 +775,11 @@
         body = render_metrics(self.metrics)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
+    async def _serve_usage(self, request: web.Request) -> web.Response:
+        assert self.usage_reports is not None
+        body = orjson.dumps({"windows": self.usage_reports.list_reports()})
+        return web.Response(body=body, content_type="application/json")
+
     async def _serve_readiness(self, request: web.Request) -> web.Response:
         knows_targets = (
             bool(self.fleet.targets) or not self.scheduler_selection.is_scheduler
--- a/src/galenapass/systems/leases.py
+++ b/src/galenapass/systems/leases.py
@@ -42,6 +42,7 @@
     "StopLease",
     "WriteLease",
     "apply_epoch",
+    "find_time_left",
     "is_claimable",
     "is_own_lease",
     "is_valid",
@@ -100,8 +101,15 @@
 
 def is_valid(lease: Lease, now: timedelta) -> bool:
     """Return whether this daemon holds the lease, with a margin before it expires."""
+    return find_time_left(lease, now) > timedelta(0)
+
+
+def find_time_left(lease: Lease, now: timedelta) -> timedelta:
+    """Return how long a lease remains valid, with a margin before it expires."""
+    if lease.valid_until is None:
+        return timedelta(0)
     margin = lease.term * MARGIN_SHARE
-    return lease.valid_until is not None and now + margin < lease.valid_until
+    return max(lease.valid_until - margin - now, timedelta(0))
 
 
 def is_claimable(lease: Lease, now: timedelta) -> bool:
