Wait for hosts that only silent schedulers may know of

A holder whose calls to some schedulers failed closed a window as soon as the hosts that it had heard of were complete, without those it had never heard of: tests/test_usage_processes.py showed it, where each call was refused because the daemons called from another loopback address. While a scheduler is silent, listed hosts without any counts are waited for. Reports that are late already come after those that can be in time, a stopping host tells its last counts, and windows that a receiver knows as they are aren't compared again.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -232,7 +232,7 @@
             return False
         await self._collect()
         now = self._sharing.time.now()
-        missing = usage_counts.list_missing(self._sharing.table, end, now)
+        missing = self._sharing.list_missing(end)
         closing = decide_closing(end, self._terms.lateness, not missing, now)
         if closing is Closing.WAIT:
             return False
@@ -257,9 +257,7 @@
         if self._collected_at is not None and now - self._collected_at < COLLECT_PERIOD:
             return
         self._collected_at = now
-        silent = await self._sharing.collect(self._next - 1)
-        if silent:
-            _log("schedulers do not tell usage", peers=silent)
+        await self._sharing.collect(self._next - 1)
 
     async def _write(self, window: int) -> Report | None:
         """Write a report unless one is there; return the one in the store, if known.
@@ -303,10 +301,18 @@
             if not report.is_accepted and report.retry_at <= now
         ]
         if due:
-            await self._send(min(due))
+            await self._send(min(due, key=self._order))
         else:
             await self._remove_one()
 
+    def _order(self, window: int) -> tuple[bool, int]:
+        """Return the key by which reports are sent: those that are late come last.
+
+        Load pattern: a new holder, which sends again what its predecessor may have.
+        """
+        end = usage_counts.find_end(window, self._sharing.window)
+        return self._sharing.time.now() > end + self._terms.lateness, window
+
     async def _send(self, window: int) -> None:
         report = self._reports[window]
         outcome = await self._calls.report_usage(window, report.counts)
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -247,6 +247,10 @@
         """Return the designated schedulers by failure domain."""
         return self._state.designated
 
+    def list_hosts(self) -> list[str]:
+        """Return the names of all known hosts."""
+        return list(self._state.hosts or {})
+
     def knows_ip(self, ip: str) -> bool:
         """Return whether an IP address is that of a known host."""
         return any(address[0] == ip for address in self._addresses.values())
--- a/src/galenapass/forwarding/usage_counts.py
+++ b/src/galenapass/forwarding/usage_counts.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -18,6 +18,7 @@
     "find_window",
     "forget_windows",
     "list_counts",
+    "list_hidden",
     "list_missing",
     "merge_counts",
     "record_through",
@@ -114,6 +115,16 @@
     )
 
 
+def list_hidden(
+    table: UsageTable, hosts: Iterable[str], silent: Collection[str]
+) -> list[str]:
+    """Return the hosts that only schedulers that are silent may know."""
+    if not silent:
+        return []
+    known = {host for host, _ in table.through}
+    return sorted(set(hosts) - known - set(silent))
+
+
 def list_counts(table: UsageTable, after: int) -> list[SourceCounts]:
     """Return the counts of each source in the windows after one."""
     return [
--- a/src/galenapass/forwarding/usage_sharing.py
+++ b/src/galenapass/forwarding/usage_sharing.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Protocol
@@ -79,6 +79,9 @@
     def list_designated(self) -> Mapping[str, list[str]]:
         """Return the designated schedulers by failure domain."""
 
+    def list_hosts(self) -> Collection[str]:
+        """Return the names of all known hosts."""
+
     def find_address(self, host: str) -> Address | None:
         """Return the address on which a host listens, None if unknown."""
 
@@ -89,11 +92,13 @@
 
     ``through`` is the time that it knows the counts to be complete up to. Once the
     ``pending`` notices are confirmed they are up to ``pending_through``, which becomes
-    ``confirmed_through``, for a later notice to tell.
+    ``confirmed_through``, for a later notice to tell. ``settled`` holds the number of
+    requests of the windows that it knows as they are.
     """
 
     start: int | None = None
-    acknowledged: dict[tuple[int, str], int] = field(default_factory=dict)
+    acknowledged: dict[int, dict[str, int]] = field(default_factory=dict)
+    settled: dict[int, int] = field(default_factory=dict)
     through: timedelta = timedelta(0)
     pending: dict[int, UsageNotice] = field(default_factory=dict)
     pending_through: timedelta = timedelta(0)
@@ -154,6 +159,7 @@
         self.time = TrueTime(clock)
         self.window = window
         self.source: Source = (host, start)
+        self.silent_schedulers: list[str] = []
         self._domain = domain
         self._clock = clock
         self._hosts = hosts
@@ -270,16 +276,24 @@
             self._send(name, notice)
 
     def _list_unacknowledged(self, receiver: _Receiver) -> list[UsageRow]:
-        kept = set(self.table.counts)
-        receiver.acknowledged = {
-            key: count for key, count in receiver.acknowledged.items() if key[0] in kept
-        }
-        return [
-            (window, organisation, count)
-            for window, sources in sorted(self.table.counts.items())
-            for organisation, count in sources.get(self.source, {}).items()
-            if receiver.acknowledged.get((window, organisation)) != count
-        ]
+        rows: list[UsageRow] = []
+        for window, sources in sorted(self.table.counts.items()):
+            counts = sources.get(self.source)
+            if counts is None:
+                continue
+            # Most windows of the last two minutes do not change any more.
+            total = sum(counts.values())
+            if receiver.settled.get(window) == total:
+                continue
+            known = receiver.acknowledged.get(window, {})
+            new = [(window, n, c) for n, c in counts.items() if known.get(n) != c]
+            if not new:
+                receiver.settled[window] = total
+            rows += new
+        for known_windows in (receiver.acknowledged, receiver.settled):
+            for window in [w for w in known_windows if w not in self.table.counts]:
+                del known_windows[window]
+        return rows
 
     def apply_notice(self, host: str, notice: UsageNotice) -> None:
         """Apply the counts of another host, and reply."""
@@ -304,6 +318,7 @@
             # Another process, which knows nothing of the former one's table.
             receiver.start = reply.start
             receiver.acknowledged.clear()
+            receiver.settled.clear()
             receiver.through = receiver.confirmed_through = timedelta(0)
             receiver.pending_through = timedelta(0)
         notice = receiver.pending.pop(reply.sequence, None)
@@ -312,7 +327,7 @@
         receiver.unanswered = 0
         receiver.through = max(receiver.through, notice.through)
         for window, organisation, count in notice.rows:
-            receiver.acknowledged[window, organisation] = count
+            receiver.acknowledged.setdefault(window, {})[organisation] = count
         if not receiver.pending:
             receiver.confirmed_through = receiver.pending_through
         self.time.apply_reply(host, reply.time, reply.weight, notice.sent_at)
@@ -333,13 +348,24 @@
         usage_counts.forget_windows(self.table, closed, self.time.now())
         usage_counts.record_through(self.table, self.source, self._find_through())
 
-    async def collect(self, after: int) -> list[str]:
-        """Merge what all schedulers know; return those that did not answer."""
+    def list_missing(self, end: timedelta) -> list[str]:
+        """Return the hosts whose counts up to a true time may be incomplete here."""
+        table = self.table
+        missing = usage_counts.list_missing(table, end, self.time.now())
+        hidden = usage_counts.list_hidden(
+            table, self._hosts.list_hosts(), self.silent_schedulers
+        )
+        return [*missing, *hidden]
+
+    async def collect(self, after: int) -> None:
+        """Merge what all schedulers know, and record those that did not answer."""
         self.prepare_table(after)
         names = {n for names in self._hosts.list_designated().values() for n in names}
         names.discard(self.source[0])
         fetched = await asyncio.gather(*(self._fetch(n, after) for n in sorted(names)))
-        return [name for name in fetched if name is not None]
+        self.silent_schedulers = [name for name in fetched if name is not None]
+        if self.silent_schedulers:
+            _log("schedulers do not tell usage", peers=self.silent_schedulers)
 
     async def _fetch(self, host: str, after: int) -> str | None:
         """Merge what a scheduler knows; return its name if it did not answer."""
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -352,6 +352,9 @@
             # The host was suspended, which the timers of open requests do not count.
             self.relay.begin_stop(times)
             await asyncio.sleep(STOP_POLL.total_seconds())
+        if self.usage is not None:
+            self.usage.step()
+            await asyncio.sleep(STOP_POLL.total_seconds())
         for task in [*self._tasks, *self._scheduling_tasks]:
             task.cancel()
         self._log_stop("daemon has stopped")
--- a/tests/test_usage_time.py
+++ b/tests/test_usage_time.py
@@ -95,6 +95,15 @@
     assert usage_counts.list_missing(table, 6 * SECOND, 70 * SECOND) == []
 
 
+def test_hosts_that_only_a_silent_scheduler_may_know_are_waited_for():
+    """Else a window is closed without them as soon as a call to it fails."""
+    table = UsageTable()
+    usage_counts.record_through(table, ("h1", 9), 3 * SECOND)
+    hosts = ["h1", "h2", "h3"]
+    assert usage_counts.list_hidden(table, hosts, []) == []
+    assert usage_counts.list_hidden(table, hosts, ["h3"]) == ["h2"]
+
+
 class Calls:
     """Client that records its calls and answers when told to."""
 
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -104,6 +104,9 @@
             domains.setdefault(self.known[name], []).append(name)
         return domains
 
+    def list_hosts(self):
+        return list(self.known)
+
     @property
     def known(self):
         return {host.name: host.domain for host in self.hosts.values()} | self.former
