--- a/src/galenapass/forwarding/requests.py
+++ b/src/galenapass/forwarding/requests.py
@@ -70,7 +70,7 @@
     when the client stops waiting, also at other hosts. ``answer`` tells of the latest
     response of a target to it. ``organisation`` is the name of the caller's, empty if
     unknown; ``caller_rank`` takes its priority into account, None without
-    organisations.
+    organisations. ``has_begun`` is set once its use is counted.
     """
 
     id: str
@@ -98,6 +98,7 @@
     answer: "ResponseIdentity | None" = None
     organisation: str = ""
     caller_rank: int | None = None
+    has_begun: bool = False
 
     @property
     def version(self) -> str | None:
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -95,6 +95,8 @@
     retries: Counter
     unrequested_responses: Counter
     refused_keys: Counter
+    usage_requests: Counter
+    usage_reports: Counter
 
 
 def make_metrics() -> Metrics:
@@ -119,6 +121,8 @@
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
         unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
         refused_keys=Counter(registry, "galenapass_refused_keys", "reason"),
+        usage_requests=Counter(registry, "galenapass_usage_requests", "organisation"),
+        usage_reports=Counter(registry, "galenapass_usage_reports", "outcome"),
     )
 
 
