Keep schedulers that know their targets in a partitioned domain

Cause: order_contacts ranked a scheduler that answers without updates of the store after hosts never heard from. Those began to schedule with an empty list and answered that no engine serves.

Change: pongs tell whether their host knows targets and the age of its view. Hosts never heard from are pinged before they are used. Granted targets are remembered for 20 s, and once no scheduler has updates of the store a host asks one for the targets of its domain over TCP (call targets). A host that knows no target of a service says so, and its client asks another one.

--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -68,9 +68,12 @@
     "SlotRefusal",
     "TargetBackOff",
     "TargetLeaving",
+    "TargetsUnknown",
     "decode_datagram",
+    "decode_target",
     "encode_datagram",
     "encode_message",
+    "encode_target",
 ]
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -84,13 +87,15 @@
 
     ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
     the store's epoch, None if unknown. ``knows_versions`` is whether the sender's build
-    knows software versions.
+    knows software versions, ``is_probe`` whether the sender only asks and does not use
+    the receiver as its scheduler.
     """
 
     version: int
     limits: tuple[LimitNotice, ...] | None = ()
     epoch: int | None = None
     knows_versions: bool = True
+    is_probe: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,7 +105,8 @@
     ``limits`` is None if the sender's build does not know rate limits, ``epoch`` is
     the store's epoch, None if unknown. ``knows_versions`` is whether the sender's build
     knows software versions, ``needs_records`` whether it is to be told where streams
-    begin.
+    begin. ``knows_targets`` is None if the sender's build does not tell it;
+    ``view_age`` is the age of what it knows of them.
     """
 
     version: int
@@ -109,6 +115,18 @@
     epoch: int | None = None
     knows_versions: bool = True
     needs_records: bool = False
+    knows_targets: bool | None = None
+    view_age: timedelta = timedelta(0)
+
+
+@dataclass(slots=True, frozen=True)
+class TargetsUnknown:
+    """Notice that the sender knows no targets for a slot request of the receiver.
+
+    Earlier builds ignore it and ask another host, as after silence.
+    """
+
+    ticket: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -150,6 +168,7 @@
     | Grant
     | SlotRefusal
     | SlotPending
+    | TargetsUnknown
     | SlotRelease
     | Ping
     | Pong
@@ -266,9 +285,9 @@
     )
 
 
-def _encode_grant(grant: Grant, now: timedelta) -> list[Any]:
-    target = grant.target
-    target_row = [
+def encode_target(target: Target) -> list[Any]:
+    """Return what a host needs to know of a target to send to it."""
+    return [
         target.id,
         target.address,
         target.domain,
@@ -280,9 +299,28 @@
         # Earlier builds read no more than the slots.
         *([target.version] if target.version else []),
     ]
+
+
+def decode_target(row: list[Any]) -> Target:
+    """Return the target that ``encode_target`` encoded."""
+    name, address, domain, kind, service, role, incarnation, slots, *more = row
+    return Target(
+        str(name),
+        str(address),
+        str(domain),
+        TargetKind(kind),
+        str(service),
+        Role(role),
+        incarnation=str(incarnation),
+        slots=read_integer(slots),
+        version=str(more[0]) if more else "",
+    )
+
+
+def _encode_grant(grant: Grant, now: timedelta) -> list[Any]:
     return [
         grant.ticket,
-        target_row,
+        encode_target(grant.target),
         round(grant.cost_ms, 1),
         round(grant.wait_ms, 1),
         grant.uncached_tokens,
@@ -294,21 +332,9 @@
 
 def _decode_grant(host: str, row: list[Any], now: timedelta) -> Grant:
     ticket, target_row, cost, wait, uncached_tokens, fixed, why, cache_source = row
-    name, address, domain, kind, service, role, incarnation, slots, *more = target_row
-    target = Target(
-        str(name),
-        str(address),
-        str(domain),
-        TargetKind(kind),
-        str(service),
-        Role(role),
-        incarnation=str(incarnation),
-        slots=read_integer(slots),
-        version=str(more[0]) if more else "",
-    )
     return Grant(
         str(ticket),
-        target,
+        decode_target(target_row),
         read_number(cost),
         read_number(wait),
         read_integer(uncached_tokens),
@@ -461,6 +487,19 @@
     return bool(row) and row[0] is True
 
 
+def _encode_view(pong: Pong) -> list[Any]:
+    if pong.knows_targets is None:
+        return []
+    return [pong.knows_targets, pong.view_age // MILLISECOND]
+
+
+def _decode_view(row: list[Any]) -> tuple[bool | None, timedelta]:
+    """Decode the view that ends a pong; those of earlier builds lack it."""
+    if len(row) < 2:
+        return None, timedelta(0)
+    return row[0] is True, max(read_integer(row[1]), 0) * MILLISECOND
+
+
 def _encode_silent(silent: SilentTargets, now: timedelta) -> list[Any]:
     rows = [
         [target, incarnation, (now - since) // MILLISECOND]
@@ -498,6 +537,11 @@
         lambda pending, now: [pending.ticket],
         lambda host, row, now: SlotPending(str(row[0])),
     ),
+    TargetsUnknown: (
+        "unknown",
+        lambda unknown, now: [unknown.ticket],
+        lambda host, row, now: TargetsUnknown(str(row[0])),
+    ),
     SlotRelease: ("end", _encode_release, _decode_release),
     SilentTargets: ("silent", _encode_silent, _decode_silent),
     Ping: (
@@ -507,12 +551,14 @@
             _encode_limits(ping.limits, now),
             ping.epoch,
             ping.knows_versions,
+            *([True] if ping.is_probe else []),
         ],
         lambda host, row, now: Ping(
             read_integer(row[0]),
             _decode_limits(row[1:], now),
             _decode_epoch(row[2:]),
             _decode_flag(row[3:]),
+            _decode_flag(row[4:]),
         ),
     ),
     Pong: (
@@ -524,6 +570,7 @@
             pong.epoch,
             pong.knows_versions,
             pong.needs_records,
+            *_encode_view(pong),
         ],
         lambda host, row, now: Pong(
             read_integer(row[0]),
@@ -532,6 +579,7 @@
             _decode_epoch(row[3:]),
             _decode_flag(row[4:]),
             _decode_flag(row[5:]),
+            *_decode_view(row[6:]),
         ),
     ),
     TargetLeaving: (
--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -24,11 +24,14 @@
     "apply_listing",
     "apply_target",
     "apply_target_entry",
+    "apply_target_list",
+    "apply_target_sighting",
     "begin_restore",
     "drop_overdue",
     "end_restore",
     "find_back_off",
     "find_change_end",
+    "forget_older_targets",
     "is_address_excluded",
     "list_excluded",
     "record_back_off",
@@ -70,6 +73,9 @@
     ``removed`` maps targets whose entries were removed to their incarnation and the
     time. After a restore of the store, until ``restored_until``, such targets are
     ``withheld`` if an entry names them again.
+
+    ``viewed_at`` is the time as of which ``targets`` holds all that the store lists,
+    None before the first listing.
     """
 
     host: str
@@ -91,6 +97,7 @@
     removed: dict[str, tuple[str, timedelta]] = field(default_factory=dict)
     withheld: dict[str, Target] = field(default_factory=dict)
     restored_until: timedelta | None = None
+    viewed_at: timedelta | None = None
 
     def load_of(self, target: Target) -> Load:
         """Return the load of a target, an empty one on first use."""
@@ -112,6 +119,16 @@
         """Return the failure rate of a target's domain, zero on first use."""
         return self.domain_failures.setdefault(target.domain, FailureRate())
 
+    def knows_service(self, service: str) -> bool:
+        """Return whether the absence of serving targets of a service is known.
+
+        Load pattern: a host that begins to schedule while the store is unreachable. Its
+        table is empty because it was never filled, not because nothing serves.
+        """
+        if self.viewed_at is not None:
+            return True
+        return any(target.service == service for target in self.targets.values())
+
     def view(self, now: timedelta) -> View:
         """Return the state from which a target is chosen."""
         return View(
@@ -187,12 +204,63 @@
 def apply_listing(fleet: Fleet, targets: list[Target], now: timedelta) -> None:
     """Apply a complete listing of the targets' entries."""
     listed = {target.id for target in targets}
+    fleet.viewed_at = now
     for target in targets:
         apply_target_entry(fleet, target, now)
     for name in [name for name in fleet.targets if name not in listed]:
         remove_target(fleet, name, now)
 
 
+def apply_target_sighting(
+    fleet: Fleet, target: Target, seen_at: timedelta, now: timedelta
+) -> bool:
+    """Insert or update a target that a scheduler used; return whether it is applied.
+
+    What this host knows as of a later time is kept, and what was removed stays removed.
+    """
+    known = fleet.targets.get(target.id)
+    if known is None:
+        incarnation, _ = fleet.removed.get(target.id, ("", now))
+        if incarnation and not _is_earlier(incarnation, target.incarnation):
+            return False
+    else:
+        changed_at = fleet.entry_changed_at.get(target.id, timedelta(0))
+        if max(changed_at, fleet.viewed_at or timedelta(0)) >= seen_at:
+            return False
+    fleet.entry_changed_at[target.id] = seen_at
+    apply_target(fleet, target, now)
+    return True
+
+
+def apply_target_list(
+    fleet: Fleet, domain: str, targets: list[Target], seen_at: timedelta, now: timedelta
+) -> None:
+    """Apply another host's list of all targets of a failure domain."""
+    for target in targets:
+        apply_target_sighting(fleet, target, seen_at, now)
+    listed = {target.id for target in targets}
+    if fleet.viewed_at is not None and fleet.viewed_at >= seen_at:
+        return
+    unlisted = [
+        name
+        for name, target in fleet.targets.items()
+        if target.domain == domain
+        and name not in listed
+        and fleet.entry_changed_at.get(name, timedelta(0)) < seen_at
+    ]
+    for name in unlisted:
+        _drop(fleet, name, now)
+
+
+def forget_older_targets(fleet: Fleet, oldest: timedelta) -> None:
+    """Forget the targets that were last named before ``oldest``, as if never known."""
+    for name in list(fleet.targets):
+        if fleet.entry_changed_at.get(name, timedelta(0)) < oldest:
+            fleet.missing.pop(name, None)
+            fleet.entry_changed_at.pop(name, None)
+            del fleet.targets[name]
+
+
 def record_target_parts(
     fleet: Fleet, target: Target, parts: tuple[PartDigest, ...], now: timedelta
 ) -> None:
--- /dev/null
+++ b/src/galenapass/forwarding/known_targets.py
@@ -0,0 +1,187 @@
+"""Remember the targets that grants and other hosts name, with their age.
+
+A host that has to schedule while the store is unreachable starts from these.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from galenapass.clocks import Clock
+from galenapass.forwarding.fleet import (
+    Fleet,
+    apply_target_list,
+    apply_target_sighting,
+    forget_older_targets,
+)
+from galenapass.tables.targets import Target, TargetState
+
+__all__ = ["KnownTargets", "Sighting", "TargetList", "TargetReport"]
+
+# A scheduler grants slots at a hundred targets to one host at most; more are rarely
+# used by one host within ``MAX_SIGHTING_AGE``.
+MAX_SIGHTINGS = 512
+# Older sightings may name targets that left since: nobody tells a host that does not
+# schedule. Within this time the hosts of a domain together are granted slots at all of
+# its targets.
+MAX_SIGHTING_AGE = timedelta(seconds=20)
+
+
+@dataclass(slots=True, frozen=True)
+class Sighting:
+    """Target at which a scheduler granted a slot at a monotonic time."""
+
+    target: Target
+    seen_at: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class TargetList:
+    """All targets of a failure domain as of a monotonic time."""
+
+    domain: str
+    targets: tuple[Target, ...]
+    viewed_at: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class TargetReport:
+    """What a host knows of a domain's targets without the store.
+
+    ``granted_view_at`` is as of when the schedulers that granted the ``sightings``
+    knew the store, None without any.
+    """
+
+    listed: TargetList | None = None
+    sightings: tuple[Sighting, ...] = ()
+    granted_view_at: timedelta | None = None
+
+
+class KnownTargets:
+    """Targets that this host knows without the store.
+
+    ``has_store_updates`` returns whether this host receives updates from the store.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        has_store_updates: Callable[[], bool] = lambda: False,
+    ):
+        self._fleet = fleet
+        self._clock = clock
+        self._has_store_updates = has_store_updates
+        self._sightings: dict[str, Sighting] = {}
+        self._granted_view_at: timedelta | None = None
+        self._list: TargetList | None = None
+
+    @property
+    def list_viewed_at(self) -> timedelta | None:
+        """Return the time as of which another host listed the targets, if any did."""
+        return self._list.viewed_at if self._list is not None else None
+
+    def find_view_time(self) -> timedelta | None:
+        """Return the time as of which this host knows targets, None if it knows none.
+
+        Targets that grants named are as old as their scheduler's view of the store.
+        """
+        self.refresh()
+        granted_at = self._granted_view_at if self.list_sightings() else None
+        times = (self._fleet.viewed_at, self.list_viewed_at, granted_at)
+        return max((at for at in times if at is not None), default=None)
+
+    def refresh(self) -> None:
+        """Record that the table of targets is up to date, if it is."""
+        if self._fleet.viewed_at is not None and self._has_store_updates():
+            self._fleet.viewed_at = self._clock.monotonic()
+
+    def record_grant(self, target: Target, viewed_at: timedelta) -> None:
+        """Remember a granted target; its scheduler's view is as of ``viewed_at``."""
+        self._granted_view_at = viewed_at
+        self._add_sighting(Sighting(target, self._clock.monotonic()))
+
+    def list_sightings(self) -> list[Sighting]:
+        """Return the targets that were granted lately."""
+        oldest = self._clock.monotonic() - MAX_SIGHTING_AGE
+        return [s for s in self._sightings.values() if s.seen_at >= oldest]
+
+    def _make_list(self, domain: str) -> TargetList | None:
+        """Return the newest list of a domain's targets that this host has, if any."""
+        self.refresh()
+        viewed_at, known = self._fleet.viewed_at, self._list
+        if known is not None and known.domain == domain:
+            if viewed_at is None or known.viewed_at > viewed_at:
+                return known
+        if viewed_at is None:
+            return None
+        targets = (
+            target
+            for target in self._fleet.targets.values()
+            if target.domain == domain and target.state is not TargetState.LEAVING
+        )
+        return TargetList(domain, tuple(targets), viewed_at)
+
+    def make_report(self, domain: str) -> TargetReport:
+        """Return what this host knows of a domain's targets, for another host."""
+        sightings = self.list_sightings()
+        granted_at = self._granted_view_at if sightings else None
+        return TargetReport(self._make_list(domain), tuple(sightings), granted_at)
+
+    def apply_report(self, report: TargetReport) -> None:
+        """Remember what another host knows."""
+        for sighting in report.sightings:
+            known = self._sightings.get(sighting.target.id)
+            if known is None or known.seen_at < sighting.seen_at:
+                self._add_sighting(sighting)
+        times = [self._granted_view_at, report.granted_view_at]
+        self._granted_view_at = max((t for t in times if t is not None), default=None)
+        listed = report.listed
+        if listed is not None and (
+            self._list is None or self._list.viewed_at < listed.viewed_at
+        ):
+            self._list = listed
+
+    def knows_service(self, service: str) -> bool:
+        """Return whether the table tells which targets of a service serve."""
+        return self._fleet.knows_service(service)
+
+    def forget_list(self) -> None:
+        """Forget the list of another host, as schedulers know better by now."""
+        self._list = None
+
+    def seed(self) -> bool:
+        """Fill the table of targets; return whether it then holds any."""
+        now = self._clock.monotonic()
+        self._forget_former_view()
+        if self._list is not None:
+            apply_target_list(
+                self._fleet,
+                self._list.domain,
+                list(self._list.targets),
+                self._list.viewed_at,
+                now,
+            )
+        for sighting in self.list_sightings():
+            apply_target_sighting(self._fleet, sighting.target, sighting.seen_at, now)
+        return bool(self._fleet.targets)
+
+    def _forget_former_view(self) -> None:
+        """Remove what this host knew long before its schedulers last knew targets.
+
+        It may name targets that left since, as nobody told this host.
+        """
+        newest = self.find_view_time()
+        if newest is None:
+            return
+        oldest = newest - MAX_SIGHTING_AGE
+        if self._fleet.viewed_at is not None and self._fleet.viewed_at < oldest:
+            self._fleet.viewed_at = None
+        if self._fleet.viewed_at is None:
+            forget_older_targets(self._fleet, oldest)
+
+    def _add_sighting(self, sighting: Sighting) -> None:
+        self._sightings.pop(sighting.target.id, None)
+        self._sightings[sighting.target.id] = sighting
+        while len(self._sightings) > MAX_SIGHTINGS:
+            del self._sightings[next(iter(self._sightings))]
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any
@@ -29,8 +29,10 @@
     SlotRefusal,
     TargetBackOff,
     TargetLeaving,
+    TargetsUnknown,
 )
 from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.known_targets import KnownTargets
 from galenapass.forwarding.limit_sharing import LimitNotice, LimitSharing
 from galenapass.forwarding.loads import PartDigest
 from galenapass.forwarding.origin_messages import (
@@ -51,7 +53,7 @@
     list_silent,
     make_report,
 )
-from galenapass.forwarding.slot_client import SlotClient
+from galenapass.forwarding.slot_client import SlotClient, SlotHooks
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest
 from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.suspects import CrashSuspects
@@ -59,7 +61,7 @@
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
 from galenapass.tables.targets import Role, Target
-from galenapass.verdicts import Verdict
+from galenapass.verdicts import Reason, Verdict
 
 __all__ = ["Peering"]
 
@@ -96,7 +98,8 @@
     configuration that a peer has and that peer, ``on_announcement`` with each
     announcement that is newer than the last of its host. ``list_split_goals`` returns
     the prefill shares to announce, ``on_silent`` is called with targets that a peer
-    cannot reach and that this daemon has not been in contact with lately.
+    cannot reach and that this daemon has not been in contact with lately. ``learn``
+    finds out the targets of a service that other hosts know.
     """
 
     def __init__(
@@ -114,9 +117,22 @@
         suspects: CrashSuspects,
         origins: OriginSharing,
         on_silent: Callable[[list[Target]], None] = lambda targets: None,
+        known_targets: KnownTargets | None = None,
+        learn: Callable[[str], Coroutine[Any, Any, None]] | None = None,
     ):
         self.endpoint = DatagramEndpoint(tables.host, clock, self._receive)
-        self.slot_client = SlotClient(scheduler, scheduler_selection, self._send, clock)
+        self._known_targets = known_targets or KnownTargets(tables, clock)
+        self.slot_client = SlotClient(
+            scheduler,
+            scheduler_selection,
+            self._send,
+            clock,
+            SlotHooks(
+                tables.knows_service,
+                learn or self._seed_targets,
+                lambda host: self._send(host, self._make_ping()),
+            ),
+        )
         self._fleet = tables
         self._clock = clock
         self._sequence = sequence
@@ -153,6 +169,7 @@
             Grant: self._apply_reply,
             SlotRefusal: self._apply_reply,
             SlotPending: self._apply_reply,
+            TargetsUnknown: self._apply_reply,
             Ping: self._apply_ping,
             Pong: self._apply_pong,
             TargetLeaving: self._apply_leaving,
@@ -285,6 +302,8 @@
         while True:
             for host in self._scheduler_selection.list_due_pings():
                 self._send(host, self._make_ping())
+            for host in self._scheduler_selection.list_due_probes():
+                self._send(host, replace(self._make_ping(), is_probe=True))
             await asyncio.sleep(self._scheduler_selection.ping_interval.total_seconds())
 
     async def run_announcements(self) -> None:
@@ -311,6 +330,10 @@
     def announce_version(self) -> None:
         """Send the configuration version and store state to this daemon's clients."""
         self._version_announced_at = self._clock.monotonic()
+        self.announce_view()
+
+    def announce_view(self) -> None:
+        """Tell this daemon's clients once whether it knows targets."""
         for address in self._scheduler_selection.list_clients():
             self.endpoint.send(address, self._make_pong())
 
@@ -391,6 +414,9 @@
         if address is not None:
             self.endpoint.send(address, message)
 
+    async def _seed_targets(self, service: str) -> None:
+        self._known_targets.seed()
+
     # Messages
 
     def _receive(self, host: str, address: Address, message: PeerMessage) -> None:
@@ -410,6 +436,8 @@
                 if host not in self._version_aware:
                     grant = _replace_version(grant, "")
                 self.endpoint.send(address, grant)
+            elif result.err_value.reason is Reason.TARGETS_UNKNOWN:
+                self.endpoint.send(address, TargetsUnknown(slot_request.ticket))
             else:
                 self.endpoint.send(
                     address, SlotRefusal(slot_request.ticket, result.err_value)
@@ -424,10 +452,17 @@
         loop.call_later(PENDING_DELAY.total_seconds(), report_pending)
 
     def _apply_reply(
-        self, host: str, address: Address, message: Grant | SlotRefusal | SlotPending
+        self,
+        host: str,
+        address: Address,
+        message: Grant | SlotRefusal | SlotPending | TargetsUnknown,
     ) -> None:
-        if isinstance(message, Grant) and not self._names_version(host, message):
-            message = _replace_version(message, UNNAMED_VERSION)
+        self._scheduler_selection.record_answer(host)
+        if isinstance(message, Grant):
+            if not self._names_version(host, message):
+                message = _replace_version(message, UNNAMED_VERSION)
+            viewed_at = self._scheduler_selection.find_view_time(host)
+            self._known_targets.record_grant(message.target, viewed_at)
         self.slot_client.apply_reply(host, message)
 
     def _names_version(self, host: str, grant: Grant) -> bool:
@@ -455,7 +490,8 @@
 
     def _apply_ping(self, host: str, address: Address, ping: Ping) -> None:
         self._record_awareness(host, ping.knows_versions)
-        self._scheduler_selection.record_client(host, address)
+        if not ping.is_probe:
+            self._scheduler_selection.record_client(host, address)
         self._apply_limits(host, ping.limits)
         self._epochs.observe(ping.epoch, host)
         self._apply_version(ping.version, host)
@@ -475,7 +511,9 @@
             self._summarize_for_clients(message)
 
     def _apply_pong(self, host: str, address: Address, pong: Pong) -> None:
-        self._scheduler_selection.record_pong(host, pong.is_fresh)
+        self._scheduler_selection.record_pong(
+            host, pong.is_fresh, pong.knows_targets, pong.view_age
+        )
         self._record_awareness(host, pong.knows_versions)
         if host in self._scheduler_selection.list_schedulers()[:1]:
             self._origins.set_need(pong.needs_records)
@@ -537,12 +575,18 @@
     def _make_pong(self) -> Pong:
         notices = self._limit_sharing.next_notices()
         is_fresh = self._scheduler_selection.is_fresh
+        viewed_at = self._known_targets.find_view_time()
+        age = timedelta(0)
+        if viewed_at is not None:
+            age = self._clock.monotonic() - viewed_at
         return Pong(
             self._find_newest_version(),
             is_fresh,
             notices,
             self._epochs.current,
             needs_records=self._origins.needs_records,
+            knows_targets=viewed_at is not None,
+            view_age=age,
         )
 
     def _make_ping(self) -> Ping:
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -25,6 +25,10 @@
 INITIAL_PING_PERIOD = timedelta(milliseconds=250)
 # Best candidates that are pinged.
 PINGED_CANDIDATES = 2
+# Hosts not heard lately that are pinged with them while no scheduler has updates from
+# the store; a domain has tens of hosts, of which only some may reach the store.
+PROBED_CANDIDATES = 4
+MAX_ANSWER_AGE = timedelta(seconds=3)
 # A host goes on scheduling for this long after the last message of a client.
 CLIENT_TIMEOUT = timedelta(seconds=3)
 # A host whose schedulers receive no updates from the store waits this long before it
@@ -103,7 +107,9 @@
 
     ``on_start`` and ``on_stop`` are called when the host begins and ends to schedule;
     ``has_store_updates`` returns whether it receives updates from the store meanwhile.
-    ``targets_listed`` is set once the store's targets were read.
+    ``targets_listed`` is set once the store's targets were read, ``knows_targets``
+    returns whether it knows any targets. ``granting_changed`` is set when a host may
+    be asked for slots that could not be asked before.
     """
 
     def __init__(
@@ -115,9 +121,11 @@
         on_start: Callable[[], None],
         on_stop: Callable[[], None],
         has_store_updates: Callable[[], bool],
+        knows_targets: Callable[[], bool] = lambda: False,
     ):
         self.reason: SchedulingReason | None = None
         self.targets_listed = asyncio.Event()
+        self.granting_changed = asyncio.Event()
         self._host = host
         self._domain = domain
         self._clock = clock
@@ -125,6 +133,7 @@
         self._on_start = on_start
         self._on_stop = on_stop
         self._has_store_updates = has_store_updates
+        self._knows_targets = knows_targets
         self._state = SelectionState()
         self._contacts = Contacts()
         self._addresses: dict[str, Address] = {}
@@ -152,6 +161,13 @@
         """Return whether this host keeps scheduling and has updates from the store."""
         return self.is_scheduler and not self._is_stopping and self._has_store_updates()
 
+    @property
+    def has_fresh_view(self) -> bool:
+        """Return whether this host or a scheduler of it has updates from the store."""
+        if self.is_scheduler:
+            return self._has_store_updates()
+        return schedulers.has_fresh(self._contacts)
+
     @property
     def has_scheduler(self) -> bool:
         """Return whether this host schedules or has had an up-to-date scheduler."""
@@ -220,6 +236,8 @@
     async def take_over(self) -> None:
         """Schedule for this host itself, as no scheduler answers."""
         self._start_fallback("no scheduler answers")
+        if self._knows_targets():
+            return
         try:
             async with limit_silence(LISTING_TIMEOUT):
                 await self.targets_listed.wait()
@@ -233,6 +251,29 @@
         """Return the hosts to send slot requests to, best first."""
         return schedulers.order_contacts(self._contacts)
 
+    def list_granting(self) -> list[str]:
+        """Return the hosts that may be sent slot requests, best first.
+
+        A host that was never heard from is pinged first, unless it is a designated
+        scheduler; one that knows no targets is left out.
+        """
+        designated = self._state.designated.get(self._domain, [])
+        return schedulers.list_granting(self._contacts, designated)
+
+    def list_target_hosts(self) -> list[str]:
+        """Return the hosts to ask for their targets, the best schedulers first.
+
+        Without any list of hosts these are the hosts that sent messages.
+        """
+        names = self.list_granting()
+        others = [
+            name
+            for name in {*self._contacts.candidates, *self._addresses}
+            if name not in names and name != self._host
+        ]
+        heard = [n for n in sorted(others) if self._is_heard(n)]
+        return [*names, *self._random.sample(heard, len(heard))]
+
     def list_configuration_hosts(self) -> list[str]:
         """Return the hosts of the domain that have new configurations first.
 
@@ -279,18 +320,41 @@
             return []
         for host, at in self._pinged_at.items():
             contact = self._contacts.get(host)
-            if contact.last_heard_at is None or contact.last_heard_at < at:
+            if contact.answered_at is None or contact.answered_at < at:
                 schedulers.record_unanswered(contact)
+        now = self._clock.monotonic()
+        schedulers.expire_answers(self._contacts, now, MAX_ANSWER_AGE)
         unresponsive = [
             n
             for n in designated
             if n != self._host and self._contacts.get(n).is_unresponsive
         ]
         due = [*self.list_schedulers()[:PINGED_CANDIDATES], *unresponsive]
-        now = self._clock.monotonic()
         self._pinged_at = dict.fromkeys(due, now)
         return due
 
+    def list_due_probes(self) -> list[str]:
+        """Return other hosts to ask for their view of the store, none if not needed.
+
+        Load pattern: a store that rejects individual hosts. Another host of the domain
+        may reach it while all known schedulers do not.
+        """
+        if self.is_scheduler or self.has_fresh_view or not self.has_scheduler:
+            return []
+        now = self._clock.monotonic()
+        unheard = schedulers.list_unheard(self._contacts, now, MAX_ANSWER_AGE)
+        unheard = [name for name in unheard if name not in self._pinged_at]
+        designated = self._state.designated.get(self._domain, [])
+        first = [name for name in unheard if name in designated]
+        others = [name for name in unheard if name not in designated]
+        count = min(PROBED_CANDIDATES, len(others))
+        return (first + self._random.sample(others, count))[:PROBED_CANDIDATES]
+
+    def find_view_time(self, host: str) -> timedelta:
+        """Return the time as of which a host knows the targets, as far as it told."""
+        contact = self._contacts.get(host)
+        return self._clock.monotonic() if contact.is_fresh else contact.viewed_at
+
     def find_address(self, host: str) -> Address | None:
         """Return the address on which a host listens, None if unknown."""
         return self._addresses.get(host)
@@ -302,12 +366,30 @@
         self._addresses[host] = address
         schedulers.record_contact(self._contacts.get(host), self._clock.monotonic())
 
-    def record_pong(self, host: str, is_fresh: bool) -> None:
-        """Record whether a scheduler receives updates from the store."""
-        self._contacts.get(host).is_fresh = is_fresh
-        self._state.pong_at = self._clock.monotonic()
+    def record_answer(self, host: str) -> None:
+        """Record that a host answered a message."""
+        schedulers.record_answer(self._contacts.get(host), self._clock.monotonic())
+
+    def record_pong(
+        self,
+        host: str,
+        is_fresh: bool,
+        knows_targets: bool | None = None,
+        view_age: timedelta = timedelta(0),
+    ) -> None:
+        """Record whether a host receives updates from the store and knows targets.
+
+        ``view_age`` is the age of what it knows of them.
+        """
+        now = self._clock.monotonic()
+        contact = self._contacts.get(host)
+        schedulers.record_answer(contact, now)
+        schedulers.record_view(contact, is_fresh, knows_targets, now - view_age)
+        self._state.pong_at = now
         if is_fresh:
-            self._state.fresh_at = self._state.pong_at
+            self._state.fresh_at = now
+        if contact.knows_targets:
+            self.granting_changed.set()
 
     def record_client(self, host: str, address: Address) -> None:
         """Record that another host uses this one as its scheduler."""
@@ -321,6 +403,14 @@
         """Record that a host did not answer a slot request."""
         schedulers.record_unanswered(self._contacts.get(host))
 
+    def _is_heard(self, host: str) -> bool:
+        contact = self._contacts.known.get(host)
+        return (
+            contact is not None
+            and contact.last_heard_at is not None
+            and not contact.is_unresponsive
+        )
+
     def _is_stale(self, now: timedelta) -> bool:
         """Return whether no scheduler has had updates for ``STALE_TIMEOUT``."""
         if self.is_scheduler or self._state.hosts is None:
--- a/src/galenapass/forwarding/schedulers.py
+++ b/src/galenapass/forwarding/schedulers.py
@@ -4,24 +4,33 @@
 hosts, and skips those that do not answer it.
 """
 
+import operator
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import IntEnum
 
 import xxhash
 
 __all__ = [
     "Address",
     "Contact",
+    "ContactRank",
     "Contacts",
     "HostEntry",
     "Hosts",
+    "expire_answers",
+    "has_fresh",
     "list_candidates",
+    "list_granting",
+    "list_unheard",
     "list_schedulers",
     "order_contacts",
     "rank_hosts",
+    "record_answer",
     "record_contact",
     "record_unanswered",
+    "record_view",
 ]
 
 Address = tuple[str, int]
@@ -36,6 +45,21 @@
 # unresponsive: datagrams get lost, and a processor quota stops a host for a part of
 # each tenth of a second.
 MAX_UNANSWERED = 3
+# Views of the store that differ by less in age count as equal: hosts that lose the
+# store at the same time notice it up to this much apart.
+MAX_VIEW_LAG = timedelta(seconds=5)
+
+
+class ContactRank(IntEnum):
+    """Order in which hosts are used as schedulers."""
+
+    FRESH = 0
+    KNOWING = 1
+    OUTDATED = 2
+    UNHEARD = 3
+    # A host whose build does not tell whether it knows targets.
+    UNTOLD = 4
+    UNKNOWING = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,12 +76,16 @@
     """Local view of one scheduler.
 
     ``is_fresh`` is set if it receives updates from the store; ``unanswered`` counts
-    the messages without an answer since its last one.
+    the messages without an answer since ``answered_at``. ``knows_targets`` is None
+    until it has told; ``viewed_at`` is the time as of which it knows them.
     """
 
     last_heard_at: timedelta | None = None
+    answered_at: timedelta | None = None
     is_fresh: bool = False
     unanswered: int = 0
+    knows_targets: bool | None = None
+    viewed_at: timedelta = timedelta(0)
 
     @property
     def is_unresponsive(self) -> bool:
@@ -121,29 +149,113 @@
 
 
 def order_contacts(contacts: Contacts) -> list[str]:
-    """Return the candidates that answer, those with updates from the store first."""
+    """Return the candidates that answer, best first, in the order of ``ContactRank``.
+
+    Load pattern: a failure domain that is partitioned from the store. Its schedulers
+    keep their targets, and the hosts that were never heard know none.
+    """
+    return [name for _, name in _rank_answering(contacts)]
+
+
+def list_granting(contacts: Contacts, designated: Iterable[str]) -> list[str]:
+    """Return the candidates that may be asked for slots, best first.
+
+    Of those never heard only the ``designated`` schedulers; the others are pinged
+    first.
+    """
+    return [
+        name
+        for rank, name in _rank_answering(contacts)
+        if rank is not ContactRank.UNKNOWING
+        and (rank is not ContactRank.UNHEARD or name in designated)
+    ]
 
-    def score(name: str) -> bool:
-        contact = contacts.known.get(name)
-        return (
-            contact is not None
-            and contact.last_heard_at is not None
-            and (not contact.is_fresh)
-        )
 
-    answering = [
+def has_fresh(contacts: Contacts) -> bool:
+    """Return whether a candidate that answers has updates from the store."""
+    ranked = _rank_answering(contacts)
+    return bool(ranked) and ranked[0][0] is ContactRank.FRESH
+
+
+def list_unheard(contacts: Contacts, now: timedelta, max_age: timedelta) -> list[str]:
+    """Return the candidates that answered nothing within ``max_age``, in order."""
+    return [
         name
         for name in contacts.candidates
-        if name not in contacts.known or not contacts.known[name].is_unresponsive
+        if (contact := contacts.known.get(name)) is None
+        or contact.answered_at is None
+        or now - contact.answered_at > max_age
     ]
-    return sorted(answering, key=score)
+
+
+def expire_answers(contacts: Contacts, now: timedelta, max_age: timedelta) -> None:
+    """Make hosts count as never heard whose last answer is older than ``max_age``.
+
+    What they told then of their view of the store may not hold any more.
+    """
+    for contact in contacts.known.values():
+        if contact.answered_at is not None and now - contact.answered_at > max_age:
+            contact.answered_at, contact.is_fresh = None, False
+            contact.knows_targets = None
 
 
 def record_contact(contact: Contact, now: timedelta) -> None:
-    """Record a message from a host."""
-    contact.last_heard_at, contact.unanswered = now, 0
+    """Record a message from a host, which need not be an answer.
+
+    Load pattern: a link that carries only one way. Announcements of a scheduler still
+    arrive, but no answers.
+    """
+    contact.last_heard_at = now
+
+
+def record_answer(contact: Contact, now: timedelta) -> None:
+    """Record a host's answer to a message."""
+    contact.last_heard_at = contact.answered_at = now
+    contact.unanswered = 0
+
+
+def record_view(
+    contact: Contact, is_fresh: bool, knows_targets: bool | None, viewed_at: timedelta
+) -> None:
+    """Record what a host told of its view of the store.
+
+    A host of an earlier build does not tell whether it knows targets; one that has
+    received updates does.
+    """
+    contact.is_fresh = is_fresh
+    if knows_targets is None:
+        knows_targets = True if is_fresh else contact.knows_targets
+        viewed_at = viewed_at if is_fresh else contact.viewed_at
+    contact.knows_targets, contact.viewed_at = knows_targets, viewed_at
 
 
 def record_unanswered(contact: Contact) -> None:
     """Record that a host did not answer a message."""
     contact.unanswered += 1
+
+
+def _rank_answering(contacts: Contacts) -> list[tuple[ContactRank, str]]:
+    """Return the candidates that answer with their ranks, best first."""
+    known = [contacts.known.get(name) for name in contacts.candidates]
+    newest = max(
+        (c.viewed_at for c in known if c is not None and c.knows_targets),
+        default=timedelta(0),
+    )
+    ranked = [
+        (_rank(contact, newest), name)
+        for name, contact in zip(contacts.candidates, known, strict=True)
+        if contact is None or not contact.is_unresponsive
+    ]
+    return sorted(ranked, key=operator.itemgetter(0))
+
+
+def _rank(contact: Contact | None, newest: timedelta) -> ContactRank:
+    if contact is None or contact.answered_at is None:
+        return ContactRank.UNHEARD
+    ranks = (
+        (contact.knows_targets is False, ContactRank.UNKNOWING),
+        (contact.is_fresh, ContactRank.FRESH),
+        (contact.knows_targets is None, ContactRank.UNTOLD),
+        (contact.viewed_at < newest - MAX_VIEW_LAG, ContactRank.OUTDATED),
+    )
+    return next((rank for holds, rank in ranks if holds), ContactRank.KNOWING)
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -33,7 +33,7 @@
 from galenapass.tables.targets import Role, Target
 from galenapass.verdicts import Reason, Run, Verdict
 
-__all__ = ["Answer", "Hooks", "Scheduler"]
+__all__ = ["TARGETS_UNKNOWN", "Answer", "Hooks", "Scheduler"]
 
 # Deadlines pass without an event, so the queue is processed at least this often.
 QUEUE_PERIOD = timedelta(milliseconds=50)
@@ -247,7 +247,7 @@
         if self._is_too_large(slot_request):
             return _TOO_LARGE
         if choice is None:
-            return self._find_retry(_NO_ENGINE, slot_request, view.now)
+            return self._refuse_unserved(_NO_ENGINE, slot_request, view.now)
         serving = self._capacity.list_serving(
             slot_request.service, version=slot_request.version
         )
@@ -432,10 +432,19 @@
                 served.append(slot_request)
             else:
                 self._refuse(
-                    slot_request, self._find_retry(_NO_TARGET, slot_request, view.now)
+                    slot_request,
+                    self._refuse_unserved(_NO_TARGET, slot_request, view.now),
                 )
         return served
 
+    def _refuse_unserved(
+        self, verdict: Verdict, slot_request: SlotRequest, now: timedelta
+    ) -> Verdict:
+        """Return a verdict that no target serves, or that none is known."""
+        if not self._fleet.knows_service(slot_request.service):
+            return TARGETS_UNKNOWN
+        return self._find_retry(verdict, slot_request, now)
+
     def _find_retry(
         self, verdict: Verdict, slot_request: SlotRequest, now: timedelta
     ) -> Verdict:
@@ -488,6 +497,12 @@
 
 
 _RETRY_AFTER = timedelta(milliseconds=500)
+TARGETS_UNKNOWN = Verdict(
+    Run.NOT_RUN,
+    Reason.TARGETS_UNKNOWN,
+    "this host does not know the targets",
+    timedelta(milliseconds=200),
+)
 _NO_VERSION = Verdict(
     Run.NOT_RUN,
     Reason.NO_TARGET,
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -1,6 +1,7 @@
 """Acquire slots at targets for this daemon's requests from a scheduler."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -9,7 +10,12 @@
 from result import Err, Ok, Result
 
 from galenapass.clocks import Clock
-from galenapass.forwarding.datagrams import PeerMessage, SlotPending, SlotRefusal
+from galenapass.forwarding.datagrams import (
+    PeerMessage,
+    SlotPending,
+    SlotRefusal,
+    TargetsUnknown,
+)
 from galenapass.forwarding.output_pace import OutputPace
 from galenapass.forwarding.scheduling import Scheduler
 from galenapass.forwarding.slot_requests import (
@@ -23,7 +29,7 @@
 from galenapass.timeouts import limit_silence
 from galenapass.verdicts import Verdict
 
-__all__ = ["SchedulerDirectory", "Slot", "SlotClient"]
+__all__ = ["SchedulerDirectory", "Slot", "SlotClient", "SlotHooks"]
 
 # A scheduler of the same domain replies within a few milliseconds; hosts with a CPU
 # quota are paused for a part of each 100 ms.
@@ -34,6 +40,8 @@
 SCHEDULER_TIMEOUT = timedelta(milliseconds=400)
 # Schedulers tried before this daemon schedules its own requests.
 MAX_SCHEDULERS = 2
+# Hosts that may answer that they know no targets before this daemon uses its own.
+MAX_UNKNOWING = 3
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -112,8 +120,15 @@
     def is_scheduler(self) -> bool:
         """Return whether this daemon is a scheduler."""
 
+    @property
+    def granting_changed(self) -> asyncio.Event:
+        """Return the event that is set when another host may be asked for slots."""
+
     def list_schedulers(self) -> list[str]:
-        """Return the scheduler hosts to try, best first."""
+        """Return the scheduler hosts that may answer, best first."""
+
+    def list_granting(self) -> list[str]:
+        """Return the scheduler hosts to ask for slots, best first."""
 
     def record_unanswered(self, host: str) -> None:
         """Record that a host did not reply to a slot request."""
@@ -127,12 +142,32 @@
     """Slot request without a reply yet.
 
     ``hosts`` are the hosts it was sent to, ``responsive`` those that sent any message
-    since it was last sent.
+    since it was last sent, ``unknowing`` those that know no targets for it.
+    ``reply`` is None once all hosts that were asked are unknowing.
     """
 
-    reply: asyncio.Future[tuple[str, Result[Grant, Verdict]]]
+    reply: asyncio.Future[tuple[str, Result[Grant, Verdict]] | None]
     hosts: list[str] = field(default_factory=list)
     responsive: set[str] = field(default_factory=set)
+    unknowing: set[str] = field(default_factory=set)
+
+
+async def _learn_nothing(service: str) -> None:
+    return
+
+
+@dataclass(slots=True, frozen=True)
+class SlotHooks:
+    """Callbacks of a slot client.
+
+    ``knows_service`` returns whether this daemon knows the targets of a service,
+    ``learn`` finds them out as far as is quickly possible. ``ping`` pings a host that
+    may become a scheduler of this daemon.
+    """
+
+    knows_service: Callable[[str], bool] = lambda service: True
+    learn: Callable[[str], Coroutine[Any, Any, None]] = _learn_nothing
+    ping: Callable[[str], None] = lambda host: None
 
 
 class SlotClient:
@@ -147,10 +182,12 @@
         directory: SchedulerDirectory,
         send: Callable[[str, PeerMessage], None],
         clock: Clock,
+        hooks: SlotHooks | None = None,
     ):
         self._scheduler = scheduler
         self._directory = directory
         self._send = send
+        self._hooks = hooks or SlotHooks()
         self._clock = clock
         self._pending: dict[str, _PendingRequest] = {}
         # Host and target of each slot in use that another host granted, by ticket.
@@ -163,17 +200,22 @@
 
     async def acquire(self, slot_request: SlotRequest) -> Result[Slot, Verdict]:
         """Return a slot for a request, or the verdict that refuses it."""
-        if self._directory.is_scheduler:
+        knows_service = self._hooks.knows_service
+        if self._directory.is_scheduler and knows_service(slot_request.service):
             return await self._acquire_locally(slot_request)
+        if not self._directory.list_granting():
+            await self._find_scheduler()
         reply = await self._acquire_remotely(slot_request)
         if reply is not None:
             return reply
-        if not self._directory.list_schedulers():
+        if not self._directory.list_granting():
             await self._directory.take_over()
+        if not knows_service(slot_request.service):
+            await self._hooks.learn(slot_request.service)
         return await self._acquire_locally(slot_request)
 
     def apply_reply(
-        self, host: str, message: Grant | SlotRefusal | SlotPending
+        self, host: str, message: Grant | SlotRefusal | SlotPending | TargetsUnknown
     ) -> None:
         """Apply a scheduler's reply to a slot request of this daemon."""
         pending = self._pending.get(message.ticket)
@@ -185,6 +227,9 @@
                 # Another scheduler was faster, or the slot request was abandoned.
                 self._send(host, SlotRelease(message.ticket, Outcome.CANCELLED))
             return
+        if isinstance(message, TargetsUnknown):
+            self._drop_unknowing(host, pending)
+            return
         pending.responsive.add(host)
         if isinstance(message, SlotRefusal):
             pending.reply.set_result((host, Err(message.verdict)))
@@ -192,6 +237,30 @@
             self._in_use[message.ticket] = host, message.target.id
             pending.reply.set_result((host, Ok(message)))
 
+    def _drop_unknowing(self, host: str, pending: _PendingRequest) -> None:
+        """Ask another host at once if no other one was asked."""
+        pending.unknowing.add(host)
+        if host in pending.hosts:
+            pending.hosts.remove(host)
+        if not pending.hosts:
+            pending.reply.set_result(None)
+
+    async def _find_scheduler(self) -> None:
+        """Ping the next candidates, and wait until one of them knows targets.
+
+        Load pattern: the loss of all schedulers of a domain. All of its hosts choose
+        the same two as the next ones, which schedule for all of them.
+        """
+        candidates = self._directory.list_schedulers()[:MAX_SCHEDULERS]
+        if not candidates:
+            return
+        self._directory.granting_changed.clear()
+        for host in candidates:
+            self._hooks.ping(host)
+        with contextlib.suppress(TimeoutError):
+            async with limit_silence(FIRST_REPLY_TIMEOUT):
+                await self._directory.granting_changed.wait()
+
     async def _acquire_locally(
         self, slot_request: SlotRequest
     ) -> Result[Slot, Verdict]:
@@ -255,11 +324,13 @@
         """
         waited = timedelta(0)
         while waited < SCHEDULER_TIMEOUT:
-            for host in self._directory.list_schedulers()[:MAX_SCHEDULERS]:
+            granting = self._directory.list_granting()
+            willing = [name for name in granting if name not in pending.unknowing]
+            for host in willing[:MAX_SCHEDULERS]:
                 if host not in pending.hosts:
                     pending.hosts.append(host)
                     break
-            if not pending.hosts:
+            if not pending.hosts or len(pending.unknowing) > MAX_UNKNOWING:
                 return None
             pending.responsive.clear()
             for host in pending.hosts:
@@ -277,6 +348,10 @@
                 reply = await self._wait_for_reply(pending, RESEND_INTERVAL)
                 if reply is not None:
                     return reply
+            if pending.reply.done():
+                # None of the hosts that were asked knows targets for the request.
+                pending.reply = asyncio.get_running_loop().create_future()
+                continue
             for host in pending.hosts:
                 self._directory.record_unanswered(host)
                 _log(
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -32,6 +32,7 @@
 )
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
+from galenapass.forwarding.known_targets import KnownTargets
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peer_calls import PeerServer
@@ -56,6 +57,7 @@
 from galenapass.forwarding.suspects import CrashHooks, CrashSuspects
 from galenapass.forwarding.target_messages import TargetNotice
 from galenapass.forwarding.target_paths import TargetPaths
+from galenapass.forwarding.target_sharing import TARGETS_CALL, TargetSharing
 from galenapass.forwarding.tunnels import (
     TUNNEL_CALL,
     TunnelClient,
@@ -186,6 +188,9 @@
         self.states = EngineStateTracker(
             self.fleet, self.runner_client, self.clock, self.scheduler.wake
         )
+        self.known_targets = KnownTargets(
+            self.fleet, self.clock, self._is_store_view_fresh
+        )
         self.scheduler_selection = SchedulerSelection(
             settings.host,
             settings.domain,
@@ -194,6 +199,16 @@
             self._start_scheduling,
             self._stop_scheduling,
             self._is_store_view_fresh,
+            lambda: bool(self.fleet.targets),
+        )
+        self.target_sharing = TargetSharing(
+            settings.host,
+            settings.domain,
+            self.known_targets,
+            self.scheduler_selection,
+            self.clock,
+            self.random,
+            self._use_known_targets,
         )
         self.origins = OriginSharing(
             self.fleet,
@@ -218,6 +233,8 @@
             lambda targets: self._background.spawn(
                 self.states.confirm_silence(targets)
             ),
+            self.known_targets,
+            self.target_sharing.learn_soon,
         )
         self.split_goals = SplitGoals(
             self.fleet,
@@ -274,7 +291,11 @@
             self.clock,
         )
         self.peer_server = PeerServer(
-            {CONFIGURATION_CALL: self.sharing.answer, TUNNEL_CALL: self.tunnels.serve},
+            {
+                CONFIGURATION_CALL: self.sharing.answer,
+                TARGETS_CALL: self.target_sharing.answer,
+                TUNNEL_CALL: self.tunnels.serve,
+            },
             self.scheduler_selection.knows_ip,
         )
         self.hosts = HostRegistry(
@@ -315,6 +336,7 @@
                 "pings": self.peering.run_pings,
                 "routes": lambda: self.follower.load_initial(self._needs_routes),
                 "check of routes": self.follower.run_checks,
+                "known targets": self.target_sharing.run,
                 "versions": self.origins.run_observation,
                 "paths": lambda: self.paths.run_probes(self._probe_target),
             }
@@ -513,6 +535,7 @@
     # Scheduling
 
     def _start_scheduling(self) -> None:
+        self.known_targets.seed()
         self._store_watches = self._make_store_watches()
         store_watches = {
             f"feed of {store_watch.kind}": store_watch.run
@@ -583,6 +606,16 @@
     def _apply_targets_listing(self, listing: ObjectListing) -> None:
         self.store_updates.apply_targets_listing(listing)
         self.scheduler_selection.targets_listed.set()
+        self.peering.announce_view()
+
+    def _use_known_targets(self) -> None:
+        if not self.scheduler_selection.is_scheduler:
+            return
+        self.known_targets.seed()
+        if self.known_targets.list_viewed_at is not None:
+            self.scheduler_selection.targets_listed.set()
+        self.peering.announce_view()
+        self.scheduler.wake()
 
     def _handle_update(self) -> None:
         self.origins.observe()
--- a/src/galenapass/verdicts.py
+++ b/src/galenapass/verdicts.py
@@ -27,6 +27,7 @@
     OVERLOADED = "overloaded"
     LIMIT_EXCEEDED = "limit exceeded"
     NO_TARGET = "no target"
+    TARGETS_UNKNOWN = "targets unknown"
     TARGET_REFUSED = "target refused"
     TARGET_FAILED = "target failed"
     TARGET_UNREACHABLE = "target unreachable"
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -97,6 +97,7 @@
 def make_fleet(*targets, domain="a"):
     fleet = Fleet("host-1", domain)
     fleet.targets = {target.id: target for target in targets}
+    fleet.viewed_at = timedelta(0)
     services = {
         "lm": Service("lm", True, cache_tokens=500_000),
         "desk": Service("desk", False),
--- a/tests/test_forwarding_granted_targets.py
+++ b/tests/test_forwarding_granted_targets.py
@@ -33,6 +33,9 @@
     def list_schedulers(self):
         return ["s1"]
 
+    def list_granting(self):
+        return ["s1"]
+
     def send(self, host, message):
         if hasattr(message, "stage"):
             self.slot_client.apply_reply(host, self._grant(message))
