--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -25,9 +25,11 @@
 INITIAL_PING_PERIOD = timedelta(milliseconds=250)
 # Best candidates that are pinged.
 PINGED_CANDIDATES = 2
-# Hosts not heard lately that are pinged with them while no scheduler has updates from
-# the store; a domain has tens of hosts, of which only some may reach the store.
-PROBED_CANDIDATES = 4
+# Hosts chosen by chance that are pinged besides the next candidates while no scheduler
+# has updates from the store: any host of the domain may reach it.
+RANDOM_PROBES = 2
+# Hosts whose last answer is older are probed again, and then count as never heard.
+PROBE_AGE = timedelta(seconds=1.5)
 MAX_ANSWER_AGE = timedelta(seconds=3)
 # A host goes on scheduling for this long after the last message of a client.
 CLIENT_TIMEOUT = timedelta(seconds=3)
@@ -342,13 +344,22 @@
         if self.is_scheduler or self.has_fresh_view or not self.has_scheduler:
             return []
         now = self._clock.monotonic()
-        unheard = schedulers.list_unheard(self._contacts, now, MAX_ANSWER_AGE)
-        unheard = [name for name in unheard if name not in self._pinged_at]
+        unheard = [
+            name
+            for name in schedulers.list_unheard(self._contacts, now, PROBE_AGE)
+            if name not in self._pinged_at
+        ]
         designated = self._state.designated.get(self._domain, [])
         first = [name for name in unheard if name in designated]
         others = [name for name in unheard if name not in designated]
-        count = min(PROBED_CANDIDATES, len(others))
-        return (first + self._random.sample(others, count))[:PROBED_CANDIDATES]
+        # All hosts have the same order, so they agree on the next schedulers.
+        following, rest = others[:PINGED_CANDIDATES], others[PINGED_CANDIDATES:]
+        count = min(RANDOM_PROBES, len(rest))
+        return [
+            *first[:PINGED_CANDIDATES],
+            *following,
+            *self._random.sample(rest, count),
+        ]
 
     def find_view_time(self, host: str) -> timedelta:
         """Return the time as of which a host knows the targets, as far as it told."""
--- a/src/galenapass/forwarding/schedulers.py
+++ b/src/galenapass/forwarding/schedulers.py
@@ -178,14 +178,17 @@
 
 
 def list_unheard(contacts: Contacts, now: timedelta, max_age: timedelta) -> list[str]:
-    """Return the candidates that answered nothing within ``max_age``, in order."""
-    return [
-        name
-        for name in contacts.candidates
-        if (contact := contacts.known.get(name)) is None
-        or contact.answered_at is None
-        or now - contact.answered_at > max_age
-    ]
+    """Return the candidates that were not asked or not heard within ``max_age``.
+
+    Those that do not answer are left out.
+    """
+
+    def is_due(contact: Contact) -> bool:
+        at = contact.answered_at
+        return not contact.is_unresponsive and (at is None or now - at > max_age)
+
+    known = contacts.known
+    return [n for n in contacts.candidates if n not in known or is_due(known[n])]
 
 
 def expire_answers(contacts: Contacts, now: timedelta, max_age: timedelta) -> None:
--- a/tests/test_forwarding_cut_off_domains.py
+++ b/tests/test_forwarding_cut_off_domains.py
@@ -1,11 +1,39 @@
 """Replay the partition of a failure domain of 28 hosts in a fleet of 84."""
 
 import asyncio
+import zlib
 
+from result import Ok
 from testtools import TestCase
 
+from galenapass.clocks import ManualClock
+from galenapass.forwarding import schedulers
 from galenapass.forwarding.announcements import Announcement
-from tests.cut_off_domain import Network
+from galenapass.forwarding.datagrams import (
+    Ping,
+    Pong,
+    decode_datagram,
+    encode_datagram,
+    encode_message,
+)
+from galenapass.forwarding.fleet import Fleet, apply_listing
+from galenapass.forwarding.known_targets import (
+    MAX_SIGHTING_AGE,
+    MAX_SIGHTINGS,
+    KnownTargets,
+    Sighting,
+    TargetList,
+    TargetReport,
+)
+from galenapass.forwarding.schedulers import Contact, Contacts
+from galenapass.forwarding.target_sharing import (
+    MAX_BODY_BYTES,
+    decode_targets,
+    encode_targets,
+)
+from galenapass.tables.targets import TargetState
+from tests.cut_off_domain import SECOND, Network
+from tests.forwarding_fakes import make_target
 from tests.jumping_loops import run_jumping
 
 START, CUT, SETTLE = 2.0, 6.0, 1.0
@@ -57,6 +85,11 @@
                 self.assertIn(best, network.designated)
                 self.assertTrue(host.selection.has_fresh_view)
 
+    def check_few_schedule(self, network):
+        """Check that the hosts agree on the next schedulers."""
+        scheduling = [h for h in network.hosts.values() if h.selection.is_scheduler]
+        self.assertLessEqual(len(scheduling), 8)
+
     def test_hosts_keep_schedulers_that_know_their_targets(self):
         # 20 of 28 hosts switched to hosts without targets and refused their requests.
         async def cut(network):
@@ -100,6 +133,8 @@
             await asyncio.sleep(3.0)
             for name in network.designated:
                 network.kill(name)
+            await asyncio.sleep(4.0)
+            self.check_few_schedule(network)
 
         self.replay(cut, seconds=9.0)
 
@@ -109,6 +144,8 @@
             network.is_cut = True
             for name in network.designated:
                 network.kill(name)
+            await asyncio.sleep(4.0)
+            self.check_few_schedule(network)
 
         self.replay(cut)
 
@@ -157,6 +194,127 @@
         self.check_converged(self.replay(cut))
 
 
+class TestKnownTargets(TestCase):
+    def make_known(self):
+        clock, fleet = ManualClock(), Fleet("h1", "a")
+        clock.advance(100 * SECOND)
+        return KnownTargets(fleet, clock), fleet, clock
+
+    def test_granted_targets_are_bounded_and_expire(self):
+        known, fleet, clock = self.make_known()
+        for number in range(2 * MAX_SIGHTINGS):
+            known.record_grant(make_target(f"t{number}"), clock.monotonic())
+        self.assertEqual(MAX_SIGHTINGS, len(known.list_sightings()))
+        clock.advance(MAX_SIGHTING_AGE + SECOND)
+        self.assertIsNone(known.find_view_time())
+        self.assertFalse(known.seed())
+        self.assertFalse(fleet.knows_service("lm"))
+
+    def test_a_target_that_left_is_not_known_again_by_an_older_grant(self):
+        known, fleet, clock = self.make_known()
+        target = make_target("t1", incarnation="1")
+        apply_listing(fleet, [target], clock.monotonic())
+        known.record_grant(target, clock.monotonic())
+        apply_listing(fleet, [], clock.monotonic())
+        self.assertFalse(known.seed())
+
+    def test_a_list_of_a_domain_replaces_what_it_does_not_name(self):
+        known, fleet, clock = self.make_known()
+        targets = [make_target(f"t{n}", domain=d) for n, d in enumerate("aab")]
+        apply_listing(fleet, targets, clock.monotonic())
+        clock.advance(5 * SECOND)
+        listed = TargetList("a", (targets[1],), clock.monotonic())
+        known.apply_report(TargetReport(listed))
+        known.seed()
+        self.assertEqual({"t1", "t2"}, set(fleet.targets))
+
+    def test_targets_known_long_before_the_last_grant_are_forgotten(self):
+        # The host had scheduled minutes ago; they may have left since.
+        known, fleet, clock = self.make_known()
+        apply_listing(fleet, [make_target("t1")], clock.monotonic())
+        clock.advance(3 * MAX_SIGHTING_AGE)
+        known.record_grant(make_target("t2"), clock.monotonic())
+        known.seed()
+        self.assertEqual({"t2"}, set(fleet.targets))
+
+    def test_a_report_arrives_with_its_ages(self):
+        known, _, clock = self.make_known()
+        now = clock.monotonic()
+        changing = make_target("t1", state=TargetState.CHANGING, slots=4, version="v1")
+        listed = TargetList("a", (changing,), now - 3 * SECOND)
+        sighting = Sighting(make_target("t2"), now - SECOND)
+        report = TargetReport(listed, (sighting,), now - 2 * SECOND)
+        decoded = decode_targets("a", *encode_targets(report, now), now)
+        self.assertEqual(report, decoded)
+
+    def test_a_report_that_is_cut_or_too_long_is_refused(self):
+        now = 100 * SECOND
+        head, payload = encode_targets(TargetReport(), now)
+        for faulty in (payload[:-3], zlib.compress(b" " * (MAX_BODY_BYTES + 1))):
+            error = None
+            try:
+                decode_targets("a", head, faulty, now)
+            except ValueError as raised:
+                error = raised
+            self.assertIsNotNone(error)
+
+
+class TestContacts(TestCase):
+    def test_announcements_do_not_count_as_answers(self):
+        # With a link that carries only one way, a scheduler whose answers are lost was
+        # never left.
+        contact = Contact(answered_at=SECOND)
+        for _ in range(schedulers.MAX_UNANSWERED):
+            schedulers.record_unanswered(contact)
+            schedulers.record_contact(contact, 2 * SECOND)
+        self.assertTrue(contact.is_unresponsive)
+        schedulers.record_answer(contact, 3 * SECOND)
+        self.assertFalse(contact.is_unresponsive)
+
+    def test_a_scheduler_that_knows_its_targets_comes_before_the_never_heard(self):
+        contacts = Contacts(["never", "empty", "old", "knows", "fresh"])
+        for name, is_fresh, knows, viewed in (
+            ("empty", False, False, 0),
+            ("old", False, True, 10),
+            ("knows", False, True, 30),
+            ("fresh", True, True, 32),
+        ):
+            contact = contacts.get(name)
+            schedulers.record_answer(contact, 40 * SECOND)
+            schedulers.record_view(contact, is_fresh, knows, viewed * SECOND)
+        self.assertEqual(
+            ["fresh", "knows", "old", "never", "empty"],
+            schedulers.order_contacts(contacts),
+        )
+        self.assertEqual(
+            ["fresh", "knows", "old"], schedulers.list_granting(contacts, ["s1"])
+        )
+        self.assertIn("never", schedulers.list_granting(contacts, ["never"]))
+
+    def test_a_view_that_was_told_long_ago_does_not_count(self):
+        contacts = Contacts(["a", "b"])
+        contact = contacts.get("b")
+        schedulers.record_answer(contact, SECOND)
+        schedulers.record_view(contact, True, True, SECOND)
+        schedulers.expire_answers(contacts, 9 * SECOND, 3 * SECOND)
+        self.assertFalse(schedulers.has_fresh(contacts))
+        self.assertEqual(["a", "b"], schedulers.order_contacts(contacts))
+
+    def test_messages_of_earlier_builds_are_read(self):
+        now = 100 * SECOND
+        pong = Pong(3, True, knows_targets=True, view_age=2 * SECOND)
+        for message, older in (
+            (pong, Pong(3, True)),
+            (Ping(3, is_probe=True), Ping(3)),
+        ):
+            row = encode_message(message, now)
+            earlier = encode_message(older, now)
+            self.assertEqual(earlier, row[: len(earlier)])
+            for each, expected in ((row, message), (earlier, older)):
+                data = encode_datagram("h1", [each])
+                self.assertEqual(Ok(("h1", [expected])), decode_datagram(data, now))
+
+
 class TestCalmDays(TestCase):
     def test_no_host_but_the_schedulers_is_pinged_or_asked(self):
         # The bytes and calls of a calm day are to stay as they were.
--- a/tests/test_forwarding_scheduler_selection.py
+++ b/tests/test_forwarding_scheduler_selection.py
@@ -12,7 +12,7 @@
 
 from galenapass.clocks import ManualClock
 from galenapass.forwarding import schedulers, slot_client
-from galenapass.forwarding.datagrams import SlotPending, SlotRefusal
+from galenapass.forwarding.datagrams import SlotPending, SlotRefusal, TargetsUnknown
 from galenapass.forwarding.scheduler_selection import (
     CLIENT_TIMEOUT,
     FALLBACK_TIME,
@@ -386,6 +386,28 @@
             host for host, message in fake.sent if not isinstance(message, SlotRelease)
         ]
 
+    def test_another_scheduler_is_asked_at_once_if_one_knows_no_targets(self):
+        # 20 of 28 hosts of a partitioned domain refused what others could serve.
+        fake = FakeSchedulers()
+        fake.reactions["s1"] = lambda host, slot_request: fake.slot_client.apply_reply(
+            host, TargetsUnknown(slot_request.ticket)
+        )
+        fake.reactions["s2"] = self.grant(fake)
+        self.assertIsInstance(self.acquire(fake), Ok)
+        self.assertEqual(["s1", "s2"], self.list_requested(fake))
+        self.assertEqual(([], []), (fake.unanswered_hosts, fake.releases()))
+
+    def test_hosts_that_know_no_targets_are_not_asked_without_end(self):
+        fake = FakeSchedulers()
+        fake.hosts = [f"s{n}" for n in range(20)]
+        for name in fake.hosts:
+            fake.reactions[name] = lambda host, slot_request: (
+                fake.slot_client.apply_reply(host, TargetsUnknown(slot_request.ticket))
+            )
+        self.assertIsInstance(self.acquire(fake), Ok)
+        self.assertEqual(["a1"], fake.local_messages)
+        self.assertLessEqual(len(self.list_requested(fake)), 5)
+
     def test_a_refusal_is_final(self):
         fake = FakeSchedulers()
         verdict = Verdict(Run.NOT_RUN, Reason.OVERLOADED, "", 300 * MS)
