Ask for targets at any host that has heard a scheduler

A host that knows only the targets of its domain could have planned roles from them.

Change: an answer of a scheduler suffices; only known hosts are ranked; the planner waits for the first listing of the store.

--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -58,7 +58,7 @@
     the table of targets; ``on_order`` is called with each order that an engine
     accepted. ``has_crashed`` returns whether the hosts agree that an engine crashed,
     which the first of them has not reached for the given time; ``is_cut_off`` whether
-    this host reaches no engine.
+    this host reaches no engine or has never listed them all.
     """
 
     def __init__(
--- a/src/galenapass/forwarding/scheduler_selection.py
+++ b/src/galenapass/forwarding/scheduler_selection.py
@@ -175,6 +175,11 @@
         """Return whether this host schedules or has had an up-to-date scheduler."""
         return self.is_scheduler or self._state.fresh_at is not None
 
+    @property
+    def hears_scheduler(self) -> bool:
+        """Return whether this host schedules or a scheduler has answered it."""
+        return self.is_scheduler or self._state.pong_at > timedelta(0)
+
     @property
     def pong_at(self) -> timedelta:
         """Return when a scheduler last answered a ping, 0 if never."""
--- a/src/galenapass/forwarding/schedulers.py
+++ b/src/galenapass/forwarding/schedulers.py
@@ -4,7 +4,6 @@
 hosts, and skips those that do not answer it.
 """
 
-import operator
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -154,7 +153,8 @@
     Load pattern: a failure domain that is partitioned from the store. Its schedulers
     keep their targets, and the hosts that were never heard know none.
     """
-    return [name for _, name in _rank_answering(contacts)]
+    ranks = _rank_known(contacts)
+    return _order(contacts, ranks, contacts.candidates)
 
 
 def list_granting(contacts: Contacts, designated: Iterable[str]) -> list[str]:
@@ -163,18 +163,28 @@
     Of those never heard only the ``designated`` schedulers; the others are pinged
     first.
     """
-    return [
+    ranks = _rank_known(contacts)
+    usable = {
         name
-        for rank, name in _rank_answering(contacts)
-        if rank is not ContactRank.UNKNOWING
-        and (rank is not ContactRank.UNHEARD or name in designated)
-    ]
+        for name, rank in ranks.items()
+        if rank not in (ContactRank.UNHEARD, ContactRank.UNKNOWING)
+    }
+    usable.update(
+        name
+        for name in designated
+        if ranks.get(name, ContactRank.UNHEARD) is ContactRank.UNHEARD
+    )
+    return _order(contacts, ranks, [n for n in contacts.candidates if n in usable])
 
 
 def has_fresh(contacts: Contacts) -> bool:
     """Return whether a candidate that answers has updates from the store."""
-    ranked = _rank_answering(contacts)
-    return bool(ranked) and ranked[0][0] is ContactRank.FRESH
+    ranks = _rank_known(contacts)
+    return any(
+        ranks.get(name) is ContactRank.FRESH
+        and not contacts.known[name].is_unresponsive
+        for name in contacts.candidates
+    )
 
 
 def list_unheard(contacts: Contacts, now: timedelta, max_age: timedelta) -> list[str]:
@@ -237,28 +247,33 @@
     contact.unanswered += 1
 
 
-def _rank_answering(contacts: Contacts) -> list[tuple[ContactRank, str]]:
-    """Return the candidates that answer with their ranks, best first."""
-    known = [contacts.known.get(name) for name in contacts.candidates]
+def _rank_known(contacts: Contacts) -> dict[str, ContactRank]:
+    """Return the ranks of the hosts of which anything is known, a few of many."""
+    known = contacts.known
     newest = max(
-        (c.viewed_at for c in known if c is not None and c.knows_targets),
+        (contact.viewed_at for contact in known.values() if contact.knows_targets),
         default=timedelta(0),
     )
-    ranked = [
-        (_rank(contact, newest), name)
-        for name, contact in zip(contacts.candidates, known, strict=True)
-        if contact is None or not contact.is_unresponsive
-    ]
-    return sorted(ranked, key=operator.itemgetter(0))
+    return {name: _rank(contact, newest) for name, contact in known.items()}
 
 
-def _rank(contact: Contact | None, newest: timedelta) -> ContactRank:
-    if contact is None or contact.answered_at is None:
+def _order(
+    contacts: Contacts, ranks: dict[str, ContactRank], names: Iterable[str]
+) -> list[str]:
+    """Return those that answer, best first."""
+    known, unheard = contacts.known, ContactRank.UNHEARD
+    answering = [n for n in names if n not in known or not known[n].is_unresponsive]
+    return sorted(answering, key=lambda name: ranks.get(name, unheard))
+
+
+def _rank(contact: Contact, newest: timedelta) -> ContactRank:
+    if contact.answered_at is None:
         return ContactRank.UNHEARD
-    ranks = (
-        (contact.knows_targets is False, ContactRank.UNKNOWING),
-        (contact.is_fresh, ContactRank.FRESH),
-        (contact.knows_targets is None, ContactRank.UNTOLD),
-        (contact.viewed_at < newest - MAX_VIEW_LAG, ContactRank.OUTDATED),
-    )
-    return next((rank for holds, rank in ranks if holds), ContactRank.KNOWING)
+    if contact.knows_targets is False:
+        return ContactRank.UNKNOWING
+    if contact.is_fresh:
+        return ContactRank.FRESH
+    if contact.knows_targets is None:
+        return ContactRank.UNTOLD
+    is_outdated = contact.viewed_at < newest - MAX_VIEW_LAG
+    return ContactRank.OUTDATED if is_outdated else ContactRank.KNOWING
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -203,8 +203,6 @@
         knows_service = self._hooks.knows_service
         if self._directory.is_scheduler and knows_service(slot_request.service):
             return await self._acquire_locally(slot_request)
-        if not self._directory.list_granting():
-            await self._find_scheduler()
         reply = await self._acquire_remotely(slot_request)
         if reply is not None:
             return reply
@@ -245,21 +243,22 @@
         if not pending.hosts:
             pending.reply.set_result(None)
 
-    async def _find_scheduler(self) -> None:
-        """Ping the next candidates, and wait until one of them knows targets.
+    async def _find_scheduler(self) -> list[str]:
+        """Ping the next candidates, and return those that then know targets.
 
         Load pattern: the loss of all schedulers of a domain. All of its hosts choose
         the same two as the next ones, which schedule for all of them.
         """
         candidates = self._directory.list_schedulers()[:MAX_SCHEDULERS]
         if not candidates:
-            return
+            return []
         self._directory.granting_changed.clear()
         for host in candidates:
             self._hooks.ping(host)
         with contextlib.suppress(TimeoutError):
             async with limit_silence(FIRST_REPLY_TIMEOUT):
                 await self._directory.granting_changed.wait()
+        return self._directory.list_granting()
 
     async def _acquire_locally(
         self, slot_request: SlotRequest
@@ -325,6 +324,8 @@
         waited = timedelta(0)
         while waited < SCHEDULER_TIMEOUT:
             granting = self._directory.list_granting()
+            if not granting:
+                granting = await self._find_scheduler()
             willing = [name for name in granting if name not in pending.unknowing]
             for host in willing[:MAX_SCHEDULERS]:
                 if host not in pending.hosts:
--- a/src/galenapass/forwarding/target_sharing.py
+++ b/src/galenapass/forwarding/target_sharing.py
@@ -73,8 +73,12 @@
         """Return whether this host or a scheduler of it has updates of the store."""
 
     @property
-    def has_scheduler(self) -> bool:
-        """Return whether this host schedules or has had an up-to-date scheduler."""
+    def is_scheduler(self) -> bool:
+        """Return whether this host schedules."""
+
+    @property
+    def hears_scheduler(self) -> bool:
+        """Return whether this host schedules or a scheduler has answered it."""
 
     def list_target_hosts(self) -> list[str]:
         """Return the hosts to ask for their targets, best first."""
@@ -138,14 +142,15 @@
         self._known.refresh()
         if self._sources.has_fresh_view:
             self._known.forget_list()
-        if self._sources.has_fresh_view or not self._sources.has_scheduler:
+        if self._sources.has_fresh_view or not self._sources.hears_scheduler:
             self._lost_at = None
             return False
         if self._lost_at is None:
             self._lost_at = now
             spread = CALL_SPREAD * self._random.random()
-            is_empty = self._known.find_view_time() is None
-            self._call_at = now + (timedelta(0) if is_empty else MIN_OUTAGE + spread)
+            is_known = self._known.find_view_time() is not None
+            waits = is_known or not self._sources.is_scheduler
+            self._call_at = now + (MIN_OUTAGE + spread if waits else timedelta(0))
         return now >= self._call_at
 
     async def learn_soon(self, service: str) -> None:
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -492,7 +492,8 @@
             self.states.check,
             self._handle_order,
             self.peering.has_crashed,
-            lambda: self.paths.is_cut_off,
+            # Other hosts name only the targets of this domain.
+            lambda: self.paths.is_cut_off or self.fleet.viewed_at is None,
         )
 
     def _make_store_watches(self) -> list[StoreWatch]:
