--- a/src/galenapass/forwarding/known_targets.py
+++ b/src/galenapass/forwarding/known_targets.py
@@ -81,6 +81,12 @@
         """Return the time as of which another host listed the targets, if any did."""
         return self._list.viewed_at if self._list is not None else None
 
+    @property
+    def listed_at(self) -> timedelta | None:
+        """Return the time as of which this host has a list, its own or another's."""
+        times = (self._fleet.viewed_at, self.list_viewed_at)
+        return max((at for at in times if at is not None), default=None)
+
     def find_view_time(self) -> timedelta | None:
         """Return the time as of which this host knows targets, None if it knows none.
 
--- a/src/galenapass/forwarding/target_sharing.py
+++ b/src/galenapass/forwarding/target_sharing.py
@@ -183,7 +183,7 @@
                 granted=len(report.sightings),
             )
             self._on_targets()
-            if self._known.list_viewed_at is not None:
+            if self._known.listed_at is not None:
                 break
         is_known = self._known.find_view_time() is not None
         period = CALL_PERIOD if is_known else UNKNOWING_CALL_PERIOD
@@ -193,9 +193,7 @@
         address = self._sources.find_address(host)
         if address is None:
             return Err("its address is unknown")
-        viewed_at, age = self._known.list_viewed_at, None
-        if viewed_at is not None:
-            age = (self._clock.monotonic() - viewed_at) // MILLISECOND
+        age = _encode_age(self._known.listed_at, self._clock.monotonic())
         fields = {"domain": self._domain, "age": age}
         opened = await open_call(address, self._host, TARGETS_CALL, fields)
         if isinstance(opened, Err):
