Follow ordered sizes with roles and give started targets their load gradually

Cause: the role planner waits until the number of engines is settled, 5 to 15 s after each change, and chooses engines with cached parts beside empty ones; an engine that has just started gets all new work at once. Change: while sizes change, engines that join or are released count at once, new engines change their role first, and those that may be reclaimed decode last. A target that joins a service with a scale is less preferred for 3 s. Nothing changes for services of a fixed size.

--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from galenapass.forwarding.loads import (
+    RAMP_TIME,
     FailureRate,
     Load,
     Loads,
@@ -48,6 +49,8 @@
 STALE_ENTRY_TIME = timedelta(seconds=5)
 # An engine that changes its role first ends its work, within a second if it prefills.
 CHANGE_SLACK = timedelta(seconds=1)
+# Targets that a daemon finds at its start are all known within this time.
+MAX_JOIN_TIME = timedelta(seconds=4)
 # Leaving and removed targets that are remembered; far more than a deployment replaces
 # at once.
 MAX_LEAVING = 4096
@@ -144,6 +147,7 @@
         target = replace(target, state=TargetState.LEAVING)
     fleet.targets[target.id] = target
     if known is None:
+        _start_ramp(fleet, target, now)
         fleet.first_joined = fleet.first_joined or now
         fleet.last_joined = now
         return "joined"
@@ -153,6 +157,7 @@
         fleet.loads.pop(target.id, None)
         fleet.leaving.pop(target.id, None)
         fleet.backing_off.pop(target.id, None)
+        _start_ramp(fleet, target, now)
         return "restarted"
     if known.state is not target.state or known.role is not target.role:
         # Failures and refusals in the old role or state do not apply to the new one.
@@ -166,6 +171,19 @@
     return None
 
 
+def _start_ramp(fleet: Fleet, target: Target, now: timedelta) -> None:
+    """Increase the load of a target gradually if its service's size is ordered.
+
+    Targets that a daemon finds at its start serve already.
+    """
+    service = fleet.routes.services.get(target.service)
+    first = fleet.first_joined
+    if service is None or service.scaling is None or first is None:
+        return
+    if now - first > MAX_JOIN_TIME:
+        fleet.load_of(target).ramps_until = now + RAMP_TIME
+
+
 def apply_target_entry(fleet: Fleet, target: Target, now: timedelta) -> str | None:
     """Apply a target's entry in the store; return what changed, if anything."""
     fleet.entry_changed_at[target.id] = now
--- a/src/galenapass/forwarding/loads.py
+++ b/src/galenapass/forwarding/loads.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MAX_ATTEMPT_AGE",
     "MIN_ENGINE_SAMPLES",
+    "RAMP_TIME",
     "FailureRate",
     "Load",
     "Loads",
@@ -24,6 +25,7 @@
     "estimate_attention",
     "estimate_failures",
     "estimate_queue_delay",
+    "estimate_ramp_cost",
     "estimate_work",
     "exceeds_share",
     "forget_targets",
@@ -74,6 +76,10 @@
 # A part counts as cached this long after its prompt was sent: the queue of a busy
 # engine, 0.9 s, plus twice the prefill time of the longest prompts.
 PREFILL_TIME = timedelta(seconds=2)
+# Time in which the load of a target that just started increases, and the advantage of
+# others at its begin: about the work that an engine at its usual load has queued.
+RAMP_TIME = timedelta(seconds=3)
+RAMP_COST_MS = 60.0
 # Samples from which an engine's own rate is used instead of its service's rate.
 MIN_ENGINE_SAMPLES = 8
 # Smaller samples measure the network path rather than the engine.
@@ -129,8 +135,9 @@
     their tokens, least recently used first, ``prefill_started_at`` to the time when
     their prefill was announced. ``queried_at`` is when the engine's state was last
     requested. ``silent_since`` is when this daemon first failed to reach the target,
-    None if it reached it since, ``missed_at`` when it last failed and ``reached_at``
-    when it last reached it.
+    None if it reached it since, ``missed_at`` when it last failed and
+    ``reached_at`` when it last reached it. ``ramps_until`` ends the time in which the
+    load of a target that was ordered increases gradually.
     """
 
     requests: int = 0
@@ -154,6 +161,7 @@
     cached_tokens: int = 0
     queried_at: timedelta | None = None
     silent_since: timedelta | None = None
+    ramps_until: timedelta | None = None
     missed_at: timedelta = timedelta(0)
     reached_at: timedelta = timedelta(0)
 
@@ -180,6 +188,17 @@
     return queued_ms + load.delay_ms * math.exp(-max(age, 0.0))
 
 
+def estimate_ramp_cost(load: Load, now: timedelta) -> float:
+    """Return the milliseconds by which a target that just started is less preferred.
+
+    Load pattern: a target that joins full ones. Without work and cached parts it would
+    get all new work at once, and read every shared part for it.
+    """
+    if load.ramps_until is None or now >= load.ramps_until:
+        return 0.0
+    return RAMP_COST_MS * ((load.ramps_until - now) / RAMP_TIME)
+
+
 def estimate_attention(
     tokens: int, uncached: int, rate: float = DEFAULT_PREFILL_RATE
 ) -> float:
--- a/src/galenapass/forwarding/placement.py
+++ b/src/galenapass/forwarding/placement.py
@@ -23,6 +23,7 @@
     estimate_attention,
     estimate_failures,
     estimate_queue_delay,
+    estimate_ramp_cost,
     exceeds_share,
 )
 from galenapass.forwarding.rate_limits import RateLimits, find_rate_limit
@@ -255,6 +256,7 @@
         elif target.role is Role.DECODE:
             rate *= DECODE_ENGINE_PREFILL_SPEED
         wait += view.estimate_failure_cost(target) + view.estimate_network_cost(target)
+        wait += estimate_ramp_cost(load, view.now)
         wait -= PREFERRED_BONUS_MS if target is preferred else 0.0
         why = f"wait {wait:.0f} ms, unread {uncached} of {prompt.tokens}"
         if cache_source is not None:
@@ -370,7 +372,7 @@
         load = view.load_of(target)
         wait = load.sequences * SEQUENCE_SLOWDOWN_MS + load.latency_ms
         wait += (load.work_ms + load.peer_work_ms) * PREFILL_SLOWDOWN_SHARE
-        wait += view.estimate_failure_cost(target)
+        wait += view.estimate_failure_cost(target) + estimate_ramp_cost(load, view.now)
         transfer_ms = CROSS_DOMAIN_TRANSFER_MS if target.domain != origin else 0.0
         return Choice(
             target,
@@ -390,7 +392,7 @@
         load = view.load_of(target)
         slots = max(target.slots, 1)
         wait = load.sequences / slots * max(load.latency_ms, 1.0) + load.latency_ms
-        wait += view.estimate_failure_cost(target)
+        wait += view.estimate_failure_cost(target) + estimate_ramp_cost(load, view.now)
         return Choice(
             target, view.estimate_network_cost(target), wait, 0, f"wait {wait:.0f} ms"
         )
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -33,6 +33,8 @@
 # Targets that start together register within a heartbeat, 1.2 s on the deployments.
 JOIN_SETTLE_TIME = timedelta(seconds=1.3)
 MAX_JOIN_TIME = timedelta(seconds=4)
+# An engine that joined counts as new for this long: it has cached little by then.
+NEW_TIME = timedelta(seconds=5)
 # A sound engine may be silent for a second and then go on.
 MIN_SILENCE = timedelta(seconds=1.5)
 # Engines answer a new holder's state queries within a few milliseconds.
@@ -58,7 +60,8 @@
     the table of targets; ``on_order`` is called with each order that an engine
     accepted. ``has_crashed`` returns whether the hosts agree that an engine crashed,
     which the first of them has not reached for the given time; ``is_cut_off`` whether
-    this host reaches no engine.
+    this host reaches no engine, and ``is_resizing`` whether an order changes a
+    service's number of engines now.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
             lambda target, min_silence: False
         ),
         is_cut_off: Callable[[], bool] = lambda: False,
+        is_resizing: Callable[[str], bool] = lambda service: False,
     ):
         self._fleet = fleet
         self._keeper = keeper
@@ -84,6 +88,9 @@
         self._on_order = on_order
         self._has_crashed = has_crashed
         self._is_cut_off = is_cut_off
+        self._is_resizing = is_resizing
+        # Engines that joined while sizes change, and when.
+        self._added_at: dict[str, timedelta] = {}
         # Crashed engines, their incarnation and the time, until they are reached again.
         self._lost: dict[str, tuple[str, timedelta]] = {}
         # Versions whose decode engines crashed, by service.
@@ -159,13 +166,34 @@
             engines = roles.list_engines(self._list_present(), service.name)
             names = {target.id for target in engines}
             known = self._engines_by_service.get(service.name, names)
-            is_permanent = names < known and known - names <= self._leaving
+            is_permanent = self._is_permanent(service, known, names, now)
             count = self._engine_counts.setdefault(service.name, EngineCount())
             roles.update_engine_count(
                 count, len(engines), now, is_permanent=is_permanent
             )
             self._engines_by_service[service.name] = names
 
+    def _is_permanent(
+        self, service: Service, known: set[str], names: set[str], now: timedelta
+    ) -> bool:
+        """Return whether a change of a service's engines is there to stay.
+
+        Load pattern: sizes that are ordered. Engines that start, and those released,
+        must not hold the roles up until their number is settled.
+        """
+        lost, added = known - names, names - known
+        if service.scaling is None or not self._is_resizing(service.name):
+            return names < known and lost <= self._leaving
+        self._added_at |= dict.fromkeys(added, now)
+        return bool(lost or added)
+
+    def _list_new(self, now: timedelta) -> list[str]:
+        """Return the engines that have just started by an order of a size."""
+        self._added_at = {
+            name: at for name, at in self._added_at.items() if now - at < NEW_TIME
+        }
+        return list(self._added_at)
+
     def _update_lost(self) -> None:
         """Update which engines are lost: all of a role and version that crashed.
 
@@ -317,6 +345,7 @@
                 self._prefill_share(service.name),
                 pending_roles,
                 self._lost_versions.get(service.name, ()),
+                self._list_new(now),
             )
             count = self._engine_counts.setdefault(service.name, EngineCount())
             if change is not None and roles.is_due(change, count):
--- a/src/galenapass/forwarding/roles.py
+++ b/src/galenapass/forwarding/roles.py
@@ -116,12 +116,15 @@
     share: float | None,
     pending_roles: dict[str, Role],
     lost_versions: Collection[str] = (),
+    new: Collection[str] = (),
 ) -> RoleChange | None:
     """Return the next change that brings a service nearer to its target split.
 
     Without a ``share`` of prefill engines the split stays, unless a role has no engine.
     ``pending_roles`` maps targets with a pending order to the role that they count in;
     they get no other order. ``lost_versions`` are those whose decode engines crashed.
+    ``new`` engines have just started and change before others: they have no work and
+    no cached parts to lose.
     """
     engines = list_engines(targets, service)
     role_of = lambda target: pending_roles.get(target.id, target.role)  # noqa: E731
@@ -139,10 +142,10 @@
         return change or _plan_domain_coverage(prefill, decode, pending_roles)
     if len(prefill) < goal:
         change = _pick_from_largest_domain(
-            decode, Role.PREFILL, pending_roles, why, is_urgent=not prefill
+            decode, Role.PREFILL, pending_roles, why, is_urgent=not prefill, new=new
         )
     else:
-        change = _pick_for_smallest_domain(prefill, decode, pending_roles, why)
+        change = _pick_for_smallest_domain(prefill, decode, pending_roles, why, new)
     deviation = abs(len(prefill) - goal)
     return replace(change, deviation=deviation) if change is not None else None
 
@@ -153,6 +156,7 @@
     pending_roles: dict[str, Role],
     why: str,
     is_urgent: bool,
+    new: Collection[str],
 ) -> RoleChange | None:
     """Choose an engine from the domain that has most engines in the old role.
 
@@ -163,7 +167,7 @@
     if not _can_spare(free):
         return None
     candidates = _list_spare(free) or (free if is_urgent else [])
-    target = max(candidates, key=lambda t: count[t.domain], default=None)
+    target = max(candidates, key=lambda t: (t.id in new, count[t.domain]), default=None)
     return RoleChange(target, role, why, is_urgent) if target is not None else None
 
 
@@ -172,17 +176,27 @@
     decode: list[Target],
     pending_roles: dict[str, Role],
     why: str,
+    new: Collection[str] = (),
 ) -> RoleChange | None:
     """Choose an engine to decode from the domain with the fewest decode engines.
 
-    Engines of versions that need one come first.
+    Engines of versions that need one come first, then ``new`` ones, and those that may
+    be reclaimed last: a stream moves when its engine leaves, a prompt ends before.
     """
     free = _list_free(prefill, pending_roles)
     count = _count_domains(decode)
     if not _can_spare(free):
         return None
     uncovered = _list_uncovered_versions(prefill, decode)
-    target = min(free, key=lambda t: (t.version not in uncovered, count[t.domain]))
+    target = min(
+        free,
+        key=lambda t: (
+            t.version not in uncovered,
+            t.id not in new,
+            t.is_reclaimable,
+            count[t.domain],
+        ),
+    )
     if target.version in uncovered:
         why += f", no engine of version {target.version!r} decodes"
     return RoleChange(target, Role.DECODE, why, is_urgent=not decode)
--- a/tests/test_forwarding_planning.py
+++ b/tests/test_forwarding_planning.py
@@ -9,6 +9,7 @@
 
 from galenapass.forwarding.engine_states import merge_engine_state
 from galenapass.forwarding.planning import RolePlanner
+from galenapass.forwarding.routes import Scaling
 from galenapass.forwarding.target_messages import EngineState, OrderOutcome
 from galenapass.tables.targets import Role, TargetState
 from tests.forwarding_fakes import make_fleet, make_target
@@ -319,3 +320,47 @@
         del engines.fleet.targets["d0-v1"]
         self.simulate(engines, planner, seconds=2)
         self.assertEqual([], engines.accepted_orders)
+
+
+class TestSizesThatChange(PlannerCase):
+    def make_engines(self):
+        targets = [make_target(f"p{n}") for n in range(6)]
+        targets += [make_target(f"d{n}", Role.DECODE) for n in range(3)]
+        engines = FakeEngines(*targets)
+        services = engines.fleet.routes.services
+        scaling = Scaling(1, 35, timedelta(seconds=4))
+        services["lm"] = replace(services["lm"], scaling=scaling)
+        return engines
+
+    def test_started_engines_get_the_missing_role_at_once(self):
+        # The number of engines counted as settled only 5 s after each order, and the
+        # engines with cached parts changed instead of the empty ones.
+        engines = self.make_engines()
+        planner = self.make_planner(engines, 6 / 9, is_resizing=lambda service: True)
+        self.simulate(engines, planner, seconds=5)
+        for n in range(3):
+            engines.fleet.targets[f"n{n}"] = make_target(f"n{n}")
+        self.simulate(engines, planner, seconds=1)
+        names = [name for name, _ in engines.accepted_orders]
+        self.assertEqual(["n0"], names)
+        self.assertIs(Role.DECODE, engines.accepted_orders[0][1])
+
+    def test_released_and_leaving_engines_hold_no_roles_up_and_get_none(self):
+        engines = self.make_engines()
+        planner = self.make_planner(engines, 6 / 9, is_resizing=lambda service: True)
+        self.simulate(engines, planner, seconds=5)
+        del engines.fleet.targets["d0"]
+        for name, role in (("d1", Role.DECODE), ("p0", Role.PREFILL)):
+            target = make_target(name, role, state=TargetState.LEAVING)
+            engines.fleet.targets[name] = target
+        self.simulate(engines, planner, seconds=1)
+        self.assertEqual([Role.DECODE], [role for _, role in engines.accepted_orders])
+        self.assertNotIn("p0", [name for name, _ in engines.accepted_orders])
+
+    def test_crashed_engines_still_wait_while_no_size_changes(self):
+        engines = self.make_engines()
+        planner = self.make_planner(engines, share=6 / 9)
+        self.simulate(engines, planner, seconds=5)
+        del engines.fleet.targets["d0"]
+        self.simulate(engines, planner, seconds=4)
+        self.assertEqual([], engines.accepted_orders)
