Decide and order how many targets a service has, where and of which kind

Cause: all targets of a deployment run all the time, whatever the load. Change: sizes.py returns the cheapest numbers of targets by failure domain and kind that serve a busy second, and of which enough are left after the loss of a domain, of all reclaimable targets or of a quarter of the targets. demand_history.py keeps the peak of 45 s and the variation of single seconds. size_planning.py is the duty of the holder of the role planner's lease: it grows a size at once and shrinks it rarely, and sends only orders that are not in effect (size_orders.py), with a fence that is checked right before each call. It runs only if the settings name the duty and a service has a scale.

--- a/src/galenapass/duties/lease_keeper.py
+++ b/src/galenapass/duties/lease_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any, Protocol
 
 from result import Result
@@ -76,6 +77,11 @@
         """Return whether this daemon holds a valid lease now."""
         return leases.is_valid(self.lease, self._clock.monotonic())
 
+    @property
+    def time_left(self) -> timedelta:
+        """Return how long the lease stays valid without a renewal, 0 if not held."""
+        return leases.find_time_left(self.lease, self._clock.monotonic())
+
     def apply_epoch(self) -> None:
         """Give the lease up if the store was restored."""
         leases.apply_epoch(self.lease, self._find_epoch(), self._clock.monotonic())
--- a/src/galenapass/forwarding/grants.py
+++ b/src/galenapass/forwarding/grants.py
@@ -102,6 +102,8 @@
             load.tokens += slot_request.tokens
         if slot_request.stage is Stage.DECODE:
             workload.record_sequence_start(self._demand_of(slot_request.service), now)
+        if slot_request.stage is Stage.CALL:
+            self.record_call(slot_request, now)
 
     def release(self, release: SlotRelease) -> None:
         """Release a slot and record the outcome; ignore a slot that is not in use."""
@@ -144,6 +146,19 @@
         demand = self._demand_of(slot_request.service)
         workload.record_prompt(demand, cost_ms, slot_request.tokens, now)
 
+    def record_call(self, slot_request: SlotRequest, now: timedelta) -> None:
+        """Record a call in the demand, whether it is granted or refused.
+
+        Only the size of a service depends on it.
+        """
+        if self._scales(slot_request.service):
+            demand = self._demand_of(slot_request.service)
+            workload.record_prompt(demand, 0.0, 0, now)
+
+    def _scales(self, service: str) -> bool:
+        known = self._fleet.routes.services.get(service)
+        return known is not None and known.scaling is not None
+
     def _end_prefill(self, granted: Granted) -> None:
         if not granted.is_prefilling:
             return
@@ -228,5 +243,10 @@
                 release.events,
             )
 
+        elif slot_request.stage is Stage.CALL and self._scales(slot_request.service):
+            # A call holds its slot for all of its time, however many run beside it.
+            demand = self._demand_of(slot_request.service)
+            workload.record_output(demand, 0, release.took_ms, 0.0, 1)
+
     def _demand_of(self, service: str) -> ServiceDemand:
         return self.demand.setdefault(service, ServiceDemand())
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -414,6 +414,8 @@
             engines = self._capacity.count_prefill_engines(slot_request.service)
             backlog += before * choice.cost_ms / engines
             self._grants.record_prompt(slot_request, now)
+        if slot_request.stage is Stage.CALL:
+            self._grants.record_call(slot_request, now)
         after = admission.suggest_retry(slot_request, backlog, now, self._random)
         retry_times.add(now + after)
         left = (slot_request.deadline - now) // timedelta(milliseconds=1)
--- /dev/null
+++ b/src/galenapass/forwarding/size_planning.py
@@ -0,0 +1,444 @@
+"""Order the sizes of services while this daemon holds the lease of the duties."""
+
+import asyncio
+import functools
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from galenapass.clocks import Clock
+from galenapass.forwarding import demand_history, size_orders, sizes
+from galenapass.forwarding.demand_history import DemandHistory
+from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.loads import PrefillRate
+from galenapass.forwarding.operations import (
+    CallOutcome,
+    OperationsClient,
+    OperationsTerms,
+)
+from galenapass.forwarding.routes import RouteTable, Scaling, Service
+from galenapass.forwarding.size_orders import OrderLimits, SizeOrder, SubjectCounts
+from galenapass.forwarding.sizes import SizeInputs, SizePlan, Subject
+from galenapass.forwarding.splits import EngineSize
+from galenapass.forwarding.workload import MeasuredDemand
+from galenapass.logs import make_log
+from galenapass.tables.targets import Target, TargetState
+
+__all__ = ["DutyLease", "SizePlanner", "estimate_shared_work", "find_objective"]
+
+STEP_PERIOD = timedelta(milliseconds=250)
+# Crashed targets and cut-off domains are back by then; until then their orders count
+# as in effect.
+RETURN_TIME = timedelta(seconds=15)
+# The last holder's targets may not be registered yet; beyond their start time.
+TAKEOVER_LAG = timedelta(seconds=1)
+# Time for the answer of the platform, and the least for which a call is worth it.
+CALL_TIMEOUT = timedelta(seconds=2)
+MIN_CALL_TIME = timedelta(milliseconds=300)
+# The cached parts of all engines are counted this often.
+SHARED_PERIOD = timedelta(seconds=5)
+# Parts that this many engines cache are shared: a part of one request is cached by the
+# engine that prefills it and by the one that decodes.
+MIN_SHARING_ENGINES = 3
+# Targets are released while others are missing only after this time.
+MAX_SHORTAGE = timedelta(seconds=60)
+# Objective of a service that no route leads to.
+DEFAULT_OBJECTIVE = timedelta(seconds=1)
+
+_log = make_log("sizes")
+
+
+class DutyLease(Protocol):
+    """Lease of the duties, as this daemon holds it."""
+
+    @property
+    def fence(self) -> int | None:
+        """Return the fencing number, or None unless the lease is valid now."""
+
+    @property
+    def time_left(self) -> timedelta:
+        """Return for how long the lease stays valid without a renewal."""
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """Demand, plan and orders of one service; ``seen`` are its targets of late."""
+
+    history: DemandHistory = field(default_factory=DemandHistory)
+    plan: SizePlan | None = None
+    orders: dict[Subject, SizeOrder] = field(default_factory=dict)
+    seen: dict[str, tuple[Subject, timedelta]] = field(default_factory=dict)
+    leaving: dict[str, tuple[Subject, timedelta]] = field(default_factory=dict)
+    shared_ms: float = 0.0
+    shared_at: timedelta | None = None
+    short_since: timedelta | None = None
+    is_planned: bool = False
+
+
+class SizePlanner:
+    """Planner of the sizes of services, and its orders.
+
+    Every scheduler follows the demand, so that a new holder knows its peak. ``measure``
+    returns the demand for a service over all schedulers; ``on_counts`` is called with a
+    service, a subject and the numbers of targets wanted, None without the lease, and
+    there.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        lease: DutyLease,
+        client: OperationsClient,
+        clock: Clock,
+        measure: Callable[[str], MeasuredDemand],
+        terms: OperationsTerms,
+        on_counts: Callable[[str, Subject, int | None, int], None] = (
+            lambda service, subject, wanted, there: None
+        ),
+    ):
+        self._fleet = fleet
+        self._lease = lease
+        self._client = client
+        self._clock = clock
+        self._measure = measure
+        self._on_counts = on_counts
+        self._services: dict[str, _ServiceState] = {}
+        self._held_since: timedelta | None = None
+        self._fence: int | None = None
+        self._limits = OrderLimits(timedelta(seconds=1 / terms.calls_per_second))
+        self._objectives: tuple[int, dict[str, timedelta]] = (0, {})
+
+    async def run(self) -> None:
+        """Follow the demand and order sizes until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(STEP_PERIOD.total_seconds())
+
+    def is_resizing(self, service: str) -> bool:
+        """Return whether an accepted order of this daemon may still change a size."""
+        state, known = self._services.get(service), self._fleet.routes.services
+        scaling = known[service].scaling if service in known else None
+        if state is None or scaling is None:
+            return False
+        now = self._clock.monotonic()
+        wait = max(scaling.start_time + size_orders.ENTRY_LAG, size_orders.RELEASE_TIME)
+        return any(
+            order.accepted is not None and now - order.accepted_at < wait
+            for order in state.orders.values()
+        )
+
+    async def step(self) -> None:
+        """Record the demand, and as the holder plan sizes and send the due orders."""
+        now = self._clock.monotonic()
+        scaled = self._list_scaled()
+        if not scaled:
+            self._services.clear()
+            return
+        self._follow_lease(now)
+        for service, scaling in scaled:
+            state = self._services.setdefault(service.name, _ServiceState())
+            self._observe_targets(service.name, state, now)
+            is_new = demand_history.record_demand(
+                state.history, functools.partial(self._measure, service.name), now
+            )
+            if self._held_since is not None and (is_new or not state.is_planned):
+                self._plan(service, scaling, state, now)
+        while await self._send_next(scaled):
+            pass
+
+    def _list_scaled(self) -> list[tuple[Service, Scaling]]:
+        services = self._fleet.routes.services.values()
+        return [(s, s.scaling) for s in services if s.scaling is not None]
+
+    def _follow_lease(self, now: timedelta) -> None:
+        """Forget plans and orders of an earlier holder, be it this daemon itself."""
+        fence = self._lease.fence
+        if fence is not None and fence == self._fence:
+            self._held_since = self._held_since or now
+            return
+        if fence is None and self._held_since is not None:
+            _log("sizes are left to another host", fence=self._fence)
+            self._forget_plans()
+        if fence is not None:
+            self._forget_plans()
+            self._held_since, self._fence = now, fence
+
+    def _forget_plans(self) -> None:
+        self._held_since = None
+        for name, state in self._services.items():
+            for subject in state.orders:
+                self._on_counts(name, subject, None, 0)
+            state.plan, state.orders, state.is_planned = None, {}, False
+            state.short_since = None
+
+    # Targets
+
+    def _observe_targets(
+        self, service: str, state: _ServiceState, now: timedelta
+    ) -> None:
+        targets = [t for t in self._fleet.targets.values() if t.service == service]
+        for target in targets:
+            subject = (target.domain, target.is_reclaimable)
+            if self._leaves(target):
+                state.leaving.setdefault(target.id, (subject, now))
+                state.seen.pop(target.id, None)
+            else:
+                state.seen[target.id] = (subject, now)
+                state.leaving.pop(target.id, None)
+        for known in (state.seen, state.leaving):
+            for name in [n for n, (_, at) in known.items() if now - at > RETURN_TIME]:
+                if name not in self._fleet.targets:
+                    del known[name]
+
+    def _leaves(self, target: Target) -> bool:
+        if self._fleet.leaving.get(target.id) == target.incarnation:
+            return True
+        return target.state in (TargetState.LEAVING, TargetState.GONE)
+
+    def _count_targets(self, state: _ServiceState) -> dict[Subject, SubjectCounts]:
+        present = Counter(
+            subject
+            for n, (subject, _) in state.seen.items()
+            if n in self._fleet.targets
+        )
+        expected = Counter(subject for subject, _ in state.seen.values())
+        left_at: dict[Subject, timedelta] = {}
+        for subject, at in state.leaving.values():
+            left_at[subject] = max(at, left_at.get(subject, at))
+        return {
+            subject: SubjectCounts(
+                present[subject], expected[subject], left_at.get(subject)
+            )
+            for subject in {*expected, *left_at, *state.orders}
+        }
+
+    # Plans
+
+    def _plan(
+        self, service: Service, scaling: Scaling, state: _ServiceState, now: timedelta
+    ) -> None:
+        """Update the plan of a service."""
+        assert self._held_since is not None
+        if now - self._held_since < scaling.start_time + TAKEOVER_LAG:
+            return
+        known_time = demand_history.find_known_time(state.history, now)
+        if known_time < sizes.MIN_KNOWN_TIME:
+            return
+        state.is_planned = True
+        counts = self._count_targets(state)
+        if state.plan is None:
+            expected = {s: c.expected for s, c in counts.items() if c.expected}
+            state.plan = SizePlan(expected, self._held_since)
+        inputs = self._gather_inputs(service, scaling, state, counts, now)
+        before = dict(state.plan.counts)
+        why = sizes.update_plan(state.plan, inputs, known_time, now)
+        if why is not None:
+            for subject in {*before, *state.plan.counts}:
+                state.orders.setdefault(subject, SizeOrder())
+            self._log_plan(service.name, state.plan, inputs, why)
+        for subject in {*state.plan.counts, *counts}:
+            there = counts.get(subject, SubjectCounts()).present
+            wanted = state.plan.counts.get(subject, 0)
+            self._on_counts(service.name, subject, wanted, there)
+
+    def _gather_inputs(
+        self,
+        service: Service,
+        scaling: Scaling,
+        state: _ServiceState,
+        counts: dict[Subject, SubjectCounts],
+        now: timedelta,
+    ) -> SizeInputs:
+        targets = [t for t in self._fleet.targets.values() if t.service == service.name]
+        if state.shared_at is None or now - state.shared_at >= SHARED_PERIOD:
+            state.shared_ms = estimate_shared_work(self._fleet, targets, service.name)
+            state.shared_at = now
+        unavailable = size_orders.find_unavailable(state.orders.items(), now)
+        domains = {*scaling.prices, *(domain for domain, _ in counts)}
+        return SizeInputs(
+            is_model=service.is_model,
+            scaling=scaling,
+            peak=demand_history.find_peak(state.history),
+            domains=tuple(sorted(domains)),
+            size=EngineSize(
+                min((t.slots for t in targets), default=0), service.cache_tokens
+            ),
+            bursts=demand_history.find_bursts(state.history),
+            shared_ms=state.shared_ms,
+            window=demand_history.WINDOW,
+            objective=self._find_objective(service.name),
+            unavailable={
+                s: counts.get(s, SubjectCounts()).expected for s in unavailable
+            },
+        )
+
+    def _find_objective(self, service: str) -> timedelta:
+        version, known = self._objectives
+        if version != self._fleet.routes.version:
+            known = {}
+            self._objectives = (self._fleet.routes.version, known)
+        if service not in known:
+            known[service] = find_objective(self._fleet.routes, service)
+        return known[service]
+
+    def _log_plan(
+        self, service: str, plan: SizePlan, inputs: SizeInputs, why: str
+    ) -> None:
+        alone_ms, growth_ms = inputs.peak.decode.fit()
+        _log(
+            "sizes are planned",
+            service=service,
+            why=why,
+            counts=_describe_counts(plan.counts),
+            unavailable=_describe_counts(dict(inputs.unavailable)),
+            prefill_load=round(inputs.peak.prefill_load, 2),
+            decode_rate=round(inputs.peak.decode_rate, 1),
+            alone_ms=round(alone_ms),
+            growth_ms=round(growth_ms, 2),
+            bursts=[round(each, 2) for each in inputs.bursts],
+            shared_ms=round(inputs.shared_ms),
+            slots=inputs.size.slots,
+            objective_ms=inputs.objective // sizes.MILLISECOND,
+            fence=self._fence,
+        )
+
+    # Orders
+
+    async def _send_next(self, scaled: list[tuple[Service, Scaling]]) -> bool:
+        """Send the most urgent due order; return whether another one may follow."""
+        now = self._clock.monotonic()
+        if self._held_since is None or not size_orders.may_call(self._limits, now):
+            return False
+        due = [
+            (count <= counts.present, order.failures, service.name, subject, count)
+            for service, scaling in scaled
+            for subject, count, order, counts in self._list_due(service, scaling, now)
+        ]
+        if not due:
+            return False
+        # More targets first; after a failure those of other subjects.
+        _, _, name, subject, count = min(due)
+        # Checked right before the call: this daemon may have been suspended.
+        fence, time_left = self._lease.fence, self._lease.time_left
+        if fence is None or fence != self._fence or time_left < MIN_CALL_TIME:
+            return False
+        size_orders.record_call(self._limits, now)
+        domain, reclaimable = subject
+        outcome = await self._client.order_size(
+            name,
+            domain,
+            count,
+            reclaimable,
+            self._fleet.host,
+            fence,
+            min(CALL_TIMEOUT, time_left),
+        )
+        now = self._clock.monotonic()
+        state = self._services.get(name)
+        if state is None or subject not in state.orders:
+            return False
+        order = state.orders[subject]
+        size_orders.record_outcome(order, count, outcome, now)
+        _log(
+            "size is ordered",
+            service=name,
+            domain=domain,
+            reclaimable=reclaimable,
+            count=count,
+            fence=fence,
+            outcome=outcome.value,
+            next_ms=max(order.next_at - now, timedelta(0)) // sizes.MILLISECOND,
+        )
+        if outcome is not CallOutcome.ACCEPTED:
+            service = self._fleet.routes.services.get(name)
+            if service is not None and service.scaling is not None:
+                self._plan(service, service.scaling, state, now)
+        return True
+
+    def _list_due(
+        self, service: Service, scaling: Scaling, now: timedelta
+    ) -> list[tuple[Subject, int, SizeOrder, SubjectCounts]]:
+        """Return the due orders of a service.
+
+        Targets are released once those that replace them are there.
+        """
+        state = self._services.get(service.name)
+        if state is None or state.plan is None:
+            return []
+        counts = self._count_targets(state)
+        goals = state.plan.counts
+        for subject in {*goals, *counts}:
+            state.orders.setdefault(subject, SizeOrder())
+        crowded = self._list_crowded(scaling, state, counts)
+        is_short = any(
+            counts.get(subject, SubjectCounts()).present < goal
+            for subject, goal in goals.items()
+            if subject not in crowded
+        )
+        state.short_since = (state.short_since or now) if is_short else None
+        may_release = not is_short or now - (state.short_since or now) > MAX_SHORTAGE
+        due = []
+        for subject, order in state.orders.items():
+            goal, there = goals.get(subject, 0), counts.get(subject, SubjectCounts())
+            if subject in crowded or (goal < there.present and not may_release):
+                continue
+            if size_orders.is_due(order, goal, there, scaling.start_time, now):
+                due.append((subject, goal, order, there))
+        return due
+
+    def _list_crowded(
+        self,
+        scaling: Scaling,
+        state: _ServiceState,
+        counts: dict[Subject, SubjectCounts],
+    ) -> set[Subject]:
+        """Return the subjects that have to wait until others of their domain left.
+
+        Both kinds together are bounded in each domain.
+        """
+        assert state.plan is not None
+        crowded = set()
+        for (domain, reclaimable), goal in state.plan.counts.items():
+            there = counts.get((domain, reclaimable), SubjectCounts()).expected
+            other = (domain, not reclaimable)
+            order = state.orders.get(other, SizeOrder())
+            others = max(
+                counts.get(other, SubjectCounts()).expected, order.accepted or 0
+            )
+            if goal > there and goal + others > scaling.max_targets:
+                crowded.add((domain, reclaimable))
+        return crowded
+
+
+def find_objective(table: RouteTable, service: str) -> timedelta:
+    """Return the shortest latency objective of the most urgent routes to a service."""
+    routes = [
+        (route.rank, route.latency_objective)
+        for rows in table.routes.values()
+        for route in rows
+        if any(name == service and weight for name, weight in route.split)
+    ]
+    return min(routes, default=(0, DEFAULT_OBJECTIVE))[1]
+
+
+def estimate_shared_work(fleet: Fleet, targets: list[Target], service: str) -> float:
+    """Return the milliseconds of one engine to read all shared prompt parts."""
+    engines: Counter[int] = Counter()
+    tokens: dict[int, int] = {}
+    for target in targets:
+        load = fleet.loads.get(target.id)
+        if load is not None:
+            engines.update(load.cached.keys())
+            tokens.update(load.cached)
+    shared = sum(tokens[d] for d, n in engines.items() if n >= MIN_SHARING_ENGINES)
+    rate = fleet.rates.get(service, PrefillRate()).busy_rate
+    return shared / rate
+
+
+def _describe_counts(counts: dict[Subject, int]) -> dict[str, int]:
+    return {
+        f"{domain} {'reclaimable' if reclaimable else 'fixed'}": number
+        for (domain, reclaimable), number in sorted(counts.items())
+    }
--- a/src/galenapass/forwarding/splits.py
+++ b/src/galenapass/forwarding/splits.py
@@ -11,6 +11,7 @@
 from galenapass.forwarding.workload import MeasuredDemand
 
 __all__ = [
+    "BURST_FACTOR",
     "INITIAL_PREFILL_SHARE",
     "EngineSize",
     "SplitGoal",
--- a/src/galenapass/forwarding/workload.py
+++ b/src/galenapass/forwarding/workload.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "RATE_DECAY",
     "DecodeStatistics",
     "MeasuredDemand",
     "Rate",
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -1,5 +1,6 @@
 """Record counters and durations of the daemon for Prometheus."""
 
+import contextlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
@@ -20,10 +21,17 @@
 
 # Bucket bounds in seconds; one of them is 1 s, the latency goal for the first token.
 LATENCY_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0)
+# Labels of the numbers of targets that a service wants and has.
+TARGET_LABELS = ("service", "domain", "kind")
 
 Labels = Mapping[str, str]
 
-MetricT = TypeVar("MetricT", prometheus_client.Counter, prometheus_client.Histogram)
+MetricT = TypeVar(
+    "MetricT",
+    prometheus_client.Counter,
+    prometheus_client.Gauge,
+    prometheus_client.Histogram,
+)
 
 _NO_LABELS: Labels = {}
 
@@ -45,17 +53,30 @@
 
 
 class Gauge:
-    """Value that rises and falls."""
+    """Value that rises and falls, for each set of labels."""
 
-    __slots__ = ("_metric",)
+    __slots__ = ("_label_names", "_metric")
 
-    def __init__(self, registry: CollectorRegistry, name: str):
-        self._metric = prometheus_client.Gauge(name, name, registry=registry)
+    def __init__(self, registry: CollectorRegistry, name: str, *label_names: str):
+        self._label_names = label_names
+        self._metric = prometheus_client.Gauge(
+            name, name, label_names, registry=registry
+        )
 
     def add(self, amount: float) -> None:
         """Add an amount, which may be negative."""
         self._metric.inc(amount)
 
+    def set(self, value: float, labels: Labels) -> None:
+        """Set the value of a set of labels."""
+        _with_labels(self._metric, self._label_names, labels).set(value)
+
+    def remove(self, labels: Labels) -> None:
+        """Remove a set of labels, if it is there."""
+        values = [labels.get(name, "") for name in self._label_names]
+        with contextlib.suppress(KeyError):
+            self._metric.remove(*values)
+
 
 class Histogram:
     """Histogram of durations in seconds for each set of labels."""
@@ -94,6 +115,25 @@
     resumed_streams: Counter
     retries: Counter
     unrequested_responses: Counter
+    wanted_targets: Gauge
+    present_targets: Gauge
+
+    def record_sizes(
+        self, service: str, subject: tuple[str, bool], wanted: int | None, there: int
+    ) -> None:
+        """Record the targets of a service in a domain, of one kind.
+
+        Without a number ``wanted`` they are left to the host that plans sizes.
+        """
+        domain, reclaimable = subject
+        kind = "reclaimable" if reclaimable else "fixed"
+        labels = {"service": service, "domain": domain, "kind": kind}
+        if wanted is None:
+            self.wanted_targets.remove(labels)
+            self.present_targets.remove(labels)
+            return
+        self.wanted_targets.set(wanted, labels)
+        self.present_targets.set(there, labels)
 
 
 def make_metrics() -> Metrics:
@@ -117,6 +157,8 @@
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
         unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
+        wanted_targets=Gauge(registry, "galenapass_wanted_targets", *TARGET_LABELS),
+        present_targets=Gauge(registry, "galenapass_present_targets", *TARGET_LABELS),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -33,6 +33,7 @@
 from galenapass.forwarding.host_objects import HostObject
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
+from galenapass.forwarding.operations import Duty
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peer_calls import PeerServer
 from galenapass.forwarding.peering import Peering
@@ -46,6 +47,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
+from galenapass.forwarding.size_planning import SizePlanner
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.stop_times import plan_stop
@@ -78,6 +80,7 @@
     ObjectListing,
     StoredObject,
 )
+from galenapass.platform.operations_client import HttpOperationsClient
 from galenapass.platform.runner_client import RunnerClient
 from galenapass.platform.runners import RUNNERS_KIND, decode_runner
 from galenapass.platform.settings import HostSettings
@@ -285,6 +288,8 @@
             self.random,
             self._apply_hosts,
         )
+        self._keeper = self._make_keeper()
+        self.size_planner = self._make_size_planner()
         self.planner = self._make_planner()
         self._background = BackgroundTasks("daemon")
         self._announced_version = 0
@@ -449,21 +454,39 @@
             confirmed_at=lambda: selection.pong_at,
         )
 
-    def _make_planner(self) -> RolePlanner:
+    def _make_keeper(self) -> LeaseKeeper:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
         lease = Lease(LEASE_NAME, settings.host, self.incarnation, term)
         if settings.is_first_start:
             lease.fresh_until = self.clock.monotonic() + term
-        keeper = LeaseKeeper(
+        return LeaseKeeper(
             lease,
             self.clock,
             _StaleReadStore(self.store),
             lambda: self.epochs.current or 0,
         )
+
+    def _make_size_planner(self) -> SizePlanner | None:
+        """Return the planner of sizes, None if the settings do not ask for it."""
+        terms = self.settings.operations
+        if terms is None or Duty.SIZES not in terms.duties:
+            return None
+        return SizePlanner(
+            self.fleet,
+            self._keeper,
+            HttpOperationsClient(terms.address, self.clock, self._count_call),
+            self.clock,
+            self.peering.measure_demand,
+            terms,
+            self.metrics.record_sizes,
+        )
+
+    def _make_planner(self) -> RolePlanner:
+        sizes = self.size_planner
         return RolePlanner(
             self.fleet,
-            keeper,
+            self._keeper,
             self.runner_client,
             self.clock,
             self.split_goals.plan_prefill_share,
@@ -471,6 +494,7 @@
             self._handle_order,
             self.peering.has_crashed,
             lambda: self.paths.is_cut_off,
+            sizes.is_resizing if sizes is not None else lambda service: False,
         )
 
     def _make_store_watches(self) -> list[StoreWatch]:
@@ -528,6 +552,7 @@
                 "upkeep": self._run_upkeep,
                 "streams": self.origins.run_publishing,
                 "streams of lost hosts": self.origins.run_removal,
+                **({"sizes": self.size_planner.run} if self.size_planner else {}),
             }
         )
 
--- a/src/galenapass/systems/leases.py
+++ b/src/galenapass/systems/leases.py
@@ -42,6 +42,7 @@
     "StopLease",
     "WriteLease",
     "apply_epoch",
+    "find_time_left",
     "is_claimable",
     "is_own_lease",
     "is_valid",
@@ -104,6 +105,13 @@
     return lease.valid_until is not None and now + margin < lease.valid_until
 
 
+def find_time_left(lease: Lease, now: timedelta) -> timedelta:
+    """Return how long ``is_valid`` holds without a renewal."""
+    if not is_valid(lease, now) or lease.valid_until is None:
+        return timedelta(0)
+    return lease.valid_until - lease.term * MARGIN_SHARE - now
+
+
 def is_claimable(lease: Lease, now: timedelta) -> bool:
     """Return whether no daemon can still hold the lease as valid."""
     is_uncertain = lease.unknown_until is not None and now < lease.unknown_until
