Describe sizes of services, bound their cost and count what caches must hold

Cause: the need of hundreds of engines took some 50 ms of processor time each second, a holder that took over kept released targets in its plan, and few engines may not hold all shared prompt parts. Change: the need is computed again only once the demand changes by 2 percent, at most 24 totals are tried, the plan of a new holder follows the entries until its first own decision, and half of all caches must hold the shared parts. Observed targets are in size_counts.py.

--- a/src/galenapass/forwarding/size_orders.py
+++ b/src/galenapass/forwarding/size_orders.py
@@ -9,13 +9,12 @@
 from datetime import timedelta
 
 from galenapass.forwarding.operations import CallOutcome
+from galenapass.forwarding.size_counts import SubjectCounts
 from galenapass.forwarding.sizes import Subject
 
 __all__ = [
-    "OrderKey",
     "OrderLimits",
     "SizeOrder",
-    "SubjectCounts",
     "find_unavailable",
     "is_due",
     "may_call",
@@ -44,8 +43,6 @@
 # Doublings of a delay; more of them exceed its maximum.
 MAX_DOUBLINGS = 6
 
-OrderKey = tuple[str, Subject]
-
 
 @dataclass(slots=True)
 class SizeOrder:
@@ -65,20 +62,6 @@
     next_at: timedelta = timedelta(0)
 
 
-@dataclass(slots=True, frozen=True)
-class SubjectCounts:
-    """Targets of one subject.
-
-    ``present`` have an entry and do not leave; ``expected`` includes those that were
-    lost without a notice a short time ago. ``left_at`` is when one was last seen to
-    begin to leave.
-    """
-
-    present: int = 0
-    expected: int = 0
-    left_at: timedelta | None = None
-
-
 @dataclass(slots=True)
 class OrderLimits:
     """Times of the calls within the last minute; ``interval`` is the least between."""
--- a/src/galenapass/forwarding/size_planning.py
+++ b/src/galenapass/forwarding/size_planning.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -19,29 +18,30 @@
     OperationsTerms,
 )
 from galenapass.forwarding.routes import RouteTable, Scaling, Service
-from galenapass.forwarding.size_orders import OrderLimits, SizeOrder, SubjectCounts
+from galenapass.forwarding.size_counts import (
+    ObservedTargets,
+    SubjectCounts,
+    count_shared_tokens,
+    count_targets,
+    observe_targets,
+)
+from galenapass.forwarding.size_orders import OrderLimits, SizeOrder
 from galenapass.forwarding.sizes import SizeInputs, SizePlan, Subject
 from galenapass.forwarding.splits import EngineSize
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
-from galenapass.tables.targets import Target, TargetState
 
-__all__ = ["DutyLease", "SizePlanner", "estimate_shared_work", "find_objective"]
+__all__ = ["DutyLease", "SizePlanner", "find_objective"]
 
 STEP_PERIOD = timedelta(milliseconds=250)
-# Crashed targets and cut-off domains are back by then; until then their orders count
-# as in effect.
-RETURN_TIME = timedelta(seconds=15)
 # The last holder's targets may not be registered yet; beyond their start time.
 TAKEOVER_LAG = timedelta(seconds=1)
 # Time for the answer of the platform, and the least for which a call is worth it.
 CALL_TIMEOUT = timedelta(seconds=2)
 MIN_CALL_TIME = timedelta(milliseconds=300)
+MIN_CALLS_PER_SECOND = 0.01
 # The cached parts of all engines are counted this often.
 SHARED_PERIOD = timedelta(seconds=5)
-# Parts that this many engines cache are shared: a part of one request is cached by the
-# engine that prefills it and by the one that decodes.
-MIN_SHARING_ENGINES = 3
 # Targets are released while others are missing only after this time.
 MAX_SHORTAGE = timedelta(seconds=60)
 # Objective of a service that no route leads to.
@@ -64,17 +64,20 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    """Demand, plan and orders of one service; ``seen`` are its targets of late."""
+    """Demand, plan, targets and orders of one service.
+
+    Until this daemon has adopted a plan of its own, the plan follows what is there.
+    """
 
     history: DemandHistory = field(default_factory=DemandHistory)
     plan: SizePlan | None = None
     orders: dict[Subject, SizeOrder] = field(default_factory=dict)
-    seen: dict[str, tuple[Subject, timedelta]] = field(default_factory=dict)
-    leaving: dict[str, tuple[Subject, timedelta]] = field(default_factory=dict)
-    shared_ms: float = 0.0
+    observed: ObservedTargets = field(default_factory=ObservedTargets)
+    shared_tokens: int = 0
     shared_at: timedelta | None = None
     short_since: timedelta | None = None
     is_planned: bool = False
+    has_adopted: bool = False
 
 
 class SizePlanner:
@@ -107,7 +110,8 @@
         self._services: dict[str, _ServiceState] = {}
         self._held_since: timedelta | None = None
         self._fence: int | None = None
-        self._limits = OrderLimits(timedelta(seconds=1 / terms.calls_per_second))
+        rate = max(terms.calls_per_second, MIN_CALLS_PER_SECOND)
+        self._limits = OrderLimits(timedelta(seconds=1 / rate))
         self._objectives: tuple[int, dict[str, timedelta]] = (0, {})
 
     async def run(self) -> None:
@@ -139,10 +143,11 @@
         self._follow_lease(now)
         for service, scaling in scaled:
             state = self._services.setdefault(service.name, _ServiceState())
-            self._observe_targets(service.name, state, now)
             is_new = demand_history.record_demand(
                 state.history, functools.partial(self._measure, service.name), now
             )
+            if is_new or self._held_since is not None:
+                observe_targets(state.observed, self._fleet, service.name, now)
             if self._held_since is not None and (is_new or not state.is_planned):
                 self._plan(service, scaling, state, now)
         while await self._send_next(scaled):
@@ -170,49 +175,8 @@
         for name, state in self._services.items():
             for subject in state.orders:
                 self._on_counts(name, subject, None, 0)
-            state.plan, state.orders, state.is_planned = None, {}, False
-            state.short_since = None
-
-    # Targets
-
-    def _observe_targets(
-        self, service: str, state: _ServiceState, now: timedelta
-    ) -> None:
-        targets = [t for t in self._fleet.targets.values() if t.service == service]
-        for target in targets:
-            subject = (target.domain, target.is_reclaimable)
-            if self._leaves(target):
-                state.leaving.setdefault(target.id, (subject, now))
-                state.seen.pop(target.id, None)
-            else:
-                state.seen[target.id] = (subject, now)
-                state.leaving.pop(target.id, None)
-        for known in (state.seen, state.leaving):
-            for name in [n for n, (_, at) in known.items() if now - at > RETURN_TIME]:
-                if name not in self._fleet.targets:
-                    del known[name]
-
-    def _leaves(self, target: Target) -> bool:
-        if self._fleet.leaving.get(target.id) == target.incarnation:
-            return True
-        return target.state in (TargetState.LEAVING, TargetState.GONE)
-
-    def _count_targets(self, state: _ServiceState) -> dict[Subject, SubjectCounts]:
-        present = Counter(
-            subject
-            for n, (subject, _) in state.seen.items()
-            if n in self._fleet.targets
-        )
-        expected = Counter(subject for subject, _ in state.seen.values())
-        left_at: dict[Subject, timedelta] = {}
-        for subject, at in state.leaving.values():
-            left_at[subject] = max(at, left_at.get(subject, at))
-        return {
-            subject: SubjectCounts(
-                present[subject], expected[subject], left_at.get(subject)
-            )
-            for subject in {*expected, *left_at, *state.orders}
-        }
+            state.plan, state.orders, state.short_since = None, {}, None
+            state.is_planned = state.has_adopted = False
 
     # Plans
 
@@ -227,14 +191,16 @@
         if known_time < sizes.MIN_KNOWN_TIME:
             return
         state.is_planned = True
-        counts = self._count_targets(state)
+        counts = count_targets(state.observed, self._fleet, state.orders)
         if state.plan is None:
-            expected = {s: c.expected for s, c in counts.items() if c.expected}
-            state.plan = SizePlan(expected, self._held_since)
+            state.plan = SizePlan({}, self._held_since)
+        if not state.has_adopted:
+            state.plan.counts = {s: c.expected for s, c in counts.items() if c.expected}
         inputs = self._gather_inputs(service, scaling, state, counts, now)
         before = dict(state.plan.counts)
         why = sizes.update_plan(state.plan, inputs, known_time, now)
         if why is not None:
+            state.has_adopted = True
             for subject in {*before, *state.plan.counts}:
                 state.orders.setdefault(subject, SizeOrder())
             self._log_plan(service.name, state.plan, inputs, why)
@@ -253,8 +219,9 @@
     ) -> SizeInputs:
         targets = [t for t in self._fleet.targets.values() if t.service == service.name]
         if state.shared_at is None or now - state.shared_at >= SHARED_PERIOD:
-            state.shared_ms = estimate_shared_work(self._fleet, targets, service.name)
+            state.shared_tokens = count_shared_tokens(self._fleet, targets)
             state.shared_at = now
+        rate = self._fleet.rates.get(service.name, PrefillRate()).busy_rate
         unavailable = size_orders.find_unavailable(state.orders.items(), now)
         domains = {*scaling.prices, *(domain for domain, _ in counts)}
         return SizeInputs(
@@ -266,7 +233,8 @@
                 min((t.slots for t in targets), default=0), service.cache_tokens
             ),
             bursts=demand_history.find_bursts(state.history),
-            shared_ms=state.shared_ms,
+            shared_tokens=state.shared_tokens,
+            shared_ms=state.shared_tokens / rate,
             window=demand_history.WINDOW,
             objective=self._find_objective(service.name),
             unavailable={
@@ -298,7 +266,7 @@
             alone_ms=round(alone_ms),
             growth_ms=round(growth_ms, 2),
             bursts=[round(each, 2) for each in inputs.bursts],
-            shared_ms=round(inputs.shared_ms),
+            shared_tokens=inputs.shared_tokens,
             slots=inputs.size.slots,
             objective_ms=inputs.objective // sizes.MILLISECOND,
             fence=self._fence,
@@ -367,7 +335,7 @@
         state = self._services.get(service.name)
         if state is None or state.plan is None:
             return []
-        counts = self._count_targets(state)
+        counts = count_targets(state.observed, self._fleet, state.orders)
         goals = state.plan.counts
         for subject in {*goals, *counts}:
             state.orders.setdefault(subject, SizeOrder())
@@ -423,20 +391,6 @@
     return min(routes, default=(0, DEFAULT_OBJECTIVE))[1]
 
 
-def estimate_shared_work(fleet: Fleet, targets: list[Target], service: str) -> float:
-    """Return the milliseconds of one engine to read all shared prompt parts."""
-    engines: Counter[int] = Counter()
-    tokens: dict[int, int] = {}
-    for target in targets:
-        load = fleet.loads.get(target.id)
-        if load is not None:
-            engines.update(load.cached.keys())
-            tokens.update(load.cached)
-    shared = sum(tokens[d] for d, n in engines.items() if n >= MIN_SHARING_ENGINES)
-    rate = fleet.rates.get(service, PrefillRate()).busy_rate
-    return shared / rate
-
-
 def _describe_counts(counts: dict[Subject, int]) -> dict[str, int]:
     return {
         f"{domain} {'reclaimable' if reclaimable else 'fixed'}": number
--- a/src/galenapass/forwarding/sizes.py
+++ b/src/galenapass/forwarding/sizes.py
@@ -4,6 +4,7 @@
 count the targets of each subject apart.
 """
 
+import math
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -37,9 +38,16 @@
 # With one of each role, a domain that is cut off serves on its own.
 MIN_ENGINES_PER_DOMAIN = 2
 MIN_PLAIN_PER_DOMAIN = 1
-# Targets beyond the cheapest number that are tried: with more of them, a smaller share
-# is in the largest domain, and more of them may be in the cheapest ones.
+# Targets beyond the needed number that are tried, and as many as must be left after a
+# loss: with more targets, more of them may be in the cheapest domains.
 MAX_EXTRA_TARGETS = 12
+# Numbers of targets that are tried between the least and the most.
+MAX_TOTALS = 24
+# Relative change of a part of the demand from which the need is computed again.
+NEED_STEP = 0.02
+# Caches of engines as a multiple of all shared parts. Parts of single requests take the
+# rest; with less, shared parts are evicted and read again, which is not measured.
+CACHES_PER_SHARED = 2.0
 # Price of a domain for which the configuration names none.
 DEFAULT_PRICE = 1.0
 # Released targets lose what they cached and take seconds to start again, so sizes
@@ -73,8 +81,9 @@
     """What a size depends on.
 
     ``peak`` is the highest demand of the ``window``, ``bursts`` the demand of a busy
-    second relative to it, of prefill and decode. ``shared_ms`` is the time of one
-    engine to read all shared prompt parts, which new targets read once.
+    second relative to it, of prefill and decode. ``shared_tokens`` are those of all
+    shared prompt parts, which new targets read once, and ``shared_ms`` the time of one
+    engine for that.
     ``objective`` is the latency objective of the most urgent requests, ``size`` that
     of one target. ``kept`` targets stay; ``unavailable`` maps the subjects of which
     there are no more now to the number there.
@@ -86,6 +95,7 @@
     domains: tuple[str, ...]
     size: EngineSize = EngineSize()
     bursts: tuple[float, float] = (splits.BURST_FACTOR, splits.BURST_FACTOR)
+    shared_tokens: int = 0
     shared_ms: float = 0.0
     window: timedelta = timedelta(seconds=45)
     objective: timedelta = timedelta(seconds=1)
@@ -103,10 +113,14 @@
 
 @dataclass(slots=True)
 class SizePlan:
-    """Number of targets wanted of each subject, since a monotonic time."""
+    """Number of targets wanted of each subject, since a monotonic time.
+
+    ``need`` is the last need that was computed, for a demand described by its key.
+    """
 
     counts: dict[Subject, int]
     changed_at: timedelta
+    need: tuple[tuple[object, ...], SizeNeed] | None = None
 
 
 def find_sizes(inputs: SizeInputs) -> list[SizeGoal]:
@@ -141,16 +155,14 @@
     objective_ms = inputs.objective / MILLISECOND
     reduced = _count_targets(peak, inputs, REDUCED_DELAY_SHARE * objective_ms)
     full = _count_targets(busy, inputs, DELAY_SHARE * objective_ms)
-    while full - round_up(CRASH_SHARE * full) < reduced:
+    if inputs.size.tokens:
+        cached = CACHES_PER_SHARED * inputs.shared_tokens / inputs.size.tokens
+        full = max(full, min(math.ceil(cached), _count_most(inputs)))
+    while full - math.ceil(CRASH_SHARE * full) < reduced:
         full += 1
     return SizeNeed(full, reduced)
 
 
-def round_up(number: float) -> int:
-    """Return the least whole number that is not below a number."""
-    return -int(-number // 1)
-
-
 def is_enough(counts: Placement, need: SizeNeed, inputs: SizeInputs) -> bool:
     """Return whether a placement suffices, also after each loss."""
     total = sum(counts.values())
@@ -184,9 +196,10 @@
     of seconds, which sizes must not follow down; the start of a deployment with many
     more targets than its load needs.
     """
-    if known_time < MIN_KNOWN_TIME:
+    is_unmeasured = inputs.peak.decode_rate > 0 and not inputs.peak.decode.sequences
+    if known_time < MIN_KNOWN_TIME or is_unmeasured:
         return None
-    need = count_needed(inputs)
+    need = _renew_need(plan, inputs)
     kept = {
         subject: min(count, inputs.unavailable.get(subject, count))
         for subject, count in plan.counts.items()
@@ -207,6 +220,22 @@
     return _adopt(plan, counts, need, inputs, now, "fewer suffice")
 
 
+def _renew_need(plan: SizePlan, inputs: SizeInputs) -> SizeNeed:
+    """Return the need, computed again only if the demand has changed noticeably.
+
+    Load pattern: hundreds of engines, whose need takes 50 ms of processor time.
+    """
+    peak = inputs.peak
+    rates = (peak.prefill_load, peak.decode_rate, peak.token_rate)
+    shared = (1.0 + inputs.shared_ms, inputs.shared_tokens)
+    numbers = (*rates, *peak.decode.fit(), *inputs.bursts, *shared)
+    steps = tuple(round(math.log(n) / NEED_STEP) if n > 0 else None for n in numbers)
+    key = (*steps, inputs.size, inputs.objective, inputs.domains, inputs.scaling)
+    if plan.need is None or plan.need[0] != key:
+        plan.need = key, count_needed(inputs)
+    return plan.need[1]
+
+
 def _adopt(
     plan: SizePlan,
     counts: dict[Subject, int],
@@ -233,8 +262,7 @@
     demand: MeasuredDemand, inputs: SizeInputs, max_delay_ms: float
 ) -> int:
     """Return the least number of targets with at most this delay, by bisection."""
-    highest = inputs.scaling.max_targets * max(len(inputs.domains), 1)
-    low, high = (2 if inputs.is_model else 1), max(highest, 2)
+    low, high = (2 if inputs.is_model else 1), max(_count_most(inputs), 2)
     if not demand.decode_rate or not demand.decode.sequences:
         return low
     while low < high:
@@ -262,9 +290,10 @@
     If the bounds are too small for the load, that is all targets. If none are
     available in some domains, it serves the load, but not after each loss.
     """
-    most = inputs.scaling.max_targets * len(inputs.domains)
+    most = _count_most(inputs)
     first = min(max(need.full, sum(inputs.kept.values())), most)
-    totals = range(first, min(first + MAX_EXTRA_TARGETS + need.reduced, most) + 1)
+    last = min(first + MAX_EXTRA_TARGETS + need.reduced, most)
+    totals = range(first, last + 1, max((last - first) // MAX_TOTALS, 1))
     placements = [_place(inputs, need, total) for total in totals]
     enough = [each for each in placements if is_enough(each, need, inputs)]
     if enough:
@@ -326,6 +355,11 @@
             counts[domain, True] -= 0 if is_added else number
 
 
+def _count_most(inputs: SizeInputs) -> int:
+    """Return the most targets that the service may have."""
+    return inputs.scaling.max_targets * max(len(inputs.domains), 1)
+
+
 def _count_minimum(inputs: SizeInputs) -> int:
     """Return the least number of targets in each domain."""
     least = 0
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -20,7 +20,7 @@
 from tests.target_links import TargetLinks
 
 
-def make_settings(store, name="front-1", domain="zone-a"):
+def make_settings(store, name="front-1", domain="zone-a", operations=None):
     ports = [find_free_port() for _ in range(3)]
     front, ready, peers = (("127.0.0.1", port) for port in ports)
     return HostSettings(
@@ -33,6 +33,7 @@
         grace_period=timedelta(seconds=1),
         lease=timedelta(seconds=1),
         budget=RetryBudgetTerms(0.2, 50.0, timedelta(seconds=10)),
+        operations=operations,
     )
 
 
@@ -148,12 +149,14 @@
     versions=None,
     more_runners=(),
     linked=False,
+    operations=None,
 ):
     """Yield a fleet with a daemon per domain, which have loaded routes and targets.
 
     ``versions`` are the software versions of runners by id; their events name it.
     ``more_runners`` are targets besides the usual ones. If ``linked``, the paths of
-    each daemon to the targets can be disturbed by the fleet's ``links``.
+    each daemon to the targets can be disturbed by the fleet's ``links``. ``operations``
+    are the terms of the daemons' duties.
     """
     fleet = PlatformFleet()
     fleet.prefill.cached_prompts = cached_prompts or {}
@@ -183,7 +186,7 @@
             await links.start([target.address for target in fleet.runners])
     fleet.daemons = [
         PlatformDaemon(
-            make_settings(f"127.0.0.1:{port}", f"front-{n}", domain),
+            make_settings(f"127.0.0.1:{port}", f"front-{n}", domain, operations),
             0,
             fleet.links[n - 1].make_socket if linked else make_target_socket,
         )
--- a/tests/test_forwarding_sizes.py
+++ b/tests/test_forwarding_sizes.py
@@ -16,7 +16,7 @@
 from galenapass.forwarding.operations import CallOutcome
 from galenapass.forwarding.placement import choose_decode, choose_plain, choose_prefill
 from galenapass.forwarding.routes import Scaling
-from galenapass.forwarding.size_planning import estimate_shared_work
+from galenapass.forwarding.size_counts import count_shared_tokens
 from galenapass.forwarding.sizes import SizeInputs
 from galenapass.forwarding.slot_requests import (
     Grant,
@@ -84,6 +84,17 @@
         self.assertGreaterEqual(total - math.ceil(total / 4), need.reduced)
         self.assertGreaterEqual(total, need.full)
 
+    def test_the_worked_case_of_the_operators_page_holds(self):
+        shared = {"shared_tokens": 480_000, "shared_ms": 7500.0}
+        inputs = make_inputs(4.3, 92.0, bursts=(1.1, 1.08), **shared)
+        self.assertEqual(sizes.SizeNeed(12, 9), sizes.count_needed(inputs))
+        kinds = {("a", True): 2, ("b", False): 5, ("c", True): 2}
+        self.assertEqual(
+            {**kinds, ("d", False): 4, ("d", True): 1}, count_goals(inputs)
+        )
+        price = sizes.compute_price(count_goals(inputs), inputs.scaling)
+        self.assertAlmostEqual(8.79, price, places=2)
+
     def test_no_cheaper_placement_suffices(self):
         # A placement that prefers cheap domains too much needs more targets in all.
         scaling = Scaling(1, 9, timedelta(seconds=4), 0.3, {"a": 1.0, "b": 0.5})
@@ -111,9 +122,11 @@
     def test_shared_parts_and_slow_sequences_need_more_targets(self):
         base = sizes.count_needed(make_inputs()).full
         read = sizes.count_needed(make_inputs(shared_ms=90_000.0)).full
+        cached = sizes.count_needed(make_inputs(shared_tokens=5_000_000)).full
         bursts = sizes.count_needed(make_inputs(bursts=(1.6, 1.6))).full
         self.assertGreater(read, base)
         self.assertGreater(bursts, base)
+        self.assertEqual(20, cached)
 
     def test_plain_services_are_sized_by_calls_and_holding_time(self):
         held = DecodeStatistics(100, 100 * 150.0, duration_ms=100 * 150.0)
@@ -337,4 +350,4 @@
             own = PartDigest(100 + number // 2, 3000)
             record_parts(load, (own,), 10**6, timedelta(0))
         targets = list(fleet.targets.values())
-        self.assertEqual(100.0, estimate_shared_work(fleet, targets, "lm"))
+        self.assertEqual(5500, count_shared_tokens(fleet, targets))
