Pause orders of sizes while the platform answers none of them

Cause: with four domains and two kinds, a platform that was away or throttled got 20 calls in 20 s, as each subject backed off for itself. Change: calls without an answer, or with 429, delay all calls by 0.5 s, doubled up to 5 s. The tests of silence and of reclaimed targets check the first seconds too.

--- a/src/galenapass/forwarding/size_orders.py
+++ b/src/galenapass/forwarding/size_orders.py
@@ -18,6 +18,7 @@
     "find_unavailable",
     "is_due",
     "may_call",
+    "record_answer",
     "record_call",
     "record_outcome",
 ]
@@ -40,6 +41,9 @@
 # Calls within a minute, whatever happens.
 MAX_CALLS_PER_MINUTE = 24
 MINUTE = timedelta(minutes=1)
+# Pauses between calls while none is answered.
+MIN_PAUSE = timedelta(milliseconds=500)
+MAX_PAUSE = timedelta(seconds=5)
 # Doublings of a delay; more of them exceed its maximum.
 MAX_DOUBLINGS = 6
 
@@ -64,9 +68,13 @@
 
 @dataclass(slots=True)
 class OrderLimits:
-    """Times of the calls within the last minute; ``interval`` is the least between."""
+    """Times of the calls within the last minute; ``interval`` is the least between.
+
+    ``failures`` counts the calls in a row that show that the platform answers none.
+    """
 
     interval: timedelta
+    failures: int = 0
     sent_at: deque[timedelta] = field(default_factory=deque)
     next_at: timedelta = timedelta(0)
 
@@ -149,6 +157,21 @@
 
 
 def record_call(limits: OrderLimits, now: timedelta) -> None:
-    """Record a call."""
+    """Record a call that is sent now."""
     limits.sent_at.append(now)
     limits.next_at = now + limits.interval
+
+
+def record_answer(limits: OrderLimits, outcome: CallOutcome, now: timedelta) -> None:
+    """Delay all calls while the platform answers none, whatever they order.
+
+    Load pattern: a platform that is away, or busy with the reports of usage.
+    """
+    if outcome not in (CallOutcome.UNKNOWN, CallOutcome.THROTTLED):
+        limits.failures = 0
+        return
+    limits.failures += 1
+    doublings = min(limits.failures - MAX_SILENT_FAILURES, MAX_DOUBLINGS)
+    if doublings >= 0:
+        delay = min(MIN_PAUSE * 2**doublings, MAX_PAUSE)
+        limits.next_at = max(limits.next_at, now + delay)
--- a/src/galenapass/forwarding/size_planning.py
+++ b/src/galenapass/forwarding/size_planning.py
@@ -304,6 +304,7 @@
             min(CALL_TIMEOUT, time_left),
         )
         now = self._clock.monotonic()
+        size_orders.record_answer(self._limits, outcome, now)
         state = self._services.get(name)
         if state is None or subject not in state.orders:
             return False
--- a/tests/test_forwarding_sizes.py
+++ b/tests/test_forwarding_sizes.py
@@ -194,8 +194,9 @@
         before = len(replay.calls)
         for domain in PRICES:
             replay.reclaim(domain)
-        replay.run(1)
-        self.assertGreater(len(replay.calls), before)
+        replay.run(0.75)
+        tried = [call[1:4] for call in replay.calls[before:]]
+        self.assertEqual([("a", True, 3), ("a", False, 2)], tried)
         replay.run(10)
         replay.unavailable.clear()
         replay.run(80)
@@ -246,6 +247,7 @@
             replay.outcome = outcome
             replay.run(120)
             calls = [call[0] for call in replay.calls]
+            self.assertLessEqual(sum(call < 20 for call in calls), 16)
             self.assertLessEqual(sum(call < 60 for call in calls), 24)
             self.assertLessEqual(len(calls), 48)
             replay.outcome = None
