Release targets only while those left suffice

Cause: a trial of daemons with engines that start and leave showed a domain at its bound that released all its engines before others had started, and a plan that grew by two targets one second before it shrank. Engines that change their role serve nothing for seconds, and could be all that a release leaves.

--- a/src/galenapass/forwarding/size_planning.py
+++ b/src/galenapass/forwarding/size_planning.py
@@ -30,6 +30,7 @@
 from galenapass.forwarding.splits import EngineSize
 from galenapass.forwarding.workload import MeasuredDemand
 from galenapass.logs import make_log
+from galenapass.tables.targets import TargetState
 
 __all__ = ["DutyLease", "SizePlanner", "find_objective"]
 
@@ -331,7 +332,8 @@
     ) -> list[tuple[Subject, int, SizeOrder, SubjectCounts]]:
         """Return the due orders of a service.
 
-        Targets are released once those that replace them are there.
+        Targets are released once those that replace them are there, and not while so
+        many engines change their role that those left may be too few.
         """
         state = self._services.get(service.name)
         if state is None or state.plan is None:
@@ -346,12 +348,23 @@
             for subject, goal in goals.items()
             if subject not in crowded
         )
+        changing = sum(
+            t.state is TargetState.CHANGING and t.service == service.name
+            for t in self._fleet.targets.values()
+        )
+        if state.plan.need is not None and changing:
+            left = sum(goals.values()) - changing
+            is_short = is_short or left < state.plan.need[1].reduced
         state.short_since = (state.short_since or now) if is_short else None
         may_release = not is_short or now - (state.short_since or now) > MAX_SHORTAGE
         due = []
         for subject, order in state.orders.items():
             goal, there = goals.get(subject, 0), counts.get(subject, SubjectCounts())
-            if subject in crowded or (goal < there.present and not may_release):
+            other = (subject[0], not subject[1])
+            if other in crowded:
+                # Only as many are released as make room for the others.
+                goal = max(goal, scaling.max_targets - goals[other])
+            elif subject in crowded or (goal < there.present and not may_release):
                 continue
             if size_orders.is_due(order, goal, there, scaling.start_time, now):
                 due.append((subject, goal, order, there))
--- a/src/galenapass/forwarding/sizes.py
+++ b/src/galenapass/forwarding/sizes.py
@@ -204,20 +204,32 @@
         subject: min(count, inputs.unavailable.get(subject, count))
         for subject, count in plan.counts.items()
     }
-    if not is_enough(kept, need, inputs):
-        counts = _find_cheapest(replace(inputs, kept=kept), need)
-        return _adopt(plan, counts, need, inputs, now, "too few targets")
     counts = _find_cheapest(replace(inputs, kept=inputs.unavailable), need)
+    if _may_shrink(plan, kept, counts, inputs, known_time, now) and is_enough(
+        counts, need, inputs
+    ):
+        return _adopt(plan, counts, need, inputs, now, "cheaper ones suffice")
+    if is_enough(kept, need, inputs):
+        return None
+    counts = _find_cheapest(replace(inputs, kept=kept), need)
+    return _adopt(plan, counts, need, inputs, now, "too few targets")
+
+
+def _may_shrink(
+    plan: SizePlan,
+    kept: Placement,
+    counts: Placement,
+    inputs: SizeInputs,
+    known_time: timedelta,
+    now: timedelta,
+) -> bool:
+    """Return whether a cheaper placement may replace the ``kept`` targets now."""
     price, least = (compute_price(c, inputs.scaling) for c in (kept, counts))
     if price - least < max(MIN_SAVING * price, 1e-9):
-        return None
-    is_surplus = sum(kept.values()) >= EARLY_SURPLUS * sum(counts.values())
-    is_held = now - plan.changed_at < HOLD_TIME
-    if is_held if known_time >= inputs.window else not is_surplus:
-        return None
-    if not is_enough(counts, need, inputs):
-        return None
-    return _adopt(plan, counts, need, inputs, now, "fewer suffice")
+        return False
+    if known_time >= inputs.window:
+        return now - plan.changed_at >= HOLD_TIME
+    return sum(kept.values()) >= EARLY_SURPLUS * sum(counts.values())
 
 
 def _renew_need(plan: SizePlan, inputs: SizeInputs) -> SizeNeed:
--- a/tests/test_forwarding_sizes.py
+++ b/tests/test_forwarding_sizes.py
@@ -27,7 +27,7 @@
 )
 from galenapass.forwarding.splits import EngineSize
 from galenapass.forwarding.workload import DecodeStatistics, MeasuredDemand
-from galenapass.tables.targets import Role
+from galenapass.tables.targets import Role, TargetState
 from tests.forwarding_fakes import make_fleet, make_prompt, make_target
 from tests.size_replays import FakeLease, Replay, make_deployment_a
 from tests.size_replays import make_small_deployment as make_small
@@ -285,6 +285,29 @@
                 self.assertLessEqual(both, 19)
         self.check_served(replay, 20)
 
+    def test_nothing_is_released_while_many_engines_change_their_role(self):
+        # Those left could be the ones that change, which takes seconds.
+        replay = Replay(make_deployment_a())
+        for target in replay.list_all()[:8]:
+            target.state = TargetState.CHANGING
+        replay.run(20)
+        self.assertTrue(replay.orders)
+        self.assertEqual([], [c for c in replay.orders if not c[2]])
+        for target in replay.list_all():
+            target.state = TargetState.SERVING
+        replay.run(5)
+        self.assertTrue([c for c in replay.orders if not c[2]])
+
+    def test_full_domains_make_room_without_a_loss_of_capacity(self):
+        # All targets of a full domain were released before others could start.
+        scaling = Scaling(1, 12, timedelta(seconds=6), 0.3, {"x": 1.0})
+        full = {"scaling": scaling, "prices": {"x": 1.0}, "targets": {("x", False): 12}}
+        replay = Replay(make_small(**full, tokens=60_000))
+        replay.run(60)
+        self.check_served(replay, 6)
+        self.assertTrue(replay.desired["x", True])
+        self.assertGreater(replay.lowest, 1.6)
+
     def test_a_service_of_a_fixed_size_gets_no_order(self):
         replay = Replay(make_deployment_a())
         services = replay.fleet.routes.services
