--- a/src/galenapass/duties/duty_calls.py
+++ b/src/galenapass/duties/duty_calls.py
@@ -13,8 +13,8 @@
 
 # The platform may take 50 times as long as usual, which is some 30 ms.
 MAX_CALL_TIME = timedelta(seconds=2.5)
-# Less time until the end of the lease is too little for an answer.
-MIN_CALL_TIME = timedelta(milliseconds=50)
+# Less time until the end of the lease is too little for an answer of a slow platform.
+MIN_CALL_TIME = timedelta(milliseconds=300)
 
 
 class DutyCalls:
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -38,7 +38,7 @@
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.known_targets import KnownTargets
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
-from galenapass.forwarding.operations import Duty
+from galenapass.forwarding.operations import Duty, OperationsTerms
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peer_calls import PeerServer
 from galenapass.forwarding.peering import Peering
@@ -52,6 +52,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
+from galenapass.forwarding.size_planning import SizePlanner
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.stop_times import plan_stop
@@ -322,6 +323,8 @@
             self.random,
             self._apply_hosts,
         )
+        self.lease_keeper = self._make_keeper()
+        self.size_planner = self._make_size_planner()
         self.planner = self._make_planner()
         self.usage_reports = self._make_usage_reports()
         self._background = BackgroundTasks("daemon")
@@ -500,18 +503,46 @@
         are_fresh = all(watch.is_fresh for watch in self._store_watches)
         return self.store_availability.answered_at if are_fresh else timedelta(0)
 
-    def _make_planner(self) -> RolePlanner:
+    def _make_keeper(self) -> LeaseKeeper:
         settings = self.settings
         term = settings.lease * LEASE_TERMS
         lease = Lease(LEASE_NAME, settings.host, self.incarnation, term)
         if settings.is_first_start:
             lease.fresh_until = self.clock.monotonic() + term
-        self.lease_keeper = LeaseKeeper(
+        return LeaseKeeper(
             lease,
             self.clock,
             _StaleReadStore(self.store),
             lambda: self.epochs.current or 0,
         )
+
+    def _make_duty_calls(self, terms: OperationsTerms) -> DutyCalls:
+        return DutyCalls(
+            self.settings.host,
+            self.lease_keeper,
+            HttpOperationsClient(terms.address, self.clock, self._count_call),
+            self.clock,
+            terms.calls_per_second,
+            self.settings.lease,
+        )
+
+    def _make_size_planner(self) -> SizePlanner | None:
+        """Return the planner of sizes, None if the settings do not ask for it."""
+        terms = self.settings.operations
+        if terms is None or Duty.SIZES not in terms.duties:
+            return None
+        return SizePlanner(
+            self.fleet,
+            self.lease_keeper,
+            self._make_duty_calls(terms),
+            self.clock,
+            self.peering.measure_demand,
+            terms,
+            self.metrics.record_sizes,
+        )
+
+    def _make_planner(self) -> RolePlanner:
+        sizes = self.size_planner
         return RolePlanner(
             self.fleet,
             self.lease_keeper,
@@ -523,6 +554,7 @@
             self.peering.has_crashed,
             # Other hosts name only the targets of this domain.
             lambda: self.paths.is_cut_off or self.fleet.viewed_at is None,
+            sizes.is_resizing if sizes is not None else lambda service: False,
         )
 
     def _make_usage(self) -> UsageSharing | None:
@@ -544,17 +576,9 @@
         settings, terms = self.settings, self.settings.operations
         if terms is None or self.usage is None:
             return None
-        calls = DutyCalls(
-            settings.host,
-            self.lease_keeper,
-            HttpOperationsClient(terms.address, self.clock, self._count_call),
-            self.clock,
-            terms.calls_per_second,
-            settings.lease,
-        )
         return UsageReports(
             terms,
-            calls,
+            self._make_duty_calls(terms),
             self.store,
             self.usage,
             self.clock,
@@ -625,6 +649,7 @@
                     if self.usage_reports is not None
                     else {}
                 ),
+                **({"sizes": self.size_planner.run} if self.size_planner else {}),
             }
         )
 
