Replay partitions at most of a domain's capacity

Cause: the replay used 4% of the domain's slots, which shows nothing of schedulers that share targets.

Change: requests hold slots for 0.9 s in two cases, some 0.7 of the domain's slots, and targets refuse what exceeds their slots.

--- a/tests/cut_off_domain.py
+++ b/tests/cut_off_domain.py
@@ -73,7 +73,7 @@
 
     ``rejected`` names the hosts that the store does not answer, ``blocked`` pairs of
     hosts whose datagrams are lost, ``lag`` is after how many seconds a host notices
-    that it has lost the store.
+    that it has lost the store. A target refuses what exceeds its slots.
     """
 
     def __init__(self):
@@ -105,6 +105,8 @@
         self.rejected = set()
         self.blocked = set()
         self.lag = 0.0
+        self.holding_seconds = HOLDING_SECONDS
+        self.running = Counter()
         self.datagrams = 0
         self.outcomes = {}
         self.refusals = Counter()
@@ -296,7 +298,14 @@
                 tried.add(target.id)
                 slot.ok_value.end(Outcome.UNREACHABLE)
                 continue
-            await asyncio.sleep(HOLDING_SECONDS)
+            if self.network.running[target.id] >= SLOTS:
+                await asyncio.sleep(0.002)
+                tried.add(target.id)
+                slot.ok_value.end(Outcome.REFUSED)
+                continue
+            self.network.running[target.id] += 1
+            await asyncio.sleep(self.network.holding_seconds)
+            self.network.running[target.id] -= 1
             slot.ok_value.end(Outcome.DONE, 1)
             served = self.network.clock.monotonic() - now < PATIENCE
             break
--- a/tests/test_forwarding_cut_off_domains.py
+++ b/tests/test_forwarding_cut_off_domains.py
@@ -100,6 +100,21 @@
 
         self.check_converged(self.replay(cut))
 
+    def test_a_cut_at_most_of_the_capacity_of_the_domain(self):
+        async def cut(network):
+            network.is_cut = True
+
+        self.check_converged(self.replay(cut, holding_seconds=0.9))
+
+    def test_all_schedulers_are_killed_at_most_of_the_capacity(self):
+        async def cut(network):
+            network.is_cut = True
+            await asyncio.sleep(3.0)
+            for name in network.designated:
+                network.kill(name)
+
+        self.replay(cut, seconds=9.0, holding_seconds=0.9)
+
     def test_a_cut_by_silent_loss(self):
         async def cut(network):
             network.is_cut = True
