Keep other domains' targets at a scheduler that the store rejects

Cause: a scheduler without the store for over 20 s that got a newer list of its own domain from another one dropped the targets of all other domains.

Change: only a host that does not schedule yet removes what it knew long ago.

--- a/src/galenapass/forwarding/known_targets.py
+++ b/src/galenapass/forwarding/known_targets.py
@@ -156,10 +156,15 @@
         """Forget the list of another host, as schedulers know better by now."""
         self._list = None
 
-    def seed(self) -> bool:
-        """Fill the table of targets; return whether it then holds any."""
+    def seed(self, *, anew: bool = False) -> bool:
+        """Fill the table of targets; return whether it then holds any.
+
+        ``anew`` is set unless this host schedules already: then the table may be that
+        of an earlier time, and what is too old is removed from it.
+        """
         now = self._clock.monotonic()
-        self._forget_former_view()
+        if anew:
+            self._forget_former_view()
         if self._list is not None:
             apply_target_list(
                 self._fleet,
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -415,7 +415,7 @@
             self.endpoint.send(address, message)
 
     async def _seed_targets(self, service: str) -> None:
-        self._known_targets.seed()
+        self._known_targets.seed(anew=not self._scheduler_selection.is_scheduler)
 
     # Messages
 
--- a/src/galenapass/forwarding/target_sharing.py
+++ b/src/galenapass/forwarding/target_sharing.py
@@ -159,7 +159,7 @@
         Load pattern: many requests at a host that knows no targets. They share one
         call.
         """
-        self._known.seed()
+        self._known.seed(anew=not self._sources.is_scheduler)
         if self._known.knows_service(service):
             return
         if self._learning is None or self._learning.done():
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -536,7 +536,7 @@
     # Scheduling
 
     def _start_scheduling(self) -> None:
-        self.known_targets.seed()
+        self.known_targets.seed(anew=True)
         self._store_watches = self._make_store_watches()
         store_watches = {
             f"feed of {store_watch.kind}": store_watch.run
--- a/tests/cut_off_domain.py
+++ b/tests/cut_off_domain.py
@@ -241,7 +241,7 @@
         return self.network.reaches_store(self.name)
 
     def start_scheduling(self):
-        self.known.seed()
+        self.known.seed(anew=True)
         self.store_task = asyncio.create_task(self.follow_store())
         self.tasks.append(asyncio.create_task(self.peering.run_announcements()))
 
--- a/tests/test_forwarding_cut_off_domains.py
+++ b/tests/test_forwarding_cut_off_domains.py
@@ -249,9 +249,22 @@
         apply_listing(fleet, [make_target("t1")], clock.monotonic())
         clock.advance(3 * MAX_SIGHTING_AGE)
         known.record_grant(make_target("t2"), clock.monotonic())
-        known.seed()
+        known.seed(anew=True)
         self.assertEqual({"t2"}, set(fleet.targets))
 
+    def test_a_scheduler_without_the_store_keeps_the_targets_of_other_domains(self):
+        # Another scheduler of its domain, which the store still answers, lists only
+        # the targets of their domain.
+        known, fleet, clock = self.make_known()
+        targets = [make_target("t1"), make_target("t2", domain="b")]
+        apply_listing(fleet, targets, clock.monotonic())
+        clock.advance(3 * MAX_SIGHTING_AGE)
+        listed = TargetList("a", (targets[0],), clock.monotonic())
+        known.apply_report(TargetReport(listed))
+        known.seed()
+        self.assertEqual({"t1", "t2"}, set(fleet.targets))
+        self.assertTrue(fleet.knows_service("desk"))
+
     def test_a_report_arrives_with_its_ages(self):
         known, _, clock = self.make_known()
         now = clock.monotonic()
