Let a new holder replace targets that have left without waiting

Change: it does not wait if targets have left within that time. Result: the new test and the tests of sizes pass.

--- a/src/galenapass/forwarding/size_planning.py
+++ b/src/galenapass/forwarding/size_planning.py
@@ -184,15 +184,22 @@
     def _plan(
         self, service: Service, scaling: Scaling, state: _ServiceState, now: timedelta
     ) -> None:
-        """Update the plan of a service."""
+        """Update the plan of a service.
+
+        Load pattern: a new holder, which waits for the targets that the last one
+        ordered, unless others have left since.
+        """
         assert self._held_since is not None
-        if now - self._held_since < scaling.start_time + TAKEOVER_LAG:
+        counts = count_targets(state.observed, self._fleet, state.orders)
+        takeover_time = scaling.start_time + TAKEOVER_LAG
+        last_left = max((c.left_at for c in counts.values() if c.left_at), default=None)
+        has_left = last_left is not None and now - last_left < takeover_time
+        if now - self._held_since < takeover_time and not has_left:
             return
         known_time = demand_history.find_known_time(state.history, now)
         if known_time < sizes.MIN_KNOWN_TIME:
             return
         state.is_planned = True
-        counts = count_targets(state.observed, self._fleet, state.orders)
         if state.plan is None:
             state.plan = SizePlan({}, self._held_since)
         if not state.has_adopted:
--- a/tests/test_forwarding_sizes.py
+++ b/tests/test_forwarding_sizes.py
@@ -228,6 +228,16 @@
         replay.run(5)
         self.assertEqual({("host-2", 2)}, {c[4:] for c in replay.calls[ordered:]})
 
+    def test_a_new_holder_replaces_reclaimed_targets_at_once(self):
+        # It waited for what the last holder may have ordered, while engines were short.
+        replay = Replay(make_deployment_a())
+        replay.run(60)
+        ordered = len(replay.calls)
+        replay.reclaim("a")
+        replay.lease.fence = 2
+        replay.run(1)
+        self.assertEqual(("host-1", 2), replay.calls[ordered][4:])
+
     def test_a_host_without_a_valid_lease_sends_nothing(self):
         replay = Replay(make_deployment_a())
         replay.lease.time_left = timedelta(milliseconds=100)
