Share the capacity of a service between organisations

Cause: nothing tells one organisation's requests from another's, so one that sends 20 times its share takes nearly all slots. Change: each scheduler counts the work granted by organisation (decayed over 5 s, with that of its peers), orders waiting requests by it while capacity is short, and refuses what an organisation's own backlog makes late at once. Schedulers tell each other the work and what waits below its share; others then leave slots free for it.

--- a/src/galenapass/forwarding/capacity.py
+++ b/src/galenapass/forwarding/capacity.py
@@ -121,6 +121,11 @@
             self._find_start_rate(serving),
         )
 
+    def count_free_calls(self, target: Target) -> int:
+        """Return how many more calls a plain target takes, those that wait included."""
+        queue_slots = int(target.slots * QUEUED_CALLS_SHARE)
+        return target.slots + queue_slots - self._fleet.load_of(target).sequences
+
     def count_prefill_engines(self, service: str) -> int:
         """Return this scheduler's share of the prefill engines, at least 1."""
         engines = len(self.list_serving(service, Role.PREFILL))
--- a/src/galenapass/forwarding/datagrams.py
+++ b/src/galenapass/forwarding/datagrams.py
@@ -40,6 +40,11 @@
 from galenapass.forwarding.permits import Permit, PermitRequest
 from galenapass.forwarding.rate_limits import RateLimit
 from galenapass.forwarding.requests import Prompt
+from galenapass.forwarding.share_messages import (
+    OrganisationWork,
+    decode_work,
+    encode_work,
+)
 from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import (
     Grant,
@@ -165,6 +170,7 @@
     | OriginQuery
     | OriginReply
     | SilentTargets
+    | OrganisationWork
 )
 
 
@@ -500,6 +506,11 @@
     ),
     SlotRelease: ("end", _encode_release, _decode_release),
     SilentTargets: ("silent", _encode_silent, _decode_silent),
+    OrganisationWork: (
+        "work",
+        encode_work,
+        lambda host, row, now: decode_work(row, now),
+    ),
     Ping: (
         "ping",
         lambda ping, now: [
--- a/src/galenapass/forwarding/peering.py
+++ b/src/galenapass/forwarding/peering.py
@@ -44,6 +44,7 @@
 from galenapass.forwarding.schedulers import Address
 from galenapass.forwarding.scheduling import Scheduler
 from galenapass.forwarding.service_versions import UNNAMED_VERSION
+from galenapass.forwarding.share_messages import OrganisationWork
 from galenapass.forwarding.silent_targets import (
     SilenceReport,
     SilentTargets,
@@ -168,6 +169,7 @@
             StreamNotice: self._apply_stream_notice,
             OriginQuery: self._answer_origin_query,
             SilentTargets: self._apply_silent,
+            OrganisationWork: self._apply_organisation_work,
             OriginReply: lambda host, address, reply: self._origins.queries.apply_reply(
                 reply
             ),
@@ -300,10 +302,12 @@
                     self._send_state(addresses)
                 self._send_blocks(addresses, now)
                 self._send_silent(addresses, now)
+                self._send_organisation_work(addresses)
             if now - self._version_announced_at < VERSION_REPEAT_TIME:
                 self._send_state(self._scheduler_selection.list_clients())
             for name in announcements.forget_silent(self._peers, now):
                 self._silence_reports.pop(name, None)
+                self._scheduler.shares.forget_peer(name)
                 _log("peer is silent", peer=name)
             self._scheduler.set_peer_count(len(self._peers))
             self._scheduler.expire()
@@ -374,6 +378,21 @@
         for address in addresses:
             self.endpoint.send(address, silent)
 
+    def _send_organisation_work(self, addresses: list[Address]) -> None:
+        """Tell the schedulers the work of organisations while capacity is short.
+
+        It is a message of its own, as earlier builds read no longer announcements.
+        """
+        message = self._scheduler.shares.make_message(
+            self._sequence, self._scheduler.list_waiting()
+        )
+        if message is None:
+            return
+        self._sequence += 1
+        message = replace(message, sequence=self._sequence)
+        for address in addresses:
+            self.endpoint.send(address, message)
+
     def _measure_own(self, service: str) -> list[MeasuredDemand]:
         measured = self._scheduler.demand.get(service)
         if measured is None:
@@ -517,6 +536,12 @@
             self._on_announcement(announcement)
             self._scheduler.wake()
 
+    def _apply_organisation_work(
+        self, host: str, address: Address, message: OrganisationWork
+    ) -> None:
+        if self._scheduler.shares.apply_message(host, message):
+            self._scheduler.wake()
+
     def _apply_limits(self, host: str, limits: tuple[LimitNotice, ...] | None) -> None:
         if self._limit_sharing.apply(host, limits):
             self._scheduler.wake()
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 
@@ -27,6 +27,7 @@
 from galenapass.forwarding.loads import PartDigest
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.placement import Choice, View
+from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest, Stage
 from galenapass.forwarding.workload import ServiceDemand
 from galenapass.logs import make_log
@@ -47,6 +48,8 @@
 LONG_QUEUE_PERIOD = timedelta(milliseconds=5)
 
 Answer = Callable[[Result[Grant, Verdict]], None]
+Choose = Callable[[SlotRequest], Choice | None]
+FindCost = Callable[[SlotRequest], float]
 
 _log = make_log("scheduler")
 
@@ -60,7 +63,7 @@
     whole, and when that began.
     ``on_prefill_start`` is called with the parts that a target starts to prefill,
     ``on_refused`` with an engine that refused a request, ``on_unreachable`` with
-    engines none of which answers.
+    engines none of which answers. ``shares`` are called with what organisations used.
     """
 
     check: Callable[[SlotRequest], Verdict | None] = lambda slot_request: None
@@ -72,6 +75,7 @@
     )
     on_refused: Callable[[Target], None] = lambda target: None
     on_unreachable: Callable[[list[Target]], None] = lambda targets: None
+    shares: ShareHooks = field(default_factory=ShareHooks)
 
 
 @dataclass(slots=True)
@@ -107,9 +111,10 @@
         self._grants = GrantTable(fleet, clock, hooks.on_refused, hooks.on_answer)
         self._is_pass_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
-        self._retry_times: dict[tuple[str, Stage], RetryTimes] = {}
+        self._retry_times: dict[tuple[str, Stage, str], RetryTimes] = {}
         self._permits = permits
         self._capacity = Capacity(fleet, permits)
+        self.shares = ShareKeeper(fleet, clock, random, hooks.shares)
 
     @property
     def demand(self) -> dict[str, ServiceDemand]:
@@ -130,7 +135,12 @@
         if waiter is not None:
             waiter.answer = answer
             return
+        backlog_ms = self.shares.find_late_backlog(slot_request)
+        if backlog_ms is not None:
+            answer(Err(self._refuse_beyond_share(slot_request, backlog_ms)))
+            return
         self._waiting[slot_request.ticket] = _Waiter(slot_request, answer)
+        self.shares.record_arrival(slot_request)
         self.wake()
 
     def check_waiting(self) -> None:
@@ -146,10 +156,15 @@
 
     def end(self, release: SlotRelease) -> None:
         """Release a slot, or withdraw a slot request that still waits."""
-        if self._waiting.pop(release.ticket, None) is None:
+        if self._remove_waiter(release.ticket) is None:
+            self.shares.record_release(release)
             self._grants.release(release)
         self.wake()
 
+    def list_waiting(self) -> list[SlotRequest]:
+        """Return the slot requests that wait."""
+        return [waiter.slot_request for waiter in self._waiting.values()]
+
     def set_peer_count(self, count: int) -> None:
         """Set the number of other schedulers that grant slots at the same targets."""
         self._capacity.peers = count
@@ -206,6 +221,10 @@
         def choose(slot_request: SlotRequest) -> Choice | None:
             return self._choose_recent(slot_request, view)
 
+        def find_cost(slot_request: SlotRequest) -> float:
+            choice = choose(slot_request)
+            return choice.cost_ms if choice is not None else 0.0
+
         # Prefilled prompts that wait for a decode slot come first.
         prefilled = Counter(
             waiter.slot_request.service
@@ -222,7 +241,7 @@
         services = {slot_request.service for slot_request in slot_requests}
         free = {name: count_decode_slots(name) for name in services}
         left: dict[str, list[SlotRequest]] = {}
-        for slot_request in admission.order_waiting(slot_requests, choose, view.now):
+        for slot_request in self._order(slot_requests, choose, find_cost, view):
             refusal = self._check_prompt(slot_request, choose(slot_request), view)
             if refusal is not None and self._awaits_change(slot_request, view):
                 left.setdefault(slot_request.service, []).append(slot_request)
@@ -233,12 +252,40 @@
             else:
                 free[slot_request.service] = count_decode_slots(slot_request.service)
         for name, waiting in left.items():
-            for slot_request in admission.find_unservable(
-                waiting, choose, view.now, free[name]
-            ):
-                self._refuse_late(
-                    slot_request, choose(slot_request), free[name], view.now
-                )
+            self._refuse_unservable(name, waiting, choose, find_cost, free[name], view)
+
+    def _order(
+        self,
+        slot_requests: list[SlotRequest],
+        choose: Choose,
+        find_cost: FindCost,
+        view: View,
+    ) -> list[SlotRequest]:
+        ordered = admission.order_waiting(slot_requests, choose, view.now)
+        return self.shares.order(ordered, find_cost, view.now)
+
+    def _refuse_unservable(
+        self,
+        service: str,
+        left: list[SlotRequest],
+        choose: Choose,
+        find_cost: FindCost,
+        slots: SlotCounts | None,
+        view: View,
+    ) -> None:
+        """Refuse the requests left waiting that cannot meet their deadline.
+
+        Where organisations share the capacity, those above their share come first.
+        """
+        ordered = self.shares.order_left(service, left, find_cost, view.now)
+        beyond = self.shares.list_beyond_share(service, ordered, find_cost, view.now)
+        for slot_request in beyond:
+            self._refuse_late(slot_request, choose(slot_request), slots, view.now)
+        waiting = (
+            [s for s in ordered if s.ticket in self._waiting] if beyond else ordered
+        )
+        for slot_request in admission.find_unservable(waiting, choose, view.now, slots):
+            self._refuse_late(slot_request, choose(slot_request), slots, view.now)
 
     def _check_prompt(
         self, slot_request: SlotRequest, choice: Choice | None, view: View
@@ -294,6 +341,10 @@
             return False
         if admission.is_unservable(slot_request, choice.finish_ms, view.now):
             return False
+        if slots is not None and self.shares.must_leave_free(
+            slot_request, slots.free, view.now
+        ):
+            return False
         self._grants.record_prompt(slot_request, view.now)
         # Another prompt with the same parts then waits for this prefill.
         self._record_target_parts(choice.target, slot_request.parts, view.now)
@@ -327,19 +378,26 @@
 
         left: dict[str, list[SlotRequest]] = {}
         served = self._filter_served(slot_requests, None, view)
-        for slot_request in admission.order_waiting(served, choose, view.now):
+        find_cost = self.shares.estimate_request
+        for slot_request in self._order(served, choose, find_cost, view):
             free = self._capacity.list_free(slot_request, None, view)
             choice = placement.choose_plain(free, view)
-            if choice is None:
+            if choice is None or self._leaves_call_slot(slot_request, free, view):
                 left.setdefault(slot_request.service, []).append(slot_request)
             else:
                 self._grant(slot_request, choice)
         for name, waiting in left.items():
             slots = self._capacity.count_call_slots(name)
-            for slot_request in admission.find_unservable(
-                waiting, choose, view.now, slots
-            ):
-                self._refuse_late(slot_request, choose(slot_request), slots, view.now)
+            self._refuse_unservable(name, waiting, choose, find_cost, slots, view)
+
+    def _leaves_call_slot(
+        self, slot_request: SlotRequest, free: list[Target], view: View
+    ) -> bool:
+        """Return whether other schedulers claim the free slots at plain targets."""
+        if slot_request.service not in self.shares.table.services:
+            return False
+        count = sum(map(self._capacity.count_free_calls, free))
+        return self.shares.must_leave_free(slot_request, count, view.now)
 
     # Choices
 
@@ -389,12 +447,22 @@
         )
         self._permits.spend(choice.target)
         self._grants.add(slot_request, grant)
-        self._waiting.pop(slot_request.ticket).answer(Ok(grant))
+        self.shares.record_grant(slot_request, grant)
+        waiter = self._remove_waiter(slot_request.ticket)
+        assert waiter is not None
+        waiter.answer(Ok(grant))
 
     def _refuse(self, slot_request: SlotRequest, verdict: Verdict) -> None:
-        waiter = self._waiting.pop(slot_request.ticket)
+        waiter = self._remove_waiter(slot_request.ticket)
+        assert waiter is not None
         waiter.answer(Err(verdict))
 
+    def _remove_waiter(self, ticket: str) -> _Waiter | None:
+        waiter = self._waiting.pop(ticket, None)
+        if waiter is not None:
+            self.shares.record_departure(waiter.slot_request)
+        return waiter
+
     def _refuse_late(
         self,
         slot_request: SlotRequest,
@@ -402,25 +470,76 @@
         slots: SlotCounts | None,
         now: timedelta,
     ) -> None:
-        """Refuse a request that cannot meet its deadline, with a time to retry."""
+        """Refuse a request that cannot meet its deadline, with a time to retry.
+
+        Where organisations share the capacity, that follows from the organisation's own
+        backlog.
+        """
         backlog = choice.finish_ms if choice is not None else 0.0
-        retry_times = self._retry_times.setdefault(
-            (slot_request.service, slot_request.stage), RetryTimes()
-        )
+        shared = self.shares.applies(slot_request.service, now)
+        retry_times = self._find_retry_times(slot_request, is_shared=shared)
         before = retry_times.count_pending(now)
-        if slots is not None:
+        own_ms = self._find_own_backlog(slot_request, before, now) if shared else None
+        if own_ms is not None:
+            backlog = max(backlog, own_ms)
+        elif slots is not None:
             backlog = max(backlog, slots.wait_ms(before))
         if choice is not None and slot_request.stage is Stage.PREFILL:
             engines = self._capacity.count_prefill_engines(slot_request.service)
-            backlog += before * choice.cost_ms / engines
+            backlog += before * choice.cost_ms / engines if own_ms is None else 0.0
+            self._grants.record_prompt(slot_request, now)
+        verdict = self._make_late_verdict(
+            slot_request, backlog, retry_times, now, is_shared=shared
+        )
+        self._refuse(slot_request, verdict)
+
+    def _refuse_beyond_share(
+        self, slot_request: SlotRequest, backlog_ms: float
+    ) -> Verdict:
+        """Return the verdict on a new request that its own organisation makes late."""
+        now = self._clock.monotonic()
+        retry_times = self._find_retry_times(slot_request, is_shared=True)
+        before = retry_times.count_pending(now)
+        if slot_request.stage is Stage.PREFILL:
             self._grants.record_prompt(slot_request, now)
+        backlog_ms = max(
+            backlog_ms, self._find_own_backlog(slot_request, before, now) or 0.0
+        )
+        return self._make_late_verdict(
+            slot_request, backlog_ms, retry_times, now, is_shared=True
+        )
+
+    def _make_late_verdict(
+        self,
+        slot_request: SlotRequest,
+        backlog: float,
+        retry_times: RetryTimes,
+        now: timedelta,
+        *,
+        is_shared: bool,
+    ) -> Verdict:
         after = admission.suggest_retry(slot_request, backlog, now, self._random)
         retry_times.add(now + after)
         left = (slot_request.deadline - now) // timedelta(milliseconds=1)
         detail = f"{backlog:.0f} ms of work for {left} ms left"
-        self._refuse(
-            slot_request, Verdict(Run.NOT_RUN, Reason.OVERLOADED, detail, after)
-        )
+        if is_shared:
+            why = self.shares.record_refusal(slot_request, backlog, after)
+            detail = f"{detail}; {why}"
+        return Verdict(Run.NOT_RUN, Reason.OVERLOADED, detail, after)
+
+    def _find_retry_times(
+        self, slot_request: SlotRequest, *, is_shared: bool
+    ) -> RetryTimes:
+        organisation = slot_request.organisation if is_shared else ""
+        key = (slot_request.service, slot_request.stage, organisation)
+        return self._retry_times.setdefault(key, RetryTimes())
+
+    def _find_own_backlog(
+        self, slot_request: SlotRequest, before: int, now: timedelta
+    ) -> float | None:
+        """Return when a share allows ``before`` requests like this one, if known."""
+        cost = self.shares.estimate_request(slot_request)
+        return self.shares.find_backlog(slot_request, (before + 1) * cost, now)
 
     def _filter_served(
         self, slot_requests: list[SlotRequest], role: Role | None, view: View
@@ -468,7 +587,13 @@
             if now > waiter.slot_request.deadline + RELEASE_SLACK
         ]
         for ticket in late:
-            del self._waiting[ticket]
+            self._remove_waiter(ticket)
+        self.shares.expire(now)
+        self._retry_times = {
+            key: times
+            for key, times in self._retry_times.items()
+            if times.count_pending(now)
+        }
         self.wake()
 
     def _record_target_parts(
--- /dev/null
+++ b/src/galenapass/forwarding/shares.py
@@ -0,0 +1,526 @@
+"""Share the capacity of a service between organisations while it is short.
+
+Each organisation has a tag for each service: the work that it was granted, by all
+schedulers, decayed over ``WINDOW``. The waiting request of the lowest tag goes first.
+The level is the tag of the organisation that was granted work last, which is the share
+of each. One that has asked for little is lifted to just below the level as it returns,
+so that it goes first, but does not keep all others waiting until it has caught up.
+
+Pure functions over tables; work is in milliseconds, times are monotonic. Amounts in
+tables are multiplied by a scale that grows as fast as they decay, so they are compared
+without computing their decay.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol, TypeVar
+
+__all__ = [
+    "Claim",
+    "OrganisationShare",
+    "ServiceShares",
+    "ServiceWork",
+    "ShareTable",
+    "ShareRequest",
+    "apply_peer_work",
+    "count_reserved",
+    "find_excess",
+    "find_rank",
+    "find_share",
+    "find_share_rate",
+    "find_tag",
+    "forget_peer",
+    "is_above",
+    "is_short",
+    "list_claims",
+    "list_work",
+    "order_by_share",
+    "record_arrival",
+    "record_level",
+    "record_shortage",
+    "record_work",
+]
+
+# Time constant of the decay: the bounds on shares hold over five seconds.
+WINDOW = timedelta(seconds=5)
+# An organisation that returns goes first for one second's worth of its share: its
+# requests have come in a burst, or wait at a scheduler that holds few slots.
+CREDIT_SHARE = 0.2
+# Part of the level by which a tag has to be below it to claim slots at other
+# schedulers. Their work is known some 0.2 s late, which is 0.04 of the window.
+CLAIM_MARGIN = 0.1
+# Part of the mean work below which an organisation goes before more urgent ranks.
+STARVED_SHARE = 0.25
+# Rank of the requests of an organisation that has received less than that.
+STARVED_RANK = -1
+# The scale is reset before it exceeds e to the power of this, after 100 s.
+MAX_SCALE_EXPONENT = 20.0
+# Organisations with less decayed work are forgotten as the scale is reset.
+MIN_WORK_MS = 0.1
+# A younger rate is too noisy to refuse requests by it.
+MIN_RATE_AGE = timedelta(seconds=1)
+# Claims that were not repeated within this time lapse; they are sent each 0.2 s.
+CLAIM_TIMEOUT = timedelta(milliseconds=500)
+
+
+@dataclass(slots=True)
+class OrganisationShare:
+    """Scaled work of one organisation.
+
+    ``own`` was granted by this scheduler, ``peers`` by others; ``lift`` is added for
+    the time in which the organisation did not ask for its share.
+    """
+
+    own: float = 0.0
+    peers: float = 0.0
+    lift: float = 0.0
+
+    @property
+    def work(self) -> float:
+        """Return the scaled work that all schedulers granted."""
+        return self.own + self.peers
+
+    @property
+    def tag(self) -> float:
+        """Return the scaled work by which the organisation is ordered."""
+        return self.own + self.peers + self.lift
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """Number of waiting requests of a rank whose organisations are below their share.
+
+    ``rank`` is as returned by ``find_rank``.
+    """
+
+    rank: int
+    count: int
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceWork:
+    """Work for one service that one scheduler granted, in milliseconds.
+
+    ``work`` holds the organisations with most work, ``rest_ms`` and ``rest_count`` are
+    the sum and the number of the others. ``level_ms`` is the level that this scheduler
+    found, ``claims`` what waits there below its share. ``is_short`` is whether requests
+    waited there within the window.
+    """
+
+    service: str
+    work: tuple[tuple[str, float], ...]
+    rest_ms: float = 0.0
+    rest_count: int = 0
+    level_ms: float = 0.0
+    claims: tuple[Claim, ...] = ()
+    is_short: bool = True
+
+
+@dataclass(slots=True)
+class _PeerWork:
+    """What another scheduler last told of one service; amounts are scaled."""
+
+    received_at: timedelta
+    work: dict[str, float]
+    rest: float
+    rest_count: int
+    level: float
+    claims: tuple[Claim, ...]
+
+
+@dataclass(slots=True)
+class ServiceShares:
+    """Shares of one service; amounts are scaled.
+
+    ``total`` is the work of all organisations at all schedulers, ``level`` the own
+    level, ``peer_level`` the highest that another scheduler found. Capacity was short
+    since ``short_since``, last at ``short_at``, at this scheduler at ``own_short_at``.
+    """
+
+    since: timedelta
+    organisations: dict[str, OrganisationShare] = field(default_factory=dict)
+    peers: dict[str, _PeerWork] = field(default_factory=dict)
+    total: float = 0.0
+    level: float = 0.0
+    peer_level: float = 0.0
+    short_since: timedelta | None = None
+    short_at: timedelta | None = None
+    own_short_at: timedelta | None = None
+
+
+@dataclass(slots=True)
+class ShareTable:
+    """Shares by service, and the time at which the scale is 1."""
+
+    scaled_at: timedelta = timedelta(0)
+    services: dict[str, ServiceShares] = field(default_factory=dict)
+
+
+class ShareRequest(Protocol):
+    """Waiting request of an organisation; its name is empty if unknown."""
+
+    @property
+    def service(self) -> str:
+        """Return the service."""
+
+    @property
+    def organisation(self) -> str:
+        """Return the name of the organisation."""
+
+    @property
+    def rank(self) -> int:
+        """Return the rank, 0 for the most urgent."""
+
+    @property
+    def version(self) -> str | None:
+        """Return the version that began its stream, None before its first event."""
+
+
+R = TypeVar("R", bound=ShareRequest)
+
+
+def record_arrival(
+    table: ShareTable, service: str, organisation: str, now: timedelta
+) -> None:
+    """Record that an organisation asks for a service and did not wait for it before.
+
+    A service has shares from the first request on that names an organisation. Load
+    pattern: one that asked for little for seconds and returns with a burst. Without
+    the lift it would keep the others waiting until it has received as much as they.
+    """
+    shares = table.services.get(service)
+    if shares is None:
+        if not organisation:
+            return
+        shares = table.services[service] = ServiceShares(now)
+    share = shares.organisations.get(organisation)
+    if share is None:
+        share = shares.organisations[organisation] = OrganisationShare()
+    floor = _find_level(shares) * (1.0 - CREDIT_SHARE)
+    share.lift = max(share.lift, floor - share.work)
+
+
+def record_work(
+    table: ShareTable, service: str, organisation: str, work_ms: float, now: timedelta
+) -> None:
+    """Record work granted to an organisation; a correction may be negative."""
+    shares = table.services.get(service)
+    if shares is None:
+        return
+    share = shares.organisations.setdefault(organisation, OrganisationShare())
+    amount = max(work_ms * _find_scale(table, now), -share.own)
+    share.own += amount
+    shares.total += amount
+
+
+def record_level(
+    table: ShareTable, service: str, organisation: str, now: timedelta
+) -> None:
+    """Record that an organisation's request is granted next while capacity is short.
+
+    The level falls slowly, as requests of other ranks are granted between.
+    """
+    shares = table.services.get(service)
+    if shares is None or not _is_short(shares, now):
+        return
+    share = shares.organisations.get(organisation)
+    tag = share.tag if share is not None else 0.0
+    fall = CREDIT_SHARE * (tag - shares.level)
+    shares.level = tag if tag >= shares.level else shares.level + fall
+
+
+def record_shortage(table: ShareTable, service: str, now: timedelta) -> None:
+    """Record that a request waits as no target has room for it."""
+    shares = table.services.get(service)
+    if shares is not None:
+        shares.own_short_at = now
+        _record_shortage(shares, now)
+
+
+def is_short(table: ShareTable, service: str, now: timedelta) -> bool:
+    """Return whether the capacity of a service with organisations is short."""
+    shares = table.services.get(service)
+    return shares is not None and _is_short(shares, now)
+
+
+def find_tag(table: ShareTable, service: str, organisation: str) -> float:
+    """Return the scaled work by which an organisation is ordered."""
+    shares = table.services.get(service)
+    share = shares.organisations.get(organisation) if shares is not None else None
+    return share.tag if share is not None else 0.0
+
+
+def is_above(table: ShareTable, service: str, tag: float) -> bool:
+    """Return whether a tag is at the level, so that others may come before it."""
+    shares = table.services.get(service)
+    if shares is None:
+        return False
+    level = _find_level(shares)
+    return level > 0 and tag >= (1.0 - CLAIM_MARGIN / 2) * level
+
+
+def find_share(table: ShareTable, service: str, now: timedelta) -> float:
+    """Return the milliseconds of work that are the share of each in the window."""
+    shares = table.services.get(service)
+    return _find_level(shares) / _find_scale(table, now) if shares is not None else 0.0
+
+
+def find_excess(
+    table: ShareTable, service: str, organisation: str, now: timedelta
+) -> float:
+    """Return the work above the share in ms, 0 while capacity is not short."""
+    shares = table.services.get(service)
+    if shares is None or not _is_short(shares, now):
+        return 0.0
+    above = find_tag(table, service, organisation) - _find_level(shares)
+    return max(above, 0.0) / _find_scale(table, now)
+
+
+def find_share_rate(
+    table: ShareTable, service: str, organisation: str, now: timedelta
+) -> float | None:
+    """Return the work that an organisation's share allows here, in ms a millisecond.
+
+    Its other schedulers grant the rest. None while that is not known well enough.
+    """
+    shares = table.services.get(service)
+    if shares is None or shares.short_since is None or not _is_short(shares, now):
+        return None
+    if now - shares.short_since < MIN_RATE_AGE:
+        return None
+    share = shares.organisations.get(organisation, OrganisationShare())
+    part = share.own / share.work if share.work > 0 else 1.0
+    window_ms = WINDOW / timedelta(milliseconds=1)
+    # A window that has just begun holds less work.
+    window_ms *= 1.0 - math.exp((shares.since - now) / WINDOW)
+    level_ms = _find_level(shares) / _find_scale(table, now)
+    least = 1.0 / (len(shares.peers) + 1)
+    return level_ms * max(part, least) / window_ms or None
+
+
+def find_rank(table: ShareTable, request: ShareRequest) -> int:
+    """Return the rank of a request, ``STARVED_RANK`` if its organisation starves.
+
+    Load pattern: organisations of an urgent rank that ask for all the capacity.
+    """
+    shares = table.services[request.service]
+    share = shares.organisations.get(request.organisation)
+    work = share.work if share is not None else 0.0
+    mean = shares.total / max(_count_organisations(shares), 1)
+    return STARVED_RANK if work < STARVED_SHARE * mean else request.rank
+
+
+def order_by_share(
+    table: ShareTable,
+    ordered: Iterable[R],
+    find_cost: Callable[[R], float],
+    now: timedelta,
+) -> list[R]:
+    """Order the requests of one service by the shares of their organisations.
+
+    ``ordered`` is the order without shares, which holds within each organisation.
+    ``find_cost`` returns the milliseconds of work of a request. Streams that have begun
+    come first, then the rank decides, then the work of the organisation, counting that
+    of its requests before.
+    """
+    ranked = [
+        (request.version is None, find_rank(table, request), request)
+        for request in ordered
+    ]
+    ranked.sort(key=lambda entry: entry[:2])
+    scale = _find_scale(table, now)
+    tags: dict[str, float] = {}
+    keyed = []
+    for is_new, rank, request in ranked:
+        name = request.organisation
+        tag = tags.get(name)
+        if tag is None:
+            tag = find_tag(table, request.service, name)
+        tags[name] = tag + find_cost(request) * scale
+        keyed.append((is_new, rank, tag, request))
+    keyed.sort(key=lambda entry: entry[:3])
+    return [request for *_, request in keyed]
+
+
+# Other schedulers
+
+
+def list_work(
+    table: ShareTable,
+    service: str,
+    waiting: Iterable[ShareRequest],
+    max_bytes: int,
+    now: timedelta,
+) -> ServiceWork | None:
+    """Return the work to announce, None where capacity is not short anywhere.
+
+    The organisations with most work are named, as far as ``max_bytes`` allow.
+    """
+    shares = table.services.get(service)
+    if shares is None or not _is_short(shares, now):
+        return None
+    scale = _find_scale(table, now)
+    own = [
+        (share.own / scale, name)
+        for name, share in shares.organisations.items()
+        if share.own > 0
+    ]
+    own.sort(reverse=True)
+    named: list[tuple[str, float]] = []
+    for work_ms, name in own:
+        max_bytes -= len(name.encode()) + len(f'["",{work_ms:.0f}],')
+        if max_bytes < 0:
+            break
+        named.append((name, round(work_ms)))
+    rest = own[len(named) :]
+    return ServiceWork(
+        service,
+        tuple(named),
+        round(sum(work_ms for work_ms, _ in rest)),
+        len(rest),
+        round(shares.level / scale),
+        list_claims(table, service, waiting),
+        shares.own_short_at is not None and now - shares.own_short_at < WINDOW,
+    )
+
+
+def list_claims(
+    table: ShareTable, service: str, waiting: Iterable[ShareRequest]
+) -> tuple[Claim, ...]:
+    """Return the waiting requests whose organisations are below their share."""
+    shares = table.services[service]
+    limit = (1.0 - CLAIM_MARGIN) * _find_level(shares)
+    counts: dict[int, int] = {}
+    for request in waiting:
+        if find_tag(table, service, request.organisation) < limit:
+            rank = find_rank(table, request)
+            counts[rank] = counts.get(rank, 0) + 1
+    return tuple(Claim(rank, count) for rank, count in sorted(counts.items()))
+
+
+def apply_peer_work(
+    table: ShareTable, host: str, told: ServiceWork, now: timedelta
+) -> None:
+    """Replace what another scheduler granted for a service."""
+    shares = table.services.get(told.service)
+    if shares is None:
+        shares = table.services[told.service] = ServiceShares(now)
+    scale = _find_scale(table, now)
+    _remove_peer(shares, host)
+    work = {name: work_ms * scale for name, work_ms in told.work}
+    peer = shares.peers[host] = _PeerWork(
+        now,
+        work,
+        told.rest_ms * scale,
+        told.rest_count,
+        told.level_ms * scale,
+        told.claims,
+    )
+    for name, amount in work.items():
+        shares.organisations.setdefault(name, OrganisationShare()).peers += amount
+    shares.total += sum(work.values()) + peer.rest
+    shares.peer_level = max(each.level for each in shares.peers.values())
+    if told.is_short:
+        _record_shortage(shares, now)
+
+
+def forget_peer(table: ShareTable, host: str) -> None:
+    """Remove the work of a scheduler that is silent.
+
+    Each side of a partition then divides the capacity that it has.
+    """
+    for shares in table.services.values():
+        _remove_peer(shares, host)
+
+
+def count_reserved(
+    table: ShareTable, request: ShareRequest, now: timedelta
+) -> dict[str, int]:
+    """Return how many slots other schedulers claim before a request, by scheduler.
+
+    Load pattern: an organisation that sends far more than its share to one scheduler,
+    which holds all slots and grants each again as it is released. Requests of others
+    at other schedulers would never find a free one.
+    """
+    shares = table.services.get(request.service)
+    if shares is None or request.version is not None or not _is_short(shares, now):
+        return {}
+    tag = find_tag(table, request.service, request.organisation)
+    if not is_above(table, request.service, tag):
+        return {}
+    rank = find_rank(table, request)
+    return {
+        host: count
+        for host, peer in shares.peers.items()
+        if now - peer.received_at < CLAIM_TIMEOUT
+        and (count := sum(c.count for c in peer.claims if c.rank <= rank))
+    }
+
+
+def _remove_peer(shares: ServiceShares, host: str) -> None:
+    peer = shares.peers.pop(host, None)
+    if peer is None:
+        return
+    for name, amount in peer.work.items():
+        share = shares.organisations.get(name)
+        if share is not None:
+            share.peers = max(share.peers - amount, 0.0)
+    shares.total = max(shares.total - sum(peer.work.values()) - peer.rest, 0.0)
+    shares.peer_level = max((each.level for each in shares.peers.values()), default=0.0)
+
+
+def _record_shortage(shares: ServiceShares, now: timedelta) -> None:
+    if not _is_short(shares, now):
+        shares.short_since = now
+    shares.short_at = now
+
+
+def _is_short(shares: ServiceShares, now: timedelta) -> bool:
+    return shares.short_at is not None and now - shares.short_at < WINDOW
+
+
+def _find_level(shares: ServiceShares) -> float:
+    """Return the highest level that a scheduler has found.
+
+    A scheduler where only organisations below their share ask finds a lower one.
+    """
+    return max(shares.level, shares.peer_level)
+
+
+def _count_organisations(shares: ServiceShares) -> int:
+    """Return the number of organisations with work, as far as it is known."""
+    told = (len(peer.work) + peer.rest_count for peer in shares.peers.values())
+    return max(len(shares.organisations), max(told, default=0))
+
+
+def _find_scale(table: ShareTable, now: timedelta) -> float:
+    """Return the scale of amounts recorded now; reset it before it grows too large."""
+    exponent = (now - table.scaled_at) / WINDOW
+    if exponent > MAX_SCALE_EXPONENT:
+        factor = math.exp(-exponent)
+        for shares in table.services.values():
+            _rescale(shares, factor)
+        table.scaled_at, exponent = now, 0.0
+    return math.exp(exponent)
+
+
+def _rescale(shares: ServiceShares, factor: float) -> None:
+    shares.level *= factor
+    shares.peer_level *= factor
+    for peer in shares.peers.values():
+        peer.work = {name: amount * factor for name, amount in peer.work.items()}
+        peer.rest *= factor
+        peer.level *= factor
+    for share in shares.organisations.values():
+        share.own *= factor
+        share.peers *= factor
+        share.lift *= factor
+    shares.organisations = {
+        name: share
+        for name, share in shares.organisations.items()
+        if share.tag >= MIN_WORK_MS
+    }
+    shares.total = sum(share.work for share in shares.organisations.values())
+    shares.total += sum(peer.rest for peer in shares.peers.values())
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -94,6 +94,8 @@
     resumed_streams: Counter
     retries: Counter
     unrequested_responses: Counter
+    organisation_work: Counter
+    organisation_refusals: Counter
 
 
 def make_metrics() -> Metrics:
@@ -117,6 +119,16 @@
         resumed_streams=Counter(registry, "galenapass_resumed_streams", "origin"),
         retries=Counter(registry, "galenapass_retries", "service", "decision"),
         unrequested_responses=Counter(registry, "galenapass_unrequested_responses"),
+        organisation_work=Counter(
+            registry, "galenapass_organisation_work_ms", "organisation", "service"
+        ),
+        organisation_refusals=Counter(
+            registry,
+            "galenapass_organisation_refusals",
+            "organisation",
+            "service",
+            "cause",
+        ),
     )
 
 
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -46,6 +46,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
+from galenapass.forwarding.share_keeping import ShareHooks
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.stop_times import plan_stop
@@ -398,6 +399,7 @@
             on_unreachable=lambda targets: self._background.spawn(
                 self.states.probe_unreachable(targets)
             ),
+            shares=ShareHooks(self._count_work, self._count_refusal),
         )
 
     def _make_crash_hooks(self) -> CrashHooks:
@@ -750,6 +752,17 @@
         decision = "allowed" if is_allowed else "refused"
         self.metrics.retries.add(1, {"service": service, "decision": decision})
 
+    def _count_work(self, organisation: str, service: str, work_ms: float) -> None:
+        labels = {"organisation": organisation, "service": service}
+        self.metrics.organisation_work.add(work_ms, labels)
+
+    def _count_refusal(
+        self, organisation: str, service: str, is_above_share: bool
+    ) -> None:
+        cause = "share" if is_above_share else "capacity"
+        labels = {"organisation": organisation, "service": service, "cause": cause}
+        self.metrics.organisation_refusals.add(1, labels)
+
     def _count_call(self, call: str) -> None:
         self.metrics.platform_calls.add(1, {"call": call})
 
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
 
 from result import Ok
 from testtools import TestCase
@@ -15,6 +16,7 @@
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.service_versions import ServiceVersion
+from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
 from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import Grant, SlotRequest, Stage
 from galenapass.forwarding.store_epochs import StoreEpochs
@@ -42,6 +44,7 @@
         self.clock = ManualClock()
         self.fleet = make_fleet(make_target("e1", Role.DECODE))
         self.epochs = StoreEpochs(self.clock)
+        self.shares = ShareKeeper(self.fleet, self.clock, Random(1), ShareHooks())
         self.peering = Peering(
             self.fleet,
             self.clock,
@@ -64,6 +67,9 @@
     def list_clients(self):
         return [("10.0.0.9", 1)]
 
+    def list_waiting(self):
+        return []
+
     def list_peers(self, peers):
         return [("10.0.0.3", 1)]
 
