Keep shares after cuts, refuse organisations below their share last

Cause: after a cut the level of the other side stayed, so organisations that ask for little came after those that lost work there; waiting requests of other schedulers were counted before theirs. Change: level and lifts fall with the work that is gone; below its share an organisation waits only behind others below theirs.

--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -281,12 +281,33 @@
         beyond = self.shares.list_beyond_share(service, ordered, find_cost, view.now)
         for slot_request in beyond:
             self._refuse_late(slot_request, choose(slot_request), slots, view.now)
-        waiting = (
-            [s for s in ordered if s.ticket in self._waiting] if beyond else ordered
-        )
-        for slot_request in admission.find_unservable(waiting, choose, view.now, slots):
+        if beyond:
+            ordered = [each for each in ordered if each.ticket in self._waiting]
+        late = admission.find_unservable(ordered, choose, view.now, slots)
+        if late and self.shares.applies(service, view.now):
+            late = self._find_late(late, ordered, choose, slots, view)
+        for slot_request in late:
             self._refuse_late(slot_request, choose(slot_request), slots, view.now)
 
+    def _find_late(
+        self,
+        late: list[SlotRequest],
+        ordered: list[SlotRequest],
+        choose: Choose,
+        slots: SlotCounts | None,
+        view: View,
+    ) -> list[SlotRequest]:
+        """Return the late requests, where others leave slots to some organisations.
+
+        Requests at other schedulers do not come before those of organisations below
+        their share.
+        """
+        below = self.shares.list_below_share(ordered)
+        tickets = {slot_request.ticket for slot_request in below}
+        own = replace(slots, schedulers=1) if slots is not None else None
+        above = [each for each in late if each.ticket not in tickets]
+        return above + admission.find_unservable(below, choose, view.now, own)
+
     def _check_prompt(
         self, slot_request: SlotRequest, choice: Choice | None, view: View
     ) -> Verdict | None:
--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -274,9 +274,9 @@
         return bool(reserved) and free <= sum(reserved.values())
 
     def _is_above(self, slot_request: SlotRequest) -> bool:
-        service = slot_request.service
-        tag = shares.find_tag(self.table, service, slot_request.organisation)
-        return shares.is_above(self.table, service, tag)
+        """Return whether an organisation has received its share."""
+        service, name = slot_request.service, slot_request.organisation
+        return shares.has_share(self.table, service, name)
 
     # Work
 
--- a/src/galenapass/forwarding/shares.py
+++ b/src/galenapass/forwarding/shares.py
@@ -32,7 +32,7 @@
     "find_share_rate",
     "find_tag",
     "forget_peer",
-    "is_above",
+    "has_share",
     "is_short",
     "list_claims",
     "list_work",
@@ -55,6 +55,8 @@
 STARVED_SHARE = 0.25
 # Rank of the requests of an organisation that has received less than that.
 STARVED_RANK = -1
+# Part of the total work below which a scheduler's work counts as gone.
+MIN_KEPT_WORK = 0.95
 # The scale is reset before it exceeds e to the power of this, after 100 s.
 MAX_SCALE_EXPONENT = 20.0
 # Organisations with less decayed work are forgotten as the scale is reset.
@@ -252,13 +254,13 @@
     return share.tag if share is not None else 0.0
 
 
-def is_above(table: ShareTable, service: str, tag: float) -> bool:
-    """Return whether a tag is at the level, so that others may come before it."""
+def has_share(table: ShareTable, service: str, organisation: str) -> bool:
+    """Return whether an organisation was granted its share, whatever its tag."""
     shares = table.services.get(service)
-    if shares is None:
+    share = shares.organisations.get(organisation) if shares is not None else None
+    if shares is None or share is None:
         return False
-    level = _find_level(shares)
-    return level > 0 and tag >= (1.0 - CLAIM_MARGIN / 2) * level
+    return _is_at_level(shares, share.work)
 
 
 def find_share(table: ShareTable, service: str, now: timedelta) -> float:
@@ -408,6 +410,7 @@
     if shares is None:
         shares = table.services[told.service] = ServiceShares(now)
     scale = _find_scale(table, now)
+    before = shares.total
     _remove_peer(shares, host)
     work = {name: work_ms * scale for name, work_ms in told.work}
     peer = shares.peers[host] = _PeerWork(
@@ -421,6 +424,7 @@
     for name, amount in work.items():
         shares.organisations.setdefault(name, OrganisationShare()).peers += amount
     shares.total += sum(work.values()) + peer.rest
+    _reduce_level(shares, before)
     shares.peer_level = max(each.level for each in shares.peers.values())
     if told.is_short:
         _record_shortage(shares, now)
@@ -432,7 +436,9 @@
     Each side of a partition then divides the capacity that it has.
     """
     for shares in table.services.values():
+        before = shares.total
         _remove_peer(shares, host)
+        _reduce_level(shares, before)
 
 
 def count_reserved(
@@ -448,7 +454,7 @@
     if shares is None or request.version is not None or not _is_short(shares, now):
         return {}
     tag = find_tag(table, request.service, request.organisation)
-    if not is_above(table, request.service, tag):
+    if not _is_at_level(shares, tag):
         return {}
     rank = find_rank(table, request)
     return {
@@ -471,6 +477,20 @@
     shares.peer_level = max((each.level for each in shares.peers.values()), default=0.0)
 
 
+def _reduce_level(shares: ServiceShares, before: float) -> None:
+    """Reduce level and lifts with the total work, if a scheduler's work is gone.
+
+    Load pattern: a cut between schedulers, or the restart of some. With the former
+    level, organisations that ask for little would come after those that lost work.
+    """
+    if not 0 <= shares.total < MIN_KEPT_WORK * before:
+        return
+    ratio = shares.total / before
+    shares.level *= ratio
+    for share in shares.organisations.values():
+        share.lift *= ratio
+
+
 def _record_shortage(shares: ServiceShares, now: timedelta) -> None:
     if not _is_short(shares, now):
         shares.short_since = now
@@ -489,6 +509,11 @@
     return max(shares.level, shares.peer_level)
 
 
+def _is_at_level(shares: ServiceShares, amount: float) -> bool:
+    level = _find_level(shares)
+    return level > 0 and amount >= (1.0 - CLAIM_MARGIN / 2) * level
+
+
 def _count_organisations(shares: ServiceShares) -> int:
     """Return the number of organisations with work, as far as it is known."""
     told = (len(peer.work) + peer.rest_count for peer in shares.peers.values())
