Measure what shares cost, choose plain targets once between grants

Cause: a pass over a long queue of plain calls chose a target anew for each, the largest part of a decision; claims that a scheduler cannot use kept slots free. Change: choices of a pass are kept until the next grant, which gives the same choices; claims lapse after a second without progress. make measure-shares prints microseconds a decision and memory.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH = src:.
 
 .PHONY: demo test soak check setup format measure measure-path measure-spread \
-	measure-load measure-capacity measure-stops prove
+	measure-load measure-shares measure-capacity measure-stops prove
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,9 @@
 measure-load: setup
 	$(BIN)/python -m experiments.load
 
+measure-shares: setup
+	$(BIN)/python -m experiments.measure_shares
+
 measure-stops: setup
 	$(BIN)/python -m experiments.measure_stops
 
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -302,10 +302,13 @@
         Requests at other schedulers do not come before those of organisations below
         their share.
         """
-        below = self.shares.list_below_share(ordered)
+        below = self.shares.list_below_share(late)
+        if not below:
+            return late
         tickets = {slot_request.ticket for slot_request in below}
-        own = replace(slots, schedulers=1) if slots is not None else None
         above = [each for each in late if each.ticket not in tickets]
+        own = replace(slots, schedulers=1) if slots is not None else None
+        below = self.shares.list_below_share(ordered)
         return above + admission.find_unservable(below, choose, view.now, own)
 
     def _check_prompt(
@@ -392,16 +395,29 @@
     # Calls to plain services
 
     def _grant_calls(self, slot_requests: list[SlotRequest], view: View) -> None:
+        # Choices only change with a grant; a long queue would make each one many times.
+        chosen: dict[tuple[object, ...], Choice | None] = {}
+        open_targets: dict[tuple[object, ...], list[Target]] = {}
+
+        def make_key(slot_request: SlotRequest) -> tuple[object, ...]:
+            fields = slot_request.tried, slot_request.excluded, slot_request.version
+            return self._grants.count, slot_request.service, *fields
+
         def choose(slot_request: SlotRequest) -> Choice | None:
-            return placement.choose_plain(
-                self._capacity.list_eligible(slot_request), view
-            )
+            key = make_key(slot_request)
+            if key not in chosen:
+                eligible = self._capacity.list_eligible(slot_request)
+                chosen[key] = placement.choose_plain(eligible, view)
+            return chosen[key]
 
         left: dict[str, list[SlotRequest]] = {}
         served = self._filter_served(slot_requests, None, view)
         find_cost = self.shares.estimate_request
         for slot_request in self._order(served, choose, find_cost, view):
-            free = self._capacity.list_free(slot_request, None, view)
+            key = make_key(slot_request)
+            if key not in open_targets:
+                open_targets[key] = self._capacity.list_free(slot_request, None, view)
+            free = open_targets[key]
             choice = placement.choose_plain(free, view)
             if choice is None or self._leaves_call_slot(slot_request, free, view):
                 left.setdefault(slot_request.service, []).append(slot_request)
--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -35,6 +35,8 @@
 MIN_KEPT = 2
 # A refused organisation is logged this often.
 LOG_PERIOD = timedelta(seconds=1)
+# Minimum time between two lines: a host may write 400 a second in all.
+LOG_SPACING = timedelta(milliseconds=50)
 # Organisations with own metrics; the others are counted together.
 MAX_LABELS = 50
 OTHER_LABEL = "(others)"
@@ -109,7 +111,9 @@
         self._call_ms: dict[str, float] = {}
         self._sequences: dict[str, int] = {}
         self._labels: set[str] = set()
+        # When a refusal of each organisation was logged, and how many were not since.
         self._logged: dict[tuple[str, str], tuple[timedelta, int]] = {}
+        self._log_from = -LOG_PERIOD
 
     # Waiting requests
 
@@ -186,7 +190,7 @@
             group = [ordered[index] for index in places]
             if len({slot_request.organisation for slot_request in group}) < 2:
                 continue
-            by_share = shares.order_by_share(self.table, group, find_cost, now)
+            by_share = shares.order_by_share(self.table, service, group, find_cost, now)
             for index, slot_request in zip(places, by_share, strict=True):
                 result[index] = slot_request
         return result
@@ -198,9 +202,13 @@
         find_cost: FindCost,
         now: timedelta,
     ) -> list[SlotRequest]:
-        """Record that requests are left waiting, and order them by shares."""
+        """Record that requests are left waiting, and order them by shares.
+
+        ``left`` is in the order of ``order``, which holds if capacity was short before.
+        """
+        was_short = shares.is_short(self.table, service, now)
         shares.record_shortage(self.table, service, now)
-        return self.order(left, find_cost, now)
+        return left if was_short else self.order(left, find_cost, now)
 
     def list_beyond_share(
         self,
@@ -260,9 +268,11 @@
 
     def list_below_share(self, ordered: list[SlotRequest]) -> list[SlotRequest]:
         """Return the requests that go before all that are at or above their share."""
-        if ordered and ordered[0].service not in self.table.services:
-            return []
-        return [each for each in ordered if not self._is_above(each)]
+        above: dict[str, bool] = {}
+        for each in ordered:
+            if each.organisation not in above:
+                above[each.organisation] = self._is_above(each)
+        return [each for each in ordered if not above[each.organisation]]
 
     def must_leave_free(
         self, slot_request: SlotRequest, free: int, now: timedelta
@@ -375,10 +385,12 @@
         """Log a refusal unless one of its organisation was logged just before."""
         now = self._clock.monotonic()
         key = (slot_request.service, slot_request.organisation)
-        logged_at, left_out = self._logged.get(key, (None, 0))
-        if logged_at is not None and now - logged_at < LOG_PERIOD:
+        logged_at, left_out = self._logged.get(key, (-LOG_PERIOD, 0))
+        is_due = now - logged_at >= LOG_PERIOD
+        if not is_due or now < self._log_from:
             self._logged[key] = logged_at, left_out + 1
             return
+        self._log_from = now + LOG_SPACING
         self._logged.pop(key, None)
         self._logged[key] = now, 0
         while len(self._logged) > MAX_LOGGED:
--- a/src/galenapass/forwarding/shares.py
+++ b/src/galenapass/forwarding/shares.py
@@ -35,6 +35,7 @@
     "has_share",
     "is_short",
     "list_claims",
+    "list_own",
     "list_work",
     "order_by_share",
     "record_arrival",
@@ -65,6 +66,11 @@
 MIN_RATE_AGE = timedelta(seconds=1)
 # Claims that were not repeated within this time lapse; they are sent each 0.2 s.
 CLAIM_TIMEOUT = timedelta(milliseconds=500)
+# Claims of a scheduler that uses none of the slots left to it, as it does not reach the
+# targets or waits for something else, lapse after this time.
+UNUSED_CLAIM_TIMEOUT = timedelta(seconds=1)
+# Growth of scaled work that is more than the rounding of messages.
+MIN_PROGRESS = 1.001
 
 
 @dataclass(slots=True)
@@ -122,7 +128,10 @@
 
 @dataclass(slots=True)
 class _PeerWork:
-    """What another scheduler last told of one service; amounts are scaled."""
+    """What another scheduler last told of one service; amounts are scaled.
+
+    ``progress_at`` is when it last told of more work than before, or of no claims.
+    """
 
     received_at: timedelta
     work: dict[str, float]
@@ -130,6 +139,12 @@
     rest_count: int
     level: float
     claims: tuple[Claim, ...]
+    progress_at: timedelta
+
+    @property
+    def total(self) -> float:
+        """Return the scaled work of all organisations."""
+        return sum(self.work.values()) + self.rest
 
 
 @dataclass(slots=True)
@@ -211,8 +226,9 @@
     shares = table.services.get(service)
     if shares is None:
         return
+    amount = work_ms * _find_scale(table, now)
     share = shares.organisations.setdefault(organisation, OrganisationShare())
-    amount = max(work_ms * _find_scale(table, now), -share.own)
+    amount = max(amount, -share.own)
     share.own += amount
     shares.total += amount
 
@@ -266,7 +282,10 @@
 def find_share(table: ShareTable, service: str, now: timedelta) -> float:
     """Return the milliseconds of work that are the share of each in the window."""
     shares = table.services.get(service)
-    return _find_level(shares) / _find_scale(table, now) if shares is not None else 0.0
+    if shares is None:
+        return 0.0
+    scale = _find_scale(table, now)
+    return _find_level(shares) / scale
 
 
 def find_excess(
@@ -276,8 +295,9 @@
     shares = table.services.get(service)
     if shares is None or not _is_short(shares, now):
         return 0.0
+    scale = _find_scale(table, now)
     above = find_tag(table, service, organisation) - _find_level(shares)
-    return max(above, 0.0) / _find_scale(table, now)
+    return max(above, 0.0) / scale
 
 
 def find_share_rate(
@@ -292,12 +312,13 @@
         return None
     if now - shares.short_since < MIN_RATE_AGE:
         return None
+    scale = _find_scale(table, now)
     share = shares.organisations.get(organisation, OrganisationShare())
     part = share.own / share.work if share.work > 0 else 1.0
     window_ms = WINDOW / timedelta(milliseconds=1)
     # A window that has just begun holds less work.
     window_ms *= 1.0 - math.exp((shares.since - now) / WINDOW)
-    level_ms = _find_level(shares) / _find_scale(table, now)
+    level_ms = _find_level(shares) / scale
     least = 1.0 / (len(shares.peers) + 1)
     return level_ms * max(part, least) / window_ms or None
 
@@ -308,38 +329,38 @@
     Load pattern: organisations of an urgent rank that ask for all the capacity.
     """
     shares = table.services[request.service]
-    share = shares.organisations.get(request.organisation)
-    work = share.work if share is not None else 0.0
-    mean = shares.total / max(_count_organisations(shares), 1)
-    return STARVED_RANK if work < STARVED_SHARE * mean else request.rank
+    return _find_rank(shares, request, _find_starved_work(shares))
 
 
 def order_by_share(
     table: ShareTable,
+    service: str,
     ordered: Iterable[R],
     find_cost: Callable[[R], float],
     now: timedelta,
 ) -> list[R]:
-    """Order the requests of one service by the shares of their organisations.
+    """Order the requests of a service by the shares of their organisations.
 
     ``ordered`` is the order without shares, which holds within each organisation.
     ``find_cost`` returns the milliseconds of work of a request. Streams that have begun
     come first, then the rank decides, then the work of the organisation, counting that
     of its requests before.
     """
+    scale = _find_scale(table, now)
+    shares = table.services[service]
+    starved = _find_starved_work(shares)
     ranked = [
-        (request.version is None, find_rank(table, request), request)
+        (request.version is None, _find_rank(shares, request, starved), request)
         for request in ordered
     ]
     ranked.sort(key=lambda entry: entry[:2])
-    scale = _find_scale(table, now)
     tags: dict[str, float] = {}
     keyed = []
     for is_new, rank, request in ranked:
         name = request.organisation
         tag = tags.get(name)
         if tag is None:
-            tag = find_tag(table, request.service, name)
+            tag = find_tag(table, service, name)
         tags[name] = tag + find_cost(request) * scale
         keyed.append((is_new, rank, tag, request))
     keyed.sort(key=lambda entry: entry[:3])
@@ -349,6 +370,15 @@
 # Other schedulers
 
 
+def list_own(table: ShareTable, service: str, now: timedelta) -> dict[str, float]:
+    """Return the milliseconds of work granted by this scheduler, by organisation."""
+    shares = table.services.get(service)
+    scale = _find_scale(table, now)
+    if shares is None:
+        return {}
+    return {name: share.own / scale for name, share in shares.organisations.items()}
+
+
 def list_work(
     table: ShareTable,
     service: str,
@@ -364,11 +394,7 @@
     if shares is None or not _is_short(shares, now):
         return None
     scale = _find_scale(table, now)
-    own = [
-        (share.own / scale, name)
-        for name, share in shares.organisations.items()
-        if share.own > 0
-    ]
+    own = [(ms, name) for name, ms in list_own(table, service, now).items() if ms > 0]
     own.sort(reverse=True)
     named: list[tuple[str, float]] = []
     for work_ms, name in own:
@@ -394,10 +420,11 @@
     """Return the waiting requests whose organisations are below their share."""
     shares = table.services[service]
     limit = (1.0 - CLAIM_MARGIN) * _find_level(shares)
+    starved = _find_starved_work(shares)
     counts: dict[int, int] = {}
     for request in waiting:
         if find_tag(table, service, request.organisation) < limit:
-            rank = find_rank(table, request)
+            rank = _find_rank(shares, request, starved)
             counts[rank] = counts.get(rank, 0) + 1
     return tuple(Claim(rank, count) for rank, count in sorted(counts.items()))
 
@@ -411,7 +438,7 @@
         shares = table.services[told.service] = ServiceShares(now)
     scale = _find_scale(table, now)
     before = shares.total
-    _remove_peer(shares, host)
+    last = _remove_peer(shares, host)
     work = {name: work_ms * scale for name, work_ms in told.work}
     peer = shares.peers[host] = _PeerWork(
         now,
@@ -420,10 +447,13 @@
         told.rest_count,
         told.level_ms * scale,
         told.claims,
+        now,
     )
+    if last is not None and told.claims and peer.total <= last.total * MIN_PROGRESS:
+        peer.progress_at = last.progress_at
     for name, amount in work.items():
         shares.organisations.setdefault(name, OrganisationShare()).peers += amount
-    shares.total += sum(work.values()) + peer.rest
+    shares.total += peer.total
     _reduce_level(shares, before)
     shares.peer_level = max(each.level for each in shares.peers.values())
     if told.is_short:
@@ -453,28 +483,35 @@
     shares = table.services.get(request.service)
     if shares is None or request.version is not None or not _is_short(shares, now):
         return {}
+    claiming = {
+        host: peer.claims
+        for host, peer in shares.peers.items()
+        if peer.claims
+        and now - peer.received_at < CLAIM_TIMEOUT
+        and now - peer.progress_at < UNUSED_CLAIM_TIMEOUT
+    }
     tag = find_tag(table, request.service, request.organisation)
-    if not _is_at_level(shares, tag):
+    if not claiming or not _is_at_level(shares, tag):
         return {}
     rank = find_rank(table, request)
-    return {
-        host: count
-        for host, peer in shares.peers.items()
-        if now - peer.received_at < CLAIM_TIMEOUT
-        and (count := sum(c.count for c in peer.claims if c.rank <= rank))
+    counts = {
+        host: sum(claim.count for claim in claims if claim.rank <= rank)
+        for host, claims in claiming.items()
     }
+    return {host: count for host, count in counts.items() if count}
 
 
-def _remove_peer(shares: ServiceShares, host: str) -> None:
+def _remove_peer(shares: ServiceShares, host: str) -> _PeerWork | None:
     peer = shares.peers.pop(host, None)
     if peer is None:
-        return
+        return None
     for name, amount in peer.work.items():
         share = shares.organisations.get(name)
         if share is not None:
             share.peers = max(share.peers - amount, 0.0)
-    shares.total = max(shares.total - sum(peer.work.values()) - peer.rest, 0.0)
+    shares.total = max(shares.total - peer.total, 0.0)
     shares.peer_level = max((each.level for each in shares.peers.values()), default=0.0)
+    return peer
 
 
 def _reduce_level(shares: ServiceShares, before: float) -> None:
@@ -514,6 +551,17 @@
     return level > 0 and amount >= (1.0 - CLAIM_MARGIN / 2) * level
 
 
+def _find_starved_work(shares: ServiceShares) -> float:
+    """Return the scaled work below which an organisation starves."""
+    return STARVED_SHARE * shares.total / max(_count_organisations(shares), 1)
+
+
+def _find_rank(shares: ServiceShares, request: ShareRequest, starved: float) -> int:
+    share = shares.organisations.get(request.organisation)
+    work = share.work if share is not None else 0.0
+    return STARVED_RANK if work < starved else request.rank
+
+
 def _count_organisations(shares: ServiceShares) -> int:
     """Return the number of organisations with work, as far as it is known."""
     told = (len(peer.work) + peer.rest_count for peer in shares.peers.values())
@@ -521,7 +569,10 @@
 
 
 def _find_scale(table: ShareTable, now: timedelta) -> float:
-    """Return the scale of amounts recorded now; reset it before it grows too large."""
+    """Return the scale of amounts recorded now; reset it before it grows too large.
+
+    A reset changes all amounts, so callers find the scale before they read any.
+    """
     exponent = (now - table.scaled_at) / WINDOW
     if exponent > MAX_SCALE_EXPONENT:
         factor = math.exp(-exponent)
