Divide released slots between claims and own requests

Change: a scheduler leaves its part of the claims as its slots are released, may use the others of its released slots, and does not use what others left.

--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
@@ -14,7 +14,7 @@
 from galenapass.forwarding.loads import PrefillRate, estimate_work
 from galenapass.forwarding.placement import DEFAULT_HOLDING_MS
 from galenapass.forwarding.share_messages import OrganisationWork
-from galenapass.forwarding.shares import Claim, ServiceWork, ShareTable
+from galenapass.forwarding.shares import ServiceWork, ShareTable
 from galenapass.forwarding.slot_requests import (
     Grant,
     Outcome,
@@ -114,6 +114,10 @@
         # Mean milliseconds of a plain call by service.
         self._call_ms: dict[str, float] = {}
         self._sequences: dict[str, int] = {}
+        # Slots to leave free as they are released, by service and claiming scheduler,
+        # and those released since that this scheduler may use again, by service.
+        self._to_leave: dict[str, dict[str, int]] = {}
+        self._kept: dict[str, int] = {}
         self._labels: set[str] = set()
         # When a refusal of each organisation was logged, and how many were not since.
         self._logged: dict[tuple[str, str], tuple[timedelta, int]] = {}
@@ -292,11 +296,13 @@
         """
         if slot_request.service not in self.table.services:
             return False
-        reserved = shares.count_reserved(self.table, slot_request, now)
-        if not reserved:
+        claimed = sum(shares.count_claims(self.table, slot_request, now).values())
+        if not claimed:
             return False
-        is_taken = free is not None and free <= sum(reserved.values())
-        return is_taken or queued_ms >= MAX_QUEUED_BESIDE_CLAIMS_MS
+        if queued_ms >= MAX_QUEUED_BESIDE_CLAIMS_MS:
+            return True
+        own = self._kept.get(slot_request.service, 0)
+        return free is not None and free <= claimed and not own
 
     def _is_above(self, slot_request: SlotRequest) -> bool:
         """Return whether an organisation has received its share."""
@@ -313,6 +319,8 @@
         now = self._clock.monotonic()
         if slot_request.stage is not Stage.DECODE and slot_request.version is None:
             shares.record_level(self.table, service, name, now)
+        if self._kept.get(service):
+            self._kept[service] -= 1
         estimate = self._estimate(slot_request, grant)
         self._estimates[slot_request.ticket] = estimate
         shares.record_work(self.table, service, name, estimate.work_ms, now)
@@ -324,6 +332,7 @@
         estimate = self._estimates.pop(release.ticket, None)
         if estimate is None:
             return
+        self._divide_slot(estimate.slot_request)
         work_ms = _measure_work(estimate, release)
         if estimate.slot_request.stage is Stage.CALL and work_ms:
             self._record_call(estimate.slot_request.service, work_ms)
@@ -465,20 +474,25 @@
         self._sequences[host] = message.sequence
         now = self._clock.monotonic()
         for told in message.services:
-            shares.apply_peer_work(self.table, host, self._take_part(told), now)
+            shares.apply_peer_work(self.table, host, told, now)
+            self._plan_leaving(host, told)
         return True
 
     def forget_peer(self, host: str) -> None:
         """Forget the work of a scheduler that is silent."""
         shares.forget_peer(self.table, host)
+        for service in list(self._to_leave):
+            self._stop_leaving(host, service)
 
-    def _take_part(self, told: ServiceWork) -> ServiceWork:
-        """Return what a scheduler told, with the part of its claims that is ours.
+    def _plan_leaving(self, host: str, told: ServiceWork) -> None:
+        """Plan how many released slots are left to a scheduler that claims some.
 
-        Each scheduler leaves free the part that it holds of the slots in use.
+        Each scheduler leaves the part of the claims that it holds of the slots in use,
+        but none uses what the others left.
         """
         if not told.claims:
-            return told
+            self._stop_leaving(host, told.service)
+            return
         own = others = 0
         for target in self._fleet.targets.values():
             if target.service == told.service:
@@ -486,11 +500,28 @@
                 own += load.requests
                 others += load.peer_requests
         part = own / max(own + others, 1)
-        claims = tuple(
-            Claim(claim.rank, int(claim.count * part + self._random.random()))
-            for claim in told.claims
-        )
-        return replace(told, claims=claims)
+        claimed = sum(claim.count for claim in told.claims)
+        count = int(claimed * part + self._random.random())
+        self._to_leave.setdefault(told.service, {})[host] = count
+
+    def _stop_leaving(self, host: str, service: str) -> None:
+        to_leave = self._to_leave.get(service, {})
+        to_leave.pop(host, None)
+        if not to_leave:
+            self._to_leave.pop(service, None)
+            self._kept.pop(service, None)
+
+    def _divide_slot(self, slot_request: SlotRequest) -> None:
+        """Leave a released slot to a scheduler that claims one, or keep it."""
+        service = slot_request.service
+        to_leave = self._to_leave.get(service)
+        if to_leave is None or slot_request.stage is Stage.PREFILL:
+            return
+        host = max(to_leave, key=lambda name: to_leave[name])
+        if to_leave[host]:
+            to_leave[host] -= 1
+        else:
+            self._kept[service] = self._kept.get(service, 0) + 1
 
 
 def _measure_work(estimate: _Estimate, release: SlotRelease) -> float:
--- a/src/galenapass/forwarding/shares.py
+++ b/src/galenapass/forwarding/shares.py
@@ -25,7 +25,7 @@
     "ShareTable",
     "ShareRequest",
     "apply_peer_work",
-    "count_reserved",
+    "count_claims",
     "find_excess",
     "find_rank",
     "find_share",
@@ -471,7 +471,7 @@
         _reduce_level(shares, before)
 
 
-def count_reserved(
+def count_claims(
     table: ShareTable, request: ShareRequest, now: timedelta
 ) -> dict[str, int]:
     """Return how many slots other schedulers claim before a request, by scheduler.
--- a/tests/test_forwarding_shares.py
+++ b/tests/test_forwarding_shares.py
@@ -201,7 +201,7 @@
 
     def count(self, table, now, **changes):
         request = make_named("r", "hog", **changes)
-        return shares.count_reserved(table, request, now)
+        return shares.count_claims(table, request, now)
 
     def test_only_those_at_their_share_leave_slots_and_only_to_their_rank(self):
         table = make_table({"hog": 100.0, "small": 1.0})
@@ -210,7 +210,7 @@
         self.assertEqual({}, self.count(table, SECOND, rank=0))
         self.assertEqual({}, self.count(table, SECOND, version="1"))
         small = make_named("s", "small")
-        self.assertEqual({}, shares.count_reserved(table, small, SECOND))
+        self.assertEqual({}, shares.count_claims(table, small, SECOND))
 
     def test_claims_of_a_scheduler_that_uses_no_slot_lapse(self):
         # A host that reaches no target kept half of the slots free for good.
