Compare waiting requests with shares less often

Cause: each pass over the queue compared all that wait with the backlog of their share. Change: those that wait are compared each 25 ms; claims are looked at only while there are any.

--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -37,6 +37,9 @@
 # schedulers which claim room fill the rest. With 150 ms a replay served 0.96 of the
 # calls within the share, with 100 ms 0.98, both with as much work in total.
 MAX_QUEUED_BESIDE_CLAIMS_MS = 100.0
+# Requests are compared with the backlog as they arrive; those that wait are compared
+# again this often.
+CHECK_PERIOD = timedelta(milliseconds=25)
 # A refused organisation is logged this often.
 LOG_PERIOD = timedelta(seconds=1)
 # Minimum time between two lines: a host may write 400 a second in all.
@@ -118,6 +121,8 @@
         # and those released since that this scheduler may use again, by service.
         self._to_leave: dict[str, dict[str, int]] = {}
         self._kept: dict[str, int] = {}
+        # When the waiting requests of a service were last compared with its shares.
+        self._checked_at: dict[str, timedelta] = {}
         self._labels: set[str] = set()
         # When a refusal of each organisation was logged, and how many were not since.
         self._logged: dict[tuple[str, str], tuple[timedelta, int]] = {}
@@ -230,8 +235,10 @@
         ``ordered`` is the result of ``order_left``. Load pattern: an organisation above
         its share, whose requests would wait until others that go first make them late.
         """
-        if not self.applies(service, now):
+        checked_at = self._checked_at.get(service, -CHECK_PERIOD)
+        if now - checked_at < CHECK_PERIOD or not self.applies(service, now):
             return []
+        self._checked_at[service] = now
         queued: dict[str, tuple[int, float]] = {}
         rates: dict[str, tuple[float, float] | None] = {}
         beyond = []
--- a/src/galenapass/forwarding/shares.py
+++ b/src/galenapass/forwarding/shares.py
@@ -154,6 +154,7 @@
     ``total`` is the work of all organisations at all schedulers, ``level`` the own
     level, ``peer_level`` the highest that another scheduler found. Capacity was short
     since ``short_since``, last at ``short_at``, at this scheduler at ``own_short_at``.
+    ``has_claims`` is whether another scheduler claims slots.
     """
 
     since: timedelta
@@ -165,6 +166,7 @@
     short_since: timedelta | None = None
     short_at: timedelta | None = None
     own_short_at: timedelta | None = None
+    has_claims: bool = False
 
 
 @dataclass(slots=True)
@@ -456,6 +458,7 @@
     shares.total += peer.total
     _reduce_level(shares, before)
     shares.peer_level = max(each.level for each in shares.peers.values())
+    shares.has_claims = any(each.claims for each in shares.peers.values())
     if told.is_short:
         _record_shortage(shares, now)
 
@@ -481,7 +484,7 @@
     at other schedulers would never find a free one.
     """
     shares = table.services.get(request.service)
-    if shares is None or request.version is not None or not _is_short(shares, now):
+    if shares is None or not shares.has_claims or request.version is not None:
         return {}
     claiming = {
         host: peer.claims
@@ -491,7 +494,8 @@
         and now - peer.progress_at < UNUSED_CLAIM_TIMEOUT
     }
     tag = find_tag(table, request.service, request.organisation)
-    if not claiming or not _is_at_level(shares, tag):
+    is_due = claiming and _is_short(shares, now)
+    if not is_due or not _is_at_level(shares, tag):
         return {}
     rank = find_rank(table, request)
     counts = {
