Divide the modules of shares by what they hold

Change: tables, reports and released slots have modules of their own; the log remembers a bounded number of organisations.

--- a/experiments/measure_shares.py
+++ b/experiments/measure_shares.py
@@ -24,9 +24,10 @@
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.routes import RouteTable, Service
 from galenapass.forwarding.scheduling import Hooks, Scheduler
-from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
+from galenapass.forwarding.share_keeping import ShareKeeper
 from galenapass.forwarding.share_messages import OrganisationWork
-from galenapass.forwarding.shares import Claim, ServiceWork
+from galenapass.forwarding.share_reports import ShareHooks
+from galenapass.forwarding.share_tables import Claim, ServiceWork
 from galenapass.forwarding.slot_requests import (
     Grant,
     Outcome,
--- a/src/galenapass/forwarding/scheduling.py
+++ b/src/galenapass/forwarding/scheduling.py
@@ -27,7 +27,8 @@
 from galenapass.forwarding.loads import PartDigest
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.placement import Choice, View
-from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
+from galenapass.forwarding.share_keeping import ShareKeeper
+from galenapass.forwarding.share_reports import ShareHooks
 from galenapass.forwarding.slot_requests import Grant, SlotRelease, SlotRequest, Stage
 from galenapass.forwarding.workload import ServiceDemand
 from galenapass.logs import make_log
--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -13,8 +13,10 @@
 from galenapass.forwarding.fleet import Fleet
 from galenapass.forwarding.loads import PrefillRate, estimate_work
 from galenapass.forwarding.placement import DEFAULT_HOLDING_MS
+from galenapass.forwarding.released_slots import ReleasedSlots
 from galenapass.forwarding.share_messages import OrganisationWork
-from galenapass.forwarding.shares import ServiceWork, ShareTable
+from galenapass.forwarding.share_reports import ShareHooks, ShareReports
+from galenapass.forwarding.share_tables import WINDOW, ShareTable
 from galenapass.forwarding.slot_requests import (
     Grant,
     Outcome,
@@ -22,10 +24,9 @@
     SlotRequest,
     Stage,
 )
-from galenapass.logs import make_log
 from galenapass.tables.targets import Role
 
-__all__ = ["ShareHooks", "ShareKeeper"]
+__all__ = ["ShareKeeper"]
 
 # Bytes of organisations in one message; with the rest it fits into one packet. Eleven
 # other schedulers, told six times a second, take 0.3 of 5 Mbit/s.
@@ -40,36 +41,12 @@
 # Requests are compared with the backlog as they arrive; those that wait are compared
 # again this often.
 CHECK_PERIOD = timedelta(milliseconds=25)
-# A refused organisation is logged this often.
-LOG_PERIOD = timedelta(seconds=1)
-# Minimum time between two lines: a host may write 400 a second in all.
-LOG_SPACING = timedelta(milliseconds=50)
-# Organisations with own metrics; the others are counted together.
-MAX_LABELS = 50
-OTHER_LABEL = "(others)"
-# Label of requests without an organisation.
-UNNAMED_LABEL = "(none)"
-MAX_LOGGED = 1000
 # Weight of a call in the mean time of the calls of a service.
 CALL_WEIGHT = 0.05
 MILLISECOND = timedelta(milliseconds=1)
 
 FindCost = Callable[[SlotRequest], float]
 
-_log = make_log("shares")
-
-
-@dataclass(slots=True, frozen=True)
-class ShareHooks:
-    """Callbacks with a label of an organisation, of which there are a bounded number.
-
-    ``on_work`` is called with the milliseconds of work of a released slot,
-    ``on_refused`` with whether an organisation above its share was refused.
-    """
-
-    on_work: Callable[[str, str, float], None] = lambda label, service, work_ms: None
-    on_refused: Callable[[str, str, bool], None] = lambda label, service, above: None
-
 
 @dataclass(slots=True, frozen=True)
 class _Estimate:
@@ -109,24 +86,16 @@
         self.table = ShareTable()
         self._fleet = fleet
         self._clock = clock
-        self._random = random
-        self._hooks = hooks
+        self._reports = ShareReports(clock, hooks)
+        self._slots = ReleasedSlots(fleet, random)
         # Waiting requests by service and organisation, with their expected work.
         self._waiting: dict[tuple[str, str], dict[str, _Waiting]] = {}
         self._estimates: dict[str, _Estimate] = {}
         # Mean milliseconds of a plain call by service.
         self._call_ms: dict[str, float] = {}
         self._sequences: dict[str, int] = {}
-        # Slots to leave free as they are released, by service and claiming scheduler,
-        # and those released since that this scheduler may use again, by service.
-        self._to_leave: dict[str, dict[str, int]] = {}
-        self._kept: dict[str, int] = {}
         # When the waiting requests of a service were last compared with its shares.
         self._checked_at: dict[str, timedelta] = {}
-        self._labels: set[str] = set()
-        # When a refusal of each organisation was logged, and how many were not since.
-        self._logged: dict[tuple[str, str], tuple[timedelta, int]] = {}
-        self._log_from = -LOG_PERIOD
 
     # Waiting requests
 
@@ -308,8 +277,8 @@
             return False
         if queued_ms >= MAX_QUEUED_BESIDE_CLAIMS_MS:
             return True
-        own = self._kept.get(slot_request.service, 0)
-        return free is not None and free <= claimed and not own
+        has_kept = self._slots.has_kept(slot_request.service)
+        return free is not None and free <= claimed and not has_kept
 
     def _is_above(self, slot_request: SlotRequest) -> bool:
         """Return whether an organisation has received its share."""
@@ -326,8 +295,7 @@
         now = self._clock.monotonic()
         if slot_request.stage is not Stage.DECODE and slot_request.version is None:
             shares.record_level(self.table, service, name, now)
-        if self._kept.get(service):
-            self._kept[service] -= 1
+        self._slots.record_grant(service)
         estimate = self._estimate(slot_request, grant)
         self._estimates[slot_request.ticket] = estimate
         shares.record_work(self.table, service, name, estimate.work_ms, now)
@@ -339,7 +307,7 @@
         estimate = self._estimates.pop(release.ticket, None)
         if estimate is None:
             return
-        self._divide_slot(estimate.slot_request)
+        self._slots.record_release(estimate.slot_request)
         work_ms = _measure_work(estimate, release)
         if estimate.slot_request.stage is Stage.CALL and work_ms:
             self._record_call(estimate.slot_request.service, work_ms)
@@ -348,7 +316,7 @@
         now = self._clock.monotonic()
         correction = work_ms - estimate.work_ms
         shares.record_work(self.table, service, name, correction, now)
-        self._hooks.on_work(self._find_label(name), service, work_ms)
+        self._reports.count_work(name, service, work_ms)
 
     def estimate_request(self, slot_request: SlotRequest) -> float:
         """Return the expected milliseconds of work of a waiting request."""
@@ -364,7 +332,7 @@
         lost = [
             ticket
             for ticket, estimate in self._estimates.items()
-            if now > estimate.slot_request.deadline + shares.WINDOW
+            if now > estimate.slot_request.deadline + WINDOW
         ]
         for ticket in lost:
             del self._estimates[ticket]
@@ -395,11 +363,10 @@
         service, name = slot_request.service, slot_request.organisation
         excess = shares.find_excess(self.table, service, name, now)
         is_above = self._is_above(slot_request)
-        self._hooks.on_refused(self._find_label(name), service, is_above)
         share = shares.find_share(self.table, service, now)
-        self._log_refusal(
+        self._reports.report_refusal(
             slot_request,
-            above_share=is_above,
+            is_above=is_above,
             share_ms=round(share),
             excess_ms=round(excess),
             backlog_ms=round(backlog_ms),
@@ -412,37 +379,6 @@
             f"{backlog_ms:.0f} ms until its own backlog is served"
         )
 
-    def _log_refusal(self, slot_request: SlotRequest, **fields: object) -> None:
-        """Log a refusal unless one of its organisation was logged just before."""
-        now = self._clock.monotonic()
-        key = (slot_request.service, slot_request.organisation)
-        logged_at, left_out = self._logged.get(key, (-LOG_PERIOD, 0))
-        is_due = now - logged_at >= LOG_PERIOD
-        if not is_due or now < self._log_from:
-            self._logged[key] = logged_at, left_out + 1
-            return
-        self._log_from = now + LOG_SPACING
-        self._logged.pop(key, None)
-        self._logged[key] = now, 0
-        while len(self._logged) > MAX_LOGGED:
-            del self._logged[next(iter(self._logged))]
-        _log(
-            "organisation is refused",
-            organisation=slot_request.organisation,
-            service=slot_request.service,
-            request=slot_request.request,
-            rank=slot_request.rank,
-            refused_before=left_out,
-            **fields,
-        )
-
-    def _find_label(self, name: str) -> str:
-        if not name:
-            return UNNAMED_LABEL
-        if name not in self._labels and len(self._labels) < MAX_LABELS:
-            self._labels.add(name)
-        return name if name in self._labels else OTHER_LABEL
-
     # Other schedulers
 
     def make_message(
@@ -482,53 +418,13 @@
         now = self._clock.monotonic()
         for told in message.services:
             shares.apply_peer_work(self.table, host, told, now)
-            self._plan_leaving(host, told)
+            self._slots.plan(host, told)
         return True
 
     def forget_peer(self, host: str) -> None:
         """Forget the work of a scheduler that is silent."""
         shares.forget_peer(self.table, host)
-        for service in list(self._to_leave):
-            self._stop_leaving(host, service)
-
-    def _plan_leaving(self, host: str, told: ServiceWork) -> None:
-        """Plan how many released slots are left to a scheduler that claims some.
-
-        Each scheduler leaves the part of the claims that it holds of the slots in use,
-        but none uses what the others left.
-        """
-        if not told.claims:
-            self._stop_leaving(host, told.service)
-            return
-        own = others = 0
-        for target in self._fleet.targets.values():
-            if target.service == told.service:
-                load = self._fleet.load_of(target)
-                own += load.requests
-                others += load.peer_requests
-        part = own / max(own + others, 1)
-        claimed = sum(claim.count for claim in told.claims)
-        count = int(claimed * part + self._random.random())
-        self._to_leave.setdefault(told.service, {})[host] = count
-
-    def _stop_leaving(self, host: str, service: str) -> None:
-        to_leave = self._to_leave.get(service, {})
-        to_leave.pop(host, None)
-        if not to_leave:
-            self._to_leave.pop(service, None)
-            self._kept.pop(service, None)
-
-    def _divide_slot(self, slot_request: SlotRequest) -> None:
-        """Leave a released slot to a scheduler that claims one, or keep it."""
-        service = slot_request.service
-        to_leave = self._to_leave.get(service)
-        if to_leave is None or slot_request.stage is Stage.PREFILL:
-            return
-        host = max(to_leave, key=lambda name: to_leave[name])
-        if to_leave[host]:
-            to_leave[host] -= 1
-        else:
-            self._kept[service] = self._kept.get(service, 0) + 1
+        self._slots.forget(host)
 
 
 def _measure_work(estimate: _Estimate, release: SlotRelease) -> float:
--- a/src/galenapass/forwarding/share_messages.py
+++ b/src/galenapass/forwarding/share_messages.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
-from galenapass.forwarding.shares import Claim, ServiceWork
+from galenapass.forwarding.share_tables import Claim, ServiceWork
 from galenapass.json_values import read_integer, read_number
 
 __all__ = ["OrganisationWork", "decode_work", "encode_work"]
--- a/src/galenapass/forwarding/shares.py
+++ b/src/galenapass/forwarding/shares.py
@@ -6,23 +6,35 @@
 of each. One that has asked for little is lifted to just below the level as it returns,
 so that it goes first, but does not keep all others waiting until it has caught up.
 
-Pure functions over tables; work is in milliseconds, times are monotonic. Amounts in
-tables are multiplied by a scale that grows as fast as they decay, so they are compared
-without computing their decay.
+Pure functions over the tables of ``share_tables``; work is in milliseconds unless it is
+called scaled, times are monotonic.
 """
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Protocol, TypeVar
 
+from galenapass.forwarding.share_tables import (
+    CLAIM_MARGIN,
+    WINDOW,
+    Claim,
+    OrganisationShare,
+    PeerWork,
+    ServiceShares,
+    ServiceWork,
+    ShareTable,
+    count_organisations,
+    extend_shortage,
+    find_level,
+    find_scale,
+    is_at_level,
+    reduce_level,
+    remove_peer,
+    was_short,
+)
+
 __all__ = [
-    "Claim",
-    "OrganisationShare",
-    "ServiceShares",
-    "ServiceWork",
-    "ShareTable",
     "ShareRequest",
     "apply_peer_work",
     "count_claims",
@@ -44,24 +56,13 @@
     "record_work",
 ]
 
-# Time constant of the decay: the bounds on shares hold over five seconds.
-WINDOW = timedelta(seconds=5)
 # An organisation that returns goes first for one second's worth of its share: its
 # requests have come in a burst, or wait at a scheduler that holds few slots.
 CREDIT_SHARE = 0.2
-# Part of the level by which a tag has to be below it to claim slots at other
-# schedulers. Their work is known some 0.2 s late, which is 0.04 of the window.
-CLAIM_MARGIN = 0.1
 # Part of the mean work below which an organisation goes before more urgent ranks.
 STARVED_SHARE = 0.25
 # Rank of the requests of an organisation that has received less than that.
 STARVED_RANK = -1
-# Part of the total work below which a scheduler's work counts as gone.
-MIN_KEPT_WORK = 0.95
-# The scale is reset before it exceeds e to the power of this, after 100 s.
-MAX_SCALE_EXPONENT = 20.0
-# Organisations with less decayed work are forgotten as the scale is reset.
-MIN_WORK_MS = 0.1
 # A younger rate is too noisy to refuse requests by it.
 MIN_RATE_AGE = timedelta(seconds=1)
 # Claims that were not repeated within this time lapse; they are sent each 0.2 s.
@@ -73,110 +74,6 @@
 MIN_PROGRESS = 1.001
 
 
-@dataclass(slots=True)
-class OrganisationShare:
-    """Scaled work of one organisation.
-
-    ``own`` was granted by this scheduler, ``peers`` by others; ``lift`` is added for
-    the time in which the organisation did not ask for its share.
-    """
-
-    own: float = 0.0
-    peers: float = 0.0
-    lift: float = 0.0
-
-    @property
-    def work(self) -> float:
-        """Return the scaled work that all schedulers granted."""
-        return self.own + self.peers
-
-    @property
-    def tag(self) -> float:
-        """Return the scaled work by which the organisation is ordered."""
-        return self.own + self.peers + self.lift
-
-
-@dataclass(slots=True, frozen=True)
-class Claim:
-    """Number of waiting requests of a rank whose organisations are below their share.
-
-    ``rank`` is as returned by ``find_rank``.
-    """
-
-    rank: int
-    count: int
-
-
-@dataclass(slots=True, frozen=True)
-class ServiceWork:
-    """Work for one service that one scheduler granted, in milliseconds.
-
-    ``work`` holds the organisations with most work, ``rest_ms`` and ``rest_count`` are
-    the sum and the number of the others. ``level_ms`` is the level that this scheduler
-    found, ``claims`` what waits there below its share. ``is_short`` is whether requests
-    waited there within the window.
-    """
-
-    service: str
-    work: tuple[tuple[str, float], ...]
-    rest_ms: float = 0.0
-    rest_count: int = 0
-    level_ms: float = 0.0
-    claims: tuple[Claim, ...] = ()
-    is_short: bool = True
-
-
-@dataclass(slots=True)
-class _PeerWork:
-    """What another scheduler last told of one service; amounts are scaled.
-
-    ``progress_at`` is when it last told of more work than before, or of no claims.
-    """
-
-    received_at: timedelta
-    work: dict[str, float]
-    rest: float
-    rest_count: int
-    level: float
-    claims: tuple[Claim, ...]
-    progress_at: timedelta
-
-    @property
-    def total(self) -> float:
-        """Return the scaled work of all organisations."""
-        return sum(self.work.values()) + self.rest
-
-
-@dataclass(slots=True)
-class ServiceShares:
-    """Shares of one service; amounts are scaled.
-
-    ``total`` is the work of all organisations at all schedulers, ``level`` the own
-    level, ``peer_level`` the highest that another scheduler found. Capacity was short
-    since ``short_since``, last at ``short_at``, at this scheduler at ``own_short_at``.
-    ``has_claims`` is whether another scheduler claims slots.
-    """
-
-    since: timedelta
-    organisations: dict[str, OrganisationShare] = field(default_factory=dict)
-    peers: dict[str, _PeerWork] = field(default_factory=dict)
-    total: float = 0.0
-    level: float = 0.0
-    peer_level: float = 0.0
-    short_since: timedelta | None = None
-    short_at: timedelta | None = None
-    own_short_at: timedelta | None = None
-    has_claims: bool = False
-
-
-@dataclass(slots=True)
-class ShareTable:
-    """Shares by service, and the time at which the scale is 1."""
-
-    scaled_at: timedelta = timedelta(0)
-    services: dict[str, ServiceShares] = field(default_factory=dict)
-
-
 class ShareRequest(Protocol):
     """Waiting request of an organisation; its name is empty if unknown."""
 
@@ -217,7 +114,7 @@
     share = shares.organisations.get(organisation)
     if share is None:
         share = shares.organisations[organisation] = OrganisationShare()
-    floor = _find_level(shares) * (1.0 - CREDIT_SHARE)
+    floor = find_level(shares) * (1.0 - CREDIT_SHARE)
     share.lift = max(share.lift, floor - share.work)
 
 
@@ -228,7 +125,7 @@
     shares = table.services.get(service)
     if shares is None:
         return
-    amount = work_ms * _find_scale(table, now)
+    amount = work_ms * find_scale(table, now)
     share = shares.organisations.setdefault(organisation, OrganisationShare())
     amount = max(amount, -share.own)
     share.own += amount
@@ -243,7 +140,7 @@
     The level falls slowly, as requests of other ranks are granted between.
     """
     shares = table.services.get(service)
-    if shares is None or not _is_short(shares, now):
+    if shares is None or not was_short(shares, now):
         return
     share = shares.organisations.get(organisation)
     tag = share.tag if share is not None else 0.0
@@ -256,13 +153,13 @@
     shares = table.services.get(service)
     if shares is not None:
         shares.own_short_at = now
-        _record_shortage(shares, now)
+        extend_shortage(shares, now)
 
 
 def is_short(table: ShareTable, service: str, now: timedelta) -> bool:
     """Return whether the capacity of a service with organisations is short."""
     shares = table.services.get(service)
-    return shares is not None and _is_short(shares, now)
+    return shares is not None and was_short(shares, now)
 
 
 def find_tag(table: ShareTable, service: str, organisation: str) -> float:
@@ -278,7 +175,7 @@
     share = shares.organisations.get(organisation) if shares is not None else None
     if shares is None or share is None:
         return False
-    return _is_at_level(shares, share.work)
+    return is_at_level(shares, share.work)
 
 
 def find_share(table: ShareTable, service: str, now: timedelta) -> float:
@@ -286,8 +183,8 @@
     shares = table.services.get(service)
     if shares is None:
         return 0.0
-    scale = _find_scale(table, now)
-    return _find_level(shares) / scale
+    scale = find_scale(table, now)
+    return find_level(shares) / scale
 
 
 def find_excess(
@@ -295,10 +192,10 @@
 ) -> float:
     """Return the work above the share in ms, 0 while capacity is not short."""
     shares = table.services.get(service)
-    if shares is None or not _is_short(shares, now):
+    if shares is None or not was_short(shares, now):
         return 0.0
-    scale = _find_scale(table, now)
-    above = find_tag(table, service, organisation) - _find_level(shares)
+    scale = find_scale(table, now)
+    above = find_tag(table, service, organisation) - find_level(shares)
     return max(above, 0.0) / scale
 
 
@@ -310,17 +207,17 @@
     Its other schedulers grant the rest. None while that is not known well enough.
     """
     shares = table.services.get(service)
-    if shares is None or shares.short_since is None or not _is_short(shares, now):
+    if shares is None or shares.short_since is None or not was_short(shares, now):
         return None
     if now - shares.short_since < MIN_RATE_AGE:
         return None
-    scale = _find_scale(table, now)
+    scale = find_scale(table, now)
     share = shares.organisations.get(organisation, OrganisationShare())
     part = share.own / share.work if share.work > 0 else 1.0
     window_ms = WINDOW / timedelta(milliseconds=1)
     # A window that has just begun holds less work.
     window_ms *= 1.0 - math.exp((shares.since - now) / WINDOW)
-    level_ms = _find_level(shares) / scale
+    level_ms = find_level(shares) / scale
     least = 1.0 / (len(shares.peers) + 1)
     return level_ms * max(part, least) / window_ms or None
 
@@ -348,7 +245,7 @@
     come first, then the rank decides, then the work of the organisation, counting that
     of its requests before.
     """
-    scale = _find_scale(table, now)
+    scale = find_scale(table, now)
     shares = table.services[service]
     starved = _find_starved_work(shares)
     ranked = [
@@ -375,7 +272,7 @@
 def list_own(table: ShareTable, service: str, now: timedelta) -> dict[str, float]:
     """Return the milliseconds of work granted by this scheduler, by organisation."""
     shares = table.services.get(service)
-    scale = _find_scale(table, now)
+    scale = find_scale(table, now)
     if shares is None:
         return {}
     return {name: share.own / scale for name, share in shares.organisations.items()}
@@ -393,9 +290,9 @@
     The organisations with most work are named, as far as ``max_bytes`` allow.
     """
     shares = table.services.get(service)
-    if shares is None or not _is_short(shares, now):
+    if shares is None or not was_short(shares, now):
         return None
-    scale = _find_scale(table, now)
+    scale = find_scale(table, now)
     own = [(ms, name) for name, ms in list_own(table, service, now).items() if ms > 0]
     own.sort(reverse=True)
     named: list[tuple[str, float]] = []
@@ -421,7 +318,7 @@
 ) -> tuple[Claim, ...]:
     """Return the waiting requests whose organisations are below their share."""
     shares = table.services[service]
-    limit = (1.0 - CLAIM_MARGIN) * _find_level(shares)
+    limit = (1.0 - CLAIM_MARGIN) * find_level(shares)
     starved = _find_starved_work(shares)
     counts: dict[int, int] = {}
     for request in waiting:
@@ -438,11 +335,11 @@
     shares = table.services.get(told.service)
     if shares is None:
         shares = table.services[told.service] = ServiceShares(now)
-    scale = _find_scale(table, now)
+    scale = find_scale(table, now)
     before = shares.total
-    last = _remove_peer(shares, host)
+    last = remove_peer(shares, host)
     work = {name: work_ms * scale for name, work_ms in told.work}
-    peer = shares.peers[host] = _PeerWork(
+    peer = shares.peers[host] = PeerWork(
         now,
         work,
         told.rest_ms * scale,
@@ -456,11 +353,11 @@
     for name, amount in work.items():
         shares.organisations.setdefault(name, OrganisationShare()).peers += amount
     shares.total += peer.total
-    _reduce_level(shares, before)
+    reduce_level(shares, before)
     shares.peer_level = max(each.level for each in shares.peers.values())
     shares.has_claims = any(each.claims for each in shares.peers.values())
     if told.is_short:
-        _record_shortage(shares, now)
+        extend_shortage(shares, now)
 
 
 def forget_peer(table: ShareTable, host: str) -> None:
@@ -470,8 +367,8 @@
     """
     for shares in table.services.values():
         before = shares.total
-        _remove_peer(shares, host)
-        _reduce_level(shares, before)
+        remove_peer(shares, host)
+        reduce_level(shares, before)
 
 
 def count_claims(
@@ -494,8 +391,8 @@
         and now - peer.progress_at < UNUSED_CLAIM_TIMEOUT
     }
     tag = find_tag(table, request.service, request.organisation)
-    is_due = claiming and _is_short(shares, now)
-    if not is_due or not _is_at_level(shares, tag):
+    is_due = claiming and was_short(shares, now)
+    if not is_due or not is_at_level(shares, tag):
         return {}
     rank = find_rank(table, request)
     counts = {
@@ -505,102 +402,12 @@
     return {host: count for host, count in counts.items() if count}
 
 
-def _remove_peer(shares: ServiceShares, host: str) -> _PeerWork | None:
-    peer = shares.peers.pop(host, None)
-    if peer is None:
-        return None
-    for name, amount in peer.work.items():
-        share = shares.organisations.get(name)
-        if share is not None:
-            share.peers = max(share.peers - amount, 0.0)
-    shares.total = max(shares.total - peer.total, 0.0)
-    shares.peer_level = max((each.level for each in shares.peers.values()), default=0.0)
-    return peer
-
-
-def _reduce_level(shares: ServiceShares, before: float) -> None:
-    """Reduce level and lifts with the total work, if a scheduler's work is gone.
-
-    Load pattern: a cut between schedulers, or the restart of some. With the former
-    level, organisations that ask for little would come after those that lost work.
-    """
-    if not 0 <= shares.total < MIN_KEPT_WORK * before:
-        return
-    ratio = shares.total / before
-    shares.level *= ratio
-    for share in shares.organisations.values():
-        share.lift *= ratio
-
-
-def _record_shortage(shares: ServiceShares, now: timedelta) -> None:
-    if not _is_short(shares, now):
-        shares.short_since = now
-    shares.short_at = now
-
-
-def _is_short(shares: ServiceShares, now: timedelta) -> bool:
-    return shares.short_at is not None and now - shares.short_at < WINDOW
-
-
-def _find_level(shares: ServiceShares) -> float:
-    """Return the highest level that a scheduler has found.
-
-    A scheduler where only organisations below their share ask finds a lower one.
-    """
-    return max(shares.level, shares.peer_level)
-
-
-def _is_at_level(shares: ServiceShares, amount: float) -> bool:
-    level = _find_level(shares)
-    return level > 0 and amount >= (1.0 - CLAIM_MARGIN / 2) * level
-
-
 def _find_starved_work(shares: ServiceShares) -> float:
     """Return the scaled work below which an organisation starves."""
-    return STARVED_SHARE * shares.total / max(_count_organisations(shares), 1)
+    return STARVED_SHARE * shares.total / max(count_organisations(shares), 1)
 
 
 def _find_rank(shares: ServiceShares, request: ShareRequest, starved: float) -> int:
     share = shares.organisations.get(request.organisation)
     work = share.work if share is not None else 0.0
     return STARVED_RANK if work < starved else request.rank
-
-
-def _count_organisations(shares: ServiceShares) -> int:
-    """Return the number of organisations with work, as far as it is known."""
-    told = (len(peer.work) + peer.rest_count for peer in shares.peers.values())
-    return max(len(shares.organisations), max(told, default=0))
-
-
-def _find_scale(table: ShareTable, now: timedelta) -> float:
-    """Return the scale of amounts recorded now; reset it before it grows too large.
-
-    A reset changes all amounts, so callers find the scale before they read any.
-    """
-    exponent = (now - table.scaled_at) / WINDOW
-    if exponent > MAX_SCALE_EXPONENT:
-        factor = math.exp(-exponent)
-        for shares in table.services.values():
-            _rescale(shares, factor)
-        table.scaled_at, exponent = now, 0.0
-    return math.exp(exponent)
-
-
-def _rescale(shares: ServiceShares, factor: float) -> None:
-    shares.level *= factor
-    shares.peer_level *= factor
-    for peer in shares.peers.values():
-        peer.work = {name: amount * factor for name, amount in peer.work.items()}
-        peer.rest *= factor
-        peer.level *= factor
-    for share in shares.organisations.values():
-        share.own *= factor
-        share.peers *= factor
-        share.lift *= factor
-    shares.organisations = {
-        name: share
-        for name, share in shares.organisations.items()
-        if share.tag >= MIN_WORK_MS
-    }
-    shares.total = sum(share.work for share in shares.organisations.values())
-    shares.total += sum(peer.rest for peer in shares.peers.values())
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -46,7 +46,7 @@
 from galenapass.forwarding.scheduler_selection import SchedulerSelection
 from galenapass.forwarding.schedulers import HostEntry, Hosts
 from galenapass.forwarding.scheduling import Hooks, Scheduler
-from galenapass.forwarding.share_keeping import ShareHooks
+from galenapass.forwarding.share_reports import ShareHooks
 from galenapass.forwarding.slot_requests import Stage
 from galenapass.forwarding.split_goals import SplitGoals
 from galenapass.forwarding.stop_times import plan_stop
--- a/tests/test_forwarding_peering.py
+++ b/tests/test_forwarding_peering.py
@@ -16,7 +16,8 @@
 from galenapass.forwarding.peering import Peering
 from galenapass.forwarding.permits import Permits
 from galenapass.forwarding.service_versions import ServiceVersion
-from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
+from galenapass.forwarding.share_keeping import ShareKeeper
+from galenapass.forwarding.share_reports import ShareHooks
 from galenapass.forwarding.silent_targets import SilentTargets
 from galenapass.forwarding.slot_requests import Grant, SlotRequest, Stage
 from galenapass.forwarding.store_epochs import StoreEpochs
--- a/tests/test_forwarding_shares.py
+++ b/tests/test_forwarding_shares.py
@@ -10,9 +10,10 @@
 
 from galenapass.clocks import ManualClock
 from galenapass.forwarding import datagrams, shares
-from galenapass.forwarding.share_keeping import ShareHooks, ShareKeeper
+from galenapass.forwarding.share_keeping import ShareKeeper
 from galenapass.forwarding.share_messages import OrganisationWork
-from galenapass.forwarding.shares import Claim, ServiceWork, ShareTable
+from galenapass.forwarding.share_reports import ShareHooks
+from galenapass.forwarding.share_tables import Claim, ServiceWork, ShareTable
 from galenapass.forwarding.slot_requests import Outcome, Stage
 from galenapass.tables.targets import Role
 from tests.forwarding_fakes import MS, make_fleet, make_target
@@ -252,11 +253,11 @@
 
 
 class TestMessages(TestCase):
-    def make_keeper(self):
+    def make_keeper(self, hooks=None):
         clock = ManualClock()
         clock.advance(SECOND)
         fleet = make_fleet(make_plain_target())
-        return ShareKeeper(fleet, clock, Random(1), ShareHooks())
+        return ShareKeeper(fleet, clock, Random(1), hooks or ShareHooks())
 
     def test_messages_survive_the_wire_and_fields_of_later_builds(self):
         told = ServiceWork("desk", (("a", 12.0),), 3.0, 2, 9.0, (Claim(-1, 4),))
@@ -296,8 +297,7 @@
     def test_metrics_have_a_bounded_number_of_organisations(self):
         labels = set()
         hooks = ShareHooks(on_refused=lambda label, service, above: labels.add(label))
-        keeper = self.make_keeper()
-        keeper._hooks = hooks
+        keeper = self.make_keeper(hooks)
         for number in range(200):
             keeper.record_refusal(make_named("r", f"o{number}"), 10.0, 100 * MS)
         self.assertEqual(51, len(labels))
