Tell nothing of services whose organisations were all removed

Cause: their requests without an organisation kept the messages going. Change: only services with a named organisation are told.

--- a/src/galenapass/forwarding/released_slots.py
+++ b/src/galenapass/forwarding/released_slots.py
@@ -71,6 +71,7 @@
         """Leave no more slots of a service to a scheduler."""
         to_leave = self._to_leave.get(service, {})
         to_leave.pop(host, None)
+        self._left_at.pop((service, host), None)
         if not to_leave:
             self._to_leave.pop(service, None)
             self._kept.pop(service, None)
--- a/src/galenapass/forwarding/share_keeping.py
+++ b/src/galenapass/forwarding/share_keeping.py
@@ -389,8 +389,9 @@
         now = self._clock.monotonic()
         names = [
             name
-            for name in self.table.services
-            if shares.is_short(self.table, name, now)
+            for name, known in self.table.services.items()
+            # One whose organisations were all removed is told no more.
+            if any(known.organisations) and shares.is_short(self.table, name, now)
         ]
         if not names:
             return None
