--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -120,6 +120,8 @@
     usage_reports: Counter
     wanted_targets: Gauge
     present_targets: Gauge
+    organisation_work: Counter
+    organisation_refusals: Counter
 
     def record_sizes(
         self, service: str, subject: tuple[str, bool], wanted: int | None, there: int
@@ -165,6 +167,16 @@
         usage_reports=Counter(registry, "galenapass_usage_reports", "outcome"),
         wanted_targets=Gauge(registry, "galenapass_wanted_targets", *TARGET_LABELS),
         present_targets=Gauge(registry, "galenapass_present_targets", *TARGET_LABELS),
+        organisation_work=Counter(
+            registry, "galenapass_organisation_work_ms", "organisation", "service"
+        ),
+        organisation_refusals=Counter(
+            registry,
+            "galenapass_organisation_refusals",
+            "organisation",
+            "service",
+            "cause",
+        ),
     )
 
 
