--- a/tests/test_identities.py
+++ b/tests/test_identities.py
@@ -67,15 +67,13 @@
     def check(self, **changes):
         return is_newest(replace(self.KNOWN, **changes), 10 * self.SECOND)
 
-    def test_silence_does_not_show_that_there_is_no_newer_one(self):
+    def test_neither_silence_nor_news_of_a_newer_one_shows_that_it_is_newest(self):
         assert not self.check()
+        assert not self.check(read_at=10 * self.SECOND, heard_version=6)
         for source in ("fresh_at", "watched_at", "read_at"):
             assert self.check(**{source: 9 * self.SECOND})
             assert not self.check(**{source: 7.9 * self.SECOND})
 
-    def test_a_host_told_of_a_newer_one_is_behind(self):
-        assert not self.check(read_at=10 * self.SECOND, heard_version=6)
-
 
 class TestSearch:
     def confirm(self, count, read):
