Follow no redirects of the platform's operations

A redirect would repeat a report or an order at another address, without the check of the time limit.

--- a/src/galenapass/platform/operations_client.py
+++ b/src/galenapass/platform/operations_client.py
@@ -105,6 +105,8 @@
                     data=orjson.dumps(body),
                     headers=headers,
                     trace_request_ctx=check_time,
+                    # A redirect would repeat the call elsewhere.
+                    allow_redirects=False,
                 ) as response,
             ):
                 return _find_outcome(response.status)
