Keep the organisation's name whatever a client lists in Connection

Cause (review): headers that a client lists in Connection were dropped after the name of its organisation had been added, so the target got none; each duty had calls of its own, so that rate and alternation of holders were bounded twice; keys under an escaped name of a field stayed in the configuration that hosts pass on. Change: the name is one of the system's headers; one DutyCalls serves both duties; texts with escapes are parsed before they are passed on. Result: two new tests fail before and pass; tests of keys, sizes and decoding pass.

--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -38,7 +38,7 @@
 from galenapass.forwarding.hosts import HOSTS_KIND, HostRegistry
 from galenapass.forwarding.known_targets import KnownTargets
 from galenapass.forwarding.large_answers import LargeAnswers, count_slots
-from galenapass.forwarding.operations import Duty, OperationsTerms
+from galenapass.forwarding.operations import Duty
 from galenapass.forwarding.origin_sharing import OriginHooks, OriginSharing
 from galenapass.forwarding.peer_calls import PeerServer
 from galenapass.forwarding.peering import Peering
@@ -325,6 +325,7 @@
             self._apply_hosts,
         )
         self.lease_keeper = self._make_keeper()
+        self._duty_calls = self._make_duty_calls()
         self.size_planner = self._make_size_planner()
         self.planner = self._make_planner()
         self.usage_reports = self._make_usage_reports()
@@ -518,7 +519,11 @@
             lambda: self.epochs.current or 0,
         )
 
-    def _make_duty_calls(self, terms: OperationsTerms) -> DutyCalls:
+    def _make_duty_calls(self) -> DutyCalls | None:
+        """Return the calls of all duties, None if the settings ask for none."""
+        terms = self.settings.operations
+        if terms is None:
+            return None
         return DutyCalls(
             self.settings.host,
             self.lease_keeper,
@@ -531,12 +536,12 @@
     def _make_size_planner(self) -> SizePlanner | None:
         """Return the planner of sizes, None if the settings do not ask for it."""
         terms = self.settings.operations
-        if terms is None or Duty.SIZES not in terms.duties:
+        if terms is None or self._duty_calls is None or Duty.SIZES not in terms.duties:
             return None
         return SizePlanner(
             self.fleet,
             self.lease_keeper,
-            self._make_duty_calls(terms),
+            self._duty_calls,
             self.clock,
             self.peering.measure_demand,
             terms,
@@ -576,11 +581,11 @@
 
     def _make_usage_reports(self) -> UsageReports | None:
         settings, terms = self.settings, self.settings.operations
-        if terms is None or self.usage is None:
+        if terms is None or self._duty_calls is None or self.usage is None:
             return None
         return UsageReports(
             terms,
-            self._make_duty_calls(terms),
+            self._duty_calls,
             self.store,
             self.usage,
             self.clock,
--- a/src/galenapass/platform/configuration.py
+++ b/src/galenapass/platform/configuration.py
@@ -178,7 +178,8 @@
 
 def replace_keys(body: str) -> str:
     """Return the text of a configuration with digests in place of keys."""
-    if f'"{_KEYS}"' not in body:
+    # A name may be written with escapes.
+    if f'"{_KEYS}"' not in body and "\\u" not in body:
         return body
     try:
         spec = orjson.loads(body)
--- a/src/galenapass/platform/headers.py
+++ b/src/galenapass/platform/headers.py
@@ -28,7 +28,6 @@
     "encode_headers",
     "filter_response_headers",
     "is_not_run",
-    "name_organisation",
     "parse_integer",
     "parse_seconds",
 ]
@@ -107,6 +106,8 @@
 
     ``source`` is the ADDRESS/HANDLE of the KV cache that a prefill created,
     ``cache_source`` the address of a runner that caches parts of the prompt.
+    ``organisation`` replaces what the client's headers say of the caller, empty if it
+    is unknown; None leaves them as they are.
     """
 
     instance: str
@@ -116,6 +117,7 @@
     source: str | None = None
     cache_source: str | None = None
     last_event: int | None = None
+    organisation: str | None = None
 
 
 def decode_metadata(headers: Mapping[str, str]) -> RequestMetadata:
@@ -135,13 +137,6 @@
     return digest_authorization(headers.get(_AUTHORIZATION, ""), _KEY_SCHEME)
 
 
-def name_organisation(headers: Headers, organisation: str) -> Headers:
-    """Replace what a client's headers say of it by the name of its organisation."""
-    dropped = {_AUTHORIZATION.lower(), _ORGANISATION.lower()}
-    pairs = [pair for pair in headers if pair[0].lower() not in dropped]
-    return [*pairs, (_ORGANISATION, organisation)] if organisation else pairs
-
-
 def _make_patience(milliseconds: int) -> timedelta:
     return timedelta(seconds=min(milliseconds / 1000, _MAX_SECONDS))
 
@@ -161,6 +156,7 @@
         (KV_SOURCE, options.source),
         (_CACHE_SOURCE, options.cache_source),
         (LAST_EVENT_ID, options.last_event),
+        (_ORGANISATION, options.organisation or None),
     )
     pairs += [(name, str(value)) for name, value in optional if value is not None]
     return pairs
@@ -235,6 +231,8 @@
     dropped = _HOP_BY_HOP | connection_options
     if options.last_event is not None:
         dropped = dropped | {LAST_EVENT_ID.lower()}
+    if options.organisation is not None:
+        dropped = dropped | {_AUTHORIZATION.lower(), _ORGANISATION.lower()}
     return [
         (name, value)
         for name, value in pairs
--- a/src/galenapass/platform/runner_client.py
+++ b/src/galenapass/platform/runner_client.py
@@ -41,13 +41,11 @@
     ATTEMPT_ID,
     RETRY_AFTER,
     SIGNATURE,
-    Headers,
     SendOptions,
     decode_notice,
     encode_headers,
     filter_response_headers,
     is_not_run,
-    name_organisation,
     parse_seconds,
 )
 from galenapass.platform.runners import ROLE_NAMES, ROLES_BY_NAME
@@ -234,15 +232,16 @@
         # A connection that can't be used again is not kept.
         request_options["once"] = request_options.get("once") or names is False
         sent_at = self._clock.monotonic()
-        headers: Headers = message.headers
-        if message.organisation is not None or self._hides_callers():
-            headers = name_organisation(headers, message.organisation or "")
+        organisation = message.organisation
+        if organisation is None and self._hides_callers():
+            organisation = ""
+        options = replace(options, organisation=organisation)
         response = await self._request(
             message.method,
             target.address,
             message.target,
             call=call,
-            headers=CIMultiDict(encode_headers(headers, message.host, options)),
+            headers=CIMultiDict(encode_headers(message.headers, message.host, options)),
             data=message.body or None,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
             **request_options,
--- a/tests/test_platform_operation_fields.py
+++ b/tests/test_platform_operation_fields.py
@@ -1,5 +1,6 @@
 """Fields of organisations, sizes and duties that the platform adds to its objects."""
 
+import json
 from datetime import timedelta
 from pathlib import Path
 
@@ -13,7 +14,8 @@
 from galenapass.forwarding.operations import Duty
 from galenapass.forwarding.routes import Scaling
 from galenapass.forwarding.slot_requests import SlotRequest, Stage
-from galenapass.platform.configuration import decode_configuration
+from galenapass.platform.configuration import decode_configuration, replace_keys
+from galenapass.platform.headers import SendOptions, encode_headers
 from galenapass.platform.runners import decode_runner
 from galenapass.platform.settings import read_host_settings
 from galenapass.systems.identities import Organisation, digest_key, find_organisation
@@ -113,3 +115,24 @@
         )
         data = encode_datagram("h", [encode_message(request, now)])
         assert decode_datagram(data, now).unwrap() == ("h", [request])
+
+
+def test_a_client_cannot_remove_the_name_of_its_organisation():
+    # Headers that `Connection` lists were dropped together with the system's own.
+    sent = [
+        ("Connection", "keep-alive, X-Galenapass-Tenant"),
+        ("X-Galenapass-Tenant", "other"),
+        ("Authorization", "Token k1"),
+    ]
+    for organisation, expected in (("org", ["org"]), ("", [])):
+        options = SendOptions("i-1", timedelta(seconds=1), organisation=organisation)
+        pairs = list(encode_headers(sent, "a.example", options))
+        names = [v for name, v in pairs if name.lower() == "x-galenapass-tenant"]
+        assert names == expected
+        assert "k1" not in str(pairs)
+
+
+def test_keys_under_an_escaped_name_are_replaced():
+    rows = [{"name": "org", "api_keys": ["secret"]}]
+    body = json.dumps({"version": 1, "tenants": rows}).replace("_keys", "\\u005fkeys")
+    assert "secret" not in replace_keys(body)
