Keep late targets at a new holder and departed ones out of the table

Cause (review): until a new holder of the duties had a plan of its own it ordered what its last count showed, and so released targets that joined between two counts; a grant that was older than a list of its domain put a target back that the list no longer named. Change: orders wait for a plan; such grants are left out; some names in plain terms. Result: two new tests fail before and pass; sizes, planning, cut-off domains pass.

--- a/src/galenapass/forwarding/fleet.py
+++ b/src/galenapass/forwarding/fleet.py
@@ -20,6 +20,7 @@
 from galenapass.tables.targets import Role, Target, TargetState
 
 __all__ = [
+    "MAX_JOIN_TIME",
     "Fleet",
     "accept_routes",
     "apply_listing",
--- a/src/galenapass/forwarding/known_targets.py
+++ b/src/galenapass/forwarding/known_targets.py
@@ -174,9 +174,20 @@
                 now,
             )
         for sighting in self.list_sightings():
-            apply_target_sighting(self._fleet, sighting.target, sighting.seen_at, now)
+            if not self._has_left(sighting):
+                target, seen_at = sighting.target, sighting.seen_at
+                apply_target_sighting(self._fleet, target, seen_at, now)
         return bool(self._fleet.targets)
 
+    def _has_left(self, sighting: Sighting) -> bool:
+        """Return whether a later list of its domain does not name a target."""
+        listed, target = self._list, sighting.target
+        if listed is None or target.domain != listed.domain:
+            return False
+        if sighting.seen_at > listed.viewed_at:
+            return False
+        return all(target.id != each.id for each in listed.targets)
+
     def _forget_former_view(self) -> None:
         """Remove what this host knew long before its schedulers last knew targets.
 
--- a/src/galenapass/forwarding/planning.py
+++ b/src/galenapass/forwarding/planning.py
@@ -12,7 +12,7 @@
 from galenapass.forwarding import roles
 from galenapass.forwarding.background import BackgroundTasks
 from galenapass.forwarding.engine_states import EngineStateClient
-from galenapass.forwarding.fleet import Fleet
+from galenapass.forwarding.fleet import MAX_JOIN_TIME, Fleet
 from galenapass.forwarding.roles import EngineCount, RoleChange
 from galenapass.forwarding.routes import Service
 from galenapass.forwarding.silent_targets import is_silent
@@ -32,7 +32,6 @@
 ENTRY_LAG = timedelta(seconds=3)
 # Targets that start together register within a heartbeat, 1.2 s on the deployments.
 JOIN_SETTLE_TIME = timedelta(seconds=1.3)
-MAX_JOIN_TIME = timedelta(seconds=4)
 # An engine that joined counts as new for this long: it has cached little by then.
 NEW_TIME = timedelta(seconds=5)
 # A sound engine may be silent for a second and then go on.
--- a/src/galenapass/forwarding/schedulers.py
+++ b/src/galenapass/forwarding/schedulers.py
@@ -57,8 +57,8 @@
     OUTDATED = 2
     UNHEARD = 3
     # A host whose build does not tell whether it knows targets.
-    UNTOLD = 4
-    UNKNOWING = 5
+    NOT_REPORTED = 4
+    WITHOUT_TARGETS = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -167,7 +167,7 @@
     usable = {
         name
         for name, rank in ranks.items()
-        if rank not in (ContactRank.UNHEARD, ContactRank.UNKNOWING)
+        if rank not in (ContactRank.UNHEARD, ContactRank.WITHOUT_TARGETS)
     }
     usable.update(
         name
@@ -270,10 +270,10 @@
     if contact.answered_at is None:
         return ContactRank.UNHEARD
     if contact.knows_targets is False:
-        return ContactRank.UNKNOWING
+        return ContactRank.WITHOUT_TARGETS
     if contact.is_fresh:
         return ContactRank.FRESH
     if contact.knows_targets is None:
-        return ContactRank.UNTOLD
+        return ContactRank.NOT_REPORTED
     is_outdated = contact.viewed_at < newest - MAX_VIEW_LAG
     return ContactRank.OUTDATED if is_outdated else ContactRank.KNOWING
--- a/src/galenapass/forwarding/size_planning.py
+++ b/src/galenapass/forwarding/size_planning.py
@@ -335,17 +335,18 @@
         many engines change their role that those left may be too few.
         """
         state = self._services.get(service.name)
-        if state is None or state.plan is None:
+        # Until this daemon adopts a plan, the counts only follow the entries.
+        if state is None or state.plan is None or not state.has_adopted:
             return []
         counts = count_targets(state.observed, self._fleet, state.orders)
         goals = state.plan.counts
         for subject in {*goals, *counts}:
             state.orders.setdefault(subject, SizeOrder())
-        crowded = self._list_crowded(scaling, state, counts)
+        blocked = self._list_blocked(scaling, state, counts)
         is_short = any(
             counts.get(subject, SubjectCounts()).present < goal
             for subject, goal in goals.items()
-            if subject not in crowded
+            if subject not in blocked
         )
         changing = sum(
             t.state is TargetState.CHANGING and t.service == service.name
@@ -360,16 +361,16 @@
         for subject, order in state.orders.items():
             goal, there = goals.get(subject, 0), counts.get(subject, SubjectCounts())
             other = (subject[0], not subject[1])
-            if other in crowded:
+            if other in blocked:
                 # Only as many are released as make room for the others.
                 goal = max(goal, scaling.max_targets - goals[other])
-            elif subject in crowded or (goal < there.present and not may_release):
+            elif subject in blocked or (goal < there.present and not may_release):
                 continue
             if size_orders.is_due(order, goal, there, scaling.start_time, now):
                 due.append((subject, goal, order, there))
         return due
 
-    def _list_crowded(
+    def _list_blocked(
         self,
         scaling: Scaling,
         state: _ServiceState,
@@ -380,7 +381,7 @@
         Both kinds together are bounded in each domain.
         """
         assert state.plan is not None
-        crowded = set()
+        blocked = set()
         for (domain, reclaimable), goal in state.plan.counts.items():
             there = counts.get((domain, reclaimable), SubjectCounts()).expected
             other = (domain, not reclaimable)
@@ -389,8 +390,8 @@
                 counts.get(other, SubjectCounts()).expected, order.accepted or 0
             )
             if goal > there and goal + others > scaling.max_targets:
-                crowded.add((domain, reclaimable))
-        return crowded
+                blocked.add((domain, reclaimable))
+        return blocked
 
 
 def find_objective(table: RouteTable, service: str) -> timedelta:
--- a/src/galenapass/forwarding/sizes.py
+++ b/src/galenapass/forwarding/sizes.py
@@ -60,7 +60,6 @@
 # The rates of some seconds show the mean of the load.
 MIN_KNOWN_TIME = timedelta(seconds=4)
 
-SECOND = timedelta(seconds=1)
 MILLISECOND = timedelta(milliseconds=1)
 
 Subject = tuple[str, bool]
--- a/src/galenapass/forwarding/slot_client.py
+++ b/src/galenapass/forwarding/slot_client.py
@@ -41,7 +41,7 @@
 # Schedulers tried before this daemon schedules its own requests.
 MAX_SCHEDULERS = 2
 # Hosts that may answer that they know no targets before this daemon uses its own.
-MAX_UNKNOWING = 3
+MAX_WITHOUT_TARGETS = 3
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -142,14 +142,14 @@
     """Slot request without a reply yet.
 
     ``hosts`` are the hosts it was sent to, ``responsive`` those that sent any message
-    since it was last sent, ``unknowing`` those that know no targets for it.
-    ``reply`` is None once all hosts that were asked are unknowing.
+    since it was last sent, ``without_targets`` those that know no targets for it.
+    ``reply`` is None once all hosts that were asked know no target.
     """
 
     reply: asyncio.Future[tuple[str, Result[Grant, Verdict]] | None]
     hosts: list[str] = field(default_factory=list)
     responsive: set[str] = field(default_factory=set)
-    unknowing: set[str] = field(default_factory=set)
+    without_targets: set[str] = field(default_factory=set)
 
 
 async def _learn_nothing(service: str) -> None:
@@ -226,7 +226,7 @@
                 self._send(host, SlotRelease(message.ticket, Outcome.CANCELLED))
             return
         if isinstance(message, TargetsUnknown):
-            self._drop_unknowing(host, pending)
+            self._drop_without_targets(host, pending)
             return
         pending.responsive.add(host)
         if isinstance(message, SlotRefusal):
@@ -235,9 +235,9 @@
             self._in_use[message.ticket] = host, message.target.id
             pending.reply.set_result((host, Ok(message)))
 
-    def _drop_unknowing(self, host: str, pending: _PendingRequest) -> None:
+    def _drop_without_targets(self, host: str, pending: _PendingRequest) -> None:
         """Ask another host at once if no other one was asked."""
-        pending.unknowing.add(host)
+        pending.without_targets.add(host)
         if host in pending.hosts:
             pending.hosts.remove(host)
         if not pending.hosts:
@@ -326,12 +326,12 @@
             granting = self._directory.list_granting()
             if not granting:
                 granting = await self._find_scheduler()
-            willing = [name for name in granting if name not in pending.unknowing]
+            willing = [name for name in granting if name not in pending.without_targets]
             for host in willing[:MAX_SCHEDULERS]:
                 if host not in pending.hosts:
                     pending.hosts.append(host)
                     break
-            if not pending.hosts or len(pending.unknowing) > MAX_UNKNOWING:
+            if not pending.hosts or len(pending.without_targets) > MAX_WITHOUT_TARGETS:
                 return None
             pending.responsive.clear()
             for host in pending.hosts:
--- a/src/galenapass/forwarding/target_sharing.py
+++ b/src/galenapass/forwarding/target_sharing.py
@@ -55,7 +55,7 @@
 CALL_SPREAD = timedelta(seconds=1.5)
 # Time between two calls while the store stays lost, and while no target is known.
 CALL_PERIOD = timedelta(seconds=5)
-UNKNOWING_CALL_PERIOD = timedelta(milliseconds=500)
+URGENT_CALL_PERIOD = timedelta(milliseconds=500)
 
 # A request waits this long for an answer, if nothing is known.
 MAX_WAIT = timedelta(milliseconds=400)
@@ -186,7 +186,7 @@
             if self._known.listed_at is not None:
                 break
         is_known = self._known.find_view_time() is not None
-        period = CALL_PERIOD if is_known else UNKNOWING_CALL_PERIOD
+        period = CALL_PERIOD if is_known else URGENT_CALL_PERIOD
         self._call_at = self._clock.monotonic() + period * self._random.uniform(0.8, 1)
 
     async def _fetch(self, host: str) -> Result[TargetReport, str]:
--- a/tests/test_forwarding_cut_off_domains.py
+++ b/tests/test_forwarding_cut_off_domains.py
@@ -233,6 +233,16 @@
         apply_listing(fleet, [], clock.monotonic())
         self.assertFalse(known.seed())
 
+    def test_a_target_that_a_later_list_does_not_name_is_not_used_again(self):
+        # The list was applied first, and the older grant put the target back.
+        known, fleet, clock = self.make_known()
+        known.record_grant(make_target("t1", domain="a"), clock.monotonic())
+        clock.advance(5 * SECOND)
+        listed = TargetList("a", (make_target("t2", domain="a"),), clock.monotonic())
+        known.apply_report(TargetReport(listed))
+        known.seed(anew=True)
+        self.assertEqual({"t2"}, set(fleet.targets))
+
     def test_a_list_of_a_domain_replaces_what_it_does_not_name(self):
         known, fleet, clock = self.make_known()
         targets = [make_target(f"t{n}", domain=d) for n, d in enumerate("aab")]
--- a/tests/test_forwarding_sizes.py
+++ b/tests/test_forwarding_sizes.py
@@ -228,6 +228,23 @@
         replay.run(5)
         self.assertEqual({("host-2", 2)}, {c[4:] for c in replay.calls[ordered:]})
 
+    def test_a_new_holder_keeps_targets_that_join_late(self):
+        # Ordered by the last holder, they came after the wait for them, between two
+        # counts of the new holder, which then ordered the smaller number.
+        replay = Replay(make_deployment_a())
+        lease = FakeLease(None)
+        replay.planners.append(replay.make_planner(lease, "host-2"))
+        replay.run(60)
+        ordered = len(replay.calls)
+        subject = next(each for each, count in replay.desired.items() if count)
+        start_seconds = replay.deployment.scaling.start_time.total_seconds()
+        replay.lease.fence, lease.fence = None, 2
+        for seconds in (start_seconds + 1.5, 0.25, 0.25, 0.25):
+            replay.run(seconds)
+            replay.join(subject)
+        replay.run(10)
+        self.assertEqual([], replay.calls[ordered:])
+
     def test_a_new_holder_replaces_reclaimed_targets_at_once(self):
         # It waited for what the last holder may have ordered, while engines were short.
         replay = Replay(make_deployment_a())
