Tell schedulers of a written window before it is sent

A window that was closed without a missing host was counted anew by the next holder if the store was restored and the holder killed: schedulers learnt of a written window only before the next one. The holder now tells them right after the write, answers to the call usage carry the last written window (optional), and a holder collects whenever it reads the reports.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -182,6 +182,8 @@
         listing = await self._objects.list(USAGE_KIND)
         if isinstance(listing, Err):
             return False
+        # Schedulers may know of later windows that a restored store has lost.
+        await self._sharing.collect(self._next - 1)
         stored: dict[int, Report] = {}
         for item in listing.ok_value.items:
             decoded = _decode_report(item.name, item.body)
@@ -194,8 +196,6 @@
             report.is_accepted = known is not None and known.is_accepted
             stored[window] = report
         newest = max(stored, default=-1)
-        if newest < 0:
-            await self._collect()
         accepted = max((r.accepted_through for r in stored.values()), default=-1)
         for window, report in stored.items():
             report.is_accepted |= window <= accepted
@@ -239,6 +239,9 @@
         report = await self._write(window)
         if report is None:
             return False
+        # Before the report may be sent: a next holder must not count the window anew if
+        # the store loses the report.
+        await self._sharing.collect(window)
         self._reports[window] = report
         self._next = window + 1
         usage_counts.forget_windows(self._sharing.table, window, now)
--- a/src/galenapass/forwarding/usage_sharing.py
+++ b/src/galenapass/forwarding/usage_sharing.py
@@ -365,7 +365,8 @@
         self.prepare_table(after)
         rows = encode_counts(usage_counts.list_counts(self.table, after))
         payload = zlib.compress(orjson.dumps(rows), 1)
-        await connection.send({"length": len(payload)}, payload)
+        head = {"length": len(payload), "written": self.table.written}
+        await connection.send(head, payload)
 
     def prepare_table(self, closed: int) -> None:
         """Complete the own counts; forget the windows whose reports were written."""
@@ -408,18 +409,25 @@
         if isinstance(read, Err):
             _log("usage of a scheduler is unknown", peer=host, error=read.err_value)
             return host
-        for item in read.ok_value:
+        self._merge_answer(*read.ok_value)
+        return None
+
+    def _merge_answer(self, written: int, items: list[SourceCounts]) -> None:
+        self.table.written = max(self.table.written, written)
+        for item in items:
             for window, counts in item.counts.items():
                 usage_counts.merge_counts(self.table, item.source, window, counts)
             usage_counts.record_through(self.table, item.source, item.through)
-        return None
 
 
 async def _read_answer(
     connection: PeerConnection,
-) -> Result[list[SourceCounts], str]:
+) -> Result[tuple[int, list[SourceCounts]], str]:
+    """Return the last window that a scheduler knows to be written, and its counts."""
     try:
         head = await connection.receive(ANSWER_TIMEOUT)
+        # Earlier builds do not tell it.
+        written = read_integer(head.get("written", -1))
         payload = bytearray()
         while len(payload) < read_integer(head["length"]):
             async with limit_silence(ANSWER_TIMEOUT):
@@ -431,6 +439,6 @@
         body = inflater.decompress(payload, MAX_BODY_BYTES)
         if not inflater.eof:
             return Err("the answer is too large")
-        return Ok(decode_counts(orjson.loads(body)))
+        return Ok((written, decode_counts(orjson.loads(body))))
     except (OSError, TimeoutError, zlib.error, *DECODE_ERRORS) as error:
         return Err(describe_error(error))
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -209,6 +209,35 @@
     asyncio.run(main())
 
 
+def test_window_closed_by_force_is_not_counted_anew_after_a_restore():
+    """The counts that were missing have come when the next holder takes over."""
+
+    async def main():
+        world = World()
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        world.former = dict(HOSTS)
+        while world.now < 8 * SECOND:
+            await step(world)
+        world.cut_off = {next(n for n in HOSTS if n != world.holder.name)}
+        copy = dict(world.objects), world.version
+
+        async def restore(host):
+            world.objects, world.version = dict(copy[0]), copy[1]
+            world.epoch += 1
+            world.cut_off = set()
+            world.kill(host)
+
+        world.after["report"] = restore
+        while world.now < 45 * SECOND:
+            await step(world)
+        assert not world.after
+        assert world.platform.violations == []
+        assert max(world.platform.windows) >= FIRST_WINDOW + 6
+
+    asyncio.run(main())
+
+
 def test_loss_of_the_domain_of_the_holder():
     async def scenario(world):
         await wait_until(world, 12 * SECOND)
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -244,10 +244,8 @@
             return host
         peer.sharing.prepare_table(after)
         rows = encode_counts(usage_counts.list_counts(peer.sharing.table, after))
-        for item in decode_counts(orjson.loads(orjson.dumps(rows))):
-            for window, counts in item.counts.items():
-                usage_counts.merge_counts(self.table, item.source, window, counts)
-            usage_counts.record_through(self.table, item.source, item.through)
+        items = decode_counts(orjson.loads(orjson.dumps(rows)))
+        self._merge_answer(peer.sharing.table.written, items)
         return None
 
 
