Survive a reload of the reports during a delete

The reports may be read again while the answer to a delete is awaited; then the window was no longer there and the duty ended with a KeyError. It is now removed if it is there.

The new test showed KeyError in both cases before and passes now, as do the other tests in test_usage_reports.py; make check passed.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -348,13 +348,14 @@
             return
         report = self._reports[window]
         deleted = await self._objects.delete(USAGE_KIND, str(window), report.version)
+        # The reports may have been read again meanwhile.
         if isinstance(deleted, Ok):
-            del self._reports[window]
+            self._reports.pop(window, None)
             return
         cause = deleted.err_value.cause
         _log("report is not removed", window=window, cause=cause.value)
         if cause is FailureCause.NOT_FOUND:
-            del self._reports[window]
+            self._reports.pop(window, None)
         elif cause is FailureCause.CONFLICT and deleted.err_value.current is not None:
             report.version = deleted.err_value.current
 
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -6,7 +6,7 @@
 import orjson
 import pytest
 
-from galenapass.duties.usage_reports import Closing, decide_closing
+from galenapass.duties.usage_reports import Closing, Report, decide_closing
 from galenapass.platform.messages import StoredObject
 from tests.usage_world import FIRST_WINDOW, MS, SECOND, World
 
@@ -145,6 +145,27 @@
     play(scenario, 8, missing_requests=6)
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_reports_that_are_read_again_during_a_delete_end_no_duty(is_known):
+    """The window may be gone from the reports before the answer comes."""
+
+    async def main():
+        world = World()
+        reports = world.start("h1").reports
+        if is_known:
+            world.objects["usage", "1"] = StoredObject("1", 1, "")
+        reports._reports = {1: Report({}, 0), 2: Report({}, 1)}
+
+        async def read_again(host):
+            reports._reports = {2: Report({}, 1)}
+
+        world.before["delete"] = read_again
+        await reports._remove_one()
+        assert list(reports._reports) == [2]
+
+    asyncio.run(main())
+
+
 def test_write_that_is_lost_is_not_taken_for_done():
     async def scenario(world):
         await wait_until(world, 8 * SECOND)
