Go on after a report that is rejected or unreadable for ever

A report that the platform always rejects kept all later reports in the store, and an unreadable object under a window's name stopped the closing of windows.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -51,6 +51,8 @@
 HISTORY = 24
 FIRST_RETRY_DELAY = timedelta(milliseconds=300)
 MAX_RETRY_DELAY = timedelta(seconds=2)
+# A report that the platform rejects is most likely rejected again.
+MAX_REJECTED_DELAY = timedelta(seconds=30)
 
 _log = make_log("usage")
 
@@ -79,14 +81,15 @@
 class Report:
     """Report that is in the store; times are monotonic.
 
-    As it was written, all windows up to ``accepted_through`` were accepted. Their
-    objects may be gone, and one that appears again is a late write of another host.
+    It ``is_over`` once it is accepted or given up. As it was written, all windows up to
+    ``accepted_through`` were over. Their objects may be gone, and one that appears
+    again is a late write of another host.
     """
 
     counts: Mapping[str, int]
     accepted_through: int
     version: int = 0
-    is_accepted: bool = False
+    is_over: bool = False
     attempts: int = 0
     retry_at: timedelta = timedelta(0)
 
@@ -193,12 +196,12 @@
             window, report = decoded.ok_value
             known = self._reports.get(window)
             report.version = item.version
-            report.is_accepted = known is not None and known.is_accepted
+            report.is_over = known is not None and known.is_over
             stored[window] = report
         newest = max(stored, default=-1)
         accepted = max((r.accepted_through for r in stored.values()), default=-1)
         for window, report in stored.items():
-            report.is_accepted |= window <= accepted
+            report.is_over |= window <= accepted
         # What is missing below was accepted, and removed by another holder. What is
         # missing above was lost as the store was restored.
         lost = {w: r for w, r in self._reports.items() if w > newest}
@@ -236,15 +239,19 @@
         closing = decide_closing(end, self._terms.lateness, not missing, now)
         if closing is Closing.WAIT:
             return False
-        report = await self._write(window)
-        if report is None:
+        written = await self._write(window)
+        if isinstance(written, Err):
+            _log("report is not known", window=window, cause=written.err_value.value)
             return False
         # Before the report may be sent: a next holder must not count the window anew if
         # the store loses the report.
         await self._sharing.collect(window)
-        self._reports[window] = report
         self._next = window + 1
         usage_counts.forget_windows(self._sharing.table, window, now)
+        report = written.ok_value
+        if report is None:
+            return True
+        self._reports[window] = report
         _log(
             "window is closed",
             window=window,
@@ -262,34 +269,33 @@
         self._collected_at = now
         await self._sharing.collect(self._next - 1)
 
-    async def _write(self, window: int) -> Report | None:
-        """Write a report unless one is there; return the one in the store, if known.
+    async def _write(self, window: int) -> Result[Report | None, FailureCause]:
+        """Write a report unless one is there; return the one in the store.
 
-        A write without an answer may take effect later; only the first one does.
+        It is None if it is unreadable: its window is not reported here. A write without
+        an answer may take effect later; only the first one does.
         """
-        waiting = [w for w, report in self._reports.items() if not report.is_accepted]
+        waiting = [w for w, report in self._reports.items() if not report.is_over]
         counts = usage_counts.sum_window(self._sharing.table, window)
         report = Report(counts, min(waiting, default=window) - 1)
         body = _encode_report(report)
         written = await self._objects.write(USAGE_KIND, str(window), body)
         if isinstance(written, Ok):
             report.version = written.ok_value
-            return report
-        failure = written.err_value
-        if failure.cause not in (FailureCause.CONFLICT, FailureCause.UNKNOWN):
-            _log("report is not written", window=window, cause=failure.cause.value)
-            return None
+            return Ok(report)
+        cause = written.err_value.cause
+        if cause not in (FailureCause.CONFLICT, FailureCause.UNKNOWN):
+            return Err(cause)
         read = await self._objects.read(USAGE_KIND, str(window))
         if isinstance(read, Err):
-            _log("report is not known", window=window, cause=read.err_value.cause.value)
-            return None
+            return Err(read.err_value.cause)
         decoded = _decode_report(read.ok_value.name, read.ok_value.body)
         if isinstance(decoded, Err):
             _log("report is unreadable", window=window, error=decoded.err_value)
-            return None
+            return Ok(None)
         report = decoded.ok_value[1]
         report.version = read.ok_value.version
-        return report
+        return Ok(report)
 
     # Reports
 
@@ -301,7 +307,7 @@
         due = [
             window
             for window, report in self._reports.items()
-            if not report.is_accepted and report.retry_at <= now
+            if not report.is_over and report.retry_at <= now
         ]
         if due:
             await self._send(min(due, key=self._order))
@@ -323,13 +329,20 @@
             return
         self._on_outcome(outcome.value)
         report.attempts += 1
-        report.is_accepted = outcome is CallOutcome.ACCEPTED
-        if report.is_accepted:
+        is_accepted = outcome is CallOutcome.ACCEPTED
+        is_rejected = outcome is CallOutcome.REJECTED
+        if is_accepted:
             self._history.append((window, report.counts))
-        delay = min(FIRST_RETRY_DELAY * 2 ** min(report.attempts, 8), MAX_RETRY_DELAY)
+        end = usage_counts.find_end(window, self._sharing.window)
+        is_old = self._sharing.time.now() > end + CATCH_UP_TIME
+        report.is_over = is_accepted or (is_rejected and is_old)
+        longest = MAX_REJECTED_DELAY if is_rejected else MAX_RETRY_DELAY
+        delay = min(FIRST_RETRY_DELAY * 2 ** min(report.attempts, 8), longest)
         report.retry_at = self._clock.monotonic() + delay
+        if report.is_over and not is_accepted:
+            _log("report is given up", window=window, attempts=report.attempts)
         _log(
-            "usage is reported" if report.is_accepted else "usage is not accepted",
+            "usage is reported" if is_accepted else "usage is not accepted",
             window=window,
             requests=sum(report.counts.values()),
             outcome=outcome.value,
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -332,6 +332,38 @@
     play(scenario)
 
 
+def run_calm(world, duration):
+    async def main():
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        while world.now < duration:
+            await step(world)
+        assert world.platform.violations == []
+
+    asyncio.run(main())
+
+
+def test_report_that_is_always_rejected_does_not_stop_the_removal_for_ever():
+    """The store would keep all later reports."""
+    world = World(rejected={FIRST_WINDOW + 1: 0})
+    run_calm(world, 160 * SECOND)
+    assert sum(kind == "usage" for kind, _ in world.objects) <= 3
+    # The delay doubles up to 30 s.
+    assert 5 <= world.rejected[FIRST_WINDOW + 1] <= 12
+
+
+def test_unreadable_report_does_not_stop_the_later_windows():
+    name = str(FIRST_WINDOW + 1)
+    world = World()
+    world.objects["usage", name] = StoredObject(name, 1, "of another build")
+    run_calm(world, 30 * SECOND)
+    assert FIRST_WINDOW + 1 not in world.platform.windows
+    assert {FIRST_WINDOW, FIRST_WINDOW + 2, FIRST_WINDOW + 3} <= set(
+        world.platform.windows
+    )
+    assert world.objects["usage", name].body == "of another build"
+
+
 def test_window_is_closed_when_complete_and_in_time_otherwise():
     end, late = 100 * SECOND, 10 * SECOND
     assert decide_closing(end, late, True, end - MS) is Closing.WAIT
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -66,7 +66,8 @@
 
     ``before`` and ``after`` are called once around the next effect of a kind of call,
     with the host that makes it; ``lose`` counts the answers to lose of each kind,
-    ``lose_request`` the calls. ``unwritten`` are reports that came without an object.
+    ``lose_request`` the calls. ``unwritten`` are reports that came without an object,
+    ``rejected`` windows that the platform rejects, with their calls.
     """
 
     now: timedelta = timedelta(0)
@@ -85,6 +86,7 @@
     lose: Counter = field(default_factory=Counter)
     lose_request: Counter = field(default_factory=Counter)
     unwritten: list = field(default_factory=list)
+    rejected: dict = field(default_factory=dict)
     starts: int = 0
     loss: object = lambda sender, receiver: False
 
@@ -218,6 +220,9 @@
         is_late = self._host.clock.monotonic() >= end
         if is_late or world.platform_is_away or holder in world.cut_off:
             return CallOutcome.UNKNOWN
+        if window in world.rejected:
+            world.rejected[window] += 1
+            return CallOutcome.REJECTED
         stored = world.objects.get(("usage", str(window)))
         if stored is None or orjson.loads(stored.body)["counts"] != dict(counts):
             world.unwritten.append(window)
