Tell the time up to which counts are complete only once it is settled

A host that starts with its wall clock ahead declared future time complete, to schedulers and to the holder, which never take it back. It now tells 0 until its time is settled, leaves itself out of answers to the call usage, and its own record may go back.

With the former behaviour put back in usage_sharing.py, the new test showed 2.4 s of future time declared; it passes now, as do the other tests of tests/test_usage_*.py; make check passed.

--- a/src/galenapass/forwarding/usage_sharing.py
+++ b/src/galenapass/forwarding/usage_sharing.py
@@ -223,6 +223,17 @@
         begins = (at for at, _ in self._open_calls.values())
         return min(begins, default=self._clock.monotonic()) + self.time.offset
 
+    def _record_own_through(self) -> timedelta:
+        """Record up to when the own counts are complete, and return what to tell.
+
+        That is 0 until the time is settled: others could not take back that future time
+        is complete, which a clock that is ahead declares.
+        """
+        through = self._find_through()
+        # May be earlier than before, as the time is settled.
+        self.table.through[self.source] = through
+        return through if self.time.is_settled else timedelta(0)
+
     def _count_long_calls(self, now: timedelta) -> None:
         """Count the calls that no target has refused for long.
 
@@ -254,8 +265,7 @@
             usage_counts.forget_windows(self.table, old, self.time.now())
         now = self._clock.monotonic()
         self._count_long_calls(now)
-        through = self._find_through()
-        usage_counts.record_through(self.table, self.source, through)
+        through = self._record_own_through()
         for name in self._choose_receivers(now):
             self._tell(name, through, now)
 
@@ -278,7 +288,8 @@
             return
         rows = self._list_unacknowledged(receiver)
         is_window_told = receiver.through // self.window >= through // self.window
-        if not rows and is_window_told:
+        # Replies to notices settle the time.
+        if not rows and is_window_told and self.time.is_settled:
             return
         receiver.unanswered += 1
         chunks = [rows[n : n + MAX_ROWS] for n in range(0, len(rows), MAX_ROWS)]
@@ -362,17 +373,24 @@
     async def answer(self, fields: dict[str, Any], connection: PeerConnection) -> None:
         """Send the counts of the windows after the last one that is closed."""
         after = read_integer(fields["after"])
-        self.prepare_table(after)
-        rows = encode_counts(usage_counts.list_counts(self.table, after))
+        rows = encode_counts(self.list_counts(after))
         payload = zlib.compress(orjson.dumps(rows), 1)
         head = {"length": len(payload), "written": self.table.written}
         await connection.send(head, payload)
 
+    def list_counts(self, after: int) -> list[SourceCounts]:
+        """Return what to tell of the windows after the last one that is closed."""
+        self.prepare_table(after)
+        counts = usage_counts.list_counts(self.table, after)
+        if self.time.is_settled:
+            return counts
+        return [item for item in counts if item.source != self.source]
+
     def prepare_table(self, closed: int) -> None:
         """Complete the own counts; forget the windows whose reports were written."""
         self.table.written = max(self.table.written, closed)
         usage_counts.forget_windows(self.table, closed, self.time.now())
-        usage_counts.record_through(self.table, self.source, self._find_through())
+        self._record_own_through()
 
     def list_missing(self, end: timedelta) -> list[str]:
         """Return the hosts whose counts up to a true time may be incomplete here."""
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -8,7 +8,7 @@
 
 from galenapass.duties.usage_reports import Closing, Report, decide_closing
 from galenapass.platform.messages import StoredObject
-from tests.usage_world import FIRST_WINDOW, MS, SECOND, World
+from tests.usage_world import EPOCH, FIRST_WINDOW, MS, SECOND, START, World
 
 HOSTS = {"h1": "a", "h2": "a", "h3": "b", "h4": "b", "h5": "c", "h6": "c"}
 
@@ -317,6 +317,32 @@
     play(scenario, 7, missing_requests=6)
 
 
+def test_process_whose_wall_clock_is_ahead_declares_no_future_time_complete():
+    """Its counts of that time would not be waited for."""
+
+    async def main():
+        world = World()
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        await world.run(8 * SECOND)
+        host = world.start("h7", "a", 2400 * MS)
+        while world.now < 14 * SECOND:
+            # Each scheduler may be asked at any time.
+            await world.hosts["h1"].sharing.collect(-1)
+            await world.run(50 * MS)
+            for other in world.hosts.values():
+                told = other.sharing.table.through.get(host.sharing.source)
+                if told is not None and other is not host:
+                    assert told <= START - EPOCH + world.now
+        assert host.sharing.time.is_settled
+        tables = [h.sharing.table for h in world.hosts.values() if h is not host]
+        assert max(t.through.get(host.sharing.source, timedelta(0)) for t in tables) > (
+            START - EPOCH + 10 * SECOND
+        )
+
+    asyncio.run(main())
+
+
 def test_lost_datagrams_change_no_count():
     async def scenario(world):
         calls = iter(range(10**9))
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -247,8 +247,7 @@
         own = self.source[0]
         if peer is None or peer.is_frozen or not self.world.may_reach(own, host):
             return host
-        peer.sharing.prepare_table(after)
-        rows = encode_counts(usage_counts.list_counts(peer.sharing.table, after))
+        rows = encode_counts(peer.sharing.list_counts(after))
         items = decode_counts(orjson.loads(orjson.dumps(rows)))
         self._merge_answer(peer.sharing.table.written, items)
         return None
