Limit the transmission of a call to the time that is left

TCP_USER_TIMEOUT was set to the whole time limit as the socket was made, but counts from the transmission of data, so bytes that were delayed might arrive after the lease. It is now set to the time that is left right before the request is written.

--- a/src/galenapass/platform/operations_client.py
+++ b/src/galenapass/platform/operations_client.py
@@ -1,7 +1,6 @@
 """Call the platform's operations, which only the holder of the duties may."""
 
 import asyncio
-import functools
 import socket
 import struct
 from collections.abc import Mapping
@@ -88,12 +87,21 @@
             "X-Galenapass-Fencing-Token": str(fence),
         }
 
-        def check_time() -> None:
-            if self._clock.monotonic() >= end:
+        sockets: list[socket.socket] = []
+
+        def make_socket(info: Any) -> socket.socket:
+            sockets.append(_make_socket(info))
+            return sockets[-1]
+
+        def limit_time() -> None:
+            time_left = end - self._clock.monotonic()
+            if time_left <= timedelta(0):
                 raise TimeoutError("the time limit passed before anything was sent")
+            for made in sockets:
+                if made.fileno() >= 0:
+                    _limit_transmission(made, time_left)
 
         self._count(call)
-        make_socket = functools.partial(_make_socket, time_limit)
         try:
             async with (
                 asyncio.timeout(time_limit.total_seconds()),
@@ -104,7 +112,7 @@
                     f"{self._base}/{call}",
                     data=orjson.dumps(body),
                     headers=headers,
-                    trace_request_ctx=check_time,
+                    trace_request_ctx=limit_time,
                     # A redirect would repeat the call elsewhere.
                     allow_redirects=False,
                 ) as response,
@@ -121,15 +129,18 @@
     return _OUTCOMES_BY_STATUS.get(status, CallOutcome.UNKNOWN)
 
 
-def _make_socket(time_limit: timedelta, info: Any) -> socket.socket:
-    """Return a socket whose close is a reset.
-
-    The kernel gives up bytes that are not received within the time limit, also while
-    this process is stopped.
-    """
+def _make_socket(info: Any) -> socket.socket:
+    """Return a socket whose close is a reset."""
     made = make_probed_socket(info)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-    limit_ms = max(time_limit // _MILLISECOND, 1)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
     return made
+
+
+def _limit_transmission(connected: socket.socket, time_left: timedelta) -> None:
+    """Let the kernel give up bytes that are not received within the time left.
+
+    It does so also while this process is stopped, and counts from their transmission.
+    """
+    limit_ms = max(time_left // _MILLISECOND, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
--- a/tests/test_usage_client.py
+++ b/tests/test_usage_client.py
@@ -11,7 +11,9 @@
 from experiments.processes import find_free_port
 from galenapass.clocks import BootClock
 from galenapass.forwarding.operations import CallOutcome
+from galenapass.platform import operations_client
 from galenapass.platform.operations_client import HttpOperationsClient
+from galenapass.targets.connections import make_probed_socket
 from stand_ins.operations import Operations, OperationsFaults
 
 LIMIT = timedelta(milliseconds=400)
@@ -109,6 +111,39 @@
     asyncio.run(run())
 
 
+def test_kernel_gives_up_bytes_at_the_end_of_the_time_limit(monkeypatch):
+    """Counted from their transmission, delayed bytes might come after the lease."""
+
+    class SlowClock(BootClock):
+        reads = 0
+
+        def monotonic(self):
+            self.reads += 1
+            slow = timedelta(milliseconds=1500 if self.reads > 1 else 0)
+            return super().monotonic() + slow
+
+    sockets = []
+
+    def make_socket(info):
+        sockets.append(make_probed_socket(info))
+        return sockets[-1]
+
+    monkeypatch.setattr(operations_client, "make_probed_socket", make_socket)
+
+    async def run():
+        operations = Operations(faults=OperationsFaults(delay_seconds=0.2))
+        async with serve_operations(operations) as address:
+            client = make_client(address, SlowClock())
+            call = asyncio.create_task(client.report_usage(1, {}, "h1", 1, 5 * LIMIT))
+            while not operations.received and not call.done():
+                await asyncio.sleep(0.001)
+            option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            assert 0 < sockets[0].getsockopt(*option) <= 500
+            assert await call is CallOutcome.ACCEPTED
+
+    asyncio.run(run())
+
+
 def test_call_that_is_given_up_is_reset():
     """A graceful close would let a held-up link deliver the report later."""
 
