Name the field of the duties' settings that has another form

A cloud that is no table ended in an AttributeError, duties that are no names in a TypeError, duties that are one text were taken for none, and a window of 0 s was accepted and divided by later. Each is now a fault that names its field.

The four new cases failed before with these errors or no fault, and pass now; tests/test_platform_operation_fields.py and tests/test_usage_*.py passed, make check passed.

--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -96,19 +96,30 @@
 
 def _decode_operations(data: Mapping[str, Any]) -> OperationsTerms | None:
     """Return the terms of the duties; duties of other names belong to later builds."""
-    names = data.get("cloud", {}).get("duties") or ()
+    cloud = data.get("cloud", {})
+    if not isinstance(cloud, Mapping):
+        raise _FieldError("cloud", cloud, "a table")
+    names = cloud.get("duties", [])
+    if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
+        raise _FieldError("cloud.duties", names, "a list of names")
     duties = frozenset(_DUTIES[name] for name in names if name in _DUTIES)
     if not duties:
         return None
     terms = OperationsTerms(_get_text(data, "cloud", "address"), duties)
-    if "duty_per_s" in data["cloud"]:
+    if "duty_per_s" in cloud:
         rate = _get_float(data, "cloud", "duty_per_s")
         terms = replace(terms, calls_per_second=rate)
     if Duty.USAGE not in duties:
         return terms
+    seconds = _get_float(data, "bounds", "report_window_s")
+    window = seconds * _SECOND
+    # Times are divided by it, and have a resolution of a microsecond.
+    if not window:
+        expected = "a number above 0"
+        raise _FieldError("bounds.report_window_s", seconds, expected)
     return replace(
         terms,
-        window=_get_float(data, "bounds", "report_window_s") * _SECOND,
+        window=window,
         lateness=_get_float(data, "bounds", "usage_late_s") * _SECOND,
     )
 
--- a/tests/test_platform_operation_fields.py
+++ b/tests/test_platform_operation_fields.py
@@ -91,6 +91,26 @@
     def test_without_duties_there_are_no_terms(self, tmp_path):
         assert self.read(tmp_path / "a.toml", SETTINGS).operations is None
 
+    @pytest.mark.parametrize(
+        ("text", "field"),
+        [
+            ("cloud = 7\n" + SETTINGS, "cloud"),
+            (SETTINGS + CLOUD.replace('["usage', '[["x"], "usage'), "cloud.duties"),
+            (SETTINGS + '[cloud]\nduties = "usage_report"', "cloud.duties"),
+            (
+                (SETTINGS + CLOUD).replace(
+                    "report_window_s = 5", "report_window_s = 0"
+                ),
+                "bounds.report_window_s",
+            ),
+        ],
+    )
+    def test_a_field_of_another_form_is_named_as_a_fault(self, tmp_path, text, field):
+        """Another error, or a division by zero later, would end the daemon."""
+        path = tmp_path / "a.toml"
+        path.write_text(text)
+        assert read_host_settings(path).unwrap_err().key == field
+
 
 @pytest.mark.parametrize(
     ("value", "expected"),
