--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -6,9 +6,9 @@
 import orjson
 import pytest
 
-from galenapass.duties.usage_reports import Closing, decide_closing
+from galenapass.duties.usage_reports import Closing, Report, decide_closing
 from galenapass.platform.messages import StoredObject
-from tests.usage_world import FIRST_WINDOW, MS, SECOND, World
+from tests.usage_world import EPOCH, FIRST_WINDOW, MS, SECOND, START, World
 
 HOSTS = {"h1": "a", "h2": "a", "h3": "b", "h4": "b", "h5": "c", "h6": "c"}
 
@@ -145,6 +145,27 @@
     play(scenario, 8, missing_requests=6)
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_reports_that_are_read_again_during_a_delete_end_no_duty(is_known):
+    """The window may be gone from the reports before the answer comes."""
+
+    async def main():
+        world = World()
+        reports = world.start("h1").reports
+        if is_known:
+            world.objects["usage", "1"] = StoredObject("1", 1, "")
+        reports._reports = {1: Report({}, 0), 2: Report({}, 1)}
+
+        async def read_again(host):
+            reports._reports = {2: Report({}, 1)}
+
+        world.before["delete"] = read_again
+        await reports._remove_one()
+        assert list(reports._reports) == [2]
+
+    asyncio.run(main())
+
+
 def test_write_that_is_lost_is_not_taken_for_done():
     async def scenario(world):
         await wait_until(world, 8 * SECOND)
@@ -209,6 +230,35 @@
     asyncio.run(main())
 
 
+def test_window_closed_by_force_is_not_counted_anew_after_a_restore():
+    """The counts that were missing have come when the next holder takes over."""
+
+    async def main():
+        world = World()
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        world.former = dict(HOSTS)
+        while world.now < 8 * SECOND:
+            await step(world)
+        world.cut_off = {next(n for n in HOSTS if n != world.holder.name)}
+        copy = dict(world.objects), world.version
+
+        async def restore(host):
+            world.objects, world.version = dict(copy[0]), copy[1]
+            world.epoch += 1
+            world.cut_off = set()
+            world.kill(host)
+
+        world.after["report"] = restore
+        while world.now < 45 * SECOND:
+            await step(world)
+        assert not world.after
+        assert world.platform.violations == []
+        assert max(world.platform.windows) >= FIRST_WINDOW + 6
+
+    asyncio.run(main())
+
+
 def test_loss_of_the_domain_of_the_holder():
     async def scenario(world):
         await wait_until(world, 12 * SECOND)
@@ -267,6 +317,32 @@
     play(scenario, 7, missing_requests=6)
 
 
+def test_process_whose_wall_clock_is_ahead_declares_no_future_time_complete():
+    """Its counts of that time would not be waited for."""
+
+    async def main():
+        world = World()
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        await world.run(8 * SECOND)
+        host = world.start("h7", "a", 2400 * MS)
+        while world.now < 14 * SECOND:
+            # Each scheduler may be asked at any time.
+            await world.hosts["h1"].sharing.collect(-1)
+            await world.run(50 * MS)
+            for other in world.hosts.values():
+                told = other.sharing.table.through.get(host.sharing.source)
+                if told is not None and other is not host:
+                    assert told <= START - EPOCH + world.now
+        assert host.sharing.time.is_settled
+        tables = [h.sharing.table for h in world.hosts.values() if h is not host]
+        assert max(t.through.get(host.sharing.source, timedelta(0)) for t in tables) > (
+            START - EPOCH + 10 * SECOND
+        )
+
+    asyncio.run(main())
+
+
 def test_lost_datagrams_change_no_count():
     async def scenario(world):
         calls = iter(range(10**9))
@@ -282,6 +358,38 @@
     play(scenario)
 
 
+def run_calm(world, duration):
+    async def main():
+        for name, domain in HOSTS.items():
+            world.start(name, domain, is_first=True)
+        while world.now < duration:
+            await step(world)
+        assert world.platform.violations == []
+
+    asyncio.run(main())
+
+
+def test_report_that_is_always_rejected_does_not_stop_the_removal_for_ever():
+    """The store would keep all later reports."""
+    world = World(rejected={FIRST_WINDOW + 1: 0})
+    run_calm(world, 160 * SECOND)
+    assert sum(kind == "usage" for kind, _ in world.objects) <= 3
+    # The delay doubles up to 30 s.
+    assert 5 <= world.rejected[FIRST_WINDOW + 1] <= 12
+
+
+def test_unreadable_report_does_not_stop_the_later_windows():
+    name = str(FIRST_WINDOW + 1)
+    world = World()
+    world.objects["usage", name] = StoredObject(name, 1, "of another build")
+    run_calm(world, 30 * SECOND)
+    assert FIRST_WINDOW + 1 not in world.platform.windows
+    assert {FIRST_WINDOW, FIRST_WINDOW + 2, FIRST_WINDOW + 3} <= set(
+        world.platform.windows
+    )
+    assert world.objects["usage", name].body == "of another build"
+
+
 def test_window_is_closed_when_complete_and_in_time_otherwise():
     end, late = 100 * SECOND, 10 * SECOND
     assert decide_closing(end, late, True, end - MS) is Closing.WAIT
