Test that answers without a written window are read

Earlier builds do not tell the last written window. With the field required, the new test failed for their answer; it passes with the code as it is, as do all tests of tests/test_usage_*.py; make check passed.

--- a/tests/test_usage_time.py
+++ b/tests/test_usage_time.py
@@ -1,6 +1,7 @@
 """Test the true time, and how hosts share counts, without a network."""
 
 import asyncio
+import zlib
 from datetime import timedelta
 
 import pytest
@@ -9,7 +10,7 @@
 
 from galenapass.duties.duty_calls import DutyCalls
 from galenapass.duties.lease_keeper import LeaseKeeper
-from galenapass.forwarding import usage_counts
+from galenapass.forwarding import usage_counts, usage_sharing
 from galenapass.forwarding.operations import CallOutcome
 from galenapass.forwarding.true_time import (
     ClockReading,
@@ -216,3 +217,24 @@
         assert client.sent[0][2] < 6 * SECOND
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("head", "written"), [({}, -1), ({"written": 7}, 7), ({"written": 7, "new": 1}, 7)]
+)
+def test_answers_of_builds_that_tell_no_written_window_are_read(head, written):
+    """A holder would take all schedulers of an earlier build for silent."""
+
+    class Connection:
+        def __init__(self):
+            self.reader = asyncio.StreamReader()
+            self.body = zlib.compress(b"[]")
+            self.reader.feed_data(self.body)
+
+        async def receive(self, timeout):
+            return {"length": len(self.body)} | head
+
+    async def run():
+        return await usage_sharing._read_answer(Connection())
+
+    assert asyncio.run(run()).ok_value == (written, [])
