--- a/src/galenapass/platform/settings.py
+++ b/src/galenapass/platform/settings.py
@@ -96,10 +96,11 @@
 
 def _decode_operations(data: Mapping[str, Any]) -> OperationsTerms | None:
     """Return the terms of the duties; duties of other names belong to later builds."""
-    cloud = data.get("cloud", {})
+    # Keys that a platform does not use may be empty.
+    cloud = data.get("cloud") or {}
     if not isinstance(cloud, Mapping):
         raise _FieldError("cloud", cloud, "a table")
-    names = cloud.get("duties", [])
+    names = cloud.get("duties") or []
     if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
         raise _FieldError("cloud.duties", names, "a list of names")
     duties = frozenset(_DUTIES[name] for name in names if name in _DUTIES)
--- a/tests/test_platform_operation_fields.py
+++ b/tests/test_platform_operation_fields.py
@@ -90,6 +90,14 @@
         assert terms.window == timedelta(seconds=5)
         assert terms.lateness == timedelta(seconds=10)
 
+    @pytest.mark.parametrize(
+        "cloud", ['cloud = ""', "cloud = {}", "[cloud]\nduties = []"]
+    )
+    def test_empty_keys_ask_for_no_duty(self, tmp_path, cloud):
+        # Keys that a platform does not use may be empty.
+        text = f"{cloud}\n{SETTINGS}" if "[" not in cloud else f"{SETTINGS}\n{cloud}"
+        assert self.read(tmp_path / "a.toml", text).operations is None
+
     def test_without_duties_there_are_no_terms(self, tmp_path):
         assert self.read(tmp_path / "a.toml", SETTINGS).operations is None
 
