Release targets only once the demand of a window is known

Cause: sizes shrank as soon as four seconds of demand were known if they were 1.5 times the need, so before the window's peak.

--- a/src/galenapass/forwarding/sizes.py
+++ b/src/galenapass/forwarding/sizes.py
@@ -54,9 +54,6 @@
 # shrink rarely, and not for less than this share of the price.
 MIN_SAVING = 0.1
 HOLD_TIME = timedelta(seconds=45)
-# A size above this multiple of the need is reduced before the demand of a window is
-# known: it is the size that a deployment starts with.
-EARLY_SURPLUS = 1.5
 # The rates of some seconds show the mean of the load.
 MIN_KNOWN_TIME = timedelta(seconds=4)
 
@@ -226,9 +223,8 @@
     price, least = (compute_price(c, inputs.scaling) for c in (kept, counts))
     if price - least < max(MIN_SAVING * price, 1e-9):
         return False
-    if known_time >= inputs.window:
-        return now - plan.changed_at >= HOLD_TIME
-    return sum(kept.values()) >= EARLY_SURPLUS * sum(counts.values())
+    # Before a window is known, its peak is still to come.
+    return known_time >= inputs.window and now - plan.changed_at >= HOLD_TIME
 
 
 def _renew_need(plan: SizePlan, inputs: SizeInputs) -> SizeNeed:
