Keep one value for a reset at the close of a socket

Cause: the client of the platform's operations wrote the value of SO_LINGER a fourth time, and three copies had a name that says the opposite. Change: one constant in http_connections, used by all four. Behaviour is the same.

--- a/src/galenapass/callers/sinks.py
+++ b/src/galenapass/callers/sinks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -10,13 +9,13 @@
 
 from galenapass.callers.answers import assemble_answer
 from galenapass.callers.problems import encode_error_event, make_problem_response
+from galenapass.http_connections import RESET_ON_CLOSE
 from galenapass.verdicts import Reason, Run, Verdict
 
 __all__ = ["BufferingSink", "StreamingSink", "Write"]
 
 Write = Callable[[bytes], Awaitable[None]]
 
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream; charset=utf-8",
@@ -73,7 +72,7 @@
         if self._write is None:
             # A body without chunks is whole where its connection ends without an error.
             connected = transport.get_extra_info("socket")
-            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         transport.abort()
 
 
--- a/src/galenapass/forwarding/peer_calls.py
+++ b/src/galenapass/forwarding/peer_calls.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable, Coroutine, Mapping
 from datetime import timedelta
 from typing import Any
@@ -15,6 +14,7 @@
 from result import Err, Ok, Result
 
 from galenapass.forwarding.schedulers import Address
+from galenapass.http_connections import RESET_ON_CLOSE
 from galenapass.json_values import describe_error, read_name
 from galenapass.logs import make_log
 from galenapass.timeouts import limit_silence
@@ -35,7 +35,6 @@
 # Received bytes that are not yet read, and written ones that are not yet sent.
 BUFFER_BYTES = 16_384
 
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 _log = make_log("peers")
 
@@ -75,7 +74,7 @@
     def reset(self) -> None:
         """Close the connection so that the peer gets an error and no end."""
         connected = self.writer.get_extra_info("socket")
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.abort()
 
 
--- a/src/galenapass/http_connections.py
+++ b/src/galenapass/http_connections.py
@@ -13,6 +13,7 @@
 from galenapass.logs import make_log
 
 __all__ = [
+    "RESET_ON_CLOSE",
     "ClientConnection",
     "ClientServer",
     "ConnectionCounts",
@@ -21,6 +22,8 @@
     "has_waiting_request",
 ]
 
+# Value of SO_LINGER: lingering is on, for 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Time for a client to close its side of a connection that is closed here. Data that
 # arrives on a closed socket resets the connection, and an answer on its way is lost.
 LINGER_TIME = timedelta(milliseconds=100)
@@ -168,7 +171,7 @@
         return
     # A closed connection is how an answer without chunks ends, so it is reset instead.
     client_socket = transport.get_extra_info("socket")
-    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     transport.abort()
 
 
@@ -183,6 +186,4 @@
         _log("connection was reset", error=repr(error))
 
 
-# Lingering is on, for 0 s.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _SERVER_OPTIONS = frozenset({"request_factory", "handler_cancellation", "loop"})
--- a/src/galenapass/platform/operations_client.py
+++ b/src/galenapass/platform/operations_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any
@@ -12,6 +11,7 @@
 
 from galenapass.clocks import Clock
 from galenapass.forwarding.operations import CallOutcome
+from galenapass.http_connections import RESET_ON_CLOSE
 from galenapass.json_values import describe_error
 from galenapass.logs import make_log
 from galenapass.platform.object_client import CountCall
@@ -22,7 +22,6 @@
 # Holds the largest body, 1,000 organisations, so that no byte waits in this process.
 SEND_BUFFER_BYTES = 2**18
 _MILLISECOND = timedelta(milliseconds=1)
-_NO_LINGER = struct.pack("ii", 1, 0)
 _OUTCOMES_BY_STATUS = {
     200: CallOutcome.ACCEPTED,
     409: CallOutcome.UNAVAILABLE,
@@ -132,7 +131,7 @@
 def _make_socket(info: Any) -> socket.socket:
     """Return a socket whose close is a reset."""
     made = make_probed_socket(info)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     return made
 
