--- a/review/support_2.py
+++ b/review/support_2.py
@@ -254,7 +254,8 @@
     """Sound runner of a plain service, which registers itself in the store.
 
     ``seconds`` is its time for a request. A crash closes its port and connections, and
-    it is back later at its address, under its id with a new ``born``. ``crashes``
+    it is back later at its address with a new ``born``, under its id if it ``keeps_id``
+    and else under a new one; the former entry lapses. ``crashes``
     returns whether a request crashes the runner that begins to run it, ``spoils``
     whether its answer bears the status 101; ``on_run`` is called with the runner and
     each request that it begins to run.
@@ -270,6 +271,8 @@
         on_run: Callable[["Runner", web.Request], None] = lambda runner, request: None,
         restart_seconds: float = 1.5,
         spoils: Callable[[web.Request], bool] = lambda request: False,
+        *,
+        keeps_id: bool = True,
     ):
         self.id = name
         self.born = int(time.time() * 1000)
@@ -281,6 +284,8 @@
         self._on_run = on_run
         self._restart_seconds = restart_seconds
         self._spoils = spoils
+        self._name = name
+        self._keeps_id = keeps_id
         self._port = find_free_port("127.0.0.1")
         self._site: web.TCPSite | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -377,8 +382,15 @@
         await site.stop()
         await asyncio.sleep(self._restart_seconds)
         self.born = int(time.time() * 1000)
+        if not self._keeps_id:
+            self._spawn(self._lapse(self.id))
+            self.id = f"{self._name}-{len(self.crashed_at)}"
         await self._listen()
 
+    async def _lapse(self, former: str) -> None:
+        await asyncio.sleep(3 * HEARTBEAT_SECONDS - self._restart_seconds)
+        self._store.remove("servers", former)
+
 
 class Answer:
     """What a client got: a status, or 0 and why there is none."""
