--- a/review/support_2.py
+++ b/review/support_2.py
@@ -353,7 +353,7 @@
         await request.read()
         self._on_run(self, request)
         if self._crashes(request):
-            self._crash()
+            self.crash()
             return web.Response(status=500)
         await asyncio.sleep(self._seconds * random.uniform(0.8, 1.2))
         headers = {ATTEMPT: request.headers.get(ATTEMPT, ""), SIGNATURE: self.id}
@@ -367,7 +367,8 @@
         await raw.write_eof()
         return raw
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """Close the port and all connections, and come back later."""
         site, self._site = self._site, None
         if site is None:
             return
