Log what a holder knows of earlier reports as it reads them

Cause: the line told the number of stored reports and the next window, so that a holder that nobody told of a window and one that did not reach those who know looked alike. Change: the line names the newest stored window, the last window that schedulers told, and the schedulers that did not answer.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -207,7 +207,14 @@
         lost = {w: r for w, r in self._reports.items() if w > newest}
         self._reports = stored | lost
         self._next = self._find_next(max([newest, *lost]))
-        _log("reports are read", count=len(stored), next=self._next)
+        _log(
+            "reports are read",
+            count=len(stored),
+            next=self._next,
+            newest=newest,
+            told=self._sharing.table.written,
+            silent=self._sharing.silent_schedulers,
+        )
         return True
 
     def _find_next(self, newest: int) -> int:
