Leave a window of usage out where nothing proves that it was not reported

Cause: what was reported is known by the objects usage/WINDOW, which a restore takes, and by living schedulers, which a kill takes. A holder that found neither took that for "not reported" and counted the window anew.

Change: forwarding/usage_evidence.py names three proofs that a window was not reported: the store has a report that was written in its current epoch (STORED); the window ended after the epoch was first seen (LATER); a process that held the lease as the epoch was first seen tells its last report (HELD). Reports name the epoch, hosts tell what they know with their counts. A report that only an earlier holder remembers is not sent again.

Why it works: a report is written after its window's end and before it is sent, so what an earlier epoch may have sent ended before the new one was seen; and what was written in the current epoch is in the store.

--- a/src/galenapass/duties/duty_calls.py
+++ b/src/galenapass/duties/duty_calls.py
@@ -1,7 +1,7 @@
 """Make the calls of the duties, which only the holder of their lease may make."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -52,6 +52,15 @@
         """Return the fencing number, or None unless the lease is valid now."""
         return self._keeper.fence
 
+    @property
+    def time_left(self) -> timedelta:
+        """Return how long calls may still be made unless the lease is renewed."""
+        return self._keeper.time_left
+
+    def add_before_release(self, end: Callable[[], Awaitable[None]]) -> None:
+        """Add a function that is called before another host may make the calls."""
+        self._keeper.before_release.append(end)
+
     async def report_usage(
         self, window: int, counts: Mapping[str, int]
     ) -> CallOutcome | None:
--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -1,13 +1,14 @@
-"""Report the usage of each window exactly once while this host holds the lease.
+"""Report the usage of each window at most once while this host holds the lease.
 
 A report is written to the store before it is first sent, and then sent as written by
-whoever holds the lease, until the platform accepts it. So no two counts are sent for a
-window, whichever process, call or answer is lost.
+whoever holds the lease, until the platform accepts it. A window is written only with a
+proof that it was not reported before, and left out otherwise. So no two counts are sent
+for a window, whichever process, call, answer or object is lost.
 """
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -21,6 +22,8 @@
 from galenapass.duties.lease_keeper import LeaseObjects
 from galenapass.forwarding import usage_counts
 from galenapass.forwarding.operations import CallOutcome, OperationsTerms
+from galenapass.forwarding.store_epochs import StoreEpochs
+from galenapass.forwarding.usage_evidence import Proof, Restore, find_proof
 from galenapass.forwarding.usage_sharing import UsageSharing
 from galenapass.json_values import (
     DECODE_ERRORS,
@@ -83,11 +86,13 @@
 
     It ``is_over`` once it is accepted or given up. As it was written, all windows up to
     ``accepted_through`` were over. Their objects may be gone, and one that appears
-    again is a late write of another host.
+    again is a late write of another host. ``epoch`` is that of the store up to which
+    its writer knew the earlier reports, None if the store named none.
     """
 
     counts: Mapping[str, int]
     accepted_through: int
+    epoch: int | None = None
     version: int = 0
     is_over: bool = False
     attempts: int = 0
@@ -109,8 +114,8 @@
 class UsageReports:
     """Duty to report the usage of each window.
 
-    ``is_first_start`` tells that no window before the start of this process was used.
-    ``on_outcome`` is called with the outcome of each call.
+    ``epochs`` are those of the store. ``on_outcome`` is called with the outcome of each
+    call, ``on_left_out`` with the number of windows that are not reported.
     """
 
     def __init__(
@@ -120,22 +125,27 @@
         objects: UsageObjects,
         sharing: UsageSharing,
         clock: Clock,
+        epochs: StoreEpochs,
         *,
-        is_first_start: bool = False,
         on_outcome: Callable[[str], None] = lambda outcome: None,
+        on_left_out: Callable[[int], None] = lambda count: None,
     ):
         self._terms = terms
         self._calls = calls
         self._objects = objects
         self._sharing = sharing
         self._clock = clock
-        self._first = self._find_window() if is_first_start else None
+        self._epochs = epochs
         self._on_outcome = on_outcome
+        self._on_left_out = on_left_out
         self._loaded_fence: int | None = None
+        # Latest epoch in which a report that the store has was written.
+        self._stored_epoch: int | None = None
         self._next = 0
         self._reports: dict[int, Report] = {}
         self._history: deque[tuple[int, Mapping[str, int]]] = deque(maxlen=HISTORY)
         self._collected_at: timedelta | None = None
+        calls.add_before_release(self._end_term)
 
     def list_reports(self) -> list[dict[str, Any]]:
         """Return the windows that are known here, with their state, for operators."""
@@ -177,16 +187,33 @@
             if not await self._load():
                 return
             self._loaded_fence = fence
+        self._record_term()
         while self._calls.fence == fence and await self._close_next():
             pass
 
+    def _record_term(self) -> None:
+        """Record until when no other host can report a window unknown to this one."""
+        if self._calls.fence is not None and self._find_proof(self._next) is not None:
+            until = self._clock.monotonic() + self._calls.time_left
+            self._sharing.record_term(until)
+
+    async def _end_term(self) -> None:
+        self._sharing.end_term()
+
+    def _find_proof(self, window: int) -> Proof | None:
+        """Return the proof that a window, the next or a later one, was not reported."""
+        end = usage_counts.find_end(window, self._sharing.window)
+        return find_proof(end, self._sharing.find_evidence(), self._stored_epoch)
+
     async def _load(self) -> bool:
-        """Read what earlier holders wrote; return whether the store answered."""
+        """Read what earlier holders wrote; return whether it is known."""
+        epoch = self._epochs.current
         listing = await self._objects.list(USAGE_KIND)
-        if isinstance(listing, Err):
+        if isinstance(listing, Err) or self._epochs.current != epoch:
             return False
         # Schedulers may know of later windows that a restored store has lost.
         await self._sharing.collect(self._next - 1)
+        told = self._sharing.find_evidence()
         stored: dict[int, Report] = {}
         for item in listing.ok_value.items:
             decoded = _decode_report(item.name, item.body)
@@ -199,39 +226,61 @@
             report.is_over = known is not None and known.is_over
             stored[window] = report
         newest = max(stored, default=-1)
+        self._stored_epoch = _find_latest(r.epoch for r in stored.values())
         accepted = max((r.accepted_through for r in stored.values()), default=-1)
         for window, report in stored.items():
             report.is_over |= window <= accepted
         # What is missing below was accepted, and removed by another holder. What is
-        # missing above was lost as the store was restored.
-        lost = {w: r for w, r in self._reports.items() if w > newest}
+        # missing above was lost as the store was restored; only its last holder knows
+        # that no other host has counted it since.
+        is_last_holder = self._was_holder_at_restore()
+        lost = {w: r for w, r in self._reports.items() if w > newest and is_last_holder}
         self._reports = stored | lost
         self._next = self._find_next(max([newest, *lost]))
+        self._sharing.prepare_table(self._next - 1)
+        proof = self._find_proof(self._next)
         _log(
             "reports are read",
             count=len(stored),
             next=self._next,
             newest=newest,
-            told=self._sharing.table.written,
+            told=told.written,
             silent=self._sharing.silent_schedulers,
+            epoch=epoch,
+            stored_epoch=self._stored_epoch,
+            proof=None if proof is None else proof.value,
         )
         return True
 
     def _find_next(self, newest: int) -> int:
         """Return the first window to write after the newest one that was written."""
-        now = self._sharing.time.now()
-        table = self._sharing.table
-        written = max(newest, self._next - 1, table.written)
-        oldest = usage_counts.find_window(now - CATCH_UP_TIME, self._sharing.window)
+        length, now = self._sharing.window, self._sharing.time.now()
+        evidence = self._sharing.find_evidence()
+        written = max(newest, self._next - 1, evidence.written)
+        oldest = usage_counts.find_window(now - CATCH_UP_TIME, length)
         if written < 0:
-            first = self._first if self._first is not None else self._find_window()
-            return max(min([first, *table.counts]), oldest)
+            return max(self._find_first(evidence.restore), oldest)
         if written + 1 < oldest:
-            _log("windows are not reported", first=written + 1, last=oldest - 1)
+            self._leave_out(written + 1, oldest - 1, "they ended too long ago")
         return max(written + 1, oldest)
 
-    def _find_window(self) -> int:
-        return usage_counts.find_window(self._sharing.time.now(), self._sharing.window)
+    def _find_first(self, restore: Restore | None) -> int:
+        """Return the first window to write where no report is known."""
+        length = self._sharing.window
+        if restore is not None:
+            return usage_counts.find_window(restore.seen_at, length)
+        now = usage_counts.find_window(self._sharing.time.now(), length)
+        return min([now, *self._sharing.table.counts])
+
+    def _was_holder_at_restore(self) -> bool:
+        """Return whether the store was last restored within a term of this process."""
+        own_until = self._sharing.find_own_evidence().complete_until
+        restore = self._sharing.find_evidence().restore
+        return restore is None or own_until >= restore.seen_at
+
+    def _leave_out(self, first: int, last: int, reason: str) -> None:
+        _log("windows are not reported", first=first, last=last, reason=reason)
+        self._on_left_out(last - first + 1)
 
     async def _close_next(self) -> bool:
         """Close the next window; return whether it was, so that another may be."""
@@ -243,10 +292,18 @@
         await self._collect()
         now = self._sharing.time.now()
         missing = self._sharing.list_missing(end)
-        closing = decide_closing(end, self._terms.lateness, not missing, now)
+        proof = self._find_proof(window)
+        # A holder of the time of the restore may still answer.
+        is_complete = not missing and proof is not None
+        closing = decide_closing(end, self._terms.lateness, is_complete, now)
         if closing is Closing.WAIT:
             return False
-        written = await self._write(window)
+        if proof is None:
+            self._leave_out(window, window, "it may have been reported")
+            self._next = window + 1
+            self._sharing.prepare_table(window)
+            return True
+        written = await self._write(window, proof)
         if isinstance(written, Err):
             _log("report is not known", window=window, cause=written.err_value.value)
             return False
@@ -265,6 +322,7 @@
             requests=sum(report.counts.values()),
             organisations=len(report.counts),
             missing=missing,
+            proof=proof.name,
             late_ms=(now - end) // timedelta(milliseconds=1),
         )
         return True
@@ -276,19 +334,24 @@
         self._collected_at = now
         await self._sharing.collect(self._next - 1)
 
-    async def _write(self, window: int) -> Result[Report | None, FailureCause]:
+    async def _write(
+        self, window: int, proof: Proof
+    ) -> Result[Report | None, FailureCause]:
         """Write a report unless one is there; return the one in the store.
 
-        It is None if it is unreadable: its window is not reported here. A write without
-        an answer may take effect later; only the first one does.
+        The ``proof`` shows that the window was not reported. The result is None if the
+        report is unreadable: its window is not reported here. A write without an answer
+        may take effect later; only the first one does.
         """
         waiting = [w for w, report in self._reports.items() if not report.is_over]
         counts = usage_counts.sum_window(self._sharing.table, window)
-        report = Report(counts, min(waiting, default=window) - 1)
+        epoch = self._epochs.current
+        report = Report(counts, min(waiting, default=window) - 1, epoch)
         body = _encode_report(report)
         written = await self._objects.write(USAGE_KIND, str(window), body)
         if isinstance(written, Ok):
             report.version = written.ok_value
+            self._stored_epoch = epoch
             return Ok(report)
         cause = written.err_value.cause
         if cause not in (FailureCause.CONFLICT, FailureCause.UNKNOWN):
@@ -302,6 +365,7 @@
             return Ok(None)
         report = decoded.ok_value[1]
         report.version = read.ok_value.version
+        self._stored_epoch = _find_latest([self._stored_epoch, report.epoch])
         return Ok(report)
 
     # Reports
@@ -380,8 +444,16 @@
             report.version = deleted.err_value.current
 
 
+def _find_latest(epochs: Iterable[int | None]) -> int | None:
+    return max((epoch for epoch in epochs if epoch is not None), default=None)
+
+
 def _encode_report(report: Report) -> str:
-    fields = {"counts": report.counts, "accepted": report.accepted_through}
+    fields = {
+        "counts": report.counts,
+        "accepted": report.accepted_through,
+        "epoch": report.epoch,
+    }
     return orjson.dumps(fields).decode()
 
 
@@ -392,6 +464,13 @@
             read_name(organisation): read_counter(count)
             for organisation, count in data["counts"].items()
         }
-        return Ok((int(name), Report(counts, read_integer(data["accepted"]))))
+        # Earlier builds name no epoch.
+        epoch = data.get("epoch")
+        report = Report(
+            counts,
+            read_integer(data["accepted"]),
+            None if epoch is None else read_integer(epoch),
+        )
+        return Ok((int(name), report))
     except DECODE_ERRORS as error:
         return Err(describe_error(error))
--- a/src/galenapass/forwarding/store_epochs.py
+++ b/src/galenapass/forwarding/store_epochs.py
@@ -23,15 +23,17 @@
 
     ``on_restore`` is called once for each later epoch than the known one. ``current``
     is None until an answer of the store or another host names an epoch; stores of
-    earlier builds name none.
+    earlier builds name none. ``seen_at`` is the monotonic time at which this process
+    first saw the current epoch.
     """
 
-    __slots__ = ("_clock", "_on_restore", "_restored_at", "current")
+    __slots__ = ("_clock", "_on_restore", "_restored_at", "current", "seen_at")
 
     def __init__(
         self, clock: Clock, on_restore: Callable[[], None] = lambda: None
     ) -> None:
         self.current: int | None = None
+        self.seen_at: timedelta | None = None
         self._clock = clock
         self._on_restore = on_restore
         self._restored_at: timedelta | None = None
@@ -50,9 +52,10 @@
         if epoch is None or (before is not None and epoch <= before):
             return
         self.current = epoch
+        self.seen_at = self._clock.monotonic()
         if before is None:
             return
-        self._restored_at = self._clock.monotonic()
+        self._restored_at = self.seen_at
         _log("store was restored", epoch=epoch, before=before, source=source)
         self._on_restore()
 
--- a/src/galenapass/forwarding/usage_counts.py
+++ b/src/galenapass/forwarding/usage_counts.py
@@ -36,12 +36,10 @@
 class UsageTable:
     """Counts of the windows after ``closed``, by source and organisation.
 
-    The counts of a source are complete up to its time in ``through``. ``written`` is
-    the last window whose report was written, as far as a holder of the duty told.
+    The counts of a source are complete up to its time in ``through``.
     """
 
     closed: int = -1
-    written: int = -1
     counts: dict[int, dict[Source, dict[str, int]]] = field(default_factory=dict)
     through: dict[Source, timedelta] = field(default_factory=dict)
 
--- a/src/galenapass/forwarding/usage_messages.py
+++ b/src/galenapass/forwarding/usage_messages.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from galenapass.forwarding.usage_counts import SourceCounts
+from galenapass.forwarding.usage_evidence import Evidence, Restore
 from galenapass.json_values import read_integer, read_name
 
 __all__ = [
@@ -16,9 +17,11 @@
     "UsageReply",
     "UsageRow",
     "decode_counts",
+    "decode_evidence",
     "decode_notice",
     "decode_reply",
     "encode_counts",
+    "encode_evidence",
     "encode_notice",
     "encode_reply",
 ]
@@ -122,6 +125,34 @@
     ]
 
 
+def encode_evidence(evidence: Evidence) -> dict[str, Any]:
+    """Return the fields that tell what is known of the reports that were sent."""
+    fields: dict[str, Any] = {
+        "written": evidence.written,
+        "complete_until": _encode_time(evidence.complete_until),
+    }
+    if evidence.restore is not None:
+        seen_at = _encode_time(evidence.restore.seen_at)
+        fields["restore"] = [evidence.restore.epoch, seen_at]
+    return fields
+
+
+def decode_evidence(fields: dict[str, Any]) -> Evidence:
+    """Return what is known of the reports; raise an error if it is malformed.
+
+    Earlier builds tell at most the last window that was written.
+    """
+    restore = None
+    if "restore" in fields:
+        epoch, seen_at = fields["restore"][:2]
+        restore = Restore(read_integer(epoch), _decode_time(seen_at))
+    return Evidence(
+        read_integer(fields.get("written", -1)),
+        _decode_time(fields.get("complete_until", 0)),
+        restore,
+    )
+
+
 def _encode_time(time: timedelta) -> int:
     return time // MICROSECOND
 
--- a/src/galenapass/forwarding/usage_sharing.py
+++ b/src/galenapass/forwarding/usage_sharing.py
@@ -21,14 +21,18 @@
 from galenapass.forwarding.peer_calls import PeerConnection, open_call
 from galenapass.forwarding.requests import ForwardedRequest
 from galenapass.forwarding.schedulers import Address
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.true_time import TrueTime
 from galenapass.forwarding.usage_counts import Source, SourceCounts, UsageTable
+from galenapass.forwarding.usage_evidence import Evidence, Restore, merge_evidence
 from galenapass.forwarding.usage_messages import (
     UsageNotice,
     UsageReply,
     UsageRow,
     decode_counts,
+    decode_evidence,
     encode_counts,
+    encode_evidence,
 )
 from galenapass.json_values import DECODE_ERRORS, describe_error, read_integer
 from galenapass.logs import make_log
@@ -159,6 +163,7 @@
         clock: Clock,
         hosts: SchedulerHosts,
         send: Callable[[str, UsageNotice | UsageReply], None],
+        epochs: StoreEpochs,
         on_request: Callable[[str], None] = lambda organisation: None,
     ):
         self.table = UsageTable()
@@ -170,6 +175,10 @@
         self._clock = clock
         self._hosts = hosts
         self._send = send
+        self._epochs = epochs
+        # What other processes told; what this one knows by itself is added to it.
+        self._told = Evidence()
+        self._complete_until: timedelta | None = None
         self._on_request = on_request
         self._receivers: dict[str, _Receiver] = {}
         self._sequence = 0
@@ -375,7 +384,7 @@
         after = read_integer(fields["after"])
         rows = encode_counts(self.list_counts(after))
         payload = zlib.compress(orjson.dumps(rows), 1)
-        head = {"length": len(payload), "written": self.table.written}
+        head = {"length": len(payload), **encode_evidence(self.find_evidence())}
         await connection.send(head, payload)
 
     def list_counts(self, after: int) -> list[SourceCounts]:
@@ -388,10 +397,41 @@
 
     def prepare_table(self, closed: int) -> None:
         """Complete the own counts; forget the windows whose reports were written."""
-        self.table.written = max(self.table.written, closed)
+        self._told = merge_evidence(self._told, Evidence(closed))
         usage_counts.forget_windows(self.table, closed, self.time.now())
         self._record_own_through()
 
+    def find_evidence(self) -> Evidence:
+        """Return what is known here of the reports that were sent."""
+        return merge_evidence(self._told, self.find_own_evidence())
+
+    def find_own_evidence(self) -> Evidence:
+        """Return what this process knows by its own terms and answers of the store."""
+        if not self.time.is_settled:
+            return Evidence(self._told.written)
+        now = self._clock.monotonic()
+        until, seen_at = self._complete_until, self._epochs.seen_at
+        epoch, offset = self._epochs.current, self.time.offset
+        return Evidence(
+            self._told.written,
+            timedelta(0) if until is None else min(until, now) + offset,
+            None
+            if epoch is None or seen_at is None
+            else Restore(epoch, seen_at + offset),
+        )
+
+    def record_term(self, until: timedelta) -> None:
+        """Record that only this process can report until a monotonic time.
+
+        It knows all windows that were reported before.
+        """
+        self._complete_until = until
+
+    def end_term(self) -> None:
+        """Record that another process may report from now on."""
+        if self._complete_until is not None:
+            self._complete_until = min(self._complete_until, self._clock.monotonic())
+
     def list_missing(self, end: timedelta) -> list[str]:
         """Return the hosts whose counts up to a true time may be incomplete here."""
         table = self.table
@@ -430,8 +470,8 @@
         self._merge_answer(*read.ok_value)
         return None
 
-    def _merge_answer(self, written: int, items: list[SourceCounts]) -> None:
-        self.table.written = max(self.table.written, written)
+    def _merge_answer(self, evidence: Evidence, items: list[SourceCounts]) -> None:
+        self._told = merge_evidence(self._told, evidence)
         for item in items:
             for window, counts in item.counts.items():
                 usage_counts.merge_counts(self.table, item.source, window, counts)
@@ -440,12 +480,11 @@
 
 async def _read_answer(
     connection: PeerConnection,
-) -> Result[tuple[int, list[SourceCounts]], str]:
-    """Return the last window that a scheduler knows to be written, and its counts."""
+) -> Result[tuple[Evidence, list[SourceCounts]], str]:
+    """Return what a scheduler knows of the reports that were sent, and its counts."""
     try:
         head = await connection.receive(ANSWER_TIMEOUT)
-        # Earlier builds do not tell it.
-        written = read_integer(head.get("written", -1))
+        evidence = decode_evidence(head)
         payload = bytearray()
         while len(payload) < read_integer(head["length"]):
             async with limit_silence(ANSWER_TIMEOUT):
@@ -457,6 +496,6 @@
         body = inflater.decompress(payload, MAX_BODY_BYTES)
         if not inflater.eof:
             return Err("the answer is too large")
-        return Ok((written, decode_counts(orjson.loads(body))))
+        return Ok((evidence, decode_counts(orjson.loads(body))))
     except (OSError, TimeoutError, zlib.error, *DECODE_ERRORS) as error:
         return Err(describe_error(error))
--- a/src/galenapass/metrics.py
+++ b/src/galenapass/metrics.py
@@ -118,6 +118,7 @@
     refused_keys: Counter
     usage_requests: Counter
     usage_reports: Counter
+    usage_windows_left_out: Counter
     wanted_targets: Gauge
     present_targets: Gauge
     organisation_work: Counter
@@ -165,6 +166,7 @@
         refused_keys=Counter(registry, "galenapass_refused_keys", "reason"),
         usage_requests=Counter(registry, "galenapass_usage_requests", "organisation"),
         usage_reports=Counter(registry, "galenapass_usage_reports", "outcome"),
+        usage_windows_left_out=Counter(registry, "galenapass_usage_windows_left_out"),
         wanted_targets=Gauge(registry, "galenapass_wanted_targets", *TARGET_LABELS),
         present_targets=Gauge(registry, "galenapass_present_targets", *TARGET_LABELS),
         organisation_work=Counter(
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -581,11 +581,12 @@
             self.clock,
             self.scheduler_selection,
             self.peering.send_usage,
+            self.epochs,
             lambda name: self.metrics.usage_requests.add(1, {"organisation": name}),
         )
 
     def _make_usage_reports(self) -> UsageReports | None:
-        settings, terms = self.settings, self.settings.operations
+        terms = self.settings.operations
         if terms is None or self._duty_calls is None or self.usage is None:
             return None
         return UsageReports(
@@ -594,10 +595,11 @@
             self.store,
             self.usage,
             self.clock,
-            is_first_start=settings.is_first_start,
+            self.epochs,
             on_outcome=lambda outcome: self.metrics.usage_reports.add(
                 1, {"outcome": outcome}
             ),
+            on_left_out=self.metrics.usage_windows_left_out.add,
         )
 
     def _make_store_watches(self) -> list[StoreWatch]:
--- a/tests/test_usage_time.py
+++ b/tests/test_usage_time.py
@@ -20,6 +20,7 @@
     follow_wall_clock,
 )
 from galenapass.forwarding.usage_counts import UsageTable
+from galenapass.forwarding.usage_evidence import Evidence
 from galenapass.forwarding.usage_sharing import choose_receivers
 from galenapass.tables.leases import Lease
 from tests.forwarding_fakes import make_request
@@ -237,4 +238,4 @@
     async def run():
         return await usage_sharing._read_answer(Connection())
 
-    assert asyncio.run(run()).ok_value == (written, [])
+    assert asyncio.run(run()).ok_value == (Evidence(written), [])
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -13,12 +13,15 @@
 from galenapass.duties.usage_reports import UsageReports
 from galenapass.forwarding import usage_counts
 from galenapass.forwarding.operations import CallOutcome, Duty, OperationsTerms
+from galenapass.forwarding.store_epochs import StoreEpochs
 from galenapass.forwarding.usage_messages import (
     UsageNotice,
     decode_counts,
+    decode_evidence,
     decode_notice,
     decode_reply,
     encode_counts,
+    encode_evidence,
     encode_notice,
     encode_reply,
 )
@@ -162,7 +165,10 @@
     async def _pass(self, call):
         await self._world.pass_hooks(self._world.before, call, self._host)
         is_cut = self._host.name in self._world.cut_off
-        return not (self._world.store_is_away or is_cut)
+        if self._world.store_is_away or is_cut:
+            return False
+        self._host.epochs.observe(self._world.epoch, "store")
+        return True
 
     async def _end(self, call, answer):
         await self._world.pass_hooks(self._world.after, call, self._host)
@@ -249,7 +255,8 @@
             return host
         rows = encode_counts(peer.sharing.list_counts(after))
         items = decode_counts(orjson.loads(orjson.dumps(rows)))
-        self._merge_answer(peer.sharing.table.written, items)
+        fields = orjson.dumps(encode_evidence(peer.sharing.find_evidence()))
+        self._merge_answer(decode_evidence(orjson.loads(fields)), items)
         return None
 
 
@@ -262,19 +269,29 @@
         self.clock = HostClock(world, 1000 * SECOND * world.starts)
         self.clock.step = step
         start = world.starts
+        self.epochs = StoreEpochs(self.clock, lambda: self.keeper.apply_epoch())
         self.sharing = Sharing(
-            name, domain, start, TERMS.window, self.clock, world, self._send
+            name,
+            domain,
+            start,
+            TERMS.window,
+            self.clock,
+            world,
+            self._send,
+            self.epochs,
         )
         self.sharing.world = world
         store = Store(world, self)
         lease = Lease("roles", name, start, 2 * LEASE)
         if is_first:
             lease.fresh_until = self.clock.monotonic() + 2 * LEASE
-        self.keeper = LeaseKeeper(lease, self.clock, store, lambda: world.epoch)
+        self.keeper = LeaseKeeper(
+            lease, self.clock, store, lambda: self.epochs.current or 0
+        )
         client = Platform(world, self)
         self.calls = DutyCalls(name, self.keeper, client, self.clock, 2.0, LEASE)
         self.reports = UsageReports(
-            TERMS, self.calls, store, self.sharing, self.clock, is_first_start=is_first
+            TERMS, self.calls, store, self.sharing, self.clock, self.epochs
         )
         self._offset = (world.starts * 7) % 10
         self._ticks = 0
