Refuse take-ups where a restore may have taken a version of streams

What callers saw: streams that a version of the software had begun went on at another one (rule ORDER), after the store came back from a copy from before that version, which had left by then, and all daemons were killed.

Hosts that start took any versions that they found in the store for all that may have begun an open stream. A restore takes those that came since the copy, and a host that has just started writes what it found there, as if it knew.

Change: a host publishes with its versions the store's epoch if they were complete as it wrote them in it. A host that starts trusts them only in that epoch; else it waits for the word of a host that saw all of them, or for the lifetime of a stream. A listing tells its epoch. Texts of earlier builds are trusted as before.

Why it works: a host that lived through the restore has seen the versions and writes again at once; where none did, no take-up without a record goes on.

--- a/src/galenapass/forwarding/origin_messages.py
+++ b/src/galenapass/forwarding/origin_messages.py
@@ -72,10 +72,15 @@
 
 @dataclass(slots=True, frozen=True)
 class PublishedOrigins:
-    """Streams that began at one host, and the versions that it saw."""
+    """Streams that began at one host, and the versions that it saw.
+
+    ``complete_epoch`` is the store's epoch if the versions were complete as they were
+    written in it, else -1; None in texts of earlier builds.
+    """
 
     records: Sequence[StreamRecord] = ()
     versions: Sequence[VersionRow] = ()
+    complete_epoch: int | None = None
 
 
 def split_notice(records: Sequence[StreamRecord]) -> list[StreamNotice]:
@@ -133,6 +138,7 @@
         "written_at": wall.timestamp(),
         "versions": versions,
         "streams": _encode_records(published.records, now),
+        "complete_epoch": published.complete_epoch,
     }
     return orjson.dumps(data).decode()
 
@@ -148,10 +154,12 @@
         age = max(wall - written_at - CLOCK_TOLERANCE, timedelta(0))
         records = list(_decode_records(data["streams"], now - age))
         versions = [_decode_version(row, now) for row in data["versions"]]
+        epoch = data.get("complete_epoch")
+        complete_epoch = None if epoch is None else read_integer(epoch)
     except (*DECODE_ERRORS, OSError) as error:
         _log("published streams are unreadable", error=describe_error(error))
         return PublishedOrigins()
-    return PublishedOrigins(records, versions)
+    return PublishedOrigins(records, versions, complete_epoch)
 
 
 def _decode_version(row: list[Any], now: timedelta) -> VersionRow:
--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -78,9 +78,9 @@
     ``share`` tells the schedulers a notice, ``ask`` sends a query to some of them and
     returns to how many. ``list_targets`` returns the targets that are in the store now,
     None if it does not answer. ``is_scheduler`` returns whether this host schedules,
-    ``is_view_fresh`` whether it receives updates from the store. ``on_need`` is called
-    when records become needed or needless, ``on_resumed`` with how the origin of a
-    stream was found.
+    ``is_view_fresh`` whether it receives updates from the store, ``find_epoch`` the
+    store's epoch, None if it names none. ``on_need`` is called when records become
+    needed or needless, ``on_resumed`` with how the origin of a stream was found.
     """
 
     share: Callable[[StreamNotice], None]
@@ -88,6 +88,7 @@
     list_targets: Callable[[], Awaitable[Iterable[Target] | None]]
     is_scheduler: Callable[[], bool]
     is_view_fresh: Callable[[], bool]
+    find_epoch: Callable[[], int | None] = lambda: None
     on_need: Callable[[], None] = lambda: None
     on_resumed: Callable[[str], None] = lambda outcome: None
 
@@ -125,6 +126,7 @@
         self._is_flush_due = False
         self._flushed_at = timedelta(0)
         self._is_loaded = False
+        self._was_complete = False
         # Versions of the hosts' objects that were read last; those of hosts that are
         # gone name versions that left long ago.
         self._read_versions: dict[str, int] = {}
@@ -263,6 +265,9 @@
         self._observe_routes(now)
         if self._history.observe(self._fleet.targets.values(), now):
             self._to_publish.set()
+        if self._history.is_complete(now) != self._was_complete:
+            self._was_complete = not self._was_complete
+            self._to_publish.set()
         if self._history.forget_left(now):
             self._to_publish.set()
             self._to_remove.set()
@@ -356,7 +361,10 @@
         now = self._clock.monotonic()
         own = list(self._own)[-MAX_PUBLISHED:] if self.needs_records else []
         records = self._origins.select(own, now)
-        published = PublishedOrigins(records, self._history.list_rows(now))
+        epoch = self._hooks.find_epoch()
+        if epoch is not None and not self._history.is_complete(now):
+            epoch = -1
+        published = PublishedOrigins(records, self._history.list_rows(now), epoch)
         body = encode_published(published, self._clock.now(), now)
         return await self._object.write(body)
 
@@ -417,21 +425,40 @@
             if host == self._fleet.host and not self._is_loaded:
                 # The next write replaces what this host wrote before its start.
                 self._add_own([r.stream for r in origins.records], must_tell=False)
+        # A restored store lacks what was written since; a host that has just started
+        # writes what it found there.
+        is_complete = any(
+            origins.versions and origins.complete_epoch in (None, listing.epoch)
+            for origins in published.values()
+        )
         versions = {stored.name: stored.version for stored in listing.items}
         changed = versions.items() - self._read_versions.items()
         self._read_versions = versions
         if self._is_loaded:
             hosts = {name for name, _ in changed} - {self._fleet.host}
             self._history.hear(_gather_rows(published, hosts), now)
+            if is_complete:
+                self._history.complete(now)
         else:
             self._is_loaded = True
             rows = _gather_rows(published, published)
-            self._history.load(rows, now, is_first_start=self._is_first_start)
+            self._history.load(
+                rows,
+                now,
+                is_first_start=self._is_first_start,
+                is_complete=is_complete,
+            )
             self._is_first_start = False
             for stored in listing.items:
                 if stored.name == self._fleet.host:
                     self._object.version = stored.version
-            _log("streams are loaded", hosts=len(published), versions=len(rows))
+            _log(
+                "streams are loaded",
+                hosts=len(published),
+                versions=len(rows),
+                epoch=listing.epoch,
+                complete=self._history.is_complete(now),
+            )
         self.observe()
 
 
--- a/src/galenapass/forwarding/service_versions.py
+++ b/src/galenapass/forwarding/service_versions.py
@@ -63,20 +63,31 @@
         self._complete_at, self._present = None, frozenset()
 
     def load(
-        self, rows: Iterable[VersionRow], now: timedelta, *, is_first_start: bool
+        self,
+        rows: Iterable[VersionRow],
+        now: timedelta,
+        *,
+        is_first_start: bool,
+        is_complete: bool = True,
     ) -> None:
         """Add what earlier starts and other hosts wrote.
 
         A version that was present when its row was written may have been used up to
-        now. Without any row nothing is known of before, except at the first start.
+        now. Without any row, or if none of the writers ``is_complete``, nothing is
+        known of before, except at the first start.
         """
         rows = list(rows)
         if self._complete_at is None:
-            is_known = is_first_start or bool(rows)
+            is_known = is_first_start or (is_complete and bool(rows))
             self._complete_at = now if is_known else now + STREAM_LIFETIME
         for row in rows:
             self.record(row.origin, now if row.left_at is None else row.left_at)
 
+    def complete(self, now: timedelta) -> None:
+        """Record that all that others with a complete history wrote was added."""
+        if self._complete_at is not None:
+            self._complete_at = min(self._complete_at, now)
+
     def hear(self, rows: Iterable[VersionRow], now: timedelta) -> None:
         """Add what another host has written lately, like ``load``."""
         for row in rows:
--- a/src/galenapass/platform/assembly.py
+++ b/src/galenapass/platform/assembly.py
@@ -476,6 +476,7 @@
             list_targets=self._list_stored_targets,
             is_scheduler=lambda: self.scheduler_selection.is_scheduler,
             is_view_fresh=self._is_store_view_fresh,
+            find_epoch=lambda: self.epochs.current,
             on_need=lambda: self.peering.announce_version(),
             on_resumed=lambda outcome: self.metrics.resumed_streams.add(
                 1, {"origin": outcome}
--- a/src/galenapass/platform/messages.py
+++ b/src/galenapass/platform/messages.py
@@ -44,10 +44,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ObjectListing:
-    """Every object of one kind as of ``version``."""
+    """Every object of one kind as of ``version`` in an epoch of the store, if known."""
 
     version: int
     items: tuple[StoredObject, ...]
+    epoch: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/galenapass/platform/store_client.py
+++ b/src/galenapass/platform/store_client.py
@@ -229,7 +229,7 @@
             # Changes made between two pages are newer than the first page's version.
             version = version or current
             if not has_more or not stored:
-                return Ok(ObjectListing(version, tuple(items.values())))
+                return Ok(ObjectListing(version, tuple(items.values()), epoch))
             query = f"{first_query}after={quote(stored[-1].name, safe='')}"
 
     async def watch(
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -40,6 +40,7 @@
     """Store that can be away; ``lists`` counts its listings."""
 
     objects: FakeObjects = field(default_factory=FakeObjects)
+    epoch: int | None = None
     is_away: bool = False
     lists: int = 0
 
@@ -62,7 +63,7 @@
         if self.is_away:
             return Err(Failure(FailureCause.UNAVAILABLE))
         items = tuple(self.objects.objects.values())
-        return Ok(ObjectListing(self.objects.version, items))
+        return Ok(ObjectListing(self.objects.version, items, self.epoch))
 
     def publish(self, host, clock, records=(), versions=()):
         """Store what another host published."""
@@ -99,6 +100,7 @@
             list_targets=self.list_targets,
             is_scheduler=lambda: self.is_scheduler,
             is_view_fresh=lambda: self.is_view_fresh,
+            find_epoch=lambda: self.store.epoch,
             on_need=lambda: self.needs.append(self.sharing.needs_records),
             on_resumed=self.outcomes.append,
         )
@@ -438,6 +440,48 @@
         published = asyncio.run(scenario())
         self.assertEqual([1], [record.stream for record in published.records])
 
+    def test_order_hosts_that_start_after_a_restore_do_not_know_all_versions(self):
+        # A version that came and left since the copy was passed over.
+        host = FakeHost("v1")
+        host.store.epoch = 1
+        changes = {"store": host.store, "clock": host.clock, "is_first_start": False}
+
+        async def resolve(name):
+            started = FakeHost("v1", name=name, **changes)
+            await started.publish()
+            return started, await started.sharing.resolve(1, SERVICES)
+
+        async def scenario():
+            await host.publish()
+            _, before = await resolve("host-2")
+            self.assertEqual(Ok(OLD), before)
+            host.store.epoch = 2
+            for name in ("host-2", "host-3"):
+                started, unknown = await resolve(name)
+                self.assertIs(Run.NOT_RUN, unknown.err_value.run)
+            host.sharing.publish_again()
+            await host.publish()
+            # A host that has seen all of them writes again.
+            self.assertEqual(Ok(OLD), await started.sharing.resolve(1, SERVICES))
+
+        asyncio.run(scenario())
+
+    def test_order_hosts_that_start_after_a_restore_know_all_versions_in_the_end(self):
+        host = FakeHost("v1", is_first_start=False)
+        host.store.epoch = 2
+        changes = {"store": host.store, "clock": host.clock, "is_first_start": False}
+
+        async def scenario():
+            await host.publish()
+            host.clock.advance(STREAM_LIFETIME)
+            host.sharing.observe()
+            await host.publish()
+            started = FakeHost("v1", name="host-2", **changes)
+            await started.publish()
+            return await started.sharing.resolve(1, SERVICES)
+
+        self.assertEqual(Ok(OLD), asyncio.run(scenario()))
+
     def test_a_write_that_failed_is_made_up_for(self):
         host = FakeHost("v1", "v1.1")
 
--- a/tests/test_platform_killed_hosts.py
+++ b/tests/test_platform_killed_hosts.py
@@ -27,6 +27,7 @@
 ROUTES = [route | {"timeout_ms": DEADLINE_MS} for route in CONFIGURATION["routes"]]
 KILL_SECONDS = 3.0
 DOWN_SECONDS = 0.5
+JOIN_SECONDS = 1.2
 PLAY_SECONDS = 7.0
 SEED = 2026
 # A take-up that can't go on is refused at once; a busy machine needs some time for it.
@@ -97,17 +98,37 @@
         ]
 
 
+class LateVersion(Environment):
+    """Environment whose second version is unknown as the daemons start."""
+
+    async def start_daemon(self, name):
+        if self.daemons[name].process is None:
+            names = [
+                n for n, r in self.runners.items() if r.version == self.versions[1]
+            ]
+            await self.leave(*names)
+        await super().start_daemon(name)
+
+    async def join(self, *names):
+        for name in names:
+            self._register(self.runners[name])
+
+    async def leave(self, *names):
+        for name in names:
+            self._remove(self.runners[name])
+
+
 async def apply_at(at, action):
     await asyncio.sleep(max(at - time.monotonic(), 0))
     await action()
 
 
 class TestKilledHosts(TestCase):
-    def play(self, plan, versions=("v1", "v2")):
+    def play(self, plan, versions=("v1", "v2"), make_environment=Environment):
         """Return the hosts after a play with the actions that ``plan`` returns."""
 
         async def main(folder):
-            environment = Environment(
+            environment = make_environment(
                 folder,
                 DAEMONS,
                 configuration=CONFIGURATION | {"routes": ROUTES},
@@ -174,6 +195,21 @@
 
         self.check_share(self.play(plan))
 
+    def test_order_streams_of_a_version_that_the_store_has_lost_are_joined(self):
+        # The version came after the copy from which the store is restored, and left.
+        def plan(hosts):
+            environment = hosts.environment
+            names = hosts.list_engines("v2")
+            return [
+                (JOIN_SECONDS, lambda: environment.join(*names)),
+                (KILL_SECONDS - 0.1, lambda: environment.leave(*names)),
+                (KILL_SECONDS, hosts.inject("restore", "store", DOWN_SECONDS - 0.1)),
+            ]
+
+        hosts = self.play(plan, make_environment=LateVersion)
+        begun = [s.path for s in hosts.streams if s.versions[:1] == ["lm-v2"]]
+        self.assertNotEqual([], begun)
+
     def test_order_streams_are_joined_while_the_store_is_slow(self):
         self.play(
             lambda hosts: [(KILL_SECONDS - 1, hosts.inject("slow", "store", 3.0))]
