Take no text without an epoch for the word of a host that knows all versions

Cause: since a host that does not know which versions served before it became certain by any later text that names no epoch, such as those of hosts that know as little, where the store names no epochs (found in reading the change). Change: only a text that names the store's current epoch ends the uncertainty later on; as a host starts, texts without one are trusted as before. Result: test_order_what_a_host_without_knowledge_writes_makes_no_other_one_certain fails before and passes; the drill with a lost version still holds."

--- a/src/galenapass/forwarding/origin_sharing.py
+++ b/src/galenapass/forwarding/origin_sharing.py
@@ -427,10 +427,8 @@
                 self._add_own([r.stream for r in origins.records], must_tell=False)
         # A restored store lacks what was written since; a host that has just started
         # writes what it found there.
-        is_complete = any(
-            origins.versions and origins.complete_epoch in (None, listing.epoch)
-            for origins in published.values()
-        )
+        marks = {o.complete_epoch for o in published.values() if o.versions}
+        is_complete = listing.epoch is not None and listing.epoch in marks
         versions = {stored.name: stored.version for stored in listing.items}
         changed = versions.items() - self._read_versions.items()
         self._read_versions = versions
@@ -446,7 +444,8 @@
                 rows,
                 now,
                 is_first_start=self._is_first_start,
-                is_complete=is_complete,
+                # Earlier builds, and stores that name no epoch, leave no mark.
+                is_complete=is_complete or None in marks,
             )
             self._is_first_start = False
             for stored in listing.items:
--- a/tests/test_forwarding_origin_sharing.py
+++ b/tests/test_forwarding_origin_sharing.py
@@ -466,6 +466,20 @@
 
         asyncio.run(scenario())
 
+    def test_order_what_a_host_without_knowledge_writes_makes_no_other_one_certain(
+        self,
+    ):
+        # Neither knows what served before it, and a store that names no epoch tells
+        # nothing of that.
+        host = FakeHost("v1", is_first_start=False)
+
+        async def scenario():
+            await host.publish()
+            host.store.publish("host-2", host.clock, (), (VersionRow(OLD, None),))
+            return await host.sharing.resolve(1, SERVICES)
+
+        self.assertIsInstance(asyncio.run(scenario()), Err)
+
     def test_order_hosts_that_start_after_a_restore_know_all_versions_in_the_end(self):
         host = FakeHost("v1", is_first_start=False)
         host.store.epoch = 2
