Decide in one place whether a holder's term includes a restore

Cause: UsageReports compared a holder's term with the restore by itself, beside the condition of the proof HELD; the two could come apart. A test's doc comment said that it restores the store once, which it may do several times. Change: includes_restore serves both; the comment says what the test does.

--- a/src/galenapass/duties/usage_reports.py
+++ b/src/galenapass/duties/usage_reports.py
@@ -23,7 +23,12 @@
 from galenapass.forwarding import usage_counts
 from galenapass.forwarding.operations import CallOutcome, OperationsTerms
 from galenapass.forwarding.store_epochs import StoreEpochs
-from galenapass.forwarding.usage_evidence import Proof, Restore, find_proof
+from galenapass.forwarding.usage_evidence import (
+    Proof,
+    Restore,
+    find_proof,
+    includes_restore,
+)
 from galenapass.forwarding.usage_sharing import UsageSharing
 from galenapass.json_values import (
     DECODE_ERRORS,
@@ -276,7 +281,7 @@
         """Return whether the store was last restored within a term of this process."""
         own_until = self._sharing.find_own_evidence().complete_until
         restore = self._sharing.find_evidence().restore
-        return restore is None or own_until >= restore.seen_at
+        return restore is None or includes_restore(own_until, restore)
 
     def _leave_out(self, first: int, last: int, reason: str) -> None:
         _log("windows are not reported", first=first, last=last, reason=reason)
--- a/src/galenapass/forwarding/usage_evidence.py
+++ b/src/galenapass/forwarding/usage_evidence.py
@@ -10,7 +10,14 @@
 from datetime import timedelta
 from enum import Enum
 
-__all__ = ["Evidence", "Proof", "Restore", "find_proof", "merge_evidence"]
+__all__ = [
+    "Evidence",
+    "Proof",
+    "Restore",
+    "find_proof",
+    "includes_restore",
+    "merge_evidence",
+]
 
 
 class Proof(Enum):
@@ -81,6 +88,11 @@
     return None
 
 
+def includes_restore(complete_until: timedelta, restore: Restore) -> bool:
+    """Return whether a holder's term reached to the first sight of a restore."""
+    return complete_until >= restore.seen_at
+
+
 def _merge_restores(one: Restore | None, other: Restore | None) -> Restore | None:
     if one is None or other is None:
         return one or other
@@ -94,5 +106,5 @@
 _CONDITIONS: dict[Proof, _Condition] = {
     Proof.STORED: lambda end, until, restore, stored: stored == restore.epoch,
     Proof.LATER: lambda end, until, restore, stored: end > restore.seen_at,
-    Proof.HELD: lambda end, until, restore, stored: until >= restore.seen_at,
+    Proof.HELD: lambda end, until, restore, stored: includes_restore(until, restore),
 }
--- a/tests/test_usage_evidence.py
+++ b/tests/test_usage_evidence.py
@@ -200,7 +200,7 @@
 
 
 async def disrupt_at_random(drill, random):
-    """Restore the store once, while processes end, are cut off and are suspended."""
+    """Disrupt the store, the platform, the hosts and their links in a random order."""
     world = drill.world
 
     async def act(action):
